--- /dev/null
+++ b/Lagoonward/Core/Clock.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+
+namespace lagoonward {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+using WallTime = std::chrono::system_clock::time_point;
+using Milliseconds = std::chrono::milliseconds;
+using Microseconds = std::chrono::microseconds;
+using Seconds = std::chrono::seconds;
+
+/// Source of time. Every module takes it by reference, so that tests and benches can use
+/// a VirtualClock instead of the machine's.
+class Clock
+{
+public:
+  virtual ~Clock() = default;
+
+  /// Monotonic time that does not advance while the machine is suspended.
+  [[nodiscard]] virtual TimePoint Now() const = 0;
+
+  /// Calendar time, for what is exchanged with other hosts. May jump.
+  [[nodiscard]] virtual WallTime WallNow() const = 0;
+
+  /// Monotonic time that also counts suspension. Leases are checked against this one.
+  [[nodiscard]] virtual TimePoint BootNow() const = 0;
+};
+
+/// Milliseconds since the Unix epoch.
+[[nodiscard]] std::int64_t
+ToUnixMilliseconds(WallTime aTime);
+
+/// Inverse of ToUnixMilliseconds().
+[[nodiscard]] WallTime
+FromUnixMilliseconds(std::int64_t aMilliseconds);
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Core/SystemClock.cpp
@@ -0,0 +1,28 @@
+#include "Lagoonward/Core/SystemClock.h"
+
+#include <ctime>
+
+namespace lagoonward {
+
+TimePoint
+SystemClock::Now() const
+{
+  return std::chrono::steady_clock::now();
+}
+
+WallTime
+SystemClock::WallNow() const
+{
+  return std::chrono::system_clock::now();
+}
+
+TimePoint
+SystemClock::BootNow() const
+{
+  // steady_clock stops during suspension on Linux; CLOCK_BOOTTIME does not
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(Seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Core/SystemClock.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Lagoonward/Core/Clock.h"
+
+namespace lagoonward {
+
+/// The machine's clocks.
+class SystemClock final : public Clock
+{
+public:
+  [[nodiscard]] TimePoint Now() const override;
+  [[nodiscard]] WallTime WallNow() const override;
+  [[nodiscard]] TimePoint BootNow() const override;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Core/UniqueFd.h
@@ -0,0 +1,28 @@
+#pragma once
+
+namespace lagoonward {
+
+/// Owns one file descriptor and closes it when it goes out of scope.
+class UniqueFd
+{
+public:
+  UniqueFd() = default;
+  explicit UniqueFd(int aDescriptor);
+  UniqueFd(UniqueFd&& aOther) noexcept;
+  UniqueFd& operator=(UniqueFd&& aOther) noexcept;
+  UniqueFd(const UniqueFd&) = delete;
+  UniqueFd& operator=(const UniqueFd&) = delete;
+  ~UniqueFd();
+
+  /// The descriptor, or -1 when there is none.
+  [[nodiscard]] int Get() const;
+  [[nodiscard]] bool IsValid() const;
+
+  /// Closes the descriptor now.
+  void Reset();
+
+private:
+  int descriptor = -1;
+};
+
+} // namespace lagoonward
