--- /dev/null
+++ b/Lagoonward/Configuration/ConfigurationRecord.cpp
@@ -0,0 +1,122 @@
+#include "Lagoonward/Configuration/ConfigurationRecord.h"
+
+#include "Lagoonward/Configuration/ManifestReader.h"
+#include "Lagoonward/Configuration/ManifestWriter.h"
+
+#include <limits>
+
+namespace lagoonward {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::int64_t kMaxOffset = std::numeric_limits<std::int64_t>::max() - 1;
+constexpr IntegerRange kVersionRange{ kNoOffset, kMaxOffset };
+constexpr IntegerRange kThroughRange{ 0, kMaxOffset };
+constexpr std::size_t kMaxRecordBytes = kMaxManifestBytes + 4096; ///< A manifest and its envelope.
+
+std::optional<Manifest>
+ReadEmbeddedManifest(JsonReader& aReader, std::string_view aMarket, JsonFaults& aFaults)
+{
+  const json* value = aReader.Require("manifest");
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  auto reading = ReadManifest(*value, aReader.PointerOf("manifest"));
+  aFaults.insert(aFaults.end(), reading.faults.begin(), reading.faults.end());
+  if (reading.manifest && reading.manifest->market != aMarket) {
+    aFaults.push_back({ "/manifest/market", "not the market of this stream" });
+  }
+  return std::move(reading.manifest);
+}
+
+ConfigurationRecord::Kind
+ReadKind(JsonReader& aReader)
+{
+  const std::string kind = aReader.Has("kind") ? aReader.ReadString("kind") : "manifest";
+  aReader.Find("kind");
+  if (kind == "checkpoint") {
+    return ConfigurationRecord::Kind::Checkpoint;
+  }
+  if (kind != "manifest") {
+    aReader.Fault("kind", "neither manifest nor checkpoint");
+  }
+  return ConfigurationRecord::Kind::Manifest;
+}
+
+void
+ReadCheckpoint(JsonReader& aReader, std::string_view aMarket, ConfigurationRecord& aRecord,
+               JsonFaults& aFaults)
+{
+  aRecord.of = aReader.ReadInteger("of", kVersionRange);
+  aRecord.through = aReader.ReadInteger("through", kThroughRange);
+  if (aRecord.of >= aRecord.through) {
+    aReader.Fault("through", "not behind `of`");
+  }
+
+  // Nothing in force is written as null
+  const json* manifest = aReader.Find("manifest");
+  if (aRecord.of == kNoOffset && manifest != nullptr && manifest->is_null()) {
+    return;
+  }
+  aRecord.manifest = ReadEmbeddedManifest(aReader, aMarket, aFaults);
+  if (aRecord.of == kNoOffset) {
+    aReader.Fault("of", "-1 with a manifest");
+  }
+}
+
+} // namespace
+
+std::optional<ConfigurationRecord>
+ReadConfigurationRecord(std::string_view aText, std::string_view aMarket, JsonFaults& aFaults)
+{
+  if (aText.size() > kMaxRecordBytes) {
+    aFaults.push_back({ "", "larger than a manifest may be" });
+    return std::nullopt;
+  }
+  const auto faultsBefore = aFaults.size();
+  const auto value = ParseStrictJson(aText, aFaults);
+  if (!value) {
+    return std::nullopt;
+  }
+  JsonReader reader(*value, "", aFaults);
+  ConfigurationRecord record;
+  record.kind = ReadKind(reader);
+  if (record.kind == ConfigurationRecord::Kind::Checkpoint) {
+    ReadCheckpoint(reader, aMarket, record, aFaults);
+  } else {
+    record.base = reader.ReadInteger("base", kVersionRange);
+    record.manifest = ReadEmbeddedManifest(reader, aMarket, aFaults);
+  }
+  record.publisher = ReadRecordId(reader, "publisher");
+  reader.RejectUnknown();
+  if (aFaults.size() != faultsBefore) {
+    return std::nullopt;
+  }
+  return record;
+}
+
+std::string
+WriteConfigurationRecord(const ConfigurationRecord& aRecord)
+{
+  json record{ { "publisher", WriteRecordId(aRecord.publisher) } };
+  record["manifest"] = aRecord.manifest ? WriteManifest(*aRecord.manifest) : json(nullptr);
+  if (aRecord.kind == ConfigurationRecord::Kind::Checkpoint) {
+    record["kind"] = "checkpoint";
+    record["of"] = aRecord.of;
+    record["through"] = aRecord.through;
+  } else {
+    record["kind"] = "manifest";
+    record["base"] = aRecord.base;
+  }
+  return record.dump();
+}
+
+std::string
+ConfigurationStream(std::string_view aMarket)
+{
+  return "config/" + std::string(aMarket);
+}
+
+} // namespace lagoonward
