Speak to the platform over HTTP: log, cloud, host list, weight store

Cause: the daemon needs blocking adapters that tell a refusal from silence. Change: PlatformHttpClient (libcurl, handles reused, all idle connections closed after a call went unanswered), four adapters, strict decoding; LogService gains Interrupt(), WeightStore is new. Conclusion: 8 test cases against a libmicrohttpd fake, silence and oversized bodies included.

--- a/Lagoonward/Configuration/JsonReader.cpp
+++ b/Lagoonward/Configuration/JsonReader.cpp
@@ -126,6 +126,13 @@
   return this->Find(aName) == nullptr ? aDefault : this->ReadNumber(aName, aRange);
 }
 
+std::string
+JsonReader::ReadOptionalString(std::string_view aName)
+{
+  const json* found = this->Find(aName);
+  return found == nullptr || found->is_null() ? std::string() : this->ReadString(aName);
+}
+
 std::vector<std::string>
 JsonReader::ReadStrings(std::string_view aName)
 {
--- a/Lagoonward/Configuration/JsonReader.h
+++ b/Lagoonward/Configuration/JsonReader.h
@@ -49,6 +49,9 @@
   std::int64_t ReadInteger(std::string_view aName, IntegerRange aRange, std::int64_t aDefault);
   double ReadNumber(std::string_view aName, NumberRange aRange, double aDefault);
 
+  /// Optional member: empty when it is missing or null.
+  std::string ReadOptionalString(std::string_view aName);
+
   /// Reads an object member with aRead(JsonReader&); an empty value when it is missing.
   template<typename Read>
   auto ReadObject(std::string_view aName, Read aRead)
--- /dev/null
+++ b/Lagoonward/Platform/HttpLogService.cpp
@@ -0,0 +1,84 @@
+#include "Lagoonward/Platform/HttpLogService.h"
+
+#include "Lagoonward/Platform/PlatformDecoder.h"
+
+#include <fmt/format.h>
+
+namespace lagoonward {
+
+namespace {
+
+std::string
+StreamPath(std::string_view aStream)
+{
+  return "/streams/" + EscapePath(aStream, true);
+}
+
+/// Reads a page and checks that its offsets are those asked for, in order.
+LogPage
+ReadPage(JsonReader& aReader, Offset aFrom)
+{
+  LogPage page;
+  page.start = aReader.ReadInteger("start", kPlatformIntegers);
+  page.end = aReader.ReadInteger("end", kPlatformIntegers);
+  page.records = aReader.ReadObjects("records", [](JsonReader& aItem) {
+    LogRecord record;
+    record.offset = aItem.ReadInteger("offset", kPlatformIntegers);
+    record.data = aItem.ReadString("data");
+    return record;
+  });
+  Offset lowest = std::max(aFrom, page.start);
+  for (const LogRecord& record : page.records) {
+    if (record.offset < lowest || record.offset >= page.end) {
+      aReader.Fault("records", fmt::format("offset {} is out of order", record.offset));
+    }
+    lowest = record.offset + 1;
+  }
+  return page;
+}
+
+} // namespace
+
+HttpLogService::HttpLogService(std::string aBaseUrl, PlatformSettings aSettings)
+  : client(std::move(aBaseUrl), aSettings)
+{
+}
+
+Result<Offset>
+HttpLogService::Append(std::string_view aStream, std::string_view aRecord)
+{
+  PlatformCall call;
+  call.method = "POST";
+  call.path = StreamPath(aStream);
+  call.body = aRecord;
+  const auto answer = this->client.Call(call);
+  if (!answer) {
+    return answer.error();
+  }
+  return DecodeAnswer(answer.value(), [](JsonReader& aReader) {
+    return Offset{ aReader.ReadInteger("offset", kPlatformIntegers) };
+  });
+}
+
+Result<LogPage>
+HttpLogService::Read(std::string_view aStream, Offset aFrom, int aLimit, Milliseconds aWait)
+{
+  PlatformCall call;
+  call.path = fmt::format("{}?from={}&limit={}&wait_ms={}", StreamPath(aStream), aFrom, aLimit,
+                          aWait.count());
+  call.wait = aWait;
+  const auto answer = this->client.Call(call);
+  if (!answer) {
+    return answer.error();
+  }
+  return DecodeAnswer(answer.value(),
+                      [aFrom](JsonReader& aReader) { return ReadPage(aReader, aFrom); });
+}
+
+void
+HttpLogService::Interrupt()
+{
+  this->client.Interrupt();
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Platform/HttpLogService.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Lagoonward/Platform/PlatformHttpClient.h"
+#include "Lagoonward/Platform/PlatformInterfaces.h"
+
+namespace lagoonward {
+
+/// The platform's log over HTTP: `POST /streams/{name}` and `GET /streams/{name}?from&limit&wait_ms`.
+/// Safe from any thread.
+class HttpLogService final : public LogService
+{
+public:
+  HttpLogService(std::string aBaseUrl, PlatformSettings aSettings);
+
+  [[nodiscard]] Result<Offset> Append(std::string_view aStream, std::string_view aRecord) override;
+  [[nodiscard]] Result<LogPage> Read(std::string_view aStream, Offset aFrom, int aLimit,
+                                     Milliseconds aWait) override;
+  void Interrupt() override;
+
+private:
+  PlatformHttpClient client;
+};
+
+} // namespace lagoonward
--- a/Lagoonward/Platform/PlatformInterfaces.h
+++ b/Lagoonward/Platform/PlatformInterfaces.h
@@ -41,6 +41,9 @@
   /// Reads up to aLimit records from aFrom on, waiting up to aWait for the first.
   [[nodiscard]] virtual Result<LogPage> Read(std::string_view aStream, Offset aFrom, int aLimit,
                                              Milliseconds aWait) = 0;
+
+  /// Makes calls in progress, and all later ones, fail soon. For stopping; safe from any thread.
+  virtual void Interrupt() {}
 };
 
 /// One reclaim notice of the cloud.
@@ -111,4 +114,16 @@
   [[nodiscard]] virtual Result<std::vector<HostEntry>> Hosts() = 0;
 };
 
+/// The platform's rate-limited store of weights. Blocking, like LogService.
+class WeightStore
+{
+public:
+  virtual ~WeightStore() = default;
+
+  /// Asks whether the store hands out these weights now; the weights themselves are not kept.
+  /// @return PlatformUnavailable with `retryAfter` while the store limits its rate, UnknownModel
+  ///         when it has no such weights
+  [[nodiscard]] virtual Result<void> Check(std::string_view aModel, std::string_view aVersion) = 0;
+};
+
 } // namespace lagoonward
--- /dev/null
+++ b/UnitTests/Platform/HttpServicesTests.cpp
@@ -0,0 +1,174 @@
+#include "Lagoonward/Platform/HttpCloudService.h"
+#include "Lagoonward/Platform/HttpHostListService.h"
+#include "Lagoonward/Platform/HttpLogService.h"
+#include "Lagoonward/Platform/HttpWeightStore.h"
+#include "UnitTests/Support/FakeHttpServer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <thread>
+
+using namespace lagoonward;
+using namespace lagoonward::testing;
+
+namespace {
+
+/// A server that gives the same answer to everything and keeps the last request.
+struct FixedServer
+{
+  explicit FixedServer(FakeAnswer aAnswer)
+    : answer(std::move(aAnswer))
+  {
+  }
+
+  FakeAnswer answer;
+  FakeRequest last;
+  FakeHttpServer server{ [this](const FakeRequest& aRequest) {
+    this->last = aRequest;
+    return this->answer;
+  } };
+};
+
+PlatformSettings
+QuickSettings()
+{
+  PlatformSettings settings;
+  settings.callTimeout = Milliseconds(200);
+  settings.maxBodyBytes = 1000;
+  return settings;
+}
+
+ErrorKind
+ReadError(const FakeAnswer& aAnswer)
+{
+  FixedServer fixed(aAnswer);
+  HttpLogService log(fixed.server.Url(), QuickSettings());
+  return log.Read("s", 3, 10, Milliseconds(0)).error().kind;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpServicesTests)
+
+BOOST_AUTO_TEST_CASE(LogAppendsAndReads)
+{
+  FixedServer fixed({ 200, R"({"offset":7})", {} });
+  HttpLogService log(fixed.server.Url() + "/", QuickSettings());
+  BOOST_TEST(log.Append("config/v 1", "{\"x\":1}").value() == 7);
+  BOOST_TEST(fixed.last.method == "POST");
+  BOOST_TEST(fixed.last.path == "/streams/config/v 1");
+  BOOST_TEST(fixed.last.body == "{\"x\":1}");
+  fixed.answer.body = R"({"start":2,"end":9,"records":[{"offset":4,"data":"a"}],"extra":1})";
+  const auto page = log.Read("s", 3, 10, Milliseconds(5)).value();
+  BOOST_TEST(page.start == 2);
+  BOOST_TEST(page.end == 9);
+  BOOST_TEST(page.records.at(0).data == "a");
+  BOOST_TEST(fixed.last.query.at("from") == "3");
+  BOOST_TEST(fixed.last.query.at("wait_ms") == "5");
+}
+
+BOOST_AUTO_TEST_CASE(MalformedAndOversizedAnswersAreUnavailable)
+{
+  for (const char* body :
+       { "", "[]", R"({"start":0,"end":9})", R"({"start":0,"end":"9","records":[]})",
+         R"({"start":0,"end":9,"records":[{"offset":1,"data":"a"}]})",
+         R"({"start":0,"end":9,"records":[{"offset":9,"data":"a"}]})" }) {
+    BOOST_TEST((ReadError({ 200, body, {} }) == ErrorKind::PlatformUnavailable));
+  }
+  BOOST_TEST((ReadError({ 200, std::string(2000, ' '), {} }) == ErrorKind::PlatformUnavailable));
+  BOOST_TEST((ReadError({ 404, "", {} }) == ErrorKind::InvalidRequest));
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsSayWhenToComeBack)
+{
+  FixedServer fixed({ 429, "", { { "Retry-After", "7" } } });
+  HttpLogService log(fixed.server.Url(), QuickSettings());
+  const Error limited = log.Append("s", "r").error();
+  BOOST_TEST((limited.kind == ErrorKind::PlatformUnavailable));
+  BOOST_TEST(limited.retryAfter->count() == 7000);
+  fixed.answer = { 503, "", {} };
+  BOOST_TEST(log.Append("s", "r").error().retryAfter->count() ==
+             QuickSettings().retryAfter.count());
+}
+
+BOOST_AUTO_TEST_CASE(SilenceIsUnavailableAndTheNextCallUsesANewConnection)
+{
+  std::atomic<int> calls{ 0 };
+  FakeHttpServer server([&calls](const FakeRequest&) {
+    FakeAnswer answer{ 200, R"({"offset":1})", {} };
+    answer.silent = calls++ == 1;
+    return answer;
+  });
+  HttpLogService log(server.Url(), QuickSettings());
+  BOOST_TEST(log.Append("s", "r").has_value());
+  BOOST_TEST((log.Append("s", "r").error().kind == ErrorKind::PlatformUnavailable));
+  BOOST_TEST(log.Append("s", "r").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(InterruptEndsAWaitingCall)
+{
+  FakeHttpServer server([](const FakeRequest&) {
+    FakeAnswer answer;
+    answer.silent = true;
+    return answer;
+  });
+  HttpLogService log(server.Url(), QuickSettings());
+  std::thread stopper([&log] { log.Interrupt(); });
+  BOOST_TEST(!log.Read("s", 0, 1, Milliseconds(600'000)).has_value());
+  stopper.join();
+}
+
+BOOST_AUTO_TEST_CASE(CloudStartsStopsAndPrices)
+{
+  FixedServer fixed({ 200, R"({"id":"h-1"})", {} });
+  HttpCloudService cloud(fixed.server.Url(), QuickSettings());
+  HostRequest request;
+  request.clientToken = "t";
+  request.machineClass = "a100";
+  BOOST_TEST(cloud.StartHost(request).value() == "h-1");
+  BOOST_TEST(nlohmann::json::parse(fixed.last.body).at("kind") == "engine");
+  fixed.answer = { 409, "", {} };
+  BOOST_TEST((cloud.StartHost(request).error().kind == ErrorKind::Overloaded));
+  fixed.answer = { 404, "", {} };
+  BOOST_TEST(cloud.StopHost("h/1").has_value());
+  BOOST_TEST(fixed.last.path == "/hosts/h/1");
+  fixed.answer = { 200,
+                   R"([{"machine_class":"a","failure_domain":"f","reclaimable":true,"per_hour":2},
+                       {"machine_class":"a"}])",
+                   {} };
+  BOOST_TEST(cloud.Prices().value().size() == 1U);
+  fixed.answer.body = R"({"start":0,"end":2,"notices":[{"at_ms":1,"grace_ms":1},
+                          {"host":null,"failure_domain":"f","at_ms":5,"grace_ms":30000}]})";
+  const auto page = cloud.Notices(0, Milliseconds(0)).value();
+  BOOST_TEST(page.notices.size() == 1U);
+  BOOST_TEST(ToUnixMilliseconds(page.notices[0].at) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(HostListLeavesOutMalformedEntries)
+{
+  FixedServer fixed({ 200,
+                      R"([{"id":"e","kind":"engine","address":"127.0.0.1","port":80,
+                           "failure_domain":"f","region":"r","machine_class":"a","state":"leaving"},
+                          {"id":"x","kind":"engine","address":"127.0.0.1","port":70000,
+                           "failure_domain":"f","region":"r","machine_class":"a","state":"live"}])",
+                      {} });
+  HttpHostListService list(fixed.server.Url(), QuickSettings());
+  const auto hosts = list.Hosts().value();
+  BOOST_TEST(hosts.size() == 1U);
+  BOOST_TEST(hosts.at(0).leaving);
+}
+
+BOOST_AUTO_TEST_CASE(WeightStoreTellsLimitFromAbsence)
+{
+  FixedServer fixed({ 200, std::string(100'000, 'w'), {} });
+  HttpWeightStore store(fixed.server.Url(), QuickSettings());
+  BOOST_TEST(store.Check("permit", "3").has_value());
+  fixed.answer = { 404, "", {} };
+  BOOST_TEST((store.Check("permit", "3").error().kind == ErrorKind::UnknownModel));
+  fixed.answer = { 429, "slow down", { { "Retry-After", "2" } } };
+  BOOST_TEST(store.Check("permit", "3").error().retryAfter->count() == 2000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
