--- /dev/null
+++ b/Lagoonward/Wire/HttpExchange.cpp
@@ -0,0 +1,144 @@
+#include "Lagoonward/Wire/HttpExchange.h"
+
+#include <microhttpd.h>
+#include <poll.h>
+#include <strings.h>
+
+namespace lagoonward {
+
+namespace {
+
+/// Bytes that may wait for a slow caller before its stream is given up.
+constexpr std::size_t kMaximumWaitingBytes = 4U << 20U;
+
+bool
+EqualsIgnoringCase(std::string_view aFirst, std::string_view aSecond)
+{
+  return aFirst.size() == aSecond.size() &&
+         strncasecmp(aFirst.data(), aSecond.data(), aFirst.size()) == 0;
+}
+
+} // namespace
+
+std::string_view
+HttpRequest::Header(std::string_view aName) const
+{
+  for (const auto& [name, value] : this->headers) {
+    if (EqualsIgnoringCase(name, aName)) {
+      return value;
+    }
+  }
+  return {};
+}
+
+std::string_view
+HttpRequest::Query(std::string_view aName) const
+{
+  for (const auto& [name, value] : this->query) {
+    if (name == aName) {
+      return value;
+    }
+  }
+  return {};
+}
+
+HttpExchange::HttpExchange(MHD_Connection* aConnection)
+  : connection(aConnection)
+{
+}
+
+void
+HttpExchange::Respond(int aStatus, std::vector<HttpHeader> aHeaders, std::string aBody)
+{
+  const std::scoped_lock lock(this->mutex);
+  if (this->state != State::Waiting) {
+    return;
+  }
+  this->status = aStatus;
+  this->headers = std::move(aHeaders);
+  this->bytes = std::move(aBody);
+  this->state = State::Ready;
+  this->ResumeLocked();
+}
+
+void
+HttpExchange::BeginStream(int aStatus, std::vector<HttpHeader> aHeaders)
+{
+  const std::scoped_lock lock(this->mutex);
+  if (this->state != State::Waiting) {
+    return;
+  }
+  this->status = aStatus;
+  this->headers = std::move(aHeaders);
+  this->streamed = true;
+  this->state = State::Ready;
+  this->ResumeLocked();
+}
+
+bool
+HttpExchange::Write(std::string_view aBytes)
+{
+  const std::scoped_lock lock(this->mutex);
+  if (this->state == State::Done || !this->streamed || this->ended) {
+    return false;
+  }
+  if (this->bytes.size() - this->sent + aBytes.size() > kMaximumWaitingBytes) {
+    return false;
+  }
+  // Reuse the buffer once it has been sent
+  if (this->sent == this->bytes.size()) {
+    this->bytes.clear();
+    this->sent = 0;
+  }
+  this->bytes.append(aBytes);
+  this->ResumeLocked();
+  return true;
+}
+
+void
+HttpExchange::EndStream()
+{
+  const std::scoped_lock lock(this->mutex);
+  this->ended = true;
+  this->ResumeLocked();
+}
+
+void
+HttpExchange::OnCallerGone(std::function<void()> aCallback)
+{
+  const std::scoped_lock lock(this->mutex);
+  this->onCallerGone = std::move(aCallback);
+}
+
+bool
+HttpExchange::IsCallerGone()
+{
+  const std::scoped_lock lock(this->mutex);
+  if (this->state == State::Done) {
+    return true;
+  }
+  // The descriptor cannot be closed while the connection is suspended
+  if (!this->suspended) {
+    return false;
+  }
+  const auto* info = MHD_get_connection_info(this->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info == nullptr) {
+    return false;
+  }
+  pollfd descriptor{};
+  descriptor.fd = info->connect_fd;
+  descriptor.events = POLLRDHUP;
+  return ::poll(&descriptor, 1, 0) > 0 &&
+         (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+void
+HttpExchange::ResumeLocked()
+{
+  if (this->suspended) {
+    this->suspended = false;
+    MHD_resume_connection(this->connection);
+  }
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Wire/HttpServer.cpp
@@ -0,0 +1,288 @@
+#include "Lagoonward/Wire/HttpServer.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <microhttpd.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+
+namespace lagoonward {
+
+namespace {
+
+/// A caller that goes on sending past this multiple of the body limit is cut off.
+constexpr std::size_t kOversendFactor = 4;
+
+struct ResponseDeleter
+{
+  void operator()(MHD_Response* aResponse) const { MHD_destroy_response(aResponse); }
+};
+
+using ResponsePtr = std::unique_ptr<MHD_Response, ResponseDeleter>;
+
+/// Reader state of one streamed answer; libmicrohttpd owns it.
+struct StreamSource
+{
+  HttpExchangePtr exchange;
+};
+
+} // namespace
+
+/// What one connection's request has brought so far.
+struct IncomingRequest
+{
+  HttpRequest request;
+  HttpExchangePtr exchange;
+  std::size_t receivedBytes = 0;
+  bool handedOver = false;
+};
+
+struct HttpServer::Callbacks
+{
+  static MHD_Result OnHeader(void* aHeaders, MHD_ValueKind, const char* aName, const char* aValue)
+  {
+    auto& headers = *static_cast<std::vector<HttpHeader>*>(aHeaders);
+    headers.emplace_back(aName, aValue == nullptr ? "" : aValue);
+    return MHD_YES;
+  }
+
+  /// Answers straight away with an error of the table.
+  static MHD_Result Refuse(MHD_Connection* aConnection, const Error& aError)
+  {
+    const std::string body = aError.ToJson();
+    const ResponsePtr response(MHD_create_response_from_buffer(
+      body.size(), const_cast<char*>(body.data()), MHD_RESPMEM_MUST_COPY));
+    MHD_add_response_header(response.get(), "Content-Type", "application/json");
+    MHD_add_response_header(response.get(), "Connection", "close");
+    return MHD_queue_response(
+      aConnection, static_cast<unsigned>(GetErrorRule(aError.kind).httpStatus), response.get());
+  }
+
+  static MHD_Result BeginRequest(HttpServer& aServer, MHD_Connection* aConnection, const char* aUrl,
+                                 const char* aMethod, void** aContext)
+  {
+    auto incoming = std::make_unique<IncomingRequest>();
+    incoming->request.method = aMethod;
+    incoming->request.path = aUrl;
+    MHD_get_connection_values(aConnection, MHD_HEADER_KIND, &OnHeader, &incoming->request.headers);
+    MHD_get_connection_values(aConnection, MHD_GET_ARGUMENT_KIND, &OnHeader,
+                              &incoming->request.query);
+    incoming->exchange = std::make_shared<HttpExchange>(aConnection);
+    const std::string_view length = incoming->request.Header("Content-Length");
+    *aContext = incoming.release();
+    ++aServer.openExchanges;
+
+    // Refuse an announced oversize before its bytes come
+    std::size_t announced = 0;
+    std::from_chars(length.data(), length.data() + length.size(), announced);
+    if (announced > aServer.settings.maximumBodyBytes) {
+      return Refuse(aConnection, BodyTooLarge(aServer));
+    }
+    return MHD_YES;
+  }
+
+  static Error BodyTooLarge(const HttpServer& aServer)
+  {
+    return { ErrorKind::BodyTooLarge,
+             fmt::format("The body may have {} bytes.", aServer.settings.maximumBodyBytes) };
+  }
+
+  static MHD_Result OnAccess(void* aServer, MHD_Connection* aConnection, const char* aUrl,
+                             const char* aMethod, const char* /*aVersion*/, const char* aUpload,
+                             size_t* aUploadSize, void** aContext)
+  {
+    auto& server = *static_cast<HttpServer*>(aServer);
+    auto* incoming = static_cast<IncomingRequest*>(*aContext);
+    if (incoming == nullptr) {
+      return BeginRequest(server, aConnection, aUrl, aMethod, aContext);
+    }
+    // Collect the body
+    if (*aUploadSize > 0) {
+      return TakeUpload(server, *incoming, { aUpload, std::exchange(*aUploadSize, 0) });
+    }
+    if (incoming->receivedBytes > server.settings.maximumBodyBytes) {
+      return Refuse(aConnection, BodyTooLarge(server));
+    }
+    // Hand over the whole request once
+    if (!incoming->handedOver) {
+      incoming->handedOver = true;
+      server.handler(std::move(incoming->request), incoming->exchange);
+    }
+    return QueueOrSuspend(server, aConnection, incoming->exchange);
+  }
+
+  static MHD_Result TakeUpload(const HttpServer& aServer, IncomingRequest& aIncoming,
+                               std::string_view aBytes)
+  {
+    const std::size_t limit = aServer.settings.maximumBodyBytes;
+    aIncoming.receivedBytes += aBytes.size();
+    if (aIncoming.receivedBytes <= limit) {
+      aIncoming.request.body.append(aBytes);
+      return MHD_YES;
+    }
+    return aIncoming.receivedBytes > limit * kOversendFactor ? MHD_NO : MHD_YES;
+  }
+
+  /// Queues the answer if there is one; otherwise parks the connection until there is.
+  static MHD_Result QueueOrSuspend(HttpServer& aServer, MHD_Connection* aConnection,
+                                   const HttpExchangePtr& aExchange)
+  {
+    const std::scoped_lock lock(aExchange->mutex);
+    if (aExchange->state == HttpExchange::State::Waiting) {
+      aExchange->suspended = true;
+      MHD_suspend_connection(aConnection);
+      return MHD_YES;
+    }
+    if (aExchange->state != HttpExchange::State::Ready) {
+      return MHD_YES;
+    }
+    const ResponsePtr response = MakeResponse(aServer, aExchange);
+    for (const auto& [name, value] : aExchange->headers) {
+      MHD_add_response_header(response.get(), name.c_str(), value.c_str());
+    }
+    if (!aServer.listening) {
+      MHD_add_response_header(response.get(), "Connection", "close");
+    }
+    aExchange->state = HttpExchange::State::Streaming;
+    return MHD_queue_response(aConnection, static_cast<unsigned>(aExchange->status),
+                              response.get());
+  }
+
+  static ResponsePtr MakeResponse(const HttpServer& aServer, const HttpExchangePtr& aExchange)
+  {
+    if (aExchange->streamed) {
+      auto source = std::make_unique<StreamSource>(StreamSource{ aExchange });
+      return ResponsePtr(
+        MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, aServer.settings.streamBlockBytes,
+                                          &ReadStream, source.release(), &FreeStream));
+    }
+    // The exchange outlives the response, so its bytes need no copy
+    return ResponsePtr(MHD_create_response_from_buffer(
+      aExchange->bytes.size(), aExchange->bytes.data(), MHD_RESPMEM_PERSISTENT));
+  }
+
+  static ssize_t ReadStream(void* aSource, std::uint64_t /*aPosition*/, char* aBuffer, size_t aSize)
+  {
+    HttpExchange& exchange = *static_cast<StreamSource*>(aSource)->exchange;
+    const std::scoped_lock lock(exchange.mutex);
+    const std::size_t waiting = exchange.bytes.size() - exchange.sent;
+    if (waiting > 0) {
+      const std::size_t count = std::min(waiting, aSize);
+      std::memcpy(aBuffer, exchange.bytes.data() + exchange.sent, count);
+      exchange.sent += count;
+      return static_cast<ssize_t>(count);
+    }
+    if (exchange.ended) {
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    exchange.suspended = true;
+    MHD_suspend_connection(exchange.connection);
+    return 0;
+  }
+
+  static void FreeStream(void* aSource) { delete static_cast<StreamSource*>(aSource); }
+
+  static void OnCompleted(void* aServer, MHD_Connection* /*aConnection*/, void** aContext,
+                          MHD_RequestTerminationCode aCode)
+  {
+    const std::unique_ptr<IncomingRequest> incoming(static_cast<IncomingRequest*>(*aContext));
+    *aContext = nullptr;
+    if (incoming == nullptr) {
+      return;
+    }
+    std::function<void()> gone;
+    {
+      const std::scoped_lock lock(incoming->exchange->mutex);
+      incoming->exchange->state = HttpExchange::State::Done;
+      incoming->exchange->connection = nullptr;
+      incoming->exchange->suspended = false;
+      std::swap(gone, incoming->exchange->onCallerGone);
+    }
+    if (aCode != MHD_REQUEST_TERMINATED_COMPLETED_OK && gone) {
+      gone();
+    }
+    --static_cast<HttpServer*>(aServer)->openExchanges;
+  }
+};
+
+void
+HttpServer::DaemonDeleter::operator()(MHD_Daemon* aDaemon) const
+{
+  MHD_stop_daemon(aDaemon);
+}
+
+HttpServer::HttpServer(HttpServerSettings aSettings, Handler aHandler)
+  : settings(std::move(aSettings))
+  , handler(std::move(aHandler))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  this->Stop();
+}
+
+Result<void>
+HttpServer::Start()
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(this->settings.port);
+  if (inet_pton(AF_INET, this->settings.address.c_str(), &address.sin_addr) != 1) {
+    return Error(ErrorKind::InvalidSettings, this->settings.address + " is not an IP number.");
+  }
+  this->listening = true;
+  this->daemon.reset(MHD_start_daemon(
+    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, this->settings.port, nullptr, nullptr,
+    &Callbacks::OnAccess, this, MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&address),
+    MHD_OPTION_THREAD_POOL_SIZE, this->settings.threads > 1 ? this->settings.threads : 0U,
+    MHD_OPTION_CONNECTION_LIMIT,
+    std::max(this->settings.maximumConnections, this->settings.threads),
+    MHD_OPTION_CONNECTION_MEMORY_LIMIT, this->settings.connectionMemoryBytes,
+    MHD_OPTION_CONNECTION_TIMEOUT, this->settings.idleTimeoutSeconds,
+    MHD_OPTION_LISTEN_BACKLOG_SIZE, static_cast<unsigned>(SOMAXCONN), MHD_OPTION_NOTIFY_COMPLETED,
+    &Callbacks::OnCompleted, this, MHD_OPTION_END));
+  if (this->daemon == nullptr) {
+    return Error(ErrorKind::InvalidSettings,
+                 fmt::format("Cannot listen on {}:{}: {}.", this->settings.address,
+                             this->settings.port, std::strerror(errno)));
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+HttpServer::StopListening()
+{
+  if (this->daemon != nullptr && this->listening.exchange(false)) {
+    const int descriptor = MHD_quiesce_daemon(this->daemon.get());
+    // Refuses new connections now; the server threads may still hold the number until they end
+    ::shutdown(descriptor, SHUT_RD);
+    this->quiesced = UniqueFd(descriptor);
+  }
+}
+
+void
+HttpServer::Stop()
+{
+  this->StopListening();
+  this->daemon.reset();
+  this->quiesced.Reset();
+}
+
+std::uint16_t
+HttpServer::Port() const
+{
+  const auto* info = MHD_get_daemon_info(this->daemon.get(), MHD_DAEMON_INFO_BIND_PORT);
+  return info == nullptr ? 0 : info->port;
+}
+
+int
+HttpServer::OpenExchanges() const
+{
+  return this->openExchanges;
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -0,0 +1,434 @@
+#include "Lagoonward/Wire/TrafficLoop.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace lagoonward {
+
+namespace {
+
+constexpr int kMaximumEvents = 128;
+constexpr int kMaximumWaitMilliseconds = 1000;
+
+struct EasyDeleter
+{
+  void operator()(CURL* aEasy) const { curl_easy_cleanup(aEasy); }
+};
+
+struct HeaderListDeleter
+{
+  void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
+};
+
+std::uint32_t
+ToEpollEvents(int aWhat)
+{
+  std::uint32_t events = 0;
+  if (aWhat == CURL_POLL_IN || aWhat == CURL_POLL_INOUT) {
+    events |= EPOLLIN;
+  }
+  if (aWhat == CURL_POLL_OUT || aWhat == CURL_POLL_INOUT) {
+    events |= EPOLLOUT;
+  }
+  return events;
+}
+
+int
+ToLibraryEvents(std::uint32_t aEvents)
+{
+  int flags = 0;
+  if ((aEvents & (EPOLLIN | EPOLLHUP)) != 0) {
+    flags |= CURL_CSELECT_IN;
+  }
+  if ((aEvents & EPOLLOUT) != 0) {
+    flags |= CURL_CSELECT_OUT;
+  }
+  if ((aEvents & EPOLLERR) != 0) {
+    flags |= CURL_CSELECT_ERR;
+  }
+  return flags;
+}
+
+} // namespace
+
+/// One running transfer and everything libcurl holds pointers to.
+struct TrafficLoop::Transfer
+{
+  TransferId id = 0;
+  std::unique_ptr<CURL, EasyDeleter> easy;
+  std::unique_ptr<curl_slist, HeaderListDeleter> headers;
+  std::string body;
+  HttpTransferObserver* observer = nullptr;
+
+  static std::size_t OnBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+  {
+    auto& transfer = *static_cast<Transfer*>(aTransfer);
+    long status = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    if (transfer.observer != nullptr) {
+      transfer.observer->OnBytes(static_cast<int>(status), { aData, aSize * aCount });
+    }
+    return aSize * aCount;
+  }
+
+  static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+  {
+    auto& transfer = *static_cast<Transfer*>(aTransfer);
+    std::string_view line(aData, aSize * aCount);
+    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
+      line.remove_suffix(1);
+    }
+    if (transfer.observer != nullptr) {
+      transfer.observer->OnHeaderLine(line);
+    }
+    return aSize * aCount;
+  }
+
+  /// Describes the end from libcurl's result.
+  [[nodiscard]] TransferEnd DescribeEnd(CURLcode aResult) const
+  {
+    TransferEnd end;
+    long status = 0;
+    curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    end.status = static_cast<int>(status);
+    end.message = curl_easy_strerror(aResult);
+    long requestBytes = 0;
+    curl_easy_getinfo(this->easy.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
+    if (aResult == CURLE_OK) {
+      end.outcome = TransferOutcome::Complete;
+    } else if (requestBytes == 0) {
+      end.outcome = TransferOutcome::NotSent;
+    } else if (aResult == CURLE_OPERATION_TIMEDOUT) {
+      end.outcome = TransferOutcome::TimedOut;
+    } else {
+      end.outcome = TransferOutcome::Broken;
+    }
+    return end;
+  }
+};
+
+void
+TrafficLoop::MultiDeleter::operator()(CURLM* aMulti) const
+{
+  curl_multi_cleanup(aMulti);
+}
+
+TrafficLoop::TrafficLoop(const Clock& aClock, const HttpClientSettings& aSettings)
+  : clock(aClock)
+  , settings(aSettings)
+  , multi(curl_multi_init())
+  , epoll(epoll_create1(EPOLL_CLOEXEC))
+  , wakeup(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+{
+  curl_multi_setopt(this->multi.get(), CURLMOPT_SOCKETFUNCTION, &TrafficLoop::OnSocket);
+  curl_multi_setopt(this->multi.get(), CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(this->multi.get(), CURLMOPT_TIMERFUNCTION, &TrafficLoop::OnTimer);
+  curl_multi_setopt(this->multi.get(), CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(this->multi.get(), CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(aSettings.maximumIdleConnections));
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.fd = this->wakeup.Get();
+  epoll_ctl(this->epoll.Get(), EPOLL_CTL_ADD, this->wakeup.Get(), &event);
+}
+
+TrafficLoop::~TrafficLoop()
+{
+  this->Stop();
+  for (auto& [id, transfer] : this->transfers) {
+    curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
+  }
+}
+
+void
+TrafficLoop::Start()
+{
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void
+TrafficLoop::Stop()
+{
+  if (!this->thread.joinable()) {
+    return;
+  }
+  {
+    const std::scoped_lock lock(this->tasksMutex);
+    this->stopping = true;
+  }
+  this->Wake();
+  this->thread.join();
+}
+
+void
+TrafficLoop::Post(Task aTask)
+{
+  bool wasEmpty = false;
+  {
+    const std::scoped_lock lock(this->tasksMutex);
+    wasEmpty = this->tasks.empty();
+    this->tasks.push_back(std::move(aTask));
+  }
+  if (wasEmpty) {
+    this->Wake();
+  }
+}
+
+TrafficLoop::TimerId
+TrafficLoop::RunAfter(Milliseconds aDelay, Task aTask)
+{
+  const TimerId id = this->nextTimer++;
+  const auto entry =
+    this->timers.emplace(this->clock.Now() + aDelay, std::make_pair(id, std::move(aTask)));
+  this->timersById.emplace(id, entry);
+  return id;
+}
+
+void
+TrafficLoop::CancelTimer(TimerId aTimer)
+{
+  const auto found = this->timersById.find(aTimer);
+  if (found != this->timersById.end()) {
+    this->timers.erase(found->second);
+    this->timersById.erase(found);
+  }
+}
+
+TransferId
+TrafficLoop::StartTransfer(const HttpTransferRequest& aRequest, HttpTransferObserver& aObserver)
+{
+  auto transfer = std::make_unique<Transfer>();
+  transfer->id = this->nextTransfer++;
+  transfer->easy.reset(curl_easy_init());
+  transfer->observer = &aObserver;
+  transfer->body = aRequest.body;
+  CURL* easy = transfer->easy.get();
+
+  // What to send
+  curl_easy_setopt(easy, CURLOPT_URL, aRequest.url.c_str());
+  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+  for (const std::string& line : aRequest.headers) {
+    headers = curl_slist_append(headers, line.c_str());
+  }
+  transfer->headers.reset(headers);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+  if (aRequest.method == "POST") {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+  } else {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, aRequest.method.c_str());
+  }
+
+  // How to send it
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, this->settings.receiveBufferBytes);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(this->settings.connectTimeout.count()));
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, aRequest.freshConnection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+
+  // Who hears of it
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::OnBytes);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+
+  const TransferId id = transfer->id;
+  this->transfers.emplace(id, std::move(transfer));
+  this->toStart.push_back(id);
+  return id;
+}
+
+void
+TrafficLoop::CancelTransfer(TransferId aTransfer)
+{
+  const auto found = this->transfers.find(aTransfer);
+  if (found == this->transfers.end()) {
+    return;
+  }
+  found->second->observer = nullptr;
+  this->toCancel.push_back(aTransfer);
+}
+
+const Clock&
+TrafficLoop::GetClock() const
+{
+  return this->clock;
+}
+
+void
+TrafficLoop::Run()
+{
+  for (;;) {
+    {
+      const std::scoped_lock lock(this->tasksMutex);
+      if (this->stopping) {
+        return;
+      }
+    }
+    this->WaitAndDispatch();
+    this->CollectFinished();
+    this->RunDueTimers();
+    this->RunPostedTasks();
+    this->ApplyStartsAndCancels();
+  }
+}
+
+void
+TrafficLoop::ApplyStartsAndCancels()
+{
+  for (const TransferId id : this->toStart) {
+    const auto found = this->transfers.find(id);
+    if (found != this->transfers.end()) {
+      curl_multi_add_handle(this->multi.get(), found->second->easy.get());
+    }
+  }
+  this->toStart.clear();
+  for (const TransferId id : this->toCancel) {
+    const auto found = this->transfers.find(id);
+    if (found != this->transfers.end()) {
+      curl_multi_remove_handle(this->multi.get(), found->second->easy.get());
+      this->transfers.erase(found);
+    }
+  }
+  this->toCancel.clear();
+}
+
+void
+TrafficLoop::WaitAndDispatch()
+{
+  std::array<epoll_event, kMaximumEvents> events{};
+  const int count =
+    epoll_wait(this->epoll.Get(), events.data(), kMaximumEvents, this->NextWaitMilliseconds());
+  int running = 0;
+  for (int index = 0; index < count; ++index) {
+    const auto& event = events.at(static_cast<std::size_t>(index));
+    if (event.data.fd == this->wakeup.Get()) {
+      std::uint64_t ignored = 0;
+      static_cast<void>(::read(this->wakeup.Get(), &ignored, sizeof(ignored)));
+      continue;
+    }
+    curl_multi_socket_action(this->multi.get(), event.data.fd, ToLibraryEvents(event.events),
+                             &running);
+  }
+  if (this->clock.Now() >= this->libraryTimer) {
+    this->libraryTimer = TimePoint::max();
+    curl_multi_socket_action(this->multi.get(), CURL_SOCKET_TIMEOUT, 0, &running);
+  }
+}
+
+int
+TrafficLoop::NextWaitMilliseconds() const
+{
+  TimePoint next = this->libraryTimer;
+  if (!this->timers.empty()) {
+    next = std::min(next, this->timers.begin()->first);
+  }
+  const TimePoint now = this->clock.Now();
+  if (next <= now) {
+    return 0;
+  }
+  if (next - now > Milliseconds(kMaximumWaitMilliseconds)) {
+    return kMaximumWaitMilliseconds;
+  }
+  // Round up, so that the timer is due when the wait ends
+  return static_cast<int>(std::chrono::ceil<Milliseconds>(next - now).count());
+}
+
+void
+TrafficLoop::RunDueTimers()
+{
+  const TimePoint now = this->clock.Now();
+  while (!this->timers.empty() && this->timers.begin()->first <= now) {
+    const auto first = this->timers.begin();
+    const Task task = std::move(first->second.second);
+    this->timersById.erase(first->second.first);
+    this->timers.erase(first);
+    task();
+  }
+}
+
+void
+TrafficLoop::RunPostedTasks()
+{
+  std::vector<Task> batch;
+  {
+    const std::scoped_lock lock(this->tasksMutex);
+    batch.swap(this->tasks);
+  }
+  for (const Task& task : batch) {
+    task();
+  }
+}
+
+void
+TrafficLoop::CollectFinished()
+{
+  int remaining = 0;
+  while (CURLMsg* message = curl_multi_info_read(this->multi.get(), &remaining)) {
+    if (message->msg != CURLMSG_DONE) {
+      continue;
+    }
+    const CURLcode result = message->data.result;
+    Transfer* finished = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &finished);
+    assert(finished != nullptr);
+
+    // Take the transfer out first: the observer may start another one or destroy itself
+    const auto found = this->transfers.find(finished->id);
+    assert(found != this->transfers.end());
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    this->transfers.erase(found);
+    curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
+    if (transfer->observer != nullptr) {
+      transfer->observer->OnEnd(transfer->DescribeEnd(result));
+    }
+  }
+}
+
+void
+TrafficLoop::Wake() const
+{
+  const std::uint64_t one = 1;
+  static_cast<void>(::write(this->wakeup.Get(), &one, sizeof(one)));
+}
+
+int
+TrafficLoop::OnSocket(CURL* /*aEasy*/, curl_socket_t aSocket, int aWhat, void* aLoop, void* aKnown)
+{
+  auto& loop = *static_cast<TrafficLoop*>(aLoop);
+  if (aWhat == CURL_POLL_REMOVE) {
+    epoll_ctl(loop.epoll.Get(), EPOLL_CTL_DEL, aSocket, nullptr);
+    curl_multi_assign(loop.multi.get(), aSocket, nullptr);
+    return 0;
+  }
+  epoll_event event{};
+  event.events = ToEpollEvents(aWhat);
+  event.data.fd = aSocket;
+  const int operation = aKnown == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
+  epoll_ctl(loop.epoll.Get(), operation, aSocket, &event);
+  // Any value but null marks the socket as known to epoll
+  curl_multi_assign(loop.multi.get(), aSocket, aLoop);
+  return 0;
+}
+
+int
+TrafficLoop::OnTimer(CURLM* /*aMulti*/, long aMilliseconds, void* aLoop)
+{
+  auto& loop = *static_cast<TrafficLoop*>(aLoop);
+  loop.libraryTimer =
+    aMilliseconds < 0 ? TimePoint::max() : loop.clock.Now() + Milliseconds(aMilliseconds);
+  return 0;
+}
+
+} // namespace lagoonward
