--- /dev/null
+++ b/Lagoonward/Admission/Admission.cpp
@@ -0,0 +1,281 @@
+#include "Lagoonward/Admission/Admission.h"
+
+#include "Lagoonward/Core/Hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lagoonward {
+
+namespace {
+
+/// Weight of the newest request in the averaged duration.
+constexpr double kDurationWeight = 0.05;
+
+double
+ToSeconds(TimePoint::duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+} // namespace
+
+Ticket::Ticket(Admission& aAdmission, std::uint64_t aClient, double aTokens)
+  : admission(&aAdmission)
+  , client(aClient)
+  , estimated(aTokens)
+  , used(aTokens)
+  , admittedAt(aAdmission.clock.Now())
+{
+}
+
+Ticket::Ticket(Ticket&& aOther) noexcept
+  : admission(std::exchange(aOther.admission, nullptr))
+  , client(aOther.client)
+  , estimated(aOther.estimated)
+  , used(aOther.used)
+  , admittedAt(aOther.admittedAt)
+{
+}
+
+Ticket&
+Ticket::operator=(Ticket&& aOther) noexcept
+{
+  if (this != &aOther) {
+    this->Release();
+    this->admission = std::exchange(aOther.admission, nullptr);
+    this->client = aOther.client;
+    this->estimated = aOther.estimated;
+    this->used = aOther.used;
+    this->admittedAt = aOther.admittedAt;
+  }
+  return *this;
+}
+
+Ticket::~Ticket()
+{
+  this->Release();
+}
+
+void
+Ticket::Settle(double aTokens)
+{
+  this->used = aTokens;
+}
+
+void
+Ticket::Release()
+{
+  if (this->admission != nullptr) {
+    this->admission->Finish(this->client, this->estimated, this->used, this->admittedAt);
+    this->admission = nullptr;
+  }
+}
+
+Admission::Admission(const AdmissionSettings& aSettings, const Clock& aClock, std::uint64_t aSeed)
+  : settings(aSettings)
+  , clock(aClock)
+  , random(aSeed)
+  , view(aSettings, aClock)
+  , sentAt(aClock.Now())
+{
+}
+
+void
+Admission::Configure(const Manifest& aManifest)
+{
+  const std::lock_guard lock(this->mutex);
+  std::vector<Client> next;
+  for (const ManifestClient& limits : aManifest.clients) {
+    const std::uint64_t key = HashBytes(limits.name);
+    const Client* known = this->Find(key);
+    Client client = known != nullptr ? *known : Client{};
+    client.limits = limits;
+    client.key = key;
+    this->Refresh(client);
+    if (known == nullptr) {
+      client.available = limits.tokensPerSecond * client.share * this->settings.burstSeconds;
+      client.filledAt = this->clock.Now();
+    }
+    next.push_back(std::move(client));
+  }
+  this->clients = std::move(next);
+}
+
+void
+Admission::SetPressure(double aPressure)
+{
+  const std::lock_guard lock(this->mutex);
+  this->pressure = aPressure;
+}
+
+Result<Ticket>
+Admission::Admit(const AdmissionRequest& aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  Client* client = this->Find(HashBytes(aRequest.client));
+  if (client == nullptr) {
+    return Error(ErrorKind::Unauthorized, "the manifest names no such client");
+  }
+  client->asked += aRequest.tokens;
+  if (auto allowed = this->CheckLimits(*client, aRequest); !allowed) {
+    return allowed.error();
+  }
+  if (auto allowed = this->CheckPressure(*client, aRequest.rank); !allowed) {
+    return allowed.error();
+  }
+  client->available -= aRequest.tokens;
+  client->running++;
+  return Ticket(*this, client->key, aRequest.tokens);
+}
+
+Result<void>
+Admission::CheckLimits(Client& aClient, const AdmissionRequest& aRequest)
+{
+  if (aClient.limits.concurrent > 0 && aClient.running >= aClient.runningLimit) {
+    return Error(ErrorKind::ClientOverLimit,
+                 fmt::format("client {} runs as many requests as it may", aClient.limits.name))
+      .WithRetryAfter(this->Bounded(this->meanSeconds / std::max(aClient.running, 1)));
+  }
+  if (aClient.limits.tokensPerSecond <= 0) {
+    return boost::outcome_v2::success();
+  }
+
+  // A request larger than the bucket passes when the bucket is full, and is paid off afterwards
+  this->Fill(aClient);
+  const double rate = aClient.limits.tokensPerSecond * aClient.share;
+  const double needed = std::min(aRequest.tokens, rate * this->settings.burstSeconds);
+  if (aClient.available < needed) {
+    return Error(ErrorKind::ClientOverLimit,
+                 fmt::format("client {} uses as many tokens as it may", aClient.limits.name))
+      .WithRetryAfter(this->Bounded((needed - aClient.available) / rate));
+  }
+  return boost::outcome_v2::success();
+}
+
+Result<void>
+Admission::CheckPressure(const Client& aClient, int aRank)
+{
+  // Shed a growing part, not all at once: reports lag, and a hard limit would swing
+  const double from = this->settings.shedFrom + this->settings.shedRankStep * aRank -
+                      this->settings.shedFairness * this->OverUse(aClient);
+  const double part = std::clamp((this->pressure - from) / this->settings.shedWidth, 0.0, 1.0);
+  this->random = CombineHashes(this->random, 1);
+  const double draw = std::ldexp(static_cast<double>(this->random >> 11U), -53);
+  if (draw >= part) {
+    return boost::outcome_v2::success();
+  }
+  const double excess = std::max(this->pressure - from, 0.0);
+  return Error(ErrorKind::Overloaded, "the endpoints are full")
+    .WithRetryAfter(this->Bounded(this->meanSeconds * std::min(excess, 1.0)));
+}
+
+double
+Admission::OverUse(const Client& aClient) const
+{
+  // Its part of all running requests against its part of the weights of those who run any
+  double weights = 0;
+  double running = 0;
+  for (const Client& client : this->clients) {
+    const int count = client.running + client.runningAtPeers;
+    weights += count > 0 || client.key == aClient.key ? client.limits.weight : 0;
+    running += count;
+  }
+  if (running <= 0 || weights <= 0) {
+    return 0;
+  }
+  const double part = (aClient.running + aClient.runningAtPeers) / running;
+  const double fair = aClient.limits.weight / weights;
+  return std::clamp(part / fair - 1, -1.0, 1.0);
+}
+
+std::vector<ClientDemand>
+Admission::TakeDemand()
+{
+  const std::lock_guard lock(this->mutex);
+  const TimePoint now = this->clock.Now();
+  const double seconds = ToSeconds(now - this->sentAt);
+  this->sentAt = now;
+
+  // Exponential average over the window
+  const double window = ToSeconds(this->settings.demandWindow);
+  const double weight = 1 - std::exp(-seconds / window);
+  std::vector<ClientDemand> demand;
+  for (Client& client : this->clients) {
+    if (seconds > 0) {
+      client.demand += weight * (client.asked / seconds - client.demand);
+      client.asked = 0;
+    }
+    demand.push_back({ client.key, client.demand, client.running });
+  }
+  this->view.OnOwnSent(demand);
+  for (Client& client : this->clients) {
+    this->Refresh(client);
+  }
+  return demand;
+}
+
+void
+Admission::OnPeer(std::uint64_t aDaemon, std::span<const ClientDemand> aDemand)
+{
+  const std::lock_guard lock(this->mutex);
+  this->view.OnPeer(aDaemon, aDemand);
+}
+
+void
+Admission::Refresh(Client& aClient) const
+{
+  // Until the next heartbeat this daemon may add its part of the free places, rounded up: all
+  // daemons together exceed the limit by less than one place each
+  this->Fill(aClient);
+  const ClientShare share = this->view.ShareOf(aClient.key);
+  aClient.share = share.share;
+  aClient.runningAtPeers = share.runningAtPeers;
+  const int free = aClient.limits.concurrent - aClient.running - aClient.runningAtPeers;
+  const double part = std::ceil(std::max(free, 0) * aClient.share);
+  aClient.runningLimit = aClient.running + static_cast<int>(part);
+}
+
+void
+Admission::Fill(Client& aClient) const
+{
+  const TimePoint now = this->clock.Now();
+  const double rate = aClient.limits.tokensPerSecond * aClient.share;
+  const double earned = rate * ToSeconds(now - aClient.filledAt);
+  aClient.available = std::min(aClient.available + earned, rate * this->settings.burstSeconds);
+  aClient.filledAt = now;
+}
+
+void
+Admission::Finish(std::uint64_t aClient, double aEstimated, double aUsed, TimePoint aAdmittedAt)
+{
+  const std::lock_guard lock(this->mutex);
+  const double seconds = ToSeconds(this->clock.Now() - aAdmittedAt);
+  this->meanSeconds += kDurationWeight * (seconds - this->meanSeconds);
+  Client* client = this->Find(aClient);
+  if (client != nullptr) {
+    client->running = std::max(client->running - 1, 0);
+    client->available += aEstimated - aUsed;
+  }
+}
+
+Admission::Client*
+Admission::Find(std::uint64_t aKey)
+{
+  const auto found = std::find_if(this->clients.begin(), this->clients.end(),
+                                  [&](const Client& aClient) { return aClient.key == aKey; });
+  return found == this->clients.end() ? nullptr : &*found;
+}
+
+Milliseconds
+Admission::Bounded(double aSeconds) const
+{
+  const std::chrono::duration<double> wait(aSeconds);
+  return std::clamp(std::chrono::duration_cast<Milliseconds>(wait), this->settings.retryAfterFloor,
+                    this->settings.retryAfterCeiling);
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Admission/AdmissionSettings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Lagoonward/Core/Clock.h"
+
+namespace lagoonward {
+
+/// Everything tunable about admission. A pressure of 1 means that every sequence of the endpoints
+/// is taken; above, requests wait there.
+struct AdmissionSettings
+{
+  double equalPart = 0.2;            ///< Part of a limit that is split evenly, whatever the demand.
+  Milliseconds peerTimeout{ 5000 };  ///< A peer not heard of for so long no longer counts.
+  Milliseconds demandWindow{ 2000 }; ///< Time over which demand is averaged.
+  double burstSeconds = 2;   ///< Tokens that a client may use at once, in seconds of its rate.
+  double shedFrom = 0.85;    ///< Pressure at which the lowest rank begins to be shed.
+  double shedWidth = 0.3;    ///< From there, so much more pressure sheds all of it.
+  double shedRankStep = 1;   ///< Each higher rank begins so much later.
+  double shedFairness = 0.2; ///< How much earlier a client at twice its fair share is shed.
+  Milliseconds retryAfterFloor{ 200 };     ///< Shortest Retry-After that is given.
+  Milliseconds retryAfterCeiling{ 30000 }; ///< Longest.
+};
+
+/// Retries allowed to one deployment: a share of what succeeds, so that a fault cannot multiply the load.
+struct RetryBudgetSettings
+{
+  double perSuccess = 0.1; ///< Retries earned by one successful request.
+  double perSecond = 1;    ///< Retries earned by time alone, over the whole deployment.
+  double capacity = 20;    ///< Most that can be saved up, over the whole deployment.
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/EndpointActivity.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Lagoonward/Routing/CircuitBreaker.h"
+
+#include <array>
+#include <cstdint>
+
+namespace lagoonward {
+
+/// What this daemon itself has sent to one endpoint and got back, kept across snapshots. Load reports lag: whatever
+/// was dispatched since a report was taken has to be added to it. Not thread-safe.
+class EndpointActivity
+{
+public:
+  static constexpr int kRanks = 4; ///< Ranks of priority that are told apart.
+
+  EndpointActivity() = default;
+  EndpointActivity(std::uint64_t aKey, TimePoint aFirstSeen);
+
+  void OnDispatched(TimePoint aNow, int aUncachedTokens, int aRank);
+  void OnFirstToken(int aUncachedTokens, int aRank);
+  void OnFinished(TimePoint aNow);
+
+  /// Dispatches less finishes since that moment. Exact for the last kRecent of each.
+  [[nodiscard]] int NetSince(TimePoint aSince) const;
+
+  /// Prompt tokens sent whose first token has not come, of that rank and above.
+  [[nodiscard]] int PrefillPending(int aRank) const;
+
+  [[nodiscard]] std::uint64_t Key() const { return this->key; }
+  [[nodiscard]] TimePoint FirstSeen() const { return this->firstSeen; }
+  [[nodiscard]] int InFlight() const { return this->inFlight; }
+
+  CircuitBreaker breaker;
+
+private:
+  static constexpr std::size_t kRecent = 32;
+
+  /// Times of the last events, overwritten in turn.
+  struct Recent
+  {
+    std::array<TimePoint, kRecent> times{};
+    std::size_t next = 0;
+
+    void Add(TimePoint aTime);
+    [[nodiscard]] int CountSince(TimePoint aSince) const;
+  };
+
+  std::uint64_t key = 0;
+  TimePoint firstSeen;
+  int inFlight = 0;
+  std::array<int, kRanks> prefillPending{}; ///< Tokens, by rank.
+  Recent dispatched;
+  Recent finished;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/HedgePolicy.cpp
@@ -0,0 +1,37 @@
+#include "Lagoonward/Routing/HedgePolicy.h"
+
+#include <algorithm>
+
+namespace lagoonward {
+
+namespace {
+
+TimePoint::duration
+ToDuration(double aSeconds)
+{
+  return std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double>(aSeconds));
+}
+
+} // namespace
+
+bool
+ShouldHedge(const HedgeState& aState, TimePoint aNow, const HedgeSettings& aSettings)
+{
+  // Too late for a second attempt is too late to spend an endpoint's time on it
+  return aNow >= HedgeTime(aState, aSettings) &&
+         aNow + ToDuration(aState.wholeSeconds) <= aState.deadline;
+}
+
+TimePoint
+HedgeTime(const HedgeState& aState, const HedgeSettings& aSettings)
+{
+  if (!aState.repeatable || aState.hasFirstToken || aState.deadline == TimePoint::max()) {
+    return TimePoint::max();
+  }
+  const TimePoint overdue =
+    aState.dispatchedAt + ToDuration(aState.firstTokenSeconds * aSettings.patience);
+  const TimePoint lastMoment = aState.deadline - ToDuration(aState.wholeSeconds * aSettings.safety);
+  return std::max(overdue, lastMoment);
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/PrefixIndex.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Lagoonward/Routing/RoutingSettings.h"
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonward {
+
+/// One endpoint that is thought to have the beginning of a prompt in its cache.
+struct PrefixHolder
+{
+  std::uint32_t tag = 0; ///< PrefixIndex::TagOf() of the endpoint's key.
+  double tokens = 0;     ///< Expected cached tokens: matched ones times the trust in the entry.
+};
+
+/// What this daemon knows of the engines' prefix caches: from their cache events, which come late and
+/// with gaps, and from its own dispatches. Memory is bounded; the entries longest unused go first. A block's
+/// hash covers all blocks before it, so knowing a deep block is knowing the prefix. A wrong entry
+/// costs a prefill, never a wrong answer. Not thread-safe.
+class PrefixIndex
+{
+public:
+  PrefixIndex(const PrefixIndexSettings& aSettings, const Clock& aClock);
+
+  /// Short name of an endpoint inside the index. Two endpoints may share one, at a chance of
+  /// n * n / 2^33; they then look cached alike.
+  [[nodiscard]] static std::uint32_t TagOf(std::uint64_t aEndpointKey)
+  {
+    return static_cast<std::uint32_t>(aEndpointKey) | 1U;
+  }
+
+  /// The endpoint's events say that it has these blocks.
+  void OnStored(std::uint64_t aEndpointKey, std::span<const std::uint64_t> aBlocks);
+
+  /// The endpoint's events say that it no longer has them.
+  void OnEvicted(std::uint64_t aEndpointKey, std::span<const std::uint64_t> aBlocks);
+
+  /// Events of that endpoint were missed: what was known before is trusted less.
+  void OnGap(std::uint64_t aEndpointKey);
+
+  /// A prompt of these blocks has been sent there, so they will be cached unless evicted.
+  void OnDispatched(std::uint64_t aEndpointKey, std::span<const std::uint64_t> aBlocks);
+
+  /// The endpoint is gone or has restarted empty.
+  void OnGone(std::uint64_t aEndpointKey);
+
+  /// Endpoints that hold the longest known beginnings of a prompt, best first per probe. Looks at a number of blocks
+  /// that grows with the logarithm of the prompt only; matches may be understated by an eighth.
+  /// @return how many of aHolders were filled
+  [[nodiscard]] std::size_t Find(std::span<const std::uint64_t> aBlocks,
+                                 std::span<PrefixHolder> aHolders) const;
+
+private:
+  static constexpr std::size_t kHolders = 12; ///< Endpoints remembered per block.
+  static constexpr std::size_t kWays = 4;     ///< Places that one block may take.
+
+  /// Ticks of a tenth of a second since the index was made, from 1 on.
+  using Tick = std::uint32_t;
+
+  struct Holder
+  {
+    std::uint32_t tag = 0;   ///< Zero when free.
+    std::uint32_t stamp = 0; ///< Tick of the last news, times two; odd when confirmed by an event.
+  };
+
+  struct Entry
+  {
+    std::uint64_t block = 0;
+    Tick used = 0; ///< Zero when free.
+    std::array<Holder, kHolders> holders;
+  };
+
+  [[nodiscard]] Tick Now() const;
+  [[nodiscard]] const Entry* FindEntry(std::uint64_t aBlock) const;
+  [[nodiscard]] Entry& Claim(std::uint64_t aBlock);
+  [[nodiscard]] double TrustIn(const Holder& aHolder, Tick aNow) const;
+  [[nodiscard]] bool IsKnown(std::uint64_t aBlock, Tick aNow) const;
+  void Remember(std::uint64_t aEndpointKey, std::span<const std::uint64_t> aBlocks,
+                bool aConfirmed);
+
+  PrefixIndexSettings settings;
+  const Clock& clock;
+  TimePoint start;
+  std::vector<Entry> entries; ///< Sets of kWays entries.
+  std::unordered_map<std::uint32_t, Tick>
+    doubts; ///< Per tag: entries before that tick are doubtful.
+  std::unordered_map<std::uint32_t, Tick> resets; ///< Per tag: entries before that tick are void.
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -0,0 +1,98 @@
+#include "Lagoonward/Routing/RouteScore.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonward {
+
+namespace {
+
+double
+ToSeconds(Milliseconds aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+/// Chance that a value predicted with a relative error of about aSpread ends up over its target.
+double
+ChanceOver(double aPredicted, Milliseconds aTarget, double aSpread)
+{
+  if (aTarget <= Milliseconds::zero()) {
+    return 0;
+  }
+  const double target = ToSeconds(aTarget);
+  return 1 / (1 + std::exp((target - aPredicted) / (aSpread * target)));
+}
+
+/// Time until one of the endpoint's sequences is free for the request.
+double
+WaitForSequence(const EndpointOutlook& aOutlook, const RouteRequest& aRequest, int aRank,
+                const RoutingSettings& aSettings)
+{
+  const double reserved = aRank == 0 ? aSettings.reservedShare : 0;
+  const double usable = aOutlook.speed.sequences * (1 - reserved);
+  const double excess = aOutlook.sequences + 1 - usable;
+  if (excess <= 0 || aOutlook.mayPreempt) {
+    return 0;
+  }
+
+  // They leave one after another, each after as long an answer as this one
+  const double each = std::max(aRequest.expectedOutputTokens, 1) *
+                      aOutlook.speed.StepSeconds(aOutlook.speed.sequences);
+  return excess * each / aOutlook.speed.sequences;
+}
+
+} // namespace
+
+RouteScore
+ScoreEndpoint(const EndpointOutlook& aOutlook, const RouteRequest& aRequest, int aRank,
+              double aMeanPrice, const RoutingSettings& aSettings)
+{
+  RouteScore score;
+  const MachineSpeed& speed = aOutlook.speed;
+  const double output = std::max(aRequest.expectedOutputTokens, 1);
+
+  // Predictions
+  const double uncached = std::max(aRequest.promptTokens - aOutlook.cachedTokens, 0.0);
+  const double prefill = uncached * speed.prefillSecondsPerToken;
+  const double ahead = aOutlook.prefillAhead * speed.prefillSecondsPerToken;
+  const double batch = std::min(aOutlook.sequences + 1, speed.sequences);
+  score.betweenTokensSeconds = speed.StepSeconds(batch);
+  score.firstTokenSeconds = aSettings.networkSeconds + ahead + prefill +
+                            score.betweenTokensSeconds +
+                            WaitForSequence(aOutlook, aRequest, aRank, aSettings);
+  score.finishSeconds = score.firstTokenSeconds + output * score.betweenTokensSeconds;
+
+  // Engine time: what the request adds to it, and the share of the base that nobody else carries
+  const double alone = aSettings.packing / (aOutlook.sequences + 1);
+  const double decode = output * (speed.stepPerSequenceSeconds + alone * speed.stepBaseSeconds);
+  score.cost.prefill = aOutlook.pricePerSecond * prefill;
+  score.cost.decode = aOutlook.pricePerSecond * decode;
+
+  // A missed target is worth the same wherever it happens
+  const double late = ChanceOver(score.firstTokenSeconds, aRequest.firstToken, aSettings.spread);
+  const double slow =
+    ChanceOver(score.betweenTokensSeconds, aRequest.betweenTokens, aSettings.spread);
+  const double worth =
+    aMeanPrice * aSettings.missEngineSeconds * std::pow(aSettings.missRankFactor, aRank);
+  score.cost.miss = worth * (late + slow - late * slow);
+
+  // Tokens that somebody would have to compute again, half of the answer among them
+  const double lossChance = std::min(aOutlook.reclaimsPerSecond * score.finishSeconds, 1.0);
+  const double tokenWorth = aMeanPrice * speed.prefillSecondsPerToken *
+                            aSettings.recomputedTokenWorth * 2 *
+                            aRequest.objective.recomputedTokens;
+  score.cost.reclaim = lossChance * (aRequest.promptTokens + output / 2) * tokenWorth;
+  score.cost.recompute =
+    std::max(aOutlook.bestCachedTokens - aOutlook.cachedTokens, 0.0) * tokenWorth;
+  score.cost.prefill *= 2 * aRequest.objective.cost;
+  score.cost.decode *= 2 * aRequest.objective.cost;
+
+  score.cost.locality = -aOutlook.homeShare * aSettings.homePull * aRequest.promptTokens *
+                        tokenWorth / std::max(aSettings.recomputedTokenWorth, 1.0);
+  score.cost.slowStart =
+    aOutlook.newness * aOutlook.sequences * aMeanPrice * score.betweenTokensSeconds * output;
+  return score;
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/Router.cpp
@@ -0,0 +1,416 @@
+#include "Lagoonward/Routing/Router.h"
+
+#include "Lagoonward/Core/Hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lagoonward {
+
+namespace {
+
+/// Block of the prompt that names its prefix when a home is looked for: deep enough to tell documents
+/// behind a common preamble apart.
+constexpr std::size_t kHomeBlock = 31;
+
+constexpr double kSecondsPerHour = 3600;
+
+/// With so little ahead of it, a request's first token shows the speed of prefill.
+constexpr double kIdleTokens = 64;
+
+double
+ToSeconds(TimePoint::duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+} // namespace
+
+void
+Router::Candidates::Add(std::uint32_t aTarget)
+{
+  const auto end = this->targets.begin() + static_cast<std::ptrdiff_t>(this->count);
+  if (this->count < kMaxCandidates && std::find(this->targets.begin(), end, aTarget) == end) {
+    this->targets[this->count++] = aTarget;
+  }
+}
+
+Router::Router(const RoutingSettings& aSettings, const Clock& aClock, std::uint64_t aSeed)
+  : settings(aSettings)
+  , clock(aClock)
+  , random(aSeed)
+  , speed(aSettings.speed)
+  , prefixes(aSettings.prefix, aClock)
+{
+}
+
+void
+Router::Update(RoutingTablePtr aTable)
+{
+  const std::lock_guard lock(this->mutex);
+  const TimePoint now = this->clock.Now();
+
+  // Endpoints of the very first table are as old as can be: all starting slowly would mean none does
+  const TimePoint firstSeen = this->table ? now : now - this->settings.slowStart;
+  std::vector<EndpointActivity> kept;
+  std::unordered_map<std::uint64_t, std::uint32_t> places;
+  kept.reserve(aTable->Targets().size());
+  this->tags.clear();
+  for (const RoutingTarget& target : aTable->Targets()) {
+    const auto index = static_cast<std::uint32_t>(kept.size());
+    const EndpointActivity* known = this->FindActivity(target.key);
+    kept.push_back(known != nullptr ? *known : EndpointActivity(target.key, firstSeen));
+    places.emplace(target.key, index);
+    this->tags.emplace(PrefixIndex::TagOf(target.key), index);
+  }
+  for (const EndpointActivity& activity : this->activities) {
+    if (places.count(activity.Key()) == 0) {
+      this->prefixes.OnGone(activity.Key());
+    }
+  }
+
+  this->speedIndices.clear();
+  for (const std::string& machineClass : aTable->MachineClasses()) {
+    this->speedIndices.push_back(this->speed.IndexOf(machineClass));
+  }
+  for (const RoutingTarget& target : aTable->Targets()) {
+    if (target.waiting > 0) {
+      this->speed.ObserveFull(this->speedIndices[target.machineClass], target.running);
+    }
+  }
+  this->activities = std::move(kept);
+  this->positions = std::move(places);
+  this->table = std::move(aTable);
+}
+
+void
+Router::SetLiveDaemons(int aCount)
+{
+  const std::lock_guard lock(this->mutex);
+  this->liveDaemons = std::max(aCount, 1);
+}
+
+Result<RouteChoice>
+Router::Choose(const RouteRequest& aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  if (!this->table) {
+    return Error(ErrorKind::NoConfiguration, "no routing table yet");
+  }
+  Scene scene;
+  const auto group = this->table->FindGroup(aRequest);
+  if (!group) {
+    return group.error();
+  }
+  scene.group = group.value();
+  this->FillScene(aRequest, scene);
+  Candidates candidates;
+  this->Collect(scene, candidates);
+
+  // The cheapest of those that finish by the deadline
+  const double left = ToSeconds(aRequest.deadline - scene.now);
+  RouteChoice choice;
+  double best = 0;
+  double soonest = 0;
+  int eligible = 0;
+  for (std::size_t index = 0; index < candidates.count; ++index) {
+    const std::uint32_t target = candidates.targets[index];
+    if (!this->IsEligible(target, aRequest, scene.now)) {
+      continue;
+    }
+    const EndpointOutlook outlook = this->OutlookOf(target, scene);
+    const RouteScore score = ScoreEndpoint(outlook, aRequest, scene.rank,
+                                           this->table->MeanPricePerSecond(), this->settings);
+    soonest = eligible == 0 ? score.finishSeconds : std::min(soonest, score.finishSeconds);
+    ++eligible;
+    const double total = score.cost.Total();
+    if (score.finishSeconds <= left && (choice.considered == 0 || total < best)) {
+      best = total;
+      choice.endpoint = target;
+      choice.cost = score.cost;
+      choice.firstTokenSeconds = score.firstTokenSeconds;
+      choice.betweenTokensSeconds = score.betweenTokensSeconds;
+      choice.cachedTokens = static_cast<int>(outlook.cachedTokens);
+      choice.considered = 1;
+    }
+  }
+  if (eligible == 0) {
+    return Error(ErrorKind::NoEndpoint,
+                 fmt::format("no endpoint for {} takes work", scene.group->name))
+      .WithRetryAfter(this->settings.retryAfterFloor);
+  }
+  if (choice.considered == 0) {
+    const auto excess = std::chrono::duration<double>(soonest - left);
+    const auto wait = std::chrono::duration_cast<Milliseconds>(excess);
+    return Error(ErrorKind::DeadlineUnreachable,
+                 fmt::format("the soonest answer would come {} ms too late", wait.count()))
+      .WithRetryAfter(std::max(wait, this->settings.retryAfterFloor));
+  }
+  choice.considered = eligible;
+  choice.table = this->table;
+  return choice;
+}
+
+void
+Router::FillScene(const RouteRequest& aRequest, Scene& aScene) const
+{
+  aScene.now = this->clock.Now();
+  aScene.rank = this->table->RankOf(aRequest.priority);
+  if (!aRequest.prefixBlocks.empty()) {
+    aScene.holderCount = this->prefixes.Find(aRequest.prefixBlocks, aScene.holders);
+
+    // What a leaving endpoint has cached cannot be used any more
+    auto* const end =
+      std::remove_if(aScene.holders.data(), aScene.holders.data() + aScene.holderCount,
+                     [&](const PrefixHolder& aHolder) {
+                       const auto place = this->tags.find(aHolder.tag);
+                       return place == this->tags.end() || !aScene.group->Has(place->second);
+                     });
+    aScene.holderCount = static_cast<std::size_t>(end - aScene.holders.data());
+    this->FindHomes(aRequest, aScene);
+  }
+}
+
+void
+Router::FindHomes(const RouteRequest& aRequest, Scene& aScene) const
+{
+  // The first endpoints on the ring after the prefix's position, each once
+  const auto& ring = aScene.group->ring;
+  const std::size_t block = std::min(aRequest.prefixBlocks.size() - 1, kHomeBlock);
+  const auto less = [](const RingPoint& aPoint, std::uint64_t aPosition) {
+    return aPoint.position < aPosition;
+  };
+  const auto start =
+    std::lower_bound(ring.begin(), ring.end(), aRequest.prefixBlocks[block], less) - ring.begin();
+  for (std::size_t step = 0; step < ring.size() && aScene.homeCount < aScene.homes.size(); ++step) {
+    const auto target = ring[(static_cast<std::size_t>(start) + step) % ring.size()].target;
+    if (aScene.homeCount == 0 || aScene.homes[0] != target) {
+      aScene.homes[aScene.homeCount++] = target;
+    }
+  }
+}
+
+void
+Router::Collect(const Scene& aScene, Candidates& aCandidates)
+{
+  const auto& members = aScene.group->targets;
+  if (members.size() <= std::min(this->settings.fullScan, kMaxCandidates)) {
+    for (const std::uint32_t target : members) {
+      aCandidates.Add(target);
+    }
+    return;
+  }
+
+  // Who is thought to have the prefix, where it would live, and a sample that leans to the cheap
+  for (std::size_t index = 0; index < aScene.holderCount; ++index) {
+    aCandidates.Add(this->tags.at(aScene.holders[index].tag));
+  }
+  for (std::size_t index = 0; index < aScene.homeCount; ++index) {
+    aCandidates.Add(aScene.homes[index]);
+  }
+  for (std::size_t index = 0; index < this->settings.sample; ++index) {
+    const std::size_t range = index % 2 == 0 ? members.size() : members.size() / 4;
+    aCandidates.Add(members[this->NextRandom() % std::max(range, std::size_t{ 1 })]);
+  }
+}
+
+bool
+Router::IsEligible(std::uint32_t aTarget, const RouteRequest& aRequest, TimePoint aNow) const
+{
+  const RoutingTarget& target = this->table->Targets()[aTarget];
+  const std::string_view domain = this->table->FailureDomains()[target.failureDomain];
+  const auto is = [](std::span<const std::string_view> aList, std::string_view aName) {
+    return std::find(aList.begin(), aList.end(), aName) != aList.end();
+  };
+  return target.live && !is(aRequest.excludedEndpoints, target.id) &&
+         !is(aRequest.excludedDomains, domain) &&
+         this->activities[aTarget].breaker.Allows(this->settings.breaker, aNow);
+}
+
+double
+Router::PeerFactor() const
+{
+  return 1 + this->settings.peerShare * (this->liveDaemons - 1);
+}
+
+double
+Router::SequencesAt(std::uint32_t aTarget) const
+{
+  const RoutingTarget& target = this->table->Targets()[aTarget];
+  const EndpointActivity& activity = this->activities[aTarget];
+  const double reported = target.waiting + target.running;
+  const double since = activity.NetSince(target.asOf) * this->PeerFactor();
+  return std::max<double>(reported + since, activity.InFlight());
+}
+
+EndpointOutlook
+Router::OutlookOf(std::uint32_t aTarget, const Scene& aScene) const
+{
+  const RoutingTarget& target = this->table->Targets()[aTarget];
+  const EndpointActivity& activity = this->activities[aTarget];
+  EndpointOutlook outlook;
+  outlook.speed = this->speed.Get(this->speedIndices[target.machineClass]);
+  outlook.pricePerSecond = target.pricePerSecond;
+  outlook.sequences = this->SequencesAt(aTarget);
+  outlook.prefillAhead = activity.PrefillPending(aScene.rank) * this->PeerFactor();
+  outlook.mayPreempt = aScene.rank > 0;
+  if (target.reclaimable) {
+    const double perHour = this->table->IsGoing(target.failureDomain)
+                             ? this->settings.goingDomainPerHour
+                             : this->settings.reclaimsPerHour;
+    outlook.reclaimsPerSecond = perHour / kSecondsPerHour;
+  }
+
+  const auto tag = PrefixIndex::TagOf(target.key);
+  for (std::size_t index = 0; index < aScene.holderCount; ++index) {
+    outlook.bestCachedTokens = std::max(outlook.bestCachedTokens, aScene.holders[index].tokens);
+    if (aScene.holders[index].tag == tag) {
+      outlook.cachedTokens = aScene.holders[index].tokens;
+    }
+  }
+  for (std::size_t index = 0; index < aScene.homeCount; ++index) {
+    if (aScene.homes[index] == aTarget) {
+      outlook.homeShare = 1.0 / static_cast<double>(index + 1);
+    }
+  }
+  const double age = ToSeconds(aScene.now - activity.FirstSeen());
+  outlook.newness = std::max(1 - age / ToSeconds(this->settings.slowStart), 0.0);
+  return outlook;
+}
+
+Dispatch
+Router::OnDispatched(const RouteChoice& aChoice, const RouteRequest& aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  const RoutingTarget& target = aChoice.Target();
+  Dispatch dispatch;
+  dispatch.endpointKey = target.key;
+  dispatch.uncachedTokens = std::max(aRequest.promptTokens - aChoice.cachedTokens, 0);
+  dispatch.rank = this->table->RankOf(aRequest.priority);
+  dispatch.dispatchedAt = this->clock.Now();
+  dispatch.speedIndex = this->speed.IndexOf(aChoice.table->MachineClasses()[target.machineClass]);
+  EndpointActivity* activity = this->FindActivity(target.key);
+  if (activity != nullptr) {
+    const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
+    dispatch.sequences = this->SequencesAt(index) + 1;
+    dispatch.ranIdle =
+      activity->PrefillPending(0) <= kIdleTokens && this->table->Targets()[index].waiting == 0;
+    activity->breaker.OnDispatched(this->settings.breaker, dispatch.dispatchedAt);
+    activity->OnDispatched(dispatch.dispatchedAt, dispatch.uncachedTokens, dispatch.rank);
+  }
+  this->prefixes.OnDispatched(target.key, aRequest.prefixBlocks);
+  return dispatch;
+}
+
+void
+Router::OnToken(Dispatch& aDispatch)
+{
+  const std::lock_guard lock(this->mutex);
+  const TimePoint now = this->clock.Now();
+  EndpointActivity* activity = this->FindActivity(aDispatch.endpointKey);
+  if (!aDispatch.hasFirstToken) {
+    aDispatch.hasFirstToken = true;
+    if (activity != nullptr) {
+      activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.rank);
+    }
+    if (aDispatch.ranIdle) {
+      const double seconds =
+        ToSeconds(now - aDispatch.dispatchedAt) - this->settings.networkSeconds;
+      this->speed.ObservePrefill(aDispatch.speedIndex, aDispatch.uncachedTokens, seconds);
+    }
+  } else if (activity != nullptr) {
+    const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
+    const double running =
+      std::min<double>(this->SequencesAt(index), this->speed.Get(aDispatch.speedIndex).sequences);
+    this->speed.ObserveStep(aDispatch.speedIndex, running, ToSeconds(now - aDispatch.lastToken));
+  }
+  aDispatch.lastToken = now;
+}
+
+void
+Router::OnFinished(Dispatch& aDispatch, DispatchOutcome aOutcome)
+{
+  const std::lock_guard lock(this->mutex);
+  if (aDispatch.finished) {
+    return;
+  }
+  aDispatch.finished = true;
+  EndpointActivity* activity = this->FindActivity(aDispatch.endpointKey);
+  if (activity == nullptr) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  if (!aDispatch.hasFirstToken) {
+    activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.rank);
+  }
+  activity->OnFinished(now);
+  if (aOutcome == DispatchOutcome::Completed) {
+    activity->breaker.OnSuccess();
+  } else if (aOutcome == DispatchOutcome::Failed) {
+    activity->breaker.OnFailure(this->settings.breaker, now);
+  }
+}
+
+void
+Router::OnCacheEvents(std::string_view aEndpointId, std::span<const std::uint64_t> aStored,
+                      std::span<const std::uint64_t> aEvicted, bool aGap)
+{
+  const std::uint64_t key = HashBytes(aEndpointId);
+  const std::lock_guard lock(this->mutex);
+  if (aGap) {
+    this->prefixes.OnGap(key);
+  }
+  this->prefixes.OnStored(key, aStored);
+  this->prefixes.OnEvicted(key, aEvicted);
+}
+
+double
+Router::Pressure(const RouteRequest& aRequest) const
+{
+  const std::lock_guard lock(this->mutex);
+  if (!this->table) {
+    return 0;
+  }
+  const auto group = this->table->FindGroup(aRequest);
+  if (!group) {
+    return 0;
+  }
+  double taken = 0;
+  double places = 0;
+  for (const std::uint32_t target : group.value()->targets) {
+    const auto machineClass = this->table->Targets()[target].machineClass;
+    taken += this->SequencesAt(target);
+    places += this->speed.Get(this->speedIndices[machineClass]).sequences;
+  }
+  return places > 0 ? taken / places : 0;
+}
+
+bool
+Router::IsAllowed(std::string_view aEndpointId) const
+{
+  const std::lock_guard lock(this->mutex);
+  const auto place = this->positions.find(HashBytes(aEndpointId));
+  return place == this->positions.end() ||
+         this->activities[place->second].breaker.Allows(this->settings.breaker, this->clock.Now());
+}
+
+EndpointActivity*
+Router::FindActivity(std::uint64_t aKey)
+{
+  const auto place = this->positions.find(aKey);
+  return place == this->positions.end() ? nullptr : &this->activities[place->second];
+}
+
+std::uint64_t
+Router::NextRandom()
+{
+  // splitmix64
+  this->random += 0x9e3779b97f4a7c15ULL;
+  std::uint64_t mixed = this->random;
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+  return mixed ^ (mixed >> 31U);
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/Router.h
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "Lagoonward/Core/Result.h"
+#include "Lagoonward/Routing/EndpointActivity.h"
+#include "Lagoonward/Routing/PrefixIndex.h"
+#include "Lagoonward/Routing/RouteChoice.h"
+#include "Lagoonward/Routing/RouteRequest.h"
+#include "Lagoonward/Routing/RouteScore.h"
+#include "Lagoonward/Routing/RoutingSettings.h"
+#include "Lagoonward/Routing/RoutingTable.h"
+#include "Lagoonward/Routing/SpeedModel.h"
+
+#include <array>
+#include <mutex>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonward {
+
+/// How an attempt at an endpoint ended.
+enum class DispatchOutcome
+{
+  Completed, ///< The answer is whole.
+  Failed,    ///< The endpoint is to blame: refused, broke off, fell silent.
+  Cancelled, ///< Moved or no longer wanted; says nothing about the endpoint.
+};
+
+/// One attempt in progress, as Router::OnDispatched() gave it. Plain data; the attempt keeps it and
+/// hands it back with each event.
+struct Dispatch
+{
+  std::uint64_t endpointKey = 0;
+  std::size_t speedIndex = 0;
+  int uncachedTokens = 0;
+  int rank = 0;
+  double sequences = 0; ///< Estimated batch at the endpoint when it was sent.
+  bool ranIdle = false; ///< Little was ahead of it, so its first token shows the prefill speed.
+  bool hasFirstToken = false;
+  bool finished = false;
+  TimePoint dispatchedAt;
+  TimePoint lastToken;
+};
+
+/// Chooses the endpoint for each attempt: the one with the lowest expected cost in money.
+///
+/// Threads: one short mutex guards everything. A decision takes a few microseconds and a daemon takes some
+/// hundred requests a second, so that sharding would buy nothing and lose the exact own-dispatch
+/// counts. Choose(), OnToken() and OnFinished() allocate nothing.
+class Router
+{
+public:
+  /// @param aSeed  of the sampling; differs between daemons so that they do not herd
+  Router(const RoutingSettings& aSettings, const Clock& aClock, std::uint64_t aSeed);
+
+  /// Takes a new table into use. What is known of endpoints that are still there is kept.
+  void Update(RoutingTablePtr aTable);
+
+  /// How many daemons share the traffic, this one included.
+  void SetLiveDaemons(int aCount);
+
+  /// The endpoint for a request, or why there is none.
+  /// Errors: UnknownModel, UnknownService; NoEndpoint when nothing eligible serves it;
+  /// DeadlineUnreachable with `retryAfter` when no endpoint is predicted to finish in time;
+  /// NoConfiguration before the first Update().
+  [[nodiscard]] Result<RouteChoice> Choose(const RouteRequest& aRequest);
+
+  /// Tells that the request is being sent where Choose() said.
+  [[nodiscard]] Dispatch OnDispatched(const RouteChoice& aChoice, const RouteRequest& aRequest);
+
+  /// A token has arrived. The first one also for plain services: their answer.
+  void OnToken(Dispatch& aDispatch);
+
+  /// The attempt is over. Safe to call twice; only the first call counts.
+  void OnFinished(Dispatch& aDispatch, DispatchOutcome aOutcome);
+
+  /// News of an endpoint's prefix cache; see PrefixIndex.
+  void OnCacheEvents(std::string_view aEndpointId, std::span<const std::uint64_t> aStored,
+                     std::span<const std::uint64_t> aEvicted, bool aGap);
+
+  /// How full the endpoints of a request's group are: sequences running and waiting over those that
+  /// they run at once. 1 is full. Zero when the group is unknown.
+  [[nodiscard]] double Pressure(const RouteRequest& aRequest) const;
+
+  /// Whether the endpoint's circuit breaker lets requests through.
+  [[nodiscard]] bool IsAllowed(std::string_view aEndpointId) const;
+
+private:
+  static constexpr std::size_t kMaxCandidates = 64;
+  static constexpr std::size_t kMaxHolders = 16;
+
+  /// Endpoints to be scored for one request.
+  struct Candidates
+  {
+    std::array<std::uint32_t, kMaxCandidates> targets;
+    std::size_t count = 0;
+
+    void Add(std::uint32_t aTarget);
+  };
+
+  /// What Choose() works out once per request.
+  struct Scene
+  {
+    const RoutingGroup* group = nullptr;
+    std::array<PrefixHolder, kMaxHolders> holders;
+    std::size_t holderCount = 0;
+    std::array<std::uint32_t, 2> homes{};
+    std::size_t homeCount = 0;
+    int rank = 0;
+    TimePoint now;
+  };
+
+  void FillScene(const RouteRequest& aRequest, Scene& aScene) const;
+  void FindHomes(const RouteRequest& aRequest, Scene& aScene) const;
+  void Collect(const Scene& aScene, Candidates& aCandidates);
+  [[nodiscard]] bool IsEligible(std::uint32_t aTarget, const RouteRequest& aRequest,
+                                TimePoint aNow) const;
+  [[nodiscard]] EndpointOutlook OutlookOf(std::uint32_t aTarget, const Scene& aScene) const;
+  [[nodiscard]] double SequencesAt(std::uint32_t aTarget) const;
+  [[nodiscard]] double PeerFactor() const;
+  [[nodiscard]] EndpointActivity* FindActivity(std::uint64_t aKey);
+  [[nodiscard]] std::uint64_t NextRandom();
+
+  RoutingSettings settings;
+  const Clock& clock;
+  mutable std::mutex mutex; ///< Guards all below.
+  std::uint64_t random;
+  RoutingTablePtr table;
+  SpeedModel speed;
+  PrefixIndex prefixes;
+  std::vector<EndpointActivity> activities;                   ///< Parallel to the table's targets.
+  std::vector<std::size_t> speedIndices;                      ///< Per machine class of the table.
+  std::unordered_map<std::uint64_t, std::uint32_t> positions; ///< Endpoint key to target.
+  std::unordered_map<std::uint32_t, std::uint32_t> tags;      ///< Prefix tag to target.
+  int liveDaemons = 1;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Lagoonward/Core/Clock.h"
+
+#include <cstddef>
+
+namespace lagoonward {
+
+/// What is assumed of an engine's speed until answers have been observed. A decode step of a batch of
+/// N sequences takes `stepBase + N * stepPerSequence`.
+struct SpeedPriors
+{
+  double prefillTokensPerSecond = 8000;
+  double stepBaseSeconds = 0.012;
+  double stepPerSequenceSeconds = 0.0008;
+  double sequences = 24;            ///< Sequences that an engine runs at once; more have to wait.
+  double learningRate = 0.02;       ///< Share of one observation's error that is corrected.
+  double range = 8;                 ///< Learned values stay within prior / range and prior * range.
+  double serviceCallSeconds = 0.02; ///< How long a plain service's call takes.
+};
+
+/// Bounds of what a daemon remembers of prefix caches.
+struct PrefixIndexSettings
+{
+  std::size_t blockTokens = 64;      ///< Tokens that one block hash stands for.
+  std::size_t capacity = 65536;      ///< Blocks remembered, 72 bytes each; the oldest go first.
+  Seconds maxAge{ 600 };             ///< An entry not confirmed for so long counts as evicted.
+  double dispatchedConfidence = 0.9; ///< Trust in a block known only from an own dispatch.
+  double gapConfidence = 0.5; ///< Trust in entries older than a gap in the endpoint's events.
+};
+
+/// When an endpoint that fails is left alone.
+struct CircuitBreakerSettings
+{
+  int failuresToOpen = 3;       ///< Failures in a row that open it.
+  Milliseconds openFor{ 2000 }; ///< Pause before one trial request; doubles with each failed trial.
+  Milliseconds maxOpenFor{ 60000 }; ///< Longest pause.
+};
+
+/// Everything tunable about routing. Money is in the currency of the hosts' prices.
+struct RoutingSettings
+{
+  SpeedPriors speed;
+  PrefixIndexSettings prefix;
+  CircuitBreakerSettings breaker;
+
+  double fallbackPricePerHour = 1; ///< Price of a host whose price is not known.
+  double networkSeconds = 0.003;   ///< Time to an endpoint and back, added to every prediction.
+  double spread = 0.25; ///< Relative uncertainty of a prediction; width of the miss curve.
+  double missEngineSeconds =
+    4;                       ///< Worth of one missed target of the lowest priority, in engine time.
+  double missRankFactor = 4; ///< How much more each higher rank of priority is worth.
+  double targetMargin = 0.7; ///< Share of a target that predictions should stay under.
+  double packing = 1;     ///< 1: an idle engine bears its whole step base; 0: packing is ignored.
+  double homePull = 0.25; ///< Share of the prefill that a prefix's home is expected to save later.
+  double reservedShare = 0.15; ///< Share of an engine's sequences kept free of the lowest rank.
+  double peerShare = 0.5;      ///< How far other daemons are assumed to dispatch as this one does.
+  double reclaimsPerHour = 0.05;   ///< Chance per hour that a reclaimable host goes.
+  double goingDomainPerHour = 120; ///< The same for a failure domain where hosts are leaving now.
+  double recomputedTokenWorth = 4; ///< Worth of a recomputed token, in prefill time, at weight 0.5.
+  Seconds slowStart{ 10 };         ///< A new endpoint's share of dispatches grows over this time.
+  std::size_t fullScan = 32;       ///< Up to so many endpoints all are scored; above, a sample.
+  std::size_t sample = 16;         ///< Endpoints drawn at random for the sample.
+  Milliseconds retryAfterFloor{ 200 }; ///< Shortest Retry-After that is given.
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/SpeedModel.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Lagoonward/Routing/RoutingSettings.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonward {
+
+/// Learned speed of one machine class.
+struct MachineSpeed
+{
+  double prefillSecondsPerToken = 0;
+  double stepBaseSeconds = 0;
+  double stepPerSequenceSeconds = 0;
+  double sequences = 0; ///< Sequences that run at once.
+
+  /// Length of one decode step with that many sequences in the batch.
+  [[nodiscard]] double StepSeconds(double aSequences) const
+  {
+    return this->stepBaseSeconds + this->stepPerSequenceSeconds * aSequences;
+  }
+};
+
+/// Learns how fast each machine class prefills and decodes, by correcting a share of each
+/// observation's error (normalised least mean squares). Values stay within a range of the priors, so
+/// that a stalled connection cannot teach nonsense. Not thread-safe.
+class SpeedModel
+{
+public:
+  explicit SpeedModel(const SpeedPriors& aPriors);
+
+  /// Index of a machine class, which is added where it is new.
+  [[nodiscard]] std::size_t IndexOf(std::string_view aMachineClass);
+
+  [[nodiscard]] const MachineSpeed& Get(std::size_t aIndex) const
+  {
+    return this->classes[aIndex].speed;
+  }
+
+  /// Time to the first token of a request that found little ahead of it.
+  void ObservePrefill(std::size_t aIndex, int aUncachedTokens, double aSeconds);
+
+  /// Time between two tokens while the batch held about aSequences.
+  void ObserveStep(std::size_t aIndex, double aSequences, double aSeconds);
+
+  /// How many sequences ran while others were waiting: the engine was full.
+  void ObserveFull(std::size_t aIndex, int aRunning);
+
+private:
+  struct MachineClass
+  {
+    std::string name;
+    MachineSpeed speed;
+  };
+
+  [[nodiscard]] double Bounded(double aValue, double aPrior) const;
+
+  SpeedPriors priors;
+  std::vector<MachineClass> classes;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/UnitTests/Routing/RouterTests.cpp
@@ -0,0 +1,202 @@
+#include "Lagoonward/Core/VirtualClock.h"
+#include "Lagoonward/Routing/Router.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonward;
+
+namespace {
+
+Endpoint
+MakeEngine(const std::string& aId, const std::string& aDomain, double aPrice)
+{
+  Endpoint endpoint;
+  endpoint.id = aId;
+  endpoint.failureDomain = aDomain;
+  endpoint.machineClass = "gpu";
+  endpoint.pricePerHour = aPrice;
+  EndpointLoad load;
+  load.models = { { "permit", "1", { { "letters", "3" } } } };
+  endpoint.load = load;
+  return endpoint;
+}
+
+/// Two engines and a plain service under one manifest.
+struct Fixture
+{
+  VirtualClock clock;
+  Manifest manifest;
+  FleetSnapshot fleet;
+  RoutingSettings settings;
+  Router router{ settings, clock, 1 };
+  std::vector<std::uint64_t> blocks = std::vector<std::uint64_t>(100);
+
+  Fixture()
+  {
+    this->manifest.models = { { "permit", "1", { { "letters", { "3", "2" } } }, 1 } };
+    this->manifest.services = { { "portal", false }, { "closed", true } };
+    this->manifest.classes = { { "draft", Milliseconds(8000), Milliseconds(120), {}, 1 },
+                               { "urgent", Milliseconds(1000), Milliseconds(66), {}, 5 } };
+    this->fleet.endpoints = { MakeEngine("a", "north", 1), MakeEngine("b", "south", 2) };
+    Endpoint service;
+    service.id = "s";
+    service.kind = EndpointKind::Service;
+    service.name = "portal";
+    this->fleet.endpoints.push_back(service);
+    for (std::size_t index = 0; index < this->blocks.size(); ++index) {
+      this->blocks[index] = (index + 1) * 0x9e3779b97f4a7c15ULL;
+    }
+    this->Publish();
+  }
+
+  void Publish()
+  {
+    for (Endpoint& endpoint : this->fleet.endpoints) {
+      if (endpoint.load) {
+        endpoint.load->asOf = this->clock.WallNow();
+      }
+    }
+    this->router.Update(RoutingTable::Build(this->fleet, this->manifest, this->clock));
+  }
+
+  [[nodiscard]] RouteRequest Request() const
+  {
+    RouteRequest request;
+    request.model = "permit";
+    request.promptTokens = 6400;
+    request.expectedOutputTokens = 200;
+    request.priority = 1;
+    request.firstToken = Milliseconds(8000);
+    request.betweenTokens = Milliseconds(120);
+    return request;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RouterTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(TakesTheCheaperOfEqualEndpoints)
+{
+  const auto choice = this->router.Choose(this->Request());
+  BOOST_REQUIRE(choice.has_value());
+  BOOST_TEST(choice.value().Target().id == "a");
+  BOOST_TEST(choice.value().considered == 2);
+  BOOST_TEST(choice.value().Describe().find("endpoint a in north") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(HonoursModelAdapterAndVersionExactly)
+{
+  RouteRequest request = this->Request();
+  request.version = "2";
+  BOOST_TEST((this->router.Choose(request).error().kind == ErrorKind::UnknownModel));
+  request.version = "1";
+  request.adapter = "letters";
+  BOOST_TEST(this->router.Choose(request).has_value());
+  request.adapterVersion = "2"; // declared, but loaded nowhere
+  BOOST_TEST((this->router.Choose(request).error().kind == ErrorKind::NoEndpoint));
+  request.adapterVersion = "4";
+  BOOST_TEST((this->router.Choose(request).error().kind == ErrorKind::UnknownModel));
+}
+
+BOOST_AUTO_TEST_CASE(RoutesPlainServices)
+{
+  RouteRequest request;
+  request.service = "portal";
+  BOOST_TEST(this->router.Choose(request).value().Target().id == "s");
+  request.service = "closed";
+  BOOST_TEST((this->router.Choose(request).error().kind == ErrorKind::NoEndpoint));
+  request.service = "nowhere";
+  BOOST_TEST((this->router.Choose(request).error().kind == ErrorKind::UnknownService));
+}
+
+BOOST_AUTO_TEST_CASE(FollowsThePrefixToADearerEndpoint)
+{
+  RouteRequest request = this->Request();
+  request.prefixBlocks = this->blocks;
+  this->router.OnCacheEvents("b", this->blocks, {}, false);
+  const auto held = this->router.Choose(request);
+  BOOST_TEST(held.value().Target().id == "b");
+  BOOST_TEST(held.value().cachedTokens == 6400);
+  this->router.OnCacheEvents("b", {}, this->blocks, false);
+  BOOST_TEST(this->router.Choose(request).value().cachedTokens == 0);
+}
+
+BOOST_AUTO_TEST_CASE(CountsOwnDispatchesUntilAReportCoversThem)
+{
+  RouteRequest urgent = this->Request();
+  urgent.priority = 5;
+  urgent.firstToken = Milliseconds(1000);
+  urgent.betweenTokens = Milliseconds(66);
+  const auto first = this->router.Choose(urgent);
+  this->clock.Advance(Milliseconds(1));
+  Dispatch dispatch = this->router.OnDispatched(first.value(), urgent);
+
+  // Its prefill takes most of the target: another urgent request must not wait behind it
+  BOOST_TEST(this->router.Choose(urgent).value().Target().id == "b");
+  this->router.OnFinished(dispatch, DispatchOutcome::Completed);
+  this->router.OnFinished(dispatch, DispatchOutcome::Completed);
+  BOOST_TEST(this->router.Choose(urgent).value().Target().id == "a");
+}
+
+BOOST_AUTO_TEST_CASE(SendsNothingNewToLeavingEndpoints)
+{
+  this->fleet.endpoints[0].state = EndpointState::Leaving;
+  this->Publish();
+  BOOST_TEST(this->router.Choose(this->Request()).value().Target().id == "b");
+}
+
+BOOST_AUTO_TEST_CASE(LeavesOutWhatTheRequestExcludes)
+{
+  RouteRequest request = this->Request();
+  const std::array<std::string_view, 1> endpoints{ "a" };
+  const std::array<std::string_view, 1> domains{ "south" };
+  request.excludedEndpoints = endpoints;
+  BOOST_TEST(this->router.Choose(request).value().Target().id == "b");
+  request.excludedDomains = domains;
+  const auto none = this->router.Choose(request);
+  BOOST_TEST((none.error().kind == ErrorKind::NoEndpoint));
+  BOOST_TEST((none.error().ran == Ran::No));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhatCannotMeetItsDeadline)
+{
+  RouteRequest request = this->Request();
+  request.deadline = this->clock.Now() + Milliseconds(100);
+  const auto refused = this->router.Choose(request);
+  BOOST_TEST((refused.error().kind == ErrorKind::DeadlineUnreachable));
+  BOOST_TEST((refused.error().ran == Ran::No));
+  BOOST_TEST(refused.error().retryAfter.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(BreakerOpensAndLetsOneTrialThrough)
+{
+  for (int failure = 0; failure < this->settings.breaker.failuresToOpen; ++failure) {
+    const auto choice = this->router.Choose(this->Request());
+    BOOST_TEST(choice.value().Target().id == "a");
+    Dispatch dispatch = this->router.OnDispatched(choice.value(), this->Request());
+    this->router.OnFinished(dispatch, DispatchOutcome::Failed);
+  }
+  BOOST_TEST(this->router.Choose(this->Request()).value().Target().id == "b");
+  this->clock.Advance(this->settings.breaker.openFor);
+  const auto trial = this->router.Choose(this->Request());
+  BOOST_TEST(trial.value().Target().id == "a");
+  Dispatch dispatch = this->router.OnDispatched(trial.value(), this->Request());
+  BOOST_TEST(!this->router.IsAllowed("a"));
+  this->router.OnToken(dispatch);
+  this->router.OnFinished(dispatch, DispatchOutcome::Completed);
+  BOOST_TEST(this->router.IsAllowed("a"));
+}
+
+BOOST_AUTO_TEST_CASE(KeepsItsCountsAcrossTables)
+{
+  const auto choice = this->router.Choose(this->Request());
+  Dispatch dispatch = this->router.OnDispatched(choice.value(), this->Request());
+  std::swap(this->fleet.endpoints[0], this->fleet.endpoints[1]);
+  this->Publish();
+  BOOST_TEST(this->router.Pressure(this->Request()) > 0);
+  this->router.OnFinished(dispatch, DispatchOutcome::Cancelled);
+  BOOST_TEST(this->router.Pressure(this->Request()) == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
