--- /dev/null
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "Lagoonward/Attempts/CompletionCall.h"
+#include "Lagoonward/Attempts/RunContext.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoonward {
+
+/// Carries one request for a model from its first attempt to its one answer. Attempts come and go
+/// (refused, cut, silent, moved); the answer keeps the tokens that arrived, so that each further
+/// attempt goes on where the last one stopped and the caller sees one unbroken stream.
+/// Lives on one TrafficLoop; nothing here is called from another thread.
+class CompletionRun final : public EngineStreamListener
+{
+public:
+  /// @param aOnEnded  called once, posted to the loop, after the answer has ended
+  CompletionRun(const RunContext& aContext, CompletionCall aCall, AnswerPtr aAnswer,
+                std::function<void()> aOnEnded);
+  ~CompletionRun() override;
+  CompletionRun(const CompletionRun&) = delete;
+  CompletionRun& operator=(const CompletionRun&) = delete;
+
+  /// Begins the first attempt, or refuses.
+  void Start();
+
+  /// Gives up because nobody waits for the answer any more.
+  void Cancel();
+
+  /// Continues on another endpoint: cancels the stream here and sends what was generated along.
+  /// Costs nothing of the retry budget.
+  /// @param aTarget  endpoint to go to if it can still be routed to; empty leaves it to the router
+  /// @param aReason  for the log line
+  void MoveAway(std::string_view aTarget, std::string_view aReason);
+
+  [[nodiscard]] const CompletionCall& Call() const { return this->call; }
+  [[nodiscard]] const Answer& GetAnswer() const { return *this->answer; }
+  /// Id of the endpoint that serves it now; empty between attempts.
+  [[nodiscard]] const std::string& EndpointId() const { return this->endpointId; }
+  [[nodiscard]] bool Ended() const { return this->ended; }
+  /// Tokens a second over the answer so far; zero before the second token.
+  [[nodiscard]] double TokensPerSecond() const;
+
+private:
+  void OnStreamOpened(const std::string& aStreamId) override;
+  void OnStreamProgress(std::size_t aNewTokens) override;
+  void OnStreamFinished(const std::string& aFinishReason) override;
+  void OnStreamFailed(AttemptFailure aFailure, const std::string& aMessage) override;
+
+  // Attempts
+  void Dispatch();
+  [[nodiscard]] RouteRequest MakeRouteRequest(std::vector<std::string_view>& aExcluded) const;
+  void BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest);
+  void BeginStream(std::string_view aResumeStream, bool aFreshConnection);
+  void ResumeOnNewConnection(std::string_view aReason);
+  void LeaveEndpoint(DispatchOutcome aOutcome);
+  void TryElsewhere(std::string_view aReason);
+  void PauseThenDispatch();
+  void CancelEngineStream();
+
+  // Time
+  void ScheduleTick();
+  void Tick();
+  void CheckSilence(TimePoint aNow);
+  [[nodiscard]] Milliseconds SilenceBudget() const;
+
+  // End
+  void Finish(const std::string& aFinishReason);
+  void Fail(const Error& aError);
+  void End();
+  void Note(std::string aText);
+
+  RunContext context;
+  CompletionCall call;
+  AnswerPtr answer;
+  std::function<void()> onEnded;
+
+  std::string endpointId;
+  std::string baseUrl;
+  std::string preferredEndpoint; ///< Where the next attempt should go, from a move's plan.
+  lagoonward::Dispatch dispatch; ///< The router's record of the attempt.
+  std::unique_ptr<EngineStream> stream;
+  std::string streamId;              ///< The engine's name of the stream here; empty until opened.
+  std::vector<std::string> excluded; ///< Endpoints that failed this request.
+
+  int attemptCount = 0;
+  bool everDispatched = false; ///< Whether an endpoint may have run any of it.
+  bool resuming = false;       ///< A new connection to the same stream awaits its first event.
+  bool resumedSinceProgress = false;
+  int silences = 0; ///< Silent connections in a row without a new token.
+  bool ended = false;
+  Milliseconds pause{ 0 };
+  TimePoint lastProgress;
+  TimePoint firstTokenAt;
+  std::optional<TimePoint> alone; ///< Since when nobody waits for the answer.
+  std::optional<TrafficLoop::TimerId> tickTimer;
+  std::optional<TrafficLoop::TimerId> pauseTimer;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -0,0 +1,210 @@
+#include "Lagoonward/Attempts/RunService.h"
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("runs");
+
+/// How often Drain() says what it waits for.
+constexpr Seconds kDrainReport{ 5 };
+
+} // namespace
+
+RunService::Worker::Worker(const Clock& aClock, const HttpClientSettings& aSettings)
+  : loop(aClock, aSettings)
+{
+}
+
+RunService::RunService(const RunServiceSettings& aSettings, const Clock& aClock,
+                       const FleetStore& aFleet)
+  : settings(aSettings)
+  , clock(aClock)
+  , fleet(aFleet)
+  , journal(aSettings.attempts.journalRequests, aClock)
+  , registry(aSettings.attempts, aClock)
+{
+}
+
+RunService::~RunService()
+{
+  this->Stop();
+}
+
+std::string_view
+RunService::Name() const
+{
+  return kName;
+}
+
+Result<void>
+RunService::Start()
+{
+  for (unsigned index = 0; index < this->settings.threads; ++index) {
+    this->workers.push_back(std::make_unique<Worker>(this->clock, this->settings.client));
+    this->workers.back()->loop.Start();
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+RunService::Drain()
+{
+  std::unique_lock lock(this->drainMutex);
+  while (!this->runEnded.wait_for(lock, kDrainReport, [&] { return this->activeRuns == 0; })) {
+    kLog.Info("{} requests are still in progress.", this->activeRuns.load());
+  }
+}
+
+void
+RunService::Stop()
+{
+  for (const auto& worker : this->workers) {
+    worker->loop.Stop();
+  }
+  // Runs cancel their transfers on their loop, so they go before it
+  for (const auto& worker : this->workers) {
+    worker->completions.clear();
+    worker->services.clear();
+  }
+  this->workers.clear();
+}
+
+void
+RunService::Submit(CompletionCall aCall, const MarketPtr& aMarket,
+                   const std::shared_ptr<AnswerSubscriber>& aSubscriber)
+{
+  const double tokens = aCall.promptTokens + aCall.engine.maxTokens;
+  this->SubmitCall<CompletionRun>(std::move(aCall), aMarket, tokens, aSubscriber);
+}
+
+void
+RunService::Submit(ServiceCall aCall, const MarketPtr& aMarket,
+                   const std::shared_ptr<AnswerSubscriber>& aSubscriber)
+{
+  this->SubmitCall<ServiceRun>(std::move(aCall), aMarket, 0, aSubscriber);
+}
+
+void
+RunService::VisitCompletionRuns(const std::function<void(CompletionRun& aRun)>& aVisit)
+{
+  for (const auto& worker : this->workers) {
+    Worker& target = *worker;
+    target.loop.Post([&target, aVisit] {
+      for (auto& [id, active] : target.completions) {
+        if (!active.run->Ended()) {
+          aVisit(*active.run);
+        }
+      }
+    });
+  }
+}
+
+template<typename Run, typename Call>
+void
+RunService::SubmitCall(Call aCall, const MarketPtr& aMarket, double aTokens,
+                       const std::shared_ptr<AnswerSubscriber>& aSubscriber)
+{
+  const CallTerms& terms = aCall.terms;
+  const auto create = [&] {
+    const auto created =
+      std::chrono::duration_cast<Seconds>(this->clock.WallNow().time_since_epoch());
+    return std::make_shared<Answer>(terms.requestId, aCall.Target(), created.count());
+  };
+
+  // Join the answer of the same key, if there is one
+  const std::string key = terms.RegistryKey();
+  RegistryEntry entry{ RegistryOutcome::Created, nullptr };
+  if (key.empty()) {
+    entry.answer = create();
+  } else {
+    entry = this->registry.FindOrCreate(key, terms.bodyHash, create);
+  }
+  if (entry.outcome == RegistryOutcome::Conflict) {
+    const AnswerPtr refusal = create();
+    refusal->Subscribe(aSubscriber);
+    refusal->Fail(Error(ErrorKind::KeyConflict, "The key was used with another body."));
+    return;
+  }
+  entry.answer->Subscribe(aSubscriber);
+  if (entry.outcome == RegistryOutcome::Joined) {
+    this->journal.Record(kLog, entry.answer->RequestId(), "is joined by a caller with its key.");
+    return;
+  }
+
+  // Admit it, or refuse at once
+  auto ticket =
+    aMarket->admission.Admit({ .client = terms.client, .rank = terms.rank, .tokens = aTokens });
+  if (!ticket) {
+    this->Refuse(terms, entry.answer, ticket.error());
+    return;
+  }
+  ++this->activeRuns;
+  Worker& worker = this->NextWorker();
+  auto shared = std::make_shared<Ticket>(std::move(ticket.value()));
+  worker.loop.Post([this, &worker, call = std::move(aCall), aMarket, answer = entry.answer,
+                    shared] { this->BeginRun<Run, Call>(worker, call, aMarket, answer, shared); });
+}
+
+template<typename Run, typename Call>
+void
+RunService::BeginRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket,
+                     const AnswerPtr& aAnswer, std::shared_ptr<Ticket> aTicket)
+{
+  const RunContext context{ aWorker.loop,  aMarket->router, aMarket->retryBudget,   this->fleet,
+                            this->journal, this->counters,  this->settings.attempts };
+  const std::uint64_t id = this->nextRun++;
+  const std::string key = aCall.terms.RegistryKey();
+  auto onEnded = [this, &aWorker, id, key] {
+    RunsOf<Run>(aWorker).erase(id);
+    this->OnRunEnded(key);
+  };
+  auto run = std::make_unique<Run>(context, std::move(aCall), aAnswer, std::move(onEnded));
+  Run& started = *run;
+  RunsOf<Run>(aWorker).emplace(id, ActiveRun<Run>{ aMarket, std::move(*aTicket), std::move(run) });
+  started.Start();
+}
+
+template<typename Run>
+std::unordered_map<std::uint64_t, RunService::ActiveRun<Run>>&
+RunService::RunsOf(Worker& aWorker)
+{
+  if constexpr (std::is_same_v<Run, CompletionRun>) {
+    return aWorker.completions;
+  } else {
+    return aWorker.services;
+  }
+}
+
+void
+RunService::Refuse(const CallTerms& aTerms, const AnswerPtr& aAnswer, const Error& aError)
+{
+  this->journal.Record(
+    kLog, aTerms.requestId,
+    fmt::format("is refused: {}: {}", GetErrorRule(aError.kind).name, aError.message));
+  aAnswer->Fail(aError);
+  const std::string key = aTerms.RegistryKey();
+  if (!key.empty()) {
+    this->registry.OnEnded(key);
+  }
+}
+
+void
+RunService::OnRunEnded(const std::string& aRegistryKey)
+{
+  if (!aRegistryKey.empty()) {
+    this->registry.OnEnded(aRegistryKey);
+  }
+  this->registry.RemoveExpired();
+  const std::scoped_lock lock(this->drainMutex);
+  --this->activeRuns;
+  this->runEnded.notify_all();
+}
+
+RunService::Worker&
+RunService::NextWorker()
+{
+  return *this->workers[this->nextRun++ % this->workers.size()];
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Attempts/RunService.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "Lagoonward/Attempts/AnswerRegistry.h"
+#include "Lagoonward/Attempts/CompletionRun.h"
+#include "Lagoonward/Attempts/Market.h"
+#include "Lagoonward/Attempts/ServiceRun.h"
+#include "Lagoonward/Core/Service.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonward {
+
+/// Tunables of the runs and their threads.
+struct RunServiceSettings
+{
+  unsigned threads = 2; ///< Traffic threads for outgoing requests.
+  HttpClientSettings client;
+  AttemptSettings attempts;
+};
+
+/// Owns the traffic threads and all requests in progress. A submitted request is joined to the
+/// answer of its idempotency key or admitted and run; each run stays on one traffic thread.
+class RunService final : public Service
+{
+public:
+  static constexpr std::string_view kName = "runs";
+
+  RunService(const RunServiceSettings& aSettings, const Clock& aClock, const FleetStore& aFleet);
+  ~RunService() override;
+
+  [[nodiscard]] std::string_view Name() const override;
+  [[nodiscard]] Result<void> Start() override;
+  /// Waits until every run has ended.
+  void Drain() override;
+  void Stop() override;
+
+  /// Runs a request for a model, or joins the one of its key. Safe from any thread.
+  void Submit(CompletionCall aCall, const MarketPtr& aMarket,
+              const std::shared_ptr<AnswerSubscriber>& aSubscriber);
+
+  /// The same for a plain service.
+  void Submit(ServiceCall aCall, const MarketPtr& aMarket,
+              const std::shared_ptr<AnswerSubscriber>& aSubscriber);
+
+  /// Calls aVisit for every model run, on the threads that own them; returns at once.
+  void VisitCompletionRuns(const std::function<void(CompletionRun& aRun)>& aVisit);
+
+  [[nodiscard]] int ActiveRuns() const { return this->activeRuns; }
+  [[nodiscard]] const RunCounters& Counters() const { return this->counters; }
+  [[nodiscard]] DecisionJournal& Journal() { return this->journal; }
+
+private:
+  /// One request in progress and what it holds.
+  template<typename Run>
+  struct ActiveRun
+  {
+    MarketPtr market;
+    Ticket ticket;
+    std::unique_ptr<Run> run;
+  };
+
+  /// One traffic thread and its runs; the maps are touched on that thread only.
+  struct Worker
+  {
+    explicit Worker(const Clock& aClock, const HttpClientSettings& aSettings);
+
+    std::unordered_map<std::uint64_t, ActiveRun<CompletionRun>> completions;
+    std::unordered_map<std::uint64_t, ActiveRun<ServiceRun>> services;
+    TrafficLoop loop; ///< Last, so that its thread ends before the runs go.
+  };
+
+  template<typename Run, typename Call>
+  void SubmitCall(Call aCall, const MarketPtr& aMarket, double aTokens,
+                  const std::shared_ptr<AnswerSubscriber>& aSubscriber);
+  template<typename Run, typename Call>
+  void BeginRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket, const AnswerPtr& aAnswer,
+                std::shared_ptr<Ticket> aTicket);
+  template<typename Run>
+  static std::unordered_map<std::uint64_t, ActiveRun<Run>>& RunsOf(Worker& aWorker);
+  void Refuse(const CallTerms& aTerms, const AnswerPtr& aAnswer, const Error& aError);
+  void OnRunEnded(const std::string& aRegistryKey);
+  [[nodiscard]] Worker& NextWorker();
+
+  RunServiceSettings settings;
+  const Clock& clock;
+  const FleetStore& fleet;
+  DecisionJournal journal;
+  AnswerRegistry registry;
+  RunCounters counters;
+  std::vector<std::unique_ptr<Worker>> workers;
+  std::atomic<std::uint64_t> nextRun{ 1 };
+  std::atomic<int> activeRuns{ 0 };
+  std::mutex drainMutex;
+  std::condition_variable runEnded; ///< With drainMutex: activeRuns went down.
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Attempts/ServiceRun.cpp
@@ -0,0 +1,226 @@
+#include "Lagoonward/Attempts/ServiceRun.h"
+
+#include <strings.h>
+
+#include <algorithm>
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("attempts");
+constexpr std::string_view kContentType = "content-type:";
+
+} // namespace
+
+ServiceRun::ServiceRun(const RunContext& aContext, ServiceCall aCall, AnswerPtr aAnswer,
+                       std::function<void()> aOnEnded)
+  : context(aContext)
+  , call(std::move(aCall))
+  , answer(std::move(aAnswer))
+  , onEnded(std::move(aOnEnded))
+{
+}
+
+ServiceRun::~ServiceRun()
+{
+  if (this->transfer != 0) {
+    this->context.loop.CancelTransfer(this->transfer);
+  }
+  if (this->deadlineTimer) {
+    this->context.loop.CancelTimer(*this->deadlineTimer);
+  }
+  if (this->pauseTimer) {
+    this->context.loop.CancelTimer(*this->pauseTimer);
+  }
+}
+
+void
+ServiceRun::Start()
+{
+  ++this->context.counters.accepted;
+  const TimePoint now = this->context.loop.GetClock().Now();
+  const auto left = std::chrono::ceil<Milliseconds>(this->call.terms.deadline - now);
+  this->deadlineTimer =
+    this->context.loop.RunAfter(std::max(left, Milliseconds(0)), [this] { this->OnDeadline(); });
+  this->Dispatch();
+}
+
+void
+ServiceRun::OnHeaderLine(std::string_view aLine)
+{
+  if (aLine.size() <= kContentType.size() ||
+      strncasecmp(aLine.data(), kContentType.data(), kContentType.size()) != 0) {
+    return;
+  }
+  std::string_view value = aLine.substr(kContentType.size());
+  value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+  this->reply.contentType = value;
+}
+
+void
+ServiceRun::OnBytes(int /*aStatus*/, std::string_view aBytes)
+{
+  if (this->reply.body.size() + aBytes.size() > this->context.settings.maximumServiceReplyBytes) {
+    this->replyTooLarge = true;
+    return;
+  }
+  this->reply.body.append(aBytes);
+}
+
+void
+ServiceRun::OnEnd(const TransferEnd& aEnd)
+{
+  this->transfer = 0;
+  if (aEnd.outcome != TransferOutcome::Complete) {
+    this->OnAttemptFailed(aEnd);
+    return;
+  }
+  if (this->replyTooLarge) {
+    this->Fail(Error(ErrorKind::EndpointFailed,
+                     "The service's answer is larger than the daemon relays.", Ran::Yes));
+    return;
+  }
+  this->reply.status = aEnd.status;
+  this->context.router.OnToken(this->dispatch);
+  this->context.router.OnFinished(this->dispatch, DispatchOutcome::Completed);
+  this->context.retryBudget.OnSuccess();
+  ++this->context.counters.answeredWhole;
+  this->Note(fmt::format("is answered by endpoint {} with status {}, {} bytes.", this->endpointId,
+                         aEnd.status, this->reply.body.size()));
+  this->answer->FinishService(std::move(this->reply));
+  this->End();
+}
+
+void
+ServiceRun::Dispatch()
+{
+  this->pauseTimer.reset();
+  if (this->ended) {
+    return;
+  }
+  const std::vector<std::string_view> excludedViews(this->excluded.begin(), this->excluded.end());
+  RouteRequest request;
+  request.service = this->call.service;
+  request.priority = this->call.terms.callClass.priority;
+  request.firstToken = this->call.terms.callClass.firstToken;
+  request.deadline = this->attemptCount == 0 ? this->call.terms.deadline : TimePoint::max();
+  request.expectedOutputTokens = 1;
+  request.excludedEndpoints = excludedViews;
+  request.objective = this->call.terms.objective;
+  auto choice = this->context.router.Choose(request);
+  if (choice) {
+    this->BeginAttempt(choice.value(), request);
+    return;
+  }
+  if (this->attemptCount == 0) {
+    this->Fail(choice.error());
+    return;
+  }
+  this->excluded.clear();
+  this->PauseThenDispatch();
+}
+
+void
+ServiceRun::BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest)
+{
+  ++this->attemptCount;
+  ++this->context.counters.attempts;
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const Endpoint* endpoint = fleet->Find(aChoice.Target().id);
+  if (endpoint == nullptr) {
+    this->PauseThenDispatch();
+    return;
+  }
+  this->endpointId = endpoint->id;
+  this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
+  this->Note("goes to " + aChoice.Describe());
+
+  this->reply = ServiceReply{};
+  this->replyTooLarge = false;
+  HttpTransferRequest request;
+  request.method = "POST";
+  request.url = fmt::format("http://{}:{}{}", endpoint->address, endpoint->port, this->call.path);
+  request.headers = { "Content-Type: " + this->call.contentType,
+                      "Lagoonward-Request-Id: " + this->call.terms.requestId };
+  if (!this->call.terms.idempotencyKey.empty()) {
+    request.headers.push_back("Idempotency-Key: " + this->call.terms.idempotencyKey);
+  }
+  request.body = this->call.body;
+  // libcurl sends again by itself on a reused connection that turns out to be closed
+  request.freshConnection = !this->call.terms.idempotent;
+  this->transfer = this->context.loop.StartTransfer(request, *this);
+}
+
+void
+ServiceRun::OnAttemptFailed(const TransferEnd& aEnd)
+{
+  this->context.router.OnFinished(this->dispatch, DispatchOutcome::Failed);
+  this->Note(fmt::format("attempt {} at endpoint {} failed: {}.", this->attemptCount,
+                         this->endpointId, aEnd.message));
+  const bool provenNotSent = aEnd.outcome == TransferOutcome::NotSent;
+  this->mayHaveRun = this->mayHaveRun || !provenNotSent;
+  if (!provenNotSent && !this->call.terms.idempotent) {
+    this->Fail(Error(ErrorKind::OutcomeUnknown,
+                     "The service failed after the call was sent; it is not sent again.",
+                     Ran::Unknown));
+    return;
+  }
+  this->excluded.push_back(this->endpointId);
+  ++this->context.counters.retries;
+  if (this->context.retryBudget.TryTake()) {
+    this->Dispatch();
+  } else {
+    this->PauseThenDispatch();
+  }
+}
+
+void
+ServiceRun::PauseThenDispatch()
+{
+  const AttemptSettings& settings = this->context.settings;
+  this->pause = std::clamp(this->pause * 2, settings.firstPause, settings.longestPause);
+  this->pauseTimer = this->context.loop.RunAfter(this->pause, [this] { this->Dispatch(); });
+}
+
+void
+ServiceRun::OnDeadline()
+{
+  this->deadlineTimer.reset();
+  if (this->ended) {
+    return;
+  }
+  const bool unknown = this->mayHaveRun || this->transfer != 0;
+  if (this->transfer != 0) {
+    this->context.loop.CancelTransfer(this->transfer);
+    this->transfer = 0;
+    this->context.router.OnFinished(this->dispatch, DispatchOutcome::Failed);
+  }
+  this->Fail(Error(ErrorKind::DeadlineExceeded, "The deadline passed before the service answered.",
+                   unknown ? Ran::Unknown : Ran::No));
+}
+
+void
+ServiceRun::Fail(const Error& aError)
+{
+  ++this->context.counters.failed;
+  this->Note(fmt::format("fails: {}, ran {}: {}", GetErrorRule(aError.kind).name,
+                         ToString(aError.ran), aError.message));
+  this->answer->Fail(aError);
+  this->End();
+}
+
+void
+ServiceRun::End()
+{
+  this->ended = true;
+  this->context.loop.Post(this->onEnded);
+}
+
+void
+ServiceRun::Note(std::string aText)
+{
+  this->context.journal.Record(kLog, this->call.terms.requestId, std::move(aText));
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Fleet/FleetStore.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Lagoonward/Fleet/FleetSnapshot.h"
+
+#include <mutex>
+
+namespace lagoonward {
+
+/// Holds the fleet snapshot in force. The control thread publishes, any thread reads.
+class FleetStore
+{
+public:
+  /// Starts with an empty snapshot.
+  FleetStore();
+
+  void Publish(FleetSnapshotPtr aSnapshot);
+
+  /// The latest snapshot; never null.
+  [[nodiscard]] FleetSnapshotPtr Get() const;
+
+private:
+  mutable std::mutex mutex; ///< Guards `snapshot`.
+  FleetSnapshotPtr snapshot;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Frontend/AdminApi.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Lagoonward/Attempts/Market.h"
+#include "Lagoonward/Attempts/RunService.h"
+#include "Lagoonward/Core/Service.h"
+#include "Lagoonward/Wire/HttpServer.h"
+
+#include <prometheus/collectable.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lagoonward {
+
+/// The HTTP interface for operators: `/healthz`, `/readyz`, `/metrics`, `/status`, `/requests/{id}`
+/// and `POST /drain`.
+class AdminApi final : public Service
+{
+public:
+  static constexpr std::string_view kName = "admin";
+
+  /// @param aStatus  the JSON text of `/status`; called on the server's thread
+  /// @param aDrain   asks the daemon to leave; returns at once
+  AdminApi(HttpServerSettings aServer, const MarketDirectory& aMarkets, RunService& aRuns,
+           std::function<std::string()> aStatus, std::function<void()> aDrain);
+
+  [[nodiscard]] std::string_view Name() const override;
+  [[nodiscard]] Result<void> Start() override;
+  void Stop() override;
+
+  /// Adds metrics to `/metrics`. Before Start().
+  void AddMetrics(std::shared_ptr<prometheus::Collectable> aMetrics);
+
+  /// From here on `/readyz` says that the daemon is leaving.
+  void SetDraining();
+
+  /// The port it listens on.
+  [[nodiscard]] std::uint16_t Port() const;
+
+private:
+  void Handle(const HttpRequest& aRequest, HttpExchange& aExchange);
+  void HandleReady(HttpExchange& aExchange);
+  void HandleMetrics(HttpExchange& aExchange);
+  void HandleRequest(const std::string& aRequestId, HttpExchange& aExchange);
+
+  const MarketDirectory& markets;
+  RunService& runs;
+  std::function<std::string()> status;
+  std::function<void()> drain;
+  std::vector<std::shared_ptr<prometheus::Collectable>> metrics;
+  std::atomic<bool> draining{ false };
+  HttpServer server;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Frontend/AnswerWriters.cpp
@@ -0,0 +1,212 @@
+#include "Lagoonward/Frontend/AnswerWriters.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace lagoonward {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kStatusOk = 200;
+constexpr std::string_view kRequestIdHeader = "Lagoonward-Request-Id";
+
+/// JSON text; bytes that are no UTF-8 become replacement characters.
+std::string
+Dump(const Json& aValue)
+{
+  return aValue.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string
+ObjectId(const AnswerShape& aShape, const Answer& aAnswer)
+{
+  return (aShape.chat ? "chatcmpl-" : "cmpl-") + aAnswer.RequestId();
+}
+
+/// Headers that every answer to a caller carries.
+std::vector<HttpHeader>
+MakeHeaders(std::string_view aContentType, std::string_view aRequestId)
+{
+  std::vector<HttpHeader> headers{ { "Content-Type", std::string(aContentType) } };
+  if (!aRequestId.empty()) {
+    headers.emplace_back(kRequestIdHeader, aRequestId);
+  }
+  return headers;
+}
+
+} // namespace
+
+void
+RespondWithError(HttpExchange& aExchange, const Error& aError, std::string_view aRequestId)
+{
+  const ErrorRule& rule = GetErrorRule(aError.kind);
+  std::vector<HttpHeader> headers = MakeHeaders("application/json", aRequestId);
+  if (rule.waitingHelps) {
+    const auto delay = aError.retryAfter.value_or(Milliseconds(1000));
+    headers.emplace_back("Retry-After", std::to_string(std::max<std::int64_t>(
+                                          1, std::chrono::ceil<Seconds>(delay).count())));
+  }
+  aExchange.Respond(rule.httpStatus, std::move(headers), aError.ToJson());
+}
+
+JsonAnswerWriter::JsonAnswerWriter(HttpExchangePtr aExchange, const AnswerShape& aShape)
+  : exchange(std::move(aExchange))
+  , shape(aShape)
+{
+}
+
+void
+JsonAnswerWriter::OnChanged(const Answer& aAnswer)
+{
+  if (!aAnswer.Ended()) {
+    return;
+  }
+  if (aAnswer.Failure().has_value()) {
+    RespondWithError(*this->exchange, *aAnswer.Failure(), aAnswer.RequestId());
+    return;
+  }
+  Json choice{ { "index", 0 },
+               { "finish_reason", aAnswer.FinishReason() },
+               { "logprobs", nullptr } };
+  if (this->shape.chat) {
+    choice["message"] = { { "role", "assistant" }, { "content", aAnswer.Text() } };
+  } else {
+    choice["text"] = aAnswer.Text();
+  }
+  const Json body{ { "id", ObjectId(this->shape, aAnswer) },
+                   { "object", this->shape.chat ? "chat.completion" : "text_completion" },
+                   { "created", aAnswer.Created() },
+                   { "model", aAnswer.Model() },
+                   { "choices", Json::array({ std::move(choice) }) },
+                   { "usage", { { "completion_tokens", aAnswer.TokenCount() } } } };
+  this->exchange->Respond(kStatusOk, MakeHeaders("application/json", aAnswer.RequestId()),
+                          Dump(body));
+}
+
+bool
+JsonAnswerWriter::IsGone()
+{
+  return this->exchange->IsCallerGone();
+}
+
+EventAnswerWriter::EventAnswerWriter(HttpExchangePtr aExchange, const AnswerShape& aShape)
+  : exchange(std::move(aExchange))
+  , shape(aShape)
+  , nextToken(aShape.fromToken.value_or(0))
+{
+}
+
+void
+EventAnswerWriter::OnChanged(const Answer& aAnswer)
+{
+  if (this->gone) {
+    return;
+  }
+  if (!this->begun && aAnswer.Failure().has_value() && aAnswer.TokenCount() == 0) {
+    RespondWithError(*this->exchange, *aAnswer.Failure(), aAnswer.RequestId());
+    return;
+  }
+  if (aAnswer.TokenCount() <= this->nextToken && !aAnswer.Ended()) {
+    return;
+  }
+  if (!this->begun) {
+    this->BeginStream(aAnswer);
+  }
+  this->buffer.clear();
+  for (; this->nextToken < aAnswer.TokenCount(); ++this->nextToken) {
+    this->WriteToken(aAnswer, this->nextToken);
+  }
+  if (aAnswer.Ended()) {
+    this->WriteEnd(aAnswer);
+  }
+  this->gone = !this->exchange->Write(this->buffer);
+  if (aAnswer.Ended() || this->gone) {
+    this->exchange->EndStream();
+  }
+}
+
+bool
+EventAnswerWriter::IsGone()
+{
+  return this->gone || this->exchange->IsCallerGone();
+}
+
+void
+EventAnswerWriter::BeginStream(const Answer& aAnswer)
+{
+  this->begun = true;
+  auto headers = MakeHeaders("text/event-stream", aAnswer.RequestId());
+  headers.emplace_back("Cache-Control", "no-cache");
+  this->exchange->BeginStream(kStatusOk, std::move(headers));
+  // Only the text differs from token to token
+  this->eventHead =
+    fmt::format(R"({{"id":{},"object":"{}","created":{},"model":{},"choices":[{{"index":0,{})",
+                Dump(ObjectId(this->shape, aAnswer)),
+                this->shape.chat ? "chat.completion.chunk" : "text_completion", aAnswer.Created(),
+                Dump(aAnswer.Model()), this->shape.chat ? R"("delta":{"content":)" : R"("text":)");
+  this->eventTail =
+    this->shape.chat ? R"(},"finish_reason":null}]})" : R"(,"finish_reason":null}]})";
+}
+
+void
+EventAnswerWriter::WriteToken(const Answer& aAnswer, std::size_t aIndex)
+{
+  fmt::format_to(std::back_inserter(this->buffer), "id: {}\ndata: ", aIndex);
+  this->buffer += this->eventHead;
+  this->buffer += Dump(Json(aAnswer.Token(aIndex)));
+  this->buffer += this->eventTail;
+  this->buffer += "\n\n";
+}
+
+void
+EventAnswerWriter::WriteEnd(const Answer& aAnswer)
+{
+  if (aAnswer.Failure().has_value()) {
+    this->buffer += "event: error\ndata: " + aAnswer.Failure()->ToJson() + "\n\n";
+    return;
+  }
+  Json choice{ { "index", 0 }, { "finish_reason", aAnswer.FinishReason() } };
+  if (this->shape.chat) {
+    choice["delta"] = Json::object();
+  } else {
+    choice["text"] = "";
+  }
+  const Json last{ { "id", ObjectId(this->shape, aAnswer) },
+                   { "object", this->shape.chat ? "chat.completion.chunk" : "text_completion" },
+                   { "created", aAnswer.Created() },
+                   { "model", aAnswer.Model() },
+                   { "choices", Json::array({ std::move(choice) }) },
+                   { "usage", { { "completion_tokens", aAnswer.TokenCount() } } } };
+  this->buffer += "data: " + Dump(last) + "\n\ndata: [DONE]\n\n";
+}
+
+ServiceAnswerWriter::ServiceAnswerWriter(HttpExchangePtr aExchange)
+  : exchange(std::move(aExchange))
+{
+}
+
+void
+ServiceAnswerWriter::OnChanged(const Answer& aAnswer)
+{
+  if (!aAnswer.Ended()) {
+    return;
+  }
+  if (aAnswer.Failure().has_value()) {
+    RespondWithError(*this->exchange, *aAnswer.Failure(), aAnswer.RequestId());
+    return;
+  }
+  const ServiceReply& reply = aAnswer.Reply();
+  const std::string_view contentType =
+    reply.contentType.empty() ? "application/octet-stream" : std::string_view(reply.contentType);
+  this->exchange->Respond(reply.status, MakeHeaders(contentType, aAnswer.RequestId()), reply.body);
+}
+
+bool
+ServiceAnswerWriter::IsGone()
+{
+  return this->exchange->IsCallerGone();
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Frontend/CallerApi.cpp
@@ -0,0 +1,181 @@
+#include "Lagoonward/Frontend/CallerApi.h"
+
+#include "Lagoonward/Frontend/AnswerWriters.h"
+
+#include <algorithm>
+#include <thread>
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("callers");
+
+constexpr std::string_view kMarketHeader = "Lagoonward-Market";
+constexpr std::size_t kMaximumMarketName = 64;
+constexpr Milliseconds kDrainPoll{ 10 };
+
+bool
+IsMarketName(std::string_view aName)
+{
+  return aName.size() <= kMaximumMarketName &&
+         std::all_of(aName.begin(), aName.end(), [](unsigned char aByte) {
+           return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_';
+         });
+}
+
+} // namespace
+
+CallerApi::CallerApi(HttpServerSettings aServer, const CallSettings& aCalls,
+                     Milliseconds aDrainNotice, const Clock& aClock, MarketDirectory& aMarkets,
+                     RunService& aRuns,
+                     std::function<void(const std::string& aMarket)> aOnUnknownMarket)
+  : reader(aCalls, aClock)
+  , drainNotice(aDrainNotice)
+  , markets(aMarkets)
+  , runs(aRuns)
+  , onUnknownMarket(std::move(aOnUnknownMarket))
+  , server(std::move(aServer),
+           [this](const HttpRequest& aRequest, const HttpExchangePtr& aExchange) {
+             this->Handle(aRequest, aExchange);
+           })
+{
+}
+
+std::string_view
+CallerApi::Name() const
+{
+  return kName;
+}
+
+Result<void>
+CallerApi::Start()
+{
+  return this->server.Start();
+}
+
+void
+CallerApi::Drain()
+{
+  // The balancer needs a moment to notice that this daemon is no longer ready
+  std::this_thread::sleep_for(this->drainNotice);
+  this->server.StopListening();
+  kLog.Info("Takes no new connections; {} requests are open.", this->server.OpenExchanges());
+  while (this->server.OpenExchanges() > 0) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+}
+
+void
+CallerApi::Stop()
+{
+  this->server.Stop();
+}
+
+std::uint16_t
+CallerApi::Port() const
+{
+  return this->server.Port();
+}
+
+int
+CallerApi::OpenRequests() const
+{
+  return this->server.OpenExchanges();
+}
+
+void
+CallerApi::Handle(const HttpRequest& aRequest, const HttpExchangePtr& aExchange)
+{
+  const bool isCompletion =
+    aRequest.path == CallReader::kCompletionPath || aRequest.path == CallReader::kChatPath;
+  const bool isService = aRequest.path.starts_with(CallReader::kServicePrefix);
+  if (!isCompletion && !isService) {
+    RespondWithError(*aExchange, Error(ErrorKind::UnknownPath, "There is no such path."));
+    return;
+  }
+  if (aRequest.method != "POST") {
+    RespondWithError(*aExchange, Error(ErrorKind::MethodNotAllowed, "Use POST."));
+    return;
+  }
+  if (isCompletion) {
+    this->HandleCompletion(aRequest, aExchange);
+  } else {
+    this->HandleService(aRequest, aExchange);
+  }
+}
+
+void
+CallerApi::HandleCompletion(const HttpRequest& aRequest, const HttpExchangePtr& aExchange)
+{
+  const auto market = this->FindMarket(aRequest);
+  if (!market) {
+    RespondWithError(*aExchange, market.error());
+    return;
+  }
+  const ConfigurationPtr inForce = market.value()->InForce();
+  auto request = this->reader.ReadCompletion(aRequest, *inForce);
+  if (!request) {
+    RespondWithError(*aExchange, request.error());
+    return;
+  }
+  std::shared_ptr<AnswerSubscriber> writer;
+  if (request.value().shape.stream) {
+    writer = std::make_shared<EventAnswerWriter>(aExchange, request.value().shape);
+  } else {
+    writer = std::make_shared<JsonAnswerWriter>(aExchange, request.value().shape);
+  }
+  this->runs.Submit(std::move(request.value().call), market.value(), writer);
+}
+
+void
+CallerApi::HandleService(const HttpRequest& aRequest, const HttpExchangePtr& aExchange)
+{
+  const auto market = this->FindMarket(aRequest);
+  if (!market) {
+    RespondWithError(*aExchange, market.error());
+    return;
+  }
+  const ConfigurationPtr inForce = market.value()->InForce();
+  auto call = this->reader.ReadService(aRequest, *inForce);
+  if (!call) {
+    RespondWithError(*aExchange, call.error());
+    return;
+  }
+  this->runs.Submit(std::move(call.value()), market.value(),
+                    std::make_shared<ServiceAnswerWriter>(aExchange));
+}
+
+Result<MarketPtr>
+CallerApi::FindMarket(const HttpRequest& aRequest)
+{
+  const std::string name(aRequest.Header(kMarketHeader));
+  if (name.empty()) {
+    const std::vector<MarketPtr> inForce = this->markets.InForce();
+    if (inForce.size() == 1) {
+      return inForce.front();
+    }
+    if (inForce.empty()) {
+      return Error(ErrorKind::NoConfiguration, "No configuration is in force here yet.");
+    }
+    return Error(ErrorKind::InvalidRequest,
+                 "Several markets are in force; name one in Lagoonward-Market.");
+  }
+  if (!IsMarketName(name)) {
+    return Error(ErrorKind::UnknownMarket, "Lagoonward-Market is not a market's name.");
+  }
+  const MarketPtr market = this->markets.Find(name);
+  if (market == nullptr) {
+    this->onUnknownMarket(name);
+    return Error(ErrorKind::NoConfiguration, "The market's configuration is being looked for.");
+  }
+  if (market->InForce() != nullptr) {
+    return market;
+  }
+  if (market->IsKnownEmpty()) {
+    return Error(ErrorKind::UnknownMarket, "No manifest was published for this market.");
+  }
+  return Error(ErrorKind::NoConfiguration, "The market's configuration is being looked for.");
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Settings/SettingsReader.cpp
@@ -0,0 +1,343 @@
+#include "Lagoonward/Settings/SettingsReader.h"
+
+#include <arpa/inet.h>
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+
+namespace lagoonward {
+
+namespace {
+
+namespace po = boost::program_options;
+
+using Fault = std::optional<std::string>;
+
+constexpr std::string_view kVariablePrefix = "LAGOONWARD_";
+
+Fault
+ReadAddress(const std::string& aText, SocketAddress& aTarget)
+{
+  const std::size_t colon = aText.rfind(':');
+  const std::string address = aText.substr(0, colon);
+  in_addr parsed{};
+  unsigned port = 0;
+  if (colon != std::string::npos && inet_pton(AF_INET, address.c_str(), &parsed) == 1) {
+    const char* const end = aText.data() + aText.size();
+    const auto [stop, failure] = std::from_chars(aText.data() + colon + 1, end, port);
+    if (failure == std::errc() && stop == end && port <= UINT16_MAX) {
+      aTarget = { address, static_cast<std::uint16_t>(port) };
+      return {};
+    }
+  }
+  return "must be IP:PORT, for example 127.0.0.1:8080";
+}
+
+Fault
+ReadUrl(const std::string& aText, std::string& aTarget)
+{
+  if (!aText.starts_with("http://") && !aText.starts_with("https://")) {
+    return "must be an http:// or https:// URL";
+  }
+  aTarget = aText;
+  while (aTarget.ends_with('/')) {
+    aTarget.pop_back();
+  }
+  return {};
+}
+
+Fault
+ReadName(const std::string& aText, std::string& aTarget)
+{
+  const bool valid =
+    !aText.empty() && std::all_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+      return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_' || aByte == '.';
+    });
+  if (!valid) {
+    return "must be a name of letters, digits, '-', '_' and '.'";
+  }
+  aTarget = aText;
+  return {};
+}
+
+/// A whole number within bounds.
+template<typename Number>
+Fault
+ReadNumber(const std::string& aText, std::int64_t aLeast, std::int64_t aMost, Number& aTarget)
+{
+  std::int64_t value = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto [stop, failure] = std::from_chars(aText.data(), end, value);
+  if (failure != std::errc() || stop != end || value < aLeast || value > aMost) {
+    return fmt::format("must be a whole number from {} to {}", aLeast, aMost);
+  }
+  aTarget = static_cast<Number>(value);
+  return {};
+}
+
+Fault
+ReadMilliseconds(const std::string& aText, std::int64_t aMost, Milliseconds& aTarget)
+{
+  std::int64_t value = 0;
+  Fault fault = ReadNumber(aText, 0, aMost, value);
+  aTarget = Milliseconds(value);
+  return fault;
+}
+
+Fault
+ReadLogLevel(const std::string& aText, LogLevel& aTarget)
+{
+  static const std::map<std::string, LogLevel> kLevels{ { "debug", LogLevel::Debug },
+                                                        { "info", LogLevel::Info },
+                                                        { "warning", LogLevel::Warning },
+                                                        { "error", LogLevel::Error } };
+  const auto found = kLevels.find(aText);
+  if (found == kLevels.end()) {
+    return "must be debug, info, warning or error";
+  }
+  aTarget = found->second;
+  return {};
+}
+
+Fault
+ReadNames(const std::string& aText, std::vector<std::string>& aTarget)
+{
+  std::size_t begin = 0;
+  while (begin <= aText.size()) {
+    const std::size_t end = std::min(aText.find(',', begin), aText.size());
+    std::string name;
+    if (Fault fault = ReadName(aText.substr(begin, end - begin), name)) {
+      return fault;
+    }
+    aTarget.push_back(name);
+    begin = end + 1;
+  }
+  return {};
+}
+
+std::vector<SettingRule>
+MakeRules()
+{
+  using S = DaemonSettings;
+  using T = const std::string&;
+  constexpr std::int64_t kHourMs = 3'600'000;
+  constexpr std::int64_t kGibibyte = 1LL << 30;
+  return {
+    { "listen", "IP:PORT", "", true, "Address for callers.",
+      [](S& s, T t) { return ReadAddress(t, s.listen); } },
+    { "admin", "IP:PORT", "", true, "Address for operators: health, metrics, status.",
+      [](S& s, T t) { return ReadAddress(t, s.admin); } },
+    { "peer", "IP:PORT", "", true, "Address for other daemons, UDP and TCP.",
+      [](S& s, T t) { return ReadAddress(t, s.peer); } },
+    { "region", "NAME", "", true, "Region that this host is in.",
+      [](S& s, T t) { return ReadName(t, s.region); } },
+    { "failure-domain", "NAME", "", true, "Failure domain that this host is in.",
+      [](S& s, T t) { return ReadName(t, s.failureDomain); } },
+    { "log-url", "URL", "", true, "The platform's log service.",
+      [](S& s, T t) { return ReadUrl(t, s.logUrl); } },
+    { "cloud-url", "URL", "", true, "The cloud's interface for hosts, prices and notices.",
+      [](S& s, T t) { return ReadUrl(t, s.cloudUrl); } },
+    { "host-list-url", "URL", "", true, "The platform's host list.",
+      [](S& s, T t) { return ReadUrl(t, s.hostListUrl); } },
+    { "weight-store-url", "URL", "", true, "The platform's weight store.",
+      [](S& s, T t) { return ReadUrl(t, s.weightStoreUrl); } },
+    { "host-id", "NAME", "", false, "This host's id in the host list; by default the peer address.",
+      [](S& s, T t) { return ReadName(t, s.hostId); } },
+    { "market", "NAME[,NAME...]", "", false,
+      "Markets to follow from the start; others are followed when a caller names them.",
+      [](S& s, T t) { return ReadNames(t, s.markets); } },
+    { "cluster", "NAME", "lagoonward", false, "Daemons of another cluster are ignored.",
+      [](S& s, T t) { return ReadName(t, s.cluster); } },
+    { "peer-keys", "ID:HEX[,ID:HEX...]", "", false,
+      "Shared keys between daemons; the first signs, all are accepted.",
+      [](S& s, T t) {
+        s.peerKeys = t;
+        return Fault();
+      } },
+    { "log-level", "LEVEL", "info", false, "debug, info, warning or error.",
+      [](S& s, T t) { return ReadLogLevel(t, s.logLevel); } },
+    { "caller-threads", "N", "2", false, "Threads that speak with callers.",
+      [](S& s, T t) { return ReadNumber(t, 1, 64, s.callerThreads); } },
+    { "traffic-threads", "N", "2", false, "Threads that speak with endpoints.",
+      [](S& s, T t) { return ReadNumber(t, 1, 64, s.runs.threads); } },
+    { "max-connections", "N", "4096", false, "Callers' connections at once.",
+      [](S& s, T t) { return ReadNumber(t, 1, 1'000'000, s.maximumConnections); } },
+    { "max-body-bytes", "BYTES", "4194304", false, "Largest body of a request.",
+      [](S& s, T t) { return ReadNumber(t, 1, kGibibyte, s.maximumBodyBytes); } },
+    { "max-tokens", "N", "32768", false, "Largest answer that a caller may ask for, in tokens.",
+      [](S& s, T t) { return ReadNumber(t, 1, 10'000'000, s.calls.maximumMaxTokens); } },
+    { "connect-timeout-ms", "MS", "500", false, "Longest wait for a connection to an endpoint.",
+      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.runs.client.connectTimeout); } },
+    { "silence-ms", "MS", "1000", false,
+      "Shortest silence after which a stream is resumed on a new connection.",
+      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.runs.attempts.minimumSilence); } },
+    { "reconnect-ms", "MS", "1000", false,
+      "How long a new connection may stay silent before the endpoint is blamed.",
+      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.runs.attempts.reconnectPatience); } },
+    { "answer-lifetime-ms", "MS", "600000", false,
+      "How long an answer can be asked for again under its idempotency key.",
+      [](S& s, T t) { return ReadMilliseconds(t, kHourMs * 24, s.runs.attempts.answerLifetime); } },
+    { "answer-bytes", "BYTES", "16777216", false, "Memory for such answers.",
+      [](S& s, T t) { return ReadNumber(t, 0, kGibibyte, s.runs.attempts.answerBytes); } },
+    { "abandon-grace-ms", "MS", "10000", false,
+      "How long a request with an idempotency key goes on when its caller has gone.",
+      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.runs.attempts.abandonGrace); } },
+    { "drain-notice-ms", "MS", "1000", false,
+      "Time between turning unready and ceasing to listen when the daemon drains.",
+      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.drainNotice); } },
+  };
+}
+
+/// The flags as given, by name; a fault for each that is unknown, has no value or stands twice.
+std::map<std::string, std::string>
+CollectFlags(std::span<const std::string> aArguments, SettingsOutcome& aOutcome)
+{
+  po::options_description description;
+  description.add_options()("help", "");
+  for (const SettingRule& rule : SettingsReader::Rules()) {
+    description.add_options()(rule.name.c_str(), po::value<std::vector<std::string>>(), "");
+  }
+  po::variables_map found;
+  try {
+    const std::vector<std::string> arguments(aArguments.begin(), aArguments.end());
+    po::command_line_parser parser(arguments);
+    parser.options(description).positional({}).allow_unregistered();
+    parser.style(po::command_line_style::unix_style & ~po::command_line_style::allow_guessing);
+    const po::parsed_options parsed = parser.run();
+    for (const std::string& unknown :
+         po::collect_unrecognized(parsed.options, po::include_positional)) {
+      aOutcome.faults.push_back(fmt::format("{}: no such setting", unknown));
+    }
+    po::store(parsed, found);
+  } catch (const po::error& error) {
+    aOutcome.faults.push_back(error.what());
+  }
+  aOutcome.helpAsked = found.count("help") != 0;
+  std::map<std::string, std::string> values;
+  for (const SettingRule& rule : SettingsReader::Rules()) {
+    if (found.count(rule.name) == 0) {
+      continue;
+    }
+    const auto& given = found[rule.name].as<std::vector<std::string>>();
+    if (given.size() > 1) {
+      aOutcome.faults.push_back(fmt::format("--{}: given {} times", rule.name, given.size()));
+    }
+    values[rule.name] = given.back();
+  }
+  return values;
+}
+
+/// Adds the variables for which no flag was given; a fault for each unknown one.
+void
+AddVariables(std::span<const std::string> aEnvironment, std::map<std::string, std::string>& aValues,
+             SettingsOutcome& aOutcome)
+{
+  for (const std::string& entry : aEnvironment) {
+    if (!entry.starts_with(kVariablePrefix)) {
+      continue;
+    }
+    const std::size_t equals = entry.find('=');
+    const std::string variable = entry.substr(0, equals);
+    const auto rules = SettingsReader::Rules();
+    const auto rule = std::find_if(rules.begin(), rules.end(), [&](const SettingRule& aRule) {
+      return SettingsReader::VariableName(aRule.name) == variable;
+    });
+    if (rule == rules.end()) {
+      aOutcome.faults.push_back(fmt::format("{}: no such setting", variable));
+      continue;
+    }
+    aValues.emplace(rule->name, entry.substr(equals + 1));
+  }
+}
+
+/// Faults that show only when settings are looked at together.
+void
+CheckTogether(const DaemonSettings& aSettings, SettingsOutcome& aOutcome)
+{
+  const auto clash = [&](const SocketAddress& aFirst, const SocketAddress& aSecond) {
+    return aFirst.port != 0 && aFirst.port == aSecond.port && aFirst.address == aSecond.address;
+  };
+  if (clash(aSettings.listen, aSettings.admin)) {
+    aOutcome.faults.emplace_back("--listen and --admin: the same address");
+  }
+  if (clash(aSettings.listen, aSettings.peer)) {
+    aOutcome.faults.emplace_back("--listen and --peer: the same address");
+  }
+  if (clash(aSettings.admin, aSettings.peer)) {
+    aOutcome.faults.emplace_back("--admin and --peer: the same address");
+  }
+}
+
+} // namespace
+
+SettingsOutcome
+SettingsReader::Read(std::span<const std::string> aArguments,
+                     std::span<const std::string> aEnvironment)
+{
+  SettingsOutcome outcome;
+  std::map<std::string, std::string> values = CollectFlags(aArguments, outcome);
+  if (outcome.helpAsked) {
+    return outcome;
+  }
+  AddVariables(aEnvironment, values, outcome);
+  for (const SettingRule& rule : Rules()) {
+    const auto given = values.find(rule.name);
+    const std::string& text = given == values.end() ? rule.defaultText : given->second;
+    if (given == values.end() && text.empty()) {
+      if (rule.required) {
+        outcome.faults.push_back(
+          fmt::format("--{}: missing; give it or set {}", rule.name, VariableName(rule.name)));
+      }
+      continue;
+    }
+    if (const Fault fault = rule.apply(outcome.settings, text)) {
+      outcome.faults.push_back(fmt::format("--{}: \"{}\" {}", rule.name, text, *fault));
+    }
+  }
+  CheckTogether(outcome.settings, outcome);
+  if (outcome.settings.hostId.empty()) {
+    outcome.settings.hostId =
+      fmt::format("daemon-{}-{}", outcome.settings.peer.address, outcome.settings.peer.port);
+  }
+  return outcome;
+}
+
+std::string
+SettingsReader::Help()
+{
+  std::string text;
+  for (const SettingRule& rule : Rules()) {
+    text += fmt::format("  --{} {}\n      {}", rule.name, rule.placeholder, rule.help);
+    if (rule.required) {
+      text += " Required.";
+    }
+    if (!rule.defaultText.empty()) {
+      text += fmt::format(" Default: {}.", rule.defaultText);
+    }
+    text += fmt::format(" [{}]\n", VariableName(rule.name));
+  }
+  return text;
+}
+
+std::span<const SettingRule>
+SettingsReader::Rules()
+{
+  static const std::vector<SettingRule> kRules = MakeRules();
+  return kRules;
+}
+
+std::string
+SettingsReader::VariableName(std::string_view aSetting)
+{
+  std::string name(kVariablePrefix);
+  for (const char byte : aSetting) {
+    name.push_back(byte == '-' ? '_'
+                               : static_cast<char>(std::toupper(static_cast<unsigned char>(byte))));
+  }
+  return name;
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Wire/TrafficLoop.cpp
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -63,7 +63,7 @@
   std::unique_ptr<CURL, EasyDeleter> easy;
   std::unique_ptr<curl_slist, HeaderListDeleter> headers;
   std::string body;
-  HttpTransferObserver* observer = nullptr;
+  HttpTransferObserver* observer = nullptr; ///< Null when nobody listens.
 
   static std::size_t OnBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
   {
@@ -201,11 +201,24 @@
 
 TransferId
 TrafficLoop::StartTransfer(const HttpTransferRequest& aRequest, HttpTransferObserver& aObserver)
+{
+  return this->AddTransfer(aRequest, &aObserver);
+}
+
+void
+TrafficLoop::StartDetachedTransfer(const HttpTransferRequest& aRequest)
+{
+  assert(aRequest.timeout > Milliseconds(0));
+  this->AddTransfer(aRequest, nullptr);
+}
+
+TransferId
+TrafficLoop::AddTransfer(const HttpTransferRequest& aRequest, HttpTransferObserver* aObserver)
 {
   auto transfer = std::make_unique<Transfer>();
   transfer->id = this->nextTransfer++;
   transfer->easy.reset(curl_easy_init());
-  transfer->observer = &aObserver;
+  transfer->observer = aObserver;
   transfer->body = aRequest.body;
   CURL* easy = transfer->easy.get();
 
--- a/Lagoonward/Wire/TrafficLoop.h
+++ b/Lagoonward/Wire/TrafficLoop.h
@@ -50,6 +50,9 @@
   /// @return a number for CancelTransfer()
   TransferId StartTransfer(const HttpTransferRequest& aRequest, HttpTransferObserver& aObserver);
 
+  /// Starts a transfer whose result nobody waits for. The request must carry a timeout.
+  void StartDetachedTransfer(const HttpTransferRequest& aRequest);
+
   /// Ends a transfer; its observer hears no more of it. Does nothing when it has ended.
   void CancelTransfer(TransferId aTransfer);
 
@@ -62,6 +65,7 @@
     void operator()(CURLM* aMulti) const;
   };
 
+  TransferId AddTransfer(const HttpTransferRequest& aRequest, HttpTransferObserver* aObserver);
   void Run();
   void WaitAndDispatch();
   [[nodiscard]] int NextWaitMilliseconds() const;
