--- /dev/null
+++ b/StandIns/Options.cpp
@@ -0,0 +1,168 @@
+#include "StandIns/Options.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <stdexcept>
+
+namespace lagoonward::standins {
+
+namespace {
+
+using nlohmann::json;
+namespace po = boost::program_options;
+
+/// Shorthand for a flag with a default.
+template<typename Value>
+po::typed_value<Value>*
+Bind(Value& aTarget)
+{
+  return po::value<Value>(&aTarget)->default_value(aTarget);
+}
+
+json
+ReadJsonFile(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  if (!file) {
+    throw std::invalid_argument("cannot read " + aFile);
+  }
+  return json::parse(file);
+}
+
+std::vector<HeldModel>
+ModelsOf(const json& aManifest)
+{
+  std::vector<HeldModel> models;
+  for (const auto& item : aManifest.at("models")) {
+    HeldModel model{ item.at("name").get<std::string>(),
+                     item.at("version").get<std::string>(),
+                     {} };
+    for (const auto& adapter : item.value("adapters", json::array())) {
+      for (const auto& version : adapter.at("versions")) {
+        model.adapters.push_back(
+          { adapter.at("name").get<std::string>(), version.get<std::string>() });
+      }
+    }
+    models.push_back(std::move(model));
+  }
+  return models;
+}
+
+} // namespace
+
+void
+EngineOptions::Describe(po::options_description& aDescription)
+{
+  auto& to = this->settings;
+  aDescription.add_options()("model", po::value(&this->models)->composing(),
+                             "NAME@VERSION[+ADAPTER@VERSION]..., held from the start; repeatable")(
+    "role", Bind(to.role), "role from the start")("fenced", po::bool_switch(&to.fenced),
+                                                  "refuse orders with an old fencing number")(
+    "max-batch", Bind(to.maxBatch), "streams that run at once")(
+    "step-base-us", Bind(this->stepBaseUs), "length of a step, microseconds")(
+    "step-per-stream-us", Bind(this->stepPerStreamUs), "what each running stream adds to it")(
+    "prefill-tokens-per-second", Bind(to.prefillTokensPerSecond), "speed of reading prompts")(
+    "prefill-chunk", Bind(to.prefillChunk), "prompt tokens read in one step")(
+    "kv-blocks", Bind(to.kvBlocks), "KV memory, blocks of 16 tokens")(
+    "kv-bytes-per-second", Bind(to.kvBytesPerSecond), "speed of a KV import")(
+    "load-lag-ms", Bind(this->loadLagMs), "age that the load report may have")(
+    "cache-event-delay-ms", Bind(this->cacheEventDelayMs), "cache events are told so late")(
+    "cache-events-kept", Bind(to.cacheEventsKept), "older cache events become a gap")(
+    "model-load-ms", Bind(this->modelLoadMs), "length of a load order")(
+    "orphan-ms", Bind(this->orphanMs), "a stream that nobody reads is cancelled after this");
+}
+
+EngineSettings
+EngineOptions::Settings() const
+{
+  auto result = this->settings;
+  for (const auto& model : this->models) {
+    result.models.push_back(HeldModel::Parse(model));
+  }
+  result.stepBase = std::chrono::microseconds(this->stepBaseUs);
+  result.stepPerStream = std::chrono::microseconds(this->stepPerStreamUs);
+  result.loadLag = std::chrono::milliseconds(this->loadLagMs);
+  result.cacheEventDelay = std::chrono::milliseconds(this->cacheEventDelayMs);
+  result.modelLoadTime = std::chrono::milliseconds(this->modelLoadMs);
+  result.orphanTime = std::chrono::milliseconds(this->orphanMs);
+  return result;
+}
+
+void
+PlatformOptions::Describe(po::options_description& aDescription)
+{
+  auto& to = this->settings;
+  aDescription.add_options()("region", Bind(to.cloud.region), "region of hosts started here")(
+    "domain", po::value(&this->failureDomains)->composing(), "failure domain; repeatable")(
+    "machine-class", po::value(&this->machineClasses)->composing(), "machine class; repeatable")(
+    "appends-per-second", Bind(to.log.appendsPerSecond), "log: more is answered 429")(
+    "records-kept", Bind(to.log.recordsKept), "log: records kept per stream")(
+    "retention-ms", Bind(this->retentionMs),
+    "log: older records go")("host-list-lag-ms", Bind(this->hostListLagMs), "age of the host list")(
+    "start-ms", Bind(this->startMs), "cloud: time until a host listens")(
+    "notice-delay-ms", Bind(this->noticeDelayMs), "cloud: notices come so late")(
+    "weight-reads-per-second", Bind(to.weights.readsPerSecond), "weight store: more is 429")(
+    "weight-read-ms", Bind(this->weightReadMs), "weight store: length of a read");
+}
+
+PlatformSettings
+PlatformOptions::Settings() const
+{
+  auto result = this->settings;
+  if (!this->failureDomains.empty()) {
+    result.cloud.failureDomains = this->failureDomains;
+  }
+  if (!this->machineClasses.empty()) {
+    result.cloud.machineClasses = this->machineClasses;
+  }
+  result.log.retention = std::chrono::milliseconds(this->retentionMs);
+  result.cloud.hostListLag = std::chrono::milliseconds(this->hostListLagMs);
+  result.cloud.startTime = std::chrono::milliseconds(this->startMs);
+  result.cloud.noticeDelay = std::chrono::milliseconds(this->noticeDelayMs);
+  result.weights.readTime = std::chrono::milliseconds(this->weightReadMs);
+  return result;
+}
+
+void
+FleetOptions::Describe(po::options_description& aDescription)
+{
+  aDescription.add_options()("manifest", po::value(&this->manifestFile),
+                             "take models, services, failure domains, machine classes from it")(
+    "engines", Bind(this->engines), "engines, spread over the failure domains")(
+    "services-per-name", Bind(this->servicesPerName), "hosts of each service, spread likewise")(
+    "service-work-ms", Bind(this->serviceWorkMs), "time that a service call takes")(
+    "on-demand", po::bool_switch(&this->onDemand), "engines are not reclaimable hosts");
+  this->engine.Describe(aDescription);
+  this->platform.Describe(aDescription);
+}
+
+FleetSettings
+FleetOptions::Settings(const ListenAddress& aListen) const
+{
+  FleetSettings result;
+  result.listen = aListen;
+  result.engine = this->engine.Settings();
+  result.platform = this->platform.Settings();
+  result.service.workTime = std::chrono::milliseconds(this->serviceWorkMs);
+  result.engines = this->engines;
+  result.servicesPerName = this->servicesPerName;
+  result.reclaimable = !this->onDemand;
+  if (this->manifestFile.empty()) {
+    return result;
+  }
+  const auto manifest = ReadJsonFile(this->manifestFile);
+  auto& cloud = result.platform.cloud;
+  cloud.region = manifest.at("region").get<std::string>();
+  cloud.failureDomains = manifest.at("failure_domains").get<std::vector<std::string>>();
+  cloud.machineClasses = manifest.at("machine_classes").get<std::vector<std::string>>();
+  result.engine.models = ModelsOf(manifest);
+  result.engine.fenced = manifest.value("orders_fenced", false);
+  result.serviceNames.clear();
+  for (const auto& service : manifest.at("services")) {
+    result.serviceNames.push_back(service.at("name").get<std::string>());
+  }
+  return result;
+}
+
+} // namespace lagoonward::standins
--- /dev/null
+++ b/StandIns/Platform/RateLimit.cpp
@@ -0,0 +1,29 @@
+#include "StandIns/Platform/RateLimit.h"
+
+#include <algorithm>
+
+namespace lagoonward::standins {
+
+RateLimit::RateLimit(double aPerSecond)
+  : perSecond(aPerSecond)
+  , tokens(std::max(1.0, aPerSecond))
+  , filled(std::chrono::steady_clock::now())
+{
+}
+
+bool
+RateLimit::Take()
+{
+  const auto now = std::chrono::steady_clock::now();
+  const std::chrono::duration<double> passed = now - this->filled;
+  this->filled = now;
+  this->tokens =
+    std::min(std::max(1.0, this->perSecond), this->tokens + passed.count() * this->perSecond);
+  if (this->tokens < 1.0) {
+    return false;
+  }
+  this->tokens -= 1.0;
+  return true;
+}
+
+} // namespace lagoonward::standins
