--- a/StandIns/Engine/ComputeLedger.cpp
+++ b/StandIns/Engine/ComputeLedger.cpp
@@ -29,7 +29,7 @@
     return progress;
   }
   progress = std::make_shared<Progress>();
-  const auto result = progress;
+  auto result = progress;
   this->order.push_back(aRequestId);
   if (this->order.size() > kRequestsKept) {
     this->requests.erase(this->order.front());
