--- a/Lagoonward/Wire/EventStreamReader.cpp
+++ b/Lagoonward/Wire/EventStreamReader.cpp
@@ -66,6 +66,10 @@
     this->type = aValue;
     return;
   }
+  if (aName == "id") {
+    this->lastId = aValue;
+    return;
+  }
   if (aName != "data") {
     return;
   }
--- a/Lagoonward/Wire/EventStreamReader.h
+++ b/Lagoonward/Wire/EventStreamReader.h
@@ -11,6 +11,7 @@
 {
   std::string_view type; ///< The `event` field; empty for the default type.
   std::string_view data; ///< The `data` fields, joined by line feeds.
+  std::string_view id;   ///< The last `id` field so far; empty while there was none.
 };
 
 /// Splits the bytes of a server-sent event stream (WHATWG HTML, section 9.2) into events. Bytes may
@@ -35,7 +36,7 @@
       const std::string_view line = this->CompleteLine(aBytes.substr(0, lineEnd));
       aBytes.remove_prefix(lineEnd + 1);
       if (this->TakeLine(line)) {
-        aOnEvent(StreamEvent{ this->type, this->data });
+        aOnEvent(StreamEvent{ this->type, this->data, this->lastId });
         this->ResetEvent();
       }
       this->partialLine.clear();
@@ -55,6 +56,7 @@
   std::string partialLine; ///< Start of a line whose end has not arrived.
   std::string type;
   std::string data;
+  std::string lastId; ///< Outlasts its event, as the specification has it.
   bool hasData = false;
   bool failed = false;
 };
--- a/StandIns/Commands.cpp
+++ b/StandIns/Commands.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/Commands.h"
 
+#include "StandIns/Load/LoadCommand.h"
 #include "StandIns/Options.h"
 
 #include <csignal>
@@ -168,7 +169,8 @@
          "  platform   log, cloud, host list and weight store on one port\n"
          "  engine     one model engine\n"
          "  service    one plain service\n"
-         "  fleet      a platform with many engines and services in one process\n\n"
+         "  fleet      a platform with many engines and services in one process\n"
+         "  load       callers that compare each answer with what it must be\n\n"
          "COMMAND --help lists a command's flags. Each takes faults at run time:\n"
          "  curl -d '{\"fault\":\"slow\",\"ms\":200,\"count\":3}' http://IP:PORT/faults\n"
          "  everywhere: slow, hang, lost_answer, outage (mode 503, reset, silent), silent\n"
@@ -196,6 +198,9 @@
     if (aCommand == "fleet") {
       return RunFleet(aArguments);
     }
+    if (aCommand == "load") {
+      return RunLoad(aArguments);
+    }
   } catch (const po::error& error) {
     std::cerr << aCommand << ": " << error.what() << '\n';
     return 2;
--- a/StandIns/Engine/EngineCore.cpp
+++ b/StandIns/Engine/EngineCore.cpp
@@ -259,6 +259,9 @@
     this->Reap();
     this->SampleLoad();
     this->Admit();
+    if (this->running.empty()) {
+      this->lastStepEnd = {};
+    }
     if (this->running.empty() || SteadyClock::now() < this->pausedUntil) {
       this->changed.wait_for(lock, kIdleRound);
       continue;
@@ -270,7 +273,9 @@
 void
 EngineCore::Step(Lock& aLock)
 {
-  const auto begin = SteadyClock::now();
+  // A step begins when the last one ended, so that the work of this thread does not slow the batch
+  const auto now = SteadyClock::now();
+  const auto begin = now - this->lastStepEnd < kIdleRound ? this->lastStepEnd : now;
   // Who takes part is fixed when the step begins
   const auto shares = this->PlanPrefill();
   std::vector<StreamPointer> generating;
@@ -288,7 +293,8 @@
     std::chrono::microseconds(words * 1'000'000 / this->settings.prefillTokensPerSecond);
   const auto length = this->settings.stepBase + reading +
                       this->settings.stepPerStream * static_cast<std::int64_t>(generating.size());
-  this->WaitUntil(aLock, begin + length);
+  this->lastStepEnd = begin + length;
+  this->WaitUntil(aLock, this->lastStepEnd);
   if (this->stopping) {
     return;
   }
--- a/StandIns/Engine/EngineCore.h
+++ b/StandIns/Engine/EngineCore.h
@@ -144,6 +144,7 @@
   std::condition_variable changed;
   bool stopping = false;
   std::chrono::steady_clock::time_point pausedUntil;
+  std::chrono::steady_clock::time_point lastStepEnd; ///< Zero after a time with nothing to do.
   std::chrono::steady_clock::time_point nextReap;
   std::chrono::steady_clock::time_point nextSample;
   PrefixCache cache;
--- a/StandIns/Engine/TokenFunction.cpp
+++ b/StandIns/Engine/TokenFunction.cpp
@@ -91,4 +91,10 @@
   return fmt::format("{:016x}", CombineHashes(place, HashBytes(aBody)));
 }
 
+std::string
+ExecutionKey(std::string_view aBody)
+{
+  return fmt::format("body:{:016x}", HashBytes(aBody));
+}
+
 } // namespace lagoonward::standins
--- a/StandIns/Engine/TokenFunction.h
+++ b/StandIns/Engine/TokenFunction.h
@@ -54,4 +54,8 @@
 [[nodiscard]] std::string
 ServiceResult(std::string_view aName, std::string_view aPath, std::string_view aBody);
 
+/// Under which a plain service counts how often it executed a body.
+[[nodiscard]] std::string
+ExecutionKey(std::string_view aBody);
+
 } // namespace lagoonward::standins
--- a/StandIns/Options.cpp
+++ b/StandIns/Options.cpp
@@ -1,15 +1,15 @@
 #include "StandIns/Options.h"
 
-#include <nlohmann/json.hpp>
+#include "Lagoonward/Configuration/ManifestReader.h"
 
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 
 namespace lagoonward::standins {
 
 namespace {
 
-using nlohmann::json;
 namespace po = boost::program_options;
 
 /// Shorthand for a flag with a default.
@@ -20,28 +20,16 @@
   return po::value<Value>(&aTarget)->default_value(aTarget);
 }
 
-json
-ReadJsonFile(const std::string& aFile)
-{
-  std::ifstream file(aFile);
-  if (!file) {
-    throw std::invalid_argument("cannot read " + aFile);
-  }
-  return json::parse(file);
-}
-
+/// The models and adapters that the manifest asks for, every version of them.
 std::vector<HeldModel>
-ModelsOf(const json& aManifest)
+ModelsOf(const Manifest& aManifest)
 {
   std::vector<HeldModel> models;
-  for (const auto& item : aManifest.at("models")) {
-    HeldModel model{ item.at("name").get<std::string>(),
-                     item.at("version").get<std::string>(),
-                     {} };
-    for (const auto& adapter : item.value("adapters", json::array())) {
-      for (const auto& version : adapter.at("versions")) {
-        model.adapters.push_back(
-          { adapter.at("name").get<std::string>(), version.get<std::string>() });
+  for (const auto& wanted : aManifest.models) {
+    HeldModel model{ wanted.name, wanted.version, {} };
+    for (const auto& adapter : wanted.adapters) {
+      for (const auto& version : adapter.versions) {
+        model.adapters.push_back({ adapter.name, version });
       }
     }
     models.push_back(std::move(model));
@@ -51,6 +39,22 @@
 
 } // namespace
 
+Manifest
+ReadManifestFile(const std::string& aFile)
+{
+  std::ifstream file(aFile);
+  if (!file) {
+    throw std::invalid_argument("cannot read " + aFile);
+  }
+  const std::string text{ std::istreambuf_iterator<char>(file), {} };
+  auto reading = ReadManifest(text);
+  if (!reading.manifest) {
+    const auto& fault = reading.faults.front();
+    throw std::invalid_argument(aFile + ": " + fault.pointer + ": " + fault.message);
+  }
+  return std::move(*reading.manifest);
+}
+
 void
 EngineOptions::Describe(po::options_description& aDescription)
 {
@@ -151,16 +155,18 @@
   if (this->manifestFile.empty()) {
     return result;
   }
-  const auto manifest = ReadJsonFile(this->manifestFile);
+  const auto manifest = ReadManifestFile(this->manifestFile);
   auto& cloud = result.platform.cloud;
-  cloud.region = manifest.at("region").get<std::string>();
-  cloud.failureDomains = manifest.at("failure_domains").get<std::vector<std::string>>();
-  cloud.machineClasses = manifest.at("machine_classes").get<std::vector<std::string>>();
+  cloud.region = manifest.region;
+  cloud.failureDomains = manifest.failureDomains;
+  if (!manifest.machineClasses.empty()) {
+    cloud.machineClasses = manifest.machineClasses;
+  }
   result.engine.models = ModelsOf(manifest);
-  result.engine.fenced = manifest.value("orders_fenced", false);
+  result.engine.fenced = manifest.ordersFenced;
   result.serviceNames.clear();
-  for (const auto& service : manifest.at("services")) {
-    result.serviceNames.push_back(service.at("name").get<std::string>());
+  for (const auto& service : manifest.services) {
+    result.serviceNames.push_back(service.name);
   }
   return result;
 }
--- a/StandIns/Options.h
+++ b/StandIns/Options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Configuration/Manifest.h"
 #include "StandIns/Fleet/FleetStandIn.h"
 
 #include <boost/program_options.hpp>
@@ -10,6 +11,10 @@
 
 namespace lagoonward::standins {
 
+/// The manifest in a file. Throws std::invalid_argument naming its first fault.
+[[nodiscard]] Manifest
+ReadManifestFile(const std::string& aFile);
+
 /// Flags of an engine. Values are bound to the settings given, which must outlive the parse.
 class EngineOptions
 {
--- a/StandIns/Service/ServiceStandIn.cpp
+++ b/StandIns/Service/ServiceStandIn.cpp
@@ -1,9 +1,7 @@
 #include "StandIns/Service/ServiceStandIn.h"
 
-#include "Lagoonward/Core/Hash.h"
 #include "StandIns/Engine/TokenFunction.h"
 
-#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace lagoonward::standins {
@@ -12,14 +10,6 @@
 
 using nlohmann::json;
 
-/// What a call is counted under.
-std::string
-CountKey(const HttpRequest& aRequest)
-{
-  const auto key = aRequest.Header("idempotency-key");
-  return key.empty() ? fmt::format("body:{:016x}", HashBytes(aRequest.body)) : std::string(key);
-}
-
 } // namespace
 
 ServiceStandIn::ServiceStandIn(ServiceSettings aSettings, const ListenAddress& aListen,
@@ -88,7 +78,10 @@
     if (this->vanished) {
       return;
     }
-    count = ++this->executions[CountKey(request)];
+    count = ++this->executions[ExecutionKey(request.body)];
+    if (const auto key = request.Header("idempotency-key"); !key.empty()) {
+      ++this->executions[std::string(key)];
+    }
   }
   aExchange->Respond(
     200, json{ { "service", this->settings.name },
--- a/StandIns/Service/ServiceStandIn.h
+++ b/StandIns/Service/ServiceStandIn.h
@@ -33,7 +33,7 @@
   /// The host is gone. Not from a handler.
   void Vanish();
 
-  /// How often each call ran: by `Idempotency-Key`, or by `body:HASH` where there is none.
+  /// How often each call ran: under ExecutionKey() of its body, and under its `Idempotency-Key`.
   [[nodiscard]] std::map<std::string, std::int64_t> Executions();
 
 private:
