Follow the naming rules in the settings table

Cause: the linter found one-letter parameters and a copied shared pointer. Change: names with the prefix; the ticket is passed by reference. Measured: lint clean on the files.

--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -149,7 +149,7 @@
 template<typename Run, typename Call>
 void
 RunService::BeginRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket,
-                     const AnswerPtr& aAnswer, std::shared_ptr<Ticket> aTicket)
+                     const AnswerPtr& aAnswer, const std::shared_ptr<Ticket>& aTicket)
 {
   const RunContext context{ aWorker.loop,  aMarket->router, aMarket->retryBudget,   this->fleet,
                             this->journal, this->counters,  this->settings.attempts };
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -78,7 +78,7 @@
                   const std::shared_ptr<AnswerSubscriber>& aSubscriber);
   template<typename Run, typename Call>
   void BeginRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket, const AnswerPtr& aAnswer,
-                std::shared_ptr<Ticket> aTicket);
+                const std::shared_ptr<Ticket>& aTicket);
   template<typename Run>
   static std::unordered_map<std::uint64_t, ActiveRun<Run>>& RunsOf(Worker& aWorker);
   void Refuse(const CallTerms& aTerms, const AnswerPtr& aAnswer, const Error& aError);
--- a/Lagoonward/Settings/SettingsReader.cpp
+++ b/Lagoonward/Settings/SettingsReader.cpp
@@ -127,67 +127,81 @@
   constexpr std::int64_t kGibibyte = 1LL << 30;
   return {
     { "listen", "IP:PORT", "", true, "Address for callers.",
-      [](S& s, T t) { return ReadAddress(t, s.listen); } },
+      [](S& aInto, T aText) { return ReadAddress(aText, aInto.listen); } },
     { "admin", "IP:PORT", "", true, "Address for operators: health, metrics, status.",
-      [](S& s, T t) { return ReadAddress(t, s.admin); } },
+      [](S& aInto, T aText) { return ReadAddress(aText, aInto.admin); } },
     { "peer", "IP:PORT", "", true, "Address for other daemons, UDP and TCP.",
-      [](S& s, T t) { return ReadAddress(t, s.peer); } },
+      [](S& aInto, T aText) { return ReadAddress(aText, aInto.peer); } },
     { "region", "NAME", "", true, "Region that this host is in.",
-      [](S& s, T t) { return ReadName(t, s.region); } },
+      [](S& aInto, T aText) { return ReadName(aText, aInto.region); } },
     { "failure-domain", "NAME", "", true, "Failure domain that this host is in.",
-      [](S& s, T t) { return ReadName(t, s.failureDomain); } },
+      [](S& aInto, T aText) { return ReadName(aText, aInto.failureDomain); } },
     { "log-url", "URL", "", true, "The platform's log service.",
-      [](S& s, T t) { return ReadUrl(t, s.logUrl); } },
+      [](S& aInto, T aText) { return ReadUrl(aText, aInto.logUrl); } },
     { "cloud-url", "URL", "", true, "The cloud's interface for hosts, prices and notices.",
-      [](S& s, T t) { return ReadUrl(t, s.cloudUrl); } },
+      [](S& aInto, T aText) { return ReadUrl(aText, aInto.cloudUrl); } },
     { "host-list-url", "URL", "", true, "The platform's host list.",
-      [](S& s, T t) { return ReadUrl(t, s.hostListUrl); } },
+      [](S& aInto, T aText) { return ReadUrl(aText, aInto.hostListUrl); } },
     { "weight-store-url", "URL", "", true, "The platform's weight store.",
-      [](S& s, T t) { return ReadUrl(t, s.weightStoreUrl); } },
+      [](S& aInto, T aText) { return ReadUrl(aText, aInto.weightStoreUrl); } },
     { "host-id", "NAME", "", false, "This host's id in the host list; by default the peer address.",
-      [](S& s, T t) { return ReadName(t, s.hostId); } },
+      [](S& aInto, T aText) { return ReadName(aText, aInto.hostId); } },
     { "market", "NAME[,NAME...]", "", false,
       "Markets to follow from the start; others are followed when a caller names them.",
-      [](S& s, T t) { return ReadNames(t, s.markets); } },
+      [](S& aInto, T aText) { return ReadNames(aText, aInto.markets); } },
     { "cluster", "NAME", "lagoonward", false, "Daemons of another cluster are ignored.",
-      [](S& s, T t) { return ReadName(t, s.cluster); } },
+      [](S& aInto, T aText) { return ReadName(aText, aInto.cluster); } },
     { "peer-keys", "ID:HEX[,ID:HEX...]", "", false,
       "Shared keys between daemons; the first signs, all are accepted.",
-      [](S& s, T t) {
-        s.peerKeys = t;
+      [](S& aInto, T aText) {
+        aInto.peerKeys = aText;
         return Fault();
       } },
     { "log-level", "LEVEL", "info", false, "debug, info, warning or error.",
-      [](S& s, T t) { return ReadLogLevel(t, s.logLevel); } },
+      [](S& aInto, T aText) { return ReadLogLevel(aText, aInto.logLevel); } },
     { "caller-threads", "N", "2", false, "Threads that speak with callers.",
-      [](S& s, T t) { return ReadNumber(t, 1, 64, s.callerThreads); } },
+      [](S& aInto, T aText) { return ReadNumber(aText, 1, 64, aInto.callerThreads); } },
     { "traffic-threads", "N", "2", false, "Threads that speak with endpoints.",
-      [](S& s, T t) { return ReadNumber(t, 1, 64, s.runs.threads); } },
+      [](S& aInto, T aText) { return ReadNumber(aText, 1, 64, aInto.runs.threads); } },
     { "max-connections", "N", "4096", false, "Callers' connections at once.",
-      [](S& s, T t) { return ReadNumber(t, 1, 1'000'000, s.maximumConnections); } },
+      [](S& aInto, T aText) { return ReadNumber(aText, 1, 1'000'000, aInto.maximumConnections); } },
     { "max-body-bytes", "BYTES", "4194304", false, "Largest body of a request.",
-      [](S& s, T t) { return ReadNumber(t, 1, kGibibyte, s.maximumBodyBytes); } },
+      [](S& aInto, T aText) { return ReadNumber(aText, 1, kGibibyte, aInto.maximumBodyBytes); } },
     { "max-tokens", "N", "32768", false, "Largest answer that a caller may ask for, in tokens.",
-      [](S& s, T t) { return ReadNumber(t, 1, 10'000'000, s.calls.maximumMaxTokens); } },
+      [](S& aInto, T aText) {
+        return ReadNumber(aText, 1, 10'000'000, aInto.calls.maximumMaxTokens);
+      } },
     { "connect-timeout-ms", "MS", "500", false, "Longest wait for a connection to an endpoint.",
-      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.runs.client.connectTimeout); } },
+      [](S& aInto, T aText) {
+        return ReadMilliseconds(aText, kHourMs, aInto.runs.client.connectTimeout);
+      } },
     { "silence-ms", "MS", "1000", false,
       "Shortest silence after which a stream is resumed on a new connection.",
-      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.runs.attempts.minimumSilence); } },
+      [](S& aInto, T aText) {
+        return ReadMilliseconds(aText, kHourMs, aInto.runs.attempts.minimumSilence);
+      } },
     { "reconnect-ms", "MS", "1000", false,
       "How long a new connection may stay silent before the endpoint is blamed.",
-      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.runs.attempts.reconnectPatience); } },
+      [](S& aInto, T aText) {
+        return ReadMilliseconds(aText, kHourMs, aInto.runs.attempts.reconnectPatience);
+      } },
     { "answer-lifetime-ms", "MS", "600000", false,
       "How long an answer can be asked for again under its idempotency key.",
-      [](S& s, T t) { return ReadMilliseconds(t, kHourMs * 24, s.runs.attempts.answerLifetime); } },
+      [](S& aInto, T aText) {
+        return ReadMilliseconds(aText, kHourMs * 24, aInto.runs.attempts.answerLifetime);
+      } },
     { "answer-bytes", "BYTES", "16777216", false, "Memory for such answers.",
-      [](S& s, T t) { return ReadNumber(t, 0, kGibibyte, s.runs.attempts.answerBytes); } },
+      [](S& aInto, T aText) {
+        return ReadNumber(aText, 0, kGibibyte, aInto.runs.attempts.answerBytes);
+      } },
     { "abandon-grace-ms", "MS", "10000", false,
       "How long a request with an idempotency key goes on when its caller has gone.",
-      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.runs.attempts.abandonGrace); } },
+      [](S& aInto, T aText) {
+        return ReadMilliseconds(aText, kHourMs, aInto.runs.attempts.abandonGrace);
+      } },
     { "drain-notice-ms", "MS", "1000", false,
       "Time between turning unready and ceasing to listen when the daemon drains.",
-      [](S& s, T t) { return ReadMilliseconds(t, kHourMs, s.drainNotice); } },
+      [](S& aInto, T aText) { return ReadMilliseconds(aText, kHourMs, aInto.drainNotice); } },
   };
 }
 
