Declare the interfaces of membership between daemons

Cause: the control plane needs one agreed surface before its parts are written. No implementation yet; nothing measured.

--- /dev/null
+++ b/Lagoonward/Membership/ControlLoop.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Core/Result.h"
+#include "Lagoonward/Core/UniqueFd.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoonward {
+
+/// The control thread: one epoll loop with timers and a queue of posted tasks. All control state is
+/// touched only here. Post(), IsInLoop() and CpuTime() are safe from any thread; the rest is called
+/// on the loop, or before Start().
+class ControlLoop
+{
+public:
+  using Task = std::function<void()>;
+  using DescriptorHandler = std::function<void(std::uint32_t aEvents)>;
+  using TimerId = std::uint64_t;
+
+  /// @param aClock  a clock that moves by itself; timers follow its Now()
+  explicit ControlLoop(const Clock& aClock);
+  ~ControlLoop();
+
+  /// Creates the descriptors and the thread.
+  [[nodiscard]] Result<void> Start();
+
+  /// Ends the thread after the task in hand. Tasks still queued are dropped. Safe to call twice.
+  void Stop();
+
+  /// Runs a task on the loop soon, in the order of posting.
+  void Post(Task aTask);
+
+  /// Posts a task and waits until it has run. Runs it directly when called on the loop. Returns at
+  /// once, without running it, when the loop is not running.
+  void Run(const Task& aTask);
+
+  /// Runs a task once after a delay.
+  TimerId After(Milliseconds aDelay, Task aTask);
+
+  /// Runs a task again and again, the first time after one interval.
+  TimerId Every(Milliseconds aInterval, Task aTask);
+
+  void Cancel(TimerId aTimer);
+
+  /// Calls the handler when the descriptor is ready for one of the epoll events.
+  [[nodiscard]] Result<void> Watch(int aDescriptor, std::uint32_t aEvents,
+                                   DescriptorHandler aHandler);
+  void ChangeEvents(int aDescriptor, std::uint32_t aEvents);
+  void Unwatch(int aDescriptor);
+
+  [[nodiscard]] bool IsInLoop() const;
+
+  /// Processor time that the thread has used so far.
+  [[nodiscard]] std::chrono::nanoseconds CpuTime() const;
+
+private:
+  struct Timer
+  {
+    TimerId id = 0;
+    Milliseconds interval{ 0 }; ///< Zero for a timer that fires once.
+    Task task;
+  };
+
+  void Loop();
+  void RunPosted();
+  void RunTimers();
+  [[nodiscard]] int WaitMilliseconds() const;
+  TimerId AddTimer(Milliseconds aDelay, Milliseconds aInterval, Task aTask);
+  void Wake();
+
+  const Clock& clock;
+  UniqueFd poller;
+  UniqueFd wakeUp; ///< eventfd that interrupts the wait.
+  std::thread thread;
+  std::atomic<bool> running{ false };
+  std::mutex postedMutex;
+  std::vector<Task> posted; ///< Guarded by postedMutex.
+  std::multimap<TimePoint, Timer> timers;
+  std::map<TimerId, TimePoint> timerDue;
+  TimerId nextTimer = 1;
+  std::unordered_map<int, std::shared_ptr<DescriptorHandler>> handlers;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Membership/PeerConnection.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Core/UniqueFd.h"
+#include "Lagoonward/Membership/FrameCodec.h"
+#include "Lagoonward/Membership/MembershipSettings.h"
+#include "Lagoonward/Membership/Messages.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lagoonward {
+
+/// One TCP connection between two daemons: non-blocking, length-prefixed frames, each with a tag
+/// bound to a nonce that the accepting side draws, to the direction and to the frame's number. A
+/// recorded connection therefore cannot be played again, and frames cannot be reordered.
+class PeerConnection
+{
+public:
+  /// Which end this is.
+  enum class Side
+  {
+    Connecting,
+    Accepting,
+  };
+
+  /// @param aNonce  drawn by the accepting side; empty on the connecting one until it arrives
+  PeerConnection(UniqueFd aSocket, Side aSide, const KeyRing& aKeys,
+                 const PeerTransportSettings& aSettings, TimePoint aNow, std::string aNonce);
+
+  /// Queues a frame. @return false when too much is queued already: the peer is too slow
+  [[nodiscard]] bool Queue(const Frame& aFrame, TimePoint aNow);
+
+  /// Reads what has arrived. @return false when the connection must be closed
+  [[nodiscard]] bool Read(TimePoint aNow, std::vector<Frame>& aFrames);
+
+  /// Writes what can be written. @return false when the connection must be closed
+  [[nodiscard]] bool Write();
+
+  /// Whether it sat idle, or a frame has been incomplete, for too long.
+  [[nodiscard]] bool IsExpired(TimePoint aNow) const;
+
+  /// Whether bytes wait for the socket.
+  [[nodiscard]] bool WantsToWrite() const;
+
+  [[nodiscard]] int Descriptor() const;
+
+  /// Bytes moved since the last call, with an estimate for the headers of each write.
+  [[nodiscard]] std::uint64_t TakeSentBytes();
+  [[nodiscard]] std::uint64_t TakeReceivedBytes();
+
+private:
+  [[nodiscard]] bool TakeNonce();
+  [[nodiscard]] bool TakeFrames(std::vector<Frame>& aFrames);
+  void SealWaiting();
+
+  UniqueFd socket;
+  Side side;
+  const KeyRing& keys;
+  const PeerTransportSettings& settings;
+  std::string nonce;
+  std::vector<Frame> waiting; ///< Queued before the nonce was known.
+  std::string incoming;
+  std::string outgoing;
+  std::uint64_t framesSent = 0;
+  std::uint64_t framesReceived = 0;
+  TimePoint lastActive;
+  TimePoint partialSince; ///< When the incomplete frame in `incoming` began.
+  std::uint64_t sentBytes = 0;
+  std::uint64_t receivedBytes = 0;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Membership/WireCodec.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "Lagoonward/Core/Result.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <istream>
+#include <limits>
+#include <ostream>
+#include <span>
+#include <streambuf>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoonward {
+
+/// Stream buffer that reads from bytes owned by someone else.
+class ReadBuffer final : public std::streambuf
+{
+public:
+  explicit ReadBuffer(std::string_view aBytes);
+
+  /// Bytes not read yet.
+  [[nodiscard]] std::size_t Remaining() const;
+};
+
+/// Stream buffer that appends to a string owned by someone else.
+class WriteBuffer final : public std::streambuf
+{
+public:
+  explicit WriteBuffer(std::string& aTarget);
+
+protected:
+  // NOLINTNEXTLINE(readability-identifier-naming): the base class's name
+  std::streamsize xsputn(const char* aBytes, std::streamsize aCount) override;
+  int_type overflow(int_type aByte) override; // NOLINT(readability-identifier-naming)
+
+private:
+  std::string& target;
+};
+
+/// Largest byte string inside a message.
+inline constexpr std::size_t kMaximumWireBytes = 1U << 20U;
+
+/// (De)serializes a list whose length travels as Count. Longer lists are a bug of the sender.
+template<typename Count, class Archive, typename Element>
+void
+SerializeList(Archive& aArchive, std::vector<Element>& aList)
+{
+  if (aList.size() > std::numeric_limits<Count>::max()) {
+    throw cereal::Exception("list too long");
+  }
+  auto count = static_cast<Count>(aList.size());
+  aArchive(count);
+  if constexpr (Archive::is_loading::value) {
+    // Grows with what really arrives, so that a false count allocates nothing
+    aList.clear();
+    for (std::size_t index = 0; index < count; ++index) {
+      aArchive(aList.emplace_back());
+    }
+  } else {
+    for (Element& element : aList) {
+      aArchive(element);
+    }
+  }
+}
+
+/// (De)serializes a byte string whose length travels as Count.
+template<typename Count, class Archive>
+void
+SerializeBytes(Archive& aArchive, std::string& aBytes)
+{
+  if (aBytes.size() > std::numeric_limits<Count>::max()) {
+    throw cereal::Exception("string too long");
+  }
+  auto count = static_cast<Count>(aBytes.size());
+  aArchive(count);
+  if (count > kMaximumWireBytes) {
+    throw cereal::Exception("string too long");
+  }
+  if constexpr (Archive::is_loading::value) {
+    aBytes.resize(count);
+  }
+  aArchive(cereal::binary_data(aBytes.data(), aBytes.size()));
+}
+
+/// Bytes of a message, in cereal's portable binary form.
+template<typename Message>
+[[nodiscard]] std::string
+EncodeMessage(const Message& aMessage)
+{
+  std::string bytes;
+  WriteBuffer buffer(bytes);
+  std::ostream stream(&buffer);
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(aMessage);
+  return bytes;
+}
+
+/// Reads one message that fills the bytes exactly.
+/// @return InvalidRequest for anything else; never throws
+template<typename Message>
+[[nodiscard]] Result<Message>
+DecodeMessage(std::string_view aBytes)
+{
+  try {
+    ReadBuffer buffer(aBytes);
+    std::istream stream(&buffer);
+    cereal::PortableBinaryInputArchive archive(stream);
+    Message message;
+    archive(message);
+    if (buffer.Remaining() != 0) {
+      return Error(ErrorKind::InvalidRequest, "bytes after the message");
+    }
+    return message;
+  } catch (const std::exception& exception) {
+    return Error(ErrorKind::InvalidRequest, exception.what());
+  }
+}
+
+} // namespace lagoonward
