Implement membership between daemons: transport, peer table, load watch, shared states

Change: authenticated datagrams and frames with replay protection, failure detection after SWIM, watchers by rendezvous hashing, news along a generalized de Bruijn graph, repairs by digest, soft records.

--- /dev/null
+++ b/Lagoonward/Membership/ChangeQueue.cpp
@@ -0,0 +1,66 @@
+#include "Lagoonward/Membership/ChangeQueue.h"
+
+namespace lagoonward {
+
+namespace {
+
+/// Longest sum of a daemon's strings that a datagram has room for.
+constexpr std::size_t kMaximumInfoBytes = 240;
+constexpr std::size_t kChangeBytes = 18;
+constexpr std::size_t kInfoOverhead = 6;
+
+std::size_t
+InfoBytes(const PeerInfo& aInfo)
+{
+  return aInfo.id.size() + aInfo.address.size() + aInfo.failureDomain.size() + aInfo.region.size();
+}
+
+} // namespace
+
+void
+ChangeQueue::Add(PeerKey aKey)
+{
+  std::erase_if(this->items, [&](const Item& aItem) { return aItem.key == aKey; });
+  this->items.push_front({ aKey, 0 });
+}
+
+void
+ChangeQueue::Take(std::size_t aBytes, std::size_t aSends, const Reader& aReader,
+                  std::vector<PeerChange>& aTarget)
+{
+  std::size_t used = 0;
+  for (std::size_t left = this->items.size(); left > 0; --left) {
+    Item item = this->items.front();
+    auto change = aReader(item.key);
+    if (!change) {
+      this->items.pop_front();
+      continue;
+    }
+    const std::size_t bytes = WireBytes(*change);
+    if (used + bytes > aBytes) {
+      return;
+    }
+    used += bytes;
+    aTarget.push_back(std::move(*change));
+
+    // To the back, so that each change has its turn
+    this->items.pop_front();
+    if (++item.sent < aSends) {
+      this->items.push_back(item);
+    }
+  }
+}
+
+std::size_t
+ChangeQueue::WireBytes(const PeerChange& aChange)
+{
+  return kChangeBytes + (aChange.info ? kInfoOverhead + InfoBytes(*aChange.info) : 0);
+}
+
+bool
+ChangeQueue::Fits(const PeerInfo& aInfo)
+{
+  return InfoBytes(aInfo) <= kMaximumInfoBytes;
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Membership/ControlLoop.h
+++ b/Lagoonward/Membership/ControlLoop.h
@@ -5,8 +5,10 @@
 #include "Lagoonward/Core/UniqueFd.h"
 
 #include <atomic>
+#include <ctime>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <thread>
 #include <unordered_map>
@@ -14,6 +16,25 @@
 
 namespace lagoonward {
 
+class ControlLoop;
+
+/// Lets tasks reach a control loop that may be gone by then. Safe from any thread.
+class LoopHandle
+{
+public:
+  explicit LoopHandle(ControlLoop& aLoop);
+
+  /// Runs a task on the loop soon. @return false when the loop is gone
+  bool Post(std::function<void()> aTask);
+
+  /// Called by the loop's destructor.
+  void Detach();
+
+private:
+  std::mutex mutex;
+  ControlLoop* loop; ///< Guarded by mutex; null once the loop is gone.
+};
+
 /// The control thread: one epoll loop with timers and a queue of posted tasks. All control state is
 /// touched only here. Post(), IsInLoop() and CpuTime() are safe from any thread; the rest is called
 /// on the loop, or before Start().
@@ -28,7 +49,7 @@
   explicit ControlLoop(const Clock& aClock);
   ~ControlLoop();
 
-  /// Creates the descriptors and the thread.
+  /// Starts the thread.
   [[nodiscard]] Result<void> Start();
 
   /// Ends the thread after the task in hand. Tasks still queued are dropped. Safe to call twice.
@@ -37,8 +58,8 @@
   /// Runs a task on the loop soon, in the order of posting.
   void Post(Task aTask);
 
-  /// Posts a task and waits until it has run. Runs it directly when called on the loop. Returns at
-  /// once, without running it, when the loop is not running.
+  /// Posts a task and waits until it has run. Runs it directly when called on the loop, or
+  /// when no thread runs. Returns without having run it when the loop ends meanwhile.
   void Run(const Task& aTask);
 
   /// Runs a task once after a delay.
@@ -60,6 +81,9 @@
   /// Processor time that the thread has used so far.
   [[nodiscard]] std::chrono::nanoseconds CpuTime() const;
 
+  /// For callbacks that may come after the loop's end.
+  [[nodiscard]] const std::shared_ptr<LoopHandle>& Handle() const;
+
 private:
   struct Timer
   {
@@ -79,13 +103,17 @@
   UniqueFd poller;
   UniqueFd wakeUp; ///< eventfd that interrupts the wait.
   std::thread thread;
+  std::atomic<std::thread::id> threadId{};
+  std::atomic<clockid_t> cpuClock{ CLOCK_THREAD_CPUTIME_ID };
   std::atomic<bool> running{ false };
+  std::atomic<bool> joinable{ false }; ///< From Start() to the end of Stop().
   std::mutex postedMutex;
   std::vector<Task> posted; ///< Guarded by postedMutex.
   std::multimap<TimePoint, Timer> timers;
   std::map<TimerId, TimePoint> timerDue;
   TimerId nextTimer = 1;
   std::unordered_map<int, std::shared_ptr<DescriptorHandler>> handlers;
+  std::shared_ptr<LoopHandle> handle;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Membership/FrameCodec.h
+++ b/Lagoonward/Membership/FrameCodec.h
@@ -65,7 +65,13 @@
 [[nodiscard]] Result<Frame>
 OpenFrame(const KeyRing& aKeys, const FrameContext& aContext, std::string_view aBytes);
 
-/// Length announced by the four bytes before a frame.
+/// Bytes of the length before a frame, lowest first.
+inline constexpr std::size_t kFrameLengthBytes = 4;
+
+[[nodiscard]] std::string
+WriteFrameLength(std::size_t aLength);
+
+/// Length announced before a frame. The bytes must be there.
 [[nodiscard]] std::uint32_t
 ReadFrameLength(std::string_view aBytes);
 
--- /dev/null
+++ b/Lagoonward/Membership/LoadWatch.cpp
@@ -0,0 +1,429 @@
+#include "Lagoonward/Membership/LoadWatch.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lagoonward {
+
+LoadWatch::LoadWatch(const Clock& aClock, PeerKey aSelf, LoadWatchSettings aSettings)
+  : clock(aClock)
+  , self(aSelf)
+  , settings(aSettings)
+  , daemons{ aSelf }
+  , budget(static_cast<double>(aSettings.spreadBytesPerSecond))
+  , refilled(aClock.Now())
+{
+}
+
+void
+LoadWatch::SetEndpoints(std::vector<HostEntry> aEndpoints)
+{
+  std::unordered_map<EndpointKey, EndpointFact> next;
+  for (HostEntry& host : aEndpoints) {
+    const EndpointKey key = ToEndpointKey(host.id);
+    auto known = this->facts.extract(key);
+    EndpointFact& fact = next[key];
+    if (!known.empty()) {
+      fact = std::move(known.mapped());
+    }
+    fact.key = key;
+    fact.host = std::move(host);
+    this->departed.erase(key);
+  }
+  // What is left over is gone from the list; late news of it must not bring it back
+  for (const auto& item : this->facts) {
+    this->departed[item.first] = this->clock.Now();
+  }
+  this->facts = std::move(next);
+  this->ForgetDeparted();
+
+  for (auto& [key, fact] : this->facts) {
+    if (fact.host.leaving) {
+      this->Merge(StateFact{ key, EndpointState::Leaving, fact.stateVersion + 1, 0 });
+    }
+    const auto news = this->early.extract(key);
+    if (!news.empty()) {
+      this->Merge(news.mapped().fact);
+    }
+  }
+  this->ChooseWatched();
+}
+
+void
+LoadWatch::SetWatchers(std::span<const PeerKey> aDaemons)
+{
+  this->daemons.assign(aDaemons.begin(), aDaemons.end());
+  this->ChooseWatched();
+}
+
+std::vector<HostEntry>
+LoadWatch::DuePolls()
+{
+  const TimePoint now = this->clock.Now();
+  std::vector<HostEntry> due;
+  for (auto& [key, watch] : this->watched) {
+    const bool isWaiting = watch.askedAt && now - *watch.askedAt < this->settings.pollPatience;
+    if (now < watch.nextPoll || isWaiting) {
+      continue;
+    }
+    watch.nextPoll = std::max(watch.nextPoll + this->settings.pollInterval, now);
+    watch.askedAt = now;
+    due.push_back(this->facts.at(key).host);
+  }
+  return due;
+}
+
+void
+LoadWatch::OnPolled(const std::string& aEndpointId, const Result<EndpointLoad>& aLoad)
+{
+  const EndpointKey key = ToEndpointKey(aEndpointId);
+  const auto fact = this->facts.find(key);
+  const auto watch = this->watched.find(key);
+  if (fact == this->facts.end() || watch == this->watched.end()) {
+    return;
+  }
+  watch->second.askedAt.reset();
+  if (aLoad) {
+    this->OnPollAnswered(fact->second, watch->second, aLoad.value());
+  } else {
+    this->OnPollFailed(fact->second, watch->second);
+  }
+}
+
+bool
+LoadWatch::Report(const std::string& aEndpointId, EndpointState aState, Milliseconds aGrace)
+{
+  const EndpointKey key = ToEndpointKey(aEndpointId);
+  const auto known = this->facts.find(key);
+  const std::uint32_t version = known == this->facts.end() ? 1 : known->second.stateVersion + 1;
+  if (known != this->facts.end() && known->second.state == aState) {
+    return false;
+  }
+  const auto grace =
+    std::clamp<std::int64_t>(aGrace.count(), 0, std::numeric_limits<std::uint32_t>::max());
+  return this->Merge(StateFact{ key, aState, version, static_cast<std::uint32_t>(grace) });
+}
+
+bool
+LoadWatch::Merge(const LoadFact& aFact)
+{
+  const auto found = this->facts.find(aFact.key);
+  if (found == this->facts.end()) {
+    return false;
+  }
+  EndpointFact& known = found->second;
+  if (!known.load || IsNewerReading(aFact.asOf, known.load->asOf)) {
+    known.load = aFact;
+    known.observedAt = this->clock.Now() - aFact.age * kAgeUnit;
+  }
+  // A watcher may hold an even newer reading of its own; it passes on that one
+  const bool isNews = !known.spread || IsNewerReading(aFact.asOf, known.spread->asOf);
+  if (isNews) {
+    known.spread = known.load;
+    known.spreadAt = this->clock.Now();
+    this->QueueLoad(known);
+  }
+  return isNews;
+}
+
+bool
+LoadWatch::Merge(const StateFact& aFact)
+{
+  const auto found = this->facts.find(aFact.key);
+  if (found != this->facts.end()) {
+    const bool isNews = Overrules(aFact, found->second);
+    if (isNews) {
+      this->SetState(found->second, aFact);
+    }
+    return isNews;
+  }
+  // Ahead of the host list. Grace counts down on the way, so that such news dies out.
+  const bool isKept = aFact.state == EndpointState::Leaving && aFact.graceLeft > 0 &&
+                      !this->departed.contains(aFact.key) && !this->early.contains(aFact.key);
+  if (isKept) {
+    this->early[aFact.key] = { aFact, this->clock.Now() + Milliseconds(aFact.graceLeft) };
+    this->dirtyStates.push_back(aFact.key);
+  }
+  return isKept;
+}
+
+std::vector<LoadFact>
+LoadWatch::TakeLoads(std::size_t aBytes, std::size_t aReceivers)
+{
+  this->RefillBudget();
+  const double cost = static_cast<double>(kLoadFactBytes * std::max<std::size_t>(1, aReceivers));
+  std::vector<LoadFact> loads;
+  std::size_t taken = 0;
+  while (taken < this->dirtyLoads.size() && (loads.size() + 1) * kLoadFactBytes <= aBytes &&
+         this->budget >= cost) {
+    const auto found = this->facts.find(this->dirtyLoads[taken++]);
+    if (found == this->facts.end()) {
+      continue;
+    }
+    EndpointFact& fact = found->second;
+    fact.loadQueued = false;
+    if (this->IsFresh(fact)) {
+      loads.push_back(this->WithAge(fact));
+      this->budget -= cost;
+    }
+  }
+  this->dirtyLoads.erase(this->dirtyLoads.begin(),
+                         this->dirtyLoads.begin() + static_cast<std::ptrdiff_t>(taken));
+  return loads;
+}
+
+std::vector<StateFact>
+LoadWatch::TakeStates(std::size_t aLimit)
+{
+  std::vector<StateFact> states;
+  while (!this->dirtyStates.empty() && states.size() < aLimit) {
+    const EndpointKey key = this->dirtyStates.back();
+    this->dirtyStates.pop_back();
+    const auto found = this->facts.find(key);
+    if (found != this->facts.end()) {
+      found->second.stateQueued = false;
+      states.push_back(this->WithGrace(found->second));
+      continue;
+    }
+    const auto news = this->early.find(key);
+    if (news != this->early.end()) {
+      states.push_back(news->second.fact);
+    }
+  }
+  return states;
+}
+
+std::vector<StateFact>
+LoadWatch::AllStates() const
+{
+  std::vector<StateFact> states;
+  for (const auto& [key, fact] : this->facts) {
+    if (!IsPlain(fact)) {
+      states.push_back(this->WithGrace(fact));
+    }
+  }
+  return states;
+}
+
+std::vector<LoadFact>
+LoadWatch::AllLoads() const
+{
+  std::vector<LoadFact> loads;
+  for (const auto& [key, fact] : this->facts) {
+    if (this->IsFresh(fact)) {
+      loads.push_back(this->WithAge(fact));
+    }
+  }
+  return loads;
+}
+
+void
+LoadWatch::AddProfile(EndpointProfile aProfile)
+{
+  if (this->profiles.size() >= this->settings.maximumProfiles) {
+    this->profiles.clear();
+  }
+  const std::uint32_t hash = aProfile.Hash();
+  this->profiles.insert_or_assign(hash, std::move(aProfile));
+}
+
+const EndpointProfile*
+LoadWatch::FindProfile(std::uint32_t aHash) const
+{
+  const auto found = this->profiles.find(aHash);
+  return found == this->profiles.end() ? nullptr : &found->second;
+}
+
+const std::unordered_map<EndpointKey, EndpointFact>&
+LoadWatch::Facts() const
+{
+  return this->facts;
+}
+
+std::optional<EndpointLoad>
+LoadWatch::LoadOf(const EndpointFact& aFact) const
+{
+  const EndpointProfile* const profile =
+    aFact.load ? this->FindProfile(aFact.load->profile) : nullptr;
+  if (profile == nullptr || !this->IsFresh(aFact)) {
+    return std::nullopt;
+  }
+  const auto age = this->clock.Now() - aFact.observedAt;
+  const WallTime asOf = this->clock.WallNow() - std::chrono::duration_cast<WallTime::duration>(age);
+  return ToEndpointLoad(*aFact.load, *profile, asOf);
+}
+
+std::size_t
+LoadWatch::WatchedCount() const
+{
+  return this->watched.size();
+}
+
+std::uint64_t
+LoadWatch::StateDigest() const
+{
+  std::uint64_t digest = 0;
+  for (const auto& [key, fact] : this->facts) {
+    if (!IsPlain(fact)) {
+      digest ^= StateHash(fact);
+    }
+  }
+  return digest;
+}
+
+void
+LoadWatch::ChooseWatched()
+{
+  std::unordered_map<EndpointKey, Watch> next;
+  const TimePoint now = this->clock.Now();
+  for (const auto& [key, fact] : this->facts) {
+    // Among the best few by rendezvous weight
+    const auto own = RendezvousWeight(key, this->self);
+    const auto better =
+      std::count_if(this->daemons.begin(), this->daemons.end(), [&, subject = key](PeerKey aPeer) {
+        return aPeer != this->self && RendezvousWeight(subject, aPeer) > own;
+      });
+    if (static_cast<std::size_t>(better) >= this->settings.watchersPerEndpoint) {
+      continue;
+    }
+    auto known = this->watched.extract(key);
+    if (!known.empty()) {
+      next.insert(std::move(known));
+      continue;
+    }
+    // Spreads the polls of one daemon, and those of one endpoint's watchers, over the interval
+    const auto phase = own % static_cast<std::uint64_t>(
+                               std::max<std::int64_t>(1, this->settings.pollInterval.count()));
+    next[key].nextPoll = now + Milliseconds(phase);
+  }
+  this->watched = std::move(next);
+}
+
+void
+LoadWatch::OnPollFailed(EndpointFact& aFact, Watch& aWatch)
+{
+  if (aWatch.failures++ == 0) {
+    aWatch.failingSince = this->clock.Now();
+  }
+  // Another watcher that still reads it knows better: the fault lies between it and this daemon
+  const bool isRead = aFact.load && aFact.observedAt >= aWatch.failingSince;
+  if (aWatch.failures >= this->settings.failuresToEject && !isRead &&
+      aFact.state == EndpointState::Live) {
+    this->SetState(aFact, { aFact.key, EndpointState::Ejected, aFact.stateVersion + 1, 0 });
+  }
+}
+
+void
+LoadWatch::OnPollAnswered(EndpointFact& aFact, Watch& aWatch, const EndpointLoad& aLoad)
+{
+  aWatch.failures = 0;
+  if (aFact.state == EndpointState::Ejected) {
+    this->SetState(aFact, { aFact.key, EndpointState::Live, aFact.stateVersion + 1, 0 });
+  }
+  const LoadFact reading = this->ToFact(aFact.key, aLoad);
+  if (aFact.load && !IsNewerReading(reading.asOf, aFact.load->asOf)) {
+    return;
+  }
+  aFact.load = reading;
+  aFact.observedAt = this->clock.Now() - reading.age * kAgeUnit;
+  if (this->IsWorthSpreading(aFact, reading)) {
+    aFact.spread = reading;
+    aFact.spreadAt = this->clock.Now();
+    this->QueueLoad(aFact);
+  }
+}
+
+void
+LoadWatch::SetState(EndpointFact& aFact, const StateFact& aNews)
+{
+  aFact.state = aNews.state;
+  aFact.stateVersion = aNews.version;
+  aFact.goneAfter.reset();
+  if (aNews.state == EndpointState::Leaving && aNews.graceLeft > 0) {
+    aFact.goneAfter = this->clock.Now() + Milliseconds(aNews.graceLeft);
+  }
+  if (!aFact.stateQueued) {
+    aFact.stateQueued = true;
+    this->dirtyStates.push_back(aFact.key);
+  }
+}
+
+void
+LoadWatch::QueueLoad(EndpointFact& aFact)
+{
+  if (!aFact.loadQueued) {
+    aFact.loadQueued = true;
+    this->dirtyLoads.push_back(aFact.key);
+  }
+}
+
+void
+LoadWatch::RefillBudget()
+{
+  const TimePoint now = this->clock.Now();
+  const double rate = static_cast<double>(this->settings.spreadBytesPerSecond);
+  const double seconds = std::chrono::duration<double>(now - this->refilled).count();
+  this->budget = std::min(rate, this->budget + rate * seconds);
+  this->refilled = now;
+}
+
+void
+LoadWatch::ForgetDeparted()
+{
+  const TimePoint now = this->clock.Now();
+  std::erase_if(this->departed, [&](const auto& aItem) {
+    return now - aItem.second > this->settings.departedMemory;
+  });
+  std::erase_if(this->early, [&](const auto& aItem) { return aItem.second.goneAfter < now; });
+}
+
+bool
+LoadWatch::IsWorthSpreading(const EndpointFact& aFact, const LoadFact& aReading) const
+{
+  if (!aFact.spread) {
+    return true;
+  }
+  const auto gap = this->clock.Now() - aFact.spreadAt;
+  const bool isMaterial = DiffersMaterially(*aFact.spread, aReading, this->settings.materialChange);
+  return gap >= this->settings.maximumPublishGap ||
+         (isMaterial && gap >= this->settings.minimumPublishGap);
+}
+
+LoadFact
+LoadWatch::ToFact(EndpointKey aKey, const EndpointLoad& aLoad)
+{
+  EndpointProfile profile{ aLoad.role, aLoad.kvBlocksTotal, aLoad.models };
+  const std::uint32_t hash = profile.Hash();
+  if (this->FindProfile(hash) == nullptr) {
+    this->AddProfile(std::move(profile));
+  }
+  return ToLoadFact(aKey, aLoad, this->clock.WallNow() - aLoad.asOf, hash);
+}
+
+LoadFact
+LoadWatch::WithAge(const EndpointFact& aFact) const
+{
+  LoadFact load = *aFact.load;
+  load.age = ToAgeUnits(this->clock.Now() - aFact.observedAt);
+  return load;
+}
+
+StateFact
+LoadWatch::WithGrace(const EndpointFact& aFact) const
+{
+  StateFact fact{ aFact.key, aFact.state, aFact.stateVersion, 0 };
+  if (aFact.goneAfter) {
+    const auto left =
+      std::chrono::duration_cast<Milliseconds>(*aFact.goneAfter - this->clock.Now());
+    fact.graceLeft = static_cast<std::uint32_t>(std::max<std::int64_t>(0, left.count()));
+  }
+  return fact;
+}
+
+bool
+LoadWatch::IsFresh(const EndpointFact& aFact) const
+{
+  return aFact.load && this->clock.Now() - aFact.observedAt <= this->settings.staleAfter;
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Membership/LoadWatch.h
+++ b/Lagoonward/Membership/LoadWatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Result.h"
+#include "Lagoonward/Membership/EndpointFact.h"
 #include "Lagoonward/Membership/MembershipSettings.h"
 #include "Lagoonward/Membership/Messages.h"
 #include "Lagoonward/Platform/PlatformInterfaces.h"
@@ -12,18 +13,6 @@
 
 namespace lagoonward {
 
-/// What this daemon knows of one endpoint of its region.
-struct EndpointFact
-{
-  HostEntry host;
-  EndpointKey key = 0;
-  EndpointState state = EndpointState::Live;
-  std::uint32_t stateVersion = 0;
-  std::optional<TimePoint> goneAfter; ///< Last moment at which a leaving endpoint is promised.
-  std::optional<LoadFact> load;       ///< `age` as of arrival; use `observedAt`.
-  TimePoint observedAt;               ///< When the load was read, on this daemon's clock.
-};
-
 /// Load, state and reclaim news of the region's endpoints. Each endpoint is polled by a few daemons
 /// of its region, chosen by rendezvous hashing; what they read spreads from daemon to daemon. Of
 /// two readings the one that is newer on the endpoint's own clock wins; `Leaving` is final.
@@ -35,8 +24,8 @@
 public:
   LoadWatch(const Clock& aClock, PeerKey aSelf, LoadWatchSettings aSettings);
 
-  /// Replaces the endpoints of the region. Facts of those that stay are kept; facts that came ahead
-  /// of the host list are remembered until it names their endpoint.
+  /// Replaces the endpoints of the region. Facts of those that stay are kept. News of a leaving
+  /// endpoint that came ahead of the host list is remembered until its grace is over.
   void SetEndpoints(std::vector<HostEntry> aEndpoints);
 
   /// Daemons among which watchers are chosen, this one included.
@@ -93,20 +82,28 @@
     TimePoint nextPoll;
     std::size_t failures = 0;
     TimePoint failingSince;
-    std::optional<LoadFact> published;
-    TimePoint publishedAt;
+    std::optional<TimePoint> askedAt; ///< A poll that has not ended.
+  };
+
+  /// A leaving endpoint that the host list does not name yet.
+  struct EarlyNews
+  {
+    StateFact fact;
+    TimePoint goneAfter;
   };
 
   void ChooseWatched();
-  void Eject(const std::string& aEndpointId, Watch& aWatch);
-  [[nodiscard]] bool IsWorthPublishing(const Watch& aWatch, const LoadFact& aFact) const;
+  void OnPollFailed(EndpointFact& aFact, Watch& aWatch);
+  void OnPollAnswered(EndpointFact& aFact, Watch& aWatch, const EndpointLoad& aLoad);
+  void SetState(EndpointFact& aFact, const StateFact& aNews);
+  void QueueLoad(EndpointFact& aFact);
+  void RefillBudget();
+  void ForgetDeparted();
+  [[nodiscard]] bool IsWorthSpreading(const EndpointFact& aFact, const LoadFact& aReading) const;
   [[nodiscard]] LoadFact ToFact(EndpointKey aKey, const EndpointLoad& aLoad);
   [[nodiscard]] LoadFact WithAge(const EndpointFact& aFact) const;
-  [[nodiscard]] StateFact ToStateFact(const EndpointFact& aFact) const;
-  void StoreLoad(EndpointFact& aTarget, const LoadFact& aFact);
-  void ApplyState(EndpointFact& aTarget, EndpointState aState, std::uint32_t aVersion,
-                  Milliseconds aGrace);
-  void RefillBudget();
+  [[nodiscard]] StateFact WithGrace(const EndpointFact& aFact) const;
+  [[nodiscard]] bool IsFresh(const EndpointFact& aFact) const;
 
   const Clock& clock;
   PeerKey self;
@@ -114,13 +111,13 @@
   std::vector<PeerKey> daemons;
   std::unordered_map<EndpointKey, EndpointFact> facts;
   std::unordered_map<EndpointKey, Watch> watched;
-  std::unordered_map<EndpointKey, StateFact> early; ///< States of endpoints not listed yet.
+  std::unordered_map<EndpointKey, EarlyNews> early;
+  std::unordered_map<EndpointKey, TimePoint> departed; ///< Not listed any more, since when.
   std::unordered_map<std::uint32_t, EndpointProfile> profiles;
-  std::vector<EndpointKey> dirtyLoads;
+  std::vector<EndpointKey> dirtyLoads; ///< The longest waiting first.
   std::vector<EndpointKey> dirtyStates;
-  double budget;
+  double budget; ///< Load bytes that may be sent now.
   TimePoint refilled;
-  std::uint64_t stateDigest = 0;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Membership/MembershipService.h
+++ b/Lagoonward/Membership/MembershipService.h
@@ -5,13 +5,13 @@
 #include "Lagoonward/Membership/ControlLoop.h"
 #include "Lagoonward/Membership/LoadWatch.h"
 #include "Lagoonward/Membership/MembershipSettings.h"
+#include "Lagoonward/Membership/PeerExchange.h"
 #include "Lagoonward/Membership/PeerTable.h"
 #include "Lagoonward/Membership/PeerTransport.h"
 #include "Lagoonward/Membership/SharedStates.h"
 #include "Lagoonward/Membership/SoftRecords.h"
 #include "Lagoonward/Platform/PlatformInterfaces.h"
 
-#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -79,7 +79,8 @@
   /// refuses it (malformed); it is then neither kept nor passed on.
   void OnState(SharedStates::Validator aHandler);
 
-  /// Called on the control thread when facts about endpoints have changed, at most once a tick.
+  /// Called on the control thread when facts about endpoints have changed: at once for a state, at
+  /// most once a tick for loads.
   void OnEndpoints(std::function<void()> aHandler);
 
   /// Called on the control thread after a new peer view was published.
@@ -97,12 +98,12 @@
 
   /// Asks the siblings that may hold a key's record, one after the other. The handler gets nothing
   /// when nobody has one. Any thread; the handler runs on the control thread.
-  void FindRecord(std::uint64_t aKeyHash,
-                  std::function<void(std::optional<SoftRecord> aRecord)> aHandler);
+  void FindRecord(std::uint64_t aKeyHash, PeerExchange::Found aHandler);
 
-private:
-  struct Search;
+  /// Bytes and messages so far.
+  [[nodiscard]] const TransportCounters& Counters() const;
 
+private:
   void Tick();
   void SendProbes();
   void SendLoads();
@@ -111,17 +112,17 @@
   void PublishPeers();
   void TakeDatagram(PeerKey aSender, const Datagram& aDatagram);
   void TakeNews(PeerKey aSender, const Datagram& aDatagram);
-  void FillDatagram(Datagram& aDatagram);
+  void Answer(PeerKey aSender, const Datagram& aDatagram);
+  void PassOnAck(PeerKey aSender);
   void SendTo(PeerKey aPeer, Datagram aDatagram);
-  void RegisterHandlers();
-  void Join();
-  void Repair(PeerKey aFrom);
-  void TakeExchange(const StateExchange& aExchange, PeerKey aFrom);
-  void FetchState(PeerKey aFrom, const VersionNote& aNote);
-  void FetchProfile(PeerKey aFrom, std::uint32_t aProfile);
-  void SearchNext(const std::shared_ptr<Search>& aSearch);
-  [[nodiscard]] std::uint64_t Digest() const;
-  [[nodiscard]] StateExchange CollectStates(bool aAll);
+
+  /// Someone who waits for this daemon's probe of a third one.
+  struct IndirectProbe
+  {
+    PeerKey asker = 0;
+    std::uint32_t nonce = 0;
+    TimePoint since;
+  };
 
   const Clock& clock;
   MembershipIdentity identity;
@@ -134,12 +135,13 @@
   LoadWatch loads;
   SharedStates states;
   SoftRecords records;
+  PeerExchange exchange;
   std::function<void()> endpointsHandler;
   std::function<void(const PeerViewPtr&)> peersHandler;
   PeerViewPtr view; ///< Read and written with std::atomic_load and std::atomic_store.
-  TimePoint lastRepair;
-  bool joined = false;
-  std::unordered_map<std::uint64_t, TimePoint> fetching; ///< States and profiles asked for, by key.
+  std::unordered_map<PeerKey, std::vector<IndirectProbe>> indirect; ///< By the daemon probed.
+  TimePoint lastSpread;
+  bool endpointsChanged = false;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Membership/MembershipSettings.h
+++ b/Lagoonward/Membership/MembershipSettings.h
@@ -20,9 +20,10 @@
   Milliseconds suspicionToDead{ 4000 };     ///< Time a suspect has to refute.
   Milliseconds selfIsolation{ 3000 };       ///< After hearing nobody this long, suspect nobody.
   Milliseconds regionSilence{ 8000 };       ///< Silence after which a region counts as cut off.
-  Milliseconds deadRetention{ 60000 };      ///< How long a dead or unlisted peer is remembered.
-  std::size_t retransmitFactor = 3;         ///< Sends of one change: this times log2(peers).
-  std::size_t changesPerDatagram = 8;       ///< Membership changes carried by one datagram.
+  Milliseconds ownPause{ 1000 }; ///< A gap between two ticks that counts as a pause of ours.
+  Milliseconds deadProbeInterval{ 5000 }; ///< Between probes of removed, but listed daemons.
+  Milliseconds deadRetention{ 60000 };    ///< How long a dead or unlisted peer is remembered.
+  std::size_t retransmitFactor = 3;       ///< Sends of one change: this times log2(peers).
 };
 
 /// Tunables of load watching and of the spreading of endpoint facts.
@@ -37,6 +38,9 @@
   Milliseconds maximumPublishGap{ 4000 };  ///< Even an unchanged reading spreads this often.
   double materialChange = 0.1;             ///< Share by which a reading must move to spread early.
   Milliseconds staleAfter{ 10000 };        ///< A load older than this is not given out.
+  Milliseconds pollPatience{ 5000 };       ///< After this a poll counts as lost.
+  Milliseconds departedMemory{ 300000 };   ///< News of unlisted endpoints is ignored this long.
+  std::size_t maximumProfiles = 1024;      ///< Profiles kept at once.
   std::size_t failuresToEject = 3;         ///< Failed polls in a row before ejecting.
   std::size_t spreadBytesPerSecond = 8000; ///< Load bytes sent a second, all peers together.
 };
@@ -44,9 +48,10 @@
 /// Tunables of sockets and framing.
 struct PeerTransportSettings
 {
-  std::size_t maximumDatagram = 1200;    ///< Bytes of one datagram, within any path's MTU.
-  std::size_t maximumFrame = 1U << 20U;  ///< Bytes of one TCP frame.
-  std::size_t maximumConnections = 256;  ///< Accepted TCP connections at once.
+  std::size_t maximumDatagram = 1200;        ///< Bytes of one datagram, within any path's MTU.
+  std::size_t maximumFrame = 1U << 20U;      ///< Bytes of one TCP frame.
+  std::size_t maximumFirstFrame = 1U << 16U; ///< Bytes of a frame of a peer not yet authenticated.
+  std::size_t maximumConnections = 256;      ///< Accepted TCP connections at once.
   std::size_t maximumQueued = 4U << 20U; ///< Unsent bytes of one connection before it is closed.
   Milliseconds frameTimeout{ 5000 };     ///< For one frame to arrive whole once begun.
   Milliseconds idleTimeout{ 30000 };     ///< Unused connections are closed after this.
@@ -59,6 +64,7 @@
 {
   std::size_t maximumRecords = 20000; ///< Kept at once; the one that expires first goes first.
   Milliseconds lifetime{ 600000 };    ///< Upper bound for a record's expiry.
+  std::size_t searchedHolders = 3;    ///< Daemons asked for a record, one after the other.
 };
 
 /// All tunables of the membership subsystem.
@@ -70,6 +76,9 @@
   SoftRecordSettings softRecords;
   Milliseconds tick{ 100 };            ///< Resolution of the control thread's periodic work.
   Milliseconds requestTimeout{ 2000 }; ///< For a request between daemons.
+  Milliseconds repairPatience{
+    500
+  }; ///< A difference is repaired only after this long without news.
   Milliseconds repairInterval{ 2000 }; ///< Least time between two repairs by full exchange.
 };
 
--- a/Lagoonward/Membership/Messages.h
+++ b/Lagoonward/Membership/Messages.h
@@ -53,8 +53,8 @@
 };
 
 /// One reading of an endpoint's load. Readings of one endpoint are ordered by the endpoint's own
-/// clock, which is why two watchers never disagree on which is newer; the age travels beside it, so
-/// that no two hosts' clocks are ever compared.
+/// clock, which is why two watchers never disagree on which is newer. The age travels beside it: the
+/// endpoint's clock is compared with another one only once, by the watcher that took the reading.
 struct LoadFact
 {
   EndpointKey key = 0;
@@ -82,7 +82,7 @@
   EndpointKey key = 0;
   EndpointState state = EndpointState::Live;
   std::uint32_t version = 0;
-  std::uint32_t graceLeft = 0; ///< Milliseconds until a leaving endpoint may vanish.
+  std::uint32_t graceLeft = 0; ///< Milliseconds until a leaving endpoint may vanish; 0: not known.
 
   template<class Archive>
   void serialize(Archive& aArchive)
--- a/Lagoonward/Membership/PeerConnection.h
+++ b/Lagoonward/Membership/PeerConnection.h
@@ -41,6 +41,9 @@
   /// Whether it sat idle, or a frame has been incomplete, for too long.
   [[nodiscard]] bool IsExpired(TimePoint aNow) const;
 
+  /// Whether the other end has been heard: nothing queued before that can have been carried out.
+  [[nodiscard]] bool IsOpen() const;
+
   /// Whether bytes wait for the socket.
   [[nodiscard]] bool WantsToWrite() const;
 
@@ -51,7 +54,10 @@
   [[nodiscard]] std::uint64_t TakeReceivedBytes();
 
 private:
+  [[nodiscard]] bool HasNonce() const;
   [[nodiscard]] bool TakeNonce();
+  [[nodiscard]] std::size_t FrameLimit() const;
+  void Seal(const Frame& aFrame);
   [[nodiscard]] bool TakeFrames(std::vector<Frame>& aFrames);
   void SealWaiting();
 
@@ -65,8 +71,9 @@
   std::string outgoing;
   std::uint64_t framesSent = 0;
   std::uint64_t framesReceived = 0;
+  std::size_t written = 0; ///< Bytes of `outgoing` that the socket has taken.
   TimePoint lastActive;
-  TimePoint partialSince; ///< When the incomplete frame in `incoming` began.
+  TimePoint partialSince; ///< When the wait for the next complete frame began.
   std::uint64_t sentBytes = 0;
   std::uint64_t receivedBytes = 0;
 };
--- /dev/null
+++ b/Lagoonward/Membership/PeerTable.cpp
@@ -0,0 +1,424 @@
+#include "Lagoonward/Membership/PeerTable.h"
+
+#include <algorithm>
+#include <bit>
+#include <set>
+
+namespace lagoonward {
+
+namespace {
+
+PeerInfo
+ToInfo(const HostEntry& aHost)
+{
+  return { aHost.id, aHost.address, aHost.port, aHost.failureDomain, aHost.region };
+}
+
+} // namespace
+
+PeerTable::PeerTable(const Clock& aClock, PeerInfo aSelf, std::uint64_t aIncarnation,
+                     PeerTableSettings aSettings)
+  : clock(aClock)
+  , self(std::move(aSelf))
+  , selfKey(this->self.Key())
+  , incarnation(aIncarnation)
+  , settings(aSettings)
+  , lastHeardAny(aClock.Now())
+  , lastTick(aClock.Now())
+  , region(this->selfKey)
+  , plan(aClock, this->selfKey, this->settings)
+{
+  this->changes.Add(this->selfKey);
+}
+
+void
+PeerTable::SetOwnPort(std::uint16_t aPort)
+{
+  this->self.port = aPort;
+}
+
+void
+PeerTable::ApplyHostList(std::span<const HostEntry> aHosts)
+{
+  for (auto& [key, entry] : this->entries) {
+    entry.listed = false;
+  }
+  for (const HostEntry& host : aHosts) {
+    if (host.kind != HostEntry::Kind::Daemon || host.id == this->self.id) {
+      continue;
+    }
+    const auto found = this->entries.find(ToPeerKey(host.id));
+    PeerEntry* const entry = found != this->entries.end()
+                               ? &found->second
+                               : this->Insert(ToInfo(host), 0, PeerState::Alive);
+    if (entry == nullptr) {
+      continue;
+    }
+    entry->listed = true;
+    if (host.leaving && entry->peer.state == PeerState::Alive) {
+      this->SetState(*entry, PeerState::Leaving, entry->peer.incarnation);
+    }
+  }
+}
+
+void
+PeerTable::Apply(const PeerChange& aChange)
+{
+  if (aChange.key == this->selfKey) {
+    this->RefuteIfNeeded(aChange);
+    return;
+  }
+  const auto found = this->entries.find(aChange.key);
+  if (found == this->entries.end()) {
+    const bool isUsable =
+      aChange.info && aChange.info->Key() == aChange.key && aChange.state != PeerState::Dead;
+    if (isUsable && this->Insert(*aChange.info, aChange.incarnation, aChange.state) != nullptr) {
+      this->changes.Add(aChange.key);
+    }
+    return;
+  }
+  PeerEntry& entry = found->second;
+  const bool isNewer = aChange.incarnation > entry.peer.incarnation;
+  const bool overrules =
+    aChange.incarnation == entry.peer.incarnation && aChange.state > entry.peer.state;
+  if (!isNewer && !overrules) {
+    return;
+  }
+  // A restarted daemon may have come back at another address
+  if (isNewer && aChange.info && aChange.info->Key() == aChange.key &&
+      ChangeQueue::Fits(*aChange.info)) {
+    entry.peer.info = *aChange.info;
+  }
+  this->SetState(entry, aChange.state, aChange.incarnation);
+  this->changes.Add(aChange.key);
+}
+
+void
+PeerTable::OnHeard(PeerKey aPeer, std::uint64_t aIncarnation, PeerState aState)
+{
+  const auto found = this->entries.find(aPeer);
+  if (found == this->entries.end()) {
+    return;
+  }
+  PeerEntry& entry = found->second;
+  this->NoteHeard(entry);
+  const bool isNewer = aIncarnation > entry.peer.incarnation;
+  const bool leaves = aIncarnation == entry.peer.incarnation && aState == PeerState::Leaving &&
+                      entry.peer.state == PeerState::Alive;
+  if (isNewer || leaves) {
+    // First contact with a listed daemon is no news to the others
+    const bool isFirst = entry.peer.incarnation == 0 && aState == PeerState::Alive;
+    this->SetState(entry, aState, aIncarnation);
+    if (!isFirst) {
+      this->changes.Add(aPeer);
+    }
+  }
+}
+
+void
+PeerTable::OnHeard(PeerKey aPeer)
+{
+  const auto found = this->entries.find(aPeer);
+  if (found != this->entries.end()) {
+    this->NoteHeard(found->second);
+  }
+}
+
+void
+PeerTable::OnIndirectAck(PeerKey aSubject)
+{
+  const auto found = this->entries.find(aSubject);
+  if (found != this->entries.end()) {
+    found->second.lastHeard = this->clock.Now();
+    found->second.indirectSent = false;
+  }
+}
+
+std::vector<ProbeOrder>
+PeerTable::Tick()
+{
+  this->CheckOwnPause();
+  for (auto& [key, entry] : this->entries) {
+    this->MoveSuspicion(entry);
+  }
+  this->Forget();
+  if (this->targetsStale) {
+    this->targetsStale = false;
+    this->region.Rebuild(this->entries);
+    this->plan.ChooseTargets(this->entries, this->region);
+  }
+  this->UpdateReachability();
+  // A remote target that does not answer is replaced; only its own region may find it dead
+  this->plan.RotateRemoteTargets(this->entries);
+  return this->plan.Due(this->entries, this->region, this->IsIsolated());
+}
+
+void
+PeerTable::Leave()
+{
+  if (this->ownState != PeerState::Leaving) {
+    this->ownState = PeerState::Leaving;
+    ++this->incarnation;
+    this->changes.Add(this->selfKey);
+  }
+}
+
+std::vector<PeerChange>
+PeerTable::TakeChanges(PeerKey aTo, std::size_t aBytes)
+{
+  std::vector<PeerChange> taken;
+  std::size_t used = 0;
+  // A suspect that still gets our datagrams is told, so that it can refute
+  const auto receiver = this->entries.find(aTo);
+  if (receiver != this->entries.end() && receiver->second.peer.state >= PeerState::Suspect) {
+    taken.push_back(this->ToChange(receiver->second));
+    used = ChangeQueue::WireBytes(taken.front());
+  }
+  const auto read = [this](PeerKey aKey) -> std::optional<PeerChange> {
+    if (aKey == this->selfKey) {
+      return this->OwnChange();
+    }
+    const auto entry = this->entries.find(aKey);
+    return entry == this->entries.end() ? std::nullopt
+                                        : std::optional(this->ToChange(entry->second));
+  };
+  if (used <= aBytes) {
+    this->changes.Take(aBytes - used, this->SendLimit(), read, taken);
+  }
+  return taken;
+}
+
+std::vector<PeerChange>
+PeerTable::AllChanges() const
+{
+  std::vector<PeerChange> all{ this->OwnChange() };
+  for (const auto& [key, entry] : this->entries) {
+    if (entry.IsPresent()) {
+      all.push_back(this->ToChange(entry));
+    }
+  }
+  return all;
+}
+
+PeerViewPtr
+PeerTable::TakeView()
+{
+  if (!this->changed) {
+    return nullptr;
+  }
+  this->changed = false;
+  auto view = std::make_shared<PeerView>();
+  view->generation = ++this->generation;
+  view->unreachableRegions = this->unreachable;
+  for (const auto& [key, entry] : this->entries) {
+    if (entry.IsPresent()) {
+      view->peers.push_back(entry.peer);
+    }
+  }
+  return view;
+}
+
+std::vector<PeerKey>
+PeerTable::RemotePeers() const
+{
+  std::vector<PeerKey> keys;
+  for (const auto& [key, entry] : this->entries) {
+    if (entry.probed && !entry.regional) {
+      keys.push_back(key);
+    }
+  }
+  return keys;
+}
+
+const RegionGraph&
+PeerTable::Region() const
+{
+  return this->region;
+}
+
+const Peer*
+PeerTable::Find(PeerKey aKey) const
+{
+  const auto found = this->entries.find(aKey);
+  return found == this->entries.end() ? nullptr : &found->second.peer;
+}
+
+std::uint64_t
+PeerTable::Incarnation() const
+{
+  return this->incarnation;
+}
+
+PeerState
+PeerTable::OwnState() const
+{
+  return this->ownState;
+}
+
+PeerEntry*
+PeerTable::Insert(const PeerInfo& aInfo, std::uint64_t aIncarnation, PeerState aState)
+{
+  if (!ChangeQueue::Fits(aInfo)) {
+    return nullptr;
+  }
+  PeerEntry& entry = this->entries[aInfo.Key()];
+  entry.peer.info = aInfo;
+  entry.peer.key = aInfo.Key();
+  entry.regional = aInfo.region == this->self.region;
+  entry.lastHeard = this->clock.Now();
+  if (!entry.regional) {
+    this->regionHeard.emplace(aInfo.region, this->clock.Now());
+  }
+  this->SetState(entry, aState, aIncarnation);
+  return &entry;
+}
+
+void
+PeerTable::SetState(PeerEntry& aEntry, PeerState aState, std::uint64_t aIncarnation)
+{
+  aEntry.peer.state = aState;
+  aEntry.peer.incarnation = aIncarnation;
+  aEntry.stateSince = this->clock.Now();
+  this->changed = true;
+  this->targetsStale = true;
+}
+
+void
+PeerTable::RefuteIfNeeded(const PeerChange& aChange)
+{
+  const bool isNewer = aChange.incarnation > this->incarnation;
+  const bool overrules = aChange.incarnation == this->incarnation && aChange.state > this->ownState;
+  if (isNewer || overrules) {
+    this->incarnation = aChange.incarnation + 1;
+    this->changes.Add(this->selfKey);
+  }
+}
+
+void
+PeerTable::NoteHeard(PeerEntry& aEntry)
+{
+  const TimePoint now = this->clock.Now();
+  if (this->IsIsolated()) {
+    this->ExcuseSilence(now);
+  }
+  this->lastHeardAny = now;
+  aEntry.lastHeard = now;
+  aEntry.indirectSent = false;
+  if (!aEntry.regional) {
+    this->regionHeard[aEntry.peer.info.region] = now;
+  }
+}
+
+void
+PeerTable::CheckOwnPause()
+{
+  const TimePoint now = this->clock.Now();
+  if (now - this->lastTick > this->settings.ownPause) {
+    this->ExcuseSilence(now);
+    this->lastHeardAny = now;
+  }
+  this->lastTick = now;
+}
+
+void
+PeerTable::ExcuseSilence(TimePoint aNow)
+{
+  // The silence was ours: every peer gets time to be heard, suspects at least half of theirs
+  const TimePoint latest = aNow - this->settings.suspicionToDead / 2;
+  for (auto& [key, entry] : this->entries) {
+    if (entry.peer.state == PeerState::Suspect) {
+      entry.stateSince = std::max(entry.stateSince, latest);
+    } else {
+      entry.lastHeard = aNow;
+    }
+  }
+}
+
+void
+PeerTable::MoveSuspicion(PeerEntry& aEntry)
+{
+  const TimePoint now = this->clock.Now();
+  if (!aEntry.regional || this->IsIsolated()) {
+    return;
+  }
+  const bool isTrusted =
+    aEntry.peer.state == PeerState::Alive || aEntry.peer.state == PeerState::Leaving;
+  if (isTrusted && aEntry.probed && now - aEntry.lastHeard > this->settings.silenceToSuspect) {
+    this->SetState(aEntry, PeerState::Suspect, aEntry.peer.incarnation);
+    this->changes.Add(aEntry.peer.key);
+  } else if (aEntry.peer.state == PeerState::Suspect &&
+             now - aEntry.stateSince > this->settings.suspicionToDead) {
+    this->SetState(aEntry, PeerState::Dead, aEntry.peer.incarnation);
+    this->changes.Add(aEntry.peer.key);
+  }
+}
+
+void
+PeerTable::Forget()
+{
+  const TimePoint now = this->clock.Now();
+  const auto isForgotten = [&](const auto& aItem) {
+    const PeerEntry& entry = aItem.second;
+    return !entry.listed && entry.peer.state == PeerState::Dead &&
+           now - entry.stateSince > this->settings.deadRetention;
+  };
+  std::erase_if(this->entries, isForgotten);
+
+  // Another region's daemon that the list no longer has, and that nobody hears here, goes as well
+  for (auto& [key, entry] : this->entries) {
+    const bool isStale = !entry.listed && !entry.regional && entry.IsPresent() &&
+                         now - entry.stateSince > this->settings.deadRetention &&
+                         now - entry.lastHeard > this->settings.deadRetention;
+    if (isStale) {
+      this->SetState(entry, PeerState::Dead, entry.peer.incarnation);
+    }
+  }
+}
+
+void
+PeerTable::UpdateReachability()
+{
+  const TimePoint now = this->clock.Now();
+  std::vector<std::string> silent;
+  for (const auto& [name, heard] : this->regionHeard) {
+    if (now - heard > this->settings.regionSilence) {
+      silent.push_back(name);
+    }
+  }
+  if (silent != this->unreachable) {
+    this->unreachable = std::move(silent);
+    this->changed = true;
+  }
+}
+
+bool
+PeerTable::IsIsolated() const
+{
+  return this->clock.Now() - this->lastHeardAny > this->settings.selfIsolation;
+}
+
+PeerChange
+PeerTable::ToChange(const PeerEntry& aEntry) const
+{
+  PeerChange change{ aEntry.peer.key, aEntry.peer.state, aEntry.peer.incarnation, std::nullopt };
+  // Of one that goes, nobody needs to know more
+  if (aEntry.peer.state <= PeerState::Leaving) {
+    change.info = aEntry.peer.info;
+  }
+  return change;
+}
+
+PeerChange
+PeerTable::OwnChange() const
+{
+  return { this->selfKey, this->ownState, this->incarnation, this->self };
+}
+
+std::size_t
+PeerTable::SendLimit() const
+{
+  const std::size_t bits = std::bit_width(this->region.Keys().size());
+  return std::max<std::size_t>(1, this->settings.retransmitFactor * bits);
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Membership/PeerTransport.h
+++ b/Lagoonward/Membership/PeerTransport.h
@@ -97,18 +97,35 @@
   [[nodiscard]] const TransportCounters& Counters() const;
 
 private:
-  struct Pending;
+  struct Pending
+  {
+    AnswerHandler handler;
+    std::uint64_t connection = 0;
+    ControlLoop::TimerId timer = 0;
+  };
+
+  struct Connection
+  {
+    std::unique_ptr<PeerConnection> stream;
+    PeerKey peer = 0; ///< Whom requests on it go to; zero for an accepted one.
+  };
 
   void ReadDatagrams();
   void TakeDatagram(std::string_view aBytes);
   void AcceptConnections();
-  [[nodiscard]] PeerConnection* ConnectTo(const PeerAddress& aTo);
-  void AddConnection(std::unique_ptr<PeerConnection> aConnection, PeerKey aPeer);
-  void TakeFrame(std::uint64_t aConnection, const Frame& aFrame);
+  [[nodiscard]] Result<std::uint64_t> ConnectTo(const PeerAddress& aTo);
+  [[nodiscard]] Result<std::uint64_t> AddConnection(UniqueFd aSocket, PeerConnection::Side aSide,
+                                                    PeerKey aPeer);
+  void Serve(std::uint64_t aConnection, std::uint32_t aEvents);
+  void Flush(std::uint64_t aConnection);
+  void Transmit(std::uint64_t aConnection, const Frame& aFrame);
   void TakeRequest(std::uint64_t aConnection, const Frame& aFrame);
+  void TakeAnswer(const Frame& aFrame);
   void CloseConnection(std::uint64_t aConnection);
   void Finish(std::uint64_t aRequest, Result<std::string> aAnswer);
-  void SweepConnections();
+  void Expire(std::uint64_t aRequest);
+  void Sweep();
+  [[nodiscard]] Respond MakeRespond(std::uint64_t aConnection, std::uint64_t aRequest);
 
   ControlLoop& loop;
   const Clock& clock;
@@ -126,11 +143,11 @@
   ReplayGuard replays;
   DatagramHandler datagramHandler;
   std::unordered_map<std::uint16_t, RequestHandler> requestHandlers;
-  std::unordered_map<std::uint64_t, std::unique_ptr<PeerConnection>> connections; ///< By number.
-  std::unordered_map<PeerKey, std::uint64_t> outgoing; ///< Connection for requests to a peer.
-  std::unordered_map<std::uint64_t, Pending> pending;  ///< Requests without an answer, by number.
-  std::shared_ptr<bool> alive; ///< False once closed; outlives this for late Respond calls.
+  std::unordered_map<std::uint64_t, Connection> connections; ///< By number.
+  std::unordered_map<PeerKey, std::uint64_t> outgoing;       ///< Connection for requests to a peer.
+  std::unordered_map<std::uint64_t, Pending> pending; ///< Requests without an answer, by number.
   TransportCounters counters;
+  ControlLoop::TimerId sweepTimer = 0;
 };
 
 } // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Membership/SharedStates.cpp
@@ -0,0 +1,86 @@
+#include "Lagoonward/Membership/SharedStates.h"
+
+namespace lagoonward {
+
+namespace {
+
+std::uint64_t
+NoteHash(std::uint64_t aTopic, std::int64_t aVersion)
+{
+  return CombineHashes(aTopic, static_cast<std::uint64_t>(aVersion));
+}
+
+} // namespace
+
+void
+SharedStates::SetValidator(Validator aValidator)
+{
+  this->validator = std::move(aValidator);
+}
+
+bool
+SharedStates::Publish(SharedState aState)
+{
+  return this->Store(std::move(aState));
+}
+
+bool
+SharedStates::Adopt(SharedState aState)
+{
+  if (!this->IsNews({ aState.Topic(), aState.version })) {
+    return false;
+  }
+  if (this->validator && !this->validator(aState)) {
+    return false;
+  }
+  return this->Store(std::move(aState));
+}
+
+bool
+SharedStates::IsNews(const VersionNote& aNote) const
+{
+  const SharedState* known = this->Find(aNote.topic);
+  return known == nullptr || aNote.version > known->version;
+}
+
+const SharedState*
+SharedStates::Find(std::uint64_t aTopic) const
+{
+  const auto found = this->states.find(aTopic);
+  return found == this->states.end() ? nullptr : &found->second;
+}
+
+std::vector<VersionNote>
+SharedStates::Notes() const
+{
+  std::vector<VersionNote> notes;
+  for (const auto& [topic, state] : this->states) {
+    notes.push_back({ topic, state.version });
+  }
+  return notes;
+}
+
+std::uint64_t
+SharedStates::Digest() const
+{
+  return this->digest;
+}
+
+bool
+SharedStates::Store(SharedState aState)
+{
+  const std::uint64_t topic = aState.Topic();
+  if (!this->IsNews({ topic, aState.version })) {
+    return false;
+  }
+  SharedState& slot = this->states[topic];
+  // Exclusive or takes the old version out and puts the new one in, in any order of topics
+  if (!slot.name.empty()) {
+    this->digest ^= NoteHash(topic, slot.version);
+  }
+  this->digest ^= NoteHash(topic, aState.version);
+  slot = std::move(aState);
+  return true;
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Membership/SoftRecords.h
+++ b/Lagoonward/Membership/SoftRecords.h
@@ -35,6 +35,19 @@
   }
 };
 
+/// Places a record with a sibling, or asks for the one with the same key.
+struct RecordRequest
+{
+  bool isPlacement = false;
+  SoftRecord record; ///< Only its key counts when asking.
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->isPlacement, this->record);
+  }
+};
+
 /// Records kept for siblings. Pure; bounded by SoftRecordSettings::maximumRecords: when full, the
 /// record that expires first goes. Losing one costs a re-run, never a wrong answer: requests that
 /// may not be repeated are guarded by claims in the log.
