--- /dev/null
+++ b/Bench/ControlBench.cpp
@@ -0,0 +1,327 @@
+#include "Bench/ControlBench.h"
+
+#include "Bench/ControlFleet.h"
+#include "Bench/LinearFit.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <iostream>
+#include <thread>
+
+namespace lagoonward {
+
+namespace {
+
+/// What is run, from the arguments.
+struct ControlBenchSettings
+{
+  std::vector<FleetSize> sizes;
+  Seconds settle{ 8 };
+  Seconds measured{ 15 };
+  std::size_t stateBytes = 8192; ///< About a manifest.
+  std::size_t rounds = 20;       ///< Repetitions of each spreading test.
+  bool json = false;
+};
+
+/// Figures of one fleet size, means over its daemons unless named otherwise.
+struct ControlFigures
+{
+  FleetSize size;
+  double sentPerSecond = 0;
+  double receivedPerSecond = 0;
+  double worstSentPerSecond = 0;
+  double worstReceivedPerSecond = 0;
+  double datagramsPerSecond = 0; ///< Sent.
+  double cpuShare = 0;           ///< Of one core.
+  double worstCpuShare = 0;
+  double residentBytes = 0; ///< Per daemon.
+  double polled = 0;        ///< Endpoints that a daemon polls.
+  std::vector<double> reclaim;
+  std::vector<double> domainReclaim;
+  std::vector<double> stateWithLog;
+  std::vector<double> stateWithoutLog;
+  std::vector<double> death;
+  std::size_t unreached = 0; ///< Daemons that missed a change within its time limit.
+};
+
+double
+ResidentBytes()
+{
+  std::ifstream statm("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  statm >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+double
+Quantile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return -1;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  const auto last = static_cast<double>(aValues.size() - 1);
+  return aValues[static_cast<std::size_t>(std::ceil(aShare * last))];
+}
+
+void
+Append(std::vector<double>& aTarget, const std::vector<double>& aValues, std::size_t aExpected,
+       ControlFigures& aFigures)
+{
+  aTarget.insert(aTarget.end(), aValues.begin(), aValues.end());
+  aFigures.unreached += aExpected - std::min(aExpected, aValues.size());
+}
+
+double
+PerSecond(std::uint64_t aAfter, std::uint64_t aBefore, double aSeconds)
+{
+  return static_cast<double>(aAfter - aBefore) / aSeconds;
+}
+
+void
+MeasureSteadyState(ControlFleet& aFleet, Seconds aSpan, ControlFigures& aFigures)
+{
+  const auto before = aFleet.Usage();
+  const TimePoint begun = aFleet.GetClock().Now();
+  std::this_thread::sleep_for(aSpan);
+  const auto after = aFleet.Usage();
+  const double seconds = std::chrono::duration<double>(aFleet.GetClock().Now() - begun).count();
+  const auto count = static_cast<double>(after.size());
+  for (std::size_t index = 0; index < after.size(); ++index) {
+    const TransportCounters& now = after[index].counters;
+    const TransportCounters& then = before[index].counters;
+    const double sent = PerSecond(now.datagramBytesSent + now.streamBytesSent,
+                                  then.datagramBytesSent + then.streamBytesSent, seconds);
+    const double received =
+      PerSecond(now.datagramBytesReceived + now.streamBytesReceived,
+                then.datagramBytesReceived + then.streamBytesReceived, seconds);
+    const double cpu =
+      std::chrono::duration<double>(after[index].cpu - before[index].cpu).count() / seconds;
+    aFigures.sentPerSecond += sent / count;
+    aFigures.receivedPerSecond += received / count;
+    aFigures.datagramsPerSecond +=
+      PerSecond(now.datagramsSent, then.datagramsSent, seconds) / count;
+    aFigures.cpuShare += cpu / count;
+    aFigures.polled += static_cast<double>(after[index].watched) / count;
+    aFigures.worstSentPerSecond = std::max(aFigures.worstSentPerSecond, sent);
+    aFigures.worstReceivedPerSecond = std::max(aFigures.worstReceivedPerSecond, received);
+    aFigures.worstCpuShare = std::max(aFigures.worstCpuShare, cpu);
+  }
+}
+
+void
+MeasureSpreading(ControlFleet& aFleet, const ControlBenchSettings& aSettings,
+                 ControlFigures& aFigures)
+{
+  const FleetSize size = aFigures.size;
+  const std::size_t regional = (size.daemons + size.regions - 1) / size.regions;
+  const std::size_t endpoints = size.endpoints / size.regions;
+  for (std::size_t round = 0; round < aSettings.rounds; ++round) {
+    const std::size_t publisher = round * 7 % size.daemons;
+    Append(aFigures.stateWithoutLog, aFleet.SpreadState(publisher, aSettings.stateBytes),
+           size.daemons, aFigures);
+    Append(aFigures.stateWithLog, aFleet.FollowLog(aSettings.stateBytes), size.daemons, aFigures);
+  }
+  // Single notices first, then what is left of half the endpoints at once
+  const std::size_t single = std::min(aSettings.rounds, endpoints / 4);
+  for (std::size_t index = 0; index < single; ++index) {
+    Append(aFigures.reclaim, aFleet.SpreadReclaim(std::array{ index }), regional, aFigures);
+  }
+  std::vector<std::size_t> domain;
+  for (std::size_t index = single; index < endpoints / 2; ++index) {
+    domain.push_back(index);
+  }
+  Append(aFigures.domainReclaim, aFleet.SpreadReclaim(domain), regional, aFigures);
+  Append(aFigures.death, aFleet.DetectDeath(size.daemons / 2), regional - 1, aFigures);
+}
+
+Result<ControlFigures>
+Measure(const FleetSize& aSize, const ControlBenchSettings& aSettings)
+{
+  std::cerr << fmt::format("control: {} daemons, {} endpoints, {} regions\n", aSize.daemons,
+                           aSize.endpoints, aSize.regions);
+  ControlFigures figures;
+  figures.size = aSize;
+  const double residentBefore = ResidentBytes();
+  ControlFleet fleet(aSize);
+  auto started = fleet.Start();
+  if (!started) {
+    return started.error();
+  }
+  std::this_thread::sleep_for(aSettings.settle);
+  MeasureSteadyState(fleet, aSettings.measured, figures);
+  figures.residentBytes = (ResidentBytes() - residentBefore) / static_cast<double>(aSize.daemons);
+  std::cerr << fmt::format("  sent {:.0f} B/s, received {:.0f} B/s, processor {:.3f}%\n",
+                           figures.sentPerSecond, figures.receivedPerSecond,
+                           100 * figures.cpuShare);
+  MeasureSpreading(fleet, aSettings, figures);
+  std::cerr << fmt::format(
+    "  known on all: reclaim p99 {:.1f} ms, state without log p99 {:.1f} ms\n",
+    Quantile(figures.reclaim, 0.99), Quantile(figures.stateWithoutLog, 0.99));
+  return figures;
+}
+
+nlohmann::json
+TimesToJson(const std::vector<double>& aTimes)
+{
+  return { { "p50_ms", Quantile(aTimes, 0.5) },
+           { "p99_ms", Quantile(aTimes, 0.99) },
+           { "max_ms", Quantile(aTimes, 1) },
+           { "samples", aTimes.size() } };
+}
+
+nlohmann::json
+ToJson(const ControlFigures& aFigures)
+{
+  return { { "daemons", aFigures.size.daemons },
+           { "endpoints", aFigures.size.endpoints },
+           { "regions", aFigures.size.regions },
+           { "sent_bytes_per_second", aFigures.sentPerSecond },
+           { "received_bytes_per_second", aFigures.receivedPerSecond },
+           { "worst_sent_bytes_per_second", aFigures.worstSentPerSecond },
+           { "worst_received_bytes_per_second", aFigures.worstReceivedPerSecond },
+           { "datagrams_sent_per_second", aFigures.datagramsPerSecond },
+           { "cpu_share", aFigures.cpuShare },
+           { "worst_cpu_share", aFigures.worstCpuShare },
+           { "resident_bytes", aFigures.residentBytes },
+           { "endpoints_polled", aFigures.polled },
+           { "reclaim_known", TimesToJson(aFigures.reclaim) },
+           { "domain_reclaim_known", TimesToJson(aFigures.domainReclaim) },
+           { "state_in_force_with_log", TimesToJson(aFigures.stateWithLog) },
+           { "state_in_force_without_log", TimesToJson(aFigures.stateWithoutLog) },
+           { "death_removed", TimesToJson(aFigures.death) },
+           { "unreached", aFigures.unreached } };
+}
+
+/// Slopes over the sizes: constant, per daemon of the region, per endpoint of the region.
+nlohmann::json
+SlopesToJson(const std::vector<ControlFigures>& aFigures)
+{
+  const auto fit = [&](double ControlFigures::*aField) -> nlohmann::json {
+    LinearFit fitted;
+    for (const ControlFigures& figures : aFigures) {
+      const auto regions = static_cast<double>(figures.size.regions);
+      fitted.Add(static_cast<double>(figures.size.daemons) / regions,
+                 static_cast<double>(figures.size.endpoints) / regions, figures.*aField);
+    }
+    const auto plane = fitted.Solve();
+    if (!plane) {
+      return nullptr;
+    }
+    return { { "constant", plane->constant },
+             { "per_daemon", plane->first },
+             { "per_endpoint", plane->second },
+             { "largest_residual", plane->largestResidual } };
+  };
+  return { { "sent_bytes_per_second", fit(&ControlFigures::sentPerSecond) },
+           { "received_bytes_per_second", fit(&ControlFigures::receivedPerSecond) },
+           { "cpu_share", fit(&ControlFigures::cpuShare) },
+           { "resident_bytes", fit(&ControlFigures::residentBytes) } };
+}
+
+/// Sizes of the platform's and the engines' JSON, which the control plane reads over HTTP.
+nlohmann::json
+SampleSizes()
+{
+  const nlohmann::json host{ { "id", "engine-0001" },
+                             { "kind", "engine" },
+                             { "address", "10.20.30.40" },
+                             { "port", 8000 },
+                             { "failure_domain", "bergen-a" },
+                             { "region", "vestland" },
+                             { "machine_class", "accel-8" },
+                             { "name", "" },
+                             { "state", "live" } };
+  nlohmann::json models = nlohmann::json::array();
+  for (const LoadedModel& model : SyntheticLoads(SystemClock(), {}).Read("engine").models) {
+    nlohmann::json adapters = nlohmann::json::array();
+    for (const LoadedAdapter& adapter : model.adapters) {
+      adapters.push_back({ { "name", adapter.name }, { "version", adapter.version } });
+    }
+    models.push_back(
+      { { "name", model.name }, { "version", model.version }, { "adapters", adapters } });
+  }
+  const nlohmann::json load{ { "waiting", 12 },          { "running", 40 },
+                             { "kv_blocks_used", 2400 }, { "kv_blocks_total", 4096 },
+                             { "role", "decode" },       { "as_of_ms", 1700000000000 },
+                             { "models", models } };
+  return { { "host_list_entry_bytes", host.dump().size() + 1 },
+           { "load_reply_bytes", load.dump().size() } };
+}
+
+ControlBenchSettings
+ReadArguments(std::span<const std::string_view> aArguments)
+{
+  ControlBenchSettings settings;
+  for (const std::size_t daemons : { 8, 32, 100 }) {
+    for (const std::size_t endpoints : { 13, 100, 293 }) {
+      settings.sizes.push_back({ daemons, endpoints, 1 });
+    }
+  }
+  for (std::size_t index = 0; index < aArguments.size(); ++index) {
+    const std::string_view argument = aArguments[index];
+    if (argument == "--json") {
+      settings.json = true;
+    } else if (argument == "--quick") {
+      settings.sizes = { { 8, 13, 1 } };
+    } else if (argument == "--full") {
+      settings.sizes = { { 380, 880, 3 } };
+    } else if (argument == "--seconds" && index + 1 < aArguments.size()) {
+      settings.measured = Seconds(std::atoi(std::string(aArguments[++index]).c_str()));
+    } else {
+      std::cerr << "control: unknown argument " << argument << '\n';
+      settings.sizes.clear();
+      return settings;
+    }
+  }
+  return settings;
+}
+
+void
+RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
+} // namespace
+
+int
+RunControlBench(std::span<const std::string_view> aArguments)
+{
+  const ControlBenchSettings settings = ReadArguments(aArguments);
+  if (settings.sizes.empty()) {
+    return 2;
+  }
+  RaiseDescriptorLimit();
+  std::vector<ControlFigures> all;
+  for (const FleetSize& size : settings.sizes) {
+    auto figures = Measure(size, settings);
+    if (!figures) {
+      std::cerr << "control: " << figures.error().message << '\n';
+      return 1;
+    }
+    all.push_back(std::move(figures.value()));
+  }
+  nlohmann::json document{ { "bench", "control" },
+                           { "sizes", nlohmann::json::array() },
+                           { "slopes", SlopesToJson(all) },
+                           { "samples", SampleSizes() } };
+  for (const ControlFigures& figures : all) {
+    document["sizes"].push_back(ToJson(figures));
+  }
+  std::cout << (settings.json ? document.dump() : document.dump(2)) << '\n';
+  return 0;
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Bench/ControlBench.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace lagoonward {
+
+/// `lagoonward-bench control`: control planes of many daemons in one process, over the real messages
+/// on loopback. Measures bytes, processor time and memory per daemon and the time until a change is
+/// known everywhere; fits the slopes per daemon and per endpoint.
+///
+/// Arguments: `--json` prints one JSON document; `--quick` runs one small size; `--full` runs only
+/// 380 daemons before 880 endpoints in 3 regions; `--seconds N` sets the time measured per size.
+/// @return exit code
+[[nodiscard]] int
+RunControlBench(std::span<const std::string_view> aArguments);
+
+} // namespace lagoonward
