--- a/StandIns/Faults.cpp
+++ b/StandIns/Faults.cpp
@@ -181,24 +181,29 @@
     aExchange->Respond(400, ErrorBody("unknown_fault", "No such fault here: " + fault.kind));
     return;
   }
+  this->Apply(fault, aExchange);
   aExchange->Respond(200, ToJson(fault).dump());
+}
+
+void
+Faults::Apply(const Fault& aFault, const Exchange& aExchange)
+{
   // Some act at once, on what is open now
-  if (fault.kind == "silent") {
+  if (aFault.kind == "silent") {
     const std::lock_guard lock(this->mutex);
     if (this->server != nullptr) {
-      this->scheduler.After(std::chrono::milliseconds(1),
-                            [target = this->server] { target->SilenceOpenConnections(); });
+      this->server->SilenceOtherConnections(*aExchange);
     }
     return;
   }
   for (const auto& [kind, action] : this->immediate) {
-    if (kind == fault.kind) {
-      action(fault);
+    if (kind == aFault.kind) {
+      action(aFault);
       return;
     }
   }
   const std::lock_guard lock(this->mutex);
-  this->faults.push_back(fault);
+  this->faults.push_back(aFault);
 }
 
 } // namespace lagoonward::standins
--- a/StandIns/Faults.h
+++ b/StandIns/Faults.h
@@ -57,6 +57,7 @@
 private:
   void HandleControl(const Exchange& aExchange);
   void Accept(const Exchange& aExchange);
+  void Apply(const Fault& aFault, const Exchange& aExchange);
   [[nodiscard]] bool IsKnown(const std::string& aKind) const;
   [[nodiscard]] bool IsOut(const Exchange& aExchange);
 
--- a/StandIns/Http/HttpServer.cpp
+++ b/StandIns/Http/HttpServer.cpp
@@ -105,11 +105,11 @@
 }
 
 void
-HttpServer::SilenceOpenConnections()
+HttpServer::SilenceOtherConnections(const HttpExchange& aExchange)
 {
   const std::lock_guard lock(this->mutex);
   for (const auto& connection : this->connections) {
-    connection->silent = true;
+    connection->silent = connection->silent || connection != aExchange.state;
   }
 }
 
--- a/StandIns/Http/HttpServer.h
+++ b/StandIns/Http/HttpServer.h
@@ -40,8 +40,9 @@
   /// The address that it listens on, with the port that was given.
   [[nodiscard]] const ListenAddress& Address() const { return this->listen; }
 
-  /// Every connection open now never carries a byte again; new ones work.
-  void SilenceOpenConnections();
+  /// Every connection open now, but for the exchange's own, never carries a byte again; new ones
+  /// work.
+  void SilenceOtherConnections(const HttpExchange& aExchange);
 
   /// Stops listening and cuts every connection. Not from the handler.
   void Stop();
