--- /dev/null
+++ b/Lagoonward/Daemon/ControlPlane.cpp
@@ -0,0 +1,237 @@
+#include "Lagoonward/Daemon/ControlPlane.h"
+
+#include "Lagoonward/Configuration/ConfigurationRecord.h"
+
+#include <algorithm>
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("control");
+
+/// Topics of shared states that carry a market's configuration.
+constexpr std::string_view kConfigurationTopic = "config/";
+
+/// How often markets without a configuration are looked at.
+constexpr Milliseconds kMarketCheck{ 500 };
+
+/// What a peer is told of a market: the checkpoint record, as it would stand in the log.
+SharedState
+ToSharedState(const Configuration& aConfiguration, Offset aThrough)
+{
+  ConfigurationRecord record;
+  record.kind = ConfigurationRecord::Kind::Checkpoint;
+  record.of = aConfiguration.offset;
+  record.through = aThrough;
+  record.manifest = aConfiguration.manifest;
+  return { std::string(kConfigurationTopic) + aConfiguration.market, aConfiguration.offset,
+           WriteConfigurationRecord(record) };
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(const Clock& aClock, MembershipService& aMembership, LoadPoller& aPoller,
+                           MarketDirectory& aMarkets, FleetStore& aFleet,
+                           std::function<void(const FleetSnapshotPtr& aSnapshot)> aOnFleet)
+  : clock(aClock)
+  , membership(aMembership)
+  , poller(aPoller)
+  , markets(aMarkets)
+  , fleet(aFleet)
+  , onFleet(std::move(aOnFleet))
+{
+  this->membership.OnEndpoints([this] { this->PublishFleet(); });
+  this->membership.OnState([this](const SharedState& aState) { return this->TakeState(aState); });
+  this->membership.OnPeers([this](const PeerViewPtr& aView) {
+    for (const MarketPtr& market : this->markets.InForce()) {
+      market->SetLiveDaemons(static_cast<int>(aView->peers.size()) + 1);
+    }
+  });
+}
+
+std::string_view
+ControlPlane::Name() const
+{
+  return kName;
+}
+
+Result<void>
+ControlPlane::Start()
+{
+  this->poller.Start();
+  this->membership.Loop().Run(
+    [this] { this->membership.Loop().Every(kMarketCheck, [this] { this->MarkEmptyMarkets(); }); });
+  return boost::outcome_v2::success();
+}
+
+void
+ControlPlane::Stop()
+{
+  this->poller.Stop();
+}
+
+void
+ControlPlane::SetFollower(ConfigurationFollower& aFollower)
+{
+  this->follower = &aFollower;
+}
+
+void
+ControlPlane::OnHosts(std::vector<HostEntry> aHosts)
+{
+  this->membership.ApplyHostList(std::move(aHosts));
+}
+
+void
+ControlPlane::OnPrices(std::vector<Price> aPrices)
+{
+  this->membership.Loop().Post([this, prices = std::move(aPrices)] {
+    this->prices = prices;
+    this->PublishFleet();
+  });
+}
+
+void
+ControlPlane::OnNotices(const std::vector<ReclaimNotice>& aNotices)
+{
+  this->membership.Loop().Post([this, aNotices] {
+    for (const ReclaimNotice& notice : aNotices) {
+      this->TakeNotice(notice);
+    }
+  });
+}
+
+void
+ControlPlane::OnConfiguration(const ConfigurationPtr& aConfiguration)
+{
+  // Peers get it at once, so that it is in force everywhere even while they cannot read the log
+  const Offset through =
+    std::max(this->follower->Offer(aConfiguration->market).through, aConfiguration->offset + 1);
+  this->membership.PublishState(ToSharedState(*aConfiguration, through));
+  this->membership.Loop().Post([this, aConfiguration] {
+    const MarketPtr market = this->markets.FindOrAdd(aConfiguration->market);
+    market->ApplyConfiguration(aConfiguration);
+    market->SetLiveDaemons(static_cast<int>(this->membership.Peers()->peers.size()) + 1);
+    kLog.Info("Configuration {} of market {} is in force.", aConfiguration->offset, market->Name());
+    this->PublishFleet();
+  });
+}
+
+void
+ControlPlane::FollowMarket(const std::string& aMarket)
+{
+  const auto followed = this->follower->Follow(aMarket);
+  if (!followed) {
+    kLog.Warning("Market {} is not followed: {}", aMarket, followed.error().message);
+    return;
+  }
+  this->markets.FindOrAdd(aMarket);
+}
+
+bool
+ControlPlane::TakeState(const SharedState& aState)
+{
+  if (!aState.name.starts_with(kConfigurationTopic)) {
+    return false;
+  }
+  const std::string market = aState.name.substr(kConfigurationTopic.size());
+  JsonFaults faults;
+  auto record = ReadConfigurationRecord(aState.bytes, market, faults);
+  if (!record || record->kind != ConfigurationRecord::Kind::Checkpoint || !record->manifest ||
+      record->of != aState.version) {
+    kLog.Warning("A peer sent a malformed configuration of market {}.", market);
+    return false;
+  }
+  this->FollowMarket(market);
+  auto configuration = std::make_shared<Configuration>();
+  configuration->market = market;
+  configuration->offset = record->of;
+  configuration->manifest = std::move(*record->manifest);
+  this->follower->Adopt(market, { std::move(configuration), record->through });
+  return true;
+}
+
+void
+ControlPlane::TakeNotice(const ReclaimNotice& aNotice)
+{
+  const auto left = aNotice.at + aNotice.grace - this->clock.WallNow();
+  const auto grace = std::max(std::chrono::duration_cast<Milliseconds>(left), Milliseconds(0));
+  std::vector<std::string> leaving;
+  for (const auto& [key, fact] : this->membership.Loads().Facts()) {
+    const bool isMeant = aNotice.host.empty() ? fact.host.failureDomain == aNotice.failureDomain
+                                              : fact.host.id == aNotice.host;
+    if (isMeant && fact.state != EndpointState::Leaving) {
+      leaving.push_back(fact.host.id);
+    }
+  }
+  for (const std::string& id : leaving) {
+    kLog.Info("Endpoint {} is reclaimed in {} ms.", id, grace.count());
+    this->membership.ReportEndpoint(id, EndpointState::Leaving, grace);
+  }
+}
+
+void
+ControlPlane::MarkEmptyMarkets()
+{
+  for (const MarketStatus& status : this->follower->Status()) {
+    if (status.logReachable && status.certain && status.offset == kNoOffset) {
+      this->markets.FindOrAdd(status.market)->MarkEmpty();
+    }
+  }
+}
+
+void
+ControlPlane::PublishFleet()
+{
+  auto snapshot = std::make_shared<FleetSnapshot>();
+  snapshot->generation = ++this->generation;
+  snapshot->prices = this->prices;
+  for (const auto& [key, fact] : this->membership.Loads().Facts()) {
+    snapshot->endpoints.push_back(this->ToEndpoint(fact));
+  }
+  // The same order on all daemons, whatever the hash map's
+  std::sort(snapshot->endpoints.begin(), snapshot->endpoints.end(),
+            [](const Endpoint& aLeft, const Endpoint& aRight) { return aLeft.id < aRight.id; });
+  this->fleet.Publish(snapshot);
+  for (const MarketPtr& market : this->markets.InForce()) {
+    market->ApplyFleet(*snapshot);
+  }
+  this->onFleet(snapshot);
+}
+
+Endpoint
+ControlPlane::ToEndpoint(const EndpointFact& aFact) const
+{
+  Endpoint endpoint;
+  endpoint.id = aFact.host.id;
+  endpoint.kind =
+    aFact.host.kind == HostEntry::Kind::Service ? EndpointKind::Service : EndpointKind::Engine;
+  endpoint.address = aFact.host.address;
+  endpoint.port = aFact.host.port;
+  endpoint.failureDomain = aFact.host.failureDomain;
+  endpoint.region = aFact.host.region;
+  endpoint.machineClass = aFact.host.machineClass;
+  endpoint.name = aFact.host.name;
+  endpoint.state = aFact.state;
+  endpoint.goneAfter = aFact.goneAfter;
+  endpoint.load = this->membership.Loads().LoadOf(aFact);
+  this->SetPrice(endpoint);
+  return endpoint;
+}
+
+void
+ControlPlane::SetPrice(Endpoint& aEndpoint) const
+{
+  // The host list does not say how a host was bought; the cheaper offer is the reclaimable one
+  for (const Price& price : this->prices) {
+    const bool fits = price.machineClass == aEndpoint.machineClass &&
+                      price.failureDomain == aEndpoint.failureDomain;
+    if (fits && (aEndpoint.pricePerHour == 0 || price.perHour < aEndpoint.pricePerHour)) {
+      aEndpoint.pricePerHour = price.perHour;
+      aEndpoint.reclaimable = price.reclaimable;
+    }
+  }
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Daemon/ControlPlane.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Lagoonward/Attempts/Market.h"
+#include "Lagoonward/Configuration/ConfigurationFollower.h"
+#include "Lagoonward/Core/Service.h"
+#include "Lagoonward/Fleet/FleetStore.h"
+#include "Lagoonward/Membership/MembershipService.h"
+#include "Lagoonward/Platform/LoadPoller.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace lagoonward {
+
+/// Keeps the daemon's picture of the fleet and of the configuration on the control thread: takes in
+/// what the platform, the log and the other daemons say, and publishes immutable snapshots to the
+/// traffic threads. The thread is the one of the MembershipService.
+class ControlPlane final : public Service
+{
+public:
+  static constexpr std::string_view kName = "control";
+
+  /// Registers with the membership, so it must be made before that starts.
+  /// @param aOnFleet  told on the control thread of each new snapshot
+  ControlPlane(const Clock& aClock, MembershipService& aMembership, LoadPoller& aPoller,
+               MarketDirectory& aMarkets, FleetStore& aFleet,
+               std::function<void(const FleetSnapshotPtr& aSnapshot)> aOnFleet);
+
+  [[nodiscard]] std::string_view Name() const override;
+  [[nodiscard]] Result<void> Start() override;
+  void Stop() override;
+
+  /// The follower that is told of what peers bring. Set once, before Start().
+  void SetFollower(ConfigurationFollower& aFollower);
+
+  // News, from any thread
+
+  void OnHosts(std::vector<HostEntry> aHosts);
+  void OnPrices(std::vector<Price> aPrices);
+  void OnNotices(const std::vector<ReclaimNotice>& aNotices);
+  void OnConfiguration(const ConfigurationPtr& aConfiguration);
+
+  /// Begins to follow a market that a caller or a peer has named.
+  void FollowMarket(const std::string& aMarket);
+
+private:
+  [[nodiscard]] bool TakeState(const SharedState& aState);
+  void TakeNotice(const ReclaimNotice& aNotice);
+  void MarkEmptyMarkets();
+  void PublishFleet();
+  [[nodiscard]] Endpoint ToEndpoint(const EndpointFact& aFact) const;
+  void SetPrice(Endpoint& aEndpoint) const;
+
+  const Clock& clock;
+  MembershipService& membership;
+  LoadPoller& poller;
+  MarketDirectory& markets;
+  FleetStore& fleet;
+  std::function<void(const FleetSnapshotPtr&)> onFleet;
+  ConfigurationFollower* follower = nullptr;
+
+  // Control thread only
+  std::vector<Price> prices;
+  std::uint64_t generation = 0;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -0,0 +1,217 @@
+#include "Lagoonward/Daemon/Daemon.h"
+
+#include "Lagoonward/Attempts/RunMetrics.h"
+
+#include <sodium.h>
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("daemon");
+
+/// The key ring text when none is given: a key made from the cluster's name. It keeps clusters
+/// apart, but not strangers out.
+std::string
+MakeOpenKey(const std::string& aCluster)
+{
+  std::array<unsigned char, KeyRing::kKeyBytes> key{};
+  crypto_generichash(key.data(), key.size(),
+                     reinterpret_cast<const unsigned char*>(aCluster.data()), aCluster.size(),
+                     nullptr, 0);
+  std::array<char, KeyRing::kKeyBytes * 2 + 1> hex{};
+  sodium_bin2hex(hex.data(), hex.size(), key.data(), key.size());
+  return std::string("0:") + hex.data();
+}
+
+} // namespace
+
+Daemon::Daemon(DaemonSettings aSettings, const Clock& aClock, std::function<void()> aOnDrainAsked)
+  : settings(std::move(aSettings))
+  , clock(aClock)
+  , onDrainAsked(std::move(aOnDrainAsked))
+  , seed(HashBytes(this->settings.hostId))
+  , markets(this->settings.market, aClock, this->seed)
+  , poller({}, aClock)
+  , log(this->settings.logUrl, {})
+{
+}
+
+Daemon::~Daemon()
+{
+  this->Stop();
+}
+
+Result<void>
+Daemon::Start()
+{
+  auto built = this->Build();
+  if (!built) {
+    return built;
+  }
+  auto started = this->kernel.StartAll();
+  if (!started) {
+    return started;
+  }
+  for (const std::string& market : this->settings.markets) {
+    this->control->FollowMarket(market);
+  }
+  kLog.Info("Serves callers at {}:{}, operators at {}:{}.", this->settings.listen.address,
+            this->kernel.Find<CallerApi>(CallerApi::kName)->Port(), this->settings.admin.address,
+            this->admin->Port());
+  return boost::outcome_v2::success();
+}
+
+void
+Daemon::Drain()
+{
+  if (this->draining.exchange(true)) {
+    return;
+  }
+  kLog.Info("Drains: unready from now on, {} requests in progress.", this->runs->ActiveRuns());
+  this->membership->Drain();
+  this->kernel.DrainAll();
+  kLog.Info("Has drained.");
+}
+
+void
+Daemon::Stop()
+{
+  this->kernel.StopAll();
+}
+
+Result<void>
+Daemon::Build()
+{
+  if (sodium_init() < 0) {
+    return Error(ErrorKind::Internal, "libsodium cannot be initialized.");
+  }
+  if (this->settings.peerKeys.empty()) {
+    kLog.Warning("No peer keys are set; whoever knows the cluster's name can speak as a daemon.");
+  }
+  auto keys = KeyRing::Parse(this->settings.peerKeys.empty() ? MakeOpenKey(this->settings.cluster)
+                                                             : this->settings.peerKeys,
+                             this->settings.cluster);
+  if (!keys) {
+    return keys.error();
+  }
+  this->BuildMembership(std::move(keys.value()));
+  this->BuildConfiguration();
+  this->runs =
+    &this->kernel.Add(std::make_unique<RunService>(this->settings.runs, this->clock, this->fleet));
+  this->BuildInterfaces();
+  return boost::outcome_v2::success();
+}
+
+void
+Daemon::BuildMembership(KeyRing aKeys)
+{
+  MembershipIdentity identity;
+  identity.self.id = this->settings.hostId;
+  identity.self.address = this->settings.peer.address;
+  identity.self.port = this->settings.peer.port;
+  identity.self.failureDomain = this->settings.failureDomain;
+  identity.self.region = this->settings.region;
+  identity.session = static_cast<std::uint64_t>(ToUnixMilliseconds(this->clock.WallNow()));
+  const auto poll = [this](const HostEntry& aEndpoint, MembershipService::PollDone aDone) {
+    // Plain services report no load; the host list and their answers say what there is to know
+    if (aEndpoint.kind != HostEntry::Kind::Engine) {
+      EndpointLoad load;
+      load.asOf = this->clock.WallNow();
+      aDone(std::move(load));
+      return;
+    }
+    this->poller.Poll(aEndpoint, std::move(aDone));
+  };
+  this->membership = &this->kernel.Add(std::make_unique<MembershipService>(
+    this->clock, std::move(identity), std::move(aKeys), MembershipSettings{}, poll));
+  this->control = &this->kernel.Add(
+    std::make_unique<ControlPlane>(this->clock, *this->membership, this->poller, this->markets,
+                                   this->fleet, [](const FleetSnapshotPtr&) {}));
+}
+
+void
+Daemon::BuildConfiguration()
+{
+  ConfigurationFollowerHooks hooks;
+  hooks.liveDaemons = [this] {
+    std::vector<std::string> ids{ this->settings.hostId };
+    for (const Peer& peer : this->membership->Peers()->peers) {
+      ids.push_back(peer.info.id);
+    }
+    return ids;
+  };
+  hooks.onChange = [this](const ConfigurationPtr& aConfiguration) {
+    this->control->OnConfiguration(aConfiguration);
+  };
+  hooks.daemonId = this->settings.hostId;
+  hooks.incarnation = std::to_string(ToUnixMilliseconds(this->clock.WallNow()));
+  this->follower = &this->kernel.Add(
+    std::make_unique<ConfigurationFollower>(ConfigurationFollowerSettings{}, std::move(hooks),
+                                            std::vector<std::string>{}, this->log, this->clock));
+  this->control->SetFollower(*this->follower);
+  this->platform = &this->kernel.Add(
+    std::make_unique<PlatformWatcher>(PlatformWatcherSettings{}, this->settings.hostListUrl,
+                                      this->settings.cloudUrl, this->MakePlatformNews()));
+}
+
+void
+Daemon::BuildInterfaces()
+{
+  HttpServerSettings adminServer;
+  adminServer.address = this->settings.admin.address;
+  adminServer.port = this->settings.admin.port;
+  const StatusSources sources{ this->settings,    this->clock, *this->follower,
+                               *this->membership, this->fleet, *this->runs };
+  this->admin = &this->kernel.Add(std::make_unique<AdminApi>(
+    adminServer, *this->runs, [this] { return this->FindUnreadiness(); },
+    [this, sources] { return MakeStatusPage(sources, this->draining); }, this->onDrainAsked));
+  this->admin->AddMetrics(std::make_shared<RunMetrics>(*this->runs));
+
+  HttpServerSettings callerServer;
+  callerServer.address = this->settings.listen.address;
+  callerServer.port = this->settings.listen.port;
+  callerServer.threads = this->settings.callerThreads;
+  callerServer.maximumConnections = this->settings.maximumConnections;
+  callerServer.maximumBodyBytes = this->settings.maximumBodyBytes;
+  this->kernel.Add(std::make_unique<CallerApi>(
+    callerServer, this->settings.calls, this->settings.drainNotice, this->clock, this->markets,
+    *this->runs, [this](const std::string& aMarket) { this->control->FollowMarket(aMarket); }));
+}
+
+std::optional<Error>
+Daemon::FindUnreadiness() const
+{
+  if (this->draining) {
+    return Error(ErrorKind::Draining, "The daemon is leaving.");
+  }
+  if (!this->platform->HasHosts()) {
+    return Error(ErrorKind::PlatformUnavailable, "The host list has not been read yet.");
+  }
+  for (const MarketStatus& market : this->follower->Status()) {
+    const bool isEmpty = market.logReachable && market.certain;
+    if (market.offset == kNoOffset && !isEmpty) {
+      return Error(ErrorKind::NoConfiguration,
+                   "What is in force in market " + market.market + " is not known yet.");
+    }
+  }
+  return std::nullopt;
+}
+
+PlatformNews
+Daemon::MakePlatformNews()
+{
+  PlatformNews news;
+  news.onHosts = [this](std::vector<HostEntry> aHosts) {
+    this->control->OnHosts(std::move(aHosts));
+  };
+  news.onPrices = [this](std::vector<Price> aPrices) {
+    this->control->OnPrices(std::move(aPrices));
+  };
+  news.onNotices = [this](const std::vector<ReclaimNotice>& aNotices) {
+    this->control->OnNotices(aNotices);
+  };
+  return news;
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Daemon/Daemon.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Lagoonward/Core/Kernel.h"
+#include "Lagoonward/Daemon/ControlPlane.h"
+#include "Lagoonward/Daemon/PlatformWatcher.h"
+#include "Lagoonward/Daemon/StatusPage.h"
+#include "Lagoonward/Frontend/AdminApi.h"
+#include "Lagoonward/Frontend/CallerApi.h"
+#include "Lagoonward/Platform/HttpLogService.h"
+#include "Lagoonward/Settings/DaemonSettings.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace lagoonward {
+
+/// One daemon: builds the services from the settings, registers them with the kernel in the order in
+/// which they depend on each other, and takes them through start, drain and stop.
+class Daemon
+{
+public:
+  /// @param aOnDrainAsked  told when an operator asks for a drain over HTTP; any thread
+  Daemon(DaemonSettings aSettings, const Clock& aClock, std::function<void()> aOnDrainAsked);
+  ~Daemon();
+  Daemon(const Daemon&) = delete;
+  Daemon& operator=(const Daemon&) = delete;
+
+  /// Starts all services. Errors: InvalidSettings, when an address cannot be bound or a key ring is
+  /// malformed.
+  [[nodiscard]] Result<void> Start();
+
+  /// Turns unready, tells the other daemons, finishes every request.
+  void Drain();
+
+  void Stop();
+
+  /// The services, by name.
+  [[nodiscard]] const Kernel& Services() const { return this->kernel; }
+
+private:
+  [[nodiscard]] Result<void> Build();
+  void BuildMembership(KeyRing aKeys);
+  void BuildConfiguration();
+  void BuildInterfaces();
+  [[nodiscard]] PlatformNews MakePlatformNews();
+  /// Why the daemon should get no requests, or nothing when it should.
+  [[nodiscard]] std::optional<Error> FindUnreadiness() const;
+
+  DaemonSettings settings;
+  const Clock& clock;
+  std::function<void()> onDrainAsked;
+  std::atomic<bool> draining{ false };
+  std::uint64_t seed; ///< Of the sampling; differs between daemons.
+
+  FleetStore fleet;
+  MarketDirectory markets;
+  LoadPoller poller;
+  HttpLogService log; ///< The follower's own; it is interrupted when that stops.
+  Kernel kernel;
+
+  // Owned by the kernel
+  MembershipService* membership = nullptr;
+  ControlPlane* control = nullptr;
+  ConfigurationFollower* follower = nullptr;
+  PlatformWatcher* platform = nullptr;
+  RunService* runs = nullptr;
+  AdminApi* admin = nullptr;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Daemon/PlatformWatcher.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Lagoonward/Core/Service.h"
+#include "Lagoonward/Platform/HttpCloudService.h"
+#include "Lagoonward/Platform/HttpHostListService.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <stop_token>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace lagoonward {
+
+/// How often the platform is asked.
+struct PlatformWatcherSettings
+{
+  Milliseconds hostListInterval{ 1000 };
+  Milliseconds priceInterval{ 10'000 };
+  Milliseconds noticeWait{ 5000 }; ///< Longest wait of one long poll for notices.
+  Milliseconds retryPause{ 500 };  ///< After a failure; doubles up to retryPauseLimit.
+  Milliseconds retryPauseLimit{ 10'000 };
+  PlatformSettings platform;
+};
+
+/// Told of news from the platform; called on the watcher's threads.
+struct PlatformNews
+{
+  std::function<void(std::vector<HostEntry>)> onHosts;
+  std::function<void(std::vector<Price>)> onPrices;
+  std::function<void(const std::vector<ReclaimNotice>&)> onNotices;
+};
+
+/// Reads the host list, the prices and the reclaim notices, each on a thread of its own, as their
+/// calls block. An outage changes nothing: what was last known stays.
+class PlatformWatcher final : public Service
+{
+public:
+  static constexpr std::string_view kName = "platform";
+
+  PlatformWatcher(const PlatformWatcherSettings& aSettings, const std::string& aHostListUrl,
+                  const std::string& aCloudUrl, PlatformNews aNews);
+  ~PlatformWatcher() override;
+
+  [[nodiscard]] std::string_view Name() const override;
+  [[nodiscard]] Result<void> Start() override;
+  void Stop() override;
+
+  /// Whether the host list has been read at least once.
+  [[nodiscard]] bool HasHosts() const { return this->hasHosts; }
+
+private:
+  /// Repeats a step until asked to stop. The step returns whether the platform answered.
+  void Repeat(const std::stop_token& aStop, std::string_view aWhat, Milliseconds aInterval,
+              const std::function<bool()>& aStep);
+  [[nodiscard]] bool ReadHosts();
+  [[nodiscard]] bool ReadPrices();
+  [[nodiscard]] bool ReadNotices();
+
+  PlatformWatcherSettings settings;
+  HttpHostListService hostList;
+  HttpCloudService cloud;
+  PlatformNews news;
+  Offset nextNotice = 0; ///< Notices thread only.
+  std::atomic<bool> hasHosts{ false };
+  std::mutex sleepMutex;
+  std::condition_variable_any sleeping;
+  std::vector<std::jthread> threads;
+};
+
+} // namespace lagoonward
--- a/Lagoonward/Frontend/AdminApi.cpp
+++ b/Lagoonward/Frontend/AdminApi.cpp
@@ -25,10 +25,11 @@
 
 } // namespace
 
-AdminApi::AdminApi(HttpServerSettings aServer, const MarketDirectory& aMarkets, RunService& aRuns,
+AdminApi::AdminApi(HttpServerSettings aServer, RunService& aRuns,
+                   std::function<std::optional<Error>()> aReadiness,
                    std::function<std::string()> aStatus, std::function<void()> aDrain)
-  : markets(aMarkets)
-  , runs(aRuns)
+  : runs(aRuns)
+  , readiness(std::move(aReadiness))
   , status(std::move(aStatus))
   , drain(std::move(aDrain))
   , server(std::move(aServer),
@@ -62,12 +63,6 @@
   this->metrics.push_back(std::move(aMetrics));
 }
 
-void
-AdminApi::SetDraining()
-{
-  this->draining = true;
-}
-
 std::uint16_t
 AdminApi::Port() const
 {
@@ -107,11 +102,8 @@
 void
 AdminApi::HandleReady(HttpExchange& aExchange)
 {
-  if (this->draining) {
-    RespondWithError(aExchange, Error(ErrorKind::Draining, "The daemon is leaving."));
-  } else if (this->markets.InForce().empty()) {
-    RespondWithError(aExchange,
-                     Error(ErrorKind::NoConfiguration, "No configuration is in force here yet."));
+  if (const std::optional<Error> unready = this->readiness()) {
+    RespondWithError(aExchange, *unready);
   } else {
     RespondWithJson(aExchange, kStatusOk, R"({"ready":true})");
   }
--- a/Lagoonward/Frontend/AdminApi.h
+++ b/Lagoonward/Frontend/AdminApi.h
@@ -1,15 +1,14 @@
 #pragma once
 
-#include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Attempts/RunService.h"
 #include "Lagoonward/Core/Service.h"
 #include "Lagoonward/Wire/HttpServer.h"
 
 #include <prometheus/collectable.h>
 
-#include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,10 +21,12 @@
 public:
   static constexpr std::string_view kName = "admin";
 
+  /// @param aReadiness  why the daemon should get no requests, or nothing; any thread
   /// @param aStatus  the JSON text of `/status`; called on the server's thread
   /// @param aDrain   asks the daemon to leave; returns at once
-  AdminApi(HttpServerSettings aServer, const MarketDirectory& aMarkets, RunService& aRuns,
-           std::function<std::string()> aStatus, std::function<void()> aDrain);
+  AdminApi(HttpServerSettings aServer, RunService& aRuns,
+           std::function<std::optional<Error>()> aReadiness, std::function<std::string()> aStatus,
+           std::function<void()> aDrain);
 
   [[nodiscard]] std::string_view Name() const override;
   [[nodiscard]] Result<void> Start() override;
@@ -34,9 +35,6 @@
   /// Adds metrics to `/metrics`. Before Start().
   void AddMetrics(std::shared_ptr<prometheus::Collectable> aMetrics);
 
-  /// From here on `/readyz` says that the daemon is leaving.
-  void SetDraining();
-
   /// The port it listens on.
   [[nodiscard]] std::uint16_t Port() const;
 
@@ -46,12 +44,11 @@
   void HandleMetrics(HttpExchange& aExchange);
   void HandleRequest(const std::string& aRequestId, HttpExchange& aExchange);
 
-  const MarketDirectory& markets;
   RunService& runs;
+  std::function<std::optional<Error>()> readiness;
   std::function<std::string()> status;
   std::function<void()> drain;
   std::vector<std::shared_ptr<prometheus::Collectable>> metrics;
-  std::atomic<bool> draining{ false };
   HttpServer server;
 };
 
