Add the operators' commands status, drain and explain

Cause: operators had only the HTTP interface of each daemon. Change: three commands over it; `status` compares what is in force across the daemons named and exits 1 when they differ.

--- a/Lagoonward/Main.cpp
+++ b/Lagoonward/Main.cpp
@@ -1,3 +1,4 @@
+#include "Lagoonward/Cli/AdminCommands.h"
 #include "Lagoonward/Cli/ServeCommand.h"
 
 #include <array>
@@ -29,6 +30,9 @@
 
 constexpr std::array kCommands{
   Command{ "serve", "run a daemon", &RunServe },
+  Command{ "status", "show what is in force where, per daemon and per endpoint", &RunStatus },
+  Command{ "drain", "ask a daemon to leave", &RunDrain },
+  Command{ "explain", "show the decisions taken for one request", &RunExplain },
   Command{ "version", "print the version", &RunVersion },
 };
 
