--- a/UnitTests/StandIns/EngineStandInTests.cpp
+++ b/UnitTests/StandIns/EngineStandInTests.cpp
@@ -1,3 +1,4 @@
+#include "Lagoonward/Routing/PromptBlocks.h"
 #include "UnitTests/StandIns/EngineClient.h"
 
 #include <boost/test/unit_test.hpp>
@@ -152,6 +153,19 @@
   BOOST_TEST(counters.recomputed == 0);
 }
 
+BOOST_AUTO_TEST_CASE(CacheEventsNameTheBlocksThatADaemonComputes)
+{
+  const Fixture fixture;
+  (void)fixture.Send(Ask(LongPrompt(40), 1));
+  const auto page = json::parse(fixture.Call("GET", "/v1/cache-events?from=0").body);
+  const auto blocks = lagoonward::PromptBlocks::Split("drafter", "1", "", LongPrompt(40));
+  BOOST_TEST(page.at("end") == 2);
+  for (std::size_t index = 0; index < blocks.hashes.size(); ++index) {
+    const auto told = page.at("events").at(index).at("blocks").at(0).get<std::string>();
+    BOOST_TEST(std::stoull(told, nullptr, 16) == blocks.hashes[index]);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SameRequestElsewhereCountsAsRecomputed)
 {
   Fixture fixture;
