--- a/StandIns/Commands.cpp
+++ b/StandIns/Commands.cpp
@@ -158,6 +158,31 @@
   return 0;
 }
 
+int
+RunAnswer(const std::vector<std::string>& aArguments)
+{
+  po::options_description description(
+    "lagoonward-standins answer: prints the text that an engine must answer");
+  Question question;
+  std::int64_t maxTokens = 16;
+  description.add_options()("help", "show this text")(
+    "model", po::value(&question.model)->required(),
+    "the model's name")("version", po::value(&question.version)->required(), "the model's version")(
+    "adapter", po::value(&question.adapter),
+    "NAME@VERSION")("seed", po::value(&question.seed)->default_value(0), "the request's seed")(
+    "prompt", po::value(&question.prompt)->required(), "the prompt")(
+    "max-tokens", po::value(&maxTokens)->default_value(maxTokens), "the request's limit");
+  po::variables_map values;
+  po::store(po::command_line_parser(aArguments).options(description).run(), values);
+  if (values.count("help") > 0) {
+    std::cout << description;
+    return 0;
+  }
+  po::notify(values);
+  std::cout << AnswerText(question, maxTokens) << '\n';
+  return 0;
+}
+
 } // namespace
 
 std::string
@@ -170,7 +195,8 @@
          "  engine     one model engine\n"
          "  service    one plain service\n"
          "  fleet      a platform with many engines and services in one process\n"
-         "  load       callers that compare each answer with what it must be\n\n"
+         "  load       callers that compare each answer with what it must be\n"
+         "  answer     the text that an engine must answer to a question\n\n"
          "COMMAND --help lists a command's flags. Each takes faults at run time:\n"
          "  curl -d '{\"fault\":\"slow\",\"ms\":200,\"count\":3}' http://IP:PORT/faults\n"
          "  everywhere: slow, hang, lost_answer, outage (mode 503, reset, silent), silent\n"
@@ -201,6 +227,9 @@
     if (aCommand == "load") {
       return RunLoad(aArguments);
     }
+    if (aCommand == "answer") {
+      return RunAnswer(aArguments);
+    }
   } catch (const po::error& error) {
     std::cerr << aCommand << ": " << error.what() << '\n';
     return 2;
--- a/StandIns/Http/HttpExchange.cpp
+++ b/StandIns/Http/HttpExchange.cpp
@@ -52,6 +52,7 @@
   this->status = MHD_HTTP_OK;
   this->contentType = "text/event-stream";
   this->phase = this->dropped ? Phase::Aborted : Phase::Streaming;
+  this->begun = !this->dropped;
   this->Wake();
 }
 
@@ -116,7 +117,8 @@
 HttpExchange::Advance()
 {
   const std::lock_guard lock(this->mutex);
-  if (this->stopping || this->phase == Phase::Aborted) {
+  // A stream that was broken off still sends what it has
+  if (this->stopping || (this->phase == Phase::Aborted && !this->begun)) {
     return MHD_NO;
   }
   if (this->state->silent || this->phase == Phase::Waiting) {
--- a/StandIns/Http/HttpExchange.h
+++ b/StandIns/Http/HttpExchange.h
@@ -46,7 +46,7 @@
   /// Ends a begun stream in good order.
   void End();
 
-  /// Closes the connection without (the rest of) an answer.
+  /// Closes the connection without (the rest of) an answer; pieces already given are still sent.
   void Abort();
 
   /// From here on the answer is lost: whatever is given closes the connection instead.
@@ -98,6 +98,7 @@
   bool started = false; ///< The handler has seen the request.
   bool parked = false;
   bool gone = false;
+  bool begun = false;   ///< An answer in pieces has begun.
   bool dropped = false; ///< The answer is to be lost.
   int status = 0;
   std::string contentType;
