--- /dev/null
+++ b/Lagoonward/Cli/ManifestFile.cpp
@@ -0,0 +1,47 @@
+#include "Lagoonward/Cli/ManifestFile.h"
+
+#include "Lagoonward/Configuration/ManifestReader.h"
+
+#include <fstream>
+#include <ostream>
+
+namespace lagoonward {
+
+namespace {
+
+/// The file's text, but no more of it than a manifest may have, and one byte.
+std::optional<std::string>
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::string text(kMaxManifestBytes + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (file.bad()) {
+    return std::nullopt;
+  }
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  return text;
+}
+
+} // namespace
+
+std::optional<Manifest>
+LoadManifest(const std::string& aPath, std::ostream& aErr)
+{
+  const auto text = ReadFile(aPath);
+  if (!text) {
+    aErr << aPath << ": can't be read\n";
+    return std::nullopt;
+  }
+  auto reading = ReadManifest(*text);
+  for (const ManifestFault& fault : reading.faults) {
+    aErr << aPath << ": " << (fault.pointer.empty() ? "(document)" : fault.pointer) << ": "
+         << fault.message << '\n';
+  }
+  return std::move(reading.manifest);
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Configuration/ConfigurationHistory.cpp
+++ b/Lagoonward/Configuration/ConfigurationHistory.cpp
@@ -231,6 +231,12 @@
   return events;
 }
 
+const std::string&
+ConfigurationHistory::Market() const
+{
+  return this->market;
+}
+
 const ConfigurationPtr&
 ConfigurationHistory::InForce() const
 {
--- a/Lagoonward/Configuration/ConfigurationHistory.h
+++ b/Lagoonward/Configuration/ConfigurationHistory.h
@@ -58,6 +58,8 @@
   /// Takes a peer's state if it reaches further than this reader's own; an older one changes nothing.
   [[nodiscard]] Events AdoptFromPeer(const ConfigurationOffer& aOffer);
 
+  [[nodiscard]] const std::string& Market() const;
+
   /// What is in force, or nullptr. During a gap: the last known.
   [[nodiscard]] const ConfigurationPtr& InForce() const;
 
