Pass each load reading on once and keep news of mass restarts small

Change: info only of unlisted daemons, log2(n) sends per change, readings forwarded as they came, loads at most every 2 s per endpoint, waves of notices in one datagram, a pause in accepting when descriptors run out.

--- a/Bench/ControlBench.cpp
+++ b/Bench/ControlBench.cpp
@@ -22,10 +22,13 @@
 struct ControlBenchSettings
 {
   std::vector<FleetSize> sizes;
-  Seconds settle{ 8 };
+  Seconds settle{ 12 };
   Seconds measured{ 15 };
-  std::size_t stateBytes = 8192; ///< About a manifest.
-  std::size_t rounds = 20;       ///< Repetitions of each spreading test.
+  std::size_t stateBytes = 8192;     ///< About a manifest.
+  std::size_t rounds = 20;           ///< Repetitions of each spreading test.
+  std::size_t recordsPerSecond = 20; ///< Soft records that each daemon places.
+  Seconds recordSpan{ 4 };
+  std::size_t largestWithRecords = 100; ///< Daemons up to which soft records are measured.
   bool json = false;
 };
 
@@ -40,8 +43,11 @@
   double datagramsPerSecond = 0; ///< Sent.
   double cpuShare = 0;           ///< Of one core.
   double worstCpuShare = 0;
-  double residentBytes = 0; ///< Per daemon.
-  double polled = 0;        ///< Endpoints that a daemon polls.
+  double residentBytes = 0;  ///< Per daemon.
+  double polled = 0;         ///< Endpoints that a daemon polls.
+  double bytesPerRecord = 0; ///< Of a soft record placed, sent and received, its answer included.
+  double cpuPerRecord = 0;   ///< Seconds, both daemons together.
+  std::vector<double> loadAges;
   std::vector<double> reclaim;
   std::vector<double> domainReclaim;
   std::vector<double> stateWithLog;
@@ -85,6 +91,43 @@
   return static_cast<double>(aAfter - aBefore) / aSeconds;
 }
 
+/// Bytes and processor time of all daemons together.
+struct FleetTotals
+{
+  double bytesSent = 0;
+  double cpuSeconds = 0;
+};
+
+FleetTotals
+Total(ControlFleet& aFleet)
+{
+  FleetTotals totals;
+  for (const ControlUsage& usage : aFleet.Usage()) {
+    totals.bytesSent +=
+      static_cast<double>(usage.counters.datagramBytesSent + usage.counters.streamBytesSent);
+    totals.cpuSeconds += std::chrono::duration<double>(usage.cpu).count();
+  }
+  return totals;
+}
+
+/// What soft records cost on top of the steady state.
+void
+MeasureRecords(ControlFleet& aFleet, const ControlBenchSettings& aSettings,
+               ControlFigures& aFigures)
+{
+  const FleetTotals before = Total(aFleet);
+  const TimePoint begun = aFleet.GetClock().Now();
+  const auto placed =
+    static_cast<double>(aFleet.PlaceRecords(aSettings.recordsPerSecond, aSettings.recordSpan));
+  const FleetTotals after = Total(aFleet);
+  const double seconds = std::chrono::duration<double>(aFleet.GetClock().Now() - begun).count();
+  const double daemons = static_cast<double>(aFigures.size.daemons);
+  const double idleBytes = aFigures.sentPerSecond * daemons * seconds;
+  const double idleCpu = aFigures.cpuShare * daemons * seconds;
+  aFigures.bytesPerRecord = (after.bytesSent - before.bytesSent - idleBytes) / placed;
+  aFigures.cpuPerRecord = (after.cpuSeconds - before.cpuSeconds - idleCpu) / placed;
+}
+
 void
 MeasureSteadyState(ControlFleet& aFleet, Seconds aSpan, ControlFigures& aFigures)
 {
@@ -110,6 +153,8 @@
       PerSecond(now.datagramsSent, then.datagramsSent, seconds) / count;
     aFigures.cpuShare += cpu / count;
     aFigures.polled += static_cast<double>(after[index].watched) / count;
+    aFigures.loadAges.insert(aFigures.loadAges.end(), after[index].loadAges.begin(),
+                             after[index].loadAges.end());
     aFigures.worstSentPerSecond = std::max(aFigures.worstSentPerSecond, sent);
     aFigures.worstReceivedPerSecond = std::max(aFigures.worstReceivedPerSecond, received);
     aFigures.worstCpuShare = std::max(aFigures.worstCpuShare, cpu);
@@ -161,6 +206,10 @@
   std::cerr << fmt::format("  sent {:.0f} B/s, received {:.0f} B/s, processor {:.3f}%\n",
                            figures.sentPerSecond, figures.receivedPerSecond,
                            100 * figures.cpuShare);
+  // Each daemon talks to half of its region: more daemons would need more descriptors than a process
+  if (aSize.daemons <= aSettings.largestWithRecords) {
+    MeasureRecords(fleet, aSettings, figures);
+  }
   MeasureSpreading(fleet, aSettings, figures);
   std::cerr << fmt::format(
     "  known on all: reclaim p99 {:.1f} ms, state without log p99 {:.1f} ms\n",
@@ -192,6 +241,9 @@
            { "worst_cpu_share", aFigures.worstCpuShare },
            { "resident_bytes", aFigures.residentBytes },
            { "endpoints_polled", aFigures.polled },
+           { "load_age", TimesToJson(aFigures.loadAges) },
+           { "bytes_per_soft_record", aFigures.bytesPerRecord },
+           { "cpu_seconds_per_soft_record", aFigures.cpuPerRecord },
            { "reclaim_known", TimesToJson(aFigures.reclaim) },
            { "domain_reclaim_known", TimesToJson(aFigures.domainReclaim) },
            { "state_in_force_with_log", TimesToJson(aFigures.stateWithLog) },
--- a/Bench/ControlFleet.cpp
+++ b/Bench/ControlFleet.cpp
@@ -165,7 +165,15 @@
   for (std::size_t index = 0; index < this->daemons.size(); ++index) {
     MembershipService& daemon = *this->daemons[index];
     daemon.Loop().Run([&] {
-      usage[index] = { daemon.Counters(), daemon.Loop().CpuTime(), daemon.Loads().WatchedCount() };
+      usage[index] = {
+        daemon.Counters(), daemon.Loop().CpuTime(), daemon.Loads().WatchedCount(), {}
+      };
+      for (const auto& [key, fact] : daemon.Loads().Facts()) {
+        if (fact.load) {
+          const auto age = this->clock.Now() - fact.observedAt;
+          usage[index].loadAges.push_back(std::chrono::duration<double, std::milli>(age).count());
+        }
+      }
     });
   }
   return usage;
@@ -236,6 +244,25 @@
   return times;
 }
 
+std::size_t
+ControlFleet::PlaceRecords(std::size_t aPerSecond, Seconds aSpan)
+{
+  std::size_t placed = 0;
+  const std::size_t rounds = aPerSecond * static_cast<std::size_t>(aSpan.count());
+  for (std::size_t round = 0; round < rounds; ++round) {
+    for (const auto& daemon : this->daemons) {
+      SoftRecord record;
+      record.keyHash = CombineHashes(++placed, 1);
+      record.bodyHash = CombineHashes(placed, 2);
+      record.streamId = "stream-0123456789abcdef";
+      record.expiresIn = 60000;
+      daemon->PlaceRecord(std::move(record));
+    }
+    std::this_thread::sleep_for(Milliseconds(1000 / aPerSecond));
+  }
+  return placed;
+}
+
 std::vector<double>
 ControlFleet::DetectDeath(std::size_t aDaemon)
 {
--- a/Bench/ControlFleet.h
+++ b/Bench/ControlFleet.h
@@ -24,7 +24,8 @@
 {
   TransportCounters counters;
   std::chrono::nanoseconds cpu{ 0 };
-  std::size_t watched = 0; ///< Endpoints that it polls.
+  std::size_t watched = 0;      ///< Endpoints that it polls.
+  std::vector<double> loadAges; ///< Milliseconds since each known load was read.
 };
 
 /// Waits until something is known on all daemons, and keeps when each learned of it.
@@ -77,6 +78,10 @@
   /// Times until a shared state that every daemon reads from a log is in force on all.
   [[nodiscard]] std::vector<double> FollowLog(std::size_t aBytes);
 
+  /// Lets every daemon place soft records at a steady rate.
+  /// @return records placed in all
+  [[nodiscard]] std::size_t PlaceRecords(std::size_t aPerSecond, Seconds aSpan);
+
   /// Times until the others of its region have removed a daemon that was killed.
   [[nodiscard]] std::vector<double> DetectDeath(std::size_t aDaemon);
 
--- a/Lagoonward/Membership/EndpointFact.h
+++ b/Lagoonward/Membership/EndpointFact.h
@@ -17,8 +17,9 @@
   std::optional<TimePoint> goneAfter; ///< Last moment at which a leaving endpoint is promised.
   std::optional<LoadFact> load;       ///< `age` as of arrival; use `observedAt`.
   TimePoint observedAt;               ///< When the load was read, on this daemon's clock.
-  std::optional<LoadFact> spread;     ///< The newest reading that was spread.
-  TimePoint spreadAt;                 ///< When it was, or came here.
+  std::optional<LoadFact> spread;     ///< The newest reading that was spread, or is to be.
+  TimePoint spreadObservedAt;         ///< When that one was read, on this daemon's clock.
+  TimePoint spreadAt;                 ///< When it was queued here.
   bool loadQueued = false;            ///< Waits to be passed on.
   bool stateQueued = false;           ///< Waits to be passed on.
 };
--- a/Lagoonward/Membership/LoadWatch.cpp
+++ b/Lagoonward/Membership/LoadWatch.cpp
@@ -112,16 +112,16 @@
     return false;
   }
   EndpointFact& known = found->second;
+  const TimePoint observedAt = this->clock.Now() - aFact.age * kAgeUnit;
   if (!known.load || IsNewerReading(aFact.asOf, known.load->asOf)) {
     known.load = aFact;
-    known.observedAt = this->clock.Now() - aFact.age * kAgeUnit;
+    known.observedAt = observedAt;
   }
-  // A watcher may hold an even newer reading of its own; it passes on that one
+  // A watcher with a newer reading of its own still passes on this one: a newer one from here would
+  // go through all daemons a second time
   const bool isNews = !known.spread || IsNewerReading(aFact.asOf, known.spread->asOf);
   if (isNews) {
-    known.spread = known.load;
-    known.spreadAt = this->clock.Now();
-    this->QueueLoad(known);
+    this->QueueLoad(known, aFact, observedAt);
   }
   return isNews;
 }
@@ -162,8 +162,8 @@
     }
     EndpointFact& fact = found->second;
     fact.loadQueued = false;
-    if (this->IsFresh(fact)) {
-      loads.push_back(this->WithAge(fact));
+    if (fact.spread) {
+      loads.push_back(this->WithAge(*fact.spread, fact.spreadObservedAt));
       this->budget -= cost;
     }
   }
@@ -211,7 +211,7 @@
   std::vector<LoadFact> loads;
   for (const auto& [key, fact] : this->facts) {
     if (this->IsFresh(fact)) {
-      loads.push_back(this->WithAge(fact));
+      loads.push_back(this->WithAge(*fact.load, fact.observedAt));
     }
   }
   return loads;
@@ -327,9 +327,7 @@
   aFact.load = reading;
   aFact.observedAt = this->clock.Now() - reading.age * kAgeUnit;
   if (this->IsWorthSpreading(aFact, reading)) {
-    aFact.spread = reading;
-    aFact.spreadAt = this->clock.Now();
-    this->QueueLoad(aFact);
+    this->QueueLoad(aFact, reading, aFact.observedAt);
   }
 }
 
@@ -349,8 +347,11 @@
 }
 
 void
-LoadWatch::QueueLoad(EndpointFact& aFact)
+LoadWatch::QueueLoad(EndpointFact& aFact, const LoadFact& aReading, TimePoint aObservedAt)
 {
+  aFact.spread = aReading;
+  aFact.spreadObservedAt = aObservedAt;
+  aFact.spreadAt = this->clock.Now();
   if (!aFact.loadQueued) {
     aFact.loadQueued = true;
     this->dirtyLoads.push_back(aFact.key);
@@ -401,11 +402,10 @@
 }
 
 LoadFact
-LoadWatch::WithAge(const EndpointFact& aFact) const
+LoadWatch::WithAge(LoadFact aReading, TimePoint aObservedAt) const
 {
-  LoadFact load = *aFact.load;
-  load.age = ToAgeUnits(this->clock.Now() - aFact.observedAt);
-  return load;
+  aReading.age = ToAgeUnits(this->clock.Now() - aObservedAt);
+  return aReading;
 }
 
 StateFact
--- a/Lagoonward/Membership/MembershipService.cpp
+++ b/Lagoonward/Membership/MembershipService.cpp
@@ -44,7 +44,7 @@
   , loads(aClock, this->identity.self.Key(), aSettings.loads)
   , records(aClock, aSettings.softRecords)
   , exchange(aClock, { this->transport, this->peers, this->loads, this->states, this->records },
-             this->settings, [this] { this->SendNews(); })
+             this->settings, [this] { this->ScheduleNews(); })
   , view(std::make_shared<PeerView>())
   , lastSpread(aClock.Now())
 {
@@ -140,7 +140,7 @@
     }
     this->loads.SetEndpoints(std::move(endpoints));
     this->endpointsChanged = true;
-    this->SendNews();
+    this->ScheduleNews();
   });
 }
 
@@ -150,7 +150,7 @@
 {
   this->loop.Post([this, aEndpointId, aState, aGrace] {
     if (this->loads.Report(aEndpointId, aState, aGrace)) {
-      this->SendNews();
+      this->ScheduleNews();
     }
   });
 }
@@ -162,7 +162,7 @@
     const VersionNote note{ state.Topic(), state.version };
     if (this->states.Publish(std::move(state))) {
       this->exchange.QueueNote(note);
-      this->SendNews();
+      this->ScheduleNews();
     }
   });
 }
@@ -237,7 +237,6 @@
     this->lastSpread = this->clock.Now();
     this->SendLoads();
   }
-  this->SendNews();
   this->records.Sweep();
   if (std::exchange(this->endpointsChanged, false) && this->endpointsHandler) {
     this->endpointsHandler();
@@ -275,9 +274,19 @@
   }
 }
 
+void
+MembershipService::ScheduleNews()
+{
+  // After what is at hand, so that a wave of notices travels in few datagrams
+  if (!std::exchange(this->newsScheduled, true)) {
+    this->loop.Post([this] { this->SendNews(); });
+  }
+}
+
 void
 MembershipService::SendNews()
 {
+  this->newsScheduled = false;
   const std::size_t room = this->settings.transport.maximumDatagram - kFixedBytes;
   std::vector<VersionNote> notes = this->exchange.TakeNotes();
   std::vector<StateFact> changes = this->loads.TakeStates(room / kStateFactBytes);
@@ -317,7 +326,7 @@
       handle->Post([this, id, aLoad] {
         this->loads.OnPolled(id, aLoad);
         this->endpointsChanged = true;
-        this->SendNews();
+        this->ScheduleNews();
       });
     });
   }
@@ -391,7 +400,7 @@
     this->exchange.TakeNote(aSender, note);
   }
   if (!aDatagram.states.empty()) {
-    this->SendNews();
+    this->ScheduleNews();
   }
 }
 
--- a/Lagoonward/Membership/MembershipService.h
+++ b/Lagoonward/Membership/MembershipService.h
@@ -107,6 +107,7 @@
   void Tick();
   void SendProbes();
   void SendLoads();
+  void ScheduleNews();
   void SendNews();
   void StartPolls();
   void PublishPeers();
@@ -142,6 +143,7 @@
   std::unordered_map<PeerKey, std::vector<IndirectProbe>> indirect; ///< By the daemon probed.
   TimePoint lastSpread;
   bool endpointsChanged = false;
+  bool newsScheduled = false;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Membership/MembershipSettings.h
+++ b/Lagoonward/Membership/MembershipSettings.h
@@ -23,7 +23,7 @@
   Milliseconds ownPause{ 1000 }; ///< A gap between two ticks that counts as a pause of ours.
   Milliseconds deadProbeInterval{ 5000 }; ///< Between probes of removed, but listed daemons.
   Milliseconds deadRetention{ 60000 };    ///< How long a dead or unlisted peer is remembered.
-  std::size_t retransmitFactor = 3;       ///< Sends of one change: this times log2(peers).
+  std::size_t retransmitFactor = 1;       ///< Sends of one change: this times log2(peers).
 };
 
 /// Tunables of load watching and of the spreading of endpoint facts.
@@ -34,8 +34,8 @@
   std::size_t newsFanout = 4;              ///< Peers that get each state change, at once.
   Milliseconds pollInterval{ 1000 };       ///< Between two polls by one watcher.
   Milliseconds spreadInterval{ 200 };      ///< Between two rounds of load datagrams.
-  Milliseconds minimumPublishGap{ 1500 };  ///< A reading spreads at most this often.
-  Milliseconds maximumPublishGap{ 4000 };  ///< Even an unchanged reading spreads this often.
+  Milliseconds minimumPublishGap{ 2000 };  ///< A reading spreads at most this often.
+  Milliseconds maximumPublishGap{ 5000 };  ///< Even an unchanged reading spreads this often.
   double materialChange = 0.1;             ///< Share by which a reading must move to spread early.
   Milliseconds staleAfter{ 10000 };        ///< A load older than this is not given out.
   Milliseconds pollPatience{ 5000 };       ///< After this a poll counts as lost.
@@ -54,6 +54,7 @@
   std::size_t maximumConnections = 256;      ///< Accepted TCP connections at once.
   std::size_t maximumQueued = 4U << 20U; ///< Unsent bytes of one connection before it is closed.
   Milliseconds frameTimeout{ 5000 };     ///< For one frame to arrive whole once begun.
+  Milliseconds acceptPause{ 500 };       ///< After running out of descriptors.
   Milliseconds idleTimeout{ 30000 };     ///< Unused connections are closed after this.
   std::size_t datagramsPerWake = 64;     ///< Datagrams read before other work gets its turn.
   Seconds clockTolerance{ 30 };          ///< Largest difference between two daemons' clocks.
--- a/Lagoonward/Membership/PeerTable.cpp
+++ b/Lagoonward/Membership/PeerTable.cpp
@@ -43,8 +43,13 @@
   for (auto& [key, entry] : this->entries) {
     entry.listed = false;
   }
+  this->selfListed = false;
   for (const HostEntry& host : aHosts) {
-    if (host.kind != HostEntry::Kind::Daemon || host.id == this->self.id) {
+    if (host.kind != HostEntry::Kind::Daemon) {
+      continue;
+    }
+    if (host.id == this->self.id) {
+      this->selfListed = true;
       continue;
     }
     const auto found = this->entries.find(ToPeerKey(host.id));
@@ -192,9 +197,11 @@
 PeerTable::AllChanges() const
 {
   std::vector<PeerChange> all{ this->OwnChange() };
+  all.front().info = this->self;
   for (const auto& [key, entry] : this->entries) {
     if (entry.IsPresent()) {
       all.push_back(this->ToChange(entry));
+      all.back().info = entry.peer.info;
     }
   }
   return all;
@@ -401,8 +408,8 @@
 PeerTable::ToChange(const PeerEntry& aEntry) const
 {
   PeerChange change{ aEntry.peer.key, aEntry.peer.state, aEntry.peer.incarnation, std::nullopt };
-  // Of one that goes, nobody needs to know more
-  if (aEntry.peer.state <= PeerState::Leaving) {
+  // The host list tells the others what they need of those that it names
+  if (aEntry.peer.state <= PeerState::Leaving && !aEntry.listed) {
     change.info = aEntry.peer.info;
   }
   return change;
@@ -411,7 +418,8 @@
 PeerChange
 PeerTable::OwnChange() const
 {
-  return { this->selfKey, this->ownState, this->incarnation, this->self };
+  return { this->selfKey, this->ownState, this->incarnation,
+           this->selfListed ? std::nullopt : std::optional(this->self) };
 }
 
 std::size_t
--- a/Lagoonward/Membership/PeerTable.h
+++ b/Lagoonward/Membership/PeerTable.h
@@ -90,6 +90,7 @@
   PeerKey selfKey;
   std::uint64_t incarnation;
   PeerState ownState = PeerState::Alive;
+  bool selfListed = false; ///< In the host list: the others need no info of this daemon.
   PeerTableSettings settings;
   TimePoint lastHeardAny;
   TimePoint lastTick;
--- a/Lagoonward/Membership/PeerTransport.cpp
+++ b/Lagoonward/Membership/PeerTransport.cpp
@@ -167,6 +167,9 @@
     UniqueFd socket(
       ::accept4(this->listener.Get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (!socket.IsValid()) {
+      if (errno == EMFILE || errno == ENFILE) {
+        this->PauseAccepting();
+      }
       return;
     }
     if (this->connections.size() - this->outgoing.size() >= this->settings.maximumConnections) {
@@ -179,6 +182,19 @@
   }
 }
 
+void
+PeerTransport::PauseAccepting()
+{
+  // The waiting connection would wake the loop again and again until a descriptor is free
+  this->log.Warning("no descriptor is left for a connection; accepting pauses.");
+  this->loop.ChangeEvents(this->listener.Get(), 0);
+  this->loop.After(this->settings.acceptPause, [this] {
+    if (this->listener.IsValid()) {
+      this->loop.ChangeEvents(this->listener.Get(), EPOLLIN);
+    }
+  });
+}
+
 Result<std::uint64_t>
 PeerTransport::ConnectTo(const PeerAddress& aTo)
 {
--- a/Lagoonward/Membership/PeerTransport.h
+++ b/Lagoonward/Membership/PeerTransport.h
@@ -113,6 +113,7 @@
   void ReadDatagrams();
   void TakeDatagram(std::string_view aBytes);
   void AcceptConnections();
+  void PauseAccepting();
   [[nodiscard]] Result<std::uint64_t> ConnectTo(const PeerAddress& aTo);
   [[nodiscard]] Result<std::uint64_t> AddConnection(UniqueFd aSocket, PeerConnection::Side aSide,
                                                     PeerKey aPeer);
