--- /dev/null
+++ b/Fuzz/Decoders/DatagramFuzzer.cpp
@@ -0,0 +1,58 @@
+#include "Lagoonward/Membership/FrameCodec.h"
+#include "Lagoonward/Membership/SoftRecords.h"
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+using namespace lagoonward;
+
+namespace {
+
+const KeyRing&
+Keys()
+{
+  static const KeyRing keys =
+    KeyRing::Parse("1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f", "fuzz")
+      .value();
+  return keys;
+}
+
+/// Whatever decodes must encode to what decodes to the same again.
+template<typename Message>
+void
+CheckRoundTrip(std::string_view aBytes)
+{
+  const auto decoded = DecodeMessage<Message>(aBytes);
+  if (!decoded) {
+    return;
+  }
+  const std::string encoded = EncodeMessage(decoded.value());
+  const auto again = DecodeMessage<Message>(encoded);
+  if (!again || EncodeMessage(again.value()) != encoded) {
+    std::abort();
+  }
+}
+
+} // namespace
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  const std::string_view bytes(reinterpret_cast<const char*>(aData), aSize);
+
+  // Nothing without the key gets through the whole decoders
+  if (OpenDatagram(Keys(), 1, bytes).has_value() ||
+      OpenFrame(Keys(), { "0123456789abcdef", true, 0 }, bytes).has_value()) {
+    std::abort();
+  }
+
+  // The messages behind the tag, as if the tag had been right
+  CheckRoundTrip<Datagram>(bytes);
+  CheckRoundTrip<Frame>(bytes);
+  CheckRoundTrip<StateExchange>(bytes);
+  CheckRoundTrip<SharedState>(bytes);
+  CheckRoundTrip<EndpointProfile>(bytes);
+  CheckRoundTrip<RecordRequest>(bytes);
+  return 0;
+}
--- /dev/null
+++ b/UnitTests/Membership/MembershipServiceTests.cpp
@@ -0,0 +1,157 @@
+#include "Lagoonward/Core/SystemClock.h"
+#include "Lagoonward/Membership/MembershipService.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace lagoonward;
+
+namespace {
+
+constexpr std::string_view kKey =
+  "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+constexpr Seconds kPatience{ 20 };
+
+/// Four daemons and two endpoints on loopback.
+struct Fleet
+{
+  Fleet()
+  {
+    for (std::size_t index = 0; index < 4; ++index) {
+      this->Add(index);
+    }
+    this->ShareHosts();
+  }
+
+  void Add(std::size_t aIndex)
+  {
+    MembershipIdentity identity;
+    identity.self = { "daemon-" + std::to_string(aIndex), "127.0.0.1", 0,
+                      "domain-" + std::to_string(aIndex % 2), "region" };
+    identity.session = aIndex + 1;
+    this->daemons.push_back(std::make_unique<MembershipService>(
+      this->clock, identity, KeyRing::Parse(kKey, "test").value(), MembershipSettings(),
+      [this](const HostEntry&, const MembershipService::PollDone& aDone) {
+        EndpointLoad load;
+        load.running = 3;
+        load.models = { { "permit-model", "3", {} } };
+        load.asOf = this->clock.WallNow();
+        aDone(load);
+      }));
+    BOOST_TEST_REQUIRE(this->daemons.back()->Start().has_value());
+    this->hosts.push_back({ identity.self.id, HostEntry::Kind::Daemon, "127.0.0.1",
+                            this->daemons.back()->Transport().Port(), identity.self.failureDomain,
+                            "region", "small", "", false });
+  }
+
+  void ShareHosts()
+  {
+    auto all = this->hosts;
+    all.push_back({ "engine-0", HostEntry::Kind::Engine, "127.0.0.1", 1, "domain-0", "region",
+                    "large", "", false });
+    for (const auto& daemon : this->daemons) {
+      daemon->ApplyHostList(all);
+    }
+  }
+
+  /// Waits until every daemon satisfies the condition, looked at on its control thread.
+  template<typename Condition>
+  bool AllEventually(Condition aCondition)
+  {
+    constexpr Milliseconds kStep{ 10 };
+    for (Milliseconds waited{ 0 }; waited < kPatience; waited += kStep) {
+      bool all = true;
+      for (const auto& daemon : this->daemons) {
+        daemon->Loop().Run([&] { all = all && aCondition(*daemon); });
+      }
+      if (all) {
+        return true;
+      }
+      std::this_thread::sleep_for(kStep);
+    }
+    return false;
+  }
+
+  SystemClock clock;
+  std::vector<HostEntry> hosts;
+  std::vector<std::unique_ptr<MembershipService>> daemons;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MembershipServiceTests, Fleet)
+
+BOOST_AUTO_TEST_CASE(LoadsAndReclaimNewsReachEveryDaemon)
+{
+  BOOST_TEST(this->AllEventually([](const MembershipService& aDaemon) {
+    const auto& facts = aDaemon.Loads().Facts();
+    const auto fact = facts.find(ToEndpointKey("engine-0"));
+    const auto load = fact == facts.end() ? std::nullopt : aDaemon.Loads().LoadOf(fact->second);
+    return load && load->running == 3 && load->models.at(0).name == "permit-model";
+  }));
+  this->daemons[2]->ReportEndpoint("engine-0", EndpointState::Leaving, Seconds(30));
+  BOOST_TEST(this->AllEventually([](const MembershipService& aDaemon) {
+    return aDaemon.Loads().Facts().at(ToEndpointKey("engine-0")).state == EndpointState::Leaving;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(NewDaemonTakesTheStateInForceFromItsPeers)
+{
+  std::atomic<std::int64_t> adopted{ -1 };
+  this->daemons[0]->PublishState({ "config/market", 41, "forty-one" });
+  this->daemons[0]->PublishState({ "config/market", 42, "forty-two" });
+  this->Add(4);
+  this->daemons[4]->Loop().Run([&] {
+    this->daemons[4]->OnState([&](const SharedState& aState) {
+      BOOST_TEST(aState.version > adopted);
+      adopted = aState.version;
+      return aState.bytes == "forty-two";
+    });
+  });
+  this->ShareHosts();
+  BOOST_TEST(this->AllEventually([&](const MembershipService&) { return adopted == 42; }));
+}
+
+BOOST_AUTO_TEST_CASE(SoftRecordIsFoundThroughAnyDaemonAfterItsServerDied)
+{
+  BOOST_TEST(this->AllEventually(
+    [](const MembershipService& aDaemon) { return aDaemon.Peers()->peers.size() == 3; }));
+  SoftRecord record;
+  record.keyHash = 12345;
+  record.streamId = "stream-1";
+  record.expiresIn = 60000;
+  this->daemons[0]->PlaceRecord(record);
+  BOOST_TEST(this->AllEventually([&](MembershipService&) {
+    std::size_t held = 0;
+    for (std::size_t index = 1; index < 4; ++index) {
+      this->daemons[index]->Loop().Run([&] { held += this->daemons[index]->HeldRecords().Size(); });
+    }
+    return held == 1;
+  }));
+  this->daemons[0]->Stop();
+  for (std::size_t index = 1; index < 4; ++index) {
+    std::promise<std::optional<SoftRecord>> promise;
+    auto found = promise.get_future();
+    this->daemons[index]->FindRecord(
+      12345, [&](const std::optional<SoftRecord>& aRecord) { promise.set_value(aRecord); });
+    BOOST_TEST_REQUIRE((found.wait_for(kPatience) == std::future_status::ready));
+    const auto result = found.get();
+    BOOST_TEST_REQUIRE(result.has_value());
+    BOOST_TEST(result->streamId == "stream-1");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DrainIsSeenByTheOthers)
+{
+  this->daemons[1]->Drain();
+  const PeerKey leaving = ToPeerKey("daemon-1");
+  BOOST_TEST(this->AllEventually([&](const MembershipService& aDaemon) {
+    const PeerViewPtr view = aDaemon.Peers();
+    const Peer* const peer = view->Find(leaving);
+    return &aDaemon == this->daemons[1].get() ||
+           (peer != nullptr && peer->state == PeerState::Leaving);
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/UnitTests/Membership/PeerTransportTests.cpp
@@ -0,0 +1,235 @@
+#include "Lagoonward/Core/SystemClock.h"
+#include "Lagoonward/Membership/FrameCodec.h"
+#include "Lagoonward/Membership/PeerSockets.h"
+#include "Lagoonward/Membership/PeerTransport.h"
+
+#include <boost/test/unit_test.hpp>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+
+using namespace lagoonward;
+
+namespace {
+
+constexpr std::string_view kKey =
+  "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+constexpr Seconds kPatience{ 20 };
+
+KeyRing
+MakeRing()
+{
+  return KeyRing::Parse(kKey, "test").value();
+}
+
+/// One daemon's transport on a loop of its own.
+class Node
+{
+public:
+  explicit Node(PeerKey aKey, PeerTransportSettings aSettings = {})
+    : key(aKey)
+    , loop(this->clock)
+    , transport(this->loop, this->clock, aKey, 1, MakeRing(), aSettings)
+  {
+  }
+
+  ~Node()
+  {
+    this->loop.Stop();
+    this->transport.Close();
+  }
+
+  void Start()
+  {
+    BOOST_TEST_REQUIRE(this->transport.Listen("127.0.0.1", 0).has_value());
+    BOOST_TEST_REQUIRE(this->loop.Start().has_value());
+  }
+
+  [[nodiscard]] PeerAddress Address() const
+  {
+    return { this->key, "127.0.0.1", this->transport.Port() };
+  }
+
+  Result<std::string> Ask(const PeerAddress& aTo, const std::string& aBytes,
+                          Milliseconds aTimeout = Seconds(10))
+  {
+    std::promise<Result<std::string>> promise;
+    auto answer = promise.get_future();
+    this->loop.Post([&] {
+      this->transport.Request(
+        aTo, RequestType::Claim, aBytes, aTimeout,
+        [&](const Result<std::string>& aAnswer) { promise.set_value(aAnswer); });
+    });
+    BOOST_TEST_REQUIRE((answer.wait_for(kPatience) == std::future_status::ready));
+    return answer.get();
+  }
+
+  [[nodiscard]] TransportCounters Counters()
+  {
+    TransportCounters counters;
+    this->loop.Run([&] { counters = this->transport.Counters(); });
+    return counters;
+  }
+
+  PeerKey key;
+  SystemClock clock;
+  ControlLoop loop;
+  PeerTransport transport;
+};
+
+/// Waits until a condition holds, within the patience.
+template<typename Condition>
+bool
+Eventually(Condition aCondition)
+{
+  constexpr Milliseconds kStep{ 5 };
+  for (Milliseconds waited{ 0 }; waited < kPatience; waited += kStep) {
+    if (aCondition()) {
+      return true;
+    }
+    std::this_thread::sleep_for(kStep);
+  }
+  return false;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PeerTransportTests)
+
+BOOST_AUTO_TEST_CASE(RequestIsAnsweredFromAnotherThread)
+{
+  Node asker(1);
+  Node server(2);
+  std::thread worker;
+  server.transport.OnRequest(RequestType::Claim, [&](PeerKey aSender, std::string_view aBytes,
+                                                     const PeerTransport::Respond& aRespond) {
+    worker = std::thread(
+      [aRespond, answer = std::to_string(aSender) + std::string(aBytes)] { aRespond(answer); });
+  });
+  asker.Start();
+  server.Start();
+  const std::string large(300000, 'x');
+  const auto first = asker.Ask(server.Address(), "-small");
+  worker.join();
+  const auto second = asker.Ask(server.Address(), large);
+  worker.join();
+  BOOST_TEST(first.value() == "1-small");
+  BOOST_TEST(second.value() == "1" + large);
+}
+
+BOOST_AUTO_TEST_CASE(ErrorsOfThePeerComeThrough)
+{
+  Node asker(1);
+  Node server(2);
+  server.transport.OnRequest(RequestType::Claim,
+                             [](PeerKey, std::string_view, const PeerTransport::Respond& aRespond) {
+                               aRespond(Error(ErrorKind::NotLeader, "someone else"));
+                             });
+  asker.Start();
+  server.Start();
+  const auto answer = asker.Ask(server.Address(), "x");
+  BOOST_TEST_REQUIRE(!answer.has_value());
+  BOOST_TEST((answer.error().kind == ErrorKind::NotLeader));
+  BOOST_TEST(answer.error().message == "someone else");
+}
+
+BOOST_AUTO_TEST_CASE(SilentConnectionIsReplacedByANewOne)
+{
+  Node asker(1);
+  Node server(2);
+  std::atomic<int> requests{ 0 };
+  server.transport.OnRequest(
+    RequestType::Claim, [&](PeerKey, std::string_view, const PeerTransport::Respond& aRespond) {
+      // The first request gets no answer, as when something on the way has lost the connection
+      if (++requests > 1) {
+        aRespond(std::string("answered"));
+      }
+    });
+  asker.Start();
+  server.Start();
+  const auto first = asker.Ask(server.Address(), "x", Milliseconds(200));
+  BOOST_TEST_REQUIRE(!first.has_value());
+  BOOST_TEST((first.error().kind == ErrorKind::DeadlineExceeded));
+  BOOST_TEST(asker.Ask(server.Address(), "x").value() == "answered");
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsKnownNotToHaveRun)
+{
+  Node asker(1);
+  asker.Start();
+  PeerAddress nobody{ 2, "127.0.0.1", 0 };
+  {
+    // A port that was free a moment ago
+    nobody.port = PeerSockets::Open("127.0.0.1", 0).value().port;
+  }
+  const auto answer = asker.Ask(nobody, "x");
+  BOOST_TEST_REQUIRE(!answer.has_value());
+  BOOST_TEST((answer.error().kind == ErrorKind::PlatformUnavailable));
+}
+
+BOOST_AUTO_TEST_CASE(DatagramIsTakenOnceAndStrangersChangeNothing)
+{
+  Node sender(1);
+  Node receiver(2);
+  std::atomic<int> taken{ 0 };
+  receiver.transport.OnDatagram([&](PeerKey, const Datagram&) { ++taken; });
+  sender.Start();
+  receiver.Start();
+
+  // A recorded datagram, sent three times, among noise
+  DatagramHeader header;
+  header.sender = 1;
+  header.session = 1;
+  header.sequence = 1;
+  header.sentAt = static_cast<std::uint32_t>(ToUnixMilliseconds(receiver.clock.WallNow()) / 1000);
+  const std::string recorded = SealDatagram(MakeRing(), 2, header, Datagram());
+  header.sequence = 2;
+  header.sentAt -= 3600;
+  const std::string old = SealDatagram(MakeRing(), 2, header, Datagram());
+  UniqueFd socket(::socket(AF_INET, SOCK_DGRAM, 0));
+  const auto address = ToSocketAddress("127.0.0.1", receiver.transport.Port()).value();
+  const std::string junk(1200, 'j');
+  for (const std::string& bytes : { recorded, junk, recorded, old, std::string(), recorded }) {
+    ::sendto(socket.Get(), bytes.data(), bytes.size(), 0,
+             reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  }
+  BOOST_TEST(Eventually([&] { return receiver.Counters().datagramsReceived == 6; }));
+  BOOST_TEST(taken == 1);
+  BOOST_TEST(receiver.Counters().datagramsRefused == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(StrangersOnTcpAreCutOff)
+{
+  PeerTransportSettings settings;
+  settings.frameTimeout = Milliseconds(100);
+  Node server(2, settings);
+  std::atomic<int> requests{ 0 };
+  server.transport.OnRequest(
+    RequestType::Claim,
+    [&](PeerKey, std::string_view, const PeerTransport::Respond&) { ++requests; });
+  server.Start();
+  const auto isCutOff = [&](const std::string& aBytes) {
+    UniqueFd socket = BeginConnect("127.0.0.1", server.transport.Port()).value();
+    pollfd writable{ socket.Get(), POLLOUT, 0 };
+    ::poll(&writable, 1, 1000);
+    if (!aBytes.empty()) {
+      BOOST_TEST(::send(socket.Get(), aBytes.data(), aBytes.size(), MSG_NOSIGNAL) > 0);
+    }
+    return Eventually([&] {
+      std::array<char, 64> buffer;
+      const auto count = ::recv(socket.Get(), buffer.data(), buffer.size(), 0);
+      return count == 0 || (count < 0 && errno == ECONNRESET);
+    });
+  };
+  // Says nothing; announces too much; sends a frame with a wrong tag
+  BOOST_TEST(isCutOff(""));
+  BOOST_TEST(isCutOff("\xff\xff\xff\x7f"));
+  const std::string frame = SealFrame(MakeRing(), { "not-the-nonce---", true, 0 },
+                                      { FrameKind::Request, 1, 1, 6, "claim" });
+  BOOST_TEST(isCutOff(WriteFrameLength(frame.size()) + frame));
+  BOOST_TEST(requests == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
