Add the decisions and route benches

The decision modules have to be measured against what an operator would configure otherwise. The bench runs them on a virtual clock against fake engines (batches, priorities, limited prefix cache, lagging reports, late cache events, reclaims, silent connections), beside five baselines and a stated lower bound.

--- /dev/null
+++ b/Bench/Decisions/BaselinePolicy.h
@@ -0,0 +1,163 @@
+#pragma once
+
+#include "Bench/Decisions/Policy.h"
+
+#include <array>
+#include <vector>
+
+namespace lagoonward::bench {
+
+/// What a baseline's rule may look at.
+struct BaselineState
+{
+  std::span<const std::uint32_t> hosts;    ///< Live hosts for the request, in a fixed order.
+  std::span<const int> outstanding;        ///< By host: this daemon's requests there.
+  std::span<const std::uint64_t> hostKeys; ///< By host: hash of its id.
+};
+
+/// Any host with the same chance.
+struct RandomRule
+{
+  [[nodiscard]] std::uint32_t Pick(const BaselineState& aState, const WorkItem& aItem,
+                                   Random& aRandom);
+};
+
+/// One after the other, per daemon.
+struct RoundRobinRule
+{
+  std::size_t next = 0;
+  [[nodiscard]] std::uint32_t Pick(const BaselineState& aState, const WorkItem& aItem,
+                                   Random& aRandom);
+};
+
+/// The host with the fewest of this daemon's requests; ties at random.
+struct LeastOutstandingRule
+{
+  [[nodiscard]] std::uint32_t Pick(const BaselineState& aState, const WorkItem& aItem,
+                                   Random& aRandom);
+};
+
+/// Rendezvous hashing of the prompt's prefix.
+struct PrefixHashRule
+{
+  [[nodiscard]] std::uint32_t Pick(const BaselineState& aState, const WorkItem& aItem,
+                                   Random& aRandom);
+};
+
+/// Two-level hashing after Gabert et al., ElGA (SC '21): a count-min sketch estimates how often a
+/// prefix is asked for, which decides how many homes it gets by rendezvous hashing; a second choice
+/// picks among the homes, here the one with the fewest outstanding requests.
+struct TwoLevelHashRule
+{
+  static constexpr std::size_t kRows = 4;
+  static constexpr std::size_t kColumns = 1024;
+  static constexpr std::uint32_t kPerHome =
+    12; ///< Requests seen before a prefix gets one more home.
+  std::array<std::uint32_t, kRows * kColumns> sketch{};
+
+  [[nodiscard]] std::uint32_t Count(std::uint64_t aPrefix);
+  [[nodiscard]] std::uint32_t Pick(const BaselineState& aState, const WorkItem& aItem,
+                                   Random& aRandom);
+};
+
+/// A proxy as a careful operator would set it up: it stops using hosts that the host list shows
+/// leaving, sends the class's priority along, and retries a failed request from scratch, up to three attempts.
+template<typename Rule>
+class BaselinePolicy
+{
+public:
+  static constexpr bool kResumes = false;
+  static constexpr double kNoticeDelay = 3;    ///< Seconds until the host list shows a notice.
+  static constexpr double kSilenceBudget = 10; ///< Idle timeout of a connection.
+  static constexpr int kAttempts = 3;
+
+  BaselinePolicy(const Deployment& aDeployment, const Clock& /*aClock*/, std::uint64_t aSeed,
+                 std::size_t aRequests)
+    : random(aSeed)
+    , rules(static_cast<std::size_t>(aDeployment.daemons))
+    , outstanding(static_cast<std::size_t>(aDeployment.daemons))
+    , placed(aRequests)
+    , model(aDeployment.manifest.models.front().name)
+  {
+  }
+
+  void OnView(const FleetView& aView)
+  {
+    this->view = aView;
+    for (std::size_t target = 0; target < aView.hostOfTarget.size(); ++target) {
+      const std::uint32_t host = aView.hostOfTarget[target];
+      if (host >= this->hostKeys.size()) {
+        this->hostKeys.resize(host + 1);
+      }
+      this->hostKeys[host] = aView.table->Targets()[target].key;
+    }
+    for (auto& each : this->outstanding) {
+      each.resize(this->hostKeys.size());
+    }
+  }
+
+  [[nodiscard]] Result<void> Admit(const Ask& /*aAsk*/) { return boost::outcome_v2::success(); }
+
+  [[nodiscard]] Result<std::uint32_t> Place(const Ask& aAsk)
+  {
+    const WorkItem& item = *aAsk.item;
+    RouteRequest request;
+    request.service = item.service;
+    request.model = item.service.empty() ? std::string_view(this->model) : std::string_view();
+    const auto group = this->view.table->FindGroup(request);
+    if (!group) {
+      return group.error();
+    }
+    std::vector<std::uint32_t> hosts;
+    for (const std::uint32_t target : group.value()->targets) {
+      const std::uint32_t host = this->view.hostOfTarget[target];
+      if (host != aAsk.failedHost) {
+        hosts.push_back(host);
+      }
+    }
+    if (hosts.empty()) {
+      return Error(ErrorKind::NoEndpoint, "no host is live");
+    }
+    std::sort(hosts.begin(), hosts.end());
+    auto& counts = this->outstanding[item.daemon];
+    const std::uint32_t host =
+      this->rules[item.daemon].Pick({ hosts, counts, this->hostKeys }, item, this->random);
+    counts[host]++;
+    this->placed[aAsk.request] = { item.daemon, host };
+    return host;
+  }
+
+  void OnToken(std::uint32_t /*aRequest*/) {}
+
+  void OnEnd(std::uint32_t aRequest, AttemptEnd /*aEnd*/, bool /*aDone*/)
+  {
+    const Placed& entry = this->placed[aRequest];
+    this->outstanding[entry.daemon][entry.host]--;
+  }
+
+  [[nodiscard]] bool MayRetry(const Ask& aAsk) { return aAsk.attempt < kAttempts; }
+
+  void OnCacheEvents(std::string_view /*aEndpoint*/, std::span<const std::uint64_t> /*aStored*/,
+                     std::span<const std::uint64_t> /*aEvicted*/, bool /*aGap*/)
+  {
+  }
+
+  void OnHeartbeat() {}
+
+private:
+  struct Placed
+  {
+    std::size_t daemon = 0;
+    std::uint32_t host = 0;
+  };
+
+  Random random;
+  std::vector<Rule> rules;                   ///< By daemon.
+  std::vector<std::vector<int>> outstanding; ///< By daemon, then by host.
+  std::vector<Placed> placed;                ///< By request: its current attempt.
+  std::vector<std::uint64_t> hostKeys;
+  std::string model;
+  FleetView view;
+};
+
+} // namespace lagoonward::bench
--- /dev/null
+++ b/Bench/Decisions/LagoonwardPolicy.cpp
@@ -0,0 +1,160 @@
+#include "Bench/Decisions/LagoonwardPolicy.h"
+
+#include "Lagoonward/Core/Hash.h"
+
+namespace lagoonward::bench {
+
+LagoonwardPolicy::LagoonwardPolicy(const Deployment& aDeployment, const Clock& aClock,
+                                   std::uint64_t aSeed, std::size_t aRequests)
+  : deployment(aDeployment)
+  , clock(aClock)
+  , running(aRequests)
+{
+  for (int index = 0; index < aDeployment.daemons; ++index) {
+    const auto seed = CombineHashes(aSeed, static_cast<std::uint64_t>(index));
+    Daemon daemon;
+    daemon.router = std::make_unique<Router>(RoutingSettings{}, aClock, seed);
+    daemon.router->SetLiveDaemons(aDeployment.daemons);
+    daemon.admission = std::make_unique<Admission>(AdmissionSettings{}, aClock, seed);
+    daemon.admission->Configure(aDeployment.manifest);
+    daemon.retries = std::make_unique<RetryBudget>(RetryBudgetSettings{}, aClock);
+    daemon.retries->SetLiveDaemons(aDeployment.daemons);
+    this->daemons.push_back(std::move(daemon));
+  }
+}
+
+void
+LagoonwardPolicy::OnView(const FleetView& aView)
+{
+  this->view = aView;
+  for (Daemon& daemon : this->daemons) {
+    daemon.router->Update(aView.table);
+  }
+}
+
+RouteRequest
+LagoonwardPolicy::ToRouteRequest(const Ask& aAsk) const
+{
+  const WorkItem& item = *aAsk.item;
+  const ManifestClass& requestClass = this->deployment.manifest.classes[item.classIndex];
+  RouteRequest request;
+  request.service = item.service;
+  if (item.service.empty()) {
+    request.model = this->deployment.manifest.models.front().name;
+    request.firstToken = aAsk.relayedTokens == 0 ? requestClass.firstToken : Milliseconds::zero();
+    request.betweenTokens = requestClass.betweenTokens;
+  }
+  request.priority = requestClass.priority;
+  request.promptTokens = aAsk.imported ? 0 : item.promptTokens + aAsk.relayedTokens;
+  request.expectedOutputTokens = std::max(item.expectedOutput - aAsk.relayedTokens, 1);
+  request.prefixBlocks = item.blocks;
+  request.objective = this->deployment.manifest.objective;
+
+  // What has been accepted goes on even when it will be late
+  if (aAsk.attempt == 0) {
+    request.deadline = aAsk.deadline;
+  }
+  return request;
+}
+
+Result<void>
+LagoonwardPolicy::Admit(const Ask& aAsk)
+{
+  Running& entry = this->running[aAsk.request];
+  entry.daemon = aAsk.item->daemon;
+  const Daemon& daemon = this->daemons[entry.daemon];
+  const RouteRequest request = this->ToRouteRequest(aAsk);
+  daemon.admission->SetPressure(daemon.router->Pressure(request));
+  const Manifest& manifest = this->deployment.manifest;
+  AdmissionRequest admission;
+  admission.client = manifest.clients[aAsk.item->client].name;
+  admission.rank = this->view.table->RankOf(request.priority);
+  admission.tokens = request.promptTokens + request.expectedOutputTokens;
+  auto ticket = daemon.admission->Admit(admission);
+  if (!ticket) {
+    return ticket.error();
+  }
+  entry.ticket.emplace(std::move(ticket.value()));
+  return boost::outcome_v2::success();
+}
+
+Result<std::uint32_t>
+LagoonwardPolicy::Place(const Ask& aAsk)
+{
+  Running& entry = this->running[aAsk.request];
+  Router& router = *this->daemons[entry.daemon].router;
+  RouteRequest request = this->ToRouteRequest(aAsk);
+  std::array<std::string_view, 1> excluded;
+  if (aAsk.failedHost >= 0) {
+    for (std::size_t target = 0; target < this->view.hostOfTarget.size(); ++target) {
+      if (this->view.hostOfTarget[target] == static_cast<std::uint32_t>(aAsk.failedHost)) {
+        excluded[0] = this->view.table->Targets()[target].id;
+        request.excludedEndpoints = excluded;
+      }
+    }
+  }
+  const auto choice = router.Choose(request);
+  if (!choice) {
+    if (aAsk.attempt == 0) {
+      entry.ticket.reset();
+    }
+    return choice.error();
+  }
+  entry.dispatch = router.OnDispatched(choice.value(), request);
+  return this->view.hostOfTarget[choice.value().endpoint];
+}
+
+void
+LagoonwardPolicy::OnToken(std::uint32_t aRequest)
+{
+  Running& entry = this->running[aRequest];
+  this->daemons[entry.daemon].router->OnToken(entry.dispatch);
+}
+
+void
+LagoonwardPolicy::OnEnd(std::uint32_t aRequest, AttemptEnd aEnd, bool aDone)
+{
+  Running& entry = this->running[aRequest];
+  Daemon& daemon = this->daemons[entry.daemon];
+  auto outcome = DispatchOutcome::Completed;
+  if (aEnd != AttemptEnd::Completed) {
+    outcome = aEnd == AttemptEnd::Failed ? DispatchOutcome::Failed : DispatchOutcome::Cancelled;
+  }
+  daemon.router->OnFinished(entry.dispatch, outcome);
+  if (aEnd == AttemptEnd::Completed) {
+    daemon.retries->OnSuccess();
+  }
+  if (aDone) {
+    entry.ticket.reset();
+  }
+}
+
+bool
+LagoonwardPolicy::MayRetry(const Ask& aAsk)
+{
+  return this->daemons[aAsk.item->daemon].retries->TryTake();
+}
+
+void
+LagoonwardPolicy::OnCacheEvents(std::string_view aEndpoint, std::span<const std::uint64_t> aStored,
+                                std::span<const std::uint64_t> aEvicted, bool aGap)
+{
+  for (Daemon& daemon : this->daemons) {
+    daemon.router->OnCacheEvents(aEndpoint, aStored, aEvicted, aGap);
+  }
+}
+
+void
+LagoonwardPolicy::OnHeartbeat()
+{
+  for (std::size_t from = 0; from < this->daemons.size(); ++from) {
+    const auto demand = this->daemons[from].admission->TakeDemand();
+    for (std::size_t to = 0; to < this->daemons.size(); ++to) {
+      if (to != from) {
+        this->daemons[to].admission->OnPeer(from, demand);
+      }
+    }
+  }
+}
+
+} // namespace lagoonward::bench
--- /dev/null
+++ b/Bench/Decisions/SimulationEvents.h
@@ -0,0 +1,273 @@
+#pragma once
+
+// The events of Simulation, which is a template; included by Simulation.h only.
+
+#include "Bench/Decisions/Simulation.h"
+
+namespace lagoonward::bench {
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::ScheduleAll()
+{
+  for (std::uint32_t index = 0; index < this->items.size(); ++index) {
+    this->world.Schedule(this->items[index].at, EventKind::Arrival, index);
+  }
+  const Scenario& scenario = this->world.scenario;
+  for (std::uint32_t index = 0; index < scenario.reclaims.size(); ++index) {
+    const ReclaimEvent& reclaim = scenario.reclaims[index];
+    this->world.Schedule(reclaim.at, EventKind::Notice, index);
+    this->world.Schedule(reclaim.at + Policy::kNoticeDelay, EventKind::NoticeSeen, index);
+    this->world.Schedule(reclaim.at + reclaim.replacedAfter, EventKind::Replacement, index);
+  }
+  for (std::uint32_t index = 0; index < scenario.prices.size(); ++index) {
+    this->world.Schedule(scenario.prices[index].at, EventKind::Price, index);
+  }
+  for (const double at : scenario.silences) {
+    this->world.Schedule(at, EventKind::Silence);
+  }
+  this->world.TakeSample();
+  this->policy.OnView(this->world.MakeView());
+  this->world.Schedule(kSampleEvery, EventKind::Sample);
+  this->world.Schedule(kHeartbeatEvery, EventKind::Heartbeat);
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::Handle(const Event& aEvent)
+{
+  switch (aEvent.kind) {
+    case EventKind::Arrival:
+      return this->OnArrival(aEvent.subject);
+    case EventKind::StepEnd:
+      return this->OnStepEnd(aEvent.subject);
+    case EventKind::ServiceDone:
+      return this->OnProduced(aEvent.subject, true);
+    case EventKind::Retry:
+      return this->OnRetry(aEvent.subject);
+    case EventKind::MoveStart:
+      return this->OnMoveStart(aEvent.subject, aEvent.extra);
+    case EventKind::MoveEnd:
+      return this->OnMoveEnd(aEvent.subject);
+    case EventKind::Silence:
+      return this->OnSilence();
+    case EventKind::SilenceOver:
+      return this->OnSilenceOver(aEvent.subject);
+    case EventKind::Deadline:
+      return this->OnDeadline(aEvent.subject);
+    case EventKind::Gone:
+      return this->OnGone(aEvent.subject);
+    case EventKind::Replan:
+      return this->Plan(aEvent.subject);
+    default:
+      return this->HandleFleet(aEvent);
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::HandleFleet(const Event& aEvent)
+{
+  const Scenario& scenario = this->world.scenario;
+  switch (aEvent.kind) {
+    case EventKind::Sample:
+      this->world.TakeSample();
+      this->world.CollectCacheNews();
+      this->policy.OnView(this->world.MakeView());
+      this->world.Schedule(kSampleEvery, EventKind::Sample);
+      break;
+    case EventKind::Heartbeat:
+      this->policy.OnHeartbeat();
+      this->world.Schedule(kHeartbeatEvery, EventKind::Heartbeat);
+      break;
+    case EventKind::CacheNews: {
+      const CacheNews& news = this->world.cacheNews[aEvent.subject];
+      const std::string& id = this->world.hosts[news.host].id;
+      this->policy.OnCacheEvents(id, news.stored, news.evicted, news.gap);
+      this->world.cacheNews[aEvent.subject] = {};
+      break;
+    }
+    case EventKind::Notice:
+      this->world.GiveNotice(scenario.reclaims[aEvent.subject]);
+      break;
+    case EventKind::NoticeSeen:
+      for (std::uint32_t host = 0; host < this->world.hosts.size(); ++host) {
+        HostState& state = this->world.hosts[host];
+        if (state.noticed && !state.leaving) {
+          state.leaving = true;
+          this->world.Schedule(0, EventKind::Replan, host);
+        }
+      }
+      this->policy.OnView(this->world.MakeView());
+      break;
+    case EventKind::Forgotten:
+      this->world.hosts[aEvent.subject].forgotten = true;
+      break;
+    case EventKind::Replacement:
+      this->world.Replace(scenario.reclaims[aEvent.subject]);
+      break;
+    case EventKind::Price:
+      this->world.ChangePrice(scenario.prices[aEvent.subject]);
+      break;
+    default:
+      break;
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnGone(std::uint32_t aHost)
+{
+  this->world.hosts[aHost].gone = true;
+  for (std::uint32_t attempt = 0; attempt < this->attempts.size(); ++attempt) {
+    if (this->attempts[attempt].live && this->attempts[attempt].host == aHost) {
+      this->FailAttempt(attempt, true);
+    }
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::Plan(std::uint32_t aHost)
+{
+  const HostState& host = this->world.hosts[aHost];
+  if (!Policy::kResumes || host.gone) {
+    return;
+  }
+  this->planOfHost.resize(this->world.hosts.size());
+  const std::uint32_t number = ++this->planOfHost[aHost];
+  std::vector<std::uint32_t> streams;
+  for (std::uint32_t attempt = 0; attempt < this->attempts.size(); ++attempt) {
+    if (this->attempts[attempt].live && this->attempts[attempt].host == aHost) {
+      streams.push_back(attempt);
+    }
+  }
+
+  // The last slots go to those that may yet finish
+  const auto tokensLeft = [&](std::uint32_t aAttempt) {
+    const std::uint32_t request = this->attempts[aAttempt].request;
+    const int left = this->items[request].expectedOutput - this->requests[request].relayed;
+    return std::max(left, this->items[request].expectedOutput / 8);
+  };
+  std::stable_sort(streams.begin(), streams.end(), [&](std::uint32_t aLeft, std::uint32_t aRight) {
+    return tokensLeft(aLeft) < tokensLeft(aRight);
+  });
+  MoveState state;
+  state.secondsLeft = host.goneAt - this->world.Now();
+  state.canTransfer = true;
+  for (const std::uint32_t attempt : streams) {
+    const std::uint32_t request = this->attempts[attempt].request;
+    const RequestState& running = this->requests[request];
+    state.tokensLeft = tokensLeft(attempt);
+    state.stepSeconds = running.relayed > 1
+                          ? (running.lastTokenAt - running.firstTokenAt) / (running.relayed - 1)
+                          : kUnknownStep;
+    state.contextTokens = this->items[request].promptTokens + running.relayed;
+    MovePlan plan = PlanMove(state, MoveSettings{});
+    if (plan.kind == MoveKind::FinishInPlace) {
+      continue;
+    }
+
+    // A stream that has not begun has nothing to be transferred
+    const bool transfer = plan.kind == MoveKind::Transfer && running.relayed > 0;
+    state.laterTokens += transfer ? state.contextTokens : 0;
+    const double start = running.relayed > 0 ? plan.startInSeconds : 0;
+    this->world.Schedule(start, EventKind::MoveStart, attempt, number * 2 + (transfer ? 1 : 0));
+  }
+  this->world.Schedule(kReplanEvery, EventKind::Replan, aHost);
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnMoveStart(std::uint32_t aAttempt, std::uint32_t aExtra)
+{
+  AttemptState& moving = this->attempts[aAttempt];
+  const std::uint32_t host = moving.host;
+  if (!moving.live || this->planOfHost[host] != aExtra / 2) {
+    return;
+  }
+  const std::uint32_t request = moving.request;
+  const bool transfer = aExtra % 2 == 1;
+  moving.live = false;
+  if (this->world.hosts[host].engine) {
+    this->world.hosts[host].engine->Cancel(aAttempt);
+  }
+  this->policy.OnEnd(request, AttemptEnd::Moved, false);
+  Ask ask = this->MakeAsk(request);
+  ask.failedHost = host;
+  ask.imported = transfer;
+  MoveSettings settings;
+  const double context = this->items[request].promptTokens + this->requests[request].relayed;
+  const double seconds = settings.transferSetupSeconds + context / settings.transferTokensPerSecond;
+  if (!this->TryPlace(request, ask, transfer ? seconds : 0)) {
+    this->world.Schedule(kPlacePause, EventKind::Retry, request);
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnMoveEnd(std::uint32_t aAttempt)
+{
+  AttemptState& attempt = this->attempts[aAttempt];
+  if (attempt.live) {
+    this->world.hosts[attempt.host].engine->Submit(attempt.job);
+    this->world.Kick(attempt.host);
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnSilence()
+{
+  // One engine and one service lose their open connections; both go on working
+  std::vector<std::uint32_t> engines;
+  std::vector<std::uint32_t> services;
+  for (std::uint32_t host = 0; host < this->world.hosts.size(); ++host) {
+    if (!this->world.hosts[host].gone) {
+      (this->world.hosts[host].engine ? engines : services).push_back(host);
+    }
+  }
+  std::vector<int> load(this->world.hosts.size());
+  for (const AttemptState& attempt : this->attempts) {
+    load[attempt.host] += attempt.live ? 1 : 0;
+  }
+  const auto busier = [&](std::uint32_t aLeft, std::uint32_t aRight) {
+    return load[aLeft] < load[aRight];
+  };
+  const std::uint32_t engine = *std::max_element(engines.begin(), engines.end(), busier);
+  const std::uint32_t service = *std::max_element(services.begin(), services.end(), busier);
+  for (std::uint32_t attempt = 0; attempt < this->attempts.size(); ++attempt) {
+    AttemptState& state = this->attempts[attempt];
+    if (state.live && (state.host == engine || state.host == service)) {
+      state.silent = true;
+      this->world.Schedule(Policy::kSilenceBudget, EventKind::SilenceOver, attempt);
+    }
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnSilenceOver(std::uint32_t aAttempt)
+{
+  AttemptState& attempt = this->attempts[aAttempt];
+  if (!attempt.live) {
+    return;
+  }
+  if (!Policy::kResumes || !this->world.hosts[attempt.host].engine) {
+    this->FailAttempt(aAttempt, false);
+    return;
+  }
+
+  // A new connection works, and the engine still has the stream
+  attempt.silent = false;
+  if (attempt.produced > this->requests[attempt.request].relayed) {
+    this->Relay(aAttempt);
+  }
+  if (attempt.finished) {
+    this->Complete(aAttempt);
+  }
+}
+
+} // namespace lagoonward::bench
+
+#include "Bench/Decisions/SimulationRequests.h"
--- /dev/null
+++ b/Bench/Decisions/SimulationRequests.h
@@ -0,0 +1,267 @@
+#pragma once
+
+// The requests of Simulation, which is a template; included by Simulation.h only.
+
+#include "Bench/Decisions/Simulation.h"
+
+namespace lagoonward::bench {
+
+template<RoutePolicy Policy>
+Ask
+Simulation<Policy>::MakeAsk(std::uint32_t aRequest) const
+{
+  const WorkItem& item = this->items[aRequest];
+  Ask ask;
+  ask.request = aRequest;
+  ask.item = &item;
+  ask.relayedTokens = Policy::kResumes ? this->requests[aRequest].relayed : 0;
+  ask.attempt = this->requests[aRequest].attempts;
+  const auto& each = this->world.deployment.manifest.classes[item.classIndex];
+  const std::chrono::duration<double> age(this->world.Now() - item.at);
+  ask.deadline =
+    this->world.clock.Now() + each.deadline - std::chrono::duration_cast<TimePoint::duration>(age);
+  return ask;
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnArrival(std::uint32_t aRequest)
+{
+  const WorkItem& item = this->items[aRequest];
+  ClassResult& each = this->result.classes[item.classIndex];
+  ++each.offered;
+  ++this->result.offered;
+  const Ask ask = this->MakeAsk(aRequest);
+  if (!this->policy.Admit(ask) || !this->TryPlace(aRequest, ask, 0)) {
+    ++this->result.refusedNotRun;
+    this->requests[aRequest].done = true;
+    --this->open;
+    return;
+  }
+  this->requests[aRequest].accepted = true;
+  ++each.accepted;
+  ++this->result.accepted;
+  const auto& requestClass = this->world.deployment.manifest.classes[item.classIndex];
+  this->world.Schedule(std::chrono::duration<double>(requestClass.deadline).count(),
+                       EventKind::Deadline, aRequest);
+}
+
+template<RoutePolicy Policy>
+bool
+Simulation<Policy>::TryPlace(std::uint32_t aRequest, const Ask& aAsk, double aTransferSeconds)
+{
+  const auto placed = this->policy.Place(aAsk);
+  if (!placed) {
+    return false;
+  }
+  RequestState& request = this->requests[aRequest];
+  const WorkItem& item = this->items[aRequest];
+  const auto attempt = static_cast<std::uint32_t>(this->attempts.size());
+  const std::uint32_t host = placed.value();
+  request.attempt = attempt;
+  ++request.attempts;
+  AttemptState state;
+  state.request = aRequest;
+  state.host = host;
+  state.produced = aAsk.relayedTokens;
+  if (!this->world.hosts[host].engine) {
+    ++request.begun;
+    this->attempts.push_back(state);
+    this->world.Schedule(kServiceSeconds, EventKind::ServiceDone, attempt);
+    return true;
+  }
+  EngineJob& job = state.job;
+  job.attempt = attempt;
+  job.priority = this->world.deployment.manifest.classes[item.classIndex].priority;
+  job.blocks = item.blocks;
+  job.promptTokens = item.promptTokens;
+  job.resumedTokens = aAsk.imported ? 0 : aAsk.relayedTokens;
+  job.outputTokens = item.outputTokens - aAsk.relayedTokens;
+  job.imported = aAsk.imported;
+  this->attempts.push_back(state);
+
+  // Tokens that a restart generates again
+  this->world.computed.recomputedTokens += request.relayed - aAsk.relayedTokens;
+  if (aTransferSeconds > 0) {
+    this->world.Schedule(aTransferSeconds, EventKind::MoveEnd, attempt);
+    return true;
+  }
+  if (this->world.hosts[host].gone) {
+    // The connection is refused
+    this->FailAttempt(attempt, false);
+    return true;
+  }
+  this->world.hosts[host].engine->Submit(job);
+  this->world.Kick(host);
+  return true;
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnStepEnd(std::uint32_t aHost)
+{
+  if (this->world.hosts[aHost].gone) {
+    return;
+  }
+  this->tokens.clear();
+  this->world.hosts[aHost].engine->EndStep(this->tokens);
+  for (const EngineToken& token : this->tokens) {
+    this->OnProduced(token.attempt, token.last);
+  }
+  this->world.Kick(aHost);
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnProduced(std::uint32_t aAttempt, bool aLast)
+{
+  AttemptState& attempt = this->attempts[aAttempt];
+  if (!attempt.live) {
+    return;
+  }
+  ++attempt.produced;
+  attempt.finished = aLast;
+  if (attempt.silent) {
+    return;
+  }
+  this->Relay(aAttempt);
+  if (aLast) {
+    this->Complete(aAttempt);
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::Relay(std::uint32_t aAttempt)
+{
+  const AttemptState& attempt = this->attempts[aAttempt];
+  RequestState& request = this->requests[attempt.request];
+  const std::size_t classIndex = this->items[attempt.request].classIndex;
+  this->policy.OnToken(attempt.request);
+  if (attempt.produced <= request.relayed) {
+    return; // a restart, still behind what the caller has
+  }
+  const double now = this->world.Now();
+  if (request.relayed == 0) {
+    request.firstTokenAt = now;
+    this->firstTokens[classIndex].push_back(
+      static_cast<float>(now - this->items[attempt.request].at));
+  } else {
+    this->gaps[classIndex].push_back(static_cast<float>(now - request.lastTokenAt));
+  }
+  request.lastTokenAt = now;
+  request.relayed = attempt.produced;
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::Complete(std::uint32_t aAttempt)
+{
+  AttemptState& attempt = this->attempts[aAttempt];
+  attempt.live = false;
+  this->policy.OnEnd(attempt.request, AttemptEnd::Completed, true);
+  this->Close(attempt.request, true);
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::Close(std::uint32_t aRequest, bool aWhole)
+{
+  RequestState& request = this->requests[aRequest];
+  const WorkItem& item = this->items[aRequest];
+  request.done = true;
+  --this->open;
+  this->result.duplicated += !item.repeatable && request.begun > 1 ? 1 : 0;
+  if (!aWhole) {
+    ++this->result.lost;
+    return;
+  }
+  ++this->result.answeredWhole;
+  this->result.tokensGenerated += item.outputTokens;
+  const auto& requestClass = this->world.deployment.manifest.classes[item.classIndex];
+  const double first = request.firstTokenAt - item.at;
+  const double between =
+    request.relayed > 1 ? (request.lastTokenAt - request.firstTokenAt) / (request.relayed - 1) : 0;
+  if (first <= std::chrono::duration<double>(requestClass.firstToken).count() &&
+      between <= std::chrono::duration<double>(requestClass.betweenTokens).count()) {
+    ++this->result.classes[item.classIndex].met;
+    this->result.tokensAtTarget += item.outputTokens;
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::FailAttempt(std::uint32_t aAttempt, bool aAnnounced)
+{
+  AttemptState& attempt = this->attempts[aAttempt];
+  const std::uint32_t request = attempt.request;
+  attempt.live = false;
+  this->policy.OnEnd(request, AttemptEnd::Failed, false);
+  const bool mayRepeat = !Policy::kResumes || this->items[request].repeatable;
+  const bool survives = Policy::kResumes && aAnnounced;
+  if (!mayRepeat || (!survives && !this->policy.MayRetry(this->MakeAsk(request)))) {
+    this->Close(request, false);
+    return;
+  }
+  const double pause =
+    kRetryPause * static_cast<double>(1U << std::min(this->requests[request].attempts - 1, 4));
+  this->world.Schedule(survives ? 0 : pause, EventKind::Retry, request);
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnRetry(std::uint32_t aRequest)
+{
+  if (this->requests[aRequest].done) {
+    return;
+  }
+  Ask ask = this->MakeAsk(aRequest);
+  ask.failedHost = this->attempts[this->requests[aRequest].attempt].host;
+  if (!this->TryPlace(aRequest, ask, 0)) {
+    this->world.Schedule(kPlacePause, EventKind::Retry, aRequest);
+  }
+}
+
+template<RoutePolicy Policy>
+void
+Simulation<Policy>::OnDeadline(std::uint32_t aRequest)
+{
+  RequestState& request = this->requests[aRequest];
+  if (request.done) {
+    return;
+  }
+  AttemptState& attempt = this->attempts[request.attempt];
+  if (attempt.live) {
+    attempt.live = false;
+    if (this->world.hosts[attempt.host].engine) {
+      this->world.hosts[attempt.host].engine->Cancel(request.attempt);
+    }
+    this->policy.OnEnd(aRequest, AttemptEnd::Moved, true);
+  }
+  this->Close(aRequest, false);
+}
+
+template<RoutePolicy Policy>
+RunResult
+Simulation<Policy>::Finish()
+{
+  constexpr double kMillis = 1000;
+  const auto p95 = [](std::vector<float>& aValues) {
+    if (aValues.empty()) {
+      return 0.0;
+    }
+    const auto place = static_cast<std::ptrdiff_t>(aValues.size() * 95 / 100);
+    std::nth_element(aValues.begin(), aValues.begin() + place, aValues.end());
+    return static_cast<double>(aValues[static_cast<std::size_t>(place)]);
+  };
+  for (std::size_t index = 0; index < this->result.classes.size(); ++index) {
+    ClassResult& each = this->result.classes[index];
+    each.firstTokenP95Ms = p95(this->firstTokens[index]) * kMillis;
+    each.betweenTokensP95Ms = p95(this->gaps[index]) * kMillis;
+  }
+  this->result.tokensRecomputed = this->world.computed.recomputedTokens;
+  this->result.cost = this->world.cost;
+  return this->result;
+}
+
+} // namespace lagoonward::bench
--- /dev/null
+++ b/Bench/DecisionsBench.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <span>
+#include <string>
+
+namespace lagoonward::bench {
+
+/// `lagoonward-bench decisions`: the decision modules on a virtual clock against fake engines, beside
+/// the baselines and the bound. See docs/DECISIONS.md.
+/// @return the program's exit code: 2 for wrong arguments
+int
+RunDecisionsBench(std::span<const std::string> aArguments);
+
+} // namespace lagoonward::bench
--- /dev/null
+++ b/Bench/Main.cpp
@@ -0,0 +1,40 @@
+#include "Bench/DecisionsBench.h"
+#include "Bench/RouteBench.h"
+
+#include <iostream>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace {
+
+/// A bench by the name it has on the command line.
+struct Subcommand
+{
+  std::string_view name;
+  int (*run)(std::span<const std::string>);
+};
+
+constexpr Subcommand kSubcommands[] = {
+  { "decisions", lagoonward::bench::RunDecisionsBench },
+  { "route", lagoonward::bench::RunRouteBench },
+};
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  for (const Subcommand& subcommand : kSubcommands) {
+    if (!arguments.empty() && arguments.front() == subcommand.name) {
+      return subcommand.run(std::span(arguments).subspan(1));
+    }
+  }
+  std::cerr << "usage: lagoonward-bench SUBCOMMAND [--help]; subcommands:";
+  for (const Subcommand& subcommand : kSubcommands) {
+    std::cerr << ' ' << subcommand.name;
+  }
+  std::cerr << '\n';
+  return 2;
+}
