Send short prefills first and trust cache events across gaps

Requests whose prefix was cached still waited seconds behind another request's long document, and a single lost batch of cache events halved the trust in everything known of an engine. The engine priority now ranks short prefills before long ones within a class; a gap costs 3% of trust instead of half; the waiting time per prompt token is learned as a function of the batch.

--- a/Bench/Decisions/BaselinePolicy.h
+++ b/Bench/Decisions/BaselinePolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Bench/Decisions/Policy.h"
+#include "Bench/Decisions/Tuning.h"
 
 #include <array>
 #include <vector>
@@ -71,14 +72,17 @@
   static constexpr double kSilenceBudget = 10; ///< Idle timeout of a connection.
   static constexpr int kAttempts = 3;
 
-  BaselinePolicy(const Deployment& aDeployment, const Clock& /*aClock*/, std::uint64_t aSeed,
-                 std::size_t aRequests)
+  BaselinePolicy(const Deployment& aDeployment, const Tuning& /*aTuning*/, const Clock& /*aClock*/,
+                 std::uint64_t aSeed, std::size_t aRequests)
     : random(aSeed)
     , rules(static_cast<std::size_t>(aDeployment.daemons))
     , outstanding(static_cast<std::size_t>(aDeployment.daemons))
     , placed(aRequests)
     , model(aDeployment.manifest.models.front().name)
   {
+    for (const ManifestClass& each : aDeployment.manifest.classes) {
+      this->priorities.push_back(each.priority);
+    }
   }
 
   void OnView(const FleetView& aView)
@@ -98,7 +102,7 @@
 
   [[nodiscard]] Result<void> Admit(const Ask& /*aAsk*/) { return boost::outcome_v2::success(); }
 
-  [[nodiscard]] Result<std::uint32_t> Place(const Ask& aAsk)
+  [[nodiscard]] Result<Placement> Place(const Ask& aAsk)
   {
     const WorkItem& item = *aAsk.item;
     RouteRequest request;
@@ -124,7 +128,7 @@
       this->rules[item.daemon].Pick({ hosts, counts, this->hostKeys }, item, this->random);
     counts[host]++;
     this->placed[aAsk.request] = { item.daemon, host };
-    return host;
+    return Placement{ host, this->priorities[item.classIndex] };
   }
 
   void OnToken(std::uint32_t /*aRequest*/) {}
@@ -157,6 +161,7 @@
   std::vector<Placed> placed;                ///< By request: its current attempt.
   std::vector<std::uint64_t> hostKeys;
   std::string model;
+  std::vector<int> priorities; ///< By class.
   FleetView view;
 };
 
--- a/Bench/Decisions/Bound.cpp
+++ b/Bench/Decisions/Bound.cpp
@@ -87,7 +87,8 @@
 } // namespace
 
 RunResult
-ComputeBound(const Deployment& aDeployment, const Scenario& aScenario, std::uint64_t aSeed)
+ComputeBound(const Deployment& aDeployment, const Scenario& aScenario, const Tuning& /*aTuning*/,
+             std::uint64_t aSeed)
 {
   const auto items = MakeWorkload(aDeployment, aScenario, aSeed);
   const Work work = SumWork(items, aDeployment.manifest.classes.size());
--- a/Bench/Decisions/Bound.h
+++ b/Bench/Decisions/Bound.h
@@ -2,6 +2,7 @@
 
 #include "Bench/Decisions/RunResult.h"
 #include "Bench/Decisions/Scenario.h"
+#include "Bench/Decisions/Tuning.h"
 
 namespace lagoonward::bench {
 
@@ -10,6 +11,7 @@
 /// lets an engine run, and all of it fills the cheapest hosts' time first, at the price then asked.
 /// Arrival times, queues and cache limits are left out, so no policy can reach it.
 [[nodiscard]] RunResult
-ComputeBound(const Deployment& aDeployment, const Scenario& aScenario, std::uint64_t aSeed);
+ComputeBound(const Deployment& aDeployment, const Scenario& aScenario, const Tuning& aTuning,
+             std::uint64_t aSeed);
 
 } // namespace lagoonward::bench
--- a/Bench/Decisions/LagoonwardPolicy.cpp
+++ b/Bench/Decisions/LagoonwardPolicy.cpp
@@ -4,20 +4,24 @@
 
 namespace lagoonward::bench {
 
-LagoonwardPolicy::LagoonwardPolicy(const Deployment& aDeployment, const Clock& aClock,
-                                   std::uint64_t aSeed, std::size_t aRequests)
+LagoonwardPolicy::LagoonwardPolicy(const Deployment& aDeployment, const Tuning& aTuning,
+                                   const Clock& aClock, std::uint64_t aSeed, std::size_t aRequests)
   : deployment(aDeployment)
+  , objective(aDeployment.manifest.objective)
   , clock(aClock)
   , running(aRequests)
 {
+  if (aTuning.costWeight) {
+    this->objective = { *aTuning.costWeight, 1 - *aTuning.costWeight };
+  }
   for (int index = 0; index < aDeployment.daemons; ++index) {
     const auto seed = CombineHashes(aSeed, static_cast<std::uint64_t>(index));
     Daemon daemon;
-    daemon.router = std::make_unique<Router>(RoutingSettings{}, aClock, seed);
+    daemon.router = std::make_unique<Router>(aTuning.routing, aClock, seed);
     daemon.router->SetLiveDaemons(aDeployment.daemons);
-    daemon.admission = std::make_unique<Admission>(AdmissionSettings{}, aClock, seed);
+    daemon.admission = std::make_unique<Admission>(aTuning.admission, aClock, seed);
     daemon.admission->Configure(aDeployment.manifest);
-    daemon.retries = std::make_unique<RetryBudget>(RetryBudgetSettings{}, aClock);
+    daemon.retries = std::make_unique<RetryBudget>(aTuning.retries, aClock);
     daemon.retries->SetLiveDaemons(aDeployment.daemons);
     this->daemons.push_back(std::move(daemon));
   }
@@ -48,7 +52,7 @@
   request.promptTokens = aAsk.imported ? 0 : item.promptTokens + aAsk.relayedTokens;
   request.expectedOutputTokens = std::max(item.expectedOutput - aAsk.relayedTokens, 1);
   request.prefixBlocks = item.blocks;
-  request.objective = this->deployment.manifest.objective;
+  request.objective = this->objective;
 
   // What has been accepted goes on even when it will be late
   if (aAsk.attempt == 0) {
@@ -78,7 +82,7 @@
   return boost::outcome_v2::success();
 }
 
-Result<std::uint32_t>
+Result<Placement>
 LagoonwardPolicy::Place(const Ask& aAsk)
 {
   Running& entry = this->running[aAsk.request];
@@ -101,7 +105,7 @@
     return choice.error();
   }
   entry.dispatch = router.OnDispatched(choice.value(), request);
-  return this->view.hostOfTarget[choice.value().endpoint];
+  return Placement{ this->view.hostOfTarget[choice.value().endpoint], choice.value().priority };
 }
 
 void
--- a/Bench/Decisions/LagoonwardPolicy.h
+++ b/Bench/Decisions/LagoonwardPolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Bench/Decisions/Policy.h"
+#include "Bench/Decisions/Tuning.h"
 #include "Lagoonward/Admission/Admission.h"
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Routing/Router.h"
@@ -19,12 +20,12 @@
   static constexpr double kNoticeDelay = 0.5; ///< Seconds from a notice until every daemon knows.
   static constexpr double kSilenceBudget = 2; ///< Seconds without a token before a new connection.
 
-  LagoonwardPolicy(const Deployment& aDeployment, const Clock& aClock, std::uint64_t aSeed,
-                   std::size_t aRequests);
+  LagoonwardPolicy(const Deployment& aDeployment, const Tuning& aTuning, const Clock& aClock,
+                   std::uint64_t aSeed, std::size_t aRequests);
 
   void OnView(const FleetView& aView);
   [[nodiscard]] Result<void> Admit(const Ask& aAsk);
-  [[nodiscard]] Result<std::uint32_t> Place(const Ask& aAsk);
+  [[nodiscard]] Result<Placement> Place(const Ask& aAsk);
   void OnToken(std::uint32_t aRequest);
 
   /// @param aDone  whether the request is over, not just the attempt
@@ -55,6 +56,7 @@
   [[nodiscard]] RouteRequest ToRouteRequest(const Ask& aAsk) const;
 
   const Deployment& deployment;
+  ManifestObjective objective;
   const Clock& clock;
   std::vector<Daemon> daemons;
   std::vector<Running> running; ///< By request. After `daemons`, whose admissions the tickets use.
--- a/Bench/Decisions/Policy.h
+++ b/Bench/Decisions/Policy.h
@@ -29,6 +29,13 @@
   TimePoint deadline;
 };
 
+/// Where an attempt goes.
+struct Placement
+{
+  std::uint32_t host = 0;
+  int priority = 0; ///< Sent to the engine.
+};
+
 /// How an attempt ended, for the policy that placed it.
 enum class AttemptEnd
 {
@@ -58,7 +65,7 @@
     } -> std::same_as<Result<void>>;
   {
     aPolicy.Place(aAsk)
-    } -> std::same_as<Result<std::uint32_t>>;
+    } -> std::same_as<Result<Placement>>;
   aPolicy.OnToken(aRequest);
   aPolicy.OnEnd(aRequest, AttemptEnd::Completed, true);
   {
--- a/Bench/Decisions/Simulation.h
+++ b/Bench/Decisions/Simulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Bench/Decisions/Tuning.h"
 #include "Bench/Decisions/World.h"
 #include "Lagoonward/Routing/MovePolicy.h"
 
@@ -37,13 +38,15 @@
 class Simulation
 {
 public:
-  Simulation(const Deployment& aDeployment, const Scenario& aScenario, std::uint64_t aSeed)
+  Simulation(const Deployment& aDeployment, const Scenario& aScenario, const Tuning& aTuning,
+             std::uint64_t aSeed)
     : world(aDeployment, aScenario, aSeed)
     , items(MakeWorkload(aDeployment, aScenario, aSeed))
     , requests(items.size())
     , firstTokens(aDeployment.manifest.classes.size())
     , gaps(aDeployment.manifest.classes.size())
-    , policy(aDeployment, world.clock, aSeed, items.size())
+    , moves(aTuning.moves)
+    , policy(aDeployment, aTuning, world.clock, aSeed, items.size())
   {
     for (const ManifestClass& each : aDeployment.manifest.classes) {
       this->result.classes.push_back({ each.name });
@@ -110,6 +113,7 @@
   std::vector<std::uint32_t> planOfHost;       ///< Number of the host's latest plan.
   std::size_t open = 0;
   RunResult result;
+  MoveSettings moves;
   Policy policy;
 };
 
--- a/Bench/Decisions/SimulationEvents.h
+++ b/Bench/Decisions/SimulationEvents.h
@@ -163,7 +163,7 @@
                           ? (running.lastTokenAt - running.firstTokenAt) / (running.relayed - 1)
                           : kUnknownStep;
     state.contextTokens = this->items[request].promptTokens + running.relayed;
-    MovePlan plan = PlanMove(state, MoveSettings{});
+    MovePlan plan = PlanMove(state, this->moves);
     if (plan.kind == MoveKind::FinishInPlace) {
       continue;
     }
@@ -196,9 +196,9 @@
   Ask ask = this->MakeAsk(request);
   ask.failedHost = host;
   ask.imported = transfer;
-  MoveSettings settings;
   const double context = this->items[request].promptTokens + this->requests[request].relayed;
-  const double seconds = settings.transferSetupSeconds + context / settings.transferTokensPerSecond;
+  const double seconds =
+    this->moves.transferSetupSeconds + context / this->moves.transferTokensPerSecond;
   if (!this->TryPlace(request, ask, transfer ? seconds : 0)) {
     this->world.Schedule(kPlacePause, EventKind::Retry, request);
   }
--- a/Bench/Decisions/SimulationRequests.h
+++ b/Bench/Decisions/SimulationRequests.h
@@ -57,7 +57,7 @@
   RequestState& request = this->requests[aRequest];
   const WorkItem& item = this->items[aRequest];
   const auto attempt = static_cast<std::uint32_t>(this->attempts.size());
-  const std::uint32_t host = placed.value();
+  const std::uint32_t host = placed.value().host;
   request.attempt = attempt;
   ++request.attempts;
   AttemptState state;
@@ -72,7 +72,7 @@
   }
   EngineJob& job = state.job;
   job.attempt = attempt;
-  job.priority = this->world.deployment.manifest.classes[item.classIndex].priority;
+  job.priority = placed.value().priority;
   job.blocks = item.blocks;
   job.promptTokens = item.promptTokens;
   job.resumedTokens = aAsk.imported ? 0 : aAsk.relayedTokens;
--- a/Bench/DecisionsBench.cpp
+++ b/Bench/DecisionsBench.cpp
@@ -17,13 +17,14 @@
 
 namespace {
 
-using RunFunction = RunResult (*)(const Deployment&, const Scenario&, std::uint64_t);
+using RunFunction = RunResult (*)(const Deployment&, const Scenario&, const Tuning&, std::uint64_t);
 
 template<RoutePolicy Policy>
 RunResult
-RunPolicy(const Deployment& aDeployment, const Scenario& aScenario, std::uint64_t aSeed)
+RunPolicy(const Deployment& aDeployment, const Scenario& aScenario, const Tuning& aTuning,
+          std::uint64_t aSeed)
 {
-  return Simulation<Policy>(aDeployment, aScenario, aSeed).Run();
+  return Simulation<Policy>(aDeployment, aScenario, aTuning, aSeed).Run();
 }
 
 /// A policy by the name it has on the command line.
@@ -53,6 +54,7 @@
   int seeds = 1;
   bool json = false;
   std::string plot;
+  Tuning tuning;
 };
 
 void
@@ -70,7 +72,7 @@
       }
       for (int index = 0; index < aOptions.seeds; ++index) {
         const auto seed = aOptions.seed + static_cast<std::uint64_t>(index);
-        RunResult result = entry.run(aDeployment, scenario, seed);
+        RunResult result = entry.run(aDeployment, scenario, aOptions.tuning, seed);
         result.policy = entry.name;
         if (aOptions.json) {
           std::cout << ToJson(result) << '\n' << std::flush;
@@ -103,6 +105,8 @@
   add("policy", po::value(&options.policy)->default_value("all"), "one policy, or all");
   add("seed", po::value(&options.seed)->default_value(1), "first seed");
   add("seeds", po::value(&options.seeds)->default_value(1), "how many seeds, from the first on");
+  add("set", po::value<std::vector<std::string>>(),
+      "name=value: one setting of the decision modules; may be given several times");
   add("json", po::bool_switch(&options.json), "one JSON object per run");
   add("plot", po::value(&options.plot), "write an SVG there");
   po::variables_map values;
@@ -118,6 +122,14 @@
     std::cout << description;
     return 0;
   }
+  if (values.count("set") > 0) {
+    for (const std::string& text : values["set"].as<std::vector<std::string>>()) {
+      if (!options.tuning.Set(text)) {
+        std::cerr << "no setting of that form: " << text << '\n';
+        return 2;
+      }
+    }
+  }
   const auto deployment = MakeDeployment(options.deployment);
   const auto scenarios = ScenarioNames();
   const bool scenarioKnown =
--- a/Lagoonward/Routing/EndpointActivity.cpp
+++ b/Lagoonward/Routing/EndpointActivity.cpp
@@ -32,17 +32,17 @@
 }
 
 void
-EndpointActivity::OnDispatched(TimePoint aNow, int aUncachedTokens, int aRank)
+EndpointActivity::OnDispatched(TimePoint aNow, int aUncachedTokens, int aPriority)
 {
   this->dispatched.Add(aNow);
   this->inFlight++;
-  this->prefillPending[static_cast<std::size_t>(aRank)] += aUncachedTokens;
+  this->prefillPending[static_cast<std::size_t>(aPriority)] += aUncachedTokens;
 }
 
 void
-EndpointActivity::OnFirstToken(int aUncachedTokens, int aRank)
+EndpointActivity::OnFirstToken(int aUncachedTokens, int aPriority)
 {
-  int& pending = this->prefillPending[static_cast<std::size_t>(aRank)];
+  int& pending = this->prefillPending[static_cast<std::size_t>(aPriority)];
   pending = std::max(pending - aUncachedTokens, 0);
 }
 
@@ -60,11 +60,11 @@
 }
 
 int
-EndpointActivity::PrefillPending(int aRank) const
+EndpointActivity::PrefillPending(int aPriority) const
 {
   int sum = 0;
-  for (int rank = aRank; rank < kRanks; ++rank) {
-    sum += this->prefillPending[static_cast<std::size_t>(rank)];
+  for (int priority = aPriority; priority < kLevels; ++priority) {
+    sum += this->prefillPending[static_cast<std::size_t>(priority)];
   }
   return sum;
 }
--- a/Lagoonward/Routing/EndpointActivity.h
+++ b/Lagoonward/Routing/EndpointActivity.h
@@ -12,20 +12,20 @@
 class EndpointActivity
 {
 public:
-  static constexpr int kRanks = 4; ///< Ranks of priority that are told apart.
+  static constexpr int kLevels = 16; ///< Engine priorities that are told apart; see RouteScore.h.
 
   EndpointActivity() = default;
   EndpointActivity(std::uint64_t aKey, TimePoint aFirstSeen);
 
-  void OnDispatched(TimePoint aNow, int aUncachedTokens, int aRank);
-  void OnFirstToken(int aUncachedTokens, int aRank);
+  void OnDispatched(TimePoint aNow, int aUncachedTokens, int aPriority);
+  void OnFirstToken(int aUncachedTokens, int aPriority);
   void OnFinished(TimePoint aNow);
 
   /// Dispatches less finishes since that moment. Exact for the last kRecent of each.
   [[nodiscard]] int NetSince(TimePoint aSince) const;
 
-  /// Prompt tokens sent whose first token has not come, of that rank and above.
-  [[nodiscard]] int PrefillPending(int aRank) const;
+  /// Prompt tokens sent whose first token has not come, of that engine priority and above.
+  [[nodiscard]] int PrefillPending(int aPriority) const;
 
   [[nodiscard]] std::uint64_t Key() const { return this->key; }
   [[nodiscard]] TimePoint FirstSeen() const { return this->firstSeen; }
@@ -49,7 +49,7 @@
   std::uint64_t key = 0;
   TimePoint firstSeen;
   int inFlight = 0;
-  std::array<int, kRanks> prefillPending{}; ///< Tokens, by rank.
+  std::array<int, kLevels> prefillPending{}; ///< Tokens, by engine priority.
   Recent dispatched;
   Recent finished;
 };
--- a/Lagoonward/Routing/RouteChoice.h
+++ b/Lagoonward/Routing/RouteChoice.h
@@ -32,6 +32,7 @@
   RouteCost cost;
   double firstTokenSeconds = 0;    ///< Predicted.
   double betweenTokensSeconds = 0; ///< Predicted.
+  int priority = 0;                ///< To be sent to the engine; see EnginePriority().
   int cachedTokens = 0;            ///< Part of the prompt that is expected in the endpoint's cache.
   int considered = 0;              ///< Endpoints that were scored.
 
--- a/Lagoonward/Routing/RouteScore.cpp
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -44,6 +44,18 @@
 
 } // namespace
 
+int
+EnginePriority(int aRank, double aUncachedTokens)
+{
+  // Each step is four times as long as the one before
+  constexpr double kShort = 512;
+  int level = 3;
+  for (double limit = kShort; level > 0 && aUncachedTokens > limit; limit *= 4) {
+    --level;
+  }
+  return aRank * 4 + level;
+}
+
 RouteScore
 ScoreEndpoint(const EndpointOutlook& aOutlook, const RouteRequest& aRequest, int aRank,
               double aMeanPrice, const RoutingSettings& aSettings)
@@ -55,11 +67,10 @@
   // Predictions
   const double uncached = std::max(aRequest.promptTokens - aOutlook.cachedTokens, 0.0);
   const double prefill = uncached * speed.prefillSecondsPerToken;
-  const double ahead = aOutlook.prefillAhead * speed.prefillSecondsPerToken;
   const double batch = std::min(aOutlook.sequences + 1, speed.sequences);
+  const double reading = (uncached + aOutlook.prefillAhead) * speed.PrefillSeconds(batch - 1);
   score.betweenTokensSeconds = speed.StepSeconds(batch);
-  score.firstTokenSeconds = aSettings.networkSeconds + ahead + prefill +
-                            score.betweenTokensSeconds +
+  score.firstTokenSeconds = aSettings.networkSeconds + reading + score.betweenTokensSeconds +
                             WaitForSequence(aOutlook, aRequest, aRank, aSettings);
   score.finishSeconds = score.firstTokenSeconds + output * score.betweenTokensSeconds;
 
--- a/Lagoonward/Routing/RouteScore.h
+++ b/Lagoonward/Routing/RouteScore.h
@@ -31,6 +31,11 @@
   double finishSeconds = 0; ///< From now to the last token.
 };
 
+/// The priority that is sent along to the engine: the class's rank first, then the shorter prefill first, so that a request whose
+/// prefix is cached need not wait for a long document to be read. From 0 to EndpointActivity::kLevels - 1.
+[[nodiscard]] int
+EnginePriority(int aRank, double aUncachedTokens);
+
 /// Price and prediction for one request at one endpoint, in one unit: money. Pure; the rules and the
 /// figures that keep them are in docs/DECISIONS.md.
 /// @param aRank           rank of the request's priority, 0 the lowest
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -148,6 +148,7 @@
       .WithRetryAfter(std::max(wait, this->settings.retryAfterFloor));
   }
   choice.considered = eligible;
+  choice.priority = EnginePriority(scene.rank, aRequest.promptTokens - choice.cachedTokens);
   choice.table = this->table;
   return choice;
 }
@@ -157,6 +158,7 @@
 {
   aScene.now = this->clock.Now();
   aScene.rank = this->table->RankOf(aRequest.priority);
+  aScene.promptTokens = aRequest.promptTokens;
   if (!aRequest.prefixBlocks.empty()) {
     aScene.holderCount = this->prefixes.Find(aRequest.prefixBlocks, aScene.holders);
 
@@ -253,7 +255,6 @@
   outlook.speed = this->speed.Get(this->speedIndices[target.machineClass]);
   outlook.pricePerSecond = target.pricePerSecond;
   outlook.sequences = this->SequencesAt(aTarget);
-  outlook.prefillAhead = activity.PrefillPending(aScene.rank) * this->PeerFactor();
   outlook.mayPreempt = aScene.rank > 0;
   if (target.reclaimable) {
     const double perHour = this->table->IsGoing(target.failureDomain)
@@ -274,6 +275,8 @@
       outlook.homeShare = 1.0 / static_cast<double>(index + 1);
     }
   }
+  const int priority = EnginePriority(aScene.rank, aScene.promptTokens - outlook.cachedTokens);
+  outlook.prefillAhead = activity.PrefillPending(priority) * this->PeerFactor();
   const double age = ToSeconds(aScene.now - activity.FirstSeen());
   outlook.newness = std::max(1 - age / ToSeconds(this->settings.slowStart), 0.0);
   return outlook;
@@ -287,7 +290,7 @@
   Dispatch dispatch;
   dispatch.endpointKey = target.key;
   dispatch.uncachedTokens = std::max(aRequest.promptTokens - aChoice.cachedTokens, 0);
-  dispatch.rank = this->table->RankOf(aRequest.priority);
+  dispatch.priority = aChoice.priority;
   dispatch.dispatchedAt = this->clock.Now();
   dispatch.speedIndex = this->speed.IndexOf(aChoice.table->MachineClasses()[target.machineClass]);
   EndpointActivity* activity = this->FindActivity(target.key);
@@ -297,7 +300,7 @@
     dispatch.ranIdle =
       activity->PrefillPending(0) <= kIdleTokens && this->table->Targets()[index].waiting == 0;
     activity->breaker.OnDispatched(this->settings.breaker, dispatch.dispatchedAt);
-    activity->OnDispatched(dispatch.dispatchedAt, dispatch.uncachedTokens, dispatch.rank);
+    activity->OnDispatched(dispatch.dispatchedAt, dispatch.uncachedTokens, dispatch.priority);
   }
   this->prefixes.OnDispatched(target.key, aRequest.prefixBlocks);
   return dispatch;
@@ -312,12 +315,13 @@
   if (!aDispatch.hasFirstToken) {
     aDispatch.hasFirstToken = true;
     if (activity != nullptr) {
-      activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.rank);
+      activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.priority);
     }
     if (aDispatch.ranIdle) {
       const double seconds =
         ToSeconds(now - aDispatch.dispatchedAt) - this->settings.networkSeconds;
-      this->speed.ObservePrefill(aDispatch.speedIndex, aDispatch.uncachedTokens, seconds);
+      this->speed.ObservePrefill(aDispatch.speedIndex, aDispatch.uncachedTokens,
+                                 aDispatch.sequences - 1, seconds);
     }
   } else if (activity != nullptr) {
     const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
@@ -342,7 +346,7 @@
   }
   const TimePoint now = this->clock.Now();
   if (!aDispatch.hasFirstToken) {
-    activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.rank);
+    activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.priority);
   }
   activity->OnFinished(now);
   if (aOutcome == DispatchOutcome::Completed) {
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -32,7 +32,7 @@
   std::uint64_t endpointKey = 0;
   std::size_t speedIndex = 0;
   int uncachedTokens = 0;
-  int rank = 0;
+  int priority = 0;     ///< As sent to the engine.
   double sequences = 0; ///< Estimated batch at the endpoint when it was sent.
   bool ranIdle = false; ///< Little was ahead of it, so its first token shows the prefill speed.
   bool hasFirstToken = false;
@@ -106,6 +106,7 @@
     std::array<std::uint32_t, 2> homes{};
     std::size_t homeCount = 0;
     int rank = 0;
+    int promptTokens = 0;
     TimePoint now;
   };
 
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -11,6 +11,8 @@
 struct SpeedPriors
 {
   double prefillTokensPerSecond = 8000;
+  double prefillPerSequence =
+    0.000005; ///< Seconds that each running sequence adds to a prompt token.
   double stepBaseSeconds = 0.012;
   double stepPerSequenceSeconds = 0.0008;
   double sequences = 24;            ///< Sequences that an engine runs at once; more have to wait.
@@ -22,11 +24,11 @@
 /// Bounds of what a daemon remembers of prefix caches.
 struct PrefixIndexSettings
 {
-  std::size_t blockTokens = 64;      ///< Tokens that one block hash stands for.
-  std::size_t capacity = 65536;      ///< Blocks remembered, 72 bytes each; the oldest go first.
-  Seconds maxAge{ 600 };             ///< An entry not confirmed for so long counts as evicted.
-  double dispatchedConfidence = 0.9; ///< Trust in a block known only from an own dispatch.
-  double gapConfidence = 0.5; ///< Trust in entries older than a gap in the endpoint's events.
+  std::size_t blockTokens = 64;       ///< Tokens that one block hash stands for.
+  std::size_t capacity = 65536;       ///< Blocks remembered, 72 bytes each; the oldest go first.
+  Seconds maxAge{ 600 };              ///< An entry not confirmed for so long counts as evicted.
+  double dispatchedConfidence = 0.98; ///< Trust in a block known only from an own dispatch.
+  double gapConfidence = 0.97; ///< Trust in entries older than a gap in the endpoint's events.
 };
 
 /// When an endpoint that fails is left alone.
@@ -46,13 +48,13 @@
 
   double fallbackPricePerHour = 1; ///< Price of a host whose price is not known.
   double networkSeconds = 0.003;   ///< Time to an endpoint and back, added to every prediction.
-  double spread = 0.25; ///< Relative uncertainty of a prediction; width of the miss curve.
+  double spread = 0.2; ///< Relative uncertainty of a prediction; width of the miss curve.
   double missEngineSeconds =
     4;                       ///< Worth of one missed target of the lowest priority, in engine time.
   double missRankFactor = 4; ///< How much more each higher rank of priority is worth.
   double targetMargin = 0.7; ///< Share of a target that predictions should stay under.
-  double packing = 1;     ///< 1: an idle engine bears its whole step base; 0: packing is ignored.
-  double homePull = 0.25; ///< Share of the prefill that a prefix's home is expected to save later.
+  double packing = 1;  ///< 1: an idle engine bears its whole step base; 0: packing is ignored.
+  double homePull = 1; ///< Share of the prefill that a prefix's home is expected to save later.
   double reservedShare = 0.15; ///< Share of an engine's sequences kept free of the lowest rank.
   double peerShare = 0.5;      ///< How far other daemons are assumed to dispatch as this one does.
   double reclaimsPerHour = 0.05;   ///< Chance per hour that a reclaimable host goes.
--- a/Lagoonward/Routing/SpeedModel.cpp
+++ b/Lagoonward/Routing/SpeedModel.cpp
@@ -28,7 +28,8 @@
   if (found != this->classes.end()) {
     return static_cast<std::size_t>(found - this->classes.begin());
   }
-  const MachineSpeed speed{ 1 / this->priors.prefillTokensPerSecond, this->priors.stepBaseSeconds,
+  const MachineSpeed speed{ 1 / this->priors.prefillTokensPerSecond,
+                            this->priors.prefillPerSequence, this->priors.stepBaseSeconds,
                             this->priors.stepPerSequenceSeconds, this->priors.sequences };
   this->classes.push_back({ std::string(aMachineClass), speed });
   return this->classes.size() - 1;
@@ -41,16 +42,20 @@
 }
 
 void
-SpeedModel::ObservePrefill(std::size_t aIndex, int aUncachedTokens, double aSeconds)
+SpeedModel::ObservePrefill(std::size_t aIndex, int aUncachedTokens, double aSequences,
+                           double aSeconds)
 {
   if (aUncachedTokens < kShortestPrompt || aSeconds <= 0) {
     return;
   }
   MachineSpeed& speed = this->classes[aIndex].speed;
-  const double observed = aSeconds / aUncachedTokens;
-  const double corrected = speed.prefillSecondsPerToken +
-                           this->priors.learningRate * (observed - speed.prefillSecondsPerToken);
-  speed.prefillSecondsPerToken = this->Bounded(corrected, 1 / this->priors.prefillTokensPerSecond);
+  const double batch = aSequences / kTypicalBatch;
+  const double error = aSeconds / aUncachedTokens - speed.PrefillSeconds(aSequences);
+  const double step = this->priors.learningRate * error / (1 + batch * batch);
+  speed.prefillSecondsPerToken =
+    this->Bounded(speed.prefillSecondsPerToken + step, 1 / this->priors.prefillTokensPerSecond);
+  speed.prefillPerSequence = this->Bounded(speed.prefillPerSequence + step * batch / kTypicalBatch,
+                                           this->priors.prefillPerSequence);
 }
 
 void
--- a/Lagoonward/Routing/SpeedModel.h
+++ b/Lagoonward/Routing/SpeedModel.h
@@ -11,7 +11,8 @@
 /// Learned speed of one machine class.
 struct MachineSpeed
 {
-  double prefillSecondsPerToken = 0;
+  double prefillSecondsPerToken = 0; ///< Engine time.
+  double prefillPerSequence = 0;     ///< Added to it, in waiting time, by each running sequence.
   double stepBaseSeconds = 0;
   double stepPerSequenceSeconds = 0;
   double sequences = 0; ///< Sequences that run at once.
@@ -21,6 +22,12 @@
   {
     return this->stepBaseSeconds + this->stepPerSequenceSeconds * aSequences;
   }
+
+  /// Time until a prompt token is computed beside that many sequences, which share the steps.
+  [[nodiscard]] double PrefillSeconds(double aSequences) const
+  {
+    return this->prefillSecondsPerToken + this->prefillPerSequence * aSequences;
+  }
 };
 
 /// Learns how fast each machine class prefills and decodes, by correcting a share of each
@@ -39,8 +46,8 @@
     return this->classes[aIndex].speed;
   }
 
-  /// Time to the first token of a request that found little ahead of it.
-  void ObservePrefill(std::size_t aIndex, int aUncachedTokens, double aSeconds);
+  /// Time to the first token of a request that found little ahead of it but about aSequences running.
+  void ObservePrefill(std::size_t aIndex, int aUncachedTokens, double aSequences, double aSeconds);
 
   /// Time between two tokens while the batch held about aSequences.
   void ObserveStep(std::size_t aIndex, double aSequences, double aSeconds);
