Charge one more copy of a hot prefix to all its uses

A hot document stayed on one endpoint until that was full: sending one request elsewhere was charged the whole recomputation although the following requests would use the copy too. The charge is now divided by the prefix's recent uses, and the pull to a prefix's home applies only while nobody is known to have it. The index counts the uses in the entries it has anyway.

--- a/Bench/Decisions/Tuning.cpp
+++ b/Bench/Decisions/Tuning.cpp
@@ -41,6 +41,7 @@
     { "reclaims_per_hour", &this->routing.reclaimsPerHour },
     { "going_domain_per_hour", &this->routing.goingDomainPerHour },
     { "recomputed_token_worth", &this->routing.recomputedTokenWorth },
+    { "hot_uses", &this->routing.hotUses },
     { "dispatched_confidence", &this->routing.prefix.dispatchedConfidence },
     { "gap_confidence", &this->routing.prefix.gapConfidence },
     { "shed_from", &this->admission.shedFrom },
--- a/Lagoonward/Routing/EndpointActivity.h
+++ b/Lagoonward/Routing/EndpointActivity.h
@@ -12,7 +12,7 @@
 class EndpointActivity
 {
 public:
-  static constexpr int kLevels = 16; ///< Engine priorities that are told apart; see RouteScore.h.
+  static constexpr int kLevels = 8; ///< Engine priorities that are told apart; see RouteScore.h.
 
   EndpointActivity() = default;
   EndpointActivity(std::uint64_t aKey, TimePoint aFirstSeen);
--- a/Lagoonward/Routing/PrefixIndex.cpp
+++ b/Lagoonward/Routing/PrefixIndex.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Routing/PrefixIndex.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoonward {
 
@@ -77,6 +78,7 @@
   const std::uint32_t stamp = now * 2 + (aConfirmed ? 1 : 0);
   for (const std::uint64_t block : aBlocks) {
     Entry& entry = this->Claim(block);
+    entry.uses = static_cast<float>(this->UsesOf(entry, now) + (aConfirmed ? 0 : 1));
     entry.used = now;
 
     // Its own place, else a free one, else the stalest
@@ -145,6 +147,13 @@
   return trust;
 }
 
+double
+PrefixIndex::UsesOf(const Entry& aEntry, Tick aNow) const
+{
+  const double age = static_cast<double>(aNow - aEntry.used) * kTick / this->settings.usesHalfLife;
+  return aEntry.uses * std::exp2(-age);
+}
+
 bool
 PrefixIndex::IsKnown(std::uint64_t aBlock, Tick aNow) const
 {
@@ -154,7 +163,7 @@
                      [&](const Holder& aHolder) { return this->TrustIn(aHolder, aNow) > 0; });
 }
 
-std::size_t
+PrefixMatch
 PrefixIndex::Find(std::span<const std::uint64_t> aBlocks, std::span<PrefixHolder> aHolders) const
 {
   // How deep anybody's knowledge goes
@@ -167,7 +176,8 @@
   }
 
   // Who knows that much, and who an eighth less, and so on
-  std::size_t filled = 0;
+  PrefixMatch match;
+  std::size_t& filled = match.holders;
   std::size_t previous = 0;
   for (std::size_t probe = kProbes; probe > 0; --probe) {
     const std::size_t depth = known * probe / kProbes;
@@ -179,6 +189,7 @@
     if (entry == nullptr) {
       continue;
     }
+    match.uses = std::max(match.uses, depth == known ? this->UsesOf(*entry, now) : 0);
     for (const Holder& holder : entry->holders) {
       const double trust = this->TrustIn(holder, now);
       const auto listed =
@@ -191,7 +202,7 @@
       }
     }
   }
-  return filled;
+  return match;
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Routing/PrefixIndex.h
+++ b/Lagoonward/Routing/PrefixIndex.h
@@ -17,6 +17,14 @@
   double tokens = 0;     ///< Expected cached tokens: matched ones times the trust in the entry.
 };
 
+/// What Find() found.
+struct PrefixMatch
+{
+  std::size_t holders = 0; ///< How many were filled in.
+  double uses =
+    0; ///< Own dispatches of the longest known beginning lately, decayed by half per half-life.
+};
+
 /// What this daemon knows of the engines' prefix caches: from their cache events, which come late and
 /// with gaps, and from its own dispatches. Memory is bounded; the entries longest unused go first. A block's
 /// hash covers all blocks before it, so knowing a deep block is knowing the prefix. A wrong entry
@@ -50,8 +58,7 @@
 
   /// Endpoints that hold the longest known beginnings of a prompt, best first per probe. Looks at a number of blocks
   /// that grows with the logarithm of the prompt only; matches may be understated by an eighth.
-  /// @return how many of aHolders were filled
-  [[nodiscard]] std::size_t Find(std::span<const std::uint64_t> aBlocks,
+  [[nodiscard]] PrefixMatch Find(std::span<const std::uint64_t> aBlocks,
                                  std::span<PrefixHolder> aHolders) const;
 
 private:
@@ -70,7 +77,8 @@
   struct Entry
   {
     std::uint64_t block = 0;
-    Tick used = 0; ///< Zero when free.
+    Tick used = 0;  ///< Zero when free.
+    float uses = 0; ///< Own dispatches, decayed up to `used`.
     std::array<Holder, kHolders> holders;
   };
 
@@ -78,6 +86,7 @@
   [[nodiscard]] const Entry* FindEntry(std::uint64_t aBlock) const;
   [[nodiscard]] Entry& Claim(std::uint64_t aBlock);
   [[nodiscard]] double TrustIn(const Holder& aHolder, Tick aNow) const;
+  [[nodiscard]] double UsesOf(const Entry& aEntry, Tick aNow) const;
   [[nodiscard]] bool IsKnown(std::uint64_t aBlock, Tick aNow) const;
   void Remember(std::uint64_t aEndpointKey, std::span<const std::uint64_t> aBlocks,
                 bool aConfirmed);
--- a/Lagoonward/Routing/RouteScore.cpp
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -47,13 +47,8 @@
 int
 EnginePriority(int aRank, double aUncachedTokens)
 {
-  // Each step is four times as long as the one before
-  constexpr double kShort = 512;
-  int level = 3;
-  for (double limit = kShort; level > 0 && aUncachedTokens > limit; limit *= 4) {
-    --level;
-  }
-  return aRank * 4 + level;
+  constexpr double kShort = 1024;
+  return aRank * 2 + (aUncachedTokens <= kShort ? 1 : 0);
 }
 
 RouteScore
@@ -94,13 +89,16 @@
                             aSettings.recomputedTokenWorth * 2 *
                             aRequest.objective.recomputedTokens;
   score.cost.reclaim = lossChance * (aRequest.promptTokens + output / 2) * tokenWorth;
-  score.cost.recompute =
-    std::max(aOutlook.bestCachedTokens - aOutlook.cachedTokens, 0.0) * tokenWorth;
+  // One more copy of a prefix is charged to all those who will use it
+  score.cost.recompute = std::max(aOutlook.bestCachedTokens - aOutlook.cachedTokens, 0.0) *
+                         tokenWorth / (1 + aOutlook.prefixUses / aSettings.hotUses);
   score.cost.prefill *= 2 * aRequest.objective.cost;
   score.cost.decode *= 2 * aRequest.objective.cost;
 
-  score.cost.locality = -aOutlook.homeShare * aSettings.homePull * aRequest.promptTokens *
-                        tokenWorth / std::max(aSettings.recomputedTokenWorth, 1.0);
+  // A prefix that nobody is known to have goes home, where the other daemons look for it too
+  const double unknown = std::max(aRequest.promptTokens - aOutlook.bestCachedTokens, 0.0);
+  score.cost.locality = -aOutlook.homeShare * aSettings.homePull * unknown * tokenWorth /
+                        std::max(aSettings.recomputedTokenWorth, 1.0);
   score.cost.slowStart =
     aOutlook.newness * aOutlook.sequences * aMeanPrice * score.betweenTokensSeconds * output;
   return score;
--- a/Lagoonward/Routing/RouteScore.h
+++ b/Lagoonward/Routing/RouteScore.h
@@ -16,6 +16,7 @@
   double prefillAhead = 0; ///< Prompt tokens to be computed before this request's.
   double cachedTokens = 0; ///< Of this request's prompt.
   double bestCachedTokens = 0;  ///< The same at the endpoint that has most of it.
+  double prefixUses = 0;        ///< Of the longest known beginning lately, over all daemons.
   double homeShare = 0;         ///< 1 at the prefix's first home, less at the next, else 0.
   double reclaimsPerSecond = 0; ///< Chance that the host goes.
   double newness = 0;           ///< 1 just after it appeared, 0 once slow start is over.
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -160,7 +160,9 @@
   aScene.rank = this->table->RankOf(aRequest.priority);
   aScene.promptTokens = aRequest.promptTokens;
   if (!aRequest.prefixBlocks.empty()) {
-    aScene.holderCount = this->prefixes.Find(aRequest.prefixBlocks, aScene.holders);
+    const PrefixMatch match = this->prefixes.Find(aRequest.prefixBlocks, aScene.holders);
+    aScene.holderCount = match.holders;
+    aScene.prefixUses = match.uses * this->liveDaemons;
 
     // What a leaving endpoint has cached cannot be used any more
     auto* const end =
@@ -263,6 +265,7 @@
     outlook.reclaimsPerSecond = perHour / kSecondsPerHour;
   }
 
+  outlook.prefixUses = aScene.prefixUses;
   const auto tag = PrefixIndex::TagOf(target.key);
   for (std::size_t index = 0; index < aScene.holderCount; ++index) {
     outlook.bestCachedTokens = std::max(outlook.bestCachedTokens, aScene.holders[index].tokens);
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -103,6 +103,7 @@
     const RoutingGroup* group = nullptr;
     std::array<PrefixHolder, kMaxHolders> holders;
     std::size_t holderCount = 0;
+    double prefixUses = 0;
     std::array<std::uint32_t, 2> homes{};
     std::size_t homeCount = 0;
     int rank = 0;
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -27,6 +27,7 @@
   std::size_t blockTokens = 64;       ///< Tokens that one block hash stands for.
   std::size_t capacity = 65536;       ///< Blocks remembered, 72 bytes each; the oldest go first.
   Seconds maxAge{ 600 };              ///< An entry not confirmed for so long counts as evicted.
+  Milliseconds usesHalfLife{ 20000 }; ///< Half-life of the count of a prefix's uses.
   double dispatchedConfidence = 0.98; ///< Trust in a block known only from an own dispatch.
   double gapConfidence = 0.97; ///< Trust in entries older than a gap in the endpoint's events.
 };
@@ -60,9 +61,11 @@
   double reclaimsPerHour = 0.05;   ///< Chance per hour that a reclaimable host goes.
   double goingDomainPerHour = 120; ///< The same for a failure domain where hosts are leaving now.
   double recomputedTokenWorth = 4; ///< Worth of a recomputed token, in prefill time, at weight 0.5.
-  Seconds slowStart{ 10 };         ///< A new endpoint's share of dispatches grows over this time.
-  std::size_t fullScan = 32;       ///< Up to so many endpoints all are scored; above, a sample.
-  std::size_t sample = 16;         ///< Endpoints drawn at random for the sample.
+  double hotUses =
+    10; ///< Uses of a prefix, over all daemons, that halve the charge for one more copy.
+  Seconds slowStart{ 10 };   ///< A new endpoint's share of dispatches grows over this time.
+  std::size_t fullScan = 32; ///< Up to so many endpoints all are scored; above, a sample.
+  std::size_t sample = 16;   ///< Endpoints drawn at random for the sample.
   Milliseconds retryAfterFloor{ 200 }; ///< Shortest Retry-After that is given.
 };
 
