--- a/Bench/ControlBench.cpp
+++ b/Bench/ControlBench.cpp
@@ -14,7 +14,7 @@
 #include <iostream>
 #include <thread>
 
-namespace lagoonward {
+namespace lagoonward::bench {
 
 namespace {
 
@@ -309,7 +309,7 @@
 }
 
 ControlBenchSettings
-ReadArguments(std::span<const std::string_view> aArguments)
+ReadArguments(std::span<const std::string> aArguments)
 {
   ControlBenchSettings settings;
   for (const std::size_t daemons : { 8, 32, 100 }) {
@@ -349,7 +349,7 @@
 } // namespace
 
 int
-RunControlBench(std::span<const std::string_view> aArguments)
+RunControlBench(std::span<const std::string> aArguments)
 {
   const ControlBenchSettings settings = ReadArguments(aArguments);
   if (settings.sizes.empty()) {
@@ -376,4 +376,4 @@
   return 0;
 }
 
-} // namespace lagoonward
+} // namespace lagoonward::bench
--- a/Bench/ControlBench.h
+++ b/Bench/ControlBench.h
@@ -3,7 +3,7 @@
 #include <span>
 #include <string_view>
 
-namespace lagoonward {
+namespace lagoonward::bench {
 
 /// `lagoonward-bench control`: control planes of many daemons in one process, over the real messages
 /// on loopback. Measures bytes, processor time and memory per daemon and the time until a change is
@@ -13,6 +13,6 @@
 /// 380 daemons before 880 endpoints in 3 regions; `--seconds N` sets the time measured per size.
 /// @return exit code
 [[nodiscard]] int
-RunControlBench(std::span<const std::string_view> aArguments);
+RunControlBench(std::span<const std::string> aArguments);
 
-} // namespace lagoonward
+} // namespace lagoonward::bench
--- a/Bench/ControlFleet.cpp
+++ b/Bench/ControlFleet.cpp
@@ -6,7 +6,7 @@
 #include <condition_variable>
 #include <thread>
 
-namespace lagoonward {
+namespace lagoonward::bench {
 
 namespace {
 
@@ -328,4 +328,4 @@
   return { "config/bench", ++this->lastVersion, std::string(aBytes, 'm') };
 }
 
-} // namespace lagoonward
+} // namespace lagoonward::bench
--- a/Bench/ControlFleet.h
+++ b/Bench/ControlFleet.h
@@ -9,7 +9,7 @@
 #include <mutex>
 #include <vector>
 
-namespace lagoonward {
+namespace lagoonward::bench {
 
 /// Size of one measured fleet.
 struct FleetSize
@@ -101,4 +101,4 @@
   std::int64_t lastVersion = 0;
 };
 
-} // namespace lagoonward
+} // namespace lagoonward::bench
--- a/Bench/LinearFit.cpp
+++ b/Bench/LinearFit.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-namespace lagoonward {
+namespace lagoonward::bench {
 
 void
 LinearFit::Add(double aFirst, double aSecond, double aValue)
@@ -57,4 +57,4 @@
   return plane;
 }
 
-} // namespace lagoonward
+} // namespace lagoonward::bench
--- a/Bench/LinearFit.h
+++ b/Bench/LinearFit.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <vector>
 
-namespace lagoonward {
+namespace lagoonward::bench {
 
 /// A plane over two quantities.
 struct FittedPlane
@@ -34,4 +34,4 @@
   std::vector<Sample> samples;
 };
 
-} // namespace lagoonward
+} // namespace lagoonward::bench
--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -1,23 +1,30 @@
 #include "Bench/ControlBench.h"
+#include "Bench/DecisionsBench.h"
+#include "Bench/RouteBench.h"
 
 #include <array>
 #include <iostream>
+#include <string>
 #include <string_view>
 #include <vector>
 
-using namespace lagoonward;
+using namespace lagoonward::bench;
 
 namespace {
 
-/// One subcommand of the bench.
+constexpr int kExitUsage = 2;
+
+/// A bench by the name it has on the command line.
 struct Subcommand
 {
   std::string_view name;
-  int (*run)(std::span<const std::string_view> aArguments);
+  int (*run)(std::span<const std::string> aArguments);
 };
 
 constexpr std::array kSubcommands{
   Subcommand{ "control", &RunControlBench },
+  Subcommand{ "decisions", &RunDecisionsBench },
+  Subcommand{ "route", &RunRouteBench },
 };
 
 } // namespace
@@ -25,16 +32,16 @@
 int
 main(int argc, char** argv)
 {
-  const std::vector<std::string_view> arguments(argv + 1, argv + argc);
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
   for (const Subcommand& subcommand : kSubcommands) {
     if (!arguments.empty() && arguments.front() == subcommand.name) {
       return subcommand.run(std::span(arguments).subspan(1));
     }
   }
-  std::cerr << "usage: lagoonward-bench SUBCOMMAND [--json]\nsubcommands:";
+  std::cerr << "usage: lagoonward-bench SUBCOMMAND [--help]; subcommands:";
   for (const Subcommand& subcommand : kSubcommands) {
     std::cerr << ' ' << subcommand.name;
   }
   std::cerr << '\n';
-  return 2;
+  return kExitUsage;
 }
--- a/Bench/SyntheticLoads.cpp
+++ b/Bench/SyntheticLoads.cpp
@@ -2,7 +2,7 @@
 
 #include <cmath>
 
-namespace lagoonward {
+namespace lagoonward::bench {
 
 SyntheticLoads::SyntheticLoads(const Clock& aClock, SyntheticLoadSettings aSettings)
   : clock(aClock)
@@ -42,4 +42,4 @@
   return load;
 }
 
-} // namespace lagoonward
+} // namespace lagoonward::bench
--- a/Bench/SyntheticLoads.h
+++ b/Bench/SyntheticLoads.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <unordered_map>
 
-namespace lagoonward {
+namespace lagoonward::bench {
 
 /// How the made-up endpoints behave: requests arrive at random and stay for a while.
 struct SyntheticLoadSettings
@@ -44,4 +44,4 @@
   std::unordered_map<std::string, State> states;
 };
 
-} // namespace lagoonward
+} // namespace lagoonward::bench
--- a/Lagoonward/Routing/RouteScore.cpp
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -44,6 +44,13 @@
 
 } // namespace
 
+int
+EnginePriority(int aRank, double aUncachedTokens)
+{
+  constexpr double kShort = 1024;
+  return aRank * 2 + (aUncachedTokens <= kShort ? 1 : 0);
+}
+
 RouteScore
 ScoreEndpoint(const EndpointOutlook& aOutlook, const RouteRequest& aRequest, int aRank,
               double aMeanPrice, const RoutingSettings& aSettings)
@@ -55,11 +62,10 @@
   // Predictions
   const double uncached = std::max(aRequest.promptTokens - aOutlook.cachedTokens, 0.0);
   const double prefill = uncached * speed.prefillSecondsPerToken;
-  const double ahead = aOutlook.prefillAhead * speed.prefillSecondsPerToken;
   const double batch = std::min(aOutlook.sequences + 1, speed.sequences);
+  const double reading = (uncached + aOutlook.prefillAhead) * speed.PrefillSeconds(batch - 1);
   score.betweenTokensSeconds = speed.StepSeconds(batch);
-  score.firstTokenSeconds = aSettings.networkSeconds + ahead + prefill +
-                            score.betweenTokensSeconds +
+  score.firstTokenSeconds = aSettings.networkSeconds + reading + score.betweenTokensSeconds +
                             WaitForSequence(aOutlook, aRequest, aRank, aSettings);
   score.finishSeconds = score.firstTokenSeconds + output * score.betweenTokensSeconds;
 
@@ -83,13 +89,16 @@
                             aSettings.recomputedTokenWorth * 2 *
                             aRequest.objective.recomputedTokens;
   score.cost.reclaim = lossChance * (aRequest.promptTokens + output / 2) * tokenWorth;
-  score.cost.recompute =
-    std::max(aOutlook.bestCachedTokens - aOutlook.cachedTokens, 0.0) * tokenWorth;
+  // One more copy of a prefix is charged to all those who will use it
+  score.cost.recompute = std::max(aOutlook.bestCachedTokens - aOutlook.cachedTokens, 0.0) *
+                         tokenWorth / (1 + aOutlook.prefixUses / aSettings.hotUses);
   score.cost.prefill *= 2 * aRequest.objective.cost;
   score.cost.decode *= 2 * aRequest.objective.cost;
 
-  score.cost.locality = -aOutlook.homeShare * aSettings.homePull * aRequest.promptTokens *
-                        tokenWorth / std::max(aSettings.recomputedTokenWorth, 1.0);
+  // A prefix that nobody is known to have goes home, where the other daemons look for it too
+  const double unknown = std::max(aRequest.promptTokens - aOutlook.bestCachedTokens, 0.0);
+  score.cost.locality = -aOutlook.homeShare * aSettings.homePull * unknown * tokenWorth /
+                        std::max(aSettings.recomputedTokenWorth, 1.0);
   score.cost.slowStart =
     aOutlook.newness * aOutlook.sequences * aMeanPrice * score.betweenTokensSeconds * output;
   return score;
--- a/Lagoonward/Routing/RouteScore.h
+++ b/Lagoonward/Routing/RouteScore.h
@@ -16,6 +16,7 @@
   double prefillAhead = 0; ///< Prompt tokens to be computed before this request's.
   double cachedTokens = 0; ///< Of this request's prompt.
   double bestCachedTokens = 0;  ///< The same at the endpoint that has most of it.
+  double prefixUses = 0;        ///< Of the longest known beginning lately, over all daemons.
   double homeShare = 0;         ///< 1 at the prefix's first home, less at the next, else 0.
   double reclaimsPerSecond = 0; ///< Chance that the host goes.
   double newness = 0;           ///< 1 just after it appeared, 0 once slow start is over.
@@ -31,6 +32,11 @@
   double finishSeconds = 0; ///< From now to the last token.
 };
 
+/// The priority that is sent along to the engine: the class's rank first, then the shorter prefill first, so that a request whose
+/// prefix is cached need not wait for a long document to be read. From 0 to EndpointActivity::kLevels - 1.
+[[nodiscard]] int
+EnginePriority(int aRank, double aUncachedTokens);
+
 /// Price and prediction for one request at one endpoint, in one unit: money. Pure; the rules and the
 /// figures that keep them are in docs/DECISIONS.md.
 /// @param aRank           rank of the request's priority, 0 the lowest
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -11,6 +11,8 @@
 struct SpeedPriors
 {
   double prefillTokensPerSecond = 8000;
+  double prefillPerSequence =
+    0.000005; ///< Seconds that each running sequence adds to a prompt token.
   double stepBaseSeconds = 0.012;
   double stepPerSequenceSeconds = 0.0008;
   double sequences = 24;            ///< Sequences that an engine runs at once; more have to wait.
@@ -22,11 +24,12 @@
 /// Bounds of what a daemon remembers of prefix caches.
 struct PrefixIndexSettings
 {
-  std::size_t blockTokens = 64;      ///< Tokens that one block hash stands for.
-  std::size_t capacity = 65536;      ///< Blocks remembered, 72 bytes each; the oldest go first.
-  Seconds maxAge{ 600 };             ///< An entry not confirmed for so long counts as evicted.
-  double dispatchedConfidence = 0.9; ///< Trust in a block known only from an own dispatch.
-  double gapConfidence = 0.5; ///< Trust in entries older than a gap in the endpoint's events.
+  std::size_t blockTokens = 64;       ///< Tokens that one block hash stands for.
+  std::size_t capacity = 65536;       ///< Blocks remembered, 72 bytes each; the oldest go first.
+  Seconds maxAge{ 600 };              ///< An entry not confirmed for so long counts as evicted.
+  Milliseconds usesHalfLife{ 20000 }; ///< Half-life of the count of a prefix's uses.
+  double dispatchedConfidence = 0.98; ///< Trust in a block known only from an own dispatch.
+  double gapConfidence = 0.97; ///< Trust in entries older than a gap in the endpoint's events.
 };
 
 /// When an endpoint that fails is left alone.
@@ -46,21 +49,23 @@
 
   double fallbackPricePerHour = 1; ///< Price of a host whose price is not known.
   double networkSeconds = 0.003;   ///< Time to an endpoint and back, added to every prediction.
-  double spread = 0.25; ///< Relative uncertainty of a prediction; width of the miss curve.
+  double spread = 0.2; ///< Relative uncertainty of a prediction; width of the miss curve.
   double missEngineSeconds =
     4;                       ///< Worth of one missed target of the lowest priority, in engine time.
   double missRankFactor = 4; ///< How much more each higher rank of priority is worth.
   double targetMargin = 0.7; ///< Share of a target that predictions should stay under.
-  double packing = 1;     ///< 1: an idle engine bears its whole step base; 0: packing is ignored.
-  double homePull = 0.25; ///< Share of the prefill that a prefix's home is expected to save later.
+  double packing = 1;  ///< 1: an idle engine bears its whole step base; 0: packing is ignored.
+  double homePull = 1; ///< Share of the prefill that a prefix's home is expected to save later.
   double reservedShare = 0.15; ///< Share of an engine's sequences kept free of the lowest rank.
   double peerShare = 0.5;      ///< How far other daemons are assumed to dispatch as this one does.
   double reclaimsPerHour = 0.05;   ///< Chance per hour that a reclaimable host goes.
   double goingDomainPerHour = 120; ///< The same for a failure domain where hosts are leaving now.
   double recomputedTokenWorth = 4; ///< Worth of a recomputed token, in prefill time, at weight 0.5.
-  Seconds slowStart{ 10 };         ///< A new endpoint's share of dispatches grows over this time.
-  std::size_t fullScan = 32;       ///< Up to so many endpoints all are scored; above, a sample.
-  std::size_t sample = 16;         ///< Endpoints drawn at random for the sample.
+  double hotUses =
+    10; ///< Uses of a prefix, over all daemons, that halve the charge for one more copy.
+  Seconds slowStart{ 10 };   ///< A new endpoint's share of dispatches grows over this time.
+  std::size_t fullScan = 32; ///< Up to so many endpoints all are scored; above, a sample.
+  std::size_t sample = 16;   ///< Endpoints drawn at random for the sample.
   Milliseconds retryAfterFloor{ 200 }; ///< Shortest Retry-After that is given.
 };
 
