--- a/Lagoonward/Main.cpp
+++ b/Lagoonward/Main.cpp
@@ -1,4 +1,6 @@
 #include "Lagoonward/Cli/AdminCommands.h"
+#include "Lagoonward/Cli/CheckCommand.h"
+#include "Lagoonward/Cli/PublishCommand.h"
 #include "Lagoonward/Cli/ServeCommand.h"
 
 #include <array>
@@ -30,6 +32,8 @@
 
 constexpr std::array kCommands{
   Command{ "serve", "run a daemon", &RunServe },
+  Command{ "check", "validate a manifest", &RunCheck },
+  Command{ "publish", "append a manifest to its market's stream", &RunPublish },
   Command{ "status", "show what is in force where, per daemon and per endpoint", &RunStatus },
   Command{ "drain", "ask a daemon to leave", &RunDrain },
   Command{ "explain", "show the decisions taken for one request", &RunExplain },
