--- a/StandIns/Load/LoadCommand.cpp
+++ b/StandIns/Load/LoadCommand.cpp
@@ -148,7 +148,7 @@
   po::notify(values);
   options.settings.spread = Milliseconds(options.spreadMs);
   for (auto& daemon : options.daemons) {
-    daemon = "http://" + daemon;
+    daemon.insert(0, "http://");
   }
   const auto manifest = ReadManifestFile(options.manifestFile);
   const auto plan = PlanLoad(manifest, options.settings);
--- a/StandIns/Load/LoadPlan.cpp
+++ b/StandIns/Load/LoadPlan.cpp
@@ -174,6 +174,8 @@
 {
   Planner planner(aManifest, aSettings);
   std::vector<PlannedRequest> plan;
+  plan.reserve(static_cast<std::size_t>(aSettings.drafts) + aSettings.statusChecks +
+               aSettings.lookups + aSettings.submissions);
   for (int index = 0; index < aSettings.drafts; ++index) {
     plan.push_back(planner.Draft(index));
   }
--- a/UnitTests/StandIns/CallerTests.cpp
+++ b/UnitTests/StandIns/CallerTests.cpp
@@ -44,7 +44,7 @@
 
 /// Sends events with the texts given, numbered from aFirst, and the closing event if it is wanted.
 Answering
-Stream(int aFirst, std::vector<std::string> aTexts, bool aWhole)
+Stream(int aFirst, const std::vector<std::string>& aTexts, bool aWhole)
 {
   return [=](const Exchange& aExchange) {
     aExchange->BeginStream();
