Claim non-idempotent requests in the log before dispatch

Cause: such a request runs at most once, also with racing daemons, lost answers, pauses and outages. A refused claim that may still land is withdrawn by an outcome 'no', which voids it in any order. Conclusion: safety rests on log order and the local ticket, not on who batches.

--- /dev/null
+++ b/Lagoonward/Claims/ClaimService.cpp
@@ -0,0 +1,237 @@
+#include "Lagoonward/Claims/ClaimService.h"
+
+#include "Lagoonward/Core/Hash.h"
+#include "Lagoonward/Core/Log.h"
+
+#include <algorithm>
+
+namespace lagoonward {
+
+namespace {
+
+using Verdict = ClaimAnswer::Verdict;
+
+constexpr std::size_t kBatchersPerShard = 2;
+const Log kLog("claims");
+
+} // namespace
+
+ClaimService::ClaimService(ClaimSettings aSettings, ClaimServiceHooks aHooks, LogService& aLog,
+                           const Clock& aClock)
+  : settings(aSettings)
+  , hooks(std::move(aHooks))
+  , log(aLog)
+  , clock(aClock)
+{
+  for (std::size_t shard = 0; shard < kClaimShards; ++shard) {
+    this->batchers.at(shard) =
+      std::make_unique<ClaimBatcher>(ClaimStream(this->hooks.region, shard),
+                                     this->hooks.incarnation, this->settings, aLog, aClock);
+  }
+}
+
+ClaimService::~ClaimService()
+{
+  this->Stop();
+}
+
+Result<void>
+ClaimService::Start()
+{
+  for (std::size_t shard = 0; shard < kClaimShards; ++shard) {
+    this->threads.at(shard) = std::thread([this, shard] { this->Run(*this->batchers.at(shard)); });
+  }
+  return boost::outcome_v2::success();
+}
+
+void
+ClaimService::Stop()
+{
+  this->stopping = true;
+  this->log.Interrupt();
+  for (const auto& batcher : this->batchers) {
+    batcher->WakeUp();
+  }
+  for (std::thread& thread : this->threads) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+void
+ClaimService::Run(ClaimBatcher& aBatcher)
+{
+  while (!this->stopping) {
+    aBatcher.WaitForWork(aBatcher.Step());
+  }
+  aBatcher.RefuseAll(this->settings.claimTimeout);
+}
+
+ClaimTicketPtr
+ClaimService::Claim(const ClaimKey& aKey, std::uint64_t aBodyHash, ClaimCallback aCallback)
+{
+  const auto now = this->clock.BootNow();
+  const lagoonward::Claim claim{ aKey,
+                                 aBodyHash,
+                                 { this->hooks.incarnation, this->nextSequence.fetch_add(1) } };
+  auto journey = std::make_shared<Journey>();
+  journey->ticket = std::make_shared<ClaimTicket>(claim, now + this->settings.dispatchWindow);
+  journey->callback = std::move(aCallback);
+  journey->deadline = now + this->settings.claimTimeout;
+  journey->daemons = this->BatchersOf(ShardOf(aKey));
+  this->Ask(journey);
+  return journey->ticket;
+}
+
+bool
+ClaimService::BeginDispatch(const ClaimTicketPtr& aTicket)
+{
+  if (aTicket->BeginDispatch(this->clock)) {
+    return true;
+  }
+  this->GiveUp(aTicket);
+  return false;
+}
+
+bool
+ClaimService::GiveUp(const ClaimTicketPtr& aTicket)
+{
+  if (!aTicket->Close()) {
+    return !aTicket->WasDispatched();
+  }
+  const auto& claim = aTicket->GetClaim();
+  this->RecordOutcome({ claim.key, claim.id, Ran::No });
+  return true;
+}
+
+void
+ClaimService::ReportOutcome(const ClaimTicketPtr& aTicket, Ran aRan)
+{
+  if (aRan == Ran::Unknown) {
+    return;
+  }
+  const auto& claim = aTicket->GetClaim();
+  this->RecordOutcome({ claim.key, claim.id, aRan });
+}
+
+void
+ClaimService::Receive(const lagoonward::Claim& aClaim, Milliseconds aBudget,
+                      ClaimCallback aCallback)
+{
+  this->batchers.at(ShardOf(aClaim.key))
+    ->Submit(aClaim, this->clock.BootNow() + aBudget, std::move(aCallback));
+}
+
+void
+ClaimService::ReceiveOutcome(const ClaimOutcome& aOutcome)
+{
+  this->batchers.at(ShardOf(aOutcome.key))->SubmitOutcome(aOutcome);
+}
+
+ClaimBatcher::Counters
+ClaimService::GetCounters() const
+{
+  ClaimBatcher::Counters sum;
+  for (const auto& batcher : this->batchers) {
+    const auto counters = batcher->GetCounters();
+    sum.appends += counters.appends;
+    sum.claims += counters.claims;
+    sum.reads += counters.reads;
+  }
+  return sum;
+}
+
+std::vector<std::string>
+ClaimService::BatchersOf(std::size_t aShard) const
+{
+  const auto key = HashBytes(ClaimStream(this->hooks.region, aShard));
+  auto daemons = this->hooks.liveDaemons ? this->hooks.liveDaemons() : std::vector<std::string>();
+  if (daemons.empty()) {
+    daemons.push_back(this->hooks.daemonId);
+  }
+  const auto count = std::min(kBatchersPerShard, daemons.size());
+  const auto heavier = [key](const std::string& aFirst, const std::string& aSecond) {
+    return RendezvousWeight(key, HashBytes(aFirst)) > RendezvousWeight(key, HashBytes(aSecond));
+  };
+  std::partial_sort(daemons.begin(), daemons.begin() + static_cast<std::ptrdiff_t>(count),
+                    daemons.end(), heavier);
+  daemons.resize(count);
+  return daemons;
+}
+
+void
+ClaimService::Ask(const JourneyPtr& aJourney)
+{
+  const auto left =
+    std::chrono::duration_cast<Milliseconds>(aJourney->deadline - this->clock.BootNow());
+  if (aJourney->daemons.empty() || left.count() <= 0) {
+    this->Finish(aJourney, ClaimAnswer());
+    return;
+  }
+  const std::string daemon = aJourney->daemons.front();
+  aJourney->daemons.erase(aJourney->daemons.begin());
+  const auto answered = [this, aJourney](const ClaimAnswer& aAnswer) {
+    this->OnAnswer(aJourney, aAnswer);
+  };
+  const auto& claim = aJourney->ticket->GetClaim();
+  if (daemon == this->hooks.daemonId || this->hooks.forwarder == nullptr) {
+    this->Receive(claim, left, answered);
+    return;
+  }
+
+  // Leave time for the second daemon
+  const bool isLast = aJourney->daemons.empty();
+  const auto budget = isLast ? left : std::min(left, this->settings.forwardTimeout);
+  this->hooks.forwarder->ForwardClaim(daemon, claim, budget, answered);
+}
+
+void
+ClaimService::OnAnswer(const JourneyPtr& aJourney, const ClaimAnswer& aAnswer)
+{
+  // Whoever did not answer may still have recorded it; the next one's copy changes nothing
+  if (aAnswer.verdict == Verdict::Unreachable) {
+    aJourney->maybeRecorded = true;
+    this->Ask(aJourney);
+    return;
+  }
+  this->Finish(aJourney, aAnswer);
+}
+
+void
+ClaimService::Finish(const JourneyPtr& aJourney, ClaimAnswer aAnswer)
+{
+  const auto& claim = aJourney->ticket->GetClaim();
+  aAnswer.maybeRecorded = aAnswer.maybeRecorded || aJourney->maybeRecorded;
+  if (aAnswer.verdict == Verdict::Won) {
+    if (aJourney->ticket->MarkWon()) {
+      kLog.Info("claim {} won at {}.", ToString(claim.id), aAnswer.holder.offset);
+      aJourney->callback(aAnswer);
+    }
+    return;
+  }
+
+  // Close first, so that no copy of the answer can lead to a dispatch, then free the key
+  if (!aJourney->ticket->Close()) {
+    return;
+  }
+  if (aAnswer.verdict != Verdict::Lost && aAnswer.maybeRecorded) {
+    this->RecordOutcome({ claim.key, claim.id, Ran::No });
+  }
+  kLog.Info("claim {} {}.", ToString(claim.id),
+            aAnswer.verdict == Verdict::Lost ? "lost to " + ToString(aAnswer.holder.id)
+                                             : std::string("could not be settled"));
+  aJourney->callback(aAnswer);
+}
+
+void
+ClaimService::RecordOutcome(const ClaimOutcome& aOutcome)
+{
+  const std::string first = this->BatchersOf(ShardOf(aOutcome.key)).front();
+  const bool isOwn = first == this->hooks.daemonId || this->hooks.forwarder == nullptr;
+  if (isOwn || !this->hooks.forwarder->ForwardOutcome(first, aOutcome)) {
+    this->ReceiveOutcome(aOutcome);
+  }
+}
+
+} // namespace lagoonward
