--- a/Lagoonward/Membership/SoftRecords.cpp
+++ b/Lagoonward/Membership/SoftRecords.cpp
@@ -22,6 +22,7 @@
     }
   }
   std::vector<const Peer*> ordered;
+  ordered.reserve(best.size());
   for (const auto& item : best) {
     ordered.push_back(item.second);
   }
