Reserve a third of each engine and shed by the misses of the ranks above

Drafts filled the engines, so that urgent requests waited for a free sequence, and overload was shed too late to help them. Drafts now leave 35% of an engine's sequences free; admission begins to shed a rank earlier while answers of higher ranks miss their targets, and its bands are narrower.

--- a/Bench/Decisions/BaselinePolicy.h
+++ b/Bench/Decisions/BaselinePolicy.h
@@ -146,6 +146,8 @@
   {
   }
 
+  void OnAnswered(std::uint32_t /*aRequest*/, bool /*aMet*/) {}
+
   void OnHeartbeat() {}
 
 private:
--- a/Bench/Decisions/LagoonwardPolicy.cpp
+++ b/Bench/Decisions/LagoonwardPolicy.cpp
@@ -133,6 +133,12 @@
   }
 }
 
+void
+LagoonwardPolicy::OnAnswered(std::uint32_t aRequest, bool aMet)
+{
+  this->running[aRequest].ticket->ReportTargets(aMet);
+}
+
 bool
 LagoonwardPolicy::MayRetry(const Ask& aAsk)
 {
--- a/Bench/Decisions/LagoonwardPolicy.h
+++ b/Bench/Decisions/LagoonwardPolicy.h
@@ -30,6 +30,9 @@
 
   /// @param aDone  whether the request is over, not just the attempt
   void OnEnd(std::uint32_t aRequest, AttemptEnd aEnd, bool aDone);
+
+  /// The request was answered whole, with or without its targets met. Comes before its OnEnd().
+  void OnAnswered(std::uint32_t aRequest, bool aMet);
   [[nodiscard]] bool MayRetry(const Ask& aAsk);
   void OnCacheEvents(std::string_view aEndpoint, std::span<const std::uint64_t> aStored,
                      std::span<const std::uint64_t> aEvicted, bool aGap);
--- a/Bench/Decisions/Policy.h
+++ b/Bench/Decisions/Policy.h
@@ -68,6 +68,7 @@
     } -> std::same_as<Result<Placement>>;
   aPolicy.OnToken(aRequest);
   aPolicy.OnEnd(aRequest, AttemptEnd::Completed, true);
+  aPolicy.OnAnswered(aRequest, true);
   {
     aPolicy.MayRetry(aAsk)
     } -> std::same_as<bool>;
--- a/Bench/Decisions/Simulation.h
+++ b/Bench/Decisions/Simulation.h
@@ -92,6 +92,7 @@
   void Relay(std::uint32_t aAttempt);
   void Complete(std::uint32_t aAttempt);
   void Close(std::uint32_t aRequest, bool aWhole);
+  [[nodiscard]] bool MetTargets(std::uint32_t aRequest) const;
   void FailAttempt(std::uint32_t aAttempt, bool aAnnounced);
   void OnRetry(std::uint32_t aRequest);
   void OnGone(std::uint32_t aHost);
--- a/Bench/Decisions/SimulationRequests.h
+++ b/Bench/Decisions/SimulationRequests.h
@@ -159,6 +159,7 @@
 {
   AttemptState& attempt = this->attempts[aAttempt];
   attempt.live = false;
+  this->policy.OnAnswered(attempt.request, this->MetTargets(attempt.request));
   this->policy.OnEnd(attempt.request, AttemptEnd::Completed, true);
   this->Close(attempt.request, true);
 }
@@ -178,15 +179,24 @@
   }
   ++this->result.answeredWhole;
   this->result.tokensGenerated += item.outputTokens;
+  if (this->MetTargets(aRequest)) {
+    ++this->result.classes[item.classIndex].met;
+    this->result.tokensAtTarget += item.outputTokens;
+  }
+}
+
+template<RoutePolicy Policy>
+bool
+Simulation<Policy>::MetTargets(std::uint32_t aRequest) const
+{
+  const RequestState& request = this->requests[aRequest];
+  const WorkItem& item = this->items[aRequest];
   const auto& requestClass = this->world.deployment.manifest.classes[item.classIndex];
   const double first = request.firstTokenAt - item.at;
   const double between =
     request.relayed > 1 ? (request.lastTokenAt - request.firstTokenAt) / (request.relayed - 1) : 0;
-  if (first <= std::chrono::duration<double>(requestClass.firstToken).count() &&
-      between <= std::chrono::duration<double>(requestClass.betweenTokens).count()) {
-    ++this->result.classes[item.classIndex].met;
-    this->result.tokensAtTarget += item.outputTokens;
-  }
+  return first <= std::chrono::duration<double>(requestClass.firstToken).count() &&
+         between <= std::chrono::duration<double>(requestClass.betweenTokens).count();
 }
 
 template<RoutePolicy Policy>
--- a/Bench/Decisions/Tuning.cpp
+++ b/Bench/Decisions/Tuning.cpp
@@ -47,6 +47,8 @@
     { "shed_from", &this->admission.shedFrom },
     { "shed_width", &this->admission.shedWidth },
     { "shed_rank_step", &this->admission.shedRankStep },
+    { "miss_shift", &this->admission.missShift },
+    { "miss_full", &this->admission.missFull },
     { "shed_fairness", &this->admission.shedFairness },
     { "transfer_tokens_per_second", &this->moves.transferTokensPerSecond },
     { "move_safety", &this->moves.safety },
--- a/Lagoonward/Admission/Admission.cpp
+++ b/Lagoonward/Admission/Admission.cpp
@@ -23,11 +23,12 @@
 
 } // namespace
 
-Ticket::Ticket(Admission& aAdmission, std::uint64_t aClient, double aTokens)
+Ticket::Ticket(Admission& aAdmission, std::uint64_t aClient, const AdmissionRequest& aRequest)
   : admission(&aAdmission)
   , client(aClient)
-  , estimated(aTokens)
-  , used(aTokens)
+  , rank(aRequest.rank)
+  , estimated(aRequest.tokens)
+  , used(aRequest.tokens)
   , admittedAt(aAdmission.clock.Now())
 {
 }
@@ -35,6 +36,7 @@
 Ticket::Ticket(Ticket&& aOther) noexcept
   : admission(std::exchange(aOther.admission, nullptr))
   , client(aOther.client)
+  , rank(aOther.rank)
   , estimated(aOther.estimated)
   , used(aOther.used)
   , admittedAt(aOther.admittedAt)
@@ -48,6 +50,7 @@
     this->Release();
     this->admission = std::exchange(aOther.admission, nullptr);
     this->client = aOther.client;
+    this->rank = aOther.rank;
     this->estimated = aOther.estimated;
     this->used = aOther.used;
     this->admittedAt = aOther.admittedAt;
@@ -60,6 +63,14 @@
   this->Release();
 }
 
+void
+Ticket::ReportTargets(bool aMet)
+{
+  if (this->admission != nullptr) {
+    this->admission->OnTargets(this->rank, aMet);
+  }
+}
+
 void
 Ticket::Settle(double aTokens)
 {
@@ -129,7 +140,7 @@
   }
   client->available -= aRequest.tokens;
   client->running++;
-  return Ticket(*this, client->key, aRequest.tokens);
+  return Ticket(*this, client->key, aRequest);
 }
 
 Result<void>
@@ -161,7 +172,8 @@
 {
   // Shed a growing part, not all at once: reports lag, and a hard limit would swing
   const double from = this->settings.shedFrom + this->settings.shedRankStep * aRank -
-                      this->settings.shedFairness * this->OverUse(aClient);
+                      this->settings.shedFairness * this->OverUse(aClient) -
+                      this->settings.missShift * this->MissesAbove(aRank);
   const double part = std::clamp((this->pressure - from) / this->settings.shedWidth, 0.0, 1.0);
   this->random = CombineHashes(this->random, 1);
   const double draw = std::ldexp(static_cast<double>(this->random >> 11U), -53);
@@ -173,6 +185,24 @@
     .WithRetryAfter(this->Bounded(this->meanSeconds * std::min(excess, 1.0)));
 }
 
+void
+Admission::OnTargets(int aRank, bool aMet)
+{
+  const std::lock_guard lock(this->mutex);
+  double& part = this->misses[std::min(static_cast<std::size_t>(aRank), kRanks - 1)];
+  part += this->settings.missWeight * ((aMet ? 0 : 1) - part);
+}
+
+double
+Admission::MissesAbove(int aRank) const
+{
+  double most = 0;
+  for (auto rank = static_cast<std::size_t>(aRank) + 1; rank < kRanks; ++rank) {
+    most = std::max(most, this->misses[rank]);
+  }
+  return std::min(most / this->settings.missFull, 1.0);
+}
+
 double
 Admission::OverUse(const Client& aClient) const
 {
--- a/Lagoonward/Admission/Admission.h
+++ b/Lagoonward/Admission/Admission.h
@@ -4,6 +4,7 @@
 #include "Lagoonward/Configuration/Manifest.h"
 #include "Lagoonward/Core/Result.h"
 
+#include <array>
 #include <mutex>
 #include <string_view>
 #include <vector>
@@ -30,17 +31,21 @@
   Ticket& operator=(const Ticket&) = delete;
   ~Ticket();
 
+  /// States whether the answer kept its class's targets. While answers of a rank miss theirs, lower ranks are shed earlier.
+  void ReportTargets(bool aMet);
+
   /// States what the request used in the end, so that the estimate's error is charged or refunded.
   void Settle(double aTokens);
 
 private:
   friend class Admission;
-  Ticket(Admission& aAdmission, std::uint64_t aClient, double aTokens);
+  Ticket(Admission& aAdmission, std::uint64_t aClient, const AdmissionRequest& aRequest);
 
   void Release();
 
   Admission* admission; ///< Must outlive the ticket. Null once moved from.
   std::uint64_t client;
+  int rank;
   double estimated;
   double used;
   TimePoint admittedAt;
@@ -74,6 +79,8 @@
 private:
   friend class Ticket;
 
+  static constexpr std::size_t kRanks = 4;
+
   /// One account and what it uses at this daemon.
   struct Client
   {
@@ -95,6 +102,8 @@
   void Refresh(Client& aClient) const;
   [[nodiscard]] Result<void> CheckLimits(Client& aClient, const AdmissionRequest& aRequest);
   [[nodiscard]] Result<void> CheckPressure(const Client& aClient, int aRank);
+  void OnTargets(int aRank, bool aMet);
+  [[nodiscard]] double MissesAbove(int aRank) const;
   [[nodiscard]] double OverUse(const Client& aClient) const;
   [[nodiscard]] Milliseconds Bounded(double aSeconds) const;
 
@@ -105,8 +114,9 @@
   std::vector<Client> clients;
   DemandView view;
   double pressure = 0;
-  double meanSeconds = 1; ///< Averaged duration of requests.
-  TimePoint sentAt;       ///< Time of the last TakeDemand().
+  std::array<double, kRanks> misses{}; ///< Averaged part of missed targets, by rank.
+  double meanSeconds = 1;              ///< Averaged duration of requests.
+  TimePoint sentAt;                    ///< Time of the last TakeDemand().
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Admission/AdmissionSettings.h
+++ b/Lagoonward/Admission/AdmissionSettings.h
@@ -12,10 +12,14 @@
   Milliseconds peerTimeout{ 5000 };  ///< A peer not heard of for so long no longer counts.
   Milliseconds demandWindow{ 2000 }; ///< Time over which demand is averaged.
   double burstSeconds = 2;   ///< Tokens that a client may use at once, in seconds of its rate.
-  double shedFrom = 0.85;    ///< Pressure at which the lowest rank begins to be shed.
-  double shedWidth = 0.3;    ///< From there, so much more pressure sheds all of it.
-  double shedRankStep = 1;   ///< Each higher rank begins so much later.
+  double shedFrom = 0.8;     ///< Pressure at which the lowest rank begins to be shed.
+  double shedWidth = 0.15;   ///< From there, so much more pressure sheds all of it.
+  double shedRankStep = 0.2; ///< Each higher rank begins so much later.
   double shedFairness = 0.2; ///< How much earlier a client at twice its fair share is shed.
+  double missShift =
+    0.3; ///< How much earlier a rank is shed while ranks above it miss their targets.
+  double missFull = 0.05;   ///< Part of missed targets at which the whole shift applies.
+  double missWeight = 0.02; ///< Weight of the newest answer in the averaged part of misses.
   Milliseconds retryAfterFloor{ 200 };     ///< Shortest Retry-After that is given.
   Milliseconds retryAfterCeiling{ 30000 }; ///< Longest.
 };
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -47,26 +47,58 @@
   PrefixIndexSettings prefix;
   CircuitBreakerSettings breaker;
 
-  double fallbackPricePerHour = 1; ///< Price of a host whose price is not known.
-  double networkSeconds = 0.003;   ///< Time to an endpoint and back, added to every prediction.
-  double spread = 0.2; ///< Relative uncertainty of a prediction; width of the miss curve.
-  double missEngineSeconds =
-    4;                       ///< Worth of one missed target of the lowest priority, in engine time.
-  double missRankFactor = 4; ///< How much more each higher rank of priority is worth.
-  double targetMargin = 0.7; ///< Share of a target that predictions should stay under.
-  double packing = 1;  ///< 1: an idle engine bears its whole step base; 0: packing is ignored.
-  double homePull = 1; ///< Share of the prefill that a prefix's home is expected to save later.
-  double reservedShare = 0.15; ///< Share of an engine's sequences kept free of the lowest rank.
-  double peerShare = 0.5;      ///< How far other daemons are assumed to dispatch as this one does.
-  double reclaimsPerHour = 0.05;   ///< Chance per hour that a reclaimable host goes.
-  double goingDomainPerHour = 120; ///< The same for a failure domain where hosts are leaving now.
-  double recomputedTokenWorth = 4; ///< Worth of a recomputed token, in prefill time, at weight 0.5.
-  double hotUses =
-    10; ///< Uses of a prefix, over all daemons, that halve the charge for one more copy.
-  Seconds slowStart{ 10 };   ///< A new endpoint's share of dispatches grows over this time.
-  std::size_t fullScan = 32; ///< Up to so many endpoints all are scored; above, a sample.
-  std::size_t sample = 16;   ///< Endpoints drawn at random for the sample.
-  Milliseconds retryAfterFloor{ 200 }; ///< Shortest Retry-After that is given.
+  /// Price of a host whose price is not known.
+  double fallbackPricePerHour = 1;
+
+  /// Time to an endpoint and back, added to every prediction.
+  double networkSeconds = 0.003;
+
+  /// Relative uncertainty of a prediction: the width of the curve from "met" to "missed".
+  double spread = 0.2;
+
+  /// Worth of one missed target of the lowest priority, in engine time.
+  double missEngineSeconds = 6;
+
+  /// How much more a missed target of each higher rank of priority is worth.
+  double missRankFactor = 4;
+
+  /// How far an engine's step base is charged to the request that would be alone there. Zero ignores
+  /// how full an engine is; above one, work is packed harder than its price alone would have it.
+  double packing = 1;
+
+  /// Part of a prompt's prefill that is expected to be saved later if a prefix that nobody has goes
+  /// to its home.
+  double homePull = 2;
+
+  /// Share of an engine's sequences kept free of the lowest rank.
+  double reservedShare = 0.35;
+
+  /// How far other daemons are assumed to dispatch as this one does. One: exactly alike.
+  double peerShare = 0.5;
+
+  /// Chance per hour that a reclaimable host goes.
+  double reclaimsPerHour = 0.05;
+
+  /// The same for a failure domain where hosts are leaving now.
+  double goingDomainPerHour = 120;
+
+  /// Worth of a recomputed token in the time of its prefill, where the objective's weight is 0.5.
+  double recomputedTokenWorth = 16;
+
+  /// Recent uses of a prefix, over all daemons, that halve the charge for one more copy.
+  double hotUses = 20;
+
+  /// A new endpoint's surcharge falls to nothing over this time.
+  Seconds slowStart{ 10 };
+
+  /// Up to so many endpoints all are scored; above, a sample.
+  std::size_t fullScan = 32;
+
+  /// Endpoints drawn at random for the sample, half of them from the cheapest quarter.
+  std::size_t sample = 16;
+
+  /// Shortest Retry-After that is given.
+  Milliseconds retryAfterFloor{ 200 };
 };
 
 } // namespace lagoonward
