Move streams off leaving endpoints by plan

Cause: the planner existed, but streams on a leaving endpoint ran until their connection broke. Workers exist from construction on, as the control thread posts to them early. Conclusion: announced reclaims no longer depend on a broken connection.

--- a/Lagoonward/Attempts/AttemptSettings.h
+++ b/Lagoonward/Attempts/AttemptSettings.h
@@ -17,6 +17,8 @@
   double firstTokenSilenceFactor = 2;
   /// How long a new connection may stay without its first event before the endpoint is blamed.
   Milliseconds reconnectPatience{ 1000 };
+  /// Longest wait for each of the two steps of copying a KV cache.
+  Milliseconds kvTransferTimeout{ 10'000 };
   /// First pause before trying again when no endpoint takes an accepted request; doubles each time.
   Milliseconds firstPause{ 50 };
   Milliseconds longestPause{ 1000 };
--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -30,6 +30,9 @@
   if (this->pauseTimer) {
     this->context.loop.CancelTimer(*this->pauseTimer);
   }
+  if (this->moveTimer) {
+    this->context.loop.CancelTimer(*this->moveTimer);
+  }
 }
 
 void
@@ -52,17 +55,97 @@
 }
 
 void
-CompletionRun::MoveAway(std::string_view aTarget, std::string_view aReason)
+CompletionRun::FollowPlan(const MovePlan& aPlan)
 {
   if (this->ended || this->endpointId.empty()) {
     return;
   }
+  const bool moves = aPlan.kind == MoveKind::ExportImport || aPlan.kind == MoveKind::Reprefill;
+  const bool isSame =
+    this->move && moves && this->move->kind == aPlan.kind && this->move->target == aPlan.target;
+  // An export that has begun goes on; a move yet to begin may be timed anew
+  if (isSame && (this->transfer != nullptr || this->move->startAt == aPlan.startAt)) {
+    return;
+  }
+  if (!isSame) {
+    this->Note(fmt::format("is planned to {}{}{}, {:.0f} tokens computed again.",
+                           ToString(aPlan.kind), aPlan.target.empty() ? "" : " at endpoint ",
+                           aPlan.target, aPlan.recomputedTokens));
+  }
+  this->DropMove();
+  if (!moves) {
+    return;
+  }
+  this->move = MoveInProgress{ aPlan.kind, aPlan.target, aPlan.startAt, aPlan.readyAt };
+  const TimePoint now = this->context.loop.GetClock().Now();
+  const auto delay = std::chrono::ceil<Milliseconds>(aPlan.startAt - now);
+  this->moveTimer =
+    this->context.loop.RunAfter(std::max(delay, Milliseconds(0)), [this] { this->BeginMove(); });
+}
+
+void
+CompletionRun::DropMove()
+{
+  if (this->moveTimer) {
+    this->context.loop.CancelTimer(*this->moveTimer);
+    this->moveTimer.reset();
+  }
+  this->transfer.reset();
+  this->move.reset();
+}
+
+void
+CompletionRun::BeginMove()
+{
+  this->moveTimer.reset();
+  if (this->ended || !this->move || this->endpointId.empty()) {
+    return;
+  }
+  if (this->move->kind == MoveKind::ExportImport) {
+    this->BeginExport();
+  } else {
+    this->MoveAway("its endpoint is leaving");
+  }
+}
+
+void
+CompletionRun::BeginExport()
+{
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const Endpoint* source = fleet->Find(this->endpointId);
+  const Endpoint* target = fleet->Find(this->move->target);
+  if (source == nullptr || target == nullptr || this->streamId.empty()) {
+    this->DropMove();
+    return;
+  }
+  KvTransfer::Route route;
+  route.sourceAddress = fmt::format("{}:{}", source->address, source->port);
+  route.targetAddress = fmt::format("{}:{}", target->address, target->port);
+  route.streamId = this->streamId;
+  route.timeout = this->context.settings.kvTransferTimeout;
+  this->transfer =
+    std::make_unique<KvTransfer>(this->context.loop, std::move(route), [this](bool aMoved) {
+      if (aMoved) {
+        this->MoveAway("its KV cache was copied");
+        return;
+      }
+      // The next plan finds another way
+      this->Note("could not have its KV cache copied.");
+      this->exportFailed = true;
+      this->DropMove();
+    });
+  this->transfer->Start();
+}
+
+void
+CompletionRun::MoveAway(std::string_view aReason)
+{
   ++this->context.counters.moves;
   this->Note(fmt::format("leaves endpoint {} after {} tokens: {}.", this->endpointId,
                          this->answer->TokenCount(), aReason));
+  this->transfer.reset();
   this->CancelEngineStream();
   this->LeaveEndpoint(DispatchOutcome::Cancelled);
-  this->preferredEndpoint = aTarget;
   this->Dispatch();
 }
 
@@ -133,8 +216,19 @@
     return;
   }
   std::vector<std::string_view> excludedViews;
-  const RouteRequest request = this->MakeRouteRequest(excludedViews);
+  RouteRequest request = this->MakeRouteRequest(excludedViews);
+  // A planned move goes where it was planned to, if that still takes work
+  std::string planned;
+  if (this->move) {
+    planned = std::move(this->move->target);
+    this->DropMove();
+  }
+  request.onlyEndpoint = planned;
   auto choice = this->context.router.Choose(request);
+  if (!choice && !planned.empty()) {
+    request.onlyEndpoint = {};
+    choice = this->context.router.Choose(request);
+  }
   if (choice) {
     this->BeginAttempt(choice.value(), request);
     return;
@@ -190,6 +284,7 @@
   this->endpointId = endpoint->id;
   this->baseUrl = fmt::format("http://{}:{}", endpoint->address, endpoint->port);
   this->streamId.clear();
+  this->call.engine.priority = aChoice.priority;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
   this->Note("goes to " + aChoice.Describe());
   this->BeginStream({}, false);
@@ -230,6 +325,7 @@
   this->streamId.clear();
   this->resuming = false;
   this->resumedSinceProgress = false;
+  this->exportFailed = false;
   if (!this->endpointId.empty()) {
     this->context.router.OnFinished(this->dispatch, aOutcome);
     this->endpointId.clear();
@@ -240,6 +336,7 @@
 CompletionRun::TryElsewhere(std::string_view aReason)
 {
   this->excluded.push_back(this->endpointId);
+  this->DropMove();
   this->LeaveEndpoint(DispatchOutcome::Failed);
   ++this->context.counters.retries;
   if (!this->context.retryBudget.TryTake()) {
@@ -382,6 +479,7 @@
 CompletionRun::End()
 {
   this->ended = true;
+  this->DropMove();
   this->context.loop.Post(this->onEnded);
 }
 
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "Lagoonward/Attempts/CompletionCall.h"
+#include "Lagoonward/Attempts/KvTransfer.h"
 #include "Lagoonward/Attempts/RunContext.h"
+#include "Lagoonward/Reclaim/MoveTypes.h"
 
 #include <functional>
 #include <memory>
@@ -31,11 +33,15 @@
   /// Gives up because nobody waits for the answer any more.
   void Cancel();
 
-  /// Continues on another endpoint: cancels the stream here and sends what was generated along.
-  /// Costs nothing of the retry budget.
-  /// @param aTarget  endpoint to go to if it can still be routed to; empty leaves it to the router
-  /// @param aReason  for the log line
-  void MoveAway(std::string_view aTarget, std::string_view aReason);
+  /// Takes the plan for leaving its endpoint. A plan that says what is under way changes nothing; any
+  /// other replaces it.
+  void FollowPlan(const MovePlan& aPlan);
+
+  /// The move that has been planned or begun, if any.
+  [[nodiscard]] const std::optional<MoveInProgress>& Move() const { return this->move; }
+
+  /// Whether its KV cache can be exported: the engine has named the stream and no export has failed.
+  [[nodiscard]] bool CanExport() const { return !this->streamId.empty() && !this->exportFailed; }
 
   [[nodiscard]] const CompletionCall& Call() const { return this->call; }
   [[nodiscard]] const Answer& GetAnswer() const { return *this->answer; }
@@ -62,6 +68,12 @@
   void PauseThenDispatch();
   void CancelEngineStream();
 
+  // Moves
+  void DropMove();
+  void BeginMove();
+  void BeginExport();
+  void MoveAway(std::string_view aReason);
+
   // Time
   void ScheduleTick();
   void Tick();
@@ -81,12 +93,15 @@
 
   std::string endpointId;
   std::string baseUrl;
-  std::string preferredEndpoint; ///< Where the next attempt should go, from a move's plan.
   lagoonward::Dispatch dispatch; ///< The router's record of the attempt.
   std::unique_ptr<EngineStream> stream;
   std::string streamId;              ///< The engine's name of the stream here; empty until opened.
   std::vector<std::string> excluded; ///< Endpoints that failed this request.
 
+  std::optional<MoveInProgress> move;   ///< The planned move; its target names the next endpoint.
+  std::unique_ptr<KvTransfer> transfer; ///< The export and import under way.
+  bool exportFailed = false;
+
   int attemptCount = 0;
   bool everDispatched = false; ///< Whether an endpoint may have run any of it.
   bool resuming = false;       ///< A new connection to the same stream awaits its first event.
@@ -99,6 +114,7 @@
   std::optional<TimePoint> alone; ///< Since when nobody waits for the answer.
   std::optional<TrafficLoop::TimerId> tickTimer;
   std::optional<TrafficLoop::TimerId> pauseTimer;
+  std::optional<TrafficLoop::TimerId> moveTimer;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -23,7 +23,12 @@
   , fleet(aFleet)
   , journal(aSettings.attempts.journalRequests, aClock)
   , registry(aSettings.attempts, aClock)
+  , moves(aSettings.moves)
 {
+  // All workers exist from here on, as other threads post to them before and after they run
+  for (unsigned index = 0; index < this->settings.threads; ++index) {
+    this->workers.push_back(std::make_unique<Worker>(this->clock, this->settings.client));
+  }
 }
 
 RunService::~RunService()
@@ -40,9 +45,8 @@
 Result<void>
 RunService::Start()
 {
-  for (unsigned index = 0; index < this->settings.threads; ++index) {
-    this->workers.push_back(std::make_unique<Worker>(this->clock, this->settings.client));
-    this->workers.back()->loop.Start();
+  for (const auto& worker : this->workers) {
+    worker->loop.Start();
   }
   return boost::outcome_v2::success();
 }
@@ -67,7 +71,6 @@
     worker->completions.clear();
     worker->services.clear();
   }
-  this->workers.clear();
 }
 
 void
@@ -86,17 +89,39 @@
 }
 
 void
-RunService::VisitCompletionRuns(const std::function<void(CompletionRun& aRun)>& aVisit)
+RunService::OnFleet(const FleetSnapshotPtr& aFleet)
 {
+  if (!MoveCoordinator::IsAnyLeaving(*aFleet)) {
+    return;
+  }
   for (const auto& worker : this->workers) {
     Worker& target = *worker;
-    target.loop.Post([&target, aVisit] {
-      for (auto& [id, active] : target.completions) {
-        if (!active.run->Ended()) {
-          aVisit(*active.run);
-        }
-      }
-    });
+    target.loop.Post([this, &target] { this->PlanMoves(target); });
+  }
+}
+
+void
+RunService::PlanMoves(Worker& aWorker)
+{
+  const FleetSnapshotPtr snapshot = this->fleet.Get();
+  std::vector<MovableRun> runs;
+  for (auto& [id, active] : aWorker.completions) {
+    if (!active.run->Ended()) {
+      runs.push_back({ active.run.get(), active.market.get() });
+    }
+  }
+  this->moves.PlanAll(runs, *snapshot, this->clock.Now());
+  // Again while anything is leaving: streams outlast what was expected of them
+  if (aWorker.replanTimer) {
+    aWorker.loop.CancelTimer(*aWorker.replanTimer);
+    aWorker.replanTimer.reset();
+  }
+  if (MoveCoordinator::IsAnyLeaving(*snapshot)) {
+    aWorker.replanTimer =
+      aWorker.loop.RunAfter(this->settings.moves.planner.replanInterval, [this, &aWorker] {
+        aWorker.replanTimer.reset();
+        this->PlanMoves(aWorker);
+      });
   }
 }
 
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -3,12 +3,14 @@
 #include "Lagoonward/Attempts/AnswerRegistry.h"
 #include "Lagoonward/Attempts/CompletionRun.h"
 #include "Lagoonward/Attempts/Market.h"
+#include "Lagoonward/Attempts/MoveCoordinator.h"
 #include "Lagoonward/Attempts/ServiceRun.h"
 #include "Lagoonward/Core/Service.h"
 
 #include <atomic>
 #include <condition_variable>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -20,6 +22,7 @@
   unsigned threads = 2; ///< Traffic threads for outgoing requests.
   HttpClientSettings client;
   AttemptSettings attempts;
+  MoveSettings moves;
 };
 
 /// Owns the traffic threads and all requests in progress. A submitted request is joined to the
@@ -46,8 +49,9 @@
   void Submit(ServiceCall aCall, const MarketPtr& aMarket,
               const std::shared_ptr<AnswerSubscriber>& aSubscriber);
 
-  /// Calls aVisit for every model run, on the threads that own them; returns at once.
-  void VisitCompletionRuns(const std::function<void(CompletionRun& aRun)>& aVisit);
+  /// Takes a new picture of the fleet: streams on endpoints that leave are planned away, now and
+  /// again at an interval while any endpoint is leaving. Safe from any thread; returns at once.
+  void OnFleet(const FleetSnapshotPtr& aFleet);
 
   [[nodiscard]] int ActiveRuns() const { return this->activeRuns; }
   [[nodiscard]] const RunCounters& Counters() const { return this->counters; }
@@ -68,6 +72,7 @@
   {
     explicit Worker(const Clock& aClock, const HttpClientSettings& aSettings);
 
+    std::optional<TrafficLoop::TimerId> replanTimer;
     std::unordered_map<std::uint64_t, ActiveRun<CompletionRun>> completions;
     std::unordered_map<std::uint64_t, ActiveRun<ServiceRun>> services;
     TrafficLoop loop; ///< Last, so that its thread ends before the runs go.
@@ -81,6 +86,7 @@
                 const std::shared_ptr<Ticket>& aTicket);
   template<typename Run>
   static std::unordered_map<std::uint64_t, ActiveRun<Run>>& RunsOf(Worker& aWorker);
+  void PlanMoves(Worker& aWorker);
   void Refuse(const CallTerms& aTerms, const AnswerPtr& aAnswer, const Error& aError);
   void OnRunEnded(const std::string& aRegistryKey);
   [[nodiscard]] Worker& NextWorker();
@@ -91,6 +97,7 @@
   DecisionJournal journal;
   AnswerRegistry registry;
   RunCounters counters;
+  MoveCoordinator moves;
   std::vector<std::unique_ptr<Worker>> workers;
   std::atomic<std::uint64_t> nextRun{ 1 };
   std::atomic<int> activeRuns{ 0 };
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -125,9 +125,9 @@
   };
   this->membership = &this->kernel.Add(std::make_unique<MembershipService>(
     this->clock, std::move(identity), std::move(aKeys), MembershipSettings{}, poll));
-  this->control = &this->kernel.Add(
-    std::make_unique<ControlPlane>(this->clock, *this->membership, this->poller, this->markets,
-                                   this->fleet, [](const FleetSnapshotPtr&) {}));
+  this->control = &this->kernel.Add(std::make_unique<ControlPlane>(
+    this->clock, *this->membership, this->poller, this->markets, this->fleet,
+    [this](const FleetSnapshotPtr& aFleet) { this->runs->OnFleet(aFleet); }));
 }
 
 void
--- a/Lagoonward/Routing/RouteRequest.h
+++ b/Lagoonward/Routing/RouteRequest.h
@@ -28,6 +28,8 @@
   std::span<const std::uint64_t>
     prefixBlocks; ///< Hash of each whole block, each covering all before it.
 
+  std::string_view
+    onlyEndpoint; ///< Id of the one endpoint to weigh, for a planned move; else empty.
   std::span<const std::string_view> excludedEndpoints; ///< Ids that have failed this request.
   std::span<const std::string_view> excludedDomains;   ///< Failure domains that it must not go to.
   ManifestObjective objective;
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -106,7 +106,11 @@
   scene.group = group.value();
   this->FillScene(aRequest, scene);
   Candidates candidates;
-  this->Collect(scene, candidates);
+  if (aRequest.onlyEndpoint.empty()) {
+    this->Collect(scene, candidates);
+  } else {
+    this->CollectOnly(aRequest.onlyEndpoint, scene, candidates);
+  }
 
   // The cheapest of those that finish by the deadline
   const double left = ToSeconds(aRequest.deadline - scene.now);
@@ -153,6 +157,31 @@
   return choice;
 }
 
+int
+Router::CachedTokens(std::string_view aEndpointId, std::span<const std::uint64_t> aBlocks) const
+{
+  const std::lock_guard lock(this->mutex);
+  const std::uint32_t tag = PrefixIndex::TagOf(HashBytes(aEndpointId));
+  std::array<PrefixHolder, kMaxHolders> holders;
+  const PrefixMatch match = this->prefixes.Find(aBlocks, holders);
+  for (std::size_t index = 0; index < match.holders; ++index) {
+    if (holders.at(index).tag == tag) {
+      return static_cast<int>(holders.at(index).tokens);
+    }
+  }
+  return 0;
+}
+
+void
+Router::CollectOnly(std::string_view aEndpointId, const Scene& aScene,
+                    Candidates& aCandidates) const
+{
+  const auto found = this->positions.find(HashBytes(aEndpointId));
+  if (found != this->positions.end() && aScene.group->Has(found->second)) {
+    aCandidates.Add(found->second);
+  }
+}
+
 void
 Router::FillScene(const RouteRequest& aRequest, Scene& aScene) const
 {
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -64,6 +64,10 @@
   /// NoConfiguration before the first Update().
   [[nodiscard]] Result<RouteChoice> Choose(const RouteRequest& aRequest);
 
+  /// Tokens of a prompt's beginning that an endpoint's cache is believed to hold.
+  [[nodiscard]] int CachedTokens(std::string_view aEndpointId,
+                                 std::span<const std::uint64_t> aBlocks) const;
+
   /// Tells that the request is being sent where Choose() said.
   [[nodiscard]] Dispatch OnDispatched(const RouteChoice& aChoice, const RouteRequest& aRequest);
 
@@ -113,6 +117,8 @@
 
   void FillScene(const RouteRequest& aRequest, Scene& aScene) const;
   void FindHomes(const RouteRequest& aRequest, Scene& aScene) const;
+  void CollectOnly(std::string_view aEndpointId, const Scene& aScene,
+                   Candidates& aCandidates) const;
   void Collect(const Scene& aScene, Candidates& aCandidates);
   [[nodiscard]] bool IsEligible(std::uint32_t aTarget, const RouteRequest& aRequest,
                                 TimePoint aNow) const;
