List the markets in the log, so that daemons find them by themselves

Change: publish adds the market's name to the stream `markets`; MarketIndexReader follows it and writes names forward before they lapse, by rendezvous rank. publish moves onto CommandOptions. Ruled out: asking peers (a fresh fleet has none that know).

--- a/Lagoonward/Cli/PublishCommand.cpp
+++ b/Lagoonward/Cli/PublishCommand.cpp
@@ -1,12 +1,12 @@
 #include "Lagoonward/Cli/PublishCommand.h"
 
+#include "Lagoonward/Cli/CommandOptions.h"
 #include "Lagoonward/Cli/ManifestFile.h"
 #include "Lagoonward/Configuration/ConfigurationPublisher.h"
+#include "Lagoonward/Configuration/MarketIndex.h"
 #include "Lagoonward/Core/SystemClock.h"
 #include "Lagoonward/Platform/HttpLogService.h"
 
-#include <boost/program_options.hpp>
-
 #include <algorithm>
 #include <ostream>
 
@@ -21,11 +21,6 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-/// Long flags only, never abbreviated, so that `--base -1` reads as a flag and its value.
-constexpr int kStyle = po::command_line_style::allow_long |
-                       po::command_line_style::long_allow_adjacent |
-                       po::command_line_style::long_allow_next;
-constexpr std::string_view kPrefix = "LAGOONWARD_";
 constexpr std::string_view kUsage =
   "usage: lagoonward publish FILE --log-url URL [--base OFFSET] [--timeout-ms MILLISECONDS]\n";
 
@@ -35,7 +30,6 @@
   po::options_description options("Options");
   // clang-format off
   options.add_options()
-    ("help", "print this text")
     ("log-url", po::value<std::string>(), "base URL of the platform's log")
     ("base", po::value<Offset>(), "offset that the manifest builds on, -1 for none; "
                                   "default: what is in force")
@@ -44,68 +38,21 @@
   return options;
 }
 
-/// The flag that a variable stands for, or an empty string.
-std::string
-FlagOfVariable(const po::options_description& aOptions, const std::string& aVariable)
-{
-  if (aVariable.rfind(kPrefix, 0) != 0) {
-    return {};
-  }
-  std::string flag = aVariable.substr(kPrefix.size());
-  std::transform(flag.begin(), flag.end(), flag.begin(), [](unsigned char aCharacter) {
-    return aCharacter == '_' ? '-' : static_cast<char>(std::tolower(aCharacter));
-  });
-  return flag != "help" && aOptions.find_nothrow(flag, false) != nullptr ? flag : std::string();
-}
-
-/// Reads flags and variables; prints every fault, one a line.
+/// Faults that show only in the values; prints each.
 /// @return whether there was none
 bool
-ReadOptions(std::span<const std::string> aArguments, po::variables_map& aValues, std::ostream& aErr)
+CheckValues(const CommandOptions& aOptions, std::ostream& aErr)
 {
-  const auto options = DescribeOptions();
-  po::options_description all;
-  all.add(options).add_options()("file", po::value<std::string>());
-  po::positional_options_description positional;
-  positional.add("file", 1);
-  std::vector<std::string> faults;
-  try {
-    const std::vector<std::string> arguments(aArguments.begin(), aArguments.end());
-    const auto parsed = po::command_line_parser(arguments)
-                          .options(all)
-                          .positional(positional)
-                          .style(kStyle)
-                          .allow_unregistered()
-                          .run();
-    for (const auto& unknown : po::collect_unrecognized(parsed.options, po::exclude_positional)) {
-      faults.push_back("unknown option " + unknown);
-    }
-    po::store(parsed, aValues);
-    po::store(
-      po::parse_environment(
-        options, [&](const std::string& aVariable) { return FlagOfVariable(options, aVariable); }),
-      aValues);
-  } catch (const po::error& error) {
-    faults.emplace_back(error.what());
-  }
-  if (aValues.count("help") > 0) {
-    return true;
-  }
-  for (const char* required : { "file", "log-url" }) {
-    if (aValues.count(required) == 0) {
-      faults.push_back(std::string(required) + " is missing");
-    }
-  }
-  if (aValues.count("base") > 0 && aValues["base"].as<Offset>() < kNoOffset) {
-    faults.emplace_back("--base is below -1");
+  bool valid = true;
+  if (aOptions.Has("base") && aOptions.Get<Offset>("base") < kNoOffset) {
+    aErr << "lagoonward publish: --base is below -1\n";
+    valid = false;
   }
-  if (aValues.count("timeout-ms") > 0 && aValues["timeout-ms"].as<int>() <= 0) {
-    faults.emplace_back("--timeout-ms is not positive");
+  if (aOptions.Has("timeout-ms") && aOptions.Get<int>("timeout-ms") <= 0) {
+    aErr << "lagoonward publish: --timeout-ms is not positive\n";
+    valid = false;
   }
-  for (const std::string& fault : faults) {
-    aErr << "lagoonward publish: " << fault << '\n';
-  }
-  return faults.empty();
+  return valid;
 }
 
 int
@@ -137,31 +84,34 @@
 int
 RunPublish(std::span<const std::string> aArguments, std::ostream& aOut, std::ostream& aErr)
 {
-  po::variables_map values;
-  if (!ReadOptions(aArguments, values, aErr)) {
-    aErr << kUsage;
-    return kExitUsage;
-  }
-  if (values.count("help") > 0) {
+  CommandOptions options("publish", DescribeOptions(), { "file" }, { "file", "log-url" });
+  const bool readable = options.Read(aArguments, aErr);
+  if (readable && options.HelpAsked()) {
     aOut << kUsage << "Appends a manifest to its market's stream and tells who won.\n"
-         << DescribeOptions();
+         << options.Flags();
     return kExitOk;
   }
+  // Every fault is named, so the values are looked at even when a flag was wrong
+  const bool valuesValid = CheckValues(options, aErr);
+  if (!readable || !valuesValid) {
+    aErr << kUsage;
+    return kExitUsage;
+  }
 
   // Check before anything is appended
-  const auto manifest = LoadManifest(values["file"].as<std::string>(), aErr);
+  const auto manifest = LoadManifest(options.Get<std::string>("file"), aErr);
   if (!manifest) {
     return kExitFailed;
   }
 
   // Publish
   const SystemClock clock;
-  HttpLogService log(values["log-url"].as<std::string>(), PlatformSettings());
+  HttpLogService log(options.Get<std::string>("log-url"), PlatformSettings());
   PublisherSettings settings;
-  settings.timeout = Milliseconds(values["timeout-ms"].as<int>());
+  settings.timeout = Milliseconds(options.Get<int>("timeout-ms"));
   std::optional<Offset> base;
-  if (values.count("base") > 0) {
-    base = values["base"].as<Offset>();
+  if (options.Has("base")) {
+    base = options.Get<Offset>("base");
   }
   ConfigurationPublisher publisher(log, clock, settings, "publish-" + MakeIncarnation());
   const auto outcome = publisher.Publish(*manifest, base);
@@ -169,6 +119,12 @@
     aErr << "lagoonward publish: " << outcome.error().message << '\n';
     return kExitFailed;
   }
+  // Lead daemons that do not know the market yet to its stream
+  if (outcome.value().verdict == Verdict::Accepted &&
+      !log.Append(kMarketIndexStream, WriteMarketIndexRecord(manifest->market))) {
+    aErr << "lagoonward publish: the index of markets could not be written; daemons that do not "
+            "follow this market yet learn of it from callers or other daemons\n";
+  }
   return Report(outcome.value(), manifest->market, aOut, aErr);
 }
 
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -4,6 +4,8 @@
 
 #include <sodium.h>
 
+#include <algorithm>
+
 namespace lagoonward {
 
 namespace {
@@ -24,6 +26,18 @@
   return std::string("0:") + hex.data();
 }
 
+/// How many daemons come before one under rendezvous hashing of a key.
+int
+RankAmong(const std::vector<std::string>& aDaemons, std::string_view aOwn, std::string_view aKey)
+{
+  const std::uint64_t key = HashBytes(aKey);
+  const std::uint64_t own = RendezvousWeight(key, HashBytes(aOwn));
+  return static_cast<int>(
+    std::count_if(aDaemons.begin(), aDaemons.end(), [&](const std::string& aDaemon) {
+      return RendezvousWeight(key, HashBytes(aDaemon)) > own;
+    }));
+}
+
 } // namespace
 
 Daemon::Daemon(DaemonSettings aSettings, const Clock& aClock, std::function<void()> aOnDrainAsked)
@@ -34,6 +48,7 @@
   , markets(this->settings.market, aClock, this->seed)
   , poller({}, aClock)
   , log(this->settings.logUrl, {})
+  , indexLog(this->settings.logUrl, {})
 {
 }
 
@@ -134,13 +149,7 @@
 Daemon::BuildConfiguration()
 {
   ConfigurationFollowerHooks hooks;
-  hooks.liveDaemons = [this] {
-    std::vector<std::string> ids{ this->settings.hostId };
-    for (const Peer& peer : this->membership->Peers()->peers) {
-      ids.push_back(peer.info.id);
-    }
-    return ids;
-  };
+  hooks.liveDaemons = [this] { return this->LiveDaemons(); };
   hooks.onChange = [this](const ConfigurationPtr& aConfiguration) {
     this->control->OnConfiguration(aConfiguration);
   };
@@ -150,6 +159,15 @@
     std::make_unique<ConfigurationFollower>(ConfigurationFollowerSettings{}, std::move(hooks),
                                             std::vector<std::string>{}, this->log, this->clock));
   this->control->SetFollower(*this->follower);
+  MarketIndexHooks indexHooks;
+  indexHooks.onMarket = [this](const std::string& aMarket) {
+    this->control->FollowMarket(aMarket);
+  };
+  indexHooks.refreshRank = [this](const std::string& aMarket) {
+    return RankAmong(this->LiveDaemons(), this->settings.hostId, aMarket);
+  };
+  this->kernel.Add(std::make_unique<MarketIndexReader>(MarketIndexSettings{}, std::move(indexHooks),
+                                                       this->indexLog, this->clock));
   this->platform = &this->kernel.Add(
     std::make_unique<PlatformWatcher>(PlatformWatcherSettings{}, this->settings.hostListUrl,
                                       this->settings.cloudUrl, this->MakePlatformNews()));
@@ -179,6 +197,16 @@
     *this->runs, [this](const std::string& aMarket) { this->control->FollowMarket(aMarket); }));
 }
 
+std::vector<std::string>
+Daemon::LiveDaemons() const
+{
+  std::vector<std::string> ids{ this->settings.hostId };
+  for (const Peer& peer : this->membership->Peers()->peers) {
+    ids.push_back(peer.info.id);
+  }
+  return ids;
+}
+
 std::optional<Error>
 Daemon::FindUnreadiness() const
 {
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Configuration/MarketIndex.h"
 #include "Lagoonward/Core/Kernel.h"
 #include "Lagoonward/Daemon/ControlPlane.h"
 #include "Lagoonward/Daemon/PlatformWatcher.h"
@@ -43,6 +44,8 @@
   void BuildMembership(KeyRing aKeys);
   void BuildConfiguration();
   void BuildInterfaces();
+  /// Ids of the live daemons, this one included. Any thread.
+  [[nodiscard]] std::vector<std::string> LiveDaemons() const;
   [[nodiscard]] PlatformNews MakePlatformNews();
   /// Why the daemon should get no requests, or nothing when it should.
   [[nodiscard]] std::optional<Error> FindUnreadiness() const;
@@ -56,7 +59,8 @@
   FleetStore fleet;
   MarketDirectory markets;
   LoadPoller poller;
-  HttpLogService log; ///< The follower's own; it is interrupted when that stops.
+  HttpLogService log;      ///< The follower's own; it is interrupted when that stops.
+  HttpLogService indexLog; ///< The market index reader's own.
   Kernel kernel;
 
   // Owned by the kernel
