Keep the stand-ins' locks clear of the library's

ThreadSanitizer reported 26 lock order inversions in the stand-ins' tests: a response was queued under the exchange's mutex, which the library's read callback takes under the response's, and stopping a server aborted exchanges under the server's mutex. Both now call the library unlocked.

--- a/StandIns/Http/HttpExchange.cpp
+++ b/StandIns/Http/HttpExchange.cpp
@@ -10,14 +10,14 @@
 /// Room that a response asks of the library for one read of a stream.
 constexpr std::size_t kStreamBlock = 4096;
 
-struct ResponseDeleter
-{
-  void operator()(MHD_Response* aResponse) const { MHD_destroy_response(aResponse); }
-};
-using ResponsePointer = std::unique_ptr<MHD_Response, ResponseDeleter>;
-
 } // namespace
 
+void
+HttpExchange::ResponseDeleter::operator()(MHD_Response* aResponse) const
+{
+  MHD_destroy_response(aResponse);
+}
+
 HttpExchange::HttpExchange(MHD_Connection* aConnection, std::shared_ptr<ConnectionState> aState,
                            const std::atomic<bool>& aStopping)
   : connection(aConnection)
@@ -116,37 +116,37 @@
 MHD_Result
 HttpExchange::Advance()
 {
-  const std::lock_guard lock(this->mutex);
-  // A stream that was broken off still sends what it has
-  if (this->stopping || (this->phase == Phase::Aborted && !this->begun)) {
-    return MHD_NO;
-  }
-  if (this->state->silent || this->phase == Phase::Waiting) {
-    this->Park();
-    return MHD_YES;
+  ResponsePointer response;
+  {
+    const std::lock_guard lock(this->mutex);
+    // A stream that was broken off still sends what it has
+    if (this->stopping || (this->phase == Phase::Aborted && !this->begun)) {
+      return MHD_NO;
+    }
+    if (this->state->silent || this->phase == Phase::Waiting) {
+      this->Park();
+      return MHD_YES;
+    }
+    response = this->BuildResponse();
   }
-  return this->phase == Phase::Answered ? this->QueueWhole() : this->QueueStream();
+  // The library locks the response, and reads the stream under that lock
+  return MHD_queue_response(this->connection, static_cast<unsigned>(this->status), response.get());
 }
 
-MHD_Result
-HttpExchange::QueueWhole()
+HttpExchange::ResponsePointer
+HttpExchange::BuildResponse()
 {
-  const ResponsePointer response(MHD_create_response_from_buffer(
-    this->buffer.size(), this->buffer.data(), MHD_RESPMEM_MUST_COPY));
+  const bool whole = this->phase == Phase::Answered;
+  ResponsePointer response(
+    whole ? MHD_create_response_from_buffer(this->buffer.size(), this->buffer.data(),
+                                            MHD_RESPMEM_MUST_COPY)
+          : MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, kStreamBlock,
+                                              &HttpExchange::ReadCallback, this, nullptr));
   MHD_add_response_header(response.get(), MHD_HTTP_HEADER_CONTENT_TYPE, this->contentType.c_str());
   for (const auto& [name, value] : this->headers) {
     MHD_add_response_header(response.get(), name.c_str(), value.c_str());
   }
-  return MHD_queue_response(this->connection, static_cast<unsigned>(this->status), response.get());
-}
-
-MHD_Result
-HttpExchange::QueueStream()
-{
-  const ResponsePointer response(MHD_create_response_from_callback(
-    MHD_SIZE_UNKNOWN, kStreamBlock, &HttpExchange::ReadCallback, this, nullptr));
-  MHD_add_response_header(response.get(), MHD_HTTP_HEADER_CONTENT_TYPE, this->contentType.c_str());
-  return MHD_queue_response(this->connection, static_cast<unsigned>(this->status), response.get());
+  return response;
 }
 
 ssize_t
--- a/StandIns/Http/HttpExchange.h
+++ b/StandIns/Http/HttpExchange.h
@@ -70,10 +70,17 @@
     Aborted,   ///< The connection is to be closed.
   };
 
+  struct ResponseDeleter
+  {
+    void operator()(MHD_Response* aResponse) const;
+  };
+  using ResponsePointer = std::unique_ptr<MHD_Response, ResponseDeleter>;
+
   /// Runs on the server's thread: hands over the answer, or parks the connection.
   MHD_Result Advance();
-  MHD_Result QueueWhole();
-  MHD_Result QueueStream();
+
+  /// What is to be sent. Needs the mutex.
+  ResponsePointer BuildResponse();
 
   /// Fills MHD's buffer with the next bytes of a stream, or parks the connection.
   ssize_t Read(char* aBuffer, std::size_t aRoom);
--- a/StandIns/Http/HttpServer.cpp
+++ b/StandIns/Http/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <cctype>
 #include <charconv>
 #include <stdexcept>
+#include <vector>
 
 namespace lagoonward::standins {
 
@@ -122,11 +123,14 @@
   // No new connections; what is open is cut when it next moves
   const auto listening = MHD_quiesce_daemon(this->daemon);
   this->stopping = true;
+  // The library calls back under its own lock, so it must not be called under ours
+  std::vector<std::shared_ptr<HttpExchange>> open;
   {
     const std::lock_guard lock(this->mutex);
-    for (const auto& exchange : this->exchanges) {
-      exchange->Abort();
-    }
+    open.assign(this->exchanges.begin(), this->exchanges.end());
+  }
+  for (const auto& exchange : open) {
+    exchange->Abort();
   }
   MHD_stop_daemon(this->daemon);
   this->daemon = nullptr;
