--- a/StandIns/Load/Caller.cpp
+++ b/StandIns/Load/Caller.cpp
@@ -120,6 +120,7 @@
   next.headers = { "Content-Type: application/json",
                    "Authorization: Bearer " + this->request.clientKey,
                    "Idempotency-Key: " + this->request.key,
+                   "Lagoonward-Market: " + this->request.market,
                    "Lagoonward-Class: " + this->request.className,
                    fmt::format("Lagoonward-Deadline-Ms: {}", this->request.deadline.count()) };
   if (!IsRepeatable(this->request.kind)) {
--- a/StandIns/Load/LoadPlan.cpp
+++ b/StandIns/Load/LoadPlan.cpp
@@ -110,6 +110,7 @@
     const auto& clients = this->manifest.clients;
     const auto& client = clients[static_cast<std::size_t>(aIndex) % clients.size()];
     request.clientKey = "demo-key-" + client.name;
+    request.market = this->manifest.market;
     request.className = aClass.name;
     request.deadline = aClass.deadline;
     // Drafts start early, so that there is something to move; the rest comes throughout
--- a/StandIns/Load/LoadPlan.h
+++ b/StandIns/Load/LoadPlan.h
@@ -27,6 +27,7 @@
   RequestKind kind = RequestKind::Draft;
   std::string key;       ///< Idempotency key, the same on every try.
   std::string clientKey; ///< The account's key.
+  std::string market;
   std::string className;
   std::string path;
   std::string body;
