Measure HTTP reads of loads and of the host list in the control bench

Cause: the capacity page lacked the reads that the control side makes over HTTP, and memory read low because freed heap of earlier sizes was reused. Change: ReadCost, heap trimmed before each reading.

--- a/Bench/ControlBench.cpp
+++ b/Bench/ControlBench.cpp
@@ -2,8 +2,10 @@
 
 #include "Bench/ControlFleet.h"
 #include "Bench/LinearFit.h"
+#include "Bench/ReadCost.h"
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <nlohmann/json.hpp>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -59,6 +61,8 @@
 double
 ResidentBytes()
 {
+  // What earlier sizes have freed must not hide what this one needs
+  malloc_trim(0);
   std::ifstream statm("/proc/self/statm");
   double total = 0;
   double resident = 0;
@@ -278,34 +282,28 @@
            { "resident_bytes", fit(&ControlFigures::residentBytes) } };
 }
 
-/// Sizes of the platform's and the engines' JSON, which the control plane reads over HTTP.
+/// What reads over HTTP cost: an engine's load, and the host list per host that it names.
 nlohmann::json
-SampleSizes()
+MeasureReads()
 {
-  const nlohmann::json host{ { "id", "engine-0001" },
-                             { "kind", "engine" },
-                             { "address", "10.20.30.40" },
-                             { "port", 8000 },
-                             { "failure_domain", "bergen-a" },
-                             { "region", "vestland" },
-                             { "machine_class", "accel-8" },
-                             { "name", "" },
-                             { "state", "live" } };
-  nlohmann::json models = nlohmann::json::array();
-  for (const LoadedModel& model : SyntheticLoads(SystemClock(), {}).Read("engine").models) {
-    nlohmann::json adapters = nlohmann::json::array();
-    for (const LoadedAdapter& adapter : model.adapters) {
-      adapters.push_back({ { "name", adapter.name }, { "version", adapter.version } });
-    }
-    models.push_back(
-      { { "name", model.name }, { "version", model.version }, { "adapters", adapters } });
+  constexpr std::size_t kLoadRounds = 500;
+  constexpr std::size_t kListRounds = 20;
+  constexpr std::size_t kSmallList = 21;
+  constexpr std::size_t kLargeList = 1260;
+  const auto load = MeasureLoadRead(kLoadRounds);
+  const auto small = MeasureHostListRead(kSmallList, kListRounds);
+  const auto large = MeasureHostListRead(kLargeList, kListRounds);
+  if (!load || !small || !large) {
+    return nullptr;
   }
-  const nlohmann::json load{ { "waiting", 12 },          { "running", 40 },
-                             { "kv_blocks_used", 2400 }, { "kv_blocks_total", 4096 },
-                             { "role", "decode" },       { "as_of_ms", 1700000000000 },
-                             { "models", models } };
-  return { { "host_list_entry_bytes", host.dump().size() + 1 },
-           { "load_reply_bytes", load.dump().size() } };
+  const double hosts = static_cast<double>(kLargeList - kSmallList);
+  return { { "load_body_bytes", load.value().bodyBytes },
+           { "load_cpu_seconds", load.value().cpuSeconds },
+           { "host_list_bytes_per_host",
+             (large.value().bodyBytes - small.value().bodyBytes) / hosts },
+           { "host_list_cpu_seconds_per_host",
+             (large.value().cpuSeconds - small.value().cpuSeconds) / hosts },
+           { "host_list_1260_cpu_seconds", large.value().cpuSeconds } };
 }
 
 ControlBenchSettings
@@ -368,7 +366,7 @@
   nlohmann::json document{ { "bench", "control" },
                            { "sizes", nlohmann::json::array() },
                            { "slopes", SlopesToJson(all) },
-                           { "samples", SampleSizes() } };
+                           { "reads", MeasureReads() } };
   for (const ControlFigures& figures : all) {
     document["sizes"].push_back(ToJson(figures));
   }
