Weigh own dispatches as evidence of the peers' by how many there are

A fixed share of "the others do as I do" is wrong at both ends: with 380 daemons one own dispatch would have counted as hundreds at that endpoint. The factor now grows with the own dispatches that a report has missed, against a prior per endpoint.

--- a/Bench/Decisions/Tuning.cpp
+++ b/Bench/Decisions/Tuning.cpp
@@ -37,7 +37,7 @@
     { "packing", &this->routing.packing },
     { "home_pull", &this->routing.homePull },
     { "reserved_share", &this->routing.reservedShare },
-    { "peer_share", &this->routing.peerShare },
+    { "peer_prior", &this->routing.peerPrior },
     { "reclaims_per_hour", &this->routing.reclaimsPerHour },
     { "going_domain_per_hour", &this->routing.goingDomainPerHour },
     { "recomputed_token_worth", &this->routing.recomputedTokenWorth },
--- a/Lagoonward/Routing/EndpointActivity.cpp
+++ b/Lagoonward/Routing/EndpointActivity.cpp
@@ -59,6 +59,12 @@
   return this->dispatched.CountSince(aSince) - this->finished.CountSince(aSince);
 }
 
+int
+EndpointActivity::DispatchedSince(TimePoint aSince) const
+{
+  return this->dispatched.CountSince(aSince);
+}
+
 int
 EndpointActivity::PrefillPending(int aPriority) const
 {
--- a/Lagoonward/Routing/EndpointActivity.h
+++ b/Lagoonward/Routing/EndpointActivity.h
@@ -24,6 +24,9 @@
   /// Dispatches less finishes since that moment. Exact for the last kRecent of each.
   [[nodiscard]] int NetSince(TimePoint aSince) const;
 
+  /// Dispatches since that moment, kRecent at most.
+  [[nodiscard]] int DispatchedSince(TimePoint aSince) const;
+
   /// Prompt tokens sent whose first token has not come, of that engine priority and above.
   [[nodiscard]] int PrefillPending(int aPriority) const;
 
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -75,9 +75,8 @@
     this->speedIndices.push_back(this->speed.IndexOf(machineClass));
   }
   for (const RoutingTarget& target : aTable->Targets()) {
-    if (target.waiting > 0) {
-      this->speed.ObserveFull(this->speedIndices[target.machineClass], target.running);
-    }
+    this->speed.ObserveLoad(this->speedIndices[target.machineClass], target.waiting,
+                            target.running);
   }
   this->activities = std::move(kept);
   this->positions = std::move(places);
@@ -233,9 +232,14 @@
 }
 
 double
-Router::PeerFactor() const
+Router::PeerFactor(const RoutingTarget& aTarget) const
 {
-  return 1 + this->settings.peerShare * (this->liveDaemons - 1);
+  // They see the same reports and follow the same rules. A few own dispatches among many endpoints
+  // say little about where the others' have gone; many say more
+  const double missed = this->everywhere.DispatchedSince(aTarget.asOf);
+  const double prior =
+    this->settings.peerPrior * static_cast<double>(this->table->Targets().size());
+  return missed > 0 ? 1 + (this->liveDaemons - 1) * missed / (missed + prior) : 1;
 }
 
 double
@@ -244,7 +248,7 @@
   const RoutingTarget& target = this->table->Targets()[aTarget];
   const EndpointActivity& activity = this->activities[aTarget];
   const double reported = target.waiting + target.running;
-  const double since = activity.NetSince(target.asOf) * this->PeerFactor();
+  const double since = activity.NetSince(target.asOf) * this->PeerFactor(target);
   return std::max<double>(reported + since, activity.InFlight());
 }
 
@@ -279,7 +283,7 @@
     }
   }
   const int priority = EnginePriority(aScene.rank, aScene.promptTokens - outlook.cachedTokens);
-  outlook.prefillAhead = activity.PrefillPending(priority) * this->PeerFactor();
+  outlook.prefillAhead = activity.PrefillPending(priority) * this->PeerFactor(target);
   const double age = ToSeconds(aScene.now - activity.FirstSeen());
   outlook.newness = std::max(1 - age / ToSeconds(this->settings.slowStart), 0.0);
   return outlook;
@@ -304,6 +308,7 @@
       activity->PrefillPending(0) <= kIdleTokens && this->table->Targets()[index].waiting == 0;
     activity->breaker.OnDispatched(this->settings.breaker, dispatch.dispatchedAt);
     activity->OnDispatched(dispatch.dispatchedAt, dispatch.uncachedTokens, dispatch.priority);
+    this->everywhere.OnDispatched(dispatch.dispatchedAt, 0, dispatch.priority);
   }
   this->prefixes.OnDispatched(target.key, aRequest.prefixBlocks);
   return dispatch;
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -118,7 +118,7 @@
                                 TimePoint aNow) const;
   [[nodiscard]] EndpointOutlook OutlookOf(std::uint32_t aTarget, const Scene& aScene) const;
   [[nodiscard]] double SequencesAt(std::uint32_t aTarget) const;
-  [[nodiscard]] double PeerFactor() const;
+  [[nodiscard]] double PeerFactor(const RoutingTarget& aTarget) const;
   [[nodiscard]] EndpointActivity* FindActivity(std::uint64_t aKey);
   [[nodiscard]] std::uint64_t NextRandom();
 
@@ -130,6 +130,7 @@
   SpeedModel speed;
   PrefixIndex prefixes;
   std::vector<EndpointActivity> activities;                   ///< Parallel to the table's targets.
+  EndpointActivity everywhere;                                ///< All own dispatches together.
   std::vector<std::size_t> speedIndices;                      ///< Per machine class of the table.
   std::unordered_map<std::uint64_t, std::uint32_t> positions; ///< Endpoint key to target.
   std::unordered_map<std::uint32_t, std::uint32_t> tags;      ///< Prefix tag to target.
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -73,8 +73,9 @@
   /// Share of an engine's sequences kept free of the lowest rank.
   double reservedShare = 0.35;
 
-  /// How far other daemons are assumed to dispatch as this one does. One: exactly alike.
-  double peerShare = 0.5;
+  /// How little own dispatches say about those of other daemons, in dispatches per endpoint: the more
+  /// own dispatches a report has missed, the more the others are assumed to have done alike.
+  double peerPrior = 0.5;
 
   /// Chance per hour that a reclaimable host goes.
   double reclaimsPerHour = 0.05;
--- a/Lagoonward/Routing/SpeedModel.cpp
+++ b/Lagoonward/Routing/SpeedModel.cpp
@@ -72,12 +72,16 @@
 }
 
 void
-SpeedModel::ObserveFull(std::size_t aIndex, int aRunning)
+SpeedModel::ObserveLoad(std::size_t aIndex, int aWaiting, int aRunning)
 {
   MachineSpeed& speed = this->classes[aIndex].speed;
-  const double error = std::max(aRunning, 1) - speed.sequences;
-  speed.sequences =
-    this->Bounded(speed.sequences + this->priors.learningRate * error, this->priors.sequences);
+  const double error = aRunning - speed.sequences;
+  if (error > 0) {
+    speed.sequences = this->Bounded(aRunning, this->priors.sequences);
+  } else if (aWaiting > 0) {
+    speed.sequences =
+      this->Bounded(speed.sequences + this->priors.learningRate * error, this->priors.sequences);
+  }
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Routing/SpeedModel.h
+++ b/Lagoonward/Routing/SpeedModel.h
@@ -52,8 +52,9 @@
   /// Time between two tokens while the batch held about aSequences.
   void ObserveStep(std::size_t aIndex, double aSequences, double aSeconds);
 
-  /// How many sequences ran while others were waiting: the engine was full.
-  void ObserveFull(std::size_t aIndex, int aRunning);
+  /// A load report: an engine where requests wait is full, and one that runs more than it was thought to
+  /// can run that many.
+  void ObserveLoad(std::size_t aIndex, int aWaiting, int aRunning);
 
 private:
   struct MachineClass
