--- a/Bench/Decisions/Tuning.cpp
+++ b/Bench/Decisions/Tuning.cpp
@@ -33,6 +33,7 @@
     { "sequences", &this->routing.speed.sequences },
     { "spread", &this->routing.spread },
     { "miss_engine_seconds", &this->routing.missEngineSeconds },
+    { "lateness", &this->routing.lateness },
     { "miss_rank_factor", &this->routing.missRankFactor },
     { "packing", &this->routing.packing },
     { "home_pull", &this->routing.homePull },
--- a/Lagoonward/Routing/RouteScore.cpp
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -24,6 +24,16 @@
   return 1 / (1 + std::exp((target - aPredicted) / (aSpread * target)));
 }
 
+/// By how many times its target a prediction exceeds it.
+double
+ExcessOver(double aPredicted, Milliseconds aTarget)
+{
+  if (aTarget <= Milliseconds::zero()) {
+    return 0;
+  }
+  return std::max(aPredicted / ToSeconds(aTarget) - 1, 0.0);
+}
+
 /// Time until one of the endpoint's sequences is free for the request.
 double
 WaitForSequence(const EndpointOutlook& aOutlook, const RouteRequest& aRequest, int aRank,
@@ -81,7 +91,8 @@
     ChanceOver(score.betweenTokensSeconds, aRequest.betweenTokens, aSettings.spread);
   const double worth =
     aMeanPrice * aSettings.missEngineSeconds * std::pow(aSettings.missRankFactor, aRank);
-  score.cost.miss = worth * (late + slow - late * slow);
+  const double overdue = ExcessOver(score.firstTokenSeconds, aRequest.firstToken);
+  score.cost.miss = worth * (late + slow - late * slow + aSettings.lateness * overdue);
 
   // Tokens that somebody would have to compute again, half of the answer among them
   const double lossChance = std::min(aOutlook.reclaimsPerSecond * score.finishSeconds, 1.0);
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -59,6 +59,10 @@
   /// Worth of one missed target of the lowest priority, in engine time.
   double missEngineSeconds = 6;
 
+  /// What each further target's length of waiting is worth, in missed targets. Without it a request
+  /// that is late anyway would queue where the queue is longest.
+  double lateness = 1;
+
   /// How much more a missed target of each higher rank of priority is worth.
   double missRankFactor = 4;
 
