Make decisions cheaper: compact keys, fewer scans

Each probe of the prefix index touched two cache lines and two hash maps, and each scored endpoint scanned rings of dispatch times several times. Block keys now lie apart from their entries, depth is probed by key alone, and the rings are searched by halving.

--- a/Lagoonward/Routing/EndpointActivity.cpp
+++ b/Lagoonward/Routing/EndpointActivity.cpp
@@ -14,15 +14,15 @@
 int
 EndpointActivity::Recent::CountSince(TimePoint aSince) const
 {
-  // Newest first; stops at the first that the report already covers
-  int count = 0;
-  for (std::size_t back = 1; back <= kRecent; ++back) {
-    if (this->times[(this->next + kRecent - back) % kRecent] <= aSince) {
-      break;
-    }
-    ++count;
+  // Times only grow, so the first that the report covers, going back, is found by halving
+  std::size_t later = 0;
+  std::size_t covered = kRecent + 1;
+  while (later + 1 < covered) {
+    const std::size_t middle = (later + covered) / 2;
+    const TimePoint time = this->times[(this->next + kRecent - middle) % kRecent];
+    (time > aSince ? later : covered) = middle;
   }
-  return count;
+  return static_cast<int>(later);
 }
 
 EndpointActivity::EndpointActivity(std::uint64_t aKey, TimePoint aFirstSeen)
--- a/Lagoonward/Routing/PrefixIndex.cpp
+++ b/Lagoonward/Routing/PrefixIndex.cpp
@@ -16,7 +16,8 @@
   : settings(aSettings)
   , clock(aClock)
   , start(aClock.Now())
-  , entries(std::max(aSettings.capacity / kWays, std::size_t{ 1 }) * kWays)
+  , keys(std::max(aSettings.capacity / kWays, std::size_t{ 1 }) * kWays)
+  , entries(keys.size())
 {
 }
 
@@ -43,14 +44,20 @@
 {
   const auto tag = TagOf(aEndpointKey);
   for (const std::uint64_t block : aBlocks) {
-    auto* entry = const_cast<Entry*>(this->FindEntry(block));
-    if (entry == nullptr) {
+    const Entry* found = this->FindEntry(block);
+    if (found == nullptr) {
       continue;
     }
-    for (Holder& holder : entry->holders) {
-      if (holder.tag == tag) {
-        holder = {};
-      }
+    const auto place = static_cast<std::size_t>(found - this->entries.data());
+    Entry& entry = this->entries[place];
+    bool held = false;
+    for (Holder& holder : entry.holders) {
+      holder = holder.tag == tag ? Holder{} : holder;
+      held = held || holder.tag != 0;
+    }
+    if (!held) {
+      this->keys[place] = 0;
+      entry = {};
     }
   }
 }
@@ -96,33 +103,37 @@
   }
 }
 
+std::size_t
+PrefixIndex::FirstWay(std::uint64_t aBlock) const
+{
+  return aBlock % (this->keys.size() / kWays) * kWays;
+}
+
 PrefixIndex::Entry&
 PrefixIndex::Claim(std::uint64_t aBlock)
 {
-  const std::size_t first = aBlock % (this->entries.size() / kWays) * kWays;
-  Entry* oldest = &this->entries[first];
-  for (std::size_t way = 0; way < kWays; ++way) {
-    Entry& entry = this->entries[first + way];
-    if (entry.used != 0 && entry.block == aBlock) {
-      return entry;
+  const std::size_t first = this->FirstWay(aBlock);
+  std::size_t place = first;
+  for (std::size_t way = first; way < first + kWays; ++way) {
+    if (this->keys[way] == aBlock) {
+      return this->entries[way];
     }
-    if (entry.used < oldest->used) {
-      oldest = &entry;
+    if (this->entries[way].used < this->entries[place].used) {
+      place = way;
     }
   }
-  *oldest = {};
-  oldest->block = aBlock;
-  return *oldest;
+  this->keys[place] = aBlock;
+  this->entries[place] = {};
+  return this->entries[place];
 }
 
 const PrefixIndex::Entry*
 PrefixIndex::FindEntry(std::uint64_t aBlock) const
 {
-  const std::size_t first = aBlock % (this->entries.size() / kWays) * kWays;
-  for (std::size_t way = 0; way < kWays; ++way) {
-    const Entry& entry = this->entries[first + way];
-    if (entry.used != 0 && entry.block == aBlock) {
-      return &entry;
+  const std::size_t first = this->FirstWay(aBlock);
+  for (std::size_t way = first; way < first + kWays; ++way) {
+    if (this->keys[way] == aBlock) {
+      return &this->entries[way];
     }
   }
   return nullptr;
@@ -154,26 +165,23 @@
   return aEntry.uses * std::exp2(-age);
 }
 
-bool
-PrefixIndex::IsKnown(std::uint64_t aBlock, Tick aNow) const
+std::size_t
+PrefixIndex::DepthKnown(std::span<const std::uint64_t> aBlocks) const
 {
-  const Entry* entry = this->FindEntry(aBlock);
-  return entry != nullptr &&
-         std::any_of(entry->holders.begin(), entry->holders.end(),
-                     [&](const Holder& aHolder) { return this->TrustIn(aHolder, aNow) > 0; });
+  std::size_t known = 0;
+  std::size_t unknown = aBlocks.size() + 1;
+  while (known + 1 < unknown) {
+    const std::size_t middle = (known + unknown) / 2;
+    (this->FindEntry(aBlocks[middle - 1]) != nullptr ? known : unknown) = middle;
+  }
+  return known;
 }
 
 PrefixMatch
 PrefixIndex::Find(std::span<const std::uint64_t> aBlocks, std::span<PrefixHolder> aHolders) const
 {
-  // How deep anybody's knowledge goes
   const Tick now = this->Now();
-  std::size_t known = 0;
-  std::size_t unknown = aBlocks.size() + 1;
-  while (known + 1 < unknown) {
-    const std::size_t middle = (known + unknown) / 2;
-    (this->IsKnown(aBlocks[middle - 1], now) ? known : unknown) = middle;
-  }
+  const std::size_t known = this->DepthKnown(aBlocks);
 
   // Who knows that much, and who an eighth less, and so on
   PrefixMatch match;
--- a/Lagoonward/Routing/PrefixIndex.h
+++ b/Lagoonward/Routing/PrefixIndex.h
@@ -76,8 +76,7 @@
 
   struct Entry
   {
-    std::uint64_t block = 0;
-    Tick used = 0;  ///< Zero when free.
+    Tick used = 0;  ///< Last news or dispatch.
     float uses = 0; ///< Own dispatches, decayed up to `used`.
     std::array<Holder, kHolders> holders;
   };
@@ -87,13 +86,16 @@
   [[nodiscard]] Entry& Claim(std::uint64_t aBlock);
   [[nodiscard]] double TrustIn(const Holder& aHolder, Tick aNow) const;
   [[nodiscard]] double UsesOf(const Entry& aEntry, Tick aNow) const;
-  [[nodiscard]] bool IsKnown(std::uint64_t aBlock, Tick aNow) const;
+  [[nodiscard]] std::size_t FirstWay(std::uint64_t aBlock) const;
+  [[nodiscard]] std::size_t DepthKnown(std::span<const std::uint64_t> aBlocks) const;
   void Remember(std::uint64_t aEndpointKey, std::span<const std::uint64_t> aBlocks,
                 bool aConfirmed);
 
   PrefixIndexSettings settings;
   const Clock& clock;
   TimePoint start;
+  /// Block of each entry, zero when free; kept apart so that probes stay in the processor's cache.
+  std::vector<std::uint64_t> keys;
   std::vector<Entry> entries; ///< Sets of kWays entries.
   std::unordered_map<std::uint32_t, Tick>
     doubts; ///< Per tag: entries before that tick are doubtful.
--- a/Lagoonward/Routing/RouteScore.cpp
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -89,8 +89,10 @@
   const double late = ChanceOver(score.firstTokenSeconds, aRequest.firstToken, aSettings.spread);
   const double slow =
     ChanceOver(score.betweenTokensSeconds, aRequest.betweenTokens, aSettings.spread);
-  const double worth =
-    aMeanPrice * aSettings.missEngineSeconds * std::pow(aSettings.missRankFactor, aRank);
+  double worth = aMeanPrice * aSettings.missEngineSeconds;
+  for (int rank = 0; rank < aRank; ++rank) {
+    worth *= aSettings.missRankFactor;
+  }
   const double overdue = ExcessOver(score.firstTokenSeconds, aRequest.firstToken);
   score.cost.miss = worth * (late + slow - late * slow + aSettings.lateness * overdue);
 
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -243,12 +243,12 @@
 }
 
 double
-Router::SequencesAt(std::uint32_t aTarget) const
+Router::SequencesAt(std::uint32_t aTarget, double aPeerFactor) const
 {
   const RoutingTarget& target = this->table->Targets()[aTarget];
   const EndpointActivity& activity = this->activities[aTarget];
   const double reported = target.waiting + target.running;
-  const double since = activity.NetSince(target.asOf) * this->PeerFactor(target);
+  const double since = activity.NetSince(target.asOf) * aPeerFactor;
   return std::max<double>(reported + since, activity.InFlight());
 }
 
@@ -260,7 +260,8 @@
   EndpointOutlook outlook;
   outlook.speed = this->speed.Get(this->speedIndices[target.machineClass]);
   outlook.pricePerSecond = target.pricePerSecond;
-  outlook.sequences = this->SequencesAt(aTarget);
+  const double peers = this->PeerFactor(target);
+  outlook.sequences = this->SequencesAt(aTarget, peers);
   outlook.mayPreempt = aScene.rank > 0;
   if (target.reclaimable) {
     const double perHour = this->table->IsGoing(target.failureDomain)
@@ -283,7 +284,7 @@
     }
   }
   const int priority = EnginePriority(aScene.rank, aScene.promptTokens - outlook.cachedTokens);
-  outlook.prefillAhead = activity.PrefillPending(priority) * this->PeerFactor(target);
+  outlook.prefillAhead = activity.PrefillPending(priority) * peers;
   const double age = ToSeconds(aScene.now - activity.FirstSeen());
   outlook.newness = std::max(1 - age / ToSeconds(this->settings.slowStart), 0.0);
   return outlook;
@@ -303,7 +304,7 @@
   EndpointActivity* activity = this->FindActivity(target.key);
   if (activity != nullptr) {
     const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
-    dispatch.sequences = this->SequencesAt(index) + 1;
+    dispatch.sequences = this->SequencesAt(index, this->PeerFactor(target)) + 1;
     dispatch.ranIdle =
       activity->PrefillPending(0) <= kIdleTokens && this->table->Targets()[index].waiting == 0;
     activity->breaker.OnDispatched(this->settings.breaker, dispatch.dispatchedAt);
@@ -333,8 +334,8 @@
     }
   } else if (activity != nullptr) {
     const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
-    const double running =
-      std::min<double>(this->SequencesAt(index), this->speed.Get(aDispatch.speedIndex).sequences);
+    const double running = std::min<double>(this->SequencesAt(index, 1),
+                                            this->speed.Get(aDispatch.speedIndex).sequences);
     this->speed.ObserveStep(aDispatch.speedIndex, running, ToSeconds(now - aDispatch.lastToken));
   }
   aDispatch.lastToken = now;
@@ -392,7 +393,7 @@
   double places = 0;
   for (const std::uint32_t target : group.value()->targets) {
     const auto machineClass = this->table->Targets()[target].machineClass;
-    taken += this->SequencesAt(target);
+    taken += this->SequencesAt(target, this->PeerFactor(this->table->Targets()[target]));
     places += this->speed.Get(this->speedIndices[machineClass]).sequences;
   }
   return places > 0 ? taken / places : 0;
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -117,7 +117,7 @@
   [[nodiscard]] bool IsEligible(std::uint32_t aTarget, const RouteRequest& aRequest,
                                 TimePoint aNow) const;
   [[nodiscard]] EndpointOutlook OutlookOf(std::uint32_t aTarget, const Scene& aScene) const;
-  [[nodiscard]] double SequencesAt(std::uint32_t aTarget) const;
+  [[nodiscard]] double SequencesAt(std::uint32_t aTarget, double aPeerFactor) const;
   [[nodiscard]] double PeerFactor(const RoutingTarget& aTarget) const;
   [[nodiscard]] EndpointActivity* FindActivity(std::uint64_t aKey);
   [[nodiscard]] std::uint64_t NextRandom();
