--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -75,9 +75,8 @@
     this->speedIndices.push_back(this->speed.IndexOf(machineClass));
   }
   for (const RoutingTarget& target : aTable->Targets()) {
-    if (target.waiting > 0) {
-      this->speed.ObserveFull(this->speedIndices[target.machineClass], target.running);
-    }
+    this->speed.ObserveLoad(this->speedIndices[target.machineClass], target.waiting,
+                            target.running);
   }
   this->activities = std::move(kept);
   this->positions = std::move(places);
@@ -262,18 +261,23 @@
 }
 
 double
-Router::PeerFactor() const
+Router::PeerFactor(const RoutingTarget& aTarget) const
 {
-  return 1 + this->settings.peerShare * (this->liveDaemons - 1);
+  // They see the same reports and follow the same rules. A few own dispatches among many endpoints
+  // say little about where the others' have gone; many say more
+  const double missed = this->everywhere.DispatchedSince(aTarget.asOf);
+  const double prior =
+    this->settings.peerPrior * static_cast<double>(this->table->Targets().size());
+  return missed > 0 ? 1 + (this->liveDaemons - 1) * missed / (missed + prior) : 1;
 }
 
 double
-Router::SequencesAt(std::uint32_t aTarget) const
+Router::SequencesAt(std::uint32_t aTarget, double aPeerFactor) const
 {
   const RoutingTarget& target = this->table->Targets()[aTarget];
   const EndpointActivity& activity = this->activities[aTarget];
   const double reported = target.waiting + target.running;
-  const double since = activity.NetSince(target.asOf) * this->PeerFactor();
+  const double since = activity.NetSince(target.asOf) * aPeerFactor;
   return std::max<double>(reported + since, activity.InFlight());
 }
 
@@ -285,7 +289,8 @@
   EndpointOutlook outlook;
   outlook.speed = this->speed.Get(this->speedIndices[target.machineClass]);
   outlook.pricePerSecond = target.pricePerSecond;
-  outlook.sequences = this->SequencesAt(aTarget);
+  const double peers = this->PeerFactor(target);
+  outlook.sequences = this->SequencesAt(aTarget, peers);
   outlook.mayPreempt = aScene.rank > 0;
   if (target.reclaimable) {
     const double perHour = this->table->IsGoing(target.failureDomain)
@@ -308,7 +313,7 @@
     }
   }
   const int priority = EnginePriority(aScene.rank, aScene.promptTokens - outlook.cachedTokens);
-  outlook.prefillAhead = activity.PrefillPending(priority) * this->PeerFactor();
+  outlook.prefillAhead = activity.PrefillPending(priority) * peers;
   const double age = ToSeconds(aScene.now - activity.FirstSeen());
   outlook.newness = std::max(1 - age / ToSeconds(this->settings.slowStart), 0.0);
   return outlook;
@@ -328,11 +333,12 @@
   EndpointActivity* activity = this->FindActivity(target.key);
   if (activity != nullptr) {
     const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
-    dispatch.sequences = this->SequencesAt(index) + 1;
+    dispatch.sequences = this->SequencesAt(index, this->PeerFactor(target)) + 1;
     dispatch.ranIdle =
       activity->PrefillPending(0) <= kIdleTokens && this->table->Targets()[index].waiting == 0;
     activity->breaker.OnDispatched(this->settings.breaker, dispatch.dispatchedAt);
     activity->OnDispatched(dispatch.dispatchedAt, dispatch.uncachedTokens, dispatch.priority);
+    this->everywhere.OnDispatched(dispatch.dispatchedAt, 0, dispatch.priority);
   }
   this->prefixes.OnDispatched(target.key, aRequest.prefixBlocks);
   return dispatch;
@@ -357,8 +363,8 @@
     }
   } else if (activity != nullptr) {
     const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
-    const double running =
-      std::min<double>(this->SequencesAt(index), this->speed.Get(aDispatch.speedIndex).sequences);
+    const double running = std::min<double>(this->SequencesAt(index, 1),
+                                            this->speed.Get(aDispatch.speedIndex).sequences);
     this->speed.ObserveStep(aDispatch.speedIndex, running, ToSeconds(now - aDispatch.lastToken));
   }
   aDispatch.lastToken = now;
@@ -416,7 +422,7 @@
   double places = 0;
   for (const std::uint32_t target : group.value()->targets) {
     const auto machineClass = this->table->Targets()[target].machineClass;
-    taken += this->SequencesAt(target);
+    taken += this->SequencesAt(target, this->PeerFactor(this->table->Targets()[target]));
     places += this->speed.Get(this->speedIndices[machineClass]).sequences;
   }
   return places > 0 ? taken / places : 0;
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -59,6 +59,10 @@
   /// Worth of one missed target of the lowest priority, in engine time.
   double missEngineSeconds = 6;
 
+  /// What each further target's length of waiting is worth, in missed targets. Without it a request
+  /// that is late anyway would queue where the queue is longest.
+  double lateness = 1;
+
   /// How much more a missed target of each higher rank of priority is worth.
   double missRankFactor = 4;
 
@@ -73,8 +77,9 @@
   /// Share of an engine's sequences kept free of the lowest rank.
   double reservedShare = 0.35;
 
-  /// How far other daemons are assumed to dispatch as this one does. One: exactly alike.
-  double peerShare = 0.5;
+  /// How little own dispatches say about those of other daemons, in dispatches per endpoint: the more
+  /// own dispatches a report has missed, the more the others are assumed to have done alike.
+  double peerPrior = 0.5;
 
   /// Chance per hour that a reclaimable host goes.
   double reclaimsPerHour = 0.05;
