Measure the reclaim planner against retry from scratch

Change: lagoonward-bench reclaim, a simulation on virtual time over either policy; Reclaim's types are now StreamMove and StreamMoveKind.

--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -1,5 +1,6 @@
 #include "Bench/ControlBench.h"
 #include "Bench/DecisionsBench.h"
+#include "Bench/ReclaimBench.h"
 #include "Bench/RouteBench.h"
 
 #include <array>
@@ -24,6 +25,7 @@
 constexpr std::array kSubcommands{
   Subcommand{ "control", &RunControlBench },
   Subcommand{ "decisions", &RunDecisionsBench },
+  Subcommand{ "reclaim", &RunReclaimBench },
   Subcommand{ "route", &RunRouteBench },
 };
 
--- a/Lagoonward/Reclaim/MoveTypes.cpp
+++ b/Lagoonward/Reclaim/MoveTypes.cpp
@@ -3,16 +3,16 @@
 namespace lagoonward {
 
 std::string_view
-ToString(MoveKind aKind)
+ToString(StreamMoveKind aKind)
 {
   switch (aKind) {
-    case MoveKind::FinishInPlace:
+    case StreamMoveKind::FinishInPlace:
       return "finish_in_place";
-    case MoveKind::ExportImport:
+    case StreamMoveKind::ExportImport:
       return "export_import";
-    case MoveKind::Reprefill:
+    case StreamMoveKind::Reprefill:
       return "reprefill";
-    case MoveKind::Unplaced:
+    case StreamMoveKind::Unplaced:
       break;
   }
   return "unplaced";
--- a/Lagoonward/Reclaim/MoveTypes.h
+++ b/Lagoonward/Reclaim/MoveTypes.h
@@ -11,7 +11,7 @@
 namespace lagoonward {
 
 /// How a stream leaves an endpoint that is going away.
-enum class MoveKind
+enum class StreamMoveKind
 {
   FinishInPlace, ///< Stays; expected to end before the endpoint goes.
   ExportImport,  ///< Its KV cache is copied to the target while it goes on; then it resumes there.
@@ -21,7 +21,7 @@
 
 /// "finish_in_place", "export_import", "reprefill" or "unplaced".
 [[nodiscard]] std::string_view
-ToString(MoveKind aKind);
+ToString(StreamMoveKind aKind);
 
 /// An endpoint that serves exactly the model, adapter and version of a stream.
 struct MoveCandidate
@@ -33,7 +33,7 @@
 /// A move that has begun. A plan keeps to it while its target stays.
 struct MoveInProgress
 {
-  MoveKind kind = MoveKind::Reprefill;
+  StreamMoveKind kind = StreamMoveKind::Reprefill;
   std::string target;
   TimePoint startAt; ///< When it began or is to begin.
   TimePoint readyAt; ///< When the target is expected to go on with the stream.
@@ -72,10 +72,10 @@
 };
 
 /// What to do with one stream. Idempotent: a step that is done again changes nothing.
-struct MovePlan
+struct StreamMove
 {
   std::string stream;
-  MoveKind kind = MoveKind::Unplaced;
+  StreamMoveKind kind = StreamMoveKind::Unplaced;
   std::string target;            ///< Empty unless the stream moves.
   TimePoint startAt;             ///< When to export, or when to stop here and resume there.
   TimePoint readyAt;             ///< When the target is expected to go on.
--- a/Lagoonward/Reclaim/ReclaimPolicy.h
+++ b/Lagoonward/Reclaim/ReclaimPolicy.h
@@ -18,7 +18,7 @@
 {
   {
     aPolicy.PlanMoves(aStreams, aTargets, aObjective, aNow)
-    } -> std::same_as<std::vector<MovePlan>>;
+    } -> std::same_as<std::vector<StreamMove>>;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Reclaim/RetryFromScratch.cpp
+++ b/Lagoonward/Reclaim/RetryFromScratch.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-std::vector<MovePlan>
+std::vector<StreamMove>
 RetryFromScratch::PlanMoves(std::span<const StreamView> aStreams,
                             std::span<const MoveTarget> aTargets,
                             const ManifestObjective& /*aObjective*/, TimePoint aNow) const
@@ -34,10 +34,10 @@
     slots[target.endpoint] = target.freeSlots;
   }
 
-  std::vector<MovePlan> plans;
+  std::vector<StreamMove> plans;
   plans.reserve(aStreams.size());
   for (const StreamView& stream : aStreams) {
-    MovePlan plan;
+    StreamMove plan;
     plan.stream = stream.id;
 
     // Most free slots among the candidates
@@ -58,7 +58,7 @@
     }
     if (best != nullptr) {
       --slots[best->endpoint];
-      plan.kind = MoveKind::Reprefill;
+      plan.kind = StreamMoveKind::Reprefill;
       plan.target = best->endpoint;
       plan.startAt = std::max(aNow, stream.goneAfter);
       const double prompt = std::max(0, stream.promptTokens - cached);
