Hold the lease of a market and region by records in the log

Cause: someone must order endpoints, no consensus group is run, and a paused holder may wake believing that it still leads. Change: Lagoonward/Leadership: LeaseRecord, the pure fold LeaseLedger (offset of the tenure's first record is the fencing number; gaps end only by proof), and LeaseKeeper, a state machine without I/O: acquire by rank, renew, settle by reading, resign, and Authorize() right before each order on the clock that counts suspension. Past the lease only endpoints that check numbers get orders.

--- /dev/null
+++ b/Lagoonward/Leadership/LeaseKeeper.cpp
@@ -0,0 +1,185 @@
+#include "Lagoonward/Leadership/LeaseKeeper.h"
+
+#include <algorithm>
+
+namespace lagoonward {
+
+namespace {
+
+/// Appends whose moment is remembered. Older ones could only give a lease that has lapsed.
+constexpr std::size_t kMaxRemembered = 64;
+
+/// Whether the receiver of an order of that kind can check a fencing number at all.
+bool
+GoesToEndpoint(OrderKind aKind)
+{
+  return aKind == OrderKind::Load || aKind == OrderKind::Unload || aKind == OrderKind::Role;
+}
+
+} // namespace
+
+LeaseKeeper::LeaseKeeper(const LeaseSettings& aSettings, const Clock& aClock, std::string aHolder,
+                         std::string aIncarnation)
+  : settings(aSettings)
+  , clock(aClock)
+  , holder(std::move(aHolder))
+  , incarnation(std::move(aIncarnation))
+{
+}
+
+void
+LeaseKeeper::SetRank(int aRank)
+{
+  this->rank = std::max(0, aRank);
+}
+
+bool
+LeaseKeeper::IsOwn(const LeaseRecord& aRecord) const
+{
+  return aRecord.writer.incarnation == this->incarnation;
+}
+
+void
+LeaseKeeper::ObservePage(const LogPage& aPage)
+{
+  this->ledger.ObserveStart(aPage.start);
+  for (const LogRecord& record : aPage.records) {
+    this->ledger.Apply(record.offset, record.data);
+  }
+
+  // What is in force, and since when it is known
+  const LeaseInForce* current = this->ledger.InForce();
+  const Offset offset = current != nullptr ? current->offset : kNoOffset;
+  const Offset mark = this->ledger.IsCertain() ? offset : this->ledger.NextOffset();
+  if (!this->seenAt || mark != this->seen) {
+    this->seen = mark;
+    this->seenAt = this->clock.BootNow();
+  }
+
+  // An own lease counts from before its append was sent
+  this->leaseEnd.reset();
+  if (current == nullptr || !this->IsOwn(current->record)) {
+    return;
+  }
+  const auto sent = this->sentAt.find(current->record.writer.sequence);
+  if (sent != this->sentAt.end() && current->record.duration > Milliseconds::zero()) {
+    this->leaseEnd = sent->second + current->record.duration;
+  }
+}
+
+bool
+LeaseKeeper::MayAcquire() const
+{
+  if (!this->seenAt || this->rank >= this->settings.candidates) {
+    return false;
+  }
+  const TimePoint now = this->clock.BootNow();
+  const Milliseconds turn = this->rank * this->settings.rankDelay;
+  const LeaseInForce* current = this->ledger.InForce();
+  if (!this->ledger.IsCertain()) {
+    // Whoever led has written nothing for a whole lease
+    const Milliseconds lease = std::max(this->settings.duration, this->ledger.LongestPending());
+    return now >= *this->seenAt + lease + this->settings.handover + turn;
+  }
+  if (current == nullptr) {
+    return now >= *this->seenAt + turn;
+  }
+  if (this->IsOwn(current->record)) {
+    return true;
+  }
+  const Milliseconds lease = current->record.duration;
+  return now >= *this->seenAt + lease + this->settings.handover + turn;
+}
+
+std::optional<std::string>
+LeaseKeeper::NextAppend()
+{
+  const TimePoint now = this->clock.BootNow();
+  const LeaseInForce* current = this->ledger.InForce();
+  const bool own = current != nullptr && this->IsOwn(current->record);
+  if (this->lastAppend && now < *this->lastAppend + this->settings.retryInterval) {
+    return std::nullopt;
+  }
+  if (this->resigning) {
+    const bool leads = own && current->record.duration > Milliseconds::zero();
+    return leads ? std::optional(this->Write(Milliseconds::zero())) : std::nullopt;
+  }
+
+  // A holder renews in good time; its last append may be on its way
+  if (own && this->leaseEnd) {
+    const TimePoint renewAt = *this->leaseEnd - this->settings.duration + this->settings.renewAfter;
+    if (now < renewAt) {
+      return std::nullopt;
+    }
+  }
+  return this->MayAcquire() ? std::optional(this->Write(this->settings.duration)) : std::nullopt;
+}
+
+std::string
+LeaseKeeper::Write(Milliseconds aDuration)
+{
+  const LeaseInForce* current = this->ledger.InForce();
+  LeaseRecord record;
+  record.holder = this->holder;
+  record.duration = aDuration;
+  record.writer = RecordId{ this->incarnation, ++this->sequence };
+  if (!this->ledger.IsCertain()) {
+    record.vacantBefore = this->ledger.NextOffset();
+  } else if (current != nullptr) {
+    record.base = current->offset;
+    record.tenure = this->IsOwn(current->record) ? current->fencing : kNoOffset;
+  }
+
+  const TimePoint now = this->clock.BootNow();
+  this->lastAppend = now;
+  this->sentAt[this->sequence] = now;
+  while (this->sentAt.size() > kMaxRemembered) {
+    this->sentAt.erase(this->sentAt.begin());
+  }
+  return WriteLeaseRecord(record);
+}
+
+void
+LeaseKeeper::Resign()
+{
+  this->resigning = true;
+}
+
+bool
+LeaseKeeper::Holds() const
+{
+  return !this->resigning && this->leaseEnd && this->clock.BootNow() < *this->leaseEnd;
+}
+
+Result<OrderGrant>
+LeaseKeeper::Authorize(OrderKind aKind, bool aChecksFencing) const
+{
+  const LeaseInForce* current = this->ledger.InForce();
+  const bool last = current != nullptr && this->IsOwn(current->record) && this->leaseEnd;
+  if (!last || this->resigning) {
+    return Error(ErrorKind::NotLeader, "This daemon does not lead here.");
+  }
+  if (this->Holds()) {
+    return OrderGrant{ current->fencing, *this->leaseEnd };
+  }
+  if (aChecksFencing && GoesToEndpoint(aKind)) {
+    return OrderGrant{ current->fencing, this->clock.BootNow() + this->settings.handover };
+  }
+  return Error(ErrorKind::NotLeader, "The lease has lapsed.");
+}
+
+std::string_view
+LeaseKeeper::Leader() const
+{
+  const LeaseInForce* current = this->ledger.InForce();
+  const bool leads = current != nullptr && current->record.duration > Milliseconds::zero();
+  return leads ? std::string_view(current->record.holder) : std::string_view();
+}
+
+Offset
+LeaseKeeper::NextOffset() const
+{
+  return this->ledger.NextOffset();
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/UnitTests/Leadership/LeaseKeeperTests.cpp
@@ -0,0 +1,190 @@
+#include "Lagoonward/Core/VirtualClock.h"
+#include "Lagoonward/Leadership/LeaseKeeper.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonward;
+
+namespace {
+
+/// A lease stream in memory and two daemons that may lead.
+struct Fixture
+{
+  VirtualClock clock;
+  LeaseSettings settings;
+  LogPage log;
+  LeaseKeeper first{ settings, clock, "first", "run-1" };
+  LeaseKeeper second{ settings, clock, "second", "run-2" };
+
+  Fixture() { this->second.SetRank(1); }
+
+  void Append(const std::string& aRecord)
+  {
+    this->log.records.push_back({ this->log.end++, aRecord });
+  }
+
+  void Read(LeaseKeeper& aKeeper) const { aKeeper.ObservePage(this->log); }
+
+  /// Reads, appends if it is time, reads again.
+  void Step(LeaseKeeper& aKeeper)
+  {
+    Read(aKeeper);
+    if (const auto record = aKeeper.NextAppend()) {
+      Append(*record);
+      Read(aKeeper);
+    }
+  }
+
+  /// Forgets the records below an offset.
+  void Drop(Offset aStart)
+  {
+    this->log.start = aStart;
+    std::erase_if(this->log.records,
+                  [&](const LogRecord& aRecord) { return aRecord.offset < aStart; });
+  }
+
+  [[nodiscard]] static bool May(const LeaseKeeper& aKeeper, OrderKind aKind, bool aChecks)
+  {
+    return aKeeper.Authorize(aKind, aChecks).has_value();
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LeaseKeeperTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(OneLeadsAndKeepsItsNumberOverRenewals)
+{
+  Step(this->first);
+  Step(this->second);
+  BOOST_TEST(this->first.Holds());
+  BOOST_TEST(!this->second.Holds());
+  for (int step = 0; step < 20; ++step) {
+    this->clock.Advance(Seconds(1));
+    Step(this->first);
+    Step(this->second);
+    BOOST_TEST(this->first.Holds());
+  }
+  BOOST_TEST(this->first.Authorize(OrderKind::Load, true).value().fencing == 0);
+  BOOST_TEST(this->log.end <= 8);
+  BOOST_TEST(this->second.Leader() == "first");
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswerIsSettledByReading)
+{
+  Read(this->first);
+  const auto record = this->first.NextAppend();
+  BOOST_REQUIRE(record.has_value());
+  BOOST_TEST(!this->first.Holds());
+  Append(*record);
+  this->clock.Advance(Seconds(4));
+  Read(this->first);
+  BOOST_TEST(this->first.Holds());
+  // Counted from the append, not from reading it
+  this->clock.Advance(Seconds(6));
+  BOOST_TEST(!this->first.Holds());
+}
+
+BOOST_AUTO_TEST_CASE(PausedHolderWakesAndDoesNotOrder)
+{
+  Step(this->first);
+  Step(this->second);
+  this->clock.Suspend(Seconds(20));
+  BOOST_TEST(!May(this->first, OrderKind::StartHost, true));
+  BOOST_TEST(!May(this->first, OrderKind::Load, false));
+  Step(this->second);
+  BOOST_TEST(this->second.Holds());
+  // Engines that check are safe: the old holder's number is lower
+  const Offset stale = this->first.Authorize(OrderKind::Load, true).value().fencing;
+  BOOST_TEST(stale < this->second.Authorize(OrderKind::Load, true).value().fencing);
+  Read(this->first);
+  BOOST_TEST(!May(this->first, OrderKind::Load, true));
+}
+
+BOOST_AUTO_TEST_CASE(SuccessorWaitsForLeaseHandoverAndTurn)
+{
+  Step(this->first);
+  Step(this->second);
+  this->clock.Advance(this->settings.duration + this->settings.handover);
+  Step(this->second);
+  BOOST_TEST(!this->second.Holds());
+  this->clock.Advance(this->settings.rankDelay);
+  Step(this->second);
+  BOOST_TEST(this->second.Holds());
+}
+
+BOOST_AUTO_TEST_CASE(LateRenewalBelowASuccessorIsVoid)
+{
+  Step(this->first);
+  Step(this->second);
+  this->clock.Advance(Seconds(4));
+  const auto late = this->first.NextAppend();
+  BOOST_REQUIRE(late.has_value());
+  this->clock.Advance(Seconds(11));
+  Step(this->second);
+  BOOST_REQUIRE(this->second.Holds());
+  Append(*late);
+  Read(this->first);
+  Read(this->second);
+  BOOST_TEST(this->second.Holds());
+  BOOST_TEST(!May(this->first, OrderKind::Load, true));
+}
+
+BOOST_AUTO_TEST_CASE(ResignedLeaseIsTakenAfterTheHandover)
+{
+  Step(this->first);
+  this->first.Resign();
+  BOOST_TEST(!this->first.Holds());
+  this->clock.Advance(Seconds(1));
+  Step(this->first);
+  Step(this->second);
+  this->clock.Advance(this->settings.handover + this->settings.rankDelay);
+  Step(this->second);
+  BOOST_TEST(this->second.Holds());
+}
+
+BOOST_AUTO_TEST_CASE(RestartedDaemonIsAnotherHolder)
+{
+  Step(this->first);
+  LeaseKeeper again(this->settings, this->clock, "first", "run-3");
+  Read(again);
+  BOOST_TEST(!again.Holds());
+  BOOST_TEST(!again.NextAppend().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NewReaderAfterAGapWaitsForProof)
+{
+  for (int step = 0; step < 20; ++step) {
+    Step(this->first);
+    this->clock.Advance(Seconds(1));
+  }
+  Drop(3);
+  Read(this->second);
+  BOOST_TEST(this->second.Leader() == "first");
+  Drop(this->log.end - 1);
+  LeaseKeeper late(this->settings, this->clock, "late", "run-4");
+  Read(late);
+  BOOST_TEST(late.Leader().empty());
+  BOOST_TEST(!late.NextAppend().has_value());
+  this->clock.Advance(Seconds(3));
+  Step(this->first);
+  Read(late);
+  BOOST_TEST(late.Leader() == "first");
+}
+
+BOOST_AUTO_TEST_CASE(AFleetOfNewReadersFindsALeader)
+{
+  Step(this->first);
+  Step(this->first);
+  Append("not a record");
+  Drop(1);
+  LeaseKeeper late(this->settings, this->clock, "late", "run-4");
+  Step(late);
+  this->clock.Advance(this->settings.duration + this->settings.handover);
+  Step(late);
+  Step(this->second);
+  BOOST_TEST(late.Holds());
+  BOOST_TEST(this->second.Leader() == "late");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
