Claim non-idempotent requests in the log before dispatch

Cause: a non-idempotent call with a key, sent again to another daemon, would have run twice. Change: RunService claims the key (ClaimService, over the peers' transport to the daemon that batches the key's shard), runs only what was won, asks once more right before the first byte, and records the outcome. A non-idempotent completion is not sent again unless it is proven that nothing ran. PeerClaimForwarder carries claims as cereal messages. A crash found on the way: the claims were not set where the runs were built; an assertion now guards it.

--- a/Lagoonward/Attempts/CompletionCall.h
+++ b/Lagoonward/Attempts/CompletionCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Attempts/DispatchClaim.h"
 #include "Lagoonward/Attempts/EngineStream.h"
 #include "Lagoonward/Configuration/Manifest.h"
 
@@ -23,6 +24,14 @@
   ManifestObjective objective;
   TimePoint accepted; ///< When the request had come in whole.
   TimePoint deadline;
+  std::shared_ptr<DispatchClaim> claim; ///< Set when it may run under this claim only.
+
+  /// Whether it must be claimed in the log first. Without a key nobody else can send it again, and
+  /// this daemon dispatches it once.
+  [[nodiscard]] bool NeedsClaim() const
+  {
+    return !this->idempotent && !this->idempotencyKey.empty();
+  }
 
   /// The client's key as the registry and the claims know it; empty without an idempotency key.
   [[nodiscard]] std::string RegistryKey() const
--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -55,12 +55,13 @@
 }
 
 void
-CompletionRun::FollowPlan(const MovePlan& aPlan)
+CompletionRun::FollowPlan(const StreamMove& aPlan)
 {
   if (this->ended || this->endpointId.empty()) {
     return;
   }
-  const bool moves = aPlan.kind == MoveKind::ExportImport || aPlan.kind == MoveKind::Reprefill;
+  const bool moves =
+    aPlan.kind == StreamMoveKind::ExportImport || aPlan.kind == StreamMoveKind::Reprefill;
   const bool isSame =
     this->move && moves && this->move->kind == aPlan.kind && this->move->target == aPlan.target;
   // An export that has begun goes on; a move yet to begin may be timed anew
@@ -101,7 +102,7 @@
   if (this->ended || !this->move || this->endpointId.empty()) {
     return;
   }
-  if (this->move->kind == MoveKind::ExportImport) {
+  if (this->move->kind == StreamMoveKind::ExportImport) {
     this->BeginExport();
   } else {
     this->MoveAway("its endpoint is leaving");
@@ -205,6 +206,15 @@
   if (aFailure == AttemptFailure::Foreign || aFailure == AttemptFailure::Malformed) {
     this->CancelEngineStream();
   }
+  const bool provenNotRun =
+    aFailure == AttemptFailure::NotSent || aFailure == AttemptFailure::Rejected;
+  if (!this->call.terms.idempotent && !(provenNotRun && this->streamId.empty())) {
+    this->FailUnrepeatable();
+    return;
+  }
+  if (provenNotRun && this->answer->TokenCount() == 0 && this->attemptCount == 1) {
+    this->everDispatched = false;
+  }
   this->TryElsewhere(ToString(aFailure));
 }
 
@@ -278,6 +288,11 @@
     this->PauseThenDispatch();
     return;
   }
+  if (this->call.terms.claim != nullptr && !this->call.terms.claim->BeginDispatch()) {
+    this->Fail(
+      Error(ErrorKind::ClaimUnavailable, "The claim was too old to be dispatched.", Ran::No));
+    return;
+  }
   if (this->attemptCount > 0) {
     this->context.counters.tokensResent += static_cast<std::uint64_t>(aRequest.promptTokens);
   }
@@ -428,6 +443,10 @@
   if (this->resuming || this->streamId.empty()) {
     this->Note(fmt::format("endpoint {} stays silent on a new connection.", this->endpointId));
     this->CancelEngineStream();
+    if (!this->call.terms.idempotent) {
+      this->FailUnrepeatable();
+      return;
+    }
     this->TryElsewhere("silent");
     return;
   }
@@ -459,17 +478,31 @@
                          this->answer->TokenCount(), aFinishReason, this->attemptCount));
   ++this->context.counters.answeredWhole;
   this->context.retryBudget.OnSuccess();
+  if (this->call.terms.claim != nullptr) {
+    this->call.terms.claim->Settle(Ran::Yes);
+  }
   this->answer->Finish(aFinishReason);
   this->LeaveEndpoint(DispatchOutcome::Completed);
   this->End();
 }
 
+void
+CompletionRun::FailUnrepeatable()
+{
+  this->Fail(Error(ErrorKind::OutcomeUnknown,
+                   "The endpoint failed after the request was sent; it is not sent again.",
+                   Ran::Unknown));
+}
+
 void
 CompletionRun::Fail(const Error& aError)
 {
   this->Note(fmt::format("fails: {}, ran {}: {}", GetErrorRule(aError.kind).name,
                          ToString(aError.ran), aError.message));
   ++this->context.counters.failed;
+  if (this->call.terms.claim != nullptr) {
+    this->call.terms.claim->Settle(aError.ran);
+  }
   this->answer->Fail(aError);
   this->LeaveEndpoint(DispatchOutcome::Cancelled);
   this->End();
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -35,7 +35,7 @@
 
   /// Takes the plan for leaving its endpoint. A plan that says what is under way changes nothing; any
   /// other replaces it.
-  void FollowPlan(const MovePlan& aPlan);
+  void FollowPlan(const StreamMove& aPlan);
 
   /// The move that has been planned or begun, if any.
   [[nodiscard]] const std::optional<MoveInProgress>& Move() const { return this->move; }
@@ -83,6 +83,8 @@
   // End
   void Finish(const std::string& aFinishReason);
   void Fail(const Error& aError);
+  /// For a non-idempotent request that may have run.
+  void FailUnrepeatable();
   void End();
   void Note(std::string aText);
 
--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Attempts/RunService.h"
 
+#include <cassert>
+
 namespace lagoonward {
 
 namespace {
@@ -36,6 +38,12 @@
   this->Stop();
 }
 
+void
+RunService::SetClaims(ClaimService& aClaims)
+{
+  this->claims = &aClaims;
+}
+
 std::string_view
 RunService::Name() const
 {
@@ -45,6 +53,7 @@
 Result<void>
 RunService::Start()
 {
+  assert(this->claims != nullptr);
   for (const auto& worker : this->workers) {
     worker->loop.Start();
   }
@@ -167,8 +176,44 @@
   ++this->activeRuns;
   Worker& worker = this->NextWorker();
   auto shared = std::make_shared<Ticket>(std::move(ticket.value()));
-  worker.loop.Post([this, &worker, call = std::move(aCall), aMarket, answer = entry.answer,
-                    shared] { this->BeginRun<Run, Call>(worker, call, aMarket, answer, shared); });
+  if (terms.NeedsClaim()) {
+    this->ClaimThenRun<Run, Call>(worker, std::move(aCall), aMarket, entry.answer, shared);
+  } else {
+    this->PostRun<Run, Call>(worker, std::move(aCall), aMarket, entry.answer, shared);
+  }
+}
+
+template<typename Run, typename Call>
+void
+RunService::ClaimThenRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket,
+                         const AnswerPtr& aAnswer, const std::shared_ptr<Ticket>& aTicket)
+{
+  const ClaimKey key =
+    MakeClaimKey(aCall.terms.market, aCall.terms.client, aCall.terms.idempotencyKey);
+  const std::uint64_t bodyHash = aCall.terms.bodyHash;
+  const auto onSettled = [this, &aWorker, call = std::move(aCall), aMarket, aAnswer, aTicket,
+                          bodyHash](const std::shared_ptr<DispatchClaim>& aClaim,
+                                    const ClaimAnswer& aVerdict) {
+    Call claimed = call;
+    claimed.terms.claim = aClaim;
+    if (aClaim != nullptr) {
+      this->PostRun<Run, Call>(aWorker, std::move(claimed), aMarket, aAnswer, aTicket);
+      return;
+    }
+    this->Refuse(claimed.terms, aAnswer, ToError(aVerdict, bodyHash));
+    this->OnRunEnded({});
+  };
+  DispatchClaim::Ask(*this->claims, key, bodyHash, onSettled);
+}
+
+template<typename Run, typename Call>
+void
+RunService::PostRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket, const AnswerPtr& aAnswer,
+                    const std::shared_ptr<Ticket>& aTicket)
+{
+  aWorker.loop.Post([this, &aWorker, call = std::move(aCall), aMarket, aAnswer, aTicket] {
+    this->BeginRun<Run, Call>(aWorker, call, aMarket, aAnswer, aTicket);
+  });
 }
 
 template<typename Run, typename Call>
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -35,6 +35,9 @@
   RunService(const RunServiceSettings& aSettings, const Clock& aClock, const FleetStore& aFleet);
   ~RunService() override;
 
+  /// The claims of non-idempotent requests. Set once, before Start().
+  void SetClaims(ClaimService& aClaims);
+
   [[nodiscard]] std::string_view Name() const override;
   [[nodiscard]] Result<void> Start() override;
   /// Waits until every run has ended.
@@ -82,6 +85,12 @@
   void SubmitCall(Call aCall, const MarketPtr& aMarket, double aTokens,
                   const std::shared_ptr<AnswerSubscriber>& aSubscriber);
   template<typename Run, typename Call>
+  void ClaimThenRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket, const AnswerPtr& aAnswer,
+                    const std::shared_ptr<Ticket>& aTicket);
+  template<typename Run, typename Call>
+  void PostRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket, const AnswerPtr& aAnswer,
+               const std::shared_ptr<Ticket>& aTicket);
+  template<typename Run, typename Call>
   void BeginRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket, const AnswerPtr& aAnswer,
                 const std::shared_ptr<Ticket>& aTicket);
   template<typename Run>
@@ -98,6 +107,7 @@
   AnswerRegistry registry;
   RunCounters counters;
   MoveCoordinator moves;
+  ClaimService* claims = nullptr;
   std::vector<std::unique_ptr<Worker>> workers;
   std::atomic<std::uint64_t> nextRun{ 1 };
   std::atomic<int> activeRuns{ 0 };
--- a/Lagoonward/Attempts/ServiceRun.cpp
+++ b/Lagoonward/Attempts/ServiceRun.cpp
@@ -88,6 +88,9 @@
   ++this->context.counters.answeredWhole;
   this->Note(fmt::format("is answered by endpoint {} with status {}, {} bytes.", this->endpointId,
                          aEnd.status, this->reply.body.size()));
+  if (this->call.terms.claim != nullptr) {
+    this->call.terms.claim->Settle(Ran::Yes);
+  }
   this->answer->FinishService(std::move(this->reply));
   this->End();
 }
@@ -124,14 +127,19 @@
 void
 ServiceRun::BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest)
 {
-  ++this->attemptCount;
-  ++this->context.counters.attempts;
   const FleetSnapshotPtr fleet = this->context.fleet.Get();
   const Endpoint* endpoint = fleet->Find(aChoice.Target().id);
   if (endpoint == nullptr) {
     this->PauseThenDispatch();
     return;
   }
+  if (this->call.terms.claim != nullptr && !this->call.terms.claim->BeginDispatch()) {
+    this->Fail(
+      Error(ErrorKind::ClaimUnavailable, "The claim was too old to be dispatched.", Ran::No));
+    return;
+  }
+  ++this->attemptCount;
+  ++this->context.counters.attempts;
   this->endpointId = endpoint->id;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
   this->Note("goes to " + aChoice.Describe());
@@ -206,6 +214,9 @@
   ++this->context.counters.failed;
   this->Note(fmt::format("fails: {}, ran {}: {}", GetErrorRule(aError.kind).name,
                          ToString(aError.ran), aError.message));
+  if (this->call.terms.claim != nullptr) {
+    this->call.terms.claim->Settle(aError.ran);
+  }
   this->answer->Fail(aError);
   this->End();
 }
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -45,9 +45,11 @@
   , clock(aClock)
   , onDrainAsked(std::move(aOnDrainAsked))
   , seed(HashBytes(this->settings.hostId))
+  , incarnation(fmt::format("{}@{}", this->settings.hostId, ToUnixMilliseconds(aClock.WallNow())))
   , markets(this->settings.market, aClock, this->seed)
   , poller({}, aClock)
   , log(this->settings.logUrl, {})
+  , claimLog(this->settings.logUrl, {})
   , indexLog(this->settings.logUrl, {})
 {
 }
@@ -112,8 +114,7 @@
   }
   this->BuildMembership(std::move(keys.value()));
   this->BuildConfiguration();
-  this->runs =
-    &this->kernel.Add(std::make_unique<RunService>(this->settings.runs, this->clock, this->fleet));
+  this->BuildRuns();
   this->BuildInterfaces();
   return boost::outcome_v2::success();
 }
@@ -154,7 +155,7 @@
     this->control->OnConfiguration(aConfiguration);
   };
   hooks.daemonId = this->settings.hostId;
-  hooks.incarnation = std::to_string(ToUnixMilliseconds(this->clock.WallNow()));
+  hooks.incarnation = this->incarnation;
   this->follower = &this->kernel.Add(
     std::make_unique<ConfigurationFollower>(ConfigurationFollowerSettings{}, std::move(hooks),
                                             std::vector<std::string>{}, this->log, this->clock));
@@ -173,6 +174,24 @@
                                       this->settings.cloudUrl, this->MakePlatformNews()));
 }
 
+void
+Daemon::BuildRuns()
+{
+  this->claimForwarder = std::make_unique<PeerClaimForwarder>(*this->membership);
+  ClaimServiceHooks hooks;
+  hooks.region = this->settings.region;
+  hooks.daemonId = this->settings.hostId;
+  hooks.incarnation = this->incarnation;
+  hooks.liveDaemons = [this] { return this->LiveDaemons(this->settings.region); };
+  hooks.forwarder = this->claimForwarder.get();
+  auto& claims = this->kernel.Add(
+    std::make_unique<ClaimService>(ClaimSettings{}, std::move(hooks), this->claimLog, this->clock));
+  this->claimForwarder->Serve(claims);
+  this->runs =
+    &this->kernel.Add(std::make_unique<RunService>(this->settings.runs, this->clock, this->fleet));
+  this->runs->SetClaims(claims);
+}
+
 void
 Daemon::BuildInterfaces()
 {
@@ -198,11 +217,13 @@
 }
 
 std::vector<std::string>
-Daemon::LiveDaemons() const
+Daemon::LiveDaemons(std::string_view aRegion) const
 {
   std::vector<std::string> ids{ this->settings.hostId };
   for (const Peer& peer : this->membership->Peers()->peers) {
-    ids.push_back(peer.info.id);
+    if (aRegion.empty() || peer.info.region == aRegion) {
+      ids.push_back(peer.info.id);
+    }
   }
   return ids;
 }
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Configuration/MarketIndex.h"
 #include "Lagoonward/Core/Kernel.h"
 #include "Lagoonward/Daemon/ControlPlane.h"
+#include "Lagoonward/Daemon/PeerClaimForwarder.h"
 #include "Lagoonward/Daemon/PlatformWatcher.h"
 #include "Lagoonward/Daemon/StatusPage.h"
 #include "Lagoonward/Frontend/AdminApi.h"
@@ -43,9 +44,10 @@
   [[nodiscard]] Result<void> Build();
   void BuildMembership(KeyRing aKeys);
   void BuildConfiguration();
+  void BuildRuns();
   void BuildInterfaces();
-  /// Ids of the live daemons, this one included. Any thread.
-  [[nodiscard]] std::vector<std::string> LiveDaemons() const;
+  /// Ids of the live daemons, this one included, of all regions or of one. Any thread.
+  [[nodiscard]] std::vector<std::string> LiveDaemons(std::string_view aRegion = {}) const;
   [[nodiscard]] PlatformNews MakePlatformNews();
   /// Why the daemon should get no requests, or nothing when it should.
   [[nodiscard]] std::optional<Error> FindUnreadiness() const;
@@ -54,13 +56,16 @@
   const Clock& clock;
   std::function<void()> onDrainAsked;
   std::atomic<bool> draining{ false };
-  std::uint64_t seed; ///< Of the sampling; differs between daemons.
+  std::uint64_t seed;      ///< Of the sampling; differs between daemons.
+  std::string incarnation; ///< Of this run of this daemon; never reused.
 
   FleetStore fleet;
   MarketDirectory markets;
   LoadPoller poller;
   HttpLogService log;      ///< The follower's own; it is interrupted when that stops.
+  HttpLogService claimLog; ///< The claims' own.
   HttpLogService indexLog; ///< The market index reader's own.
+  std::unique_ptr<PeerClaimForwarder> claimForwarder;
   Kernel kernel;
 
   // Owned by the kernel
--- /dev/null
+++ b/Lagoonward/Daemon/PeerClaimForwarder.cpp
@@ -0,0 +1,198 @@
+#include "Lagoonward/Daemon/PeerClaimForwarder.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+
+#include <sstream>
+
+namespace lagoonward {
+
+namespace {
+
+/// What one daemon asks of another: to batch a claim, or to record an outcome.
+struct ClaimMessage
+{
+  bool isOutcome = false;
+  ClaimKey key;
+  RecordId id;
+  std::uint64_t bodyHash = 0;
+  std::uint8_t ran = 0;
+  std::uint32_t budgetMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->isOutcome, this->key.high, this->key.low, this->id.incarnation,
+             this->id.sequence, this->bodyHash, this->ran, this->budgetMs);
+  }
+};
+
+/// What became of a forwarded claim.
+struct ClaimReply
+{
+  std::uint8_t verdict = 0;
+  RecordId holder;
+  std::uint64_t holderBodyHash = 0;
+  std::uint8_t holderRan = 0;
+  std::int64_t holderOffset = kNoOffset;
+  bool maybeRecorded = false;
+  std::uint32_t retryAfterMs = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->verdict, this->holder.incarnation, this->holder.sequence, this->holderBodyHash,
+             this->holderRan, this->holderOffset, this->maybeRecorded, this->retryAfterMs);
+  }
+};
+
+/// Longest wait for a peer that takes an outcome; losing one leaves the outcome "unknown".
+constexpr Milliseconds kOutcomeTimeout{ 1000 };
+
+/// Largest text within a message; a longer one is malformed.
+constexpr std::size_t kMaximumBytes = 4096;
+
+template<typename Message>
+std::string
+Encode(Message aMessage)
+{
+  std::ostringstream bytes;
+  cereal::PortableBinaryOutputArchive archive(bytes);
+  archive(aMessage);
+  return std::move(bytes).str();
+}
+
+template<typename Message>
+std::optional<Message>
+Decode(std::string_view aBytes)
+{
+  if (aBytes.size() > kMaximumBytes) {
+    return std::nullopt;
+  }
+  try {
+    std::istringstream bytes{ std::string(aBytes) };
+    cereal::PortableBinaryInputArchive archive(bytes);
+    Message message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+Ran
+ToRan(std::uint8_t aValue)
+{
+  return aValue <= static_cast<std::uint8_t>(Ran::Yes) ? static_cast<Ran>(aValue) : Ran::Unknown;
+}
+
+ClaimReply
+ToReply(const ClaimAnswer& aAnswer)
+{
+  ClaimReply reply;
+  reply.verdict = static_cast<std::uint8_t>(aAnswer.verdict);
+  reply.holder = aAnswer.holder.id;
+  reply.holderBodyHash = aAnswer.holder.bodyHash;
+  reply.holderRan = static_cast<std::uint8_t>(aAnswer.holder.ran);
+  reply.holderOffset = aAnswer.holder.offset;
+  reply.maybeRecorded = aAnswer.maybeRecorded;
+  reply.retryAfterMs = static_cast<std::uint32_t>(aAnswer.retryAfter.count());
+  return reply;
+}
+
+/// What a reply means; anything unreadable counts as no answer.
+ClaimAnswer
+ToAnswer(const Result<std::string>& aBytes)
+{
+  ClaimAnswer answer;
+  answer.verdict = ClaimAnswer::Verdict::Unreachable;
+  answer.maybeRecorded = true;
+  if (!aBytes) {
+    // Nothing was carried out when no connection came about
+    answer.maybeRecorded = aBytes.error().kind != ErrorKind::PlatformUnavailable;
+    return answer;
+  }
+  const auto reply = Decode<ClaimReply>(aBytes.value());
+  if (!reply || reply->verdict > static_cast<std::uint8_t>(ClaimAnswer::Verdict::Unreachable)) {
+    return answer;
+  }
+  answer.verdict = static_cast<ClaimAnswer::Verdict>(reply->verdict);
+  answer.holder = { reply->holder, reply->holderBodyHash, ToRan(reply->holderRan),
+                    reply->holderOffset };
+  answer.maybeRecorded = reply->maybeRecorded;
+  answer.retryAfter = Milliseconds(reply->retryAfterMs);
+  return answer;
+}
+
+} // namespace
+
+PeerClaimForwarder::PeerClaimForwarder(MembershipService& aMembership)
+  : membership(aMembership)
+{
+}
+
+void
+PeerClaimForwarder::Serve(ClaimService& aClaims)
+{
+  this->claims = &aClaims;
+  this->membership.Transport().OnRequest(
+    RequestType::Claim,
+    [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
+      const auto message = Decode<ClaimMessage>(aBytes);
+      if (!message) {
+        aRespond(Error(ErrorKind::InvalidRequest, "The claim is malformed."));
+        return;
+      }
+      if (message->isOutcome) {
+        this->claims->ReceiveOutcome({ message->key, message->id, ToRan(message->ran) });
+        aRespond(std::string());
+        return;
+      }
+      this->claims->Receive(
+        { message->key, message->bodyHash, message->id }, Milliseconds(message->budgetMs),
+        [aRespond](const ClaimAnswer& aAnswer) { aRespond(Encode(ToReply(aAnswer))); });
+    });
+}
+
+void
+PeerClaimForwarder::ForwardClaim(const std::string& aDaemon, const lagoonward::Claim& aClaim,
+                                 Milliseconds aBudget, ClaimCallback aCallback)
+{
+  ClaimMessage message;
+  message.key = aClaim.key;
+  message.id = aClaim.id;
+  message.bodyHash = aClaim.bodyHash;
+  message.budgetMs = static_cast<std::uint32_t>(aBudget.count());
+  const auto address = this->membership.AddressOf(ToPeerKey(aDaemon));
+  if (!address) {
+    aCallback(ToAnswer(Error(ErrorKind::PlatformUnavailable, "The daemon is not known.")));
+    return;
+  }
+  this->membership.Loop().Post(
+    [this, address = *address, bytes = Encode(message), aBudget, callback = std::move(aCallback)] {
+      this->membership.Transport().Request(
+        address, RequestType::Claim, bytes, aBudget,
+        [callback](const Result<std::string>& aBytes) { callback(ToAnswer(aBytes)); });
+    });
+}
+
+bool
+PeerClaimForwarder::ForwardOutcome(const std::string& aDaemon, const ClaimOutcome& aOutcome)
+{
+  const auto address = this->membership.AddressOf(ToPeerKey(aDaemon));
+  if (!address) {
+    return false;
+  }
+  ClaimMessage message;
+  message.isOutcome = true;
+  message.key = aOutcome.key;
+  message.id = aOutcome.id;
+  message.ran = static_cast<std::uint8_t>(aOutcome.ran);
+  this->membership.Loop().Post([this, address = *address, bytes = Encode(message)] {
+    this->membership.Transport().Request(address, RequestType::Claim, bytes, kOutcomeTimeout,
+                                         [](const Result<std::string>&) {});
+  });
+  return true;
+}
+
+} // namespace lagoonward
