--- a/StandIns/Load/LoadReport.cpp
+++ b/StandIns/Load/LoadReport.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <thread>
 
 namespace lagoonward::standins {
 
@@ -17,17 +18,24 @@
 
 constexpr std::chrono::seconds kFetchTimeout{ 10 };
 
+/// The platform may just be away: it is asked so often, with this pause.
+constexpr int kFetchTries = 60;
+constexpr std::chrono::milliseconds kFetchPause{ 250 };
+
 /// Faults and notes that the text lists, at most.
 constexpr std::size_t kLinesShown = 20;
 
 json
 FetchJson(const std::string& aUrl)
 {
-  const auto answer = Fetch("GET", aUrl, {}, kFetchTimeout);
-  if (answer.status != 200) {
-    throw std::runtime_error("no answer from " + aUrl);
+  for (int tries = 0; tries < kFetchTries; ++tries) {
+    const auto answer = Fetch("GET", aUrl, {}, kFetchTimeout);
+    if (answer.status == 200) {
+      return json::parse(answer.body);
+    }
+    std::this_thread::sleep_for(kFetchPause);
   }
-  return json::parse(answer.body);
+  throw std::runtime_error("no answer from " + aUrl);
 }
 
 /// The value below which aShare of the values lie; zero where there is none.
