Measure how claims share appends

Cause: 380 daemons must keep within the log's append budget. Change: lagoonward-bench claims runs the real batcher on a virtual clock, log calls of 20 ms.

--- /dev/null
+++ b/Bench/ClaimsBench.cpp
@@ -0,0 +1,275 @@
+#include "Bench/ClaimsBench.h"
+
+#include "Bench/VirtualLog.h"
+#include "Lagoonward/Claims/ClaimBatcher.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+#include <malloc.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <iostream>
+#include <random>
+
+namespace lagoonward::bench {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kExitUsage = 2;
+constexpr double kNanosecondsPerMicrosecond = 1e3;
+constexpr std::array kShares{ 0.01, 0.05, 0.1, 0.5, 1.0 };
+const std::string kStream = "claims/bench/0";
+
+/// What was asked for on the command line.
+struct Options
+{
+  double requestsPerSecond = 3800;
+  int regions = 3;
+  int daemons = 380;
+  int latencyMs = 20;
+  int seconds = 60;
+  bool json = false;
+};
+
+/// What one shard did at one rate.
+struct ShardResult
+{
+  double share = 0; ///< Of the requests that are non-idempotent.
+  double claimsPerSecond = 0;
+  double appendsPerSecond = 0;
+  double claimsPerAppend = 0;
+  double bytesPerClaim = 0;
+  double waitP50 = 0; ///< Milliseconds, with the log's latency in it.
+  double waitP99 = 0;
+  double cpuPerClaim = 0; ///< Microseconds of this thread, codec and bench included.
+  int refused = 0;
+};
+
+double
+ThreadMicroseconds()
+{
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) * 1e6 +
+         static_cast<double>(now.tv_nsec) / kNanosecondsPerMicrosecond;
+}
+
+double
+Quantile(std::vector<double>& aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return 0;
+  }
+  std::sort(aValues.begin(), aValues.end());
+  return aValues[static_cast<std::size_t>(aShare * static_cast<double>(aValues.size() - 1))];
+}
+
+Claim
+MakeClaim(std::mt19937_64& aRandom, std::uint64_t aSequence, int aDaemons)
+{
+  const auto daemon = aRandom() % static_cast<std::uint64_t>(aDaemons);
+  return { { aRandom(), aRandom() },
+           aRandom(),
+           { fmt::format("daemon-{:03}#{:016x}", daemon, daemon * 7919), aSequence } };
+}
+
+/// Runs one shard's batcher with Poisson arrivals for some virtual seconds.
+ShardResult
+RunShard(const Options& aOptions, double aShare)
+{
+  const double rate =
+    aOptions.requestsPerSecond * aShare / (aOptions.regions * static_cast<double>(kClaimShards));
+  VirtualClock clock;
+  VirtualLog log(clock, Milliseconds(aOptions.latencyMs));
+  const ClaimSettings settings;
+  ClaimBatcher batcher(kStream, "bench", settings, log, clock);
+  std::mt19937_64 random(1);
+  std::exponential_distribution<double> gap(rate);
+  const auto drawGap = [&] {
+    return std::chrono::duration_cast<TimePoint::duration>(
+      std::chrono::duration<double>(gap(random)));
+  };
+
+  // Let claims arrive when they are due, also those that came while a call was in progress
+  ShardResult result;
+  std::vector<double> waits;
+  std::uint64_t sequence = 0;
+  const TimePoint begin = clock.Now();
+  const TimePoint end = begin + Seconds(aOptions.seconds);
+  TimePoint arrival = begin + drawGap();
+  const double cpuBefore = ThreadMicroseconds();
+  while (clock.Now() < end) {
+    for (; arrival <= clock.Now(); arrival += drawGap()) {
+      batcher.Submit(MakeClaim(random, sequence++, aOptions.daemons),
+                     arrival + settings.claimTimeout, [&, arrival](const ClaimAnswer& aAnswer) {
+                       const std::chrono::duration<double, std::milli> wait = clock.Now() - arrival;
+                       waits.push_back(wait.count());
+                       result.refused += aAnswer.verdict == ClaimAnswer::Verdict::Won ? 0 : 1;
+                     });
+    }
+    const auto pause = batcher.Step();
+    const bool isIdle = pause >= settings.idleWait;
+    clock.Advance(isIdle ? arrival - clock.Now() : TimePoint::duration(pause));
+  }
+  const double cpu = ThreadMicroseconds() - cpuBefore;
+
+  // Sum up
+  const auto counters = batcher.GetCounters();
+  const auto claims = static_cast<double>(std::max<std::uint64_t>(counters.claims, 1));
+  std::size_t bytes = 0;
+  for (const std::string& record : log.Records()) {
+    bytes += record.size();
+  }
+  result.share = aShare;
+  result.claimsPerSecond = claims / aOptions.seconds;
+  result.appendsPerSecond = static_cast<double>(counters.appends) / aOptions.seconds;
+  result.claimsPerAppend =
+    claims / static_cast<double>(std::max<std::uint64_t>(counters.appends, 1));
+  result.bytesPerClaim = static_cast<double>(bytes) / claims;
+  result.waitP50 = Quantile(waits, 0.5);
+  result.waitP99 = Quantile(waits, 0.99);
+  result.cpuPerClaim = cpu / claims;
+  return result;
+}
+
+/// What a batcher that takes a shard over has to do, per claim.
+struct LedgerResult
+{
+  double bytesPerKey = 0;
+  double loadMicroseconds = 0; ///< Reading, parsing and folding one claim.
+};
+
+LedgerResult
+MeasureLedger(const Options& aOptions)
+{
+  constexpr int kRecords = 10'000;
+  constexpr int kClaimsPerRecord = 20;
+  std::mt19937_64 random(2);
+  std::vector<std::string> records;
+  records.reserve(kRecords);
+  const WallTime now = FromUnixMilliseconds(1'000'000'000);
+  std::uint64_t sequence = 0;
+  for (int index = 0; index < kRecords; ++index) {
+    ClaimRecord record{ { "bench", sequence }, now, {}, {} };
+    for (int claim = 0; claim < kClaimsPerRecord; ++claim) {
+      record.claims.push_back(MakeClaim(random, sequence++, aOptions.daemons));
+    }
+    records.push_back(WriteClaimRecord(record));
+  }
+  const auto bytesBefore = mallinfo2().uordblks;
+  const double cpuBefore = ThreadMicroseconds();
+  ClaimLedger ledger(ClaimSettings().keyLifetime);
+  for (const std::string& record : records) {
+    ledger.Apply(ledger.NextOffset(), record);
+  }
+  const auto keys = static_cast<double>(ledger.Size());
+  LedgerResult result;
+  result.loadMicroseconds = (ThreadMicroseconds() - cpuBefore) / keys;
+  result.bytesPerKey = static_cast<double>(mallinfo2().uordblks - bytesBefore) / keys;
+  return result;
+}
+
+bool
+ReadOptions(std::span<const std::string> aArguments, Options& aOptions)
+{
+  po::options_description options("lagoonward-bench claims");
+  // clang-format off
+  options.add_options()
+    ("help", "print this text")
+    ("json", po::bool_switch(&aOptions.json), "print JSON")
+    ("requests", po::value(&aOptions.requestsPerSecond), "requests a second, all regions together")
+    ("regions", po::value(&aOptions.regions), "regions, each with its own shards")
+    ("daemons", po::value(&aOptions.daemons), "daemons that claim")
+    ("latency-ms", po::value(&aOptions.latencyMs), "time that the log takes for a call")
+    ("seconds", po::value(&aOptions.seconds), "virtual time of each run");
+  // clang-format on
+  try {
+    po::variables_map values;
+    const std::vector<std::string> arguments(aArguments.begin(), aArguments.end());
+    po::store(po::command_line_parser(arguments).options(options).run(), values);
+    po::notify(values);
+    const bool isPositive = aOptions.requestsPerSecond > 0 && aOptions.regions > 0 &&
+                            aOptions.daemons > 0 && aOptions.latencyMs >= 0 && aOptions.seconds > 0;
+    if (values.count("help") == 0 && isPositive) {
+      return true;
+    }
+  } catch (const po::error& error) {
+    std::cerr << error.what() << '\n';
+  }
+  std::cerr << options;
+  return false;
+}
+
+void
+PrintText(const Options& aOptions, const std::vector<ShardResult>& aResults,
+          const LedgerResult& aLedger)
+{
+  const auto shards = static_cast<double>(aOptions.regions) * static_cast<double>(kClaimShards);
+  std::cout << fmt::format("{} requests/s, {} shards, log call {} ms\n", aOptions.requestsPerSecond,
+                           shards, aOptions.latencyMs);
+  std::cout << "share  claims/s  appends/s  claims/append  wait p50  p99 ms  B/claim  us/claim\n";
+  for (const ShardResult& result : aResults) {
+    std::cout << fmt::format(
+      "{:5.2f}  {:8.0f}  {:9.0f}  {:13.1f}  {:8.0f}  {:6.0f}  {:7.0f}  {:8.1f}\n", result.share,
+      result.claimsPerSecond * shards, result.appendsPerSecond * shards, result.claimsPerAppend,
+      result.waitP50, result.waitP99, result.bytesPerClaim, result.cpuPerClaim);
+  }
+  std::cout << fmt::format("ledger: {:.0f} bytes a key, {:.1f} us to load one\n",
+                           aLedger.bytesPerKey, aLedger.loadMicroseconds);
+}
+
+void
+PrintJson(const Options& aOptions, const std::vector<ShardResult>& aResults,
+          const LedgerResult& aLedger)
+{
+  const auto shards = static_cast<double>(aOptions.regions) * static_cast<double>(kClaimShards);
+  nlohmann::json runs = nlohmann::json::array();
+  for (const ShardResult& result : aResults) {
+    runs.push_back({ { "share", result.share },
+                     { "claims_per_second", result.claimsPerSecond * shards },
+                     { "appends_per_second", result.appendsPerSecond * shards },
+                     { "claims_per_append", result.claimsPerAppend },
+                     { "wait_p50_ms", result.waitP50 },
+                     { "wait_p99_ms", result.waitP99 },
+                     { "bytes_per_claim", result.bytesPerClaim },
+                     { "cpu_us_per_claim", result.cpuPerClaim },
+                     { "refused", result.refused } });
+  }
+  const nlohmann::json report{ { "requests_per_second", aOptions.requestsPerSecond },
+                               { "shards", shards },
+                               { "log_latency_ms", aOptions.latencyMs },
+                               { "runs", runs },
+                               { "ledger_bytes_per_key", aLedger.bytesPerKey },
+                               { "ledger_load_us_per_claim", aLedger.loadMicroseconds } };
+  std::cout << report.dump(2) << '\n';
+}
+
+} // namespace
+
+int
+RunClaimsBench(std::span<const std::string> aArguments)
+{
+  Options options;
+  if (!ReadOptions(aArguments, options)) {
+    return kExitUsage;
+  }
+  std::vector<ShardResult> results;
+  results.reserve(kShares.size());
+  for (const double share : kShares) {
+    results.push_back(RunShard(options, share));
+  }
+  const LedgerResult ledger = MeasureLedger(options);
+  if (options.json) {
+    PrintJson(options, results, ledger);
+  } else {
+    PrintText(options, results, ledger);
+  }
+  return 0;
+}
+
+} // namespace lagoonward::bench
--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -1,3 +1,4 @@
+#include "Bench/ClaimsBench.h"
 #include "Bench/ControlBench.h"
 #include "Bench/DecisionsBench.h"
 #include "Bench/RouteBench.h"
@@ -22,6 +23,7 @@
 };
 
 constexpr std::array kSubcommands{
+  Subcommand{ "claims", &RunClaimsBench },
   Subcommand{ "control", &RunControlBench },
   Subcommand{ "decisions", &RunDecisionsBench },
   Subcommand{ "route", &RunRouteBench },
--- /dev/null
+++ b/Bench/VirtualLog.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Lagoonward/Core/VirtualClock.h"
+#include "Lagoonward/Platform/PlatformInterfaces.h"
+
+namespace lagoonward::bench {
+
+/// A log of one stream in memory whose calls take virtual time.
+class VirtualLog final : public LogService
+{
+public:
+  /// @param aLatency  of each call
+  VirtualLog(VirtualClock& aClock, Milliseconds aLatency);
+
+  [[nodiscard]] Result<Offset> Append(std::string_view aStream, std::string_view aRecord) override;
+  [[nodiscard]] Result<LogPage> Read(std::string_view aStream, Offset aFrom, int aLimit,
+                                     Milliseconds aWait) override;
+
+  [[nodiscard]] const std::vector<std::string>& Records() const { return this->records; }
+
+private:
+  VirtualClock& clock;
+  Milliseconds latency;
+  std::vector<std::string> records;
+};
+
+} // namespace lagoonward::bench
