Keep claims in less memory

Cause: a shard's ledger holds every key of its lifetime within the 64 MB of a daemon. Change: entries without padding, the order of forgetting in one small queue per kind.

--- a/Lagoonward/Claims/ClaimKey.h
+++ b/Lagoonward/Claims/ClaimKey.h
@@ -43,7 +43,7 @@
 /// Hash of a key for tables; the digest is uniform already.
 struct ClaimKeyHash
 {
-  [[nodiscard]] std::size_t operator()(const ClaimKey& aKey) const { return aKey.low; }
+  [[nodiscard]] std::size_t operator()(const ClaimKey& aKey) const noexcept { return aKey.low; }
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Claims/ClaimLedger.cpp
+++ b/Lagoonward/Claims/ClaimLedger.cpp
@@ -11,6 +11,17 @@
 /// Kept beyond the lifetime, for clocks that differ between daemons.
 constexpr Milliseconds kClockMargin{ 60'000 };
 
+/// Takes memories off the front while they are older than aOldest, handing each to aForget.
+template<typename Memories, typename Forget>
+void
+PopWhileOlder(Memories& aMemories, WallTime aOldest, Forget aForget)
+{
+  while (!aMemories.empty() && aMemories.front().at < aOldest) {
+    aForget(aMemories.front());
+    aMemories.pop_front();
+  }
+}
+
 } // namespace
 
 std::size_t
@@ -32,7 +43,7 @@
   this->next = std::max(this->next, aStart);
 
   // What we remember of lapsed records tells how long the log keeps them
-  for (const Memory& memory : this->memories) {
+  for (const RecordMemory& memory : this->recordMemories) {
     if (memory.offset >= aStart) {
       break;
     }
@@ -69,11 +80,12 @@
   }
   this->next = aOffset + 1;
   this->latest = std::max(this->latest, aRecord.at);
+  this->recordMemories.push_back({ aRecord.at, aOffset });
   for (const Claim& claim : aRecord.claims) {
     this->FoldClaim(aOffset, aRecord.at, claim);
   }
   for (const ClaimOutcome& outcome : aRecord.outcomes) {
-    this->FoldOutcome(aOffset, aRecord.at, outcome);
+    this->FoldOutcome(aRecord.at, outcome);
   }
 }
 
@@ -84,21 +96,22 @@
   if (this->voids.contains(id)) {
     return;
   }
-  this->memories.push_back({ aAt, aOffset, aClaim.key, {}, false });
+  this->keyMemories.push_back({ aAt, aClaim.key });
   const auto found = this->entries.find(aClaim.key);
   if (found != this->entries.end() && aAt - found->second.lastClaim <= this->lifetime) {
     found->second.lastClaim = std::max(found->second.lastClaim, aAt);
     return;
   }
-  this->entries[aClaim.key] = { id, Ran::Unknown, aClaim.bodyHash, aOffset, aAt };
+  this->entries[aClaim.key] = { id.sequence, aClaim.bodyHash, aOffset,
+                                aAt,         id.claimant,     Ran::Unknown };
 }
 
 void
-ClaimLedger::FoldOutcome(Offset aOffset, WallTime aAt, const ClaimOutcome& aOutcome)
+ClaimLedger::FoldOutcome(WallTime aAt, const ClaimOutcome& aOutcome)
 {
   const CompactId id = this->Compact(aOutcome.id);
   const auto found = this->entries.find(aOutcome.key);
-  const bool holds = found != this->entries.end() && found->second.id == id;
+  const bool holds = found != this->entries.end() && found->second.Id() == id;
   if (aOutcome.ran == Ran::Yes) {
     if (holds) {
       found->second.ran = Ran::Yes;
@@ -114,7 +127,7 @@
     this->entries.erase(found);
   }
   this->voids[id] = aAt;
-  this->memories.push_back({ aAt, aOffset, aOutcome.key, id, true });
+  this->voidMemories.push_back({ aAt, id });
 }
 
 std::optional<ClaimHolder>
@@ -125,10 +138,9 @@
     return std::nullopt;
   }
   const Entry& entry = found->second;
-  return ClaimHolder{ { this->claimants[entry.id.claimant], entry.id.sequence },
-                      entry.bodyHash,
-                      entry.ran,
-                      entry.offset };
+  return ClaimHolder{
+    { this->claimants[entry.claimant], entry.sequence }, entry.bodyHash, entry.ran, entry.offset
+  };
 }
 
 bool
@@ -155,16 +167,17 @@
 ClaimLedger::Forget(WallTime aNow)
 {
   const WallTime oldest = aNow - this->lifetime - kClockMargin;
-  while (!this->memories.empty() && this->memories.front().at < oldest) {
-    const Memory& memory = this->memories.front();
-    if (memory.isVoid) {
-      this->voids.erase(memory.voided);
-    } else if (const auto found = this->entries.find(memory.key);
-               found != this->entries.end() && found->second.lastClaim < oldest) {
+  PopWhileOlder(this->recordMemories, oldest, [](const RecordMemory&) {});
+  PopWhileOlder(this->voidMemories, oldest,
+                [this](const Memory<CompactId>& aMemory) { this->voids.erase(aMemory.item); });
+
+  // A key that was claimed again since has a later memory, too
+  PopWhileOlder(this->keyMemories, oldest, [&](const Memory<ClaimKey>& aMemory) {
+    const auto found = this->entries.find(aMemory.item);
+    if (found != this->entries.end() && found->second.lastClaim < oldest) {
       this->entries.erase(found);
     }
-    this->memories.pop_front();
-  }
+  });
 }
 
 std::size_t
--- a/Lagoonward/Claims/ClaimLedger.h
+++ b/Lagoonward/Claims/ClaimLedger.h
@@ -84,26 +84,34 @@
   {
     [[nodiscard]] std::size_t operator()(const CompactId& aId) const;
   };
+  /// Laid out so that nothing is padded but the last word; millions of them are kept.
   struct Entry
   {
-    CompactId id;
-    Ran ran = Ran::Unknown;
+    std::uint64_t sequence = 0; ///< With `claimant`: the id of the claim that won.
     std::uint64_t bodyHash = 0;
     Offset offset = kNoOffset;
     WallTime lastClaim; ///< Of the last claim of the key, won or lost.
+    ClaimantIndex claimant = 0;
+    Ran ran = Ran::Unknown;
+
+    [[nodiscard]] CompactId Id() const { return { this->claimant, this->sequence }; }
   };
-  /// One thing to forget later, in the order in which it was folded.
-  struct Memory
+  /// One folded record; tells how long the log keeps them.
+  struct RecordMemory
   {
     WallTime at;
     Offset offset = kNoOffset;
-    ClaimKey key;
-    CompactId voided; ///< Used when isVoid.
-    bool isVoid = false;
+  };
+  /// Something to look at again when it may be forgotten, in the order in which it was folded.
+  template<typename Item>
+  struct Memory
+  {
+    WallTime at;
+    Item item;
   };
 
   void FoldClaim(Offset aOffset, WallTime aAt, const Claim& aClaim);
-  void FoldOutcome(Offset aOffset, WallTime aAt, const ClaimOutcome& aOutcome);
+  void FoldOutcome(WallTime aAt, const ClaimOutcome& aOutcome);
   [[nodiscard]] CompactId Compact(const RecordId& aId);
 
   Milliseconds lifetime;
@@ -111,7 +119,9 @@
   WallTime latest; ///< Latest time that a record bore.
   std::unordered_map<ClaimKey, Entry, ClaimKeyHash> entries;
   std::unordered_map<CompactId, WallTime, CompactIdHash> voids; ///< Withdrawn claims.
-  std::deque<Memory> memories;
+  std::deque<RecordMemory> recordMemories;
+  std::deque<Memory<ClaimKey>> keyMemories;
+  std::deque<Memory<CompactId>> voidMemories;
   std::vector<std::string> claimants; ///< Incarnations seen; a few bytes for each run of a daemon.
   std::unordered_map<std::string, ClaimantIndex> claimantIndices;
 };
