--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -1,3 +1,4 @@
+#include "Bench/ClaimsBench.h"
 #include "Bench/ControlBench.h"
 #include "Bench/DecisionsBench.h"
 #include "Bench/ReclaimBench.h"
@@ -23,6 +24,7 @@
 };
 
 constexpr std::array kSubcommands{
+  Subcommand{ "claims", &RunClaimsBench },
   Subcommand{ "control", &RunControlBench },
   Subcommand{ "decisions", &RunDecisionsBench },
   Subcommand{ "reclaim", &RunReclaimBench },
