Share no host list from a daemon that has just started

Cause: a starting daemon counted itself as reader until its first view. Change: the view is published before the list is shared. Run: the membership test suites, all pass.

--- a/Lagoonward/Membership/MembershipService.cpp
+++ b/Lagoonward/Membership/MembershipService.cpp
@@ -115,8 +115,11 @@
 {
   this->loop.Post([this, hosts = std::move(aHosts)] {
     this->TakeHosts(hosts);
-    if (auto shared = this->readsHostList ? this->hostList.OnRead(hosts) : std::nullopt) {
-      this->Publish(std::move(*shared));
+    // The list may have named the region's readers: a daemon that has just started shares nothing
+    this->PublishPeers();
+    const auto shared = this->readsHostList ? this->hostList.OnRead(hosts) : std::nullopt;
+    if (shared) {
+      this->Publish(*shared);
     }
   });
 }
@@ -334,7 +337,7 @@
 }
 
 void
-MembershipService::Publish(SharedState aState)
+MembershipService::Publish(const SharedState& aState)
 {
   if (this->states.Publish(aState)) {
     this->exchange.QueueNote(aState);
--- a/Lagoonward/Membership/MembershipService.h
+++ b/Lagoonward/Membership/MembershipService.h
@@ -120,7 +120,7 @@
   void ChooseHostListReaders(const PeerView& aView);
   void TakeHosts(const std::vector<HostEntry>& aHosts);
   [[nodiscard]] bool TakeState(const SharedState& aState);
-  void Publish(SharedState aState);
+  void Publish(const SharedState& aState);
   void TakeDatagram(PeerKey aSender, const Datagram& aDatagram);
   void TakeNews(PeerKey aSender, const Datagram& aDatagram);
   void Answer(PeerKey aSender, const Datagram& aDatagram);
--- a/UnitTests/Membership/MembershipServiceTests.cpp
+++ b/UnitTests/Membership/MembershipServiceTests.cpp
@@ -148,7 +148,7 @@
     [](const MembershipService& aDaemon) { return aDaemon.Peers()->peers.size() == 3; }));
   auto list = this->hosts;
   list.push_back({ "engine-new", HostEntry::Kind::Engine, "127.0.0.1", 1, "domain-0", "region",
-                    "large", "", false });
+                   "large", "", false });
   // A reading that comes too early after the last one is published with a later one
   BOOST_TEST(this->AllEventually([&](const MembershipService& aDaemon) {
     std::size_t readers = 0;
