--- a/Lagoonward/Membership/MembershipService.cpp
+++ b/Lagoonward/Membership/MembershipService.cpp
@@ -144,7 +144,7 @@
 void
 MembershipService::PublishState(SharedState aState)
 {
-  this->loop.Post([this, state = std::move(aState)]() mutable { this->Publish(std::move(state)); });
+  this->loop.Post([this, state = std::move(aState)] { this->Publish(state); });
 }
 
 void
