Let the charge for a near-empty engine fall faster than its share

The step base was charged as an equal share, 1/(n+1), so that joining a fuller engine paid little once a few requests ran.

--- a/Bench/Decisions/Tuning.cpp
+++ b/Bench/Decisions/Tuning.cpp
@@ -36,6 +36,7 @@
     { "lateness", &this->routing.lateness },
     { "miss_rank_factor", &this->routing.missRankFactor },
     { "packing", &this->routing.packing },
+    { "packing_power", &this->routing.packingPower },
     { "home_pull", &this->routing.homePull },
     { "reserved_share", &this->routing.reservedShare },
     { "peer_prior", &this->routing.peerPrior },
--- a/Lagoonward/Routing/RouteScore.cpp
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -80,7 +80,7 @@
   score.finishSeconds = score.firstTokenSeconds + output * score.betweenTokensSeconds;
 
   // Engine time: what the request adds to it, and the share of the base that nobody else carries
-  const double alone = aSettings.packing / (aOutlook.sequences + 1);
+  const double alone = aSettings.packing / std::pow(aOutlook.sequences + 1, aSettings.packingPower);
   const double decode = output * (speed.stepPerSequenceSeconds + alone * speed.stepBaseSeconds);
   score.cost.prefill = aOutlook.pricePerSecond * prefill;
   score.cost.decode = aOutlook.pricePerSecond * decode;
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -25,7 +25,7 @@
 struct PrefixIndexSettings
 {
   std::size_t blockTokens = 64;       ///< Tokens that one block hash stands for.
-  std::size_t capacity = 65536;       ///< Blocks remembered, 72 bytes each; the oldest go first.
+  std::size_t capacity = 65536;       ///< Blocks remembered, 112 bytes each; the oldest go first.
   Seconds maxAge{ 600 };              ///< An entry not confirmed for so long counts as evicted.
   Milliseconds usesHalfLife{ 20000 }; ///< Half-life of the count of a prefix's uses.
   double dispatchedConfidence = 0.98; ///< Trust in a block known only from an own dispatch.
@@ -70,6 +70,9 @@
   /// how full an engine is; above one, work is packed harder than its price alone would have it.
   double packing = 1;
 
+  /// How fast that charge falls with the sequences that are there already.
+  double packingPower = 1;
+
   /// Part of a prompt's prefill that is expected to be saved later if a prefix that nobody has goes
   /// to its home.
   double homePull = 2;
--- a/UnitTests/Admission/AdmissionTests.cpp
+++ b/UnitTests/Admission/AdmissionTests.cpp
@@ -95,6 +95,7 @@
     BOOST_TEST(tickets.size() < kLimit + kDaemons);
   }
   BOOST_TEST(tickets.size() >= static_cast<std::size_t>(kLimit));
+  BOOST_TEST_MESSAGE("most at once: " << tickets.size() << ", limit " << kLimit);
 }
 
 BOOST_AUTO_TEST_CASE(SharesSumToOneAndFollowDemand)
--- a/UnitTests/Routing/RouterTests.cpp
+++ b/UnitTests/Routing/RouterTests.cpp
@@ -188,6 +188,36 @@
   BOOST_TEST(this->router.IsAllowed("a"));
 }
 
+BOOST_AUTO_TEST_CASE(ObjectiveWeightsChangeTheChoice)
+{
+  // Endpoint b has the prefix, a is cheaper: whoever fears recomputation follows the prefix
+  this->fleet.endpoints[1].pricePerHour = 8;
+  this->Publish();
+  RouteRequest request = this->Request();
+  request.prefixBlocks = this->blocks;
+  this->router.OnCacheEvents("b", this->blocks, {}, false);
+  request.objective = { 0.95, 0.05 };
+  BOOST_TEST(this->router.Choose(request).value().Target().id == "a");
+  request.objective = { 0.05, 0.95 };
+  BOOST_TEST(this->router.Choose(request).value().Target().id == "b");
+}
+
+BOOST_AUTO_TEST_CASE(NewEndpointsStartSlowly)
+{
+  this->fleet.endpoints.push_back(MakeEngine("c", "south", 0.5));
+  this->fleet.endpoints[2].state = EndpointState::Ejected;
+  for (Endpoint& endpoint : this->fleet.endpoints) {
+    if (endpoint.load) {
+      endpoint.load->running = 4;
+    }
+  }
+  this->Publish();
+  BOOST_TEST(this->router.Choose(this->Request()).value().Target().id == "a");
+  this->clock.Advance(this->settings.slowStart);
+  this->Publish();
+  BOOST_TEST(this->router.Choose(this->Request()).value().Target().id == "c");
+}
+
 BOOST_AUTO_TEST_CASE(KeepsItsCountsAcrossTables)
 {
   const auto choice = this->router.Choose(this->Request());
