Look a prompt up in the fake engine's cache when its prefill begins

Engines look when a request is first scheduled, by when a prompt ahead of it has been read; the fake looked when the request took its place, and so charged every policy for computing a shared document twice at one engine.

--- a/Bench/Decisions/EngineFake.cpp
+++ b/Bench/Decisions/EngineFake.cpp
@@ -50,8 +50,9 @@
 
   // Prefill goes to the highest priority first, in chunks, so that answers in progress flow on
   const auto decoding =
-    std::count_if(this->running.begin(), this->running.end(),
-                  [](const Sequence& aSequence) { return aSequence.prefillLeft == 0; });
+    std::count_if(this->running.begin(), this->running.end(), [](const Sequence& aSequence) {
+      return aSequence.begun && aSequence.prefillLeft == 0;
+    });
   int budget = decoding > 0 ? this->spec.prefillChunk : this->spec.prefillAlone;
   int prefill = 0;
   std::stable_sort(this->running.begin(), this->running.end(),
@@ -59,6 +60,9 @@
                      return aLeft.job.priority > aRight.job.priority;
                    });
   for (Sequence& sequence : this->running) {
+    if (!sequence.begun && budget > 0) {
+      this->BeginPrefill(sequence);
+    }
     sequence.chunk = std::min(budget, sequence.prefillLeft);
     budget -= sequence.chunk;
     prefill += sequence.chunk;
@@ -95,14 +99,10 @@
 {
   Sequence sequence;
   sequence.job = aJob;
-  if (!aJob.imported) {
-    sequence.blocksDone = this->CachedBlocks(aJob.blocks);
-    const int cached = static_cast<int>(sequence.blocksDone) * kBlockTokens;
-    sequence.prefillLeft = std::max(aJob.promptTokens + aJob.resumedTokens - cached, 1);
-
-    // What was generated elsewhere is read again
-    this->computed.recomputedTokens += aJob.resumedTokens;
-  } else {
+  sequence.prefillLeft = aJob.promptTokens + aJob.resumedTokens;
+  if (aJob.imported) {
+    sequence.begun = true;
+    sequence.prefillLeft = 0;
     for (const std::uint64_t block : aJob.blocks) {
       this->Store(block);
     }
@@ -110,6 +110,19 @@
   this->running.push_back(sequence);
 }
 
+void
+EngineFake::BeginPrefill(Sequence& aSequence)
+{
+  const EngineJob& job = aSequence.job;
+  aSequence.begun = true;
+  aSequence.blocksDone = this->CachedBlocks(job.blocks);
+  const int cached = static_cast<int>(aSequence.blocksDone) * kBlockTokens;
+  aSequence.prefillLeft = std::max(job.promptTokens + job.resumedTokens - cached, 1);
+
+  // What was generated elsewhere is read again
+  this->computed.recomputedTokens += job.resumedTokens;
+}
+
 std::size_t
 EngineFake::CachedBlocks(std::span<const std::uint64_t> aBlocks)
 {
--- a/Bench/Decisions/EngineFake.h
+++ b/Bench/Decisions/EngineFake.h
@@ -86,6 +86,8 @@
   struct Sequence
   {
     EngineJob job;
+    bool begun =
+      false; ///< Its prefill has had a chunk; what was cached by then need not be computed.
     int prefillLeft = 0;
     std::size_t blocksDone = 0;
     int produced = 0;
@@ -93,6 +95,7 @@
   };
 
   void Start(const EngineJob& aJob);
+  void BeginPrefill(Sequence& aSequence);
   [[nodiscard]] std::size_t CachedBlocks(std::span<const std::uint64_t> aBlocks);
   void StoreBlocks(Sequence& aSequence);
   void Store(std::uint64_t aBlock);
