--- a/Bench/Decisions/SimulationEvents.h
+++ b/Bench/Decisions/SimulationEvents.h
@@ -163,13 +163,13 @@
                           ? (running.lastTokenAt - running.firstTokenAt) / (running.relayed - 1)
                           : kUnknownStep;
     state.contextTokens = this->items[request].promptTokens + running.relayed;
-    MovePlan plan = PlanMove(state, this->moves);
-    if (plan.kind == MoveKind::FinishInPlace) {
+    HostExitPlan plan = PlanMove(state, this->moves);
+    if (plan.kind == HostExit::FinishInPlace) {
       continue;
     }
 
     // A stream that has not begun has nothing to be transferred
-    const bool transfer = plan.kind == MoveKind::Transfer && running.relayed > 0;
+    const bool transfer = plan.kind == HostExit::Transfer && running.relayed > 0;
     state.laterTokens += transfer ? state.contextTokens : 0;
     const double start = running.relayed > 0 ? plan.startInSeconds : 0;
     this->world.Schedule(start, EventKind::MoveStart, attempt, number * 2 + (transfer ? 1 : 0));
--- a/Bench/ReclaimBench.cpp
+++ b/Bench/ReclaimBench.cpp
@@ -48,8 +48,8 @@
     for (const int count : this->moves) {
       total += count;
     }
-    for (const auto kind : { StreamMoveKind::FinishInPlace, StreamMoveKind::ExportImport,
-                             StreamMoveKind::Reprefill }) {
+    for (const auto kind :
+         { MoveKind::FinishInPlace, MoveKind::ExportImport, MoveKind::Reprefill }) {
       const double count = this->moves[static_cast<int>(kind)];
       shares[std::string(ToString(kind))] = total > 0 ? count / total : 0;
     }
--- a/Bench/ReclaimSimulation.h
+++ b/Bench/ReclaimSimulation.h
@@ -38,7 +38,7 @@
 struct ReclaimOutcome
 {
   double recomputedTokens = 0;
-  std::array<int, 4> moves{}; ///< By StreamMoveKind; streams that finished in place included.
+  std::array<int, 4> moves{}; ///< By MoveKind; streams that finished in place included.
   double longestGapSeconds = 0;
   int streams = 0;   ///< On engines that went away.
   int lost = 0;      ///< Not finished at the end of the run.
@@ -91,8 +91,8 @@
   void Generate(Stream& aStream);
   void FinishTransfer(Stream& aStream);
   void Replan();
-  void Carry(Stream& aStream, const StreamMove& aMove);
-  void Resume(Stream& aStream, int aTarget, double aHeld, StreamMoveKind aKind);
+  void Carry(Stream& aStream, const MovePlan& aMove);
+  void Resume(Stream& aStream, int aTarget, double aHeld, MoveKind aKind);
   [[nodiscard]] StreamView View(const Stream& aStream) const;
   [[nodiscard]] std::vector<MoveTarget> Targets() const;
   [[nodiscard]] bool IsGone(int aEngine) const;
@@ -215,9 +215,8 @@
       { this->engines[index].id, cached ? static_cast<int>(aStream.prompt * 0.9) : 0 });
   }
   if (aStream.target >= 0) {
-    view.inProgress =
-      MoveInProgress{ StreamMoveKind::ExportImport, this->engines[aStream.target].id,
-                      aStream.transferStart, aStream.transferEnd };
+    view.inProgress = MoveInProgress{ MoveKind::ExportImport, this->engines[aStream.target].id,
+                                      aStream.transferStart, aStream.transferEnd };
   }
   return view;
 }
@@ -271,14 +270,14 @@
   if (aStream.generated >= aStream.total) {
     aStream.done = true;
     if (aStream.affected && !aStream.moved) {
-      ++this->outcome.moves[static_cast<int>(StreamMoveKind::FinishInPlace)];
+      ++this->outcome.moves[static_cast<int>(MoveKind::FinishInPlace)];
     }
   }
 }
 
 template<ReclaimPolicy Policy>
 void
-ReclaimSimulation<Policy>::Resume(Stream& aStream, int aTarget, double aHeld, StreamMoveKind aKind)
+ReclaimSimulation<Policy>::Resume(Stream& aStream, int aTarget, double aHeld, MoveKind aKind)
 {
   Engine& target = this->engines[aTarget];
   this->outcome.intoGoing += this->IsLeaving(aTarget) ? 1 : 0;
@@ -308,13 +307,13 @@
     return;
   }
   this->Resume(aStream, target, aStream.generated - aStream.generatedAtStart,
-               StreamMoveKind::ExportImport);
+               MoveKind::ExportImport);
 }
 
 /// Does what the plan says is due now.
 template<ReclaimPolicy Policy>
 void
-ReclaimSimulation<Policy>::Carry(Stream& aStream, const StreamMove& aMove)
+ReclaimSimulation<Policy>::Carry(Stream& aStream, const MovePlan& aMove)
 {
   if (aMove.target.empty() || aMove.startAt > this->clock.Now()) {
     return;
@@ -324,7 +323,7 @@
                  [&](const Engine& aEngine) { return aEngine.id == aMove.target; });
   const int index = static_cast<int>(found - this->engines.begin());
 
-  if (aMove.kind == StreamMoveKind::Reprefill) {
+  if (aMove.kind == MoveKind::Reprefill) {
     const bool cached = index == aStream.cachedHome;
     const double prompt = aStream.prompt - (cached ? aStream.prompt * 0.9 : 0);
     if (this->fromScratch) {
--- a/Lagoonward/Leadership/LeaseKeeper.cpp
+++ b/Lagoonward/Leadership/LeaseKeeper.cpp
@@ -50,9 +50,11 @@
   // What is in force, and since when it is known
   const LeaseInForce* current = this->ledger.InForce();
   const Offset offset = current != nullptr ? current->offset : kNoOffset;
-  const Offset mark = this->ledger.IsCertain() ? offset : this->ledger.NextOffset();
-  if (!this->seenAt || mark != this->seen) {
+  const bool certain = this->ledger.IsCertain();
+  const Offset mark = certain ? offset : this->ledger.NextOffset();
+  if (!this->seenAt || mark != this->seen || certain != this->seenCertain) {
     this->seen = mark;
+    this->seenCertain = certain;
     this->seenAt = this->clock.BootNow();
   }
 
--- a/Lagoonward/Leadership/LeaseKeeper.h
+++ b/Lagoonward/Leadership/LeaseKeeper.h
@@ -79,6 +79,7 @@
   std::map<std::uint64_t, TimePoint> sentAt; ///< Boot time before each append of this run; bounded.
   std::optional<TimePoint> lastAppend;
   Offset seen = kNoOffset;           ///< Record in force; after a gap, the end of what was read.
+  bool seenCertain = true;           ///< Which of the two `seen` is.
   std::optional<TimePoint> seenAt;   ///< When `seen` was read first.
   std::optional<TimePoint> leaseEnd; ///< Of this run's lease.
 };
--- a/Lagoonward/Placement/PlacementRound.cpp
+++ b/Lagoonward/Placement/PlacementRound.cpp
@@ -212,8 +212,8 @@
 void
 Placement::Round::StartHostFor(const ManifestModel& aModel, const DomainCoverage& aCoverage)
 {
-  HostStarts& starts = this->placement.starts;
-  if (starts.UnderWay() >= this->placement.settings.concurrentStarts) {
+  HostStarts& begun = this->placement.starts;
+  if (begun.UnderWay() >= this->placement.settings.concurrentStarts) {
     return;
   }
 
@@ -222,11 +222,11 @@
   std::pair<int, double> bestRank(std::numeric_limits<int>::max(), 0);
   for (const std::string& domain : this->view.manifest.failureDomains) {
     const auto offer = this->placement.offers.Choose(this->view.manifest, this->view.fleet.prices,
-                                                     domain, starts, this->now);
+                                                     domain, begun, this->now);
     if (!offer || this->IsDomainGoing(domain)) {
       continue;
     }
-    const std::pair rank(aCoverage.In(domain) + starts.UnderWayIn(domain),
+    const std::pair rank(aCoverage.In(domain) + begun.UnderWayIn(domain),
                          this->placement.offers.RiskPrice(this->view.manifest, *offer));
     if (!best || rank < bestRank) {
       best = offer;
@@ -236,7 +236,7 @@
   // Hosts that are coming may already be enough
   DomainCoverage expected = aCoverage;
   for (const std::string& domain : this->view.manifest.failureDomains) {
-    for (int index = 0; index < starts.UnderWayIn(domain); ++index) {
+    for (int index = 0; index < begun.UnderWayIn(domain); ++index) {
       expected.Add(domain);
     }
   }
@@ -247,7 +247,7 @@
 
   PlacementOrder order;
   order.kind = PlacementOrder::Kind::StartHost;
-  order.host = starts.Begin(*best, this->wallNow);
+  order.host = begun.Begin(*best, this->wallNow);
   order.id = order.host.clientToken;
   order.reason = "no endpoint has room for " + aModel.name + "@" + aModel.version;
   this->orders.push_back(std::move(order));
--- a/Lagoonward/Placement/PlacementSettings.h
+++ b/Lagoonward/Placement/PlacementSettings.h
@@ -7,7 +7,7 @@
 /// Tunables of placement.
 struct PlacementSettings
 {
-  int modelsPerEndpoint = 2; ///< Model versions that an endpoint holds at once, old ones included.
+  int modelsPerEndpoint = 3; ///< Model versions that an endpoint holds at once, old ones included.
   int concurrentLoads = 4;   ///< Loads under way at once; the weight store is rate-limited.
   int concurrentStarts = 3;  ///< Hosts being started at once.
   Milliseconds orderTimeout{ 120'000 }; ///< An order not seen done after this is given again.
--- a/Lagoonward/Reclaim/MovePlanner.cpp
+++ b/Lagoonward/Reclaim/MovePlanner.cpp
@@ -35,7 +35,7 @@
 /// One possible plan and what it would cost, in tokens.
 struct Option
 {
-  StreamMove plan;
+  MovePlan plan;
   double score = std::numeric_limits<double>::infinity();
 };
 
@@ -47,7 +47,7 @@
            const ManifestObjective& aObjective, TimePoint aNow);
 
   /// Chooses for one stream and reserves what it takes.
-  [[nodiscard]] StreamMove Choose(const StreamView& aStream);
+  [[nodiscard]] MovePlan Choose(const StreamView& aStream);
 
 private:
   [[nodiscard]] TimePoint SafeMoment(const StreamView& aStream) const;
@@ -118,7 +118,7 @@
     return false;
   }
   // An export that cannot end in time any more is given up
-  const bool late = aStream.inProgress->kind == StreamMoveKind::ExportImport &&
+  const bool late = aStream.inProgress->kind == MoveKind::ExportImport &&
                     aStream.inProgress->readyAt > aStream.goneAfter;
   return !late && this->FindUsable(aStream.inProgress->target, aStream) != nullptr;
 }
@@ -170,7 +170,7 @@
   // The stream goes on meanwhile; what it generates until then is prefilled at the target
   const double tail =
     std::min(aStream.expectedRemaining, SecondsOf(ready - start) * aStream.tokensPerSecond);
-  option.plan.kind = StreamMoveKind::ExportImport;
+  option.plan.kind = MoveKind::ExportImport;
   option.plan.startAt = start;
   option.plan.readyAt = ready;
   option.plan.recomputedTokens = tail;
@@ -195,7 +195,7 @@
   const double added = std::min(until, aStream.expectedRemaining);
 
   Option option;
-  option.plan.kind = StreamMoveKind::Reprefill;
+  option.plan.kind = MoveKind::Reprefill;
   option.plan.startAt = start;
   option.plan.recomputedTokens = held + added;
   const Span queued = std::max(Span::zero(), std::min(this->now - wanted, prefill * 8));
@@ -232,10 +232,10 @@
     (aOption.plan.missesDeadline ? this->settings.tokensPerMissedDeadline : 0);
 }
 
-StreamMove
+MovePlan
 Planning::Choose(const StreamView& aStream)
 {
-  StreamMove chosen;
+  MovePlan chosen;
   chosen.stream = aStream.id;
   chosen.startAt = this->now;
   chosen.readyAt = this->now;
@@ -249,7 +249,7 @@
     return chosen;
   }
   if (this->FinishesInPlace(aStream)) {
-    chosen.kind = StreamMoveKind::FinishInPlace;
+    chosen.kind = MoveKind::FinishInPlace;
     return chosen;
   }
 
@@ -296,7 +296,7 @@
 {
 }
 
-std::vector<StreamMove>
+std::vector<MovePlan>
 MovePlanner::PlanMoves(std::span<const StreamView> aStreams, std::span<const MoveTarget> aTargets,
                        const ManifestObjective& aObjective, TimePoint aNow) const
 {
@@ -306,7 +306,7 @@
     return ChoosesBefore(aStreams[aLeft], aStreams[aRight]);
   });
 
-  std::vector<StreamMove> plans(aStreams.size());
+  std::vector<MovePlan> plans(aStreams.size());
   Planning planning(this->settings, aTargets, aObjective, aNow);
   for (const std::size_t index : order) {
     plans[index] = planning.Choose(aStreams[index]);
--- a/Lagoonward/Reclaim/MovePlanner.h
+++ b/Lagoonward/Reclaim/MovePlanner.h
@@ -18,10 +18,10 @@
   /// @param aTargets    every endpoint that might take one
   /// @param aObjective  what the deployment weighs
   /// @return one plan per stream, in the order of aStreams
-  [[nodiscard]] std::vector<StreamMove> PlanMoves(std::span<const StreamView> aStreams,
-                                                  std::span<const MoveTarget> aTargets,
-                                                  const ManifestObjective& aObjective,
-                                                  TimePoint aNow) const;
+  [[nodiscard]] std::vector<MovePlan> PlanMoves(std::span<const StreamView> aStreams,
+                                                std::span<const MoveTarget> aTargets,
+                                                const ManifestObjective& aObjective,
+                                                TimePoint aNow) const;
 
 private:
   ReclaimSettings settings;
--- a/Lagoonward/Reclaim/MoveReservations.cpp
+++ b/Lagoonward/Reclaim/MoveReservations.cpp
@@ -40,13 +40,13 @@
 }
 
 void
-MoveReservations::Reserve(const StreamMove& aPlan, const std::string& aSource)
+MoveReservations::Reserve(const MovePlan& aPlan, const std::string& aSource)
 {
   if (aPlan.target.empty()) {
     return;
   }
   ++this->planned[aPlan.target];
-  if (aPlan.kind == StreamMoveKind::ExportImport) {
+  if (aPlan.kind == MoveKind::ExportImport) {
     auto& source = this->sourceBusyUntil[aSource];
     source = std::max(source, aPlan.readyAt);
     auto& target = this->targetBusyUntil[aPlan.target];
--- a/Lagoonward/Reclaim/MoveReservations.h
+++ b/Lagoonward/Reclaim/MoveReservations.h
@@ -25,7 +25,7 @@
   [[nodiscard]] int PlannedOnto(const std::string& aTarget) const;
 
   /// Takes what a chosen plan needs.
-  void Reserve(const StreamMove& aPlan, const std::string& aSource);
+  void Reserve(const MovePlan& aPlan, const std::string& aSource);
 
 private:
   std::map<std::string, TimePoint> sourceBusyUntil;
--- a/Lagoonward/Reclaim/MoveTypes.cpp
+++ b/Lagoonward/Reclaim/MoveTypes.cpp
@@ -3,16 +3,16 @@
 namespace lagoonward {
 
 std::string_view
-ToString(StreamMoveKind aKind)
+ToString(MoveKind aKind)
 {
   switch (aKind) {
-    case StreamMoveKind::FinishInPlace:
+    case MoveKind::FinishInPlace:
       return "finish_in_place";
-    case StreamMoveKind::ExportImport:
+    case MoveKind::ExportImport:
       return "export_import";
-    case StreamMoveKind::Reprefill:
+    case MoveKind::Reprefill:
       return "reprefill";
-    case StreamMoveKind::Unplaced:
+    case MoveKind::Unplaced:
       break;
   }
   return "unplaced";
--- a/Lagoonward/Reclaim/MoveTypes.h
+++ b/Lagoonward/Reclaim/MoveTypes.h
@@ -11,7 +11,7 @@
 namespace lagoonward {
 
 /// How a stream leaves an endpoint that is going away.
-enum class StreamMoveKind
+enum class MoveKind
 {
   FinishInPlace, ///< Stays; expected to end before the endpoint goes.
   ExportImport,  ///< Its KV cache is copied to the target while it goes on; then it resumes there.
@@ -21,7 +21,7 @@
 
 /// "finish_in_place", "export_import", "reprefill" or "unplaced".
 [[nodiscard]] std::string_view
-ToString(StreamMoveKind aKind);
+ToString(MoveKind aKind);
 
 /// An endpoint that serves exactly the model, adapter and version of a stream.
 struct MoveCandidate
@@ -33,7 +33,7 @@
 /// A move that has begun. A plan keeps to it while its target stays.
 struct MoveInProgress
 {
-  StreamMoveKind kind = StreamMoveKind::Reprefill;
+  MoveKind kind = MoveKind::Reprefill;
   std::string target;
   TimePoint startAt; ///< When it began or is to begin.
   TimePoint readyAt; ///< When the target is expected to go on with the stream.
@@ -72,10 +72,10 @@
 };
 
 /// What to do with one stream. Idempotent: a step that is done again changes nothing.
-struct StreamMove
+struct MovePlan
 {
   std::string stream;
-  StreamMoveKind kind = StreamMoveKind::Unplaced;
+  MoveKind kind = MoveKind::Unplaced;
   std::string target;            ///< Empty unless the stream moves.
   TimePoint startAt;             ///< When to export, or when to stop here and resume there.
   TimePoint readyAt;             ///< When the target is expected to go on.
--- a/Lagoonward/Reclaim/ReclaimPolicy.h
+++ b/Lagoonward/Reclaim/ReclaimPolicy.h
@@ -18,7 +18,7 @@
 {
   {
     aPolicy.PlanMoves(aStreams, aTargets, aObjective, aNow)
-    } -> std::same_as<std::vector<StreamMove>>;
+    } -> std::same_as<std::vector<MovePlan>>;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Reclaim/RetryFromScratch.cpp
+++ b/Lagoonward/Reclaim/RetryFromScratch.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-std::vector<StreamMove>
+std::vector<MovePlan>
 RetryFromScratch::PlanMoves(std::span<const StreamView> aStreams,
                             std::span<const MoveTarget> aTargets,
                             const ManifestObjective& /*aObjective*/, TimePoint aNow) const
@@ -34,10 +34,10 @@
     slots[target.endpoint] = target.freeSlots;
   }
 
-  std::vector<StreamMove> plans;
+  std::vector<MovePlan> plans;
   plans.reserve(aStreams.size());
   for (const StreamView& stream : aStreams) {
-    StreamMove plan;
+    MovePlan plan;
     plan.stream = stream.id;
 
     // Most free slots among the candidates
@@ -58,7 +58,7 @@
     }
     if (best != nullptr) {
       --slots[best->endpoint];
-      plan.kind = StreamMoveKind::Reprefill;
+      plan.kind = MoveKind::Reprefill;
       plan.target = best->endpoint;
       plan.startAt = std::max(aNow, stream.goneAfter);
       const double prompt = std::max(0, stream.promptTokens - cached);
--- a/Lagoonward/Reclaim/RetryFromScratch.h
+++ b/Lagoonward/Reclaim/RetryFromScratch.h
@@ -9,10 +9,10 @@
 class RetryFromScratch
 {
 public:
-  [[nodiscard]] std::vector<StreamMove> PlanMoves(std::span<const StreamView> aStreams,
-                                                  std::span<const MoveTarget> aTargets,
-                                                  const ManifestObjective& aObjective,
-                                                  TimePoint aNow) const;
+  [[nodiscard]] std::vector<MovePlan> PlanMoves(std::span<const StreamView> aStreams,
+                                                std::span<const MoveTarget> aTargets,
+                                                const ManifestObjective& aObjective,
+                                                TimePoint aNow) const;
 };
 
 static_assert(ReclaimPolicy<RetryFromScratch>);
--- a/Lagoonward/Routing/MovePolicy.h
+++ b/Lagoonward/Routing/MovePolicy.h
@@ -5,7 +5,7 @@
 namespace lagoonward {
 
 /// What can be done with a stream whose host has been announced to go.
-enum class MoveKind
+enum class HostExit
 {
   FinishInPlace, ///< It is done before the host goes.
   Transfer,      ///< Export its KV cache, import it elsewhere: nothing is computed again.
@@ -33,9 +33,9 @@
 };
 
 /// What to do and when to begin, counted from now.
-struct MovePlan
+struct HostExitPlan
 {
-  MoveKind kind = MoveKind::FinishInPlace;
+  HostExit kind = HostExit::FinishInPlace;
   double startInSeconds = 0;
   double transferSeconds = 0;
 };
@@ -43,7 +43,7 @@
 /// Plans one stream's way off a leaving host. Transfers share the host's link, so each gets a slot counted back from the
 /// moment the host goes, which also lets streams generate as long as they safely can. Where the link cannot carry them all in
 /// time, the rest are resumed at once. Pure; called again on every further notice.
-[[nodiscard]] MovePlan
+[[nodiscard]] HostExitPlan
 PlanMove(const MoveState& aState, const MoveSettings& aSettings);
 
 } // namespace lagoonward
--- a/UnitTests/Leadership/LeaseKeeperTests.cpp
+++ b/UnitTests/Leadership/LeaseKeeperTests.cpp
@@ -187,4 +187,21 @@
   BOOST_TEST(this->second.Leader() == "late");
 }
 
+// Found by the stateful fuzzer: the second reader counted its wait from before the first one's record.
+BOOST_AUTO_TEST_CASE(ReadersAfterAGapFollowTheFirstOfThemForAWholeLease)
+{
+  Step(this->first);
+  Drop(1);
+  LeaseKeeper one(this->settings, this->clock, "one", "run-4");
+  LeaseKeeper two(this->settings, this->clock, "two", "run-5");
+  two.SetRank(1);
+  for (int step = 0; step < 40; ++step) {
+    Step(one);
+    Step(two);
+    BOOST_TEST(!two.Holds());
+    this->clock.Advance(Seconds(1));
+  }
+  BOOST_TEST(one.Holds());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Placement/PlacementTests.cpp
+++ b/UnitTests/Placement/PlacementTests.cpp
@@ -222,7 +222,8 @@
   const std::size_t before = this->fleet.endpoints.size();
   for (int round = 0; round < 200; ++round) {
     for (Price& price : this->fleet.prices) {
-      price.perHour = 1 + ((round + price.failureDomain.size()) % 3) * 0.3;
+      const auto phase = (round + price.failureDomain.size()) % 3;
+      price.perHour = 1 + 0.3 * static_cast<double>(phase);
     }
     Settle(1);
   }
--- a/UnitTests/Reclaim/MovePlannerTests.cpp
+++ b/UnitTests/Reclaim/MovePlannerTests.cpp
@@ -46,7 +46,7 @@
     this->targets.push_back(target);
   }
 
-  [[nodiscard]] std::vector<StreamMove> Plan(const ReclaimSettings& aSettings = {}) const
+  [[nodiscard]] std::vector<MovePlan> Plan(const ReclaimSettings& aSettings = {}) const
   {
     const MovePlanner planner(aSettings);
     return planner.PlanMoves(this->streams, this->targets, this->objective, this->clock.Now());
@@ -61,7 +61,7 @@
 {
   AddTarget("a");
   AddStream("s", 300);
-  BOOST_TEST((Plan()[0].kind == StreamMoveKind::FinishInPlace));
+  BOOST_TEST((Plan()[0].kind == MoveKind::FinishInPlace));
 }
 
 BOOST_AUTO_TEST_CASE(LongPrefixIsExportedWhenItFits)
@@ -70,8 +70,8 @@
   StreamView& stream = AddStream("s", 5'000);
   stream.kvBytes = 2'000'000'000;
   stream.exportBytesPerSecond = 1e9;
-  const StreamMove plan = Plan()[0];
-  BOOST_TEST((plan.kind == StreamMoveKind::ExportImport));
+  const MovePlan plan = Plan()[0];
+  BOOST_TEST((plan.kind == MoveKind::ExportImport));
   BOOST_TEST(plan.recomputedTokens < 100);
   BOOST_TEST((plan.readyAt <= stream.goneAfter));
 }
@@ -82,8 +82,8 @@
   StreamView& stream = AddStream("s", 5'000);
   stream.kvBytes = 40'000'000'000;
   stream.exportBytesPerSecond = 1e9;
-  const StreamMove plan = Plan()[0];
-  BOOST_TEST((plan.kind == StreamMoveKind::Reprefill));
+  const MovePlan plan = Plan()[0];
+  BOOST_TEST((plan.kind == MoveKind::Reprefill));
   BOOST_TEST((plan.startAt <= stream.goneAfter - ReclaimSettings().safetyMargin));
   BOOST_TEST((plan.startAt > this->clock.Now()));
 }
@@ -103,7 +103,7 @@
   AddStream("s", 5'000).candidates[0].cachedTokens = 8'000;
   this->targets[0].domainGoing = true;
   this->targets[1].leaving = true;
-  BOOST_TEST((Plan()[0].kind == StreamMoveKind::Unplaced));
+  BOOST_TEST((Plan()[0].kind == MoveKind::Unplaced));
   this->targets[1].leaving = false;
   BOOST_TEST(Plan()[0].target == "b");
 }
@@ -117,7 +117,7 @@
     AddStream("s" + std::to_string(index), 5'000);
   }
   std::map<std::string, int> moves;
-  for (const StreamMove& plan : Plan()) {
+  for (const MovePlan& plan : Plan()) {
     ++moves[plan.target];
   }
   for (const auto& [target, count] : moves) {
@@ -132,8 +132,7 @@
   AddStream("s", 5'000);
   AddStream("t", 5'000);
   const auto plans = Plan();
-  BOOST_TEST((plans[0].kind == StreamMoveKind::Unplaced) !=
-             (plans[1].kind == StreamMoveKind::Unplaced));
+  BOOST_TEST((plans[0].kind == MoveKind::Unplaced) != (plans[1].kind == MoveKind::Unplaced));
 }
 
 BOOST_AUTO_TEST_CASE(MoveUnderWayIsKeptUntilItsTargetGoes)
@@ -143,7 +142,7 @@
   StreamView& stream = AddStream("s", 5'000);
   stream.candidates[1].cachedTokens = 8'000;
   const TimePoint now = this->clock.Now();
-  stream.inProgress = { StreamMoveKind::ExportImport, "a", now, now + Seconds(2) };
+  stream.inProgress = { MoveKind::ExportImport, "a", now, now + Seconds(2) };
   BOOST_TEST(Plan()[0].target == "a");
   this->targets[0].domainGoing = true;
   BOOST_TEST(Plan()[0].target == "b");
@@ -156,8 +155,8 @@
   stream.goneAfter = this->clock.Now() - Seconds(1);
   stream.kvBytes = 1'000;
   stream.exportBytesPerSecond = 1e9;
-  const StreamMove plan = Plan()[0];
-  BOOST_TEST((plan.kind == StreamMoveKind::Reprefill));
+  const MovePlan plan = Plan()[0];
+  BOOST_TEST((plan.kind == MoveKind::Reprefill));
   BOOST_TEST((plan.startAt == this->clock.Now()));
 }
 
@@ -168,7 +167,7 @@
     AddStream("s" + std::to_string(index), 5'000);
   }
   std::vector<TimePoint> cuts;
-  for (const StreamMove& plan : Plan()) {
+  for (const MovePlan& plan : Plan()) {
     cuts.push_back(plan.startAt);
   }
   std::sort(cuts.begin(), cuts.end());
