Fuzz the order of configurations and the moves of a reclaim

Change: two harnesses: ConfigurationHistory against a fold of the whole log, MovePlanner over a small fleet that loses hosts and domains.

--- a/Fuzz/Stateful/Main.cpp
+++ b/Fuzz/Stateful/Main.cpp
@@ -1,5 +1,7 @@
 #include "Fuzz/Stateful/ClaimHarness.h"
+#include "Fuzz/Stateful/ConfigurationHarness.h"
 #include "Fuzz/Stateful/LeaseHarness.h"
+#include "Fuzz/Stateful/ReclaimHarness.h"
 
 #include <boost/program_options.hpp>
 
@@ -12,6 +14,7 @@
 
 constexpr int kExitUsage = 2;
 constexpr int kDefaultCases = 200;
+constexpr int kLongestSequence = 150; ///< Operations; sequences grow up to it over the cases.
 
 /// A harness by its name.
 struct Entry
@@ -30,14 +33,17 @@
 constexpr std::array kHarnesses{
   EntryOf<LeaseHarness>(),
   EntryOf<ClaimHarness>(),
+  EntryOf<ConfigurationHarness>(),
+  EntryOf<ReclaimHarness>(),
 };
 
 /// rapidcheck reads its parameters from the environment, once.
 void
 Configure(std::uint64_t aSeed, int aCases)
 {
-  const std::string parameters =
-    "seed=" + std::to_string(aSeed) + " max_success=" + std::to_string(aCases);
+  const std::string parameters = "seed=" + std::to_string(aSeed) +
+                                 " max_success=" + std::to_string(aCases) +
+                                 " max_size=" + std::to_string(kLongestSequence);
   setenv("RC_PARAMS", parameters.c_str(), 1);
 }
 
