--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -55,13 +55,12 @@
 }
 
 void
-CompletionRun::FollowPlan(const StreamMove& aPlan)
+CompletionRun::FollowPlan(const MovePlan& aPlan)
 {
   if (this->ended || this->endpointId.empty()) {
     return;
   }
-  const bool moves =
-    aPlan.kind == StreamMoveKind::ExportImport || aPlan.kind == StreamMoveKind::Reprefill;
+  const bool moves = aPlan.kind == MoveKind::ExportImport || aPlan.kind == MoveKind::Reprefill;
   const bool isSame =
     this->move && moves && this->move->kind == aPlan.kind && this->move->target == aPlan.target;
   // An export that has begun goes on; a move yet to begin may be timed anew
@@ -102,7 +101,7 @@
   if (this->ended || !this->move || this->endpointId.empty()) {
     return;
   }
-  if (this->move->kind == StreamMoveKind::ExportImport) {
+  if (this->move->kind == MoveKind::ExportImport) {
     this->BeginExport();
   } else {
     this->MoveAway("its endpoint is leaving");
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -35,7 +35,7 @@
 
   /// Takes the plan for leaving its endpoint. A plan that says what is under way changes nothing; any
   /// other replaces it.
-  void FollowPlan(const StreamMove& aPlan);
+  void FollowPlan(const MovePlan& aPlan);
 
   /// The move that has been planned or begun, if any.
   [[nodiscard]] const std::optional<MoveInProgress>& Move() const { return this->move; }
