Keep the names of two kinds of move settings apart

Cause: Routing and Attempts both had a MoveSettings, and a test kept names that its header had lost. Change: renamed.

--- a/Lagoonward/Attempts/MoveCoordinator.cpp
+++ b/Lagoonward/Attempts/MoveCoordinator.cpp
@@ -33,7 +33,7 @@
 
 } // namespace
 
-MoveCoordinator::MoveCoordinator(const MoveSettings& aSettings)
+MoveCoordinator::MoveCoordinator(const MoveCoordinatorSettings& aSettings)
   : settings(aSettings)
   , planner(aSettings.planner)
 {
--- a/Lagoonward/Attempts/MoveCoordinator.h
+++ b/Lagoonward/Attempts/MoveCoordinator.h
@@ -12,7 +12,7 @@
 namespace lagoonward {
 
 /// What moves are reckoned with where nobody reports it.
-struct MoveSettings
+struct MoveCoordinatorSettings
 {
   ReclaimSettings planner;
   std::int64_t kvBytesPerToken = 65'536; ///< Size of one token's KV cache.
@@ -36,7 +36,7 @@
 class MoveCoordinator
 {
 public:
-  explicit MoveCoordinator(const MoveSettings& aSettings);
+  explicit MoveCoordinator(const MoveCoordinatorSettings& aSettings);
 
   /// Plans for all runs whose endpoint is leaving.
   void PlanAll(std::span<const MovableRun> aRuns, const FleetSnapshot& aFleet,
@@ -51,7 +51,7 @@
                                           const FleetSnapshot& aFleet, TimePoint aNow) const;
   [[nodiscard]] bool IsDomainGoing(const FleetSnapshot& aFleet, std::string_view aDomain) const;
 
-  MoveSettings settings;
+  MoveCoordinatorSettings settings;
   MovePlanner planner;
 };
 
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -22,7 +22,7 @@
   unsigned threads = 2; ///< Traffic threads for outgoing requests.
   HttpClientSettings client;
   AttemptSettings attempts;
-  MoveSettings moves;
+  MoveCoordinatorSettings moves;
 };
 
 /// Owns the traffic threads and all requests in progress. A submitted request is joined to the
--- a/UnitTests/Routing/MovePolicyTests.cpp
+++ b/UnitTests/Routing/MovePolicyTests.cpp
@@ -26,7 +26,7 @@
 {
   MoveState state = MakeStream();
   state.tokensLeft = 100;
-  BOOST_TEST((PlanMove(state, {}).kind == MoveKind::FinishInPlace));
+  BOOST_TEST((PlanMove(state, {}).kind == HostExit::FinishInPlace));
 }
 
 BOOST_AUTO_TEST_CASE(GivesEachTransferASlotBeforeTheHostGoes)
@@ -35,8 +35,8 @@
   MoveState state = MakeStream();
   double latest = state.secondsLeft - settings.marginSeconds;
   for (int stream = 0; stream < 20; ++stream) {
-    const MovePlan plan = PlanMove(state, settings);
-    BOOST_TEST((plan.kind == MoveKind::Transfer));
+    const HostExitPlan plan = PlanMove(state, settings);
+    BOOST_TEST((plan.kind == HostExit::Transfer));
     BOOST_TEST(plan.startInSeconds + plan.transferSeconds <= latest + 1e-9);
     latest = plan.startInSeconds + settings.transferSetupSeconds * settings.safety;
     state.laterTokens += state.contextTokens;
@@ -47,11 +47,11 @@
 {
   MoveState state = MakeStream();
   state.canTransfer = false;
-  BOOST_TEST((PlanMove(state, {}).kind == MoveKind::Resume));
+  BOOST_TEST((PlanMove(state, {}).kind == HostExit::Resume));
   state.canTransfer = true;
   state.secondsLeft = 0.5;
-  const MovePlan late = PlanMove(state, {});
-  BOOST_TEST((late.kind == MoveKind::Resume));
+  const HostExitPlan late = PlanMove(state, {});
+  BOOST_TEST((late.kind == HostExit::Resume));
   BOOST_TEST(late.startInSeconds == 0);
 }
 
