Let callers who come back join their run, also when its daemon was lost

Cause: the same key sent to another daemon ran a second time; when a daemon died, its streams were generated again from the start. Keys are told apart by market, too. Peer messages share one codec.

--- a/Lagoonward/Attempts/Answer.h
+++ b/Lagoonward/Attempts/Answer.h
@@ -75,6 +75,14 @@
   /// Whether it has ended.
   [[nodiscard]] bool HasEnded() const;
 
+  /// Calls aRead with the answer locked, so that all it reads belongs together.
+  template<typename Reader>
+  void Read(Reader aRead) const
+  {
+    const std::scoped_lock lock(this->mutex);
+    aRead(*this);
+  }
+
   /// Memory that it takes.
   [[nodiscard]] std::size_t ByteSize() const;
 
--- a/Lagoonward/Attempts/AnswerRegistry.cpp
+++ b/Lagoonward/Attempts/AnswerRegistry.cpp
@@ -25,6 +25,20 @@
   return { RegistryOutcome::Joined, found->second.answer };
 }
 
+RegistryEntry
+AnswerRegistry::Find(const std::string& aKey, std::uint64_t aBodyHash) const
+{
+  const std::scoped_lock lock(this->mutex);
+  const auto found = this->entries.find(aKey);
+  if (found == this->entries.end()) {
+    return { RegistryOutcome::Created, nullptr };
+  }
+  if (found->second.bodyHash != aBodyHash) {
+    return { RegistryOutcome::Conflict, nullptr };
+  }
+  return { RegistryOutcome::Joined, found->second.answer };
+}
+
 void
 AnswerRegistry::OnEnded(const std::string& aKey)
 {
--- a/Lagoonward/Attempts/AnswerRegistry.h
+++ b/Lagoonward/Attempts/AnswerRegistry.h
@@ -37,6 +37,9 @@
   [[nodiscard]] RegistryEntry FindOrCreate(const std::string& aKey, std::uint64_t aBodyHash,
                                            const std::function<AnswerPtr()>& aFactory);
 
+  /// The entry of a key, without creating one. Outcome Created with a null answer means: not known.
+  [[nodiscard]] RegistryEntry Find(const std::string& aKey, std::uint64_t aBodyHash) const;
+
   /// The answer has ended. One that was not run is forgotten, so that the key can be tried again;
   /// all others are kept for their lifetime.
   void OnEnded(const std::string& aKey);
--- a/Lagoonward/Attempts/AttemptSettings.h
+++ b/Lagoonward/Attempts/AttemptSettings.h
@@ -30,6 +30,8 @@
   Milliseconds answerLifetime{ 600'000 };
   /// Memory for finished answers; the oldest go first.
   std::size_t answerBytes = 16U << 20U;
+  /// Between two reads of an answer that another daemon serves.
+  Milliseconds remoteReadInterval{ 40 };
   /// Largest event that an engine may send.
   std::size_t maximumEventBytes = 64U << 10U;
   /// Largest answer of a plain service.
--- a/Lagoonward/Attempts/CompletionCall.h
+++ b/Lagoonward/Attempts/CompletionCall.h
@@ -33,10 +33,12 @@
     return !this->idempotent && !this->idempotencyKey.empty();
   }
 
-  /// The client's key as the registry and the claims know it; empty without an idempotency key.
+  /// Market, client and key as one text; empty without an idempotency key.
   [[nodiscard]] std::string RegistryKey() const
   {
-    return this->idempotencyKey.empty() ? std::string() : this->client + "/" + this->idempotencyKey;
+    return this->idempotencyKey.empty()
+             ? std::string()
+             : this->market + "/" + this->client + "/" + this->idempotencyKey;
   }
 };
 
@@ -47,6 +49,8 @@
   EngineCall engine;
   int promptTokens = 0;                    ///< Estimated.
   std::vector<std::uint64_t> prefixBlocks; ///< Chained hashes of the prompt's whole blocks.
+  std::string takeOverEndpoint;            ///< Endpoint of a lost daemon's stream; else empty.
+  std::string takeOverStream;              ///< That stream, to be gone on with.
   std::string askedModel;                  ///< The `model` field as the caller wrote it.
 
   /// What the answer is for, as the caller named it.
--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -40,7 +40,32 @@
 {
   ++this->context.counters.accepted;
   this->ScheduleTick();
-  this->Dispatch();
+  if (!this->TakeOver()) {
+    this->Dispatch();
+  }
+}
+
+bool
+CompletionRun::TakeOver()
+{
+  if (this->call.takeOverStream.empty()) {
+    return false;
+  }
+  std::vector<std::string_view> excludedViews;
+  RouteRequest request = this->MakeRouteRequest(excludedViews);
+  request.onlyEndpoint = this->call.takeOverEndpoint;
+  const auto choice = this->context.router.Choose(request);
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const Endpoint* endpoint = fleet->Find(this->call.takeOverEndpoint);
+  if (!choice || endpoint == nullptr) {
+    return false;
+  }
+  this->endpointId = endpoint->id;
+  this->baseUrl = fmt::format("http://{}:{}", endpoint->address, endpoint->port);
+  this->streamId = this->call.takeOverStream;
+  this->dispatch = this->context.router.OnDispatched(choice.value(), request);
+  this->ResumeOnNewConnection("its daemon was lost");
+  return true;
 }
 
 void
@@ -160,8 +185,12 @@
 void
 CompletionRun::OnStreamOpened(const std::string& aStreamId)
 {
+  const bool isNew = this->streamId != aStreamId || this->placeRevision == 0;
   this->streamId = aStreamId;
   this->resuming = false;
+  if (isNew) {
+    this->Announce(false);
+  }
   this->lastProgress = this->context.loop.GetClock().Now();
 }
 
@@ -205,6 +234,12 @@
   if (aFailure == AttemptFailure::Foreign || aFailure == AttemptFailure::Malformed) {
     this->CancelEngineStream();
   }
+  // The stream to take up is gone, which is no fault of the endpoint
+  if (aFailure == AttemptFailure::NoSuchStream && this->call.terms.idempotent) {
+    this->LeaveEndpoint(DispatchOutcome::Cancelled);
+    this->Dispatch();
+    return;
+  }
   const bool provenNotRun =
     aFailure == AttemptFailure::NotSent || aFailure == AttemptFailure::Rejected;
   if (!this->call.terms.idempotent && !(provenNotRun && this->streamId.empty())) {
@@ -481,6 +516,7 @@
     this->call.terms.claim->Settle(Ran::Yes);
   }
   this->answer->Finish(aFinishReason);
+  this->Announce(true);
   this->LeaveEndpoint(DispatchOutcome::Completed);
   this->End();
 }
@@ -515,6 +551,23 @@
   this->context.loop.Post(this->onEnded);
 }
 
+void
+CompletionRun::Announce(bool aFinished)
+{
+  if (this->context.directory == nullptr || this->call.terms.idempotencyKey.empty()) {
+    return;
+  }
+  RequestPlace place;
+  place.key = this->call.terms.RegistryKey();
+  place.bodyHash = this->call.terms.bodyHash;
+  place.endpointId = this->endpointId;
+  place.streamId = this->streamId;
+  place.revision = ++this->placeRevision;
+  place.lifetime = this->context.settings.answerLifetime;
+  place.finished = aFinished;
+  this->context.directory->Place(place);
+}
+
 void
 CompletionRun::Note(std::string aText)
 {
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -58,6 +58,7 @@
   void OnStreamFailed(AttemptFailure aFailure, const std::string& aMessage) override;
 
   // Attempts
+  [[nodiscard]] bool TakeOver();
   void Dispatch();
   [[nodiscard]] RouteRequest MakeRouteRequest(std::vector<std::string_view>& aExcluded) const;
   void BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest);
@@ -87,6 +88,8 @@
   void FailUnrepeatable();
   void End();
   void Note(std::string aText);
+  /// Tells a sibling where the request runs, if its caller may come back.
+  void Announce(bool aFinished);
 
   RunContext context;
   CompletionCall call;
@@ -104,6 +107,7 @@
   std::unique_ptr<KvTransfer> transfer; ///< The export and import under way.
   bool exportFailed = false;
 
+  std::uint32_t placeRevision = 0; ///< Of the last announcement.
   int attemptCount = 0;
   bool everDispatched = false; ///< Whether an endpoint may have run any of it.
   bool resuming = false;       ///< A new connection to the same stream awaits its first event.
--- a/Lagoonward/Attempts/RunContext.h
+++ b/Lagoonward/Attempts/RunContext.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Attempts/AttemptSettings.h"
 #include "Lagoonward/Attempts/DecisionJournal.h"
+#include "Lagoonward/Attempts/RequestDirectory.h"
 #include "Lagoonward/Fleet/FleetStore.h"
 #include "Lagoonward/Routing/Router.h"
 #include "Lagoonward/Wire/TrafficLoop.h"
@@ -35,6 +36,7 @@
   DecisionJournal& journal;
   RunCounters& counters;
   const AttemptSettings& settings;
+  RequestDirectory* directory; ///< Null when there are no other daemons.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -44,6 +44,38 @@
   this->claims = &aClaims;
 }
 
+void
+RunService::SetDirectory(RequestDirectory& aDirectory)
+{
+  this->directory = &aDirectory;
+}
+
+AnswerPart
+RunService::ReadAnswer(const AnswerQuery& aQuery, std::size_t aMaximumTokens) const
+{
+  const RegistryEntry entry = this->registry.Find(aQuery.key, aQuery.bodyHash);
+  AnswerPart part;
+  part.isConflict = entry.outcome == RegistryOutcome::Conflict;
+  part.isKnown = part.isConflict || entry.answer != nullptr;
+  if (entry.answer == nullptr) {
+    return part;
+  }
+  entry.answer->Read([&](const Answer& aAnswer) {
+    const std::size_t end = std::min(aAnswer.TokenCount(), aQuery.fromToken + aMaximumTokens);
+    for (std::size_t index = aQuery.fromToken; index < end; ++index) {
+      part.tokens.emplace_back(aAnswer.Token(index));
+    }
+    // The end goes with the last tokens only
+    part.ended = aAnswer.Ended() && end == aAnswer.TokenCount();
+    if (part.ended) {
+      part.failure = aAnswer.Failure();
+      part.finishReason = aAnswer.FinishReason();
+      part.reply = aAnswer.Reply();
+    }
+  });
+  return part;
+}
+
 std::string_view
 RunService::Name() const
 {
@@ -166,20 +198,90 @@
     return;
   }
 
-  // Admit it, or refuse at once
-  auto ticket =
-    aMarket->admission.Admit({ .client = terms.client, .rank = terms.rank, .tokens = aTokens });
+  ++this->activeRuns;
+  if (key.empty() || this->directory == nullptr) {
+    this->AdmitThenRun<Run, Call>(std::move(aCall), aMarket, aTokens, entry.answer);
+  } else {
+    this->LocateThenRun<Run, Call>(std::move(aCall), aMarket, aTokens, entry.answer);
+  }
+}
+
+template<typename Run, typename Call>
+void
+RunService::LocateThenRun(Call aCall, const MarketPtr& aMarket, double aTokens,
+                          const AnswerPtr& aAnswer)
+{
+  const std::string key = aCall.terms.RegistryKey();
+  const auto onFound = [this, call = std::move(aCall), aMarket, aTokens,
+                        aAnswer](const std::optional<FoundRequest>& aFound) {
+    if (aFound && aFound->isServerAlive) {
+      this->FollowThenRun<Run, Call>(*aFound, call, aMarket, aTokens, aAnswer);
+      return;
+    }
+    Call located = call;
+    if constexpr (std::is_same_v<Call, CompletionCall>) {
+      // The daemon is gone, its engine may still be at work
+      if (aFound && aFound->bodyHash == call.terms.bodyHash && !aFound->endpointId.empty()) {
+        located.takeOverEndpoint = aFound->endpointId;
+        located.takeOverStream = aFound->streamId;
+      }
+    }
+    this->AdmitThenRun<Run, Call>(std::move(located), aMarket, aTokens, aAnswer);
+  };
+  this->directory->Find(key, onFound);
+}
+
+template<typename Run, typename Call>
+void
+RunService::FollowThenRun(const FoundRequest& aFound, const Call& aCall, const MarketPtr& aMarket,
+                          double aTokens, const AnswerPtr& aAnswer)
+{
+  this->journal.Record(kLog, aCall.terms.requestId,
+                       "runs at another daemon and is followed there.");
+  const std::string key = aCall.terms.RegistryKey();
+  Worker& worker = this->NextWorker();
+  const auto onEnd = [this, aFound, aCall, aMarket, aTokens, aAnswer, key](RemoteAnswer::End aEnd) {
+    if (aEnd == RemoteAnswer::End::Complete) {
+      this->OnRunEnded(key);
+      return;
+    }
+    if (aEnd == RemoteAnswer::End::Conflict) {
+      this->Refuse(aCall.terms, aAnswer,
+                   Error(ErrorKind::KeyConflict, "The key was used with another body."));
+      this->OnRunEnded({});
+      return;
+    }
+    Call lost = aCall;
+    if constexpr (std::is_same_v<Call, CompletionCall>) {
+      lost.takeOverEndpoint = aFound.endpointId;
+      lost.takeOverStream = aFound.endpointId.empty() ? std::string() : aFound.streamId;
+    }
+    this->AdmitThenRun<Run, Call>(std::move(lost), aMarket, aTokens, aAnswer);
+  };
+  const AnswerQuery query{ key, aCall.terms.bodyHash, 0 };
+  const auto remote = std::make_shared<RemoteAnswer>(
+    worker.loop, *this->directory, this->settings.attempts, aFound.server, query, aAnswer, onEnd);
+  worker.loop.Post([remote] { remote->Start(); });
+}
+
+template<typename Run, typename Call>
+void
+RunService::AdmitThenRun(Call aCall, const MarketPtr& aMarket, double aTokens,
+                         const AnswerPtr& aAnswer)
+{
+  auto ticket = aMarket->admission.Admit(
+    { .client = aCall.terms.client, .rank = aCall.terms.rank, .tokens = aTokens });
   if (!ticket) {
-    this->Refuse(terms, entry.answer, ticket.error());
+    this->Refuse(aCall.terms, aAnswer, ticket.error());
+    this->OnRunEnded({});
     return;
   }
-  ++this->activeRuns;
   Worker& worker = this->NextWorker();
   auto shared = std::make_shared<Ticket>(std::move(ticket.value()));
-  if (terms.NeedsClaim()) {
-    this->ClaimThenRun<Run, Call>(worker, std::move(aCall), aMarket, entry.answer, shared);
+  if (aCall.terms.NeedsClaim()) {
+    this->ClaimThenRun<Run, Call>(worker, std::move(aCall), aMarket, aAnswer, shared);
   } else {
-    this->PostRun<Run, Call>(worker, std::move(aCall), aMarket, entry.answer, shared);
+    this->PostRun<Run, Call>(worker, std::move(aCall), aMarket, aAnswer, shared);
   }
 }
 
@@ -221,8 +323,10 @@
 RunService::BeginRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket,
                      const AnswerPtr& aAnswer, const std::shared_ptr<Ticket>& aTicket)
 {
-  const RunContext context{ aWorker.loop,  aMarket->router, aMarket->retryBudget,   this->fleet,
-                            this->journal, this->counters,  this->settings.attempts };
+  const RunContext context{
+    aWorker.loop,  aMarket->router, aMarket->retryBudget,    this->fleet,
+    this->journal, this->counters,  this->settings.attempts, this->directory
+  };
   const std::uint64_t id = this->nextRun++;
   const std::string key = aCall.terms.RegistryKey();
   auto onEnded = [this, &aWorker, id, key] {
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -4,6 +4,7 @@
 #include "Lagoonward/Attempts/CompletionRun.h"
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Attempts/MoveCoordinator.h"
+#include "Lagoonward/Attempts/RemoteAnswer.h"
 #include "Lagoonward/Attempts/ServiceRun.h"
 #include "Lagoonward/Core/Service.h"
 
@@ -38,6 +39,12 @@
   /// The claims of non-idempotent requests. Set once, before Start().
   void SetClaims(ClaimService& aClaims);
 
+  /// What other daemons are told of and asked for. Set once, before Start(), or never.
+  void SetDirectory(RequestDirectory& aDirectory);
+
+  /// What this daemon has of an answer, for a daemon that follows it. Safe from any thread.
+  [[nodiscard]] AnswerPart ReadAnswer(const AnswerQuery& aQuery, std::size_t aMaximumTokens) const;
+
   [[nodiscard]] std::string_view Name() const override;
   [[nodiscard]] Result<void> Start() override;
   /// Waits until every run has ended.
@@ -85,6 +92,14 @@
   void SubmitCall(Call aCall, const MarketPtr& aMarket, double aTokens,
                   const std::shared_ptr<AnswerSubscriber>& aSubscriber);
   template<typename Run, typename Call>
+  void LocateThenRun(Call aCall, const MarketPtr& aMarket, double aTokens,
+                     const AnswerPtr& aAnswer);
+  template<typename Run, typename Call>
+  void FollowThenRun(const FoundRequest& aFound, const Call& aCall, const MarketPtr& aMarket,
+                     double aTokens, const AnswerPtr& aAnswer);
+  template<typename Run, typename Call>
+  void AdmitThenRun(Call aCall, const MarketPtr& aMarket, double aTokens, const AnswerPtr& aAnswer);
+  template<typename Run, typename Call>
   void ClaimThenRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket, const AnswerPtr& aAnswer,
                     const std::shared_ptr<Ticket>& aTicket);
   template<typename Run, typename Call>
@@ -108,6 +123,7 @@
   RunCounters counters;
   MoveCoordinator moves;
   ClaimService* claims = nullptr;
+  RequestDirectory* directory = nullptr;
   std::vector<std::unique_ptr<Worker>> workers;
   std::atomic<std::uint64_t> nextRun{ 1 };
   std::atomic<int> activeRuns{ 0 };
--- a/Lagoonward/Attempts/ServiceRun.cpp
+++ b/Lagoonward/Attempts/ServiceRun.cpp
@@ -92,6 +92,7 @@
     this->call.terms.claim->Settle(Ran::Yes);
   }
   this->answer->FinishService(std::move(this->reply));
+  this->Announce(true);
   this->End();
 }
 
@@ -142,6 +143,7 @@
   ++this->context.counters.attempts;
   this->endpointId = endpoint->id;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
+  this->Announce(false);
   this->Note("goes to " + aChoice.Describe());
 
   this->reply = ServiceReply{};
@@ -228,6 +230,22 @@
   this->context.loop.Post(this->onEnded);
 }
 
+void
+ServiceRun::Announce(bool aFinished)
+{
+  if (this->context.directory == nullptr || this->call.terms.idempotencyKey.empty()) {
+    return;
+  }
+  RequestPlace place;
+  place.key = this->call.terms.RegistryKey();
+  place.bodyHash = this->call.terms.bodyHash;
+  place.endpointId = this->endpointId;
+  place.revision = ++this->placeRevision;
+  place.lifetime = this->context.settings.answerLifetime;
+  place.finished = aFinished;
+  this->context.directory->Place(place);
+}
+
 void
 ServiceRun::Note(std::string aText)
 {
--- a/Lagoonward/Attempts/ServiceRun.h
+++ b/Lagoonward/Attempts/ServiceRun.h
@@ -42,6 +42,8 @@
   void Fail(const Error& aError);
   void End();
   void Note(std::string aText);
+  /// Tells a sibling where the call runs, if its caller may come back.
+  void Announce(bool aFinished);
 
   RunContext context;
   ServiceCall call;
@@ -54,6 +56,7 @@
   ServiceReply reply;            ///< What has come of the current attempt's answer.
   bool replyTooLarge = false;
   std::vector<std::string> excluded; ///< Endpoints that failed this call.
+  std::uint32_t placeRevision = 0;   ///< Of the last announcement.
   int attemptCount = 0;
   bool mayHaveRun = false; ///< Whether some attempt may have reached a service.
   bool ended = false;
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -190,6 +190,10 @@
   this->runs =
     &this->kernel.Add(std::make_unique<RunService>(this->settings.runs, this->clock, this->fleet));
   this->runs->SetClaims(claims);
+  this->directory = std::make_unique<PeerRequestDirectory>(
+    PeerRequestDirectorySettings{}, *this->membership, this->fleet, this->settings.hostId);
+  this->directory->Serve(*this->runs);
+  this->runs->SetDirectory(*this->directory);
 }
 
 void
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -4,6 +4,7 @@
 #include "Lagoonward/Core/Kernel.h"
 #include "Lagoonward/Daemon/ControlPlane.h"
 #include "Lagoonward/Daemon/PeerClaimForwarder.h"
+#include "Lagoonward/Daemon/PeerRequestDirectory.h"
 #include "Lagoonward/Daemon/PlatformWatcher.h"
 #include "Lagoonward/Daemon/StatusPage.h"
 #include "Lagoonward/Frontend/AdminApi.h"
@@ -66,6 +67,7 @@
   HttpLogService claimLog; ///< The claims' own.
   HttpLogService indexLog; ///< The market index reader's own.
   std::unique_ptr<PeerClaimForwarder> claimForwarder;
+  std::unique_ptr<PeerRequestDirectory> directory;
   Kernel kernel;
 
   // Owned by the kernel
--- a/Lagoonward/Daemon/PeerClaimForwarder.cpp
+++ b/Lagoonward/Daemon/PeerClaimForwarder.cpp
@@ -1,9 +1,6 @@
 #include "Lagoonward/Daemon/PeerClaimForwarder.h"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-
-#include <sstream>
+#include "Lagoonward/Daemon/PeerMessages.h"
 
 namespace lagoonward {
 
@@ -49,37 +46,6 @@
 /// Longest wait for a peer that takes an outcome; losing one leaves the outcome "unknown".
 constexpr Milliseconds kOutcomeTimeout{ 1000 };
 
-/// Largest text within a message; a longer one is malformed.
-constexpr std::size_t kMaximumBytes = 4096;
-
-template<typename Message>
-std::string
-Encode(Message aMessage)
-{
-  std::ostringstream bytes;
-  cereal::PortableBinaryOutputArchive archive(bytes);
-  archive(aMessage);
-  return std::move(bytes).str();
-}
-
-template<typename Message>
-std::optional<Message>
-Decode(std::string_view aBytes)
-{
-  if (aBytes.size() > kMaximumBytes) {
-    return std::nullopt;
-  }
-  try {
-    std::istringstream bytes{ std::string(aBytes) };
-    cereal::PortableBinaryInputArchive archive(bytes);
-    Message message;
-    archive(message);
-    return message;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-}
-
 Ran
 ToRan(std::uint8_t aValue)
 {
@@ -112,7 +78,7 @@
     answer.maybeRecorded = aBytes.error().kind != ErrorKind::PlatformUnavailable;
     return answer;
   }
-  const auto reply = Decode<ClaimReply>(aBytes.value());
+  const auto reply = DecodePeerMessage<ClaimReply>(aBytes.value());
   if (!reply || reply->verdict > static_cast<std::uint8_t>(ClaimAnswer::Verdict::Unreachable)) {
     return answer;
   }
@@ -138,7 +104,7 @@
   this->membership.Transport().OnRequest(
     RequestType::Claim,
     [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
-      const auto message = Decode<ClaimMessage>(aBytes);
+      const auto message = DecodePeerMessage<ClaimMessage>(aBytes);
       if (!message) {
         aRespond(Error(ErrorKind::InvalidRequest, "The claim is malformed."));
         return;
@@ -150,7 +116,7 @@
       }
       this->claims->Receive(
         { message->key, message->bodyHash, message->id }, Milliseconds(message->budgetMs),
-        [aRespond](const ClaimAnswer& aAnswer) { aRespond(Encode(ToReply(aAnswer))); });
+        [aRespond](const ClaimAnswer& aAnswer) { aRespond(EncodePeerMessage(ToReply(aAnswer))); });
     });
 }
 
@@ -168,12 +134,12 @@
     aCallback(ToAnswer(Error(ErrorKind::PlatformUnavailable, "The daemon is not known.")));
     return;
   }
-  this->membership.Loop().Post(
-    [this, address = *address, bytes = Encode(message), aBudget, callback = std::move(aCallback)] {
-      this->membership.Transport().Request(
-        address, RequestType::Claim, bytes, aBudget,
-        [callback](const Result<std::string>& aBytes) { callback(ToAnswer(aBytes)); });
-    });
+  this->membership.Loop().Post([this, address = *address, bytes = EncodePeerMessage(message),
+                                aBudget, callback = std::move(aCallback)] {
+    this->membership.Transport().Request(
+      address, RequestType::Claim, bytes, aBudget,
+      [callback](const Result<std::string>& aBytes) { callback(ToAnswer(aBytes)); });
+  });
 }
 
 bool
@@ -188,7 +154,7 @@
   message.key = aOutcome.key;
   message.id = aOutcome.id;
   message.ran = static_cast<std::uint8_t>(aOutcome.ran);
-  this->membership.Loop().Post([this, address = *address, bytes = Encode(message)] {
+  this->membership.Loop().Post([this, address = *address, bytes = EncodePeerMessage(message)] {
     this->membership.Transport().Request(address, RequestType::Claim, bytes, kOutcomeTimeout,
                                          [](const Result<std::string>&) {});
   });
