--- a/StandIns/Engine/EngineStandIn.cpp
+++ b/StandIns/Engine/EngineStandIn.cpp
@@ -97,6 +97,13 @@
   this->Vanish();
 }
 
+std::size_t
+EngineStandIn::Running()
+{
+  const std::lock_guard lock(this->mutex);
+  return this->vanished ? 0 : this->core.Load().running;
+}
+
 void
 EngineStandIn::Vanish()
 {
--- a/StandIns/Engine/EngineStandIn.h
+++ b/StandIns/Engine/EngineStandIn.h
@@ -25,6 +25,9 @@
   [[nodiscard]] const EngineSettings& Settings() const { return this->settings; }
   [[nodiscard]] EngineCounters Counters() { return this->core.Counters(); }
 
+  /// Streams that run, as of the latest load reading; none once it has vanished.
+  [[nodiscard]] std::size_t Running();
+
   /// The host is gone: nothing listens and every connection is cut. Not from a handler.
   void Vanish();
 
--- a/StandIns/Fleet/FleetStandIn.cpp
+++ b/StandIns/Fleet/FleetStandIn.cpp
@@ -16,6 +16,7 @@
   return { { "id", aEngine.Settings().id },
            { "address", aEngine.Address().ToString() },
            { "failure_domain", aEngine.Settings().failureDomain },
+           { "running", aEngine.Running() },
            { "accepted", counters.accepted },
            { "refused", counters.refused },
            { "finished", counters.finished },
