Count recomputed tokens by question, not by request id

A daemon that takes over a dead one's request asks under a new request id, so the ledger saw a new request and the demo reported 55 to 76 recomputed tokens where whole drafts had run again.

--- a/StandIns/Engine/ComputeLedger.cpp
+++ b/StandIns/Engine/ComputeLedger.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Requests that are remembered.
-constexpr std::size_t kRequestsKept = 100000;
+/// Answers that are remembered.
+constexpr std::size_t kAnswersKept = 100000;
 
 } // namespace
 
@@ -21,18 +21,18 @@
 }
 
 std::shared_ptr<ComputeLedger::Progress>
-ComputeLedger::Of(const std::string& aRequestId)
+ComputeLedger::Of(std::uint64_t aAnswerKey)
 {
   const std::lock_guard lock(this->mutex);
-  auto& progress = this->requests[aRequestId];
+  auto& progress = this->answers[aAnswerKey];
   if (progress) {
     return progress;
   }
   progress = std::make_shared<Progress>();
   auto result = progress;
-  this->order.push_back(aRequestId);
-  if (this->order.size() > kRequestsKept) {
-    this->requests.erase(this->order.front());
+  this->order.push_back(aAnswerKey);
+  if (this->order.size() > kAnswersKept) {
+    this->answers.erase(this->order.front());
     this->order.pop_front();
   }
   return result;
--- a/StandIns/Engine/EngineCore.cpp
+++ b/StandIns/Engine/EngineCore.cpp
@@ -92,7 +92,7 @@
   stream->cut = std::move(aFaults.cut);
   stream->crossed = std::move(aFaults.crossed);
   stream->skipped = std::move(aFaults.skipped);
-  stream->progress = this->ledger.Of(request.requestId);
+  stream->progress = this->ledger.Of(key);
   stream->chain.push_back(ChainStart(request.question));
   for (const auto word : SplitWords(request.question.prompt)) {
     this->AppendWord(*stream, word);
