Pass claims on while a batcher reads its stream for the first time

Cause: a daemon that takes a shard over reads hours of claims first; its claims ran into their timeout. Conclusion: a changed ranking no longer interrupts claims while the previous first daemon is alive.

--- a/Lagoonward/Claims/ClaimAnswer.h
+++ b/Lagoonward/Claims/ClaimAnswer.h
@@ -15,7 +15,7 @@
     Won,         ///< First in the log; the claimant may dispatch.
     Lost,        ///< Another claim holds the key; see `holder`.
     Unavailable, ///< Not settled. The claimant must not dispatch, now or later.
-    Unreachable, ///< The daemon asked did not answer; the claim may be recorded or not.
+    Unreachable, ///< The daemon asked did not answer, or is not ready; another one may be asked.
   };
 
   Verdict verdict = Verdict::Unavailable;
--- a/Lagoonward/Claims/ClaimBatcher.cpp
+++ b/Lagoonward/Claims/ClaimBatcher.cpp
@@ -11,6 +11,7 @@
 
 using Verdict = ClaimAnswer::Verdict;
 
+constexpr int kLeastPageLimit = 16;
 const Log kLog("claims");
 
 ClaimAnswer
@@ -31,6 +32,7 @@
   , log(aLog)
   , clock(aClock)
   , ledger(aSettings.keyLifetime)
+  , pageLimit(aSettings.pageLimit)
   , nextId{ std::string(aIncarnation) + "/" + this->stream, 0 }
   , lastAppend(aClock.Now() - aSettings.flushInterval)
   , backoff(aSettings.backoff, HashBytes(this->nextId.incarnation))
@@ -40,7 +42,7 @@
 void
 ClaimBatcher::Submit(Claim aClaim, TimePoint aDeadline, ClaimCallback aCallback)
 {
-  Pending pending{ std::move(aClaim), aDeadline, std::move(aCallback) };
+  Pending pending{ std::move(aClaim), this->clock.BootNow(), aDeadline, std::move(aCallback) };
   std::unique_lock lock(this->mutex);
   if (const auto refusal = this->RefusalNow()) {
     lock.unlock();
@@ -182,6 +184,36 @@
   }
 }
 
+void
+ClaimBatcher::PassOnWhileCold()
+{
+  if (this->loaded) {
+    return;
+  }
+  const auto patienceEnd = this->clock.BootNow() - this->settings.coldPatience;
+  std::vector<Pending> passedOn;
+  const auto takeFrom = [&](auto& aPendings) {
+    const auto isPatient = [&](const Pending& aPending) {
+      return aPending.submitted > patienceEnd;
+    };
+    const auto first = std::stable_partition(aPendings.begin(), aPendings.end(), isPatient);
+    std::move(first, aPendings.end(), std::back_inserter(passedOn));
+    aPendings.erase(first, aPendings.end());
+  };
+  if (this->batch) {
+    takeFrom(this->batch->claims);
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    takeFrom(this->queue);
+  }
+  for (const Pending& pending : passedOn) {
+    ClaimAnswer answer;
+    answer.verdict = Verdict::Unreachable;
+    pending.callback(answer);
+  }
+}
+
 Result<void>
 ClaimBatcher::Advance()
 {
@@ -261,24 +293,29 @@
 ClaimBatcher::CatchUp()
 {
   Offset end = kNoOffset;
-  do {
-    const auto page = this->log.Read(this->stream, this->ledger.NextOffset(),
-                                     this->settings.pageLimit, Milliseconds(0));
+  while (true) {
+    const auto page =
+      this->log.Read(this->stream, this->ledger.NextOffset(), this->pageLimit, Milliseconds(0));
     {
       const std::lock_guard lock(this->mutex);
       ++this->counters.reads;
     }
+    // A page of very large records may be too long an answer
     if (!page) {
+      this->pageLimit = std::max(kLeastPageLimit, this->pageLimit / 2);
+      this->PassOnWhileCold();
       return page.error();
     }
+    this->pageLimit = std::min(this->settings.pageLimit, this->pageLimit * 2);
 
     // Go no further than what was there at first, or a busy stream would never end
     end = end == kNoOffset ? page.value().end : end;
     this->ApplyPage(page.value());
-    if (page.value().records.empty()) {
+    if (page.value().records.empty() || this->ledger.NextOffset() >= end) {
       break;
     }
-  } while (this->ledger.NextOffset() < end);
+    this->PassOnWhileCold();
+  }
   return boost::outcome_v2::success();
 }
 
--- a/Lagoonward/Claims/ClaimBatcher.h
+++ b/Lagoonward/Claims/ClaimBatcher.h
@@ -12,8 +12,11 @@
 /// daemons may run a batcher for the same shard: it decides nothing, it only reads who was first.
 ///
 /// An append whose answer is lost is settled by reading for its own record, and repeated while that is
-/// not there; a second copy changes nothing. During an outage claims are refused at once. Step() is
-/// called by one thread in a loop; the other functions are safe from any thread.
+/// not there; a second copy changes nothing. During an outage claims are refused at once, and while the
+/// stream is being read for the first time they are passed on as Unreachable, so that the claimant asks
+/// a daemon that has read it.
+///
+/// Step() is called by one thread in a loop; the other functions are safe from any thread.
 class ClaimBatcher
 {
 public:
@@ -59,6 +62,7 @@
   struct Pending
   {
     Claim claim;
+    TimePoint submitted;
     TimePoint deadline;
     ClaimCallback callback;
   };
@@ -74,6 +78,7 @@
 
   [[nodiscard]] bool TakeBatch();
   void ExpireBatch();
+  void PassOnWhileCold();
   [[nodiscard]] Result<void> Advance();
   [[nodiscard]] Result<void> Prepare();
   [[nodiscard]] Result<void> Append();
@@ -95,6 +100,7 @@
   ClaimLedger ledger;
   bool idle = false;   ///< Whether the last round found nothing to do.
   bool loaded = false; ///< Whether the stream was read to its end once.
+  int pageLimit = 0;   ///< Records in the next read.
   RecordId nextId;     ///< Of the next record.
   std::optional<Batch> batch;
   TimePoint lastAppend; ///< When the last new record was first tried.
--- a/UnitTests/Claims/ClaimBatcherTests.cpp
+++ b/UnitTests/Claims/ClaimBatcherTests.cpp
@@ -169,6 +169,27 @@
   BOOST_TEST((ToError(retried->value(), 1).ran == Ran::Unknown));
 }
 
+BOOST_AUTO_TEST_CASE(ColdBatcherPassesClaimsOnWhileItReads)
+{
+  for (int key = 0; key < 3; ++key) {
+    static_cast<void>(this->first.Submit(key));
+    this->Step(this->first);
+  }
+  const auto waiting = this->second.Submit(5);
+  this->clock.Advance(Seconds(1) - Milliseconds(200));
+  this->log.SetUnreadable(true);
+  this->Step(this->second);
+  BOOST_TEST((waiting->value().verdict == Verdict::Unreachable));
+  BOOST_TEST(!waiting->value().maybeRecorded);
+
+  // Once it has read the stream, it keeps them
+  this->log.SetUnreadable(false);
+  this->Step(this->second, 2);
+  const auto known = this->second.Submit(1);
+  this->Step(this->second);
+  BOOST_TEST((known->value().verdict == Verdict::Lost));
+}
+
 BOOST_AUTO_TEST_CASE(PausedBatcherReadsOnAfterAGap)
 {
   static_cast<void>(this->first.Submit(1));
