--- a/Lagoonward/Claims/ClaimAnswer.cpp
+++ b/Lagoonward/Claims/ClaimAnswer.cpp
@@ -5,6 +5,10 @@
 Error
 ToError(const ClaimAnswer& aAnswer, std::uint64_t aBodyHash)
 {
+  if (aAnswer.verdict == ClaimAnswer::Verdict::Expired) {
+    return Error(ErrorKind::OutcomeUnknown,
+                 "the idempotency key is older than keys are remembered; this call was not run");
+  }
   if (aAnswer.verdict != ClaimAnswer::Verdict::Lost) {
     return Error(ErrorKind::ClaimUnavailable,
                  "the request could not be recorded, so it was not run")
--- a/Lagoonward/Claims/ClaimAnswer.h
+++ b/Lagoonward/Claims/ClaimAnswer.h
@@ -15,6 +15,7 @@
     Won,         ///< First in the log; the claimant may dispatch.
     Lost,        ///< Another claim holds the key; see `holder`.
     Unavailable, ///< Not settled. The claimant must not dispatch, now or later.
+    Expired,     ///< The key is older than the lifetime; whether it was used is not known any more.
     Unreachable, ///< The daemon asked did not answer, or is not ready; another one may be asked.
   };
 
--- a/Lagoonward/Claims/ClaimService.cpp
+++ b/Lagoonward/Claims/ClaimService.cpp
@@ -12,6 +12,7 @@
 using Verdict = ClaimAnswer::Verdict;
 
 constexpr std::size_t kBatchersPerShard = 2;
+constexpr Milliseconds kClockMargin{ 60'000 }; ///< By which callers' clocks may differ from ours.
 const Log kLog("claims");
 
 } // namespace
@@ -69,7 +70,8 @@
 }
 
 ClaimTicketPtr
-ClaimService::Claim(const ClaimKey& aKey, std::uint64_t aBodyHash, ClaimCallback aCallback)
+ClaimService::Claim(const ClaimKey& aKey, std::uint64_t aBodyHash, ClaimCallback aCallback,
+                    std::optional<WallTime> aKeyIssued)
 {
   const auto now = this->clock.BootNow();
   const lagoonward::Claim claim{ aKey,
@@ -80,6 +82,13 @@
   journey->callback = std::move(aCallback);
   journey->deadline = now + this->settings.claimTimeout;
   journey->daemons = this->BatchersOf(ShardOf(aKey));
+  const auto oldest = this->clock.WallNow() - this->settings.keyLifetime + kClockMargin;
+  if (aKeyIssued && *aKeyIssued < oldest) {
+    ClaimAnswer expired;
+    expired.verdict = Verdict::Expired;
+    this->Finish(journey, expired);
+    return journey->ticket;
+  }
   this->Ask(journey);
   return journey->ticket;
 }
--- a/Lagoonward/Claims/ClaimService.h
+++ b/Lagoonward/Claims/ClaimService.h
@@ -50,8 +50,11 @@
 
   /// Claims a key. aCallback is called once, from any thread, perhaps before this returns; not at all
   /// after GiveUp().
-  /// @param aBodyHash  of the request's body
-  ClaimTicketPtr Claim(const ClaimKey& aKey, std::uint64_t aBodyHash, ClaimCallback aCallback);
+  /// @param aBodyHash    of the request's body
+  /// @param aKeyIssued   when the caller made its key, if it says so; past the lifetime, less a margin
+  ///                     for clocks, the answer is Expired
+  ClaimTicketPtr Claim(const ClaimKey& aKey, std::uint64_t aBodyHash, ClaimCallback aCallback,
+                       std::optional<WallTime> aKeyIssued = std::nullopt);
 
   /// To be asked right before the first byte is sent.
   /// @return whether to dispatch; if not, nothing runs under this ticket and the caller is told so
--- a/UnitTests/Claims/ClaimServiceTests.cpp
+++ b/UnitTests/Claims/ClaimServiceTests.cpp
@@ -138,4 +138,17 @@
   BOOST_TEST((told == ErrorKind::AlreadyRan));
 }
 
+BOOST_AUTO_TEST_CASE(KeyOlderThanItsLifetimeIsRefusedHonestly)
+{
+  Region region(1);
+  std::optional<ClaimAnswer> answer;
+  const auto ticket = region.services.at("d-0")->Claim(
+    MakeClaimKey("vestland", "county", "old"), 1,
+    [&answer](const ClaimAnswer& aAnswer) { answer = aAnswer; },
+    region.clock.WallNow() - ClaimSettings().keyLifetime);
+  BOOST_TEST_REQUIRE(answer.has_value());
+  BOOST_TEST((ToError(*answer, 1).ran == Ran::Unknown));
+  BOOST_TEST(!region.services.at("d-0")->BeginDispatch(ticket));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
