Measure the takeover of a shard

Cause: a new batcher must read a lifetime of claims before it can settle any. Change: lagoonward-bench claims lets a cold batcher take over a shard at 5% non-idempotent requests.

--- a/Bench/ClaimsBench.cpp
+++ b/Bench/ClaimsBench.cpp
@@ -22,6 +22,7 @@
 
 constexpr int kExitUsage = 2;
 constexpr double kNanosecondsPerMicrosecond = 1e3;
+constexpr double kTakeoverShare = 0.05;
 constexpr std::array kShares{ 0.01, 0.05, 0.1, 0.5, 1.0 };
 const std::string kStream = "claims/bench/0";
 
@@ -78,12 +79,19 @@
            { fmt::format("daemon-{:03}#{:016x}", daemon, daemon * 7919), aSequence } };
 }
 
+/// Claims a second in one shard.
+double
+ShardRate(const Options& aOptions, double aShare)
+{
+  return aOptions.requestsPerSecond * aShare /
+         (aOptions.regions * static_cast<double>(kClaimShards));
+}
+
 /// Runs one shard's batcher with Poisson arrivals for some virtual seconds.
 ShardResult
 RunShard(const Options& aOptions, double aShare)
 {
-  const double rate =
-    aOptions.requestsPerSecond * aShare / (aOptions.regions * static_cast<double>(kClaimShards));
+  const double rate = ShardRate(aOptions, aShare);
   VirtualClock clock;
   VirtualLog log(clock, Milliseconds(aOptions.latencyMs));
   const ClaimSettings settings;
@@ -137,40 +145,57 @@
   return result;
 }
 
-/// What a batcher that takes a shard over has to do, per claim.
+/// What a batcher that takes a shard over has to do.
 struct LedgerResult
 {
+  int records = 0;
+  double keys = 0;
   double bytesPerKey = 0;
-  double loadMicroseconds = 0; ///< Reading, parsing and folding one claim.
+  double loadMicroseconds = 0; ///< Parsing and folding one claim.
+  double takeoverSeconds =
+    0; ///< Reading the stream, in virtual time, and folding it, in real time.
 };
 
+/// Lets a new batcher take over a shard that holds a lifetime's claims at kTakeoverShare, one a record.
 LedgerResult
 MeasureLedger(const Options& aOptions)
 {
-  constexpr int kRecords = 10'000;
-  constexpr int kClaimsPerRecord = 20;
+  const ClaimSettings settings;
+  VirtualClock clock;
+  VirtualLog log(clock, Milliseconds(aOptions.latencyMs));
+  const double lifetime = std::chrono::duration<double>(settings.keyLifetime).count();
+  LedgerResult result;
+  result.records = static_cast<int>(ShardRate(aOptions, kTakeoverShare) * lifetime);
   std::mt19937_64 random(2);
-  std::vector<std::string> records;
-  records.reserve(kRecords);
-  const WallTime now = FromUnixMilliseconds(1'000'000'000);
-  std::uint64_t sequence = 0;
-  for (int index = 0; index < kRecords; ++index) {
-    ClaimRecord record{ { "bench", sequence }, now, {}, {} };
-    for (int claim = 0; claim < kClaimsPerRecord; ++claim) {
-      record.claims.push_back(MakeClaim(random, sequence++, aOptions.daemons));
-    }
-    records.push_back(WriteClaimRecord(record));
+  for (int index = 0; index < result.records; ++index) {
+    const auto sequence = static_cast<std::uint64_t>(index);
+    ClaimRecord record{ { "bench", sequence }, clock.WallNow(), {}, {} };
+    record.claims.push_back(MakeClaim(random, sequence, aOptions.daemons));
+    static_cast<void>(log.Append(kStream, WriteClaimRecord(record)));
   }
+
+  // Memory and processor time of the fold alone
   const auto bytesBefore = mallinfo2().uordblks;
-  const double cpuBefore = ThreadMicroseconds();
-  ClaimLedger ledger(ClaimSettings().keyLifetime);
-  for (const std::string& record : records) {
-    ledger.Apply(ledger.NextOffset(), record);
+  const double foldBefore = ThreadMicroseconds();
+  {
+    ClaimLedger ledger(settings.keyLifetime);
+    for (const std::string& record : log.Records()) {
+      ledger.Apply(ledger.NextOffset(), record);
+    }
+    result.keys = static_cast<double>(ledger.Size());
+    result.loadMicroseconds = (ThreadMicroseconds() - foldBefore) / result.keys;
+    result.bytesPerKey = static_cast<double>(mallinfo2().uordblks - bytesBefore) / result.keys;
   }
-  const auto keys = static_cast<double>(ledger.Size());
-  LedgerResult result;
-  result.loadMicroseconds = (ThreadMicroseconds() - cpuBefore) / keys;
-  result.bytesPerKey = static_cast<double>(mallinfo2().uordblks - bytesBefore) / keys;
+
+  // The whole takeover: the log's latency, and what the daemon does with each page
+  ClaimBatcher batcher(kStream, "successor", settings, log, clock);
+  const TimePoint begin = clock.Now();
+  const double cpuBefore = ThreadMicroseconds();
+  batcher.Submit(MakeClaim(random, 0, aOptions.daemons), clock.BootNow() + std::chrono::hours(1),
+                 [](const ClaimAnswer&) {});
+  static_cast<void>(batcher.Step());
+  const std::chrono::duration<double> waited = clock.Now() - begin;
+  result.takeoverSeconds = waited.count() + (ThreadMicroseconds() - cpuBefore) / 1e6;
   return result;
 }
 
@@ -219,8 +244,11 @@
       result.claimsPerSecond * shards, result.appendsPerSecond * shards, result.claimsPerAppend,
       result.waitP50, result.waitP99, result.bytesPerClaim, result.cpuPerClaim);
   }
-  std::cout << fmt::format("ledger: {:.0f} bytes a key, {:.1f} us to load one\n",
-                           aLedger.bytesPerKey, aLedger.loadMicroseconds);
+  std::cout << fmt::format(
+    "ledger: {:.0f} bytes a key, {:.1f} us to load one; taking over {:.0f} keys "
+    "in {} records: {:.2f} s\n",
+    aLedger.bytesPerKey, aLedger.loadMicroseconds, aLedger.keys, aLedger.records,
+    aLedger.takeoverSeconds);
 }
 
 void
@@ -245,7 +273,9 @@
                                { "log_latency_ms", aOptions.latencyMs },
                                { "runs", runs },
                                { "ledger_bytes_per_key", aLedger.bytesPerKey },
-                               { "ledger_load_us_per_claim", aLedger.loadMicroseconds } };
+                               { "ledger_load_us_per_claim", aLedger.loadMicroseconds },
+                               { "takeover_records", aLedger.records },
+                               { "takeover_seconds", aLedger.takeoverSeconds } };
   std::cout << report.dump(2) << '\n';
 }
 
--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -24,10 +24,8 @@
 };
 
 constexpr std::array kSubcommands{
-  Subcommand{ "claims", &RunClaimsBench },
-  Subcommand{ "control", &RunControlBench },
-  Subcommand{ "decisions", &RunDecisionsBench },
-  Subcommand{ "reclaim", &RunReclaimBench },
+  Subcommand{ "claims", &RunClaimsBench },       Subcommand{ "control", &RunControlBench },
+  Subcommand{ "decisions", &RunDecisionsBench }, Subcommand{ "reclaim", &RunReclaimBench },
   Subcommand{ "route", &RunRouteBench },
 };
 
