--- a/Bench/ControlBench.cpp
+++ b/Bench/ControlBench.cpp
@@ -1,5 +1,6 @@
 #include "Bench/ControlBench.h"
 
+#include "Bench/ClaimCost.h"
 #include "Bench/ControlFleet.h"
 #include "Bench/LinearFit.h"
 #include "Bench/ReadCost.h"
@@ -312,6 +313,19 @@
            { "host_list_1260_cpu_seconds", large.value().cpuSeconds } };
 }
 
+/// What claims of non-idempotent requests cost the daemon that batches their shard.
+nlohmann::json
+MeasureClaimCosts()
+{
+  constexpr std::size_t kClaims = 200'000;
+  constexpr std::size_t kBatch = 32;
+  const ClaimCost cost = MeasureClaims(kClaims, kBatch);
+  return { { "record_bytes", cost.recordBytes },
+           { "heap_bytes", cost.heapBytes },
+           { "write_cpu_seconds", cost.writeCpuSeconds },
+           { "fold_cpu_seconds", cost.foldCpuSeconds } };
+}
+
 ControlBenchSettings
 ReadArguments(std::span<const std::string> aArguments)
 {
@@ -372,6 +386,7 @@
   nlohmann::json document{ { "bench", "control" },
                            { "sizes", nlohmann::json::array() },
                            { "slopes", SlopesToJson(all) },
+                           { "claims", MeasureClaimCosts() },
                            { "reads", MeasureReads() } };
   for (const ControlFigures& figures : all) {
     document["sizes"].push_back(ToJson(figures));
--- a/Bench/ReadCost.cpp
+++ b/Bench/ReadCost.cpp
@@ -1,6 +1,7 @@
 #include "Bench/ReadCost.h"
 
 #include "Bench/SyntheticLoads.h"
+#include "Bench/ThreadTime.h"
 #include "Lagoonward/Core/SystemClock.h"
 #include "Lagoonward/Platform/HttpHostListService.h"
 #include "Lagoonward/Platform/LoadPoller.h"
@@ -9,8 +10,6 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
-#include <ctime>
-
 namespace lagoonward::bench {
 
 namespace {
@@ -58,14 +57,6 @@
   return hosts.dump();
 }
 
-double
-ThreadSeconds()
-{
-  timespec used{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
-  return static_cast<double>(used.tv_sec) + 1e-9 * static_cast<double>(used.tv_nsec);
-}
-
 /// Serves one body on loopback and times reads of it on this thread.
 template<typename Read>
 Result<ReadCost>
--- /dev/null
+++ b/Bench/ThreadTime.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <ctime>
+
+namespace lagoonward::bench {
+
+/// Processor time that the calling thread has used.
+[[nodiscard]] inline double
+ThreadSeconds()
+{
+  timespec used{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+  return static_cast<double>(used.tv_sec) + 1e-9 * static_cast<double>(used.tv_nsec);
+}
+
+} // namespace lagoonward::bench
