--- a/Bench/ControlBench.cpp
+++ b/Bench/ControlBench.cpp
@@ -343,6 +343,15 @@
       settings.sizes = { { 8, 13, 1 } };
     } else if (argument == "--full") {
       settings.sizes = { { 380, 880, 3 } };
+    } else if (argument == "--size" && index + 3 < aArguments.size()) {
+      const auto read = [&] {
+        return static_cast<std::size_t>(std::atoi(std::string(aArguments[++index]).c_str()));
+      };
+      FleetSize size;
+      size.daemons = std::max<std::size_t>(2, read());
+      size.endpoints = read();
+      size.regions = std::max<std::size_t>(1, read());
+      settings.sizes = { size };
     } else if (argument == "--seconds" && index + 1 < aArguments.size()) {
       settings.measured = Seconds(std::atoi(std::string(aArguments[++index]).c_str()));
     } else {
--- a/Bench/ControlBench.h
+++ b/Bench/ControlBench.h
@@ -10,7 +10,8 @@
 /// known everywhere; fits the slopes per daemon and per endpoint.
 ///
 /// Arguments: `--json` prints one JSON document; `--quick` runs one small size; `--full` runs only
-/// 380 daemons before 880 endpoints in 3 regions; `--seconds N` sets the time measured per size.
+/// 380 daemons before 880 endpoints in 3 regions; `--size DAEMONS ENDPOINTS REGIONS` runs only that size, in a process whose memory
+/// no earlier size has touched; `--seconds N` sets the time measured per size.
 /// @return exit code
 [[nodiscard]] int
 RunControlBench(std::span<const std::string> aArguments);
