--- a/Bench/ControlBench.cpp
+++ b/Bench/ControlBench.cpp
@@ -1,5 +1,6 @@
 #include "Bench/ControlBench.h"
 
+#include "Bench/ClaimCost.h"
 #include "Bench/ControlFleet.h"
 #include "Bench/LinearFit.h"
 #include "Bench/ReadCost.h"
@@ -312,6 +313,19 @@
            { "host_list_1260_cpu_seconds", large.value().cpuSeconds } };
 }
 
+/// What claims of non-idempotent requests cost the daemon that batches their shard.
+nlohmann::json
+MeasureClaimCosts()
+{
+  constexpr std::size_t kClaims = 200'000;
+  constexpr std::size_t kBatch = 32;
+  const ClaimCost cost = MeasureClaims(kClaims, kBatch);
+  return { { "record_bytes", cost.recordBytes },
+           { "heap_bytes", cost.heapBytes },
+           { "write_cpu_seconds", cost.writeCpuSeconds },
+           { "fold_cpu_seconds", cost.foldCpuSeconds } };
+}
+
 ControlBenchSettings
 ReadArguments(std::span<const std::string> aArguments)
 {
@@ -329,6 +343,15 @@
       settings.sizes = { { 8, 13, 1 } };
     } else if (argument == "--full") {
       settings.sizes = { { 380, 880, 3 } };
+    } else if (argument == "--size" && index + 3 < aArguments.size()) {
+      const auto read = [&] {
+        return static_cast<std::size_t>(std::atoi(std::string(aArguments[++index]).c_str()));
+      };
+      FleetSize size;
+      size.daemons = std::max<std::size_t>(2, read());
+      size.endpoints = read();
+      size.regions = std::max<std::size_t>(1, read());
+      settings.sizes = { size };
     } else if (argument == "--seconds" && index + 1 < aArguments.size()) {
       settings.measured = Seconds(std::atoi(std::string(aArguments[++index]).c_str()));
     } else {
@@ -372,6 +395,7 @@
   nlohmann::json document{ { "bench", "control" },
                            { "sizes", nlohmann::json::array() },
                            { "slopes", SlopesToJson(all) },
+                           { "claims", MeasureClaimCosts() },
                            { "reads", MeasureReads() } };
   for (const ControlFigures& figures : all) {
     document["sizes"].push_back(ToJson(figures));
