--- a/Bench/Decisions/Random.h
+++ b/Bench/Decisions/Random.h
@@ -29,7 +29,7 @@
   /// Uniform in [aLow, aHigh].
   [[nodiscard]] int Between(int aLow, int aHigh)
   {
-    const auto width = static_cast<std::uint64_t>(aHigh - aLow + 1);
+    const auto width = static_cast<std::uint64_t>(static_cast<std::int64_t>(aHigh) - aLow + 1);
     return aLow + static_cast<int>(this->Next() % width);
   }
 
--- a/Bench/Decisions/Tuning.cpp
+++ b/Bench/Decisions/Tuning.cpp
@@ -28,6 +28,11 @@
     std::string_view name;
     double* value;
   };
+  if (name == "full_scan" || name == "sample") {
+    (name == "sample" ? this->routing.sample : this->routing.fullScan) =
+      static_cast<std::size_t>(value);
+    return true;
+  }
   const Entry entries[] = {
     { "learning_rate", &this->routing.speed.learningRate },
     { "sequences", &this->routing.speed.sequences },
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -103,7 +103,7 @@
   std::size_t fullScan = 32;
 
   /// Endpoints drawn at random for the sample, half of them from the cheapest quarter.
-  std::size_t sample = 16;
+  std::size_t sample = 8;
 
   /// Shortest Retry-After that is given.
   Milliseconds retryAfterFloor{ 200 };
