Set the tuned defaults; let a rank's own misses shed it too

A rank that misses its own targets is now shed earlier as well, at half the weight of misses above it.

--- a/Bench/Decisions/LagoonwardPolicy.cpp
+++ b/Bench/Decisions/LagoonwardPolicy.cpp
@@ -8,7 +8,7 @@
                                    const Clock& aClock, std::uint64_t aSeed, std::size_t aRequests)
   : deployment(aDeployment)
   , objective(aDeployment.manifest.objective)
-  
+
   , running(aRequests)
 {
   if (aTuning.costWeight) {
--- a/Bench/Decisions/LagoonwardPolicy.h
+++ b/Bench/Decisions/LagoonwardPolicy.h
@@ -60,7 +60,7 @@
 
   const Deployment& deployment;
   ManifestObjective objective;
-  
+
   std::vector<Daemon> daemons;
   std::vector<Running> running; ///< By request. After `daemons`, whose admissions the tickets use.
   FleetView view;
--- a/Lagoonward/Admission/Admission.cpp
+++ b/Lagoonward/Admission/Admission.cpp
@@ -173,7 +173,7 @@
   // Shed a growing part, not all at once: reports lag, and a hard limit would swing
   const double from = this->settings.shedFrom + this->settings.shedRankStep * aRank -
                       this->settings.shedFairness * this->OverUse(aClient) -
-                      this->settings.missShift * this->MissesAbove(aRank);
+                      this->settings.missShift * this->MissPart(aRank);
   const double part = std::clamp((this->pressure - from) / this->settings.shedWidth, 0.0, 1.0);
   this->random = CombineHashes(this->random, 1);
   const double draw = std::ldexp(static_cast<double>(this->random >> 11U), -53);
@@ -194,9 +194,10 @@
 }
 
 double
-Admission::MissesAbove(int aRank) const
+Admission::MissPart(int aRank) const
 {
-  double most = 0;
+  // Its own misses count half: shedding some of the rank saves the rest of it
+  double most = this->misses[std::min(static_cast<std::size_t>(aRank), kRanks - 1)] / 2;
   for (auto rank = static_cast<std::size_t>(aRank) + 1; rank < kRanks; ++rank) {
     most = std::max(most, this->misses[rank]);
   }
--- a/Lagoonward/Admission/Admission.h
+++ b/Lagoonward/Admission/Admission.h
@@ -103,7 +103,7 @@
   [[nodiscard]] Result<void> CheckLimits(Client& aClient, const AdmissionRequest& aRequest);
   [[nodiscard]] Result<void> CheckPressure(const Client& aClient, int aRank);
   void OnTargets(int aRank, bool aMet);
-  [[nodiscard]] double MissesAbove(int aRank) const;
+  [[nodiscard]] double MissPart(int aRank) const;
   [[nodiscard]] double OverUse(const Client& aClient) const;
   [[nodiscard]] Milliseconds Bounded(double aSeconds) const;
 
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -57,25 +57,25 @@
   double spread = 0.2;
 
   /// Worth of one missed target of the lowest priority, in engine time.
-  double missEngineSeconds = 6;
+  double missEngineSeconds = 9;
 
   /// What each further target's length of waiting is worth, in missed targets. Without it a request
   /// that is late anyway would queue where the queue is longest.
   double lateness = 1;
 
   /// How much more a missed target of each higher rank of priority is worth.
-  double missRankFactor = 4;
+  double missRankFactor = 6;
 
   /// How far an engine's step base is charged to the request that would be alone there. Zero ignores
   /// how full an engine is; above one, work is packed harder than its price alone would have it.
-  double packing = 1;
+  double packing = 3;
 
   /// How fast that charge falls with the sequences that are there already.
-  double packingPower = 1;
+  double packingPower = 1.7;
 
   /// Part of a prompt's prefill that is expected to be saved later if a prefix that nobody has goes
   /// to its home.
-  double homePull = 2;
+  double homePull = 4;
 
   /// Share of an engine's sequences kept free of the lowest rank.
   double reservedShare = 0.35;
@@ -91,10 +91,10 @@
   double goingDomainPerHour = 120;
 
   /// Worth of a recomputed token in the time of its prefill, where the objective's weight is 0.5.
-  double recomputedTokenWorth = 16;
+  double recomputedTokenWorth = 40;
 
   /// Recent uses of a prefix, over all daemons, that halve the charge for one more copy.
-  double hotUses = 20;
+  double hotUses = 6;
 
   /// A new endpoint's surcharge falls to nothing over this time.
   Seconds slowStart{ 10 };
