Fuzz placement and the decoders; mend two faults of placement that the fuzzer found

Cause: with one failure domain left that had offers, hosts were started there over and over although they raised no survivor count; and an even spread was never raised when more had to survive. Change: placement harness (orders lost, refused, answers lost, new leaders, hosts and domains gone, new versions, prices, weight store); DomainCoverage::Helps() settles both faults; the round's removing half stands in a file of its own. libFuzzer targets for manifests, event streams, log records with peers' offers, and callers' bodies.

--- /dev/null
+++ b/Fuzz/Decoders/ManifestFuzzer.cpp
@@ -0,0 +1,27 @@
+#include "Lagoonward/Configuration/ManifestReader.h"
+#include "Lagoonward/Configuration/ManifestWriter.h"
+
+#include <cstdint>
+#include <cstdlib>
+
+using namespace lagoonward;
+
+/// A manifest, or every fault of it, but never both; what was read is written and read back alike.
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  const std::string_view bytes(reinterpret_cast<const char*>(aData), aSize);
+  const ManifestReading reading = ReadManifest(bytes);
+  if (reading.manifest.has_value() != reading.faults.empty()) {
+    std::abort();
+  }
+  if (!reading.manifest) {
+    return 0;
+  }
+  const std::string written = WriteManifest(*reading.manifest).dump();
+  const ManifestReading again = ReadManifest(written);
+  if (!again.manifest || WriteManifest(*again.manifest).dump() != written) {
+    std::abort();
+  }
+  return 0;
+}
--- a/Fuzz/Stateful/ConfigurationHarness.cpp
+++ b/Fuzz/Stateful/ConfigurationHarness.cpp
@@ -11,8 +11,8 @@
 const Manifest&
 AnyManifest()
 {
-  static const Manifest manifest = testing::SampleManifest("vestland");
-  return manifest;
+  static const Manifest kManifest = testing::SampleManifest("vestland");
+  return kManifest;
 }
 
 } // namespace
--- a/Fuzz/Stateful/Main.cpp
+++ b/Fuzz/Stateful/Main.cpp
@@ -1,6 +1,7 @@
 #include "Fuzz/Stateful/ClaimHarness.h"
 #include "Fuzz/Stateful/ConfigurationHarness.h"
 #include "Fuzz/Stateful/LeaseHarness.h"
+#include "Fuzz/Stateful/PlacementHarness.h"
 #include "Fuzz/Stateful/ReclaimHarness.h"
 
 #include <boost/program_options.hpp>
@@ -31,10 +32,8 @@
 }
 
 constexpr std::array kHarnesses{
-  EntryOf<LeaseHarness>(),
-  EntryOf<ClaimHarness>(),
-  EntryOf<ConfigurationHarness>(),
-  EntryOf<ReclaimHarness>(),
+  EntryOf<LeaseHarness>(),   EntryOf<ClaimHarness>(),     EntryOf<ConfigurationHarness>(),
+  EntryOf<ReclaimHarness>(), EntryOf<PlacementHarness>(),
 };
 
 /// rapidcheck reads its parameters from the environment, once.
--- a/Fuzz/Stateful/ReclaimHarness.cpp
+++ b/Fuzz/Stateful/ReclaimHarness.cpp
@@ -162,7 +162,7 @@
   const ManifestObjective objective{ 0.3, 0.7 };
   const auto targets = this->Targets();
   auto views = this->Leaving();
-  const auto plans = this->planner.PlanMoves(views, targets, objective, this->clock.Now());
+  auto plans = this->planner.PlanMoves(views, targets, objective, this->clock.Now());
   RC_ASSERT(plans.size() == views.size());
 
   // No target gets more than it can run
--- a/Lagoonward/Placement/DomainCoverage.cpp
+++ b/Lagoonward/Placement/DomainCoverage.cpp
@@ -34,13 +34,25 @@
 }
 
 int
-DomainCoverage::Survivors(std::size_t aAllowedDomains) const
+DomainCoverage::Most() const
 {
-  int worst = 0;
+  int most = 0;
   for (const auto& [domain, count] : this->counts) {
-    worst = std::max(worst, count);
+    most = std::max(most, count);
   }
-  return aAllowedDomains <= 1 ? this->Total() : this->Total() - worst;
+  return most;
+}
+
+int
+DomainCoverage::Survivors(std::size_t aAllowedDomains) const
+{
+  return aAllowedDomains <= 1 ? this->Total() : this->Total() - this->Most();
+}
+
+bool
+DomainCoverage::Helps(const std::string& aDomain, std::size_t aAvailable, int aNeeded) const
+{
+  return this->Total() < aNeeded || this->In(aDomain) < this->Most() || aAvailable > 1;
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Placement/PlacementRound.cpp
+++ b/Lagoonward/Placement/PlacementRound.cpp
@@ -8,16 +8,6 @@
 
 namespace lagoonward {
 
-namespace {
-
-bool
-IsBusy(const Endpoint& aEndpoint)
-{
-  return !aEndpoint.load || aEndpoint.load->running + aEndpoint.load->waiting > 0;
-}
-
-} // namespace
-
 Placement::Round::Round(Placement& aPlacement, const PlacementView& aView, TimePoint aNow,
                         WallTime aWallNow)
   : placement(aPlacement)
@@ -177,29 +167,56 @@
   }
 }
 
+bool
+Placement::Round::CanTake(const Candidate& aCandidate, const ManifestModel& aModel) const
+{
+  const Endpoint& endpoint = *aCandidate.endpoint;
+  const bool full = aCandidate.held >= this->placement.settings.modelsPerEndpoint;
+  return !full && !aCandidate.refuses && !this->IsHeld(endpoint, aModel) &&
+         !this->IsOrdered(endpoint.id, aModel) && !this->IsDomainGoing(endpoint.failureDomain);
+}
+
+std::optional<Price>
+Placement::Round::OfferIn(const std::string& aDomain) const
+{
+  if (this->IsDomainGoing(aDomain)) {
+    return std::nullopt;
+  }
+  return this->placement.offers.Choose(this->view.manifest, this->view.fleet.prices, aDomain,
+                                       this->placement.starts, this->now);
+}
+
+std::size_t
+Placement::Round::AvailableDomains(const ManifestModel& aModel) const
+{
+  std::set<std::string> available;
+  for (const std::string& domain : this->view.manifest.failureDomains) {
+    if (this->OfferIn(domain)) {
+      available.insert(domain);
+    }
+  }
+  for (const Candidate& candidate : this->candidates) {
+    if (this->CanTake(candidate, aModel)) {
+      available.insert(candidate.endpoint->failureDomain);
+    }
+  }
+  return available.size();
+}
+
 /// The endpoint to load next: in the domain with fewest, then with the most room, then the cheapest.
 Placement::Round::Candidate*
 Placement::Round::BestCandidate(const ManifestModel& aModel, const DomainCoverage& aCoverage,
                                 int aNeeded)
 {
-  Candidate* best = nullptr;
   const auto rank = [&](const Candidate& aCandidate) {
     return std::tuple(aCoverage.In(aCandidate.endpoint->failureDomain), aCandidate.held,
                       aCandidate.endpoint->pricePerHour, aCandidate.endpoint->id);
   };
-  // One more where most are already does not help after that domain has gone
-  int most = 0;
-  for (const std::string& domain : this->view.manifest.failureDomains) {
-    most = std::max(most, aCoverage.In(domain));
-  }
-  const bool single = this->view.manifest.failureDomains.size() <= 1;
+  const std::size_t available = this->AvailableDomains(aModel);
+  Candidate* best = nullptr;
   for (Candidate& candidate : this->candidates) {
-    const Endpoint& endpoint = *candidate.endpoint;
-    const bool full = candidate.held >= this->placement.settings.modelsPerEndpoint;
-    const bool useless = !single && most > 0 && aCoverage.In(endpoint.failureDomain) >= most &&
-                         aCoverage.Total() >= aNeeded;
-    if (full || useless || candidate.refuses || this->IsHeld(endpoint, aModel) ||
-        this->IsOrdered(endpoint.id, aModel) || this->IsDomainGoing(endpoint.failureDomain)) {
+    const bool helps = aCoverage.Helps(candidate.endpoint->failureDomain, available, aNeeded);
+    if (!helps || !this->CanTake(candidate, aModel)) {
       continue;
     }
     if (best == nullptr || rank(candidate) < rank(*best)) {
@@ -217,31 +234,35 @@
     return;
   }
 
-  // Fewest of the version there, hosts that are coming included; then the price
+  // Hosts that are coming count
+  const int needed = this->Needed(aModel);
+  DomainCoverage expected = aCoverage;
+  for (const std::string& domain : this->view.manifest.failureDomains) {
+    for (int index = 0; index < begun.UnderWayIn(domain); ++index) {
+      expected.Add(domain);
+    }
+  }
+  if (expected.Survivors(this->view.manifest.failureDomains.size()) >= needed) {
+    return;
+  }
+
+  // Fewest of the version there, then the price
   std::optional<Price> best;
   std::pair<int, double> bestRank(std::numeric_limits<int>::max(), 0);
+  const std::size_t available = this->AvailableDomains(aModel);
   for (const std::string& domain : this->view.manifest.failureDomains) {
-    const auto offer = this->placement.offers.Choose(this->view.manifest, this->view.fleet.prices,
-                                                     domain, begun, this->now);
-    if (!offer || this->IsDomainGoing(domain)) {
+    const auto offer = this->OfferIn(domain);
+    if (!offer || !expected.Helps(domain, available, needed)) {
       continue;
     }
-    const std::pair rank(aCoverage.In(domain) + begun.UnderWayIn(domain),
+    const std::pair rank(expected.In(domain),
                          this->placement.offers.RiskPrice(this->view.manifest, *offer));
     if (!best || rank < bestRank) {
       best = offer;
       bestRank = rank;
     }
   }
-  // Hosts that are coming may already be enough
-  DomainCoverage expected = aCoverage;
-  for (const std::string& domain : this->view.manifest.failureDomains) {
-    for (int index = 0; index < begun.UnderWayIn(domain); ++index) {
-      expected.Add(domain);
-    }
-  }
-  const std::size_t domains = this->view.manifest.failureDomains.size();
-  if (!best || expected.Survivors(domains) >= this->Needed(aModel)) {
+  if (!best) {
     return;
   }
 
@@ -316,127 +337,4 @@
   }
 }
 
-bool
-Placement::Round::IsWantedByOthers(const LoadedModel& aLoaded) const
-{
-  return std::any_of(this->view.others.begin(), this->view.others.end(),
-                     [&](const Manifest* aManifest) {
-                       return aManifest->FindModel(aLoaded.name, aLoaded.version) != nullptr;
-                     });
-}
-
-/// Whether every wanted version of that model is loaded on enough endpoints, adapters included.
-bool
-Placement::Round::IsReplaced(const LoadedModel& aLoaded) const
-{
-  const std::size_t domains = this->view.manifest.failureDomains.size();
-  for (const ManifestModel& model : this->view.manifest.models) {
-    if (model.name != aLoaded.name) {
-      continue;
-    }
-    if (this->loadedCoverage.at(&model).Survivors(domains) < this->Needed(model)) {
-      return false;
-    }
-    for (const Candidate& candidate : this->candidates) {
-      const LoadedModel* loaded = FindLoaded(*candidate.endpoint, model.name, model.version);
-      for (const ManifestAdapter& adapter : model.adapters) {
-        for (const std::string& version : adapter.versions) {
-          if (loaded != nullptr && !HasAdapter(*loaded, adapter.name, version)) {
-            return false;
-          }
-        }
-      }
-    }
-  }
-  return true;
-}
-
-void
-Placement::Round::UnloadUnwanted()
-{
-  std::map<std::string, TimePoint> unneeded;
-  for (Candidate& candidate : this->candidates) {
-    const Endpoint& endpoint = *candidate.endpoint;
-    for (const LoadedModel& loaded : endpoint.load->models) {
-      const bool wanted = this->view.manifest.FindModel(loaded.name, loaded.version) != nullptr &&
-                          !loaded.version.empty();
-      if (wanted || this->IsWantedByOthers(loaded) || !this->IsReplaced(loaded)) {
-        continue;
-      }
-      // Streams that run on it may end first
-      const std::string key = endpoint.id + "/" + loaded.name + "@" + loaded.version;
-      const auto known = this->placement.unneededSince.find(key);
-      const TimePoint since =
-        known == this->placement.unneededSince.end() ? this->now : known->second;
-      unneeded[key] = since;
-      const bool drained =
-        !IsBusy(endpoint) || this->now >= since + this->placement.settings.unloadDrain;
-      if (!drained || candidate.loading || candidate.refuses) {
-        continue;
-      }
-      PlacementOrder order;
-      order.kind = PlacementOrder::Kind::Unload;
-      order.endpoint = endpoint.id;
-      order.model = loaded.name;
-      order.version = loaded.version;
-      order.id = this->OrderId(order);
-      order.reason = "the manifest no longer names it and its replacement is loaded";
-      candidate.loading = true;
-      this->placement.outstanding[order.id] = { order, this->now, this->wallNow };
-      this->orders.push_back(std::move(order));
-    }
-  }
-  this->placement.unneededSince = std::move(unneeded);
-}
-
-/// Whether all versions that it serves have enough endpoints without it.
-bool
-Placement::Round::IsSpare(const Endpoint& aEndpoint) const
-{
-  const auto& models = aEndpoint.load->models;
-  const bool shared = std::any_of(models.begin(), models.end(), [&](const LoadedModel& aLoaded) {
-    return this->IsWantedByOthers(aLoaded);
-  });
-  const std::size_t domains = this->view.manifest.failureDomains.size();
-  return !shared && std::all_of(this->view.manifest.models.begin(),
-                                this->view.manifest.models.end(), [&](const ManifestModel& aModel) {
-                                  DomainCoverage coverage = this->loadedCoverage.at(&aModel);
-                                  if (this->IsHeld(aEndpoint, aModel)) {
-                                    coverage.Remove(aEndpoint.failureDomain);
-                                  }
-                                  return coverage.Survivors(domains) >= this->Needed(aModel);
-                                });
-}
-
-/// Stops the dearest idle host that nothing needs, one at a time.
-void
-Placement::Round::StopSpare()
-{
-  std::map<std::string, TimePoint> spare;
-  const Endpoint* dearest = nullptr;
-  for (const Candidate& candidate : this->candidates) {
-    const Endpoint& endpoint = *candidate.endpoint;
-    if (IsBusy(endpoint) || candidate.loading || !this->IsSpare(endpoint)) {
-      continue;
-    }
-    const auto known = this->placement.spareSince.find(endpoint.id);
-    const TimePoint since = known == this->placement.spareSince.end() ? this->now : known->second;
-    spare[endpoint.id] = since;
-    const bool ripe = this->now >= since + this->placement.settings.stopAfter;
-    if (ripe && (dearest == nullptr || endpoint.pricePerHour > dearest->pricePerHour)) {
-      dearest = &endpoint;
-    }
-  }
-  this->placement.spareSince = std::move(spare);
-  if (dearest == nullptr || !this->orders.empty()) {
-    return;
-  }
-  PlacementOrder order;
-  order.kind = PlacementOrder::Kind::StopHost;
-  order.endpoint = dearest->id;
-  order.id = this->OrderId(order);
-  order.reason = "idle, and the manifest is met without it";
-  this->orders.push_back(std::move(order));
-}
-
 } // namespace lagoonward
--- a/Lagoonward/Placement/PlacementRound.h
+++ b/Lagoonward/Placement/PlacementRound.h
@@ -32,6 +32,11 @@
 
   [[nodiscard]] Candidate* BestCandidate(const ManifestModel& aModel,
                                          const DomainCoverage& aCoverage, int aNeeded);
+  [[nodiscard]] bool CanTake(const Candidate& aCandidate, const ManifestModel& aModel) const;
+  [[nodiscard]] std::optional<Price> OfferIn(const std::string& aDomain) const;
+
+  /// Failure domains in which the version can be added now, to an endpoint or on a new host.
+  [[nodiscard]] std::size_t AvailableDomains(const ManifestModel& aModel) const;
   void StartHostFor(const ManifestModel& aModel, const DomainCoverage& aCoverage);
   bool OrderLoad(Candidate& aCandidate, PlacementOrder aOrder);
 
--- a/UnitTests/Placement/PlacementTests.cpp
+++ b/UnitTests/Placement/PlacementTests.cpp
@@ -264,4 +264,28 @@
   }
 }
 
+// Found by the stateful fuzzer: hosts were started over and over in the one domain that had offers.
+BOOST_AUTO_TEST_CASE(OneDomainThatCanBeHadIsNotFilledInVain)
+{
+  Settle(12);
+  std::erase_if(this->fleet.prices,
+                [](const Price& aPrice) { return aPrice.failureDomain != "fana"; });
+  std::erase_if(this->fleet.endpoints,
+                [](const Endpoint& aEndpoint) { return aEndpoint.failureDomain != "fana"; });
+  Settle(60);
+  BOOST_TEST(this->fleet.endpoints.size() == 2U);
+}
+
+// Found by the stateful fuzzer: evenly spread endpoints were never raised further.
+BOOST_AUTO_TEST_CASE(EvenSpreadIsRaisedWhenMoreMustSurvive)
+{
+  Settle(12);
+  this->manifest.models[0].minEndpoints = 3;
+  Settle(30);
+  for (const std::string& domain : this->manifest.failureDomains) {
+    BOOST_TEST(Holders("1", domain) >= 3);
+  }
+  BOOST_TEST(this->fleet.endpoints.size() == 5U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
