--- a/StandIns/Engine/EngineCore.cpp
+++ b/StandIns/Engine/EngineCore.cpp
@@ -19,23 +19,6 @@
 /// How often streams that nobody reads are looked for.
 constexpr std::chrono::milliseconds kReapRound{ 500 };
 
-bool
-IsMoreUrgent(const std::shared_ptr<EngineStream>& aFirst,
-             const std::shared_ptr<EngineStream>& aSecond)
-{
-  if (aFirst->request.priority != aSecond->request.priority) {
-    return aFirst->request.priority > aSecond->request.priority;
-  }
-  return aFirst->arrival < aSecond->arrival;
-}
-
-template<typename Item>
-void
-EraseValue(std::vector<Item>& aItems, const Item& aItem)
-{
-  aItems.erase(std::remove(aItems.begin(), aItems.end(), aItem), aItems.end());
-}
-
 /// The key of the answer's tokens. Resume tokens of another answer lead the engine astray, as they
 /// would a model.
 std::uint64_t
@@ -317,81 +300,6 @@
   this->changed.wait_until(aLock, aEnd, [this] { return this->stopping; });
 }
 
-void
-EngineCore::Enqueue(const StreamPointer& aStream)
-{
-  aStream->state = EngineStream::State::Waiting;
-  const auto place =
-    std::upper_bound(this->waiting.begin(), this->waiting.end(), aStream, &IsMoreUrgent);
-  this->waiting.insert(place, aStream);
-}
-
-void
-EngineCore::Admit()
-{
-  while (!this->waiting.empty()) {
-    const auto next = this->waiting.front();
-    if (static_cast<int>(this->running.size()) >= this->settings.maxBatch) {
-      const auto victim = this->LeastUrgentRunning();
-      if (victim->request.priority >= next->request.priority) {
-        return;
-      }
-      this->Preempt(victim);
-    }
-    EraseValue(this->waiting, next);
-    this->Begin(next);
-  }
-}
-
-void
-EngineCore::Begin(const StreamPointer& aStream)
-{
-  aStream->state = EngineStream::State::Running;
-  this->running.push_back(aStream);
-  // What the cache holds need not be read again
-  const auto blocks = std::span<const std::uint64_t>(aStream->chain).subspan(1);
-  const auto matched = this->cache.Match(blocks);
-  aStream->pinnedBlocks = 0;
-  while (aStream->pinnedBlocks < matched && this->cache.Pin(blocks[aStream->pinnedBlocks])) {
-    ++aStream->pinnedBlocks;
-  }
-  const auto held = static_cast<std::int64_t>(aStream->pinnedBlocks * kBlockTokens);
-  this->counters.prefillCached += held;
-  aStream->prefillLeft = std::max<std::int64_t>(1, aStream->position - held);
-}
-
-EngineCore::StreamPointer
-EngineCore::LeastUrgentRunning() const
-{
-  return *std::max_element(this->running.begin(), this->running.end(), &IsMoreUrgent);
-}
-
-void
-EngineCore::Preempt(const StreamPointer& aStream)
-{
-  ++this->counters.preempted;
-  EraseValue(this->running, aStream);
-  this->ReleaseBlocks(*aStream);
-  this->Enqueue(aStream);
-}
-
-std::vector<EngineCore::PrefillShare>
-EngineCore::PlanPrefill() const
-{
-  auto order = this->running;
-  std::sort(order.begin(), order.end(), &IsMoreUrgent);
-  std::vector<PrefillShare> shares;
-  auto budget = this->settings.prefillChunk;
-  for (const auto& stream : order) {
-    const auto words = std::min(budget, stream->prefillLeft);
-    if (words > 0) {
-      shares.push_back({ stream, words });
-      budget -= words;
-    }
-  }
-  return shares;
-}
-
 void
 EngineCore::ReadPrompt(const PrefillShare& aShare)
 {
@@ -476,13 +384,6 @@
   this->SendLast(*aStream);
 }
 
-void
-EngineCore::Leave(const StreamPointer& aStream)
-{
-  EraseValue(this->waiting, aStream);
-  EraseValue(this->running, aStream);
-}
-
 void
 EngineCore::Reap()
 {
