Refuse tokens that name another attempt; share the host list; be ready only when markets are known

Change: any event that names another attempt ends the stream as foreign; PlatformWatcher reads the list each second only where the membership names this daemon a reader; readiness waits for the index; the own entry is recognized by its address. EngineStream has tests against a scripted engine. Conclusion: a crossed stream can no longer reach a caller token by token.

--- a/Lagoonward/Attempts/EngineStream.cpp
+++ b/Lagoonward/Attempts/EngineStream.cpp
@@ -146,6 +146,12 @@
     this->FailWith(AttemptFailure::Malformed, "an event is not a JSON object");
     return;
   }
+  // Whatever names another attempt is not this answer's; late and crossed answers show here
+  const bool namesAttempt = event.contains("attempt_id");
+  if (namesAttempt && StringField(event, "attempt_id") != this->attempt.attemptId) {
+    this->FailWith(AttemptFailure::Foreign, "an event names another attempt");
+    return;
+  }
   // A token
   if (event.contains("index")) {
     const bool inOrder =
@@ -158,9 +164,9 @@
     this->answer.Append(text->get_ref<const std::string&>());
     return;
   }
-  // First and last event name the attempt; late and crossed answers show here
-  if (StringField(event, "attempt_id") != this->attempt.attemptId) {
-    this->FailWith(AttemptFailure::Foreign, "an event names another attempt");
+  // The first and the last event must name it
+  if (!namesAttempt) {
+    this->FailWith(AttemptFailure::Foreign, "an event names no attempt");
     return;
   }
   if (StringField(event, "model") != this->call.model ||
--- a/Lagoonward/Configuration/MarketIndex.cpp
+++ b/Lagoonward/Configuration/MarketIndex.cpp
@@ -90,6 +90,7 @@
   }
   // Names that lapsed unread come again when they are written forward
   this->next = std::max(this->next, page.value().start);
+  this->hasRead = true;
   this->Refresh();
   return true;
 }
--- a/Lagoonward/Configuration/MarketIndex.h
+++ b/Lagoonward/Configuration/MarketIndex.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Core/Service.h"
 #include "Lagoonward/Platform/PlatformInterfaces.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -59,6 +60,9 @@
   [[nodiscard]] Result<void> Start() override;
   void Stop() override;
 
+  /// Whether the index has been read at least once. Any thread.
+  [[nodiscard]] bool HasRead() const { return this->hasRead; }
+
   /// One round: reads what is new and writes forward what is due. For the thread, and for tests.
   /// @return whether the log answered
   bool Step();
@@ -73,6 +77,7 @@
   const Clock& clock;
   Offset next = 0;                                    ///< First record not yet read.
   std::map<std::string, TimePoint, std::less<>> seen; ///< When each name was last read.
+  std::atomic<bool> hasRead{ false };
   std::mutex sleepMutex;
   std::condition_variable_any sleeping;
   std::jthread thread;
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -167,11 +167,11 @@
   indexHooks.refreshRank = [this](const std::string& aMarket) {
     return RankAmong(this->LiveDaemons(), this->settings.hostId, aMarket);
   };
-  this->kernel.Add(std::make_unique<MarketIndexReader>(MarketIndexSettings{}, std::move(indexHooks),
-                                                       this->indexLog, this->clock));
-  this->platform = &this->kernel.Add(
-    std::make_unique<PlatformWatcher>(PlatformWatcherSettings{}, this->settings.hostListUrl,
-                                      this->settings.cloudUrl, this->MakePlatformNews()));
+  this->index = &this->kernel.Add(std::make_unique<MarketIndexReader>(
+    MarketIndexSettings{}, std::move(indexHooks), this->indexLog, this->clock));
+  this->platform = &this->kernel.Add(std::make_unique<PlatformWatcher>(
+    PlatformWatcherSettings{}, this->clock, this->settings.hostListUrl, this->settings.cloudUrl,
+    this->MakePlatformNews()));
 }
 
 void
@@ -241,6 +241,10 @@
   if (!this->platform->HasHosts()) {
     return Error(ErrorKind::PlatformUnavailable, "The host list has not been read yet.");
   }
+  // Peers may have told what is in force while the log is away
+  if (!this->index->HasRead() && this->markets.InForce().empty()) {
+    return Error(ErrorKind::NoConfiguration, "The index of markets has not been read yet.");
+  }
   for (const MarketStatus& market : this->follower->Status()) {
     const bool isEmpty = market.logReachable && market.certain;
     if (market.offset == kNoOffset && !isEmpty) {
@@ -256,6 +260,11 @@
 {
   PlatformNews news;
   news.onHosts = [this](std::vector<HostEntry> aHosts) {
+    // This daemon's own entry may have another id when --host-id was not given
+    std::erase_if(aHosts, [this](const HostEntry& aHost) {
+      return aHost.kind == HostEntry::Kind::Daemon && aHost.id != this->settings.hostId &&
+             aHost.address == this->settings.peer.address && aHost.port == this->settings.peer.port;
+    });
     this->control->OnHosts(std::move(aHosts));
   };
   news.onPrices = [this](std::vector<Price> aPrices) {
@@ -264,6 +273,7 @@
   news.onNotices = [this](const std::vector<ReclaimNotice>& aNotices) {
     this->control->OnNotices(aNotices);
   };
+  news.readsHostList = [this] { return this->membership->ReadsHostList(); };
   return news;
 }
 
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -75,6 +75,7 @@
   ControlPlane* control = nullptr;
   ConfigurationFollower* follower = nullptr;
   PlatformWatcher* platform = nullptr;
+  MarketIndexReader* index = nullptr;
   RunService* runs = nullptr;
   AdminApi* admin = nullptr;
 };
--- a/Lagoonward/Daemon/PlatformWatcher.cpp
+++ b/Lagoonward/Daemon/PlatformWatcher.cpp
@@ -12,10 +12,11 @@
 
 } // namespace
 
-PlatformWatcher::PlatformWatcher(const PlatformWatcherSettings& aSettings,
+PlatformWatcher::PlatformWatcher(const PlatformWatcherSettings& aSettings, const Clock& aClock,
                                  const std::string& aHostListUrl, const std::string& aCloudUrl,
                                  PlatformNews aNews)
   : settings(aSettings)
+  , clock(aClock)
   , hostList(aHostListUrl, aSettings.platform)
   , cloud(aCloudUrl, aSettings.platform)
   , news(std::move(aNews))
@@ -83,6 +84,14 @@
 bool
 PlatformWatcher::ReadHosts()
 {
+  // A few daemons read the list for their region and share it; the others look now and then
+  const TimePoint now = this->clock.Now();
+  const bool isDue = !this->hasHosts || this->news.readsHostList() ||
+                     now - this->listRead >= this->settings.sharedListInterval;
+  if (!isDue) {
+    return true;
+  }
+  this->listRead = now;
   auto hosts = this->hostList.Hosts();
   if (!hosts) {
     return false;
--- a/Lagoonward/Daemon/PlatformWatcher.h
+++ b/Lagoonward/Daemon/PlatformWatcher.h
@@ -18,7 +18,8 @@
 /// How often the platform is asked.
 struct PlatformWatcherSettings
 {
-  Milliseconds hostListInterval{ 1000 };
+  Milliseconds hostListInterval{ 1000 };     ///< For the daemons that read it for their region.
+  Milliseconds sharedListInterval{ 60'000 }; ///< For the others, in case the sharing fails.
   Milliseconds priceInterval{ 10'000 };
   Milliseconds noticeWait{ 5000 }; ///< Longest wait of one long poll for notices.
   Milliseconds retryPause{ 500 };  ///< After a failure; doubles up to retryPauseLimit.
@@ -26,12 +27,13 @@
   PlatformSettings platform;
 };
 
-/// Told of news from the platform; called on the watcher's threads.
+/// Told of news from the platform, and asked; called on the watcher's threads.
 struct PlatformNews
 {
   std::function<void(std::vector<HostEntry>)> onHosts;
   std::function<void(std::vector<Price>)> onPrices;
   std::function<void(const std::vector<ReclaimNotice>&)> onNotices;
+  std::function<bool()> readsHostList; ///< Whether this daemon reads the list for its region.
 };
 
 /// Reads the host list, the prices and the reclaim notices, each on a thread of its own, as their
@@ -41,8 +43,9 @@
 public:
   static constexpr std::string_view kName = "platform";
 
-  PlatformWatcher(const PlatformWatcherSettings& aSettings, const std::string& aHostListUrl,
-                  const std::string& aCloudUrl, PlatformNews aNews);
+  PlatformWatcher(const PlatformWatcherSettings& aSettings, const Clock& aClock,
+                  const std::string& aHostListUrl, const std::string& aCloudUrl,
+                  PlatformNews aNews);
   ~PlatformWatcher() override;
 
   [[nodiscard]] std::string_view Name() const override;
@@ -61,11 +64,13 @@
   [[nodiscard]] bool ReadNotices();
 
   PlatformWatcherSettings settings;
+  const Clock& clock;
   HttpHostListService hostList;
   HttpCloudService cloud;
   PlatformNews news;
   Offset nextNotice = 0; ///< Notices thread only.
   std::atomic<bool> hasHosts{ false };
+  TimePoint listRead; ///< When the list was last read. Host list thread only.
   std::mutex sleepMutex;
   std::condition_variable_any sleeping;
   std::vector<std::jthread> threads;
--- /dev/null
+++ b/UnitTests/Attempts/EngineStreamTests.cpp
@@ -0,0 +1,125 @@
+#include "Lagoonward/Attempts/EngineStream.h"
+#include "Lagoonward/Core/SystemClock.h"
+#include "Lagoonward/Wire/HttpServer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <future>
+#include <optional>
+
+using namespace lagoonward;
+
+namespace {
+
+/// How an attempt ended.
+struct Ending
+{
+  bool whole = false;
+  AttemptFailure failure = AttemptFailure::Broken;
+};
+
+/// Waits for the end of one attempt.
+class Waiter final : public EngineStreamListener
+{
+public:
+  void OnStreamOpened(const std::string&) override {}
+  void OnStreamProgress(std::size_t) override {}
+  void OnStreamFinished(const std::string&) override { this->end.set_value({ true, {} }); }
+  void OnStreamFailed(AttemptFailure aFailure, const std::string&) override
+  {
+    this->end.set_value({ false, aFailure });
+  }
+
+  std::promise<Ending> end;
+};
+
+constexpr std::string_view kFirst =
+  R"({"attempt_id":"a","stream_id":"s","model":"m","version":"1"})";
+constexpr std::string_view kLast =
+  R"({"attempt_id":"a","model":"m","version":"1","finish_reason":"stop","token_count":2})";
+
+struct Fixture
+{
+  /// Runs one attempt against an engine that answers with these events.
+  Ending Run(std::vector<std::string_view> aEvents, int aStatus = 200)
+  {
+    HttpServer engine({}, [&](const HttpRequest&, const HttpExchangePtr& aExchange) {
+      std::string body;
+      for (const std::string_view event : aEvents) {
+        body += fmt::format("data: {}\n\n", event);
+      }
+      aExchange->Respond(aStatus, {}, body);
+    });
+    BOOST_REQUIRE(engine.Start().has_value());
+    Waiter waiter;
+    EngineAttempt attempt;
+    attempt.attemptId = "a";
+    attempt.baseUrl = fmt::format("http://127.0.0.1:{}", engine.Port());
+    std::optional<EngineStream> stream;
+    TrafficLoop loop(this->clock, {});
+    loop.Start();
+    loop.Post([&] {
+      stream.emplace(loop, this->call, attempt, this->answer, 4096, waiter);
+      stream->Start();
+    });
+    const Ending ending = waiter.end.get_future().get();
+    loop.Stop();
+    return ending;
+  }
+
+  SystemClock clock;
+  EngineCall call{ .requestId = "r", .model = "m", .version = "1", .prompt = "p", .maxTokens = 9 };
+  Answer answer{ "r", "m", 0 };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(EngineStreamTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(WholeAnswerIsTaken)
+{
+  const Ending ending =
+    this->Run({ kFirst, R"({"index":0,"text":"x"})", R"({"index":1,"text":"y"})", kLast });
+  BOOST_TEST(ending.whole);
+  BOOST_TEST(this->answer.Text() == "xy");
+}
+
+BOOST_AUTO_TEST_CASE(TokenThatNamesAnotherAttemptIsNotRelayed)
+{
+  const Ending ending = this->Run(
+    { kFirst, R"({"index":0,"text":"x"})", R"({"attempt_id":"b","index":1,"text":"z"})", kLast });
+  BOOST_TEST((ending.failure == AttemptFailure::Foreign));
+  BOOST_TEST(this->answer.Text() == "x");
+}
+
+BOOST_AUTO_TEST_CASE(ForeignFirstAndLastEventsAreRefused)
+{
+  BOOST_TEST(
+    (this->Run({ R"({"attempt_id":"b","stream_id":"s","model":"m","version":"1"})" }).failure ==
+     AttemptFailure::Foreign));
+  BOOST_TEST(
+    (this->Run({ R"({"attempt_id":"a","stream_id":"s","model":"m","version":"2"})" }).failure ==
+     AttemptFailure::Foreign));
+  BOOST_TEST((this->Run({ kFirst, R"({"stream_id":"s","model":"m","version":"1"})" }).failure ==
+              AttemptFailure::Foreign));
+}
+
+BOOST_AUTO_TEST_CASE(SkippedRepeatedAndMiscountedTokensAreRefused)
+{
+  BOOST_TEST(
+    (this->Run({ kFirst, R"({"index":1,"text":"y"})" }).failure == AttemptFailure::Malformed));
+  BOOST_TEST((this->Run({ kFirst, R"({"index":0,"text":"x"})", kLast }).failure ==
+              AttemptFailure::Malformed));
+  BOOST_TEST(
+    (this->Run({ kFirst, R"({"index":0,"text":"x"})" }).failure == AttemptFailure::Malformed));
+}
+
+BOOST_AUTO_TEST_CASE(CutStreamAndRefusalAreToldApart)
+{
+  BOOST_TEST((this->Run({ kFirst }).failure == AttemptFailure::Broken));
+  BOOST_TEST((this->Run({}, 503).failure == AttemptFailure::Rejected));
+  BOOST_TEST((this->Run({}, 500).failure == AttemptFailure::Broken));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
