--- a/Lagoonward/Daemon/PlatformWatcher.cpp
+++ b/Lagoonward/Daemon/PlatformWatcher.cpp
@@ -20,6 +20,7 @@
   , hostList(aHostListUrl, aSettings.platform)
   , cloud(aCloudUrl, aSettings.platform)
   , news(std::move(aNews))
+  , hostListPace(aSettings.hostList)
 {
 }
 
@@ -42,7 +43,7 @@
       this->Repeat(aStop, aWhat, aInterval, aStep);
     });
   };
-  launch("host list", this->settings.hostListInterval, [this] { return this->ReadHosts(); });
+  launch("host list", this->settings.hostList.interval, [this] { return this->ReadHosts(); });
   launch("prices", this->settings.priceInterval, [this] { return this->ReadPrices(); });
   launch("notices", Milliseconds(0), [this] { return this->ReadNotices(); });
   return boost::outcome_v2::success();
@@ -84,18 +85,14 @@
 bool
 PlatformWatcher::ReadHosts()
 {
-  // A few daemons read the list for their region and share it; the others look now and then
-  const TimePoint now = this->clock.Now();
-  const bool isDue = !this->hasHosts || this->news.readsHostList() ||
-                     now - this->listRead >= this->settings.sharedListInterval;
-  if (!isDue) {
+  if (!this->hostListPace.IsDue(this->clock.Now(), this->news.readsHostList())) {
     return true;
   }
-  this->listRead = now;
   auto hosts = this->hostList.Hosts();
   if (!hosts) {
     return false;
   }
+  this->hostListPace.OnRead(this->clock.Now(), hosts.value().size());
   this->news.onHosts(std::move(hosts.value()));
   this->hasHosts = true;
   return true;
--- a/Lagoonward/Daemon/PlatformWatcher.h
+++ b/Lagoonward/Daemon/PlatformWatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Service.h"
+#include "Lagoonward/Membership/HostListPace.h"
 #include "Lagoonward/Platform/HttpCloudService.h"
 #include "Lagoonward/Platform/HttpHostListService.h"
 
@@ -18,8 +19,7 @@
 /// How often the platform is asked.
 struct PlatformWatcherSettings
 {
-  Milliseconds hostListInterval{ 1000 };     ///< For the daemons that read it for their region.
-  Milliseconds sharedListInterval{ 60'000 }; ///< For the others, in case the sharing fails.
+  HostListSettings hostList;
   Milliseconds priceInterval{ 10'000 };
   Milliseconds noticeWait{ 5000 }; ///< Longest wait of one long poll for notices.
   Milliseconds retryPause{ 500 };  ///< After a failure; doubles up to retryPauseLimit.
@@ -27,13 +27,13 @@
   PlatformSettings platform;
 };
 
-/// Told of news from the platform, and asked; called on the watcher's threads.
+/// Told of news from the platform; called on the watcher's threads.
 struct PlatformNews
 {
+  std::function<bool()> readsHostList; ///< Whether this daemon reads it for its region.
   std::function<void(std::vector<HostEntry>)> onHosts;
   std::function<void(std::vector<Price>)> onPrices;
   std::function<void(const std::vector<ReclaimNotice>&)> onNotices;
-  std::function<bool()> readsHostList; ///< Whether this daemon reads the list for its region.
 };
 
 /// Reads the host list, the prices and the reclaim notices, each on a thread of its own, as their
@@ -68,9 +68,9 @@
   HttpHostListService hostList;
   HttpCloudService cloud;
   PlatformNews news;
-  Offset nextNotice = 0; ///< Notices thread only.
+  Offset nextNotice = 0;     ///< Notices thread only.
+  HostListPace hostListPace; ///< Host list thread only.
   std::atomic<bool> hasHosts{ false };
-  TimePoint listRead; ///< When the list was last read. Host list thread only.
   std::mutex sleepMutex;
   std::condition_variable_any sleeping;
   std::vector<std::jthread> threads;
