Widen the uncertainty of predictions with the number of daemons

With 19 daemons most dispatches since a report are not seen, and a prediction that is trusted too far sends many daemons to one engine. The width of the miss curve now grows with the daemons that share the traffic, up to twice; for the eight of today it stays at 0.2.

--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -109,6 +109,8 @@
 
   // The cheapest of those that finish by the deadline
   const double left = ToSeconds(aRequest.deadline - scene.now);
+  RoutingSettings rules = this->settings;
+  rules.spread = this->Spread();
   RouteChoice choice;
   double best = 0;
   double soonest = 0;
@@ -119,8 +121,8 @@
       continue;
     }
     const EndpointOutlook outlook = this->OutlookOf(target, scene);
-    const RouteScore score = ScoreEndpoint(outlook, aRequest, scene.rank,
-                                           this->table->MeanPricePerSecond(), this->settings);
+    const RouteScore score =
+      ScoreEndpoint(outlook, aRequest, scene.rank, this->table->MeanPricePerSecond(), rules);
     soonest = eligible == 0 ? score.finishSeconds : std::min(soonest, score.finishSeconds);
     ++eligible;
     const double total = score.cost.Total();
@@ -242,6 +244,13 @@
   return missed > 0 ? 1 + (this->liveDaemons - 1) * missed / (missed + prior) : 1;
 }
 
+double
+Router::Spread() const
+{
+  const double wider = 1 + this->settings.peerSpread * (this->liveDaemons - 1);
+  return this->settings.spread * std::min(wider, 2.0);
+}
+
 double
 Router::SequencesAt(std::uint32_t aTarget, double aPeerFactor) const
 {
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -122,6 +122,9 @@
   [[nodiscard]] EndpointActivity* FindActivity(std::uint64_t aKey);
   [[nodiscard]] std::uint64_t NextRandom();
 
+  /// `spread` for the daemons that live now.
+  [[nodiscard]] double Spread() const;
+
   RoutingSettings settings;
   const Clock& clock;
   mutable std::mutex mutex; ///< Guards all below.
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -54,7 +54,10 @@
   double networkSeconds = 0.003;
 
   /// Relative uncertainty of a prediction: the width of the curve from "met" to "missed".
-  double spread = 0.2;
+  double spread = 0.157;
+
+  /// How much wider that is for each further daemon, whose dispatches are not seen, up to twice.
+  double peerSpread = 0.04;
 
   /// Worth of one missed target of the lowest priority, in engine time.
   double missEngineSeconds = 9;
