--- a/Fuzz/Stateful/Harness.h
+++ b/Fuzz/Stateful/Harness.h
@@ -63,13 +63,28 @@
   }
 }
 
+/// The kinds of operations, each as often as `Harness::kWeights` says; once each without weights.
+template<StatefulHarness Harness>
+std::vector<int>
+WeightedKinds()
+{
+  std::vector<int> kinds;
+  for (int kind = 0; kind < static_cast<int>(std::size(Harness::kOperations)); ++kind) {
+    int weight = 1;
+    if constexpr (requires { Harness::kWeights; }) {
+      weight = Harness::kWeights[static_cast<std::size_t>(kind)];
+    }
+    kinds.insert(kinds.end(), static_cast<std::size_t>(weight), kind);
+  }
+  return kinds;
+}
+
 template<StatefulHarness Harness>
 rc::Gen<Sequence<Harness>>
 AnySequence()
 {
   const auto operation = rc::gen::build<Operation>(
-    rc::gen::set(&Operation::kind,
-                 rc::gen::inRange(0, static_cast<int>(std::size(Harness::kOperations)))),
+    rc::gen::set(&Operation::kind, rc::gen::elementOf(WeightedKinds<Harness>())),
     rc::gen::set(&Operation::actor, rc::gen::inRange(0, kActors)),
     rc::gen::set(&Operation::argument, rc::gen::inRange(0, kLargestArgument + 1)));
   return rc::gen::map(
--- a/Fuzz/Stateful/LeaseHarness.cpp
+++ b/Fuzz/Stateful/LeaseHarness.cpp
@@ -1,5 +1,7 @@
 #include "Fuzz/Stateful/LeaseHarness.h"
 
+#include <algorithm>
+
 namespace lagoonward::fuzz {
 
 namespace {
@@ -46,6 +48,63 @@
   }
 }
 
+void
+LeaseHarness::Step(Daemon& aDaemon)
+{
+  this->Read(aDaemon);
+  this->Append(aDaemon);
+  this->Read(aDaemon);
+}
+
+LeaseHarness::Daemon*
+LeaseHarness::Holder()
+{
+  const auto found = std::find_if(this->daemons.begin(), this->daemons.end(),
+                                  [](const Daemon& aDaemon) { return aDaemon.keeper->Holds(); });
+  return found == this->daemons.end() ? nullptr : &*found;
+}
+
+/// A daemon that has led and has seen no successor, its lease lapsed or not.
+const LeaseHarness::Daemon*
+LeaseHarness::LastHolder() const
+{
+  const auto found =
+    std::find_if(this->daemons.begin(), this->daemons.end(), [](const Daemon& aDaemon) {
+      return aDaemon.keeper->Authorize(OrderKind::Load, true).has_value();
+    });
+  return found == this->daemons.end() ? nullptr : &*found;
+}
+
+/// The last moment of the lease, where orders are about to be late.
+void
+LeaseHarness::PassToLeaseEnd()
+{
+  const Daemon* holder = this->Holder();
+  if (holder == nullptr) {
+    return;
+  }
+  const auto grant = holder->keeper->Authorize(OrderKind::Load, false);
+  const auto left = grant.value().sendBy - this->clock.BootNow() - Milliseconds(1);
+  if (left > Milliseconds::zero()) {
+    this->Pass(std::chrono::duration_cast<Milliseconds>(left), false);
+  }
+}
+
+/// Orders may overtake each other.
+void
+LeaseHarness::ArriveNewest()
+{
+  Daemon* newest = nullptr;
+  for (Daemon& daemon : this->daemons) {
+    const bool later =
+      daemon.order && (newest == nullptr || daemon.order->sentAt > newest->order->sentAt);
+    newest = later ? &daemon : newest;
+  }
+  if (newest != nullptr) {
+    this->Arrive(*newest);
+  }
+}
+
 void
 LeaseHarness::Look(Daemon& aDaemon, int aArgument)
 {
@@ -117,9 +176,7 @@
   Daemon& daemon = this->daemons[aOperation.actor];
   switch (aOperation.kind) {
     case 0:
-      this->Read(daemon);
-      this->Append(daemon);
-      this->Read(daemon);
+      this->Step(daemon);
       break;
     case 1:
       this->Read(daemon);
@@ -133,10 +190,10 @@
       this->log.DeliverLate();
       break;
     case 4:
-      this->Pass(Milliseconds(250 * aOperation.argument), false);
+      this->Pass(Milliseconds(4 * aOperation.argument * aOperation.argument), false);
       break;
     case 5:
-      this->Pass(Milliseconds(500 * aOperation.argument), true);
+      this->Pass(Milliseconds(8 * aOperation.argument * aOperation.argument), true);
       break;
     case 6:
       this->Restart(aOperation.actor);
@@ -156,6 +213,27 @@
     case 10:
       this->Arrive(daemon);
       break;
+    case 11: {
+      // With an odd argument the holder is paused meanwhile
+      const Daemon* paused = aOperation.argument % 2 == 0 ? nullptr : this->LastHolder();
+      for (Daemon& each : this->daemons) {
+        if (&each != paused) {
+          this->Step(each);
+        }
+      }
+      break;
+    }
+    case 12:
+      this->PassToLeaseEnd();
+      break;
+    case 13:
+      if (Daemon* holder = this->Holder()) {
+        this->Look(*holder, aOperation.argument);
+      }
+      break;
+    case 14:
+      this->ArriveNewest();
+      break;
     default:
       daemon.keeper->Resign();
       break;
--- a/Fuzz/Stateful/LeaseHarness.h
+++ b/Fuzz/Stateful/LeaseHarness.h
@@ -18,12 +18,28 @@
 {
 public:
   static constexpr std::string_view kName = "lease, pause and fencing";
-  static constexpr std::array<std::string_view, 12> kOperations{
-    "step",         "read",           "append, faulty", "deliver late appends",
-    "advance time", "suspend",        "restart",        "log down or up",
-    "drop records", "look and order", "order arrives",  "resign",
+  static constexpr std::array<std::string_view, 16> kOperations{
+    "step",
+    "read",
+    "append, faulty",
+    "deliver late appends",
+    "advance time",
+    "suspend",
+    "restart",
+    "log down or up",
+    "drop records",
+    "look and order",
+    "order arrives",
+    "all step",
+    "to the lease's end",
+    "holder orders",
+    "newest order arrives",
+    "resign",
   };
 
+  /// Faults are rare enough that tenures, pauses and orders meet between them.
+  static constexpr std::array<int, 16> kWeights{ 6, 3, 2, 2, 4, 3, 1, 1, 1, 8, 4, 2, 6, 6, 6, 1 };
+
   LeaseHarness();
   void Run(const Operation& aOperation);
   void Finish();
@@ -46,6 +62,11 @@
   };
 
   void Restart(int aActor);
+  void Step(Daemon& aDaemon);
+  [[nodiscard]] Daemon* Holder();
+  [[nodiscard]] const Daemon* LastHolder() const;
+  void PassToLeaseEnd();
+  void ArriveNewest();
   void Read(Daemon& aDaemon);
   void Append(Daemon& aDaemon);
   void Look(Daemon& aDaemon, int aArgument);
