Bring the fleet to the manifest: lease, reconciliation, orders

Cause: leadership and placement existed, and nothing drove them. Change: service `fleet`: for each market of the daemon's region one thread follows the lease, one reconciles every second while this daemon leads and carries the orders out, each with leave of its own. 409 stale_fencing ends the tenure, a drain gives the leases up first, /status shows them. Faults found on the way, each with a test: the cloud's 503 no_capacity counted as an outage, so the same start was repeated for ever; an order that was not sent could not be taken back; an order that an engine had accepted and dropped was repeated with an id that engines ignore. Unit tests were not yet run in this commit.

--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -87,6 +87,7 @@
   }
   kLog.Info("Drains: unready from now on, {} requests in progress.", this->runs->ActiveRuns());
   this->membership->Drain();
+  this->fleetManager->Resign();
   this->kernel.DrainAll();
   kLog.Info("Has drained.");
 }
@@ -169,11 +170,32 @@
   };
   this->kernel.Add(std::make_unique<MarketIndexReader>(MarketIndexSettings{}, std::move(indexHooks),
                                                        this->indexLog, this->clock));
+  this->BuildFleetManager();
   this->platform = &this->kernel.Add(
     std::make_unique<PlatformWatcher>(PlatformWatcherSettings{}, this->settings.hostListUrl,
                                       this->settings.cloudUrl, this->MakePlatformNews()));
 }
 
+void
+Daemon::BuildFleetManager()
+{
+  FleetManagerIdentity identity;
+  identity.daemonId = this->settings.hostId;
+  identity.incarnation = this->incarnation;
+  identity.region = this->settings.region;
+  identity.logUrl = this->settings.logUrl;
+  identity.cloudUrl = this->settings.cloudUrl;
+  identity.weightStoreUrl = this->settings.weightStoreUrl;
+  FleetManagerHooks hooks;
+  hooks.configurations = [this] { return this->ConfigurationsInForce(); };
+  hooks.rank = [this](const std::string& aKey) {
+    return RankAmong(this->LiveDaemons(this->settings.region), this->settings.hostId, aKey);
+  };
+  hooks.fleet = [this] { return this->platform->HasHosts() ? this->fleet.Get() : nullptr; };
+  this->fleetManager = &this->kernel.Add(std::make_unique<FleetManager>(
+    FleetManagerSettings{}, std::move(identity), std::move(hooks), this->clock));
+}
+
 void
 Daemon::BuildRuns()
 {
@@ -198,8 +220,8 @@
   HttpServerSettings adminServer;
   adminServer.address = this->settings.admin.address;
   adminServer.port = this->settings.admin.port;
-  const StatusSources sources{ this->settings,    this->clock, *this->follower,
-                               *this->membership, this->fleet, *this->runs };
+  const StatusSources sources{ this->settings, this->clock, *this->follower,    *this->membership,
+                               this->fleet,    *this->runs, *this->fleetManager };
   this->admin = &this->kernel.Add(std::make_unique<AdminApi>(
     adminServer, *this->runs, [this] { return this->FindUnreadiness(); },
     [this, sources] { return MakeStatusPage(sources, this->draining); }, this->onDrainAsked));
@@ -216,6 +238,18 @@
     *this->runs, [this](const std::string& aMarket) { this->control->FollowMarket(aMarket); }));
 }
 
+std::vector<ConfigurationPtr>
+Daemon::ConfigurationsInForce() const
+{
+  std::vector<ConfigurationPtr> configurations;
+  for (const MarketStatus& market : this->follower->Status()) {
+    if (ConfigurationPtr configuration = this->follower->Current(market.market)) {
+      configurations.push_back(std::move(configuration));
+    }
+  }
+  return configurations;
+}
+
 std::vector<std::string>
 Daemon::LiveDaemons(std::string_view aRegion) const
 {
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Configuration/MarketIndex.h"
 #include "Lagoonward/Core/Kernel.h"
 #include "Lagoonward/Daemon/ControlPlane.h"
+#include "Lagoonward/Daemon/FleetManager.h"
 #include "Lagoonward/Daemon/PeerClaimForwarder.h"
 #include "Lagoonward/Daemon/PlatformWatcher.h"
 #include "Lagoonward/Daemon/StatusPage.h"
@@ -44,8 +45,11 @@
   [[nodiscard]] Result<void> Build();
   void BuildMembership(KeyRing aKeys);
   void BuildConfiguration();
+  void BuildFleetManager();
   void BuildRuns();
   void BuildInterfaces();
+  /// What is in force in each followed market. Any thread.
+  [[nodiscard]] std::vector<ConfigurationPtr> ConfigurationsInForce() const;
   /// Ids of the live daemons, this one included, of all regions or of one. Any thread.
   [[nodiscard]] std::vector<std::string> LiveDaemons(std::string_view aRegion = {}) const;
   [[nodiscard]] PlatformNews MakePlatformNews();
@@ -72,6 +76,7 @@
   MembershipService* membership = nullptr;
   ControlPlane* control = nullptr;
   ConfigurationFollower* follower = nullptr;
+  FleetManager* fleetManager = nullptr;
   PlatformWatcher* platform = nullptr;
   RunService* runs = nullptr;
   AdminApi* admin = nullptr;
--- /dev/null
+++ b/Lagoonward/Daemon/LeaseFollower.cpp
@@ -0,0 +1,166 @@
+#include "Lagoonward/Daemon/LeaseFollower.h"
+
+#include "Lagoonward/Core/Log.h"
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("leadership");
+
+} // namespace
+
+LeaseFollower::LeaseFollower(const FleetManagerSettings& aSettings, std::string aMarket,
+                             const std::string& aRegion, std::string aDaemonId,
+                             std::string aIncarnation, LogService& aLog, const Clock& aClock)
+  : settings(aSettings)
+  , market(std::move(aMarket))
+  , stream(LeaseStream(this->market, aRegion))
+  , daemonId(std::move(aDaemonId))
+  , incarnation(std::move(aIncarnation))
+  , log(aLog)
+  , clock(aClock)
+  , keeper(
+      std::make_unique<LeaseKeeper>(aSettings.lease, aClock, this->daemonId, this->incarnation))
+{
+}
+
+Milliseconds
+LeaseFollower::Step(int aRank)
+{
+  const bool candidate = aRank < this->settings.lease.candidates;
+  Offset next = 0;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->keeper->SetRank(aRank);
+    next = this->keeper->NextOffset();
+  }
+  const auto page = this->log.Read(this->stream, next, this->settings.leasePage,
+                                   candidate ? this->settings.leaseWait : Milliseconds(0));
+  if (page.has_value() != this->reachable) {
+    this->reachable = page.has_value();
+    kLog.Warning("Market {}: the log {} for the lease.", this->market,
+                 this->reachable ? "answers again" : "does not answer");
+  }
+  if (!page) {
+    const std::lock_guard lock(this->mutex);
+    this->LogChanges();
+    return this->settings.leaseRetryPause;
+  }
+
+  // The append counts once it is read back, whatever its answer
+  std::optional<std::string> record;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->Observe(page.value());
+    record = this->keeper->NextAppend();
+  }
+  if (record && !this->log.Append(this->stream, *record)) {
+    kLog.Debug("Market {}: an append to the lease was not answered.", this->market);
+  }
+  if (record || !page.value().records.empty()) {
+    return Milliseconds(0);
+  }
+  return candidate ? this->settings.leaseIdlePause : this->settings.spectatorPause;
+}
+
+void
+LeaseFollower::Observe(const LogPage& aPage)
+{
+  this->keeper->ObservePage(aPage);
+  this->ledger.ObserveStart(aPage.start);
+  for (const LogRecord& record : aPage.records) {
+    this->ledger.Apply(record.offset, record.data);
+  }
+  this->LogChanges();
+  if (this->abandoning && !this->resigned && !this->IsOwnTenure()) {
+    this->StandAgain();
+  }
+}
+
+/// A keeper that has resigned stands no more, so another run takes its place.
+void
+LeaseFollower::StandAgain()
+{
+  this->abandoning = false;
+  ++this->runs;
+  this->keeper = std::make_unique<LeaseKeeper>(this->settings.lease, this->clock, this->daemonId,
+                                               this->IncarnationName());
+}
+
+std::string
+LeaseFollower::IncarnationName() const
+{
+  return this->runs == 0 ? this->incarnation : fmt::format("{}.{}", this->incarnation, this->runs);
+}
+
+bool
+LeaseFollower::IsOwnTenure() const
+{
+  const LeaseInForce* current = this->ledger.InForce();
+  return current != nullptr && current->record.duration > Milliseconds::zero() &&
+         current->record.writer.incarnation == this->IncarnationName();
+}
+
+void
+LeaseFollower::LogChanges()
+{
+  LeaseStatus status;
+  const LeaseInForce* current = this->ledger.InForce();
+  status.holder = this->keeper->Leader();
+  status.held = this->keeper->Holds();
+  status.fencing = current == nullptr ? kNoOffset : current->fencing;
+  if (status.holder != this->logged.holder || status.fencing != this->logged.fencing) {
+    kLog.Info("Market {}: {} leads with fencing number {}.", this->market,
+              status.holder.empty() ? "nobody" : status.holder, status.fencing);
+  }
+  if (status.held != this->logged.held) {
+    kLog.Info("Market {}: this daemon {} the lease.", this->market,
+              status.held ? "holds" : "no longer holds");
+  }
+  this->logged = std::move(status);
+}
+
+Result<OrderGrant>
+LeaseFollower::Authorize(OrderKind aKind, bool aChecksFencing) const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->keeper->Authorize(aKind, aChecksFencing);
+}
+
+void
+LeaseFollower::Resign()
+{
+  const std::lock_guard lock(this->mutex);
+  this->resigned = true;
+  this->keeper->Resign();
+}
+
+void
+LeaseFollower::Abandon(Offset aFencing)
+{
+  const std::lock_guard lock(this->mutex);
+  const LeaseInForce* current = this->ledger.InForce();
+  if (current == nullptr || current->fencing != aFencing || !this->IsOwnTenure()) {
+    return;
+  }
+  kLog.Warning("Market {}: an endpoint knows a newer fencing number than {}; gives it up.",
+               this->market, aFencing);
+  this->abandoning = true;
+  this->keeper->Resign();
+}
+
+LeaseStatus
+LeaseFollower::Status() const
+{
+  const std::lock_guard lock(this->mutex);
+  const LeaseInForce* current = this->ledger.InForce();
+  LeaseStatus status;
+  status.market = this->market;
+  status.holder = this->keeper->Leader();
+  status.held = this->keeper->Holds();
+  status.fencing = current == nullptr ? kNoOffset : current->fencing;
+  return status;
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Daemon/StatusPage.cpp
+++ b/Lagoonward/Daemon/StatusPage.cpp
@@ -110,6 +110,13 @@
   for (const Endpoint& endpoint : fleet->endpoints) {
     endpoints.push_back(DescribeEndpoint(endpoint, aSources.clock));
   }
+  Json leases = Json::array();
+  for (const LeaseStatus& lease : aSources.fleetManager.Leases()) {
+    leases.push_back({ { "market", lease.market },
+                       { "holder", lease.holder },
+                       { "held", lease.held },
+                       { "fencing", lease.fencing } });
+  }
   const Json page{ { "version", LAGOONWARD_VERSION },
                    { "host_id", aSources.settings.hostId },
                    { "region", aSources.settings.region },
@@ -117,6 +124,7 @@
                    { "draining", aDraining },
                    { "requests_active", aSources.runs.ActiveRuns() },
                    { "markets", std::move(markets) },
+                   { "leases", std::move(leases) },
                    { "peers", std::move(peers) },
                    { "unreachable_regions", view->unreachableRegions },
                    { "endpoints", std::move(endpoints) } };
--- a/Lagoonward/Daemon/StatusPage.h
+++ b/Lagoonward/Daemon/StatusPage.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Attempts/RunService.h"
 #include "Lagoonward/Configuration/ConfigurationFollower.h"
+#include "Lagoonward/Daemon/FleetManager.h"
 #include "Lagoonward/Fleet/FleetStore.h"
 #include "Lagoonward/Membership/MembershipService.h"
 #include "Lagoonward/Settings/DaemonSettings.h"
@@ -19,6 +20,7 @@
   const MembershipService& membership;
   const FleetStore& fleet;
   const RunService& runs;
+  const FleetManager& fleetManager;
 };
 
 /// The JSON text of `/status`; its fields are in docs/INTERFACES.md. Safe from any thread.
--- a/Lagoonward/Placement/Placement.cpp
+++ b/Lagoonward/Placement/Placement.cpp
@@ -40,6 +40,10 @@
 {
   this->offers.Observe(aView.manifest, aView.fleet.prices, aNow);
   this->Forget(aView.fleet, aNow);
+  if (this->attemptsOf != aView.configurationOffset) {
+    this->attemptsOf = aView.configurationOffset;
+    this->failedAttempts.clear();
+  }
   if (aNow < this->activeFrom) {
     return {};
   }
@@ -53,7 +57,12 @@
   std::erase_if(this->outstanding, [&](const auto& aEntry) {
     const Outstanding& entry = aEntry.second;
     const Endpoint* endpoint = aFleet.Find(entry.order.endpoint);
-    if (endpoint == nullptr || aNow >= entry.at + this->settings.orderTimeout) {
+    if (endpoint == nullptr) {
+      return true;
+    }
+    if (aNow >= entry.at + this->settings.orderTimeout) {
+      // The endpoint has dropped it, and would do nothing on seeing the same id again
+      ++this->failedAttempts[entry.step];
       return true;
     }
     // A reading from before the order says nothing about it
@@ -69,6 +78,12 @@
   this->loadsFrom = std::max(this->loadsFrom, aUntil);
 }
 
+void
+Placement::OrderWithdrawn(const PlacementOrder& aOrder)
+{
+  this->outstanding.erase(aOrder.id);
+}
+
 void
 Placement::OrderRefused(const PlacementOrder& aOrder, TimePoint aNow)
 {
--- a/Lagoonward/Placement/Placement.h
+++ b/Lagoonward/Placement/Placement.h
@@ -27,6 +27,10 @@
   /// The weight store asked to wait; no load is ordered before that.
   void DelayLoads(TimePoint aUntil);
 
+  /// An order of the last reconciliation was not sent, or nobody knows whether it arrived. It may be
+  /// given again at once, with the same id.
+  void OrderWithdrawn(const PlacementOrder& aOrder);
+
   /// An endpoint refused an order. It gets no other of that kind for a while.
   void OrderRefused(const PlacementOrder& aOrder, TimePoint aNow);
 
@@ -43,6 +47,7 @@
     PlacementOrder order;
     TimePoint at;
     WallTime wallAt;
+    std::string step; ///< The order's id without the number of the attempt.
   };
 
   void Forget(const FleetSnapshot& aFleet, TimePoint aNow);
@@ -55,6 +60,8 @@
   HostStarts starts;
   OfferChoice offers;
   std::map<std::string, Outstanding> outstanding; ///< Loads and unloads, by order id.
+  std::map<std::string, int> failedAttempts;      ///< Orders that came to nothing, by step.
+  Offset attemptsOf = kNoOffset;                  ///< The configuration that those belong to.
   std::map<std::string, TimePoint> refusedUntil;  ///< By endpoint.
   std::map<std::string, TimePoint> unneededSince; ///< By endpoint, model and version.
   std::map<std::string, TimePoint> spareSince;    ///< By endpoint.
--- a/Lagoonward/Placement/PlacementOrder.h
+++ b/Lagoonward/Placement/PlacementOrder.h
@@ -8,8 +8,8 @@
 
 namespace lagoonward {
 
-/// One step towards the manifest. The same step always has the same id, so that giving it again after
-/// a lost answer changes nothing.
+/// One step towards the manifest. The same step has the same id, so that giving it again after a lost
+/// answer changes nothing; only after a whole `orderTimeout` without effect it gets another one.
 struct PlacementOrder
 {
   enum class Kind
--- a/Lagoonward/Placement/PlacementRound.cpp
+++ b/Lagoonward/Placement/PlacementRound.cpp
@@ -254,7 +254,16 @@
 }
 
 std::string
-Placement::Round::OrderId(const PlacementOrder& aOrder) const
+Placement::Round::OrderId(const std::string& aStep) const
+{
+  const auto failed = this->placement.failedAttempts.find(aStep);
+  return failed == this->placement.failedAttempts.end()
+           ? aStep
+           : aStep + "/attempt-" + std::to_string(failed->second);
+}
+
+std::string
+Placement::Round::StepId(const PlacementOrder& aOrder) const
 {
   return this->placement.market + "/" + aOrder.endpoint + "/" + std::string(ToString(aOrder.kind)) +
          "/" + aOrder.model + "@" + aOrder.version + "/" + aOrder.adapter + "@" +
@@ -280,10 +289,11 @@
   }
   aOrder.kind = PlacementOrder::Kind::Load;
   aOrder.endpoint = aCandidate.endpoint->id;
-  aOrder.id = this->OrderId(aOrder);
+  const std::string step = this->StepId(aOrder);
+  aOrder.id = this->OrderId(step);
   aCandidate.loading = true;
   aCandidate.held += aOrder.adapter.empty() ? 1 : 0;
-  this->placement.outstanding[aOrder.id] = { aOrder, this->now, this->wallNow };
+  this->placement.outstanding[aOrder.id] = { aOrder, this->now, this->wallNow, step };
   this->orders.push_back(std::move(aOrder));
   return true;
 }
@@ -379,10 +389,11 @@
       order.endpoint = endpoint.id;
       order.model = loaded.name;
       order.version = loaded.version;
-      order.id = this->OrderId(order);
+      const std::string step = this->StepId(order);
+      order.id = this->OrderId(step);
       order.reason = "the manifest no longer names it and its replacement is loaded";
       candidate.loading = true;
-      this->placement.outstanding[order.id] = { order, this->now, this->wallNow };
+      this->placement.outstanding[order.id] = { order, this->now, this->wallNow, step };
       this->orders.push_back(std::move(order));
     }
   }
@@ -434,7 +445,7 @@
   PlacementOrder order;
   order.kind = PlacementOrder::Kind::StopHost;
   order.endpoint = dearest->id;
-  order.id = this->OrderId(order);
+  order.id = this->StepId(order);
   order.reason = "idle, and the manifest is met without it";
   this->orders.push_back(std::move(order));
 }
--- a/Lagoonward/Placement/PlacementRound.h
+++ b/Lagoonward/Placement/PlacementRound.h
@@ -44,7 +44,9 @@
   [[nodiscard]] bool IsDomainGoing(const std::string& aDomain) const;
   [[nodiscard]] bool IsSpare(const Endpoint& aEndpoint) const;
   [[nodiscard]] int LoadsUnderWay() const;
-  [[nodiscard]] std::string OrderId(const PlacementOrder& aOrder) const;
+  /// The same for every leader under one configuration.
+  [[nodiscard]] std::string StepId(const PlacementOrder& aOrder) const;
+  [[nodiscard]] std::string OrderId(const std::string& aStep) const;
 
   Placement& placement;
   const PlacementView& view;
--- a/Lagoonward/Platform/HttpCloudService.cpp
+++ b/Lagoonward/Platform/HttpCloudService.cpp
@@ -11,6 +11,10 @@
 constexpr int kFirstClientError = 400;
 constexpr int kNotFound = 404;
 constexpr int kGone = 410;
+
+/// What the cloud answers when it has no such machine; nothing was started.
+constexpr const char* kNoCapacity = "no_capacity";
+
 constexpr NumberRange kPriceRange{ 0, 1e6 };
 const Log kLog("platform");
 
@@ -65,6 +69,7 @@
   call.method = "POST";
   call.path = "/hosts";
   call.body = WriteHostRequest(aRequest);
+  call.refusal = kNoCapacity;
   const auto answer = this->client.Call(call);
   if (!answer) {
     return answer.error();
--- a/Lagoonward/Platform/HttpCloudService.h
+++ b/Lagoonward/Platform/HttpCloudService.h
@@ -6,8 +6,8 @@
 namespace lagoonward {
 
 /// The cloud's interface over HTTP: `POST /hosts`, `DELETE /hosts/{id}`, `GET /prices`,
-/// `GET /notices`. A host that the cloud refuses to start (any 4xx but 408 and 429) is Overloaded;
-/// a call without an answer is PlatformUnavailable and may have started the host, so repeat it with
+/// `GET /notices`. A host that the cloud refuses to start (503 `no_capacity`, any 4xx but 408 and
+/// 429) is Overloaded; a call without an answer is PlatformUnavailable and may have started the host, so repeat it with
 /// the same token. Safe from any thread.
 class HttpCloudService final : public CloudService
 {
--- a/Lagoonward/Platform/PlatformHttpClient.cpp
+++ b/Lagoonward/Platform/PlatformHttpClient.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Platform/PlatformHttpClient.h"
 
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 
 #include <cctype>
 
@@ -11,6 +12,7 @@
 constexpr long kTooManyRequests = 429;
 constexpr long kRequestTimeout = 408;
 constexpr long kFirstServerError = 500;
+constexpr long kUnavailable = 503;
 
 /// What the library's callbacks of one call need.
 struct Transfer
@@ -45,6 +47,18 @@
   return static_cast<Transfer*>(aTransfer)->interrupted->load() ? 1 : 0;
 }
 
+/// Whether a body is `{"error":{"kind":…}}` of that kind.
+bool
+NamesError(const std::string& aBody, const std::string& aKind)
+{
+  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  if (aKind.empty() || !body.is_object() || !body.contains("error")) {
+    return false;
+  }
+  const auto& error = body["error"];
+  return error.is_object() && error.contains("kind") && error["kind"] == aKind;
+}
+
 /// Initializes the library once per process.
 void
 InitializeLibrary()
@@ -146,7 +160,9 @@
     const char* reason = transfer.tooLong ? "the answer is too long" : curl_easy_strerror(code);
     return this->Unavailable(reason, nullptr);
   }
-  if (status == kTooManyRequests || status == kRequestTimeout || status >= kFirstServerError) {
+  const bool outage =
+    status == kTooManyRequests || status == kRequestTimeout || status >= kFirstServerError;
+  if (outage && !(status == kUnavailable && NamesError(transfer.body, aCall.refusal))) {
     const Error error = this->Unavailable(fmt::format("status {}", status), handle.get());
     this->ReturnHandle(std::move(handle));
     return error;
--- a/Lagoonward/Platform/PlatformHttpClient.h
+++ b/Lagoonward/Platform/PlatformHttpClient.h
@@ -22,6 +22,7 @@
   std::string body;          ///< Sent with POST only.
   Milliseconds wait{ 0 };    ///< How long the service itself may hold the answer back.
   bool discardsBody = false; ///< Ends the call once the status is known.
+  std::string refusal; ///< Error kind that is the service's answer under 503 too; may be empty.
 };
 
 /// What the service answered.
@@ -42,9 +43,9 @@
   PlatformHttpClient(const PlatformHttpClient&) = delete;
   PlatformHttpClient& operator=(const PlatformHttpClient&) = delete;
 
-  /// @return the answer, whatever its status, except that 408, 429, 5xx, silence and answers that
-  ///         are too long become PlatformUnavailable, with `retryAfter`. Such a call may still have
-  ///         taken effect.
+  /// @return the answer, whatever its status, except that 408, 429, 5xx (unless its error kind is the
+  ///         call's `refusal`), silence and answers that are too long become PlatformUnavailable, with
+  ///         `retryAfter`. Such a call may still have taken effect.
   [[nodiscard]] Result<PlatformAnswer> Call(const PlatformCall& aCall);
 
   /// Makes calls in progress, and all later ones, fail within about a second.
--- /dev/null
+++ b/UnitTests/Daemon/LeaseFollowerTests.cpp
@@ -0,0 +1,92 @@
+#include "Lagoonward/Core/VirtualClock.h"
+#include "Lagoonward/Daemon/LeaseFollower.h"
+#include "UnitTests/Support/FakeLogService.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonward;
+using namespace lagoonward::testing;
+
+namespace {
+
+/// Two daemons of one region that may lead.
+struct Fixture
+{
+  VirtualClock clock;
+  FleetManagerSettings settings;
+  FakeLogService log;
+  LeaseFollower first{ settings, "utslipp", "vestland", "d1", "run-1", log, clock };
+  LeaseFollower second{ settings, "utslipp", "vestland", "d2", "run-2", log, clock };
+
+  void Run(LeaseFollower& aFollower, int aRank, Seconds aSpan)
+  {
+    const TimePoint end = this->clock.Now() + aSpan;
+    while (this->clock.Now() < end) {
+      this->clock.Advance(std::max(aFollower.Step(aRank), Milliseconds(100)));
+    }
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LeaseFollowerTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(FirstLeadsAndASilentLeaderIsSucceeded)
+{
+  Run(this->first, 0, Seconds(2));
+  BOOST_TEST(this->first.Status().held);
+  static_cast<void>(this->second.Step(1));
+  BOOST_TEST(this->second.Status().holder == "d1");
+  BOOST_TEST(!this->second.Status().held);
+  const Offset fencing = this->first.Status().fencing;
+  // The first is killed
+  Run(this->second, 0, Seconds(15));
+  BOOST_TEST(this->second.Status().held);
+  BOOST_TEST(this->second.Status().fencing > fencing);
+  BOOST_TEST(!this->first.Status().held);
+}
+
+BOOST_AUTO_TEST_CASE(LostAnswersAndOutagesOfTheLog)
+{
+  this->log.FailAppends({ FakeLogService::Fault::AnswerLost });
+  Run(this->first, 0, Seconds(2));
+  BOOST_TEST(this->first.Status().held);
+  this->log.SetDown(true);
+  Run(this->first, 0, Seconds(12));
+  BOOST_TEST(!this->first.Status().held);
+  // Past the lease only what checks fencing numbers may be ordered
+  BOOST_TEST(this->first.Authorize(OrderKind::Load, true).has_value());
+  BOOST_TEST(!this->first.Authorize(OrderKind::Load, false).has_value());
+  BOOST_TEST(!this->first.Authorize(OrderKind::StartHost, false).has_value());
+  this->log.SetDown(false);
+  Run(this->first, 0, Seconds(2));
+  BOOST_TEST(this->first.Status().held);
+}
+
+BOOST_AUTO_TEST_CASE(ResigningLetsTheNextOneLeadSoon)
+{
+  Run(this->first, 0, Seconds(2));
+  this->first.Resign();
+  BOOST_TEST(!this->first.Status().held);
+  Run(this->first, 0, Seconds(2));
+  BOOST_TEST(this->first.Status().holder.empty());
+  Run(this->second, 0, Seconds(5));
+  BOOST_TEST(this->second.Status().held);
+  Run(this->first, 0, Seconds(30));
+  BOOST_TEST(!this->first.Status().held);
+}
+
+BOOST_AUTO_TEST_CASE(AbandonedTenureIsFollowedByANewerOne)
+{
+  Run(this->first, 0, Seconds(2));
+  const Offset fencing = this->first.Status().fencing;
+  this->first.Abandon(fencing + 1);
+  BOOST_TEST(this->first.Status().held);
+  this->first.Abandon(fencing);
+  BOOST_TEST(!this->first.Authorize(OrderKind::Load, true).has_value());
+  Run(this->first, 0, Seconds(8));
+  BOOST_TEST(this->first.Status().held);
+  BOOST_TEST(this->first.Status().fencing > fencing);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Placement/PlacementTests.cpp
+++ b/UnitTests/Placement/PlacementTests.cpp
@@ -202,6 +202,39 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(WithdrawnOrderIsGivenAgainAtOnceWithTheSameId)
+{
+  AddEngine("bergen-a");
+  const auto first = Round();
+  BOOST_REQUIRE(first.front().kind == Kind::Load);
+  for (const PlacementOrder& order : Round()) {
+    BOOST_TEST((order.kind != Kind::Load));
+  }
+  this->placement.OrderWithdrawn(first.front());
+  const auto again = Round();
+  const auto load = std::find_if(again.begin(), again.end(), [](const PlacementOrder& aOrder) {
+    return aOrder.kind == Kind::Load;
+  });
+  BOOST_REQUIRE((load != again.end()));
+  BOOST_TEST(load->id == first.front().id);
+}
+
+BOOST_AUTO_TEST_CASE(OrderThatAnEndpointDroppedGetsAnotherId)
+{
+  for (const std::string& domain : this->manifest.failureDomains) {
+    AddEngine(domain);
+  }
+  const auto first = Round();
+  BOOST_REQUIRE(first.size() == 3U);
+  this->clock.Advance(this->settings.orderTimeout);
+  const auto again = Round();
+  BOOST_REQUIRE(again.size() == 3U);
+  for (std::size_t index = 0; index < first.size(); ++index) {
+    BOOST_TEST(again[index].endpoint == first[index].endpoint);
+    BOOST_TEST(again[index].id != first[index].id);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsPlacedIntoAGoingDomain)
 {
   AddEngine("fana").state = EndpointState::Leaving;
--- a/UnitTests/Platform/HttpServicesTests.cpp
+++ b/UnitTests/Platform/HttpServicesTests.cpp
@@ -131,6 +131,13 @@
   BOOST_TEST(nlohmann::json::parse(fixed.last.body).at("kind") == "engine");
   fixed.answer = { 409, "", {} };
   BOOST_TEST((cloud.StartHost(request).error().kind == ErrorKind::Overloaded));
+  // A cloud without capacity has answered; one that is away has not
+  fixed.answer = { 503, R"({"error":{"kind":"no_capacity","message":"none"}})", {} };
+  BOOST_TEST((cloud.StartHost(request).error().kind == ErrorKind::Overloaded));
+  fixed.answer = { 503, R"({"error":{"kind":"outage"}})", {} };
+  BOOST_TEST((cloud.StartHost(request).error().kind == ErrorKind::PlatformUnavailable));
+  fixed.answer = { 503, "no_capacity", {} };
+  BOOST_TEST((cloud.StartHost(request).error().kind == ErrorKind::PlatformUnavailable));
   fixed.answer = { 404, "", {} };
   BOOST_TEST(cloud.StopHost("h/1").has_value());
   BOOST_TEST(fixed.last.path == "/hosts/h/1");
