--- a/Lagoonward/Placement/PlacementRoundRemoval.cpp
+++ b/Lagoonward/Placement/PlacementRoundRemoval.cpp
@@ -79,10 +79,11 @@
       order.endpoint = endpoint.id;
       order.model = loaded.name;
       order.version = loaded.version;
-      order.id = this->OrderId(order);
+      const std::string step = this->StepId(order);
+      order.id = this->OrderId(step);
       order.reason = "the manifest no longer names it and its replacement is loaded";
       candidate.loading = true;
-      this->placement.outstanding[order.id] = { order, this->now, this->wallNow };
+      this->placement.outstanding[order.id] = { order, this->now, this->wallNow, step };
       this->orders.push_back(std::move(order));
     }
   }
@@ -134,7 +135,7 @@
   PlacementOrder order;
   order.kind = PlacementOrder::Kind::StopHost;
   order.endpoint = dearest->id;
-  order.id = this->OrderId(order);
+  order.id = this->StepId(order);
   order.reason = "idle, and the manifest is met without it";
   this->orders.push_back(std::move(order));
 }
