Measure the whole request path in lagoonward-bench path

The new subcommand runs the caller interface, runs, claims and router with the daemon's default settings between load clients and an engine of the same program, over loopback. One run gives the first byte against direct calls in turns, tokens and short requests per core used by the daemon's threads alone, and memory with 1,000 open streams, where the daemon's part is what is allocated beyond the same streams without it. Every answer must come whole, or the exit code is 1.

--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -1,6 +1,7 @@
 #include "Bench/ClaimsBench.h"
 #include "Bench/ControlBench.h"
 #include "Bench/DecisionsBench.h"
+#include "Bench/PathBench.h"
 #include "Bench/ReclaimBench.h"
 #include "Bench/RouteBench.h"
 
@@ -25,8 +26,8 @@
 
 constexpr std::array kSubcommands{
   Subcommand{ "claims", &RunClaimsBench },       Subcommand{ "control", &RunControlBench },
-  Subcommand{ "decisions", &RunDecisionsBench }, Subcommand{ "reclaim", &RunReclaimBench },
-  Subcommand{ "route", &RunRouteBench },
+  Subcommand{ "decisions", &RunDecisionsBench }, Subcommand{ "path", &RunPathBench },
+  Subcommand{ "reclaim", &RunReclaimBench },     Subcommand{ "route", &RunRouteBench },
 };
 
 } // namespace
