--- a/Bench/Path/ProcessUsage.cpp
+++ b/Bench/Path/ProcessUsage.cpp
@@ -1,5 +1,6 @@
 #include "Bench/Path/ProcessUsage.h"
 
+#include <fmt/format.h>
 #include <malloc.h>
 #include <unistd.h>
 
@@ -32,7 +33,7 @@
   double sum = 0;
   for (const std::string& thread : aThreads) {
     // The first number is the time spent on a processor, in nanoseconds
-    std::ifstream file(kTasks + "/" + thread + "/schedstat");
+    std::ifstream file(fmt::format("{}/{}/schedstat", kTasks, thread));
     double nanoseconds = 0;
     file >> nanoseconds;
     sum += nanoseconds / kNanosecondsPerSecond;
