--- a/Lagoonward/Attempts/EngineStream.cpp
+++ b/Lagoonward/Attempts/EngineStream.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Attempts/EngineStream.h"
 
+#include "Lagoonward/Attempts/TokenEvent.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -141,21 +143,22 @@
   if (this->phase == Phase::Failed) {
     return;
   }
+  if (const auto token = ReadPlainToken(aData); token.has_value()) {
+    this->TakeToken(token->index, token->text);
+    return;
+  }
   const Json event = Json::parse(aData, nullptr, false);
   if (!event.is_object()) {
     this->FailWith(AttemptFailure::Malformed, "an event is not a JSON object");
     return;
   }
-  // A token
   if (event.contains("index")) {
-    const bool inOrder =
-      IntegerField(event, "index") == static_cast<std::int64_t>(this->answer.TokenCount());
     const auto text = event.find("text");
-    if (this->phase != Phase::Tokens || !inOrder || text == event.end() || !text->is_string()) {
-      this->FailWith(AttemptFailure::Malformed, "a token is out of order or has no text");
+    if (text == event.end() || !text->is_string()) {
+      this->FailWith(AttemptFailure::Malformed, "a token has no text");
       return;
     }
-    this->answer.Append(text->get_ref<const std::string&>());
+    this->TakeToken(IntegerField(event, "index"), text->get_ref<const std::string&>());
     return;
   }
   // First and last event name the attempt; late and crossed answers show here
@@ -183,6 +186,17 @@
   this->phase = Phase::Finished;
 }
 
+void
+EngineStream::TakeToken(std::int64_t aIndex, std::string_view aText)
+{
+  const bool inOrder = aIndex == static_cast<std::int64_t>(this->answer.TokenCount());
+  if (this->phase != Phase::Tokens || !inOrder) {
+    this->FailWith(AttemptFailure::Malformed, "a token is out of order");
+    return;
+  }
+  this->answer.Append(aText);
+}
+
 void
 EngineStream::FailWith(AttemptFailure aFailure, std::string aMessage)
 {
--- a/Lagoonward/Attempts/EngineStream.h
+++ b/Lagoonward/Attempts/EngineStream.h
@@ -100,6 +100,7 @@
   void OnBytes(int aStatus, std::string_view aBytes) override;
   void OnEnd(const TransferEnd& aEnd) override;
   void TakeEvent(std::string_view aData);
+  void TakeToken(std::int64_t aIndex, std::string_view aText);
   void FailWith(AttemptFailure aFailure, std::string aMessage);
   [[nodiscard]] std::string MakeBody() const;
   [[nodiscard]] AttemptFailure ClassifyEnd(const TransferEnd& aEnd) const;
