Write plain tokens into events without the JSON library

EventAnswerWriter made a JSON value and a string of each token only to escape it. Text of printable ASCII without quotes and backslashes stands in JSON as it is; AppendJsonText() copies that and leaves the rest to the library.

--- a/Lagoonward/Frontend/AnswerWriters.cpp
+++ b/Lagoonward/Frontend/AnswerWriters.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Frontend/AnswerWriters.h"
 
+#include "Lagoonward/Wire/JsonText.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -155,7 +157,7 @@
 {
   fmt::format_to(std::back_inserter(this->buffer), "id: {}\ndata: ", aIndex);
   this->buffer += this->eventHead;
-  this->buffer += Dump(Json(aAnswer.Token(aIndex)));
+  AppendJsonText(this->buffer, aAnswer.Token(aIndex));
   this->buffer += this->eventTail;
   this->buffer += "\n\n";
 }
