--- a/Lagoonward/Admission/AdmissionSettings.h
+++ b/Lagoonward/Admission/AdmissionSettings.h
@@ -17,7 +17,7 @@
   double shedRankStep = 0.2; ///< Each higher rank begins so much later.
   double shedFairness = 0.2; ///< How much earlier a client at twice its fair share is shed.
   double missShift =
-    0.3; ///< How much earlier a rank is shed while it and those above miss targets.
+    0.5; ///< How much earlier a rank is shed while it or a higher one misses targets.
   double missFull = 0.05;   ///< Part of missed targets at which the whole shift applies.
   double missWeight = 0.02; ///< Weight of the newest answer in the averaged part of misses.
   Milliseconds retryAfterFloor{ 200 };     ///< Shortest Retry-After that is given.
