Halve the buffers that each open stream holds

With 1,000 open streams the daemon missed 64 MB. The heap profile shows 16 KB of libmicrohttpd's connection memory, 8 KB of libcurl's receive buffer and 4 KB of the response's block for each stream. A token's event has a few hundred bytes, so the receive buffer falls to 2 KB and the block to 2 KB; the connection memory stays, as it also bounds the callers' headers.

--- a/Lagoonward/Wire/HttpServer.h
+++ b/Lagoonward/Wire/HttpServer.h
@@ -23,8 +23,8 @@
   unsigned maximumConnections = 4096;
   std::size_t maximumBodyBytes = 4U << 20U;
   std::size_t connectionMemoryBytes = 16U << 10U; ///< Bounds the headers as well.
-  std::size_t streamBlockBytes = 4096;            ///< Largest piece of a stream sent at once.
-  unsigned idleTimeoutSeconds = 30; ///< Longest silence of a caller that owes us bytes.
+  std::size_t streamBlockBytes = 2048; ///< Largest piece of a stream sent at once; held by each.
+  unsigned idleTimeoutSeconds = 30;    ///< Longest silence of a caller that owes us bytes.
 };
 
 /// An HTTP/1.1 server. Hands each whole request to a handler, which answers through the exchange
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -17,7 +17,8 @@
 {
   Milliseconds connectTimeout{ 500 }; ///< Longest wait for a TCP connection within the region.
   int maximumIdleConnections = 256;   ///< Connections that each loop keeps open for reuse.
-  long receiveBufferBytes = 8192;     ///< Receive buffer of each transfer.
+  /// Receive buffer of each transfer. A stream's tokens need little, and many streams are open at once.
+  long receiveBufferBytes = 2048;
 };
 
 /// One outgoing HTTP request.
