Keep the loggers that a thread has used

Every log line looked its logger up by name, which locks the library's table and copies the name. Each thread now keeps the loggers that it has used.

--- a/Lagoonward/Core/Log.cpp
+++ b/Lagoonward/Core/Log.cpp
@@ -5,9 +5,12 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace lagoonward {
 
@@ -32,6 +35,21 @@
   return log4cxx::Level::getInfo();
 }
 
+/// The library's logger of a prefix. Looking one up takes a lock and copies the name, so each thread
+/// keeps those it has used; prefixes are string literals, so their addresses tell them apart.
+const log4cxx::LoggerPtr&
+FindLogger(std::string_view aPrefix)
+{
+  thread_local std::vector<std::pair<const char*, log4cxx::LoggerPtr>> known;
+  const auto found = std::find_if(
+    known.begin(), known.end(), [&](const auto& aEntry) { return aEntry.first == aPrefix.data(); });
+  if (found != known.end()) {
+    return found->second;
+  }
+  known.emplace_back(aPrefix.data(), log4cxx::Logger::getLogger(std::string(aPrefix)));
+  return known.back().second;
+}
+
 } // namespace
 
 void
@@ -56,8 +74,7 @@
   if (static_cast<int>(aLevel) < gLowestLevel) {
     return;
   }
-  const auto logger = log4cxx::Logger::getLogger(std::string(this->prefix));
-  logger->forcedLog(ToLibraryLevel(aLevel), fmt::vformat(aFormat, aArguments));
+  FindLogger(this->prefix)->forcedLog(ToLibraryLevel(aLevel), fmt::vformat(aFormat, aArguments));
 }
 
 } // namespace lagoonward
