Count a started host until it reports; take over sooner where the fleet is known

A host that was listed but had not reported its load counted neither as coming nor as there, so that one more was started for it, in the wrong failure domain. Change: a start counts as under way until the host reports.

--- a/Lagoonward/Daemon/FleetManagerSettings.h
+++ b/Lagoonward/Daemon/FleetManagerSettings.h
@@ -25,6 +25,10 @@
   /// How long a drain waits until the log shows that the leases have been given up.
   Milliseconds resignWait{ 2500 };
 
+  /// After taking the lead, a daemon only watches for this long if it has known the fleet for
+  /// `placement.settle` already.
+  Milliseconds takeoverPause{ 3000 };
+
   int unansweredOrders =
     3; ///< Orders in a row without an answer, after which an engine is left alone.
   Milliseconds unknownWeightsPause{
--- a/Lagoonward/Daemon/MarketLeader.cpp
+++ b/Lagoonward/Daemon/MarketLeader.cpp
@@ -2,6 +2,8 @@
 
 #include "Lagoonward/Core/Log.h"
 
+#include <algorithm>
+
 namespace lagoonward {
 
 namespace {
@@ -61,6 +63,7 @@
 MarketLeader::Step(const MarketScene& aScene)
 {
   const Manifest& manifest = aScene.configuration->manifest;
+  this->knownSince = this->knownSince.value_or(this->clock.Now());
   if (manifest.region != this->region || !this->TakeLead(manifest.ordersFenced)) {
     this->placement.reset();
     return;
@@ -88,8 +91,11 @@
   if (!this->placement || this->tenure != grant.value().fencing) {
     this->tenure = grant.value().fencing;
     this->unanswered.clear();
+    // Reports that have come in for long need less time to catch up
+    const TimePoint shortest =
+      this->clock.Now() + this->settings.takeoverPause - this->settings.placement.settle;
     this->placement.emplace(this->settings.placement, this->market, this->region,
-                            this->clock.Now());
+                            std::max(*this->knownSince, shortest));
   }
   return true;
 }
--- a/Lagoonward/Daemon/MarketLeader.h
+++ b/Lagoonward/Daemon/MarketLeader.h
@@ -61,6 +61,7 @@
 
   std::optional<Placement> placement; ///< Of the tenure below.
   Offset tenure = kNoOffset;
+  std::optional<TimePoint> knownSince;   ///< When this daemon first saw the fleet.
   std::map<std::string, int> unanswered; ///< Orders in a row without an answer, by endpoint.
   std::set<std::string> weightsReady;    ///< Model versions that the store has promised this round.
   bool weightsWait = false;              ///< The store has asked to wait in this round.
--- a/Lagoonward/Placement/HostStarts.cpp
+++ b/Lagoonward/Placement/HostStarts.cpp
@@ -23,9 +23,13 @@
 {
   std::erase_if(this->starts, [&](const auto& aEntry) {
     const Start& start = aEntry.second;
-    const bool answered = !start.host.empty();
-    return answered && (aFleet.Find(start.host) != nullptr ||
-                        aNow >= start.answeredAt + this->settings.startTimeout);
+    if (start.host.empty()) {
+      return false;
+    }
+    // A host that has not reported yet cannot be given anything, but it is coming
+    const Endpoint* host = aFleet.Find(start.host);
+    const bool reports = host != nullptr && host->load.has_value();
+    return reports || aNow >= start.answeredAt + this->settings.startTimeout;
   });
 }
 
--- a/Lagoonward/Placement/HostStarts.h
+++ b/Lagoonward/Placement/HostStarts.h
@@ -16,16 +16,16 @@
 public:
   HostStarts(const PlacementSettings& aSettings, std::string aMarket, std::string aRegion);
 
-  /// Sees which hosts are listed; forgets starts that are done or have failed.
+  /// Sees which hosts report their load; forgets starts that are done or have failed.
   void Observe(const FleetSnapshot& aFleet, TimePoint aNow);
 
   /// Starts to be asked for again, and those under way.
   [[nodiscard]] std::vector<HostRequest> Unanswered() const;
 
-  /// Number of hosts asked for that are not listed yet.
+  /// Number of hosts asked for that do not report yet.
   [[nodiscard]] int UnderWay() const;
 
-  /// Hosts of one failure domain asked for that are not listed yet.
+  /// Hosts of one failure domain asked for that do not report yet.
   [[nodiscard]] int UnderWayIn(const std::string& aDomain) const;
 
   /// Begins a start on that offer. @return the request with its token
--- a/UnitTests/Daemon/MarketLeaderTests.cpp
+++ b/UnitTests/Daemon/MarketLeaderTests.cpp
@@ -167,6 +167,23 @@
   BOOST_TEST(this->cloud.starts.empty());
 }
 
+BOOST_AUTO_TEST_CASE(DaemonThatKnowsTheFleetTakesOverSoonerThanANewOne)
+{
+  // Right after its first look at the fleet
+  Round();
+  Round(std::chrono::duration_cast<Seconds>(this->settings.takeoverPause));
+  BOOST_TEST(this->engines.sent.empty());
+  Pass(std::chrono::duration_cast<Seconds>(this->settings.placement.settle));
+  // A second tenure of the same run
+  this->lease.Abandon(this->lease.Status().fencing);
+  Round(Seconds(8));
+  BOOST_REQUIRE(this->lease.Status().held);
+  Round(Seconds(2));
+  BOOST_TEST(this->engines.sent.empty());
+  Round(Seconds(2));
+  BOOST_TEST(this->engines.sent.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(ManifestOfAnotherRegionIsLeftAlone)
 {
   this->configuration->manifest.region = "sunnmore";
--- a/UnitTests/Placement/PlacementTests.cpp
+++ b/UnitTests/Placement/PlacementTests.cpp
@@ -140,6 +140,21 @@
   BOOST_TEST(again.front().id == first.front().id);
 }
 
+BOOST_AUTO_TEST_CASE(ListedHostIsWaitedForUntilItReports)
+{
+  int started = 0;
+  for (int round = 0; round < 10; ++round) {
+    for (const PlacementOrder& order : Round()) {
+      BOOST_REQUIRE((order.kind == Kind::StartHost));
+      ++started;
+      Obey(order);
+      this->fleet.endpoints.back().load.reset();
+    }
+    this->clock.Advance(Seconds(1));
+  }
+  BOOST_TEST(started == 3);
+}
+
 BOOST_AUTO_TEST_CASE(RefusedStartIsTriedElsewhere)
 {
   const auto first = Round();
