Let peers read the configurations that daemons tell each other

Cause: seen in the logs of scripts/fleet-test: "A peer sent a malformed configuration". The shared checkpoint had an empty writer, which every reader refuses, so no daemon ever took a configuration from a peer.

--- a/Lagoonward/Daemon/ControlPlane.cpp
+++ b/Lagoonward/Daemon/ControlPlane.cpp
@@ -1,6 +1,6 @@
 #include "Lagoonward/Daemon/ControlPlane.h"
 
-#include "Lagoonward/Configuration/ConfigurationRecord.h"
+#include "Lagoonward/Daemon/ConfigurationShare.h"
 
 #include <algorithm>
 
@@ -10,25 +10,9 @@
 
 const Log kLog("control");
 
-/// Topics of shared states that carry a market's configuration.
-constexpr std::string_view kConfigurationTopic = "config/";
-
 /// How often markets without a configuration are looked at.
 constexpr Milliseconds kMarketCheck{ 500 };
 
-/// What a peer is told of a market: the checkpoint record, as it would stand in the log.
-SharedState
-ToSharedState(const Configuration& aConfiguration, Offset aThrough)
-{
-  ConfigurationRecord record;
-  record.kind = ConfigurationRecord::Kind::Checkpoint;
-  record.of = aConfiguration.offset;
-  record.through = aThrough;
-  record.manifest = aConfiguration.manifest;
-  return { std::string(kConfigurationTopic) + aConfiguration.market, aConfiguration.offset,
-           WriteConfigurationRecord(record) };
-}
-
 } // namespace
 
 ControlPlane::ControlPlane(const Clock& aClock, MembershipService& aMembership, LoadPoller& aPoller,
@@ -108,7 +92,7 @@
   // Peers get it at once, so that it is in force everywhere even while they cannot read the log
   const Offset through =
     std::max(this->follower->Offer(aConfiguration->market).through, aConfiguration->offset + 1);
-  this->membership.PublishState(ToSharedState(*aConfiguration, through));
+  this->membership.PublishState(WriteConfigurationShare(*aConfiguration, through));
   this->membership.Loop().Post([this, aConfiguration] {
     const MarketPtr market = this->markets.FindOrAdd(aConfiguration->market);
     market->ApplyConfiguration(aConfiguration);
@@ -132,23 +116,17 @@
 bool
 ControlPlane::TakeState(const SharedState& aState)
 {
-  if (!aState.name.starts_with(kConfigurationTopic)) {
+  if (!IsConfigurationShare(aState)) {
     return false;
   }
-  const std::string market = aState.name.substr(kConfigurationTopic.size());
-  JsonFaults faults;
-  auto record = ReadConfigurationRecord(aState.bytes, market, faults);
-  if (!record || record->kind != ConfigurationRecord::Kind::Checkpoint || !record->manifest ||
-      record->of != aState.version) {
+  const std::string market = MarketOfShare(aState);
+  auto offer = ReadConfigurationShare(aState);
+  if (!offer) {
     kLog.Warning("A peer sent a malformed configuration of market {}.", market);
     return false;
   }
   this->FollowMarket(market);
-  auto configuration = std::make_shared<Configuration>();
-  configuration->market = market;
-  configuration->offset = record->of;
-  configuration->manifest = std::move(*record->manifest);
-  this->follower->Adopt(market, { std::move(configuration), record->through });
+  this->follower->Adopt(market, *offer);
   return true;
 }
 
