Share clients' demand between daemons and tell admission what is full

Cause: each daemon handed out every client's whole limit, admission never learned how full the endpoints were, and tickets were never settled: limits and shedding existed but nothing drove them. Change: DemandExchange tells the region's daemons each second what clients ask for here; RunService passes the group's pressure on before each admission and settles tickets with the tokens used and whether the first token kept its target.

--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -174,6 +174,16 @@
   this->Dispatch();
 }
 
+std::optional<bool>
+CompletionRun::MetFirstTokenTarget() const
+{
+  const Milliseconds target = this->call.terms.callClass.firstToken;
+  if (this->answer->TokenCount() == 0 || target == Milliseconds(0)) {
+    return std::nullopt;
+  }
+  return this->firstTokenAt - this->call.terms.accepted <= target;
+}
+
 double
 CompletionRun::TokensPerSecond() const
 {
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -48,6 +48,8 @@
   /// Id of the endpoint that serves it now; empty between attempts.
   [[nodiscard]] const std::string& EndpointId() const { return this->endpointId; }
   [[nodiscard]] bool Ended() const { return this->ended; }
+  /// Whether the first token came within the class's target; nothing when none came or none is set.
+  [[nodiscard]] std::optional<bool> MetFirstTokenTarget() const;
   /// Tokens a second over the answer so far; zero before the second token.
   [[nodiscard]] double TokensPerSecond() const;
 
--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -269,6 +269,14 @@
 RunService::AdmitThenRun(Call aCall, const MarketPtr& aMarket, double aTokens,
                          const AnswerPtr& aAnswer)
 {
+  if constexpr (std::is_same_v<Call, CompletionCall>) {
+    RouteRequest request;
+    request.model = aCall.engine.model;
+    request.version = aCall.engine.version;
+    request.adapter = aCall.engine.adapter;
+    request.adapterVersion = aCall.engine.adapterVersion;
+    aMarket->admission.SetPressure(aMarket->router.Pressure(request));
+  }
   auto ticket = aMarket->admission.Admit(
     { .client = aCall.terms.client, .rank = aCall.terms.rank, .tokens = aTokens });
   if (!ticket) {
@@ -330,7 +338,11 @@
   const std::uint64_t id = this->nextRun++;
   const std::string key = aCall.terms.RegistryKey();
   auto onEnded = [this, &aWorker, id, key] {
-    RunsOf<Run>(aWorker).erase(id);
+    auto& runs = RunsOf<Run>(aWorker);
+    if constexpr (std::is_same_v<Run, CompletionRun>) {
+      SettleTicket(runs.at(id));
+    }
+    runs.erase(id);
     this->OnRunEnded(key);
   };
   auto run = std::make_unique<Run>(context, std::move(aCall), aAnswer, std::move(onEnded));
@@ -339,6 +351,17 @@
   started.Start();
 }
 
+void
+RunService::SettleTicket(ActiveRun<CompletionRun>& aActive)
+{
+  const CompletionRun& run = *aActive.run;
+  aActive.ticket.Settle(run.Call().promptTokens +
+                        static_cast<double>(run.GetAnswer().TokenCount()));
+  if (const auto met = run.MetFirstTokenTarget()) {
+    aActive.ticket.ReportTargets(*met);
+  }
+}
+
 template<typename Run>
 std::unordered_map<std::uint64_t, RunService::ActiveRun<Run>>&
 RunService::RunsOf(Worker& aWorker)
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -110,6 +110,8 @@
                 const std::shared_ptr<Ticket>& aTicket);
   template<typename Run>
   static std::unordered_map<std::uint64_t, ActiveRun<Run>>& RunsOf(Worker& aWorker);
+  /// Tells admission what a request used and whether it kept its target.
+  static void SettleTicket(ActiveRun<CompletionRun>& aActive);
   void PlanMoves(Worker& aWorker);
   void Refuse(const CallTerms& aTerms, const AnswerPtr& aAnswer, const Error& aError);
   void OnRunEnded(const std::string& aRegistryKey);
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -70,6 +70,7 @@
   if (!started) {
     return started;
   }
+  this->membership->Loop().Run([this] { this->demand->Start(); });
   for (const std::string& market : this->settings.markets) {
     this->control->FollowMarket(market);
   }
@@ -216,6 +217,9 @@
     PeerRequestDirectorySettings{}, *this->membership, this->fleet, this->settings.hostId);
   this->directory->Serve(*this->runs);
   this->runs->SetDirectory(*this->directory);
+  this->demand =
+    std::make_unique<DemandExchange>(DemandExchangeSettings{}, *this->membership, this->markets,
+                                     this->settings.hostId, this->settings.region);
 }
 
 void
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Configuration/MarketIndex.h"
 #include "Lagoonward/Core/Kernel.h"
 #include "Lagoonward/Daemon/ControlPlane.h"
+#include "Lagoonward/Daemon/DemandExchange.h"
 #include "Lagoonward/Daemon/FleetManager.h"
 #include "Lagoonward/Daemon/PeerClaimForwarder.h"
 #include "Lagoonward/Daemon/PeerRequestDirectory.h"
@@ -72,6 +73,7 @@
   HttpLogService indexLog; ///< The market index reader's own.
   std::unique_ptr<PeerClaimForwarder> claimForwarder;
   std::unique_ptr<PeerRequestDirectory> directory;
+  std::unique_ptr<DemandExchange> demand;
   Kernel kernel;
 
   // Owned by the kernel
--- /dev/null
+++ b/Lagoonward/Daemon/DemandExchange.cpp
@@ -0,0 +1,146 @@
+#include "Lagoonward/Daemon/DemandExchange.h"
+
+#include "Lagoonward/Daemon/PeerMessages.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonward {
+
+namespace {
+
+/// The message; numbers above RequestType::FirstForeign are this folder's.
+constexpr auto kDemand =
+  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstForeign) + 1);
+
+struct ClientEntry
+{
+  std::uint64_t client = 0;
+  double tokensPerSecond = 0;
+  std::int32_t running = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->client, this->tokensPerSecond, this->running);
+  }
+};
+
+struct MarketEntry
+{
+  std::string market;
+  std::vector<ClientEntry> clients;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->market, this->clients);
+  }
+};
+
+struct DemandMessage
+{
+  std::vector<MarketEntry> markets;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->markets);
+  }
+};
+
+/// Whether a demand can be reckoned with.
+bool
+IsPlausible(const ClientEntry& aEntry)
+{
+  return std::isfinite(aEntry.tokensPerSecond) && aEntry.tokensPerSecond >= 0 &&
+         aEntry.running >= 0;
+}
+
+} // namespace
+
+DemandExchange::DemandExchange(const DemandExchangeSettings& aSettings,
+                               MembershipService& aMembership, MarketDirectory& aMarkets,
+                               std::string aOwnId, std::string aRegion)
+  : settings(aSettings)
+  , membership(aMembership)
+  , markets(aMarkets)
+  , self(ToPeerKey(aOwnId))
+  , region(std::move(aRegion))
+{
+  this->membership.Transport().OnRequest(kDemand, [this](PeerKey aSender, std::string_view aBytes,
+                                                         const PeerTransport::Respond& aRespond) {
+    this->Take(aSender, aBytes);
+    aRespond(std::string());
+  });
+}
+
+void
+DemandExchange::Start()
+{
+  this->membership.Loop().Every(this->settings.interval, [this] { this->SendAll(); });
+}
+
+void
+DemandExchange::SendAll()
+{
+  DemandMessage message;
+  for (const MarketPtr& market : this->markets.InForce()) {
+    MarketEntry entry;
+    entry.market = market->Name();
+    for (const ClientDemand& demand : market->admission.TakeDemand()) {
+      entry.clients.push_back({ demand.client, demand.tokensPerSecond, demand.running });
+    }
+    message.markets.push_back(std::move(entry));
+  }
+  const std::string bytes = EncodePeerMessage(message);
+  for (const PeerAddress& peer : this->NextPeers()) {
+    this->membership.Transport().Request(peer, kDemand, bytes, this->settings.timeout,
+                                         [](const Result<std::string>&) {});
+  }
+}
+
+void
+DemandExchange::Take(PeerKey aSender, std::string_view aBytes)
+{
+  const auto message = DecodePeerMessage<DemandMessage>(aBytes);
+  if (!message || aSender == this->self) {
+    return;
+  }
+  for (const MarketEntry& entry : message->markets) {
+    const MarketPtr market = this->markets.Find(entry.market);
+    if (market == nullptr) {
+      continue;
+    }
+    std::vector<ClientDemand> demand;
+    for (const ClientEntry& client : entry.clients) {
+      if (IsPlausible(client)) {
+        demand.push_back({ client.client, client.tokensPerSecond, client.running });
+      }
+    }
+    market->admission.OnPeer(aSender, demand);
+  }
+}
+
+std::vector<PeerAddress>
+DemandExchange::NextPeers()
+{
+  std::vector<PeerAddress> regional;
+  const PeerViewPtr view = this->membership.Peers();
+  for (const Peer& peer : view->peers) {
+    if (peer.info.region == this->region && peer.state != PeerState::Suspect) {
+      regional.push_back({ peer.key, peer.info.address, peer.info.port });
+    }
+  }
+  if (regional.size() <= this->settings.peersPerInterval) {
+    return regional;
+  }
+  std::rotate(regional.begin(),
+              regional.begin() + static_cast<std::ptrdiff_t>(this->nextPeer % regional.size()),
+              regional.end());
+  this->nextPeer += this->settings.peersPerInterval;
+  regional.resize(this->settings.peersPerInterval);
+  return regional;
+}
+
+} // namespace lagoonward
