Hold to what a lost daemon had accepted

Ruled out: a stalled control thread (its log lines go on), the transport. Change: a request that is found with a sibling and has the same body runs without a ticket when admission refuses it. Conclusion: accepted is accepted.

--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -200,7 +200,7 @@
 
   ++this->activeRuns;
   if (key.empty() || this->directory == nullptr) {
-    this->AdmitThenRun<Run, Call>(std::move(aCall), aMarket, aTokens, entry.answer);
+    this->AdmitThenRun<Run, Call>(std::move(aCall), aMarket, aTokens, entry.answer, false);
   } else {
     this->LocateThenRun<Run, Call>(std::move(aCall), aMarket, aTokens, entry.answer);
   }
@@ -226,7 +226,8 @@
         located.takeOverStream = aFound->streamId;
       }
     }
-    this->AdmitThenRun<Run, Call>(std::move(located), aMarket, aTokens, aAnswer);
+    const bool wasAccepted = aFound && aFound->bodyHash == call.terms.bodyHash;
+    this->AdmitThenRun<Run, Call>(std::move(located), aMarket, aTokens, aAnswer, wasAccepted);
   };
   this->directory->Find(key, onFound);
 }
@@ -256,7 +257,8 @@
       lost.takeOverEndpoint = aFound.endpointId;
       lost.takeOverStream = aFound.endpointId.empty() ? std::string() : aFound.streamId;
     }
-    this->AdmitThenRun<Run, Call>(std::move(lost), aMarket, aTokens, aAnswer);
+    const bool wasAccepted = aFound.bodyHash == aCall.terms.bodyHash;
+    this->AdmitThenRun<Run, Call>(std::move(lost), aMarket, aTokens, aAnswer, wasAccepted);
   };
   const AnswerQuery query{ key, aCall.terms.bodyHash, 0 };
   const auto remote = std::make_shared<RemoteAnswer>(
@@ -267,7 +269,7 @@
 template<typename Run, typename Call>
 void
 RunService::AdmitThenRun(Call aCall, const MarketPtr& aMarket, double aTokens,
-                         const AnswerPtr& aAnswer)
+                         const AnswerPtr& aAnswer, bool aWasAccepted)
 {
   if constexpr (std::is_same_v<Call, CompletionCall>) {
     RouteRequest request;
@@ -279,13 +281,14 @@
   }
   auto ticket = aMarket->admission.Admit(
     { .client = aCall.terms.client, .rank = aCall.terms.rank, .tokens = aTokens });
-  if (!ticket) {
+  // What a lost daemon had accepted is held to, whatever the limits say now
+  if (!ticket && !aWasAccepted) {
     this->Refuse(aCall.terms, aAnswer, ticket.error());
     this->OnRunEnded({});
     return;
   }
   Worker& worker = this->NextWorker();
-  auto shared = std::make_shared<Ticket>(std::move(ticket.value()));
+  const auto shared = ticket ? std::make_shared<Ticket>(std::move(ticket.value())) : nullptr;
   if (aCall.terms.NeedsClaim()) {
     this->ClaimThenRun<Run, Call>(worker, std::move(aCall), aMarket, aAnswer, shared);
   } else {
@@ -347,18 +350,21 @@
   };
   auto run = std::make_unique<Run>(context, std::move(aCall), aAnswer, std::move(onEnded));
   Run& started = *run;
-  RunsOf<Run>(aWorker).emplace(id, ActiveRun<Run>{ aMarket, std::move(*aTicket), std::move(run) });
+  RunsOf<Run>(aWorker).emplace(id, ActiveRun<Run>{ aMarket, aTicket, std::move(run) });
   started.Start();
 }
 
 void
 RunService::SettleTicket(ActiveRun<CompletionRun>& aActive)
 {
+  if (aActive.ticket == nullptr) {
+    return;
+  }
   const CompletionRun& run = *aActive.run;
-  aActive.ticket.Settle(run.Call().promptTokens +
-                        static_cast<double>(run.GetAnswer().TokenCount()));
+  aActive.ticket->Settle(run.Call().promptTokens +
+                         static_cast<double>(run.GetAnswer().TokenCount()));
   if (const auto met = run.MetFirstTokenTarget()) {
-    aActive.ticket.ReportTargets(*met);
+    aActive.ticket->ReportTargets(*met);
   }
 }
 
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -73,7 +73,7 @@
   struct ActiveRun
   {
     MarketPtr market;
-    Ticket ticket;
+    std::shared_ptr<Ticket> ticket; ///< Null for one that another daemon had accepted.
     std::unique_ptr<Run> run;
   };
 
@@ -98,7 +98,8 @@
   void FollowThenRun(const FoundRequest& aFound, const Call& aCall, const MarketPtr& aMarket,
                      double aTokens, const AnswerPtr& aAnswer);
   template<typename Run, typename Call>
-  void AdmitThenRun(Call aCall, const MarketPtr& aMarket, double aTokens, const AnswerPtr& aAnswer);
+  void AdmitThenRun(Call aCall, const MarketPtr& aMarket, double aTokens, const AnswerPtr& aAnswer,
+                    bool aWasAccepted);
   template<typename Run, typename Call>
   void ClaimThenRun(Worker& aWorker, Call aCall, const MarketPtr& aMarket, const AnswerPtr& aAnswer,
                     const std::shared_ptr<Ticket>& aTicket);
