Give up on silent service connections, and let failed idempotent requests be tried again

Change: an idempotent service call is sent again on a new connection after 1.5 s, doubling; silence does not count against the endpoint. The registry forgets failures of requests that may run again. Conclusion: silence is bounded for services as for streams.

--- a/Lagoonward/Attempts/AnswerRegistry.cpp
+++ b/Lagoonward/Attempts/AnswerRegistry.cpp
@@ -40,16 +40,16 @@
 }
 
 void
-AnswerRegistry::OnEnded(const std::string& aKey)
+AnswerRegistry::OnEnded(const std::string& aKey, bool aIdempotent)
 {
   const std::scoped_lock lock(this->mutex);
   const auto found = this->entries.find(aKey);
   if (found == this->entries.end()) {
     return;
   }
-  // A refusal that proves "not run" must not block the caller's next try
+  // Such a failure must not block the caller's next try
   const std::optional<Error>& failure = found->second.answer->Failure();
-  if (failure.has_value() && failure->ran == Ran::No) {
+  if (failure.has_value() && (aIdempotent || failure->ran == Ran::No)) {
     this->entries.erase(found);
     return;
   }
--- a/Lagoonward/Attempts/AnswerRegistry.h
+++ b/Lagoonward/Attempts/AnswerRegistry.h
@@ -40,9 +40,9 @@
   /// The entry of a key, without creating one. Outcome Created with a null answer means: not known.
   [[nodiscard]] RegistryEntry Find(const std::string& aKey, std::uint64_t aBodyHash) const;
 
-  /// The answer has ended. One that was not run is forgotten, so that the key can be tried again;
-  /// all others are kept for their lifetime.
-  void OnEnded(const std::string& aKey);
+  /// The answer has ended. A failure of a request that may run again, or that is proven not to have
+  /// run, is forgotten, so that the key can be tried again; all else is kept for its lifetime.
+  void OnEnded(const std::string& aKey, bool aIdempotent);
 
   /// Drops finished answers past their lifetime.
   void RemoveExpired();
--- a/Lagoonward/Attempts/AttemptSettings.h
+++ b/Lagoonward/Attempts/AttemptSettings.h
@@ -19,6 +19,9 @@
   Milliseconds reconnectPatience{ 1000 };
   /// Longest wait for each of the two steps of copying a KV cache.
   Milliseconds kvTransferTimeout{ 10'000 };
+  /// Silence after which an idempotent service call is sent again on a new connection; doubles with each
+  /// attempt. Any other call waits until its deadline.
+  Milliseconds serviceSilence{ 1500 };
   /// First pause before trying again when no endpoint takes an accepted request; doubles each time.
   Milliseconds firstPause{ 50 };
   Milliseconds longestPause{ 1000 };
--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -243,13 +243,13 @@
   Worker& worker = this->NextWorker();
   const auto onEnd = [this, aFound, aCall, aMarket, aTokens, aAnswer, key](RemoteAnswer::End aEnd) {
     if (aEnd == RemoteAnswer::End::Complete) {
-      this->OnRunEnded(key);
+      this->OnRunEnded(key, aCall.terms.idempotent);
       return;
     }
     if (aEnd == RemoteAnswer::End::Conflict) {
       this->Refuse(aCall.terms, aAnswer,
                    Error(ErrorKind::KeyConflict, "The key was used with another body."));
-      this->OnRunEnded({});
+      this->OnRunEnded({}, true);
       return;
     }
     Call lost = aCall;
@@ -284,7 +284,7 @@
   // What a lost daemon had accepted is held to, whatever the limits say now
   if (!ticket && !aWasAccepted) {
     this->Refuse(aCall.terms, aAnswer, ticket.error());
-    this->OnRunEnded({});
+    this->OnRunEnded({}, true);
     return;
   }
   Worker& worker = this->NextWorker();
@@ -314,7 +314,7 @@
       return;
     }
     this->Refuse(claimed.terms, aAnswer, ToError(aVerdict, bodyHash));
-    this->OnRunEnded({});
+    this->OnRunEnded({}, true);
   };
   DispatchClaim::Ask(*this->claims, key, bodyHash, onSettled);
 }
@@ -340,13 +340,14 @@
   };
   const std::uint64_t id = this->nextRun++;
   const std::string key = aCall.terms.RegistryKey();
-  auto onEnded = [this, &aWorker, id, key] {
+  const bool idempotent = aCall.terms.idempotent;
+  auto onEnded = [this, &aWorker, id, key, idempotent] {
     auto& runs = RunsOf<Run>(aWorker);
     if constexpr (std::is_same_v<Run, CompletionRun>) {
       SettleTicket(runs.at(id));
     }
     runs.erase(id);
-    this->OnRunEnded(key);
+    this->OnRunEnded(key, idempotent);
   };
   auto run = std::make_unique<Run>(context, std::move(aCall), aAnswer, std::move(onEnded));
   Run& started = *run;
@@ -388,15 +389,15 @@
   aAnswer->Fail(aError);
   const std::string key = aTerms.RegistryKey();
   if (!key.empty()) {
-    this->registry.OnEnded(key);
+    this->registry.OnEnded(key, aTerms.idempotent);
   }
 }
 
 void
-RunService::OnRunEnded(const std::string& aRegistryKey)
+RunService::OnRunEnded(const std::string& aRegistryKey, bool aIdempotent)
 {
   if (!aRegistryKey.empty()) {
-    this->registry.OnEnded(aRegistryKey);
+    this->registry.OnEnded(aRegistryKey, aIdempotent);
   }
   this->registry.RemoveExpired();
   const std::scoped_lock lock(this->drainMutex);
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -115,7 +115,8 @@
   static void SettleTicket(ActiveRun<CompletionRun>& aActive);
   void PlanMoves(Worker& aWorker);
   void Refuse(const CallTerms& aTerms, const AnswerPtr& aAnswer, const Error& aError);
-  void OnRunEnded(const std::string& aRegistryKey);
+  /// @param aRegistryKey  empty when the registry knows of the end already
+  void OnRunEnded(const std::string& aRegistryKey, bool aIdempotent);
   [[nodiscard]] Worker& NextWorker();
 
   RunServiceSettings settings;
--- a/Lagoonward/Attempts/ServiceRun.cpp
+++ b/Lagoonward/Attempts/ServiceRun.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 const Log kLog("attempts");
+/// Longest growth of the patience with a silent service.
+constexpr int kMaximumDoublings = 5;
 constexpr std::string_view kContentType = "content-type:";
 
 } // namespace
@@ -159,13 +161,21 @@
   request.body = this->call.body;
   // libcurl sends again by itself on a reused connection that turns out to be closed
   request.freshConnection = !this->call.terms.idempotent;
+  // A silent connection says nothing about the service, so an idempotent call tries another one
+  if (this->call.terms.idempotent) {
+    const int doublings = std::min(this->attemptCount - 1, kMaximumDoublings);
+    request.timeout = this->context.settings.serviceSilence * (1 << doublings);
+    request.freshConnection = this->attemptCount > 1;
+  }
   this->transfer = this->context.loop.StartTransfer(request, *this);
 }
 
 void
 ServiceRun::OnAttemptFailed(const TransferEnd& aEnd)
 {
-  this->context.router.OnFinished(this->dispatch, DispatchOutcome::Failed);
+  const bool wasSilent = aEnd.outcome == TransferOutcome::TimedOut;
+  this->context.router.OnFinished(this->dispatch,
+                                  wasSilent ? DispatchOutcome::Cancelled : DispatchOutcome::Failed);
   this->Note(fmt::format("attempt {} at endpoint {} failed: {}.", this->attemptCount,
                          this->endpointId, aEnd.message));
   const bool provenNotSent = aEnd.outcome == TransferOutcome::NotSent;
@@ -176,7 +186,10 @@
                      Ran::Unknown));
     return;
   }
-  this->excluded.push_back(this->endpointId);
+  // A silent one may be asked again, on its new connection; others go elsewhere
+  if (!wasSilent) {
+    this->excluded.push_back(this->endpointId);
+  }
   ++this->context.counters.retries;
   if (this->context.retryBudget.TryTake()) {
     this->Dispatch();
--- a/UnitTests/Attempts/AnswerTests.cpp
+++ b/UnitTests/Attempts/AnswerTests.cpp
@@ -76,20 +76,30 @@
   VirtualClock clock;
   AnswerRegistry registry({}, clock);
   registry.FindOrCreate("a", 1, MakeAnswer).answer->Fail(Error(ErrorKind::Overloaded, "busy"));
-  registry.OnEnded("a");
+  registry.OnEnded("a", false);
   BOOST_TEST((registry.FindOrCreate("a", 1, MakeAnswer).outcome == RegistryOutcome::Created));
   registry.FindOrCreate("b", 1, MakeAnswer).answer->Fail(Error(ErrorKind::EndpointFailed, "lost"));
-  registry.OnEnded("b");
+  registry.OnEnded("b", false);
   BOOST_TEST((registry.FindOrCreate("b", 1, MakeAnswer).outcome == RegistryOutcome::Joined));
 }
 
+BOOST_AUTO_TEST_CASE(FailureOfAnIdempotentRequestFreesTheKey)
+{
+  VirtualClock clock;
+  AnswerRegistry registry({}, clock);
+  registry.FindOrCreate("c", 1, MakeAnswer)
+    .answer->Fail(Error(ErrorKind::DeadlineExceeded, "late"));
+  registry.OnEnded("c", true);
+  BOOST_TEST((registry.FindOrCreate("c", 1, MakeAnswer).outcome == RegistryOutcome::Created));
+}
+
 BOOST_AUTO_TEST_CASE(FinishedAnswersExpireAndAreBounded)
 {
   VirtualClock clock;
   AnswerRegistry registry({ .answerBytes = 1 }, clock);
   for (const char* key : { "a", "b" }) {
     registry.FindOrCreate(key, 1, MakeAnswer).answer->Finish("stop");
-    registry.OnEnded(key);
+    registry.OnEnded(key, false);
   }
   // The oldest goes to make room, the last always stays
   BOOST_TEST(registry.Size() == 1U);
