Pass the own id by reference, as the linter asks

Cause: two constructors copied a string they only read. Change: by reference. Measured: linter clean on the files of Attempts, Frontend, Daemon, Wire and Cli.

--- a/Lagoonward/Daemon/DemandExchange.cpp
+++ b/Lagoonward/Daemon/DemandExchange.cpp
@@ -61,7 +61,7 @@
 
 DemandExchange::DemandExchange(const DemandExchangeSettings& aSettings,
                                MembershipService& aMembership, MarketDirectory& aMarkets,
-                               std::string aOwnId, std::string aRegion)
+                               const std::string& aOwnId, std::string aRegion)
   : settings(aSettings)
   , membership(aMembership)
   , markets(aMarkets)
--- a/Lagoonward/Daemon/DemandExchange.h
+++ b/Lagoonward/Daemon/DemandExchange.h
@@ -20,7 +20,7 @@
 public:
   /// Must be made before the membership starts.
   DemandExchange(const DemandExchangeSettings& aSettings, MembershipService& aMembership,
-                 MarketDirectory& aMarkets, std::string aOwnId, std::string aRegion);
+                 MarketDirectory& aMarkets, const std::string& aOwnId, std::string aRegion);
 
   /// Begins to send. On the control thread.
   void Start();
--- a/Lagoonward/Daemon/PeerRequestDirectory.cpp
+++ b/Lagoonward/Daemon/PeerRequestDirectory.cpp
@@ -107,7 +107,7 @@
 
 PeerRequestDirectory::PeerRequestDirectory(const PeerRequestDirectorySettings& aSettings,
                                            MembershipService& aMembership, const FleetStore& aFleet,
-                                           std::string aOwnId)
+                                           const std::string& aOwnId)
   : settings(aSettings)
   , membership(aMembership)
   , fleet(aFleet)
--- a/Lagoonward/Daemon/PeerRequestDirectory.h
+++ b/Lagoonward/Daemon/PeerRequestDirectory.h
@@ -23,7 +23,7 @@
   /// Must be made before the membership starts.
   PeerRequestDirectory(const PeerRequestDirectorySettings& aSettings,
                        MembershipService& aMembership, const FleetStore& aFleet,
-                       std::string aOwnId);
+                       const std::string& aOwnId);
 
   /// Serves other daemons from here on. Before the membership starts.
   void Serve(RunService& aRuns);
