Split what every run reports and the planned move off CompletionRun

Change: RunReport (notes, sibling's place, counters, claim, end) serves both runs; PlannedMove waits for the planned moment and copies the KV cache. Behaviour is unchanged. Conclusion: the two runs differ only in what they run.

--- a/Bench/RouteBench.cpp
+++ b/Bench/RouteBench.cpp
@@ -68,7 +68,8 @@
   std::vector<double> micros;
   for (int publication = 0; publication < kPublications; ++publication) {
     const TimePoint start = aClock.Now();
-    const FleetSnapshot copy = aFleet;
+    FleetSnapshot copy;
+    copy.endpoints = aFleet.endpoints;
     aRouter.Update(RoutingTable::Build(copy, aManifest, aClock));
     micros.push_back(std::chrono::duration<double, std::micro>(aClock.Now() - start).count());
   }
--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-const Log kLog("attempts");
-
 /// Longest doubling of the silence budget, so that a slow engine is not asked again and again.
 constexpr int kMaximumSilenceDoublings = 4;
 
@@ -18,7 +16,8 @@
   : context(aContext)
   , call(std::move(aCall))
   , answer(std::move(aAnswer))
-  , onEnded(std::move(aOnEnded))
+  , report(aContext, this->call.terms, this->answer, std::move(aOnEnded))
+  , move(aContext, this->report, [this](std::string_view aReason) { this->MoveAway(aReason); })
 {
 }
 
@@ -30,9 +29,6 @@
   if (this->pauseTimer) {
     this->context.loop.CancelTimer(*this->pauseTimer);
   }
-  if (this->moveTimer) {
-    this->context.loop.CancelTimer(*this->moveTimer);
-  }
 }
 
 void
@@ -82,93 +78,20 @@
 void
 CompletionRun::FollowPlan(const MovePlan& aPlan)
 {
-  if (this->ended || this->endpointId.empty()) {
-    return;
-  }
-  const bool moves = aPlan.kind == MoveKind::ExportImport || aPlan.kind == MoveKind::Reprefill;
-  const bool isSame =
-    this->move && moves && this->move->kind == aPlan.kind && this->move->target == aPlan.target;
-  // An export that has begun goes on; a move yet to begin may be timed anew
-  if (isSame && (this->transfer != nullptr || this->move->startAt == aPlan.startAt)) {
-    return;
-  }
-  if (!isSame) {
-    this->Note(fmt::format("is planned to {}{}{}, {:.0f} tokens computed again.",
-                           ToString(aPlan.kind), aPlan.target.empty() ? "" : " at endpoint ",
-                           aPlan.target, aPlan.recomputedTokens));
-  }
-  this->DropMove();
-  if (!moves) {
-    return;
-  }
-  this->move = MoveInProgress{ aPlan.kind, aPlan.target, aPlan.startAt, aPlan.readyAt };
-  const TimePoint now = this->context.loop.GetClock().Now();
-  const auto delay = std::chrono::ceil<Milliseconds>(aPlan.startAt - now);
-  this->moveTimer =
-    this->context.loop.RunAfter(std::max(delay, Milliseconds(0)), [this] { this->BeginMove(); });
-}
-
-void
-CompletionRun::DropMove()
-{
-  if (this->moveTimer) {
-    this->context.loop.CancelTimer(*this->moveTimer);
-    this->moveTimer.reset();
-  }
-  this->transfer.reset();
-  this->move.reset();
-}
-
-void
-CompletionRun::BeginMove()
-{
-  this->moveTimer.reset();
-  if (this->ended || !this->move || this->endpointId.empty()) {
-    return;
-  }
-  if (this->move->kind == MoveKind::ExportImport) {
-    this->BeginExport();
-  } else {
-    this->MoveAway("its endpoint is leaving");
+  if (!this->ended && !this->endpointId.empty()) {
+    this->move.Follow(aPlan, this->endpointId, this->streamId);
   }
 }
 
 void
-CompletionRun::BeginExport()
+CompletionRun::MoveAway(std::string_view aReason)
 {
-  const FleetSnapshotPtr fleet = this->context.fleet.Get();
-  const Endpoint* source = fleet->Find(this->endpointId);
-  const Endpoint* target = fleet->Find(this->move->target);
-  if (source == nullptr || target == nullptr || this->streamId.empty()) {
-    this->DropMove();
+  if (this->ended || this->endpointId.empty()) {
     return;
   }
-  KvTransfer::Route route;
-  route.sourceAddress = fmt::format("{}:{}", source->address, source->port);
-  route.targetAddress = fmt::format("{}:{}", target->address, target->port);
-  route.streamId = this->streamId;
-  route.timeout = this->context.settings.kvTransferTimeout;
-  this->transfer =
-    std::make_unique<KvTransfer>(this->context.loop, std::move(route), [this](bool aMoved) {
-      if (aMoved) {
-        this->MoveAway("its KV cache was copied");
-        return;
-      }
-      // The next plan finds another way
-      this->Note("could not have its KV cache copied.");
-      this->exportFailed = true;
-      this->DropMove();
-    });
-  this->transfer->Start();
-}
-
-void
-CompletionRun::MoveAway(std::string_view aReason)
-{
   ++this->context.counters.moves;
-  this->Note(fmt::format("leaves endpoint {} after {} tokens: {}.", this->endpointId,
-                         this->answer->TokenCount(), aReason));
-  this->transfer.reset();
+  this->report.Note(fmt::format("leaves endpoint {} after {} tokens: {}.", this->endpointId,
+                                this->answer->TokenCount(), aReason));
   this->CancelEngineStream();
   this->LeaveEndpoint(DispatchOutcome::Cancelled);
   this->Dispatch();
@@ -195,11 +118,11 @@
 void
 CompletionRun::OnStreamOpened(const std::string& aStreamId)
 {
-  const bool isNew = this->streamId != aStreamId || this->placeRevision == 0;
+  const bool isNew = this->streamId != aStreamId || !this->report.HasAnnounced();
   this->streamId = aStreamId;
   this->resuming = false;
   if (isNew) {
-    this->Announce(false);
+    this->report.Announce(this->endpointId, this->streamId, false);
   }
   this->lastProgress = this->context.loop.GetClock().Now();
 }
@@ -231,8 +154,9 @@
 void
 CompletionRun::OnStreamFailed(AttemptFailure aFailure, const std::string& aMessage)
 {
-  this->Note(fmt::format("attempt {} at endpoint {} is {} ({}).", this->stream->Attempt().attemptId,
-                         this->endpointId, ToString(aFailure), aMessage));
+  this->report.Note(fmt::format("attempt {} at endpoint {} is {} ({}).",
+                                this->stream->Attempt().attemptId, this->endpointId,
+                                ToString(aFailure), aMessage));
   this->stream.reset();
   // A cut stream is first resumed where it was: that recomputes nothing
   const bool canResume =
@@ -272,11 +196,7 @@
   std::vector<std::string_view> excludedViews;
   RouteRequest request = this->MakeRouteRequest(excludedViews);
   // A planned move goes where it was planned to, if that still takes work
-  std::string planned;
-  if (this->move) {
-    planned = std::move(this->move->target);
-    this->DropMove();
-  }
+  const std::string planned = this->move.TakeTarget();
   request.onlyEndpoint = planned;
   auto choice = this->context.router.Choose(request);
   if (!choice && !planned.empty()) {
@@ -296,7 +216,7 @@
   if (!this->excluded.empty()) {
     this->excluded.clear();
   }
-  this->Note(fmt::format("waits for an endpoint: {}", choice.error().message));
+  this->report.Note(fmt::format("waits for an endpoint: {}", choice.error().message));
   this->PauseThenDispatch();
 }
 
@@ -345,7 +265,7 @@
   this->streamId.clear();
   this->call.engine.priority = aChoice.priority;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
-  this->Note("goes to " + aChoice.Describe());
+  this->report.Note("goes to " + aChoice.Describe());
   this->BeginStream({}, false);
 }
 
@@ -370,7 +290,7 @@
 void
 CompletionRun::ResumeOnNewConnection(std::string_view aReason)
 {
-  this->Note(
+  this->report.Note(
     fmt::format("resumes at endpoint {} on a new connection: {}.", this->endpointId, aReason));
   this->resuming = true;
   this->resumedSinceProgress = true;
@@ -384,7 +304,7 @@
   this->streamId.clear();
   this->resuming = false;
   this->resumedSinceProgress = false;
-  this->exportFailed = false;
+  this->move.OnNewEndpoint();
   if (!this->endpointId.empty()) {
     this->context.router.OnFinished(this->dispatch, aOutcome);
     this->endpointId.clear();
@@ -395,11 +315,11 @@
 CompletionRun::TryElsewhere(std::string_view aReason)
 {
   this->excluded.push_back(this->endpointId);
-  this->DropMove();
+  this->move.Drop();
   this->LeaveEndpoint(DispatchOutcome::Failed);
   ++this->context.counters.retries;
   if (!this->context.retryBudget.TryTake()) {
-    this->Note(fmt::format("waits, the retry budget is spent ({}).", aReason));
+    this->report.Note(fmt::format("waits, the retry budget is spent ({}).", aReason));
     this->PauseThenDispatch();
     return;
   }
@@ -485,7 +405,8 @@
   ++this->context.counters.silentConnections;
   ++this->silences;
   if (this->resuming || this->streamId.empty()) {
-    this->Note(fmt::format("endpoint {} stays silent on a new connection.", this->endpointId));
+    this->report.Note(
+      fmt::format("endpoint {} stays silent on a new connection.", this->endpointId));
     this->CancelEngineStream();
     if (!this->call.terms.idempotent) {
       this->FailUnrepeatable();
@@ -518,15 +439,11 @@
 void
 CompletionRun::Finish(const std::string& aFinishReason)
 {
-  this->Note(fmt::format("is answered whole: {} tokens, {}, {} attempts.",
-                         this->answer->TokenCount(), aFinishReason, this->attemptCount));
-  ++this->context.counters.answeredWhole;
-  this->context.retryBudget.OnSuccess();
-  if (this->call.terms.claim != nullptr) {
-    this->call.terms.claim->Settle(Ran::Yes);
-  }
+  this->report.Note(fmt::format("is answered whole: {} tokens, {}, {} attempts.",
+                                this->answer->TokenCount(), aFinishReason, this->attemptCount));
+  this->report.SettleWhole();
   this->answer->Finish(aFinishReason);
-  this->Announce(true);
+  this->report.Announce(this->endpointId, this->streamId, true);
   this->LeaveEndpoint(DispatchOutcome::Completed);
   this->End();
 }
@@ -542,13 +459,7 @@
 void
 CompletionRun::Fail(const Error& aError)
 {
-  this->Note(fmt::format("fails: {}, ran {}: {}", GetErrorRule(aError.kind).name,
-                         ToString(aError.ran), aError.message));
-  ++this->context.counters.failed;
-  if (this->call.terms.claim != nullptr) {
-    this->call.terms.claim->Settle(aError.ran);
-  }
-  this->answer->Fail(aError);
+  this->report.SettleFailed(aError);
   this->LeaveEndpoint(DispatchOutcome::Cancelled);
   this->End();
 }
@@ -557,31 +468,8 @@
 CompletionRun::End()
 {
   this->ended = true;
-  this->DropMove();
-  this->context.loop.Post(this->onEnded);
-}
-
-void
-CompletionRun::Announce(bool aFinished)
-{
-  if (this->context.directory == nullptr || this->call.terms.idempotencyKey.empty()) {
-    return;
-  }
-  RequestPlace place;
-  place.key = this->call.terms.RegistryKey();
-  place.bodyHash = this->call.terms.bodyHash;
-  place.endpointId = this->endpointId;
-  place.streamId = this->streamId;
-  place.revision = ++this->placeRevision;
-  place.lifetime = this->context.settings.answerLifetime;
-  place.finished = aFinished;
-  this->context.directory->Place(place);
-}
-
-void
-CompletionRun::Note(std::string aText)
-{
-  this->context.journal.Record(kLog, this->call.terms.requestId, std::move(aText));
+  this->move.Drop();
+  this->report.End();
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "Lagoonward/Attempts/CompletionCall.h"
-#include "Lagoonward/Attempts/KvTransfer.h"
+#include "Lagoonward/Attempts/PlannedMove.h"
 #include "Lagoonward/Attempts/RunContext.h"
-#include "Lagoonward/Reclaim/MoveTypes.h"
 
 #include <functional>
 #include <memory>
@@ -38,10 +37,13 @@
   void FollowPlan(const MovePlan& aPlan);
 
   /// The move that has been planned or begun, if any.
-  [[nodiscard]] const std::optional<MoveInProgress>& Move() const { return this->move; }
+  [[nodiscard]] const std::optional<MoveInProgress>& Move() const { return this->move.Get(); }
 
   /// Whether its KV cache can be exported: the engine has named the stream and no export has failed.
-  [[nodiscard]] bool CanExport() const { return !this->streamId.empty() && !this->exportFailed; }
+  [[nodiscard]] bool CanExport() const
+  {
+    return !this->streamId.empty() && !this->move.HasExportFailed();
+  }
 
   [[nodiscard]] const CompletionCall& Call() const { return this->call; }
   [[nodiscard]] const Answer& GetAnswer() const { return *this->answer; }
@@ -71,10 +73,6 @@
   void PauseThenDispatch();
   void CancelEngineStream();
 
-  // Moves
-  void DropMove();
-  void BeginMove();
-  void BeginExport();
   void MoveAway(std::string_view aReason);
 
   // Time
@@ -89,14 +87,12 @@
   /// For a non-idempotent request that may have run.
   void FailUnrepeatable();
   void End();
-  void Note(std::string aText);
-  /// Tells a sibling where the request runs, if its caller may come back.
-  void Announce(bool aFinished);
 
   RunContext context;
   CompletionCall call;
   AnswerPtr answer;
-  std::function<void()> onEnded;
+  RunReport report;
+  PlannedMove move;
 
   std::string endpointId;
   std::string baseUrl;
@@ -105,11 +101,6 @@
   std::string streamId;              ///< The engine's name of the stream here; empty until opened.
   std::vector<std::string> excluded; ///< Endpoints that failed this request.
 
-  std::optional<MoveInProgress> move;   ///< The planned move; its target names the next endpoint.
-  std::unique_ptr<KvTransfer> transfer; ///< The export and import under way.
-  bool exportFailed = false;
-
-  std::uint32_t placeRevision = 0; ///< Of the last announcement.
   int attemptCount = 0;
   bool everDispatched = false; ///< Whether an endpoint may have run any of it.
   bool resuming = false;       ///< A new connection to the same stream awaits its first event.
@@ -122,7 +113,6 @@
   std::optional<TimePoint> alone; ///< Since when nobody waits for the answer.
   std::optional<TrafficLoop::TimerId> tickTimer;
   std::optional<TrafficLoop::TimerId> pauseTimer;
-  std::optional<TrafficLoop::TimerId> moveTimer;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Attempts/ServiceRun.cpp
+++ b/Lagoonward/Attempts/ServiceRun.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-const Log kLog("attempts");
 /// Longest growth of the patience with a silent service.
 constexpr int kMaximumDoublings = 5;
 constexpr std::string_view kContentType = "content-type:";
@@ -20,7 +19,7 @@
   : context(aContext)
   , call(std::move(aCall))
   , answer(std::move(aAnswer))
-  , onEnded(std::move(aOnEnded))
+  , report(aContext, this->call.terms, this->answer, std::move(aOnEnded))
 {
 }
 
@@ -86,15 +85,11 @@
   this->reply.status = aEnd.status;
   this->context.router.OnToken(this->dispatch);
   this->context.router.OnFinished(this->dispatch, DispatchOutcome::Completed);
-  this->context.retryBudget.OnSuccess();
-  ++this->context.counters.answeredWhole;
-  this->Note(fmt::format("is answered by endpoint {} with status {}, {} bytes.", this->endpointId,
-                         aEnd.status, this->reply.body.size()));
-  if (this->call.terms.claim != nullptr) {
-    this->call.terms.claim->Settle(Ran::Yes);
-  }
+  this->report.Note(fmt::format("is answered by endpoint {} with status {}, {} bytes.",
+                                this->endpointId, aEnd.status, this->reply.body.size()));
+  this->report.SettleWhole();
   this->answer->FinishService(std::move(this->reply));
-  this->Announce(true);
+  this->report.Announce(this->endpointId, {}, true);
   this->End();
 }
 
@@ -145,8 +140,8 @@
   ++this->context.counters.attempts;
   this->endpointId = endpoint->id;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
-  this->Announce(false);
-  this->Note("goes to " + aChoice.Describe());
+  this->report.Announce(this->endpointId, {}, false);
+  this->report.Note("goes to " + aChoice.Describe());
 
   this->reply = ServiceReply{};
   this->replyTooLarge = false;
@@ -176,8 +171,8 @@
   const bool wasSilent = aEnd.outcome == TransferOutcome::TimedOut;
   this->context.router.OnFinished(this->dispatch,
                                   wasSilent ? DispatchOutcome::Cancelled : DispatchOutcome::Failed);
-  this->Note(fmt::format("attempt {} at endpoint {} failed: {}.", this->attemptCount,
-                         this->endpointId, aEnd.message));
+  this->report.Note(fmt::format("attempt {} at endpoint {} failed: {}.", this->attemptCount,
+                                this->endpointId, aEnd.message));
   const bool provenNotSent = aEnd.outcome == TransferOutcome::NotSent;
   this->mayHaveRun = this->mayHaveRun || !provenNotSent;
   if (!provenNotSent && !this->call.terms.idempotent) {
@@ -226,13 +221,7 @@
 void
 ServiceRun::Fail(const Error& aError)
 {
-  ++this->context.counters.failed;
-  this->Note(fmt::format("fails: {}, ran {}: {}", GetErrorRule(aError.kind).name,
-                         ToString(aError.ran), aError.message));
-  if (this->call.terms.claim != nullptr) {
-    this->call.terms.claim->Settle(aError.ran);
-  }
-  this->answer->Fail(aError);
+  this->report.SettleFailed(aError);
   this->End();
 }
 
@@ -240,29 +229,7 @@
 ServiceRun::End()
 {
   this->ended = true;
-  this->context.loop.Post(this->onEnded);
-}
-
-void
-ServiceRun::Announce(bool aFinished)
-{
-  if (this->context.directory == nullptr || this->call.terms.idempotencyKey.empty()) {
-    return;
-  }
-  RequestPlace place;
-  place.key = this->call.terms.RegistryKey();
-  place.bodyHash = this->call.terms.bodyHash;
-  place.endpointId = this->endpointId;
-  place.revision = ++this->placeRevision;
-  place.lifetime = this->context.settings.answerLifetime;
-  place.finished = aFinished;
-  this->context.directory->Place(place);
-}
-
-void
-ServiceRun::Note(std::string aText)
-{
-  this->context.journal.Record(kLog, this->call.terms.requestId, std::move(aText));
+  this->report.End();
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Attempts/ServiceRun.h
+++ b/Lagoonward/Attempts/ServiceRun.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Attempts/CompletionCall.h"
-#include "Lagoonward/Attempts/RunContext.h"
+#include "Lagoonward/Attempts/RunReport.h"
 
 #include <functional>
 #include <optional>
@@ -41,14 +41,11 @@
   void OnDeadline();
   void Fail(const Error& aError);
   void End();
-  void Note(std::string aText);
-  /// Tells a sibling where the call runs, if its caller may come back.
-  void Announce(bool aFinished);
 
   RunContext context;
   ServiceCall call;
   AnswerPtr answer;
-  std::function<void()> onEnded;
+  RunReport report;
 
   std::string endpointId;
   lagoonward::Dispatch dispatch; ///< The router's record of the attempt.
@@ -56,7 +53,6 @@
   ServiceReply reply;            ///< What has come of the current attempt's answer.
   bool replyTooLarge = false;
   std::vector<std::string> excluded; ///< Endpoints that failed this call.
-  std::uint32_t placeRevision = 0;   ///< Of the last announcement.
   int attemptCount = 0;
   bool mayHaveRun = false; ///< Whether some attempt may have reached a service.
   bool ended = false;
