Move a non-idempotent stream only after its engine has said that it is over

Cause: a non-idempotent completion on a leaving endpoint was cancelled and resumed elsewhere at once; a lost cancel would have let two engines generate it. Change: StreamStop waits for the engine's answer; without it the request ends as outcome_unknown. One that the engine has not yet opened stays. Conclusion: at most once also holds over moves.

--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -86,13 +86,44 @@
 void
 CompletionRun::MoveAway(std::string_view aReason)
 {
-  if (this->ended || this->endpointId.empty()) {
+  if (this->ended || this->endpointId.empty() || this->stop != nullptr) {
+    return;
+  }
+  // What may not run twice moves only once its engine has said that it is over there
+  if (!this->call.terms.idempotent && this->streamId.empty()) {
     return;
   }
   ++this->context.counters.moves;
   this->report.Note(fmt::format("leaves endpoint {} after {} tokens: {}.", this->endpointId,
                                 this->answer->TokenCount(), aReason));
-  this->CancelEngineStream();
+  if (this->call.terms.idempotent) {
+    this->CancelEngineStream();
+    this->GoOnElsewhere();
+  } else {
+    this->StopThenMove();
+  }
+}
+
+void
+CompletionRun::StopThenMove()
+{
+  this->stream.reset();
+  this->stop = std::make_unique<StreamStop>(
+    this->context.loop, this->baseUrl + "/v1/streams/" + this->streamId,
+    this->context.settings.reconnectPatience, [this](bool aStopped) {
+      const std::unique_ptr<StreamStop> finished = std::move(this->stop);
+      if (aStopped) {
+        this->GoOnElsewhere();
+      } else {
+        this->FailUnrepeatable();
+      }
+    });
+  this->stop->Start();
+}
+
+void
+CompletionRun::GoOnElsewhere()
+{
   this->LeaveEndpoint(DispatchOutcome::Cancelled);
   this->Dispatch();
 }
@@ -468,6 +499,7 @@
 CompletionRun::End()
 {
   this->ended = true;
+  this->stop.reset();
   this->move.Drop();
   this->report.End();
 }
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Attempts/CompletionCall.h"
 #include "Lagoonward/Attempts/PlannedMove.h"
 #include "Lagoonward/Attempts/RunContext.h"
+#include "Lagoonward/Attempts/StreamStop.h"
 
 #include <functional>
 #include <memory>
@@ -74,6 +75,8 @@
   void CancelEngineStream();
 
   void MoveAway(std::string_view aReason);
+  void StopThenMove();
+  void GoOnElsewhere();
 
   // Time
   void ScheduleTick();
@@ -98,6 +101,7 @@
   std::string baseUrl;
   lagoonward::Dispatch dispatch; ///< The router's record of the attempt.
   std::unique_ptr<EngineStream> stream;
+  std::unique_ptr<StreamStop> stop;  ///< Ends a non-idempotent stream before it moves.
   std::string streamId;              ///< The engine's name of the stream here; empty until opened.
   std::vector<std::string> excluded; ///< Endpoints that failed this request.
 
--- /dev/null
+++ b/Lagoonward/Attempts/StreamStop.cpp
@@ -0,0 +1,58 @@
+#include "Lagoonward/Attempts/StreamStop.h"
+
+namespace lagoonward {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusRedirect = 300;
+constexpr int kStatusNotFound = 404;
+
+} // namespace
+
+StreamStop::StreamStop(TrafficLoop& aLoop, std::string aUrl, Milliseconds aTimeout,
+                       std::function<void(bool aStopped)> aOnDone)
+  : loop(aLoop)
+  , url(std::move(aUrl))
+  , timeout(aTimeout)
+  , onDone(std::move(aOnDone))
+{
+}
+
+StreamStop::~StreamStop()
+{
+  if (this->transfer != 0) {
+    this->loop.CancelTransfer(this->transfer);
+  }
+}
+
+void
+StreamStop::Start()
+{
+  HttpTransferRequest request;
+  request.method = "DELETE";
+  request.url = this->url;
+  request.timeout = this->timeout;
+  request.freshConnection = true;
+  this->transfer = this->loop.StartTransfer(request, *this);
+}
+
+void
+StreamStop::OnBytes(int /*aStatus*/, std::string_view /*aBytes*/)
+{
+}
+
+void
+StreamStop::OnEnd(const TransferEnd& aEnd)
+{
+  this->transfer = 0;
+  // A stream that the engine does not know any more is over as well
+  const bool stopped =
+    aEnd.outcome == TransferOutcome::Complete &&
+    ((aEnd.status >= kStatusOk && aEnd.status < kStatusRedirect) || aEnd.status == kStatusNotFound);
+  // The callback may destroy this object
+  const auto callback = std::move(this->onDone);
+  callback(stopped);
+}
+
+} // namespace lagoonward
