Count an unknown stream as no proof that it stopped

Cause: StreamStop took 404 as "over", but a stream that the engine has forgotten may have run to its end; resuming a non-idempotent request elsewhere would then generate its rest twice. Change: only a 2xx lets it move; otherwise it ends as outcome_unknown. The test now demands that, which is stricter. Conclusion: at most once goes before answering.

--- a/Lagoonward/Attempts/StreamStop.cpp
+++ b/Lagoonward/Attempts/StreamStop.cpp
@@ -6,7 +6,6 @@
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusRedirect = 300;
-constexpr int kStatusNotFound = 404;
 
 } // namespace
 
@@ -46,10 +45,9 @@
 StreamStop::OnEnd(const TransferEnd& aEnd)
 {
   this->transfer = 0;
-  // A stream that the engine does not know any more is over as well
-  const bool stopped =
-    aEnd.outcome == TransferOutcome::Complete &&
-    ((aEnd.status >= kStatusOk && aEnd.status < kStatusRedirect) || aEnd.status == kStatusNotFound);
+  // A stream that the engine does not know may have run to its end there, so that counts as no word
+  const bool stopped = aEnd.outcome == TransferOutcome::Complete && aEnd.status >= kStatusOk &&
+                       aEnd.status < kStatusRedirect;
   // The callback may destroy this object
   const auto callback = std::move(this->onDone);
   callback(stopped);
--- a/UnitTests/Attempts/StreamStopTests.cpp
+++ b/UnitTests/Attempts/StreamStopTests.cpp
@@ -53,7 +53,8 @@
 {
   BOOST_TEST(StopsAt(200));
   BOOST_TEST(StopsAt(204));
-  BOOST_TEST(StopsAt(404));
+  // The stream may have run to its end
+  BOOST_TEST(!StopsAt(404));
   BOOST_TEST(!StopsAt(500));
   BOOST_TEST(!StopsAt(0));
 }
