--- a/Bench/ReadCost.cpp
+++ b/Bench/ReadCost.cpp
@@ -3,8 +3,8 @@
 #include "Bench/SyntheticLoads.h"
 #include "Bench/ThreadTime.h"
 #include "Lagoonward/Core/SystemClock.h"
-#include "Lagoonward/Platform/HttpHostListService.h"
-#include "Lagoonward/Platform/LoadPoller.h"
+#include "Lagoonward/Providers/HttpHostListService.h"
+#include "Lagoonward/Providers/LoadPoller.h"
 #include "Lagoonward/Wire/HttpServer.h"
 
 #include <fmt/format.h>
--- a/Bench/VirtualLog.h
+++ b/Bench/VirtualLog.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/VirtualClock.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 namespace lagoonward::bench {
 
--- a/Lagoonward/Admission/Admission.cpp
+++ b/Lagoonward/Admission/Admission.cpp
@@ -108,9 +108,12 @@
     client.key = key;
     this->Refresh(client);
     if (known == nullptr) {
-      client.available = limits.tokensPerSecond * client.share * this->settings.burstSeconds;
+      client.available = this->BucketOf(client);
       client.filledAt = this->clock.Now();
     }
+    if (this->settings.pooled) {
+      this->ConfigurePool(client);
+    }
     next.push_back(std::move(client));
   }
   this->clients = std::move(next);
@@ -155,18 +158,45 @@
     return boost::outcome_v2::success();
   }
 
+  if (aClient.pool) {
+    const double seconds = aClient.pool->Take(aRequest.tokens, this->clock.Now());
+    if (seconds > 0) {
+      return this->OverLimit(aClient, seconds);
+    }
+    return boost::outcome_v2::success();
+  }
+
   // A request larger than the bucket passes when the bucket is full, and is paid off afterwards
   this->Fill(aClient);
-  const double rate = aClient.limits.tokensPerSecond * aClient.share;
-  const double needed = std::min(aRequest.tokens, rate * this->settings.burstSeconds);
+  const double rate = this->RateOf(aClient);
+  const double needed = std::min(aRequest.tokens, this->BucketOf(aClient));
   if (aClient.available < needed) {
-    return Error(ErrorKind::ClientOverLimit,
-                 fmt::format("client {} uses as many tokens as it may", aClient.limits.name))
-      .WithRetryAfter(this->Bounded((needed - aClient.available) / rate));
+    return this->OverLimit(aClient, (needed - aClient.available) / rate);
   }
   return boost::outcome_v2::success();
 }
 
+Error
+Admission::OverLimit(const Client& aClient, double aSeconds) const
+{
+  return Error(ErrorKind::ClientOverLimit,
+               fmt::format("client {} uses as many tokens as it may", aClient.limits.name))
+    .WithRetryAfter(this->Bounded(aSeconds));
+}
+
+void
+Admission::ConfigurePool(Client& aClient) const
+{
+  const TimePoint now = this->clock.Now();
+  if (!aClient.pool) {
+    aClient.pool.emplace(this->settings.pool, now);
+  }
+  const double more = 1 + this->settings.limitTolerance;
+  aClient.pool->Configure({ aClient.limits.tokensPerSecond * more,
+                            aClient.limits.burstTokens * more, this->settings.limitSlack },
+                          now);
+}
+
 Result<void>
 Admission::CheckPressure(const Client& aClient, int aRank)
 {
@@ -241,7 +271,13 @@
       client.demand += weight * (client.asked / seconds - client.demand);
       client.asked = 0;
     }
-    demand.push_back({ client.key, client.demand, client.running });
+    demand.push_back({ client.key, client.demand, client.running,
+                       client.pool ? client.pool->AdmittedTotal() : 0 });
+  }
+  for (Client& client : this->clients) {
+    if (client.pool) {
+      client.pool->OnInterval(this->view.LiveDaemons(), now);
+    }
   }
   this->view.OnOwnSent(demand);
   for (Client& client : this->clients) {
@@ -255,6 +291,12 @@
 {
   const std::lock_guard lock(this->mutex);
   this->view.OnPeer(aDaemon, aDemand);
+  for (const ClientDemand& demand : aDemand) {
+    Client* client = this->Find(demand.client);
+    if (client != nullptr && client->pool) {
+      client->pool->OnPeer(aDaemon, demand.admittedTotal, this->clock.Now());
+    }
+  }
 }
 
 void
@@ -275,12 +317,27 @@
 Admission::Fill(Client& aClient) const
 {
   const TimePoint now = this->clock.Now();
-  const double rate = aClient.limits.tokensPerSecond * aClient.share;
+  const double rate = this->RateOf(aClient);
   const double earned = rate * ToSeconds(now - aClient.filledAt);
-  aClient.available = std::min(aClient.available + earned, rate * this->settings.burstSeconds);
+  aClient.available = std::min(aClient.available + earned, this->BucketOf(aClient));
   aClient.filledAt = now;
 }
 
+double
+Admission::BucketOf(const Client& aClient) const
+{
+  const double whole = aClient.limits.burstTokens > 0
+                         ? aClient.limits.burstTokens
+                         : aClient.limits.tokensPerSecond * this->settings.burstSeconds;
+  return (whole * (1 + this->settings.limitTolerance) + this->settings.limitSlack) * aClient.share;
+}
+
+double
+Admission::RateOf(const Client& aClient) const
+{
+  return aClient.limits.tokensPerSecond * (1 + this->settings.limitTolerance) * aClient.share;
+}
+
 void
 Admission::Finish(std::uint64_t aClient, double aEstimated, double aUsed, TimePoint aAdmittedAt)
 {
--- a/Lagoonward/Admission/Admission.h
+++ b/Lagoonward/Admission/Admission.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -92,13 +93,20 @@
     int runningAtPeers = 0;
     double available = 0; ///< Tokens in the bucket.
     TimePoint filledAt;
-    double asked = 0;  ///< Tokens asked for since the last heartbeat.
-    double demand = 0; ///< Tokens per second, averaged.
+    double asked = 0;                 ///< Tokens asked for since the last heartbeat.
+    double demand = 0;                ///< Tokens per second, averaged.
+    std::optional<PooledBucket> pool; ///< Instead of the bucket above, where limits are pooled.
   };
 
   void Finish(std::uint64_t aClient, double aEstimated, double aUsed, TimePoint aAdmittedAt);
   [[nodiscard]] Client* Find(std::uint64_t aKey);
+  [[nodiscard]] Error OverLimit(const Client& aClient, double aSeconds) const;
+  void ConfigurePool(Client& aClient) const;
   void Fill(Client& aClient) const;
+  /// Most tokens that this daemon's part of a client's bucket holds.
+  [[nodiscard]] double BucketOf(const Client& aClient) const;
+  /// Tokens per second that this daemon may let through.
+  [[nodiscard]] double RateOf(const Client& aClient) const;
   void Refresh(Client& aClient) const;
   [[nodiscard]] Result<void> CheckLimits(Client& aClient, const AdmissionRequest& aRequest);
   [[nodiscard]] Result<void> CheckPressure(const Client& aClient, int aRank);
--- a/Lagoonward/Admission/AdmissionSettings.h
+++ b/Lagoonward/Admission/AdmissionSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Admission/PooledBucket.h"
 #include "Lagoonward/Core/Clock.h"
 
 namespace lagoonward {
@@ -11,7 +12,15 @@
   double equalPart = 0.2;            ///< Part of a limit that is split evenly, whatever the demand.
   Milliseconds peerTimeout{ 5000 };  ///< A peer not heard of for so long no longer counts.
   Milliseconds demandWindow{ 2000 }; ///< Time over which demand is averaged.
-  double burstSeconds = 2;   ///< Tokens that a client may use at once, in seconds of its rate.
+  double burstSeconds = 2; ///< Tokens that a client may use at once, in seconds of its rate.
+  /// How much more than a client's limit all daemons together may let through: what the operator
+  /// tolerates, less what requests larger than a daemon's part of the bucket overdraw.
+  double limitTolerance = 0; ///< As a part of rate and burst.
+  double limitSlack = 0;     ///< Further tokens at once.
+  /// Daemons keep one bucket for each client together instead of splitting its rate. Serves a client
+  /// whose requests are large beside a daemon's part; needs the slack above.
+  bool pooled = false;
+  PooledBucketSettings pool;
   double shedFrom = 0.8;     ///< Pressure at which the lowest rank begins to be shed.
   double shedWidth = 0.15;   ///< From there, so much more pressure sheds all of it.
   double shedRankStep = 0.2; ///< Each higher rank begins so much later.
--- a/Lagoonward/Admission/DemandView.h
+++ b/Lagoonward/Admission/DemandView.h
@@ -16,6 +16,7 @@
   std::uint64_t client = 0;   ///< Hash of the client's name.
   double tokensPerSecond = 0; ///< Asked for, whether admitted or not.
   int running = 0;            ///< Requests admitted and not finished.
+  double admittedTotal = 0;   ///< Tokens admitted since the daemon's start.
 };
 
 /// The part of a client's limits that this daemon may hand out.
--- /dev/null
+++ b/Lagoonward/Admission/PooledBucket.cpp
@@ -0,0 +1,114 @@
+#include "Lagoonward/Admission/PooledBucket.h"
+
+#include <algorithm>
+
+namespace lagoonward {
+
+namespace {
+
+/// Part of what is left that one request may take alone.
+constexpr double kLargestPart = 0.5;
+
+double
+ToSeconds(TimePoint::duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+} // namespace
+
+PooledBucket::PooledBucket(const PooledBucketSettings& aSettings, TimePoint aNow)
+  : settings(aSettings)
+  , advancedAt(aNow)
+{
+}
+
+void
+PooledBucket::Configure(const PooledLimit& aLimit, TimePoint aNow)
+{
+  this->Advance(aNow);
+  this->limit = aLimit;
+  if (!this->configured) {
+    this->configured = true;
+    this->level = aLimit.capacity * this->settings.firstFill;
+  }
+  this->level = std::min(this->level, aLimit.capacity);
+  this->OnInterval(this->daemons, aNow);
+}
+
+double
+PooledBucket::AssumedRate(const Peer& aPeer, TimePoint aNow) const
+{
+  const bool silent = aNow - aPeer.heard > this->settings.silence;
+  return silent ? this->limit.rate / this->daemons : aPeer.rate;
+}
+
+void
+PooledBucket::Advance(TimePoint aNow)
+{
+  const double seconds = ToSeconds(aNow - this->advancedAt);
+  if (seconds <= 0) {
+    return;
+  }
+  this->advancedAt = aNow;
+  this->level += this->limit.rate * seconds;
+  for (auto& [key, peer] : this->peers) {
+    const double used = this->AssumedRate(peer, aNow) * seconds;
+    peer.assumed += used;
+    this->level -= used;
+  }
+  this->level = std::min(this->level, this->limit.capacity);
+}
+
+double
+PooledBucket::Take(double aTokens, TimePoint aNow)
+{
+  this->Advance(aNow);
+  const bool fits = aTokens <= this->allowance - this->takenNow;
+  const bool passesAlone = this->takenNow <= 0 && aTokens <= this->level * kLargestPart;
+  if (fits || passesAlone) {
+    this->takenNow += aTokens;
+    this->total += aTokens;
+    this->level -= aTokens;
+    return 0;
+  }
+  return std::max(aTokens - this->level / this->daemons, aTokens / this->daemons) /
+         std::max(this->limit.rate, 1.0);
+}
+
+void
+PooledBucket::OnInterval(int aDaemons, TimePoint aNow)
+{
+  this->daemons = std::max(aDaemons, 1);
+  this->Advance(aNow);
+  std::erase_if(this->peers, [&](const auto& aPeer) {
+    return aNow - aPeer.second.heard > this->settings.memory;
+  });
+  const double more = this->limit.capacity > 0 ? this->limit.slack / this->limit.capacity : 0;
+  this->allowance = std::max(this->level, 0.0) * (1 + more) / this->daemons;
+  this->takenNow = 0;
+}
+
+void
+PooledBucket::OnPeer(std::uint64_t aPeer, double aTotal, TimePoint aNow)
+{
+  this->Advance(aNow);
+  const auto known = this->peers.find(aPeer);
+  if (known == this->peers.end()) {
+    this->peers[aPeer] = Peer{ aNow, aTotal, 0, 0 };
+    return;
+  }
+  // A peer that has started anew counts from zero again
+  Peer& peer = known->second;
+  const double used = aTotal >= peer.total ? aTotal - peer.total : aTotal;
+  const double seconds = ToSeconds(aNow - peer.heard);
+  if (seconds > 0) {
+    peer.rate = used / seconds;
+  }
+  this->level = std::min(this->level + peer.assumed - used, this->limit.capacity);
+  peer.assumed = 0;
+  peer.total = aTotal;
+  peer.heard = aNow;
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Attempts/TokenEvent.cpp
+++ b/Lagoonward/Attempts/TokenEvent.cpp
@@ -1,6 +1,6 @@
 #include "Lagoonward/Attempts/TokenEvent.h"
 
-#include "Lagoonward/Wire/JsonText.h"
+#include "Lagoonward/Core/JsonText.h"
 
 #include <charconv>
 
--- a/Lagoonward/Claims/ClaimBatcher.h
+++ b/Lagoonward/Claims/ClaimBatcher.h
@@ -2,7 +2,7 @@
 
 #include "Lagoonward/Claims/ClaimAnswer.h"
 #include "Lagoonward/Claims/ClaimSettings.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <condition_variable>
 
--- a/Lagoonward/Claims/ClaimSettings.h
+++ b/Lagoonward/Claims/ClaimSettings.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Lagoonward/Platform/Backoff.h"
+#include "Lagoonward/Providers/Backoff.h"
 
 #include <cstddef>
 
--- a/Lagoonward/Cli/AdminCommands.cpp
+++ b/Lagoonward/Cli/AdminCommands.cpp
@@ -2,7 +2,7 @@
 
 #include "Lagoonward/Cli/CommandOptions.h"
 #include "Lagoonward/Core/Clock.h"
-#include "Lagoonward/Platform/PlatformHttpClient.h"
+#include "Lagoonward/Providers/PlatformHttpClient.h"
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
--- a/Lagoonward/Cli/PublishCommand.cpp
+++ b/Lagoonward/Cli/PublishCommand.cpp
@@ -5,7 +5,7 @@
 #include "Lagoonward/Configuration/ConfigurationPublisher.h"
 #include "Lagoonward/Configuration/MarketIndex.h"
 #include "Lagoonward/Core/SystemClock.h"
-#include "Lagoonward/Platform/HttpLogService.h"
+#include "Lagoonward/Providers/HttpLogService.h"
 
 #include <algorithm>
 #include <ostream>
--- a/Lagoonward/Configuration/ConfigurationPublisher.h
+++ b/Lagoonward/Configuration/ConfigurationPublisher.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Lagoonward/Configuration/ConfigurationHistory.h"
-#include "Lagoonward/Platform/Backoff.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/Backoff.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 namespace lagoonward {
 
--- a/Lagoonward/Configuration/Manifest.h
+++ b/Lagoonward/Configuration/Manifest.h
@@ -57,6 +57,8 @@
   std::string keySha256;      ///< Lower-case hexadecimal SHA-256 of the client's key.
   double weight = 1;          ///< Its share when capacity is short.
   double tokensPerSecond = 0; ///< Limit over the whole deployment; zero means none.
+  double burstTokens =
+    0;                ///< Tokens it may use at once; zero takes AdmissionSettings::burstSeconds.
   int concurrent = 0; ///< Requests running at once over the whole deployment; zero means none.
 };
 
--- a/Lagoonward/Configuration/MarketFollower.h
+++ b/Lagoonward/Configuration/MarketFollower.h
@@ -2,7 +2,7 @@
 
 #include "Lagoonward/Configuration/ConfigurationFollowerSettings.h"
 #include "Lagoonward/Configuration/ConfigurationHistory.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <functional>
 #include <mutex>
--- a/Lagoonward/Configuration/MarketIndex.h
+++ b/Lagoonward/Configuration/MarketIndex.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Service.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/Lagoonward/Wire/JsonText.cpp
+++ b/Lagoonward/Core/JsonText.cpp
@@ -1,4 +1,4 @@
-#include "Lagoonward/Wire/JsonText.h"
+#include "Lagoonward/Core/JsonText.h"
 
 #include <nlohmann/json.hpp>
 
--- a/Lagoonward/Daemon/ControlPlane.h
+++ b/Lagoonward/Daemon/ControlPlane.h
@@ -5,7 +5,7 @@
 #include "Lagoonward/Core/Service.h"
 #include "Lagoonward/Fleet/FleetStore.h"
 #include "Lagoonward/Membership/MembershipService.h"
-#include "Lagoonward/Platform/LoadPoller.h"
+#include "Lagoonward/Providers/LoadPoller.h"
 
 #include <functional>
 #include <string>
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/Daemon.h"
 
 #include "Lagoonward/Attempts/RunMetrics.h"
+#include "Lagoonward/Daemon/PeerKeys.h"
 
 #include <sodium.h>
 
@@ -12,20 +13,6 @@
 
 const Log kLog("daemon");
 
-/// The key ring text when none is given: a key made from the cluster's name. It keeps clusters
-/// apart, but not strangers out.
-std::string
-MakeOpenKey(const std::string& aCluster)
-{
-  std::array<unsigned char, KeyRing::kKeyBytes> key{};
-  crypto_generichash(key.data(), key.size(),
-                     reinterpret_cast<const unsigned char*>(aCluster.data()), aCluster.size(),
-                     nullptr, 0);
-  std::array<char, KeyRing::kKeyBytes * 2 + 1> hex{};
-  sodium_bin2hex(hex.data(), hex.size(), key.data(), key.size());
-  return std::string("0:") + hex.data();
-}
-
 /// How many daemons come before one under rendezvous hashing of a key.
 int
 RankAmong(const std::vector<std::string>& aDaemons, std::string_view aOwn, std::string_view aKey)
@@ -105,12 +92,7 @@
   if (sodium_init() < 0) {
     return Error(ErrorKind::Internal, "libsodium cannot be initialized.");
   }
-  if (this->settings.peerKeys.empty()) {
-    kLog.Warning("No peer keys are set; whoever knows the cluster's name can speak as a daemon.");
-  }
-  auto keys = KeyRing::Parse(this->settings.peerKeys.empty() ? MakeOpenKey(this->settings.cluster)
-                                                             : this->settings.peerKeys,
-                             this->settings.cluster);
+  auto keys = ParsePeerKeys(this->settings.peerKeys, this->settings.cluster);
   if (!keys) {
     return keys.error();
   }
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -11,7 +11,7 @@
 #include "Lagoonward/Daemon/StatusPage.h"
 #include "Lagoonward/Frontend/AdminApi.h"
 #include "Lagoonward/Frontend/CallerApi.h"
-#include "Lagoonward/Platform/HttpLogService.h"
+#include "Lagoonward/Providers/HttpLogService.h"
 #include "Lagoonward/Settings/DaemonSettings.h"
 
 #include <atomic>
--- a/Lagoonward/Daemon/DemandExchange.cpp
+++ b/Lagoonward/Daemon/DemandExchange.cpp
@@ -18,11 +18,12 @@
   std::uint64_t client = 0;
   double tokensPerSecond = 0;
   std::int32_t running = 0;
+  double admittedTotal = 0;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->client, this->tokensPerSecond, this->running);
+    aArchive(this->client, this->tokensPerSecond, this->running, this->admittedTotal);
   }
 };
 
@@ -54,7 +55,7 @@
 IsPlausible(const ClientEntry& aEntry)
 {
   return std::isfinite(aEntry.tokensPerSecond) && aEntry.tokensPerSecond >= 0 &&
-         aEntry.running >= 0;
+         aEntry.running >= 0 && std::isfinite(aEntry.admittedTotal) && aEntry.admittedTotal >= 0;
 }
 
 } // namespace
@@ -89,7 +90,8 @@
     MarketEntry entry;
     entry.market = market->Name();
     for (const ClientDemand& demand : market->admission.TakeDemand()) {
-      entry.clients.push_back({ demand.client, demand.tokensPerSecond, demand.running });
+      entry.clients.push_back(
+        { demand.client, demand.tokensPerSecond, demand.running, demand.admittedTotal });
     }
     message.markets.push_back(std::move(entry));
   }
@@ -115,7 +117,8 @@
     std::vector<ClientDemand> demand;
     for (const ClientEntry& client : entry.clients) {
       if (IsPlausible(client)) {
-        demand.push_back({ client.client, client.tokensPerSecond, client.running });
+        demand.push_back(
+          { client.client, client.tokensPerSecond, client.running, client.admittedTotal });
       }
     }
     market->admission.OnPeer(aSender, demand);
--- a/Lagoonward/Daemon/FleetManager.h
+++ b/Lagoonward/Daemon/FleetManager.h
@@ -3,9 +3,9 @@
 #include "Lagoonward/Core/Service.h"
 #include "Lagoonward/Daemon/HttpOrderSender.h"
 #include "Lagoonward/Daemon/MarketLeader.h"
-#include "Lagoonward/Platform/HttpCloudService.h"
-#include "Lagoonward/Platform/HttpLogService.h"
-#include "Lagoonward/Platform/HttpWeightStore.h"
+#include "Lagoonward/Providers/HttpCloudService.h"
+#include "Lagoonward/Providers/HttpLogService.h"
+#include "Lagoonward/Providers/HttpWeightStore.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/Lagoonward/Daemon/FleetManagerSettings.h
+++ b/Lagoonward/Daemon/FleetManagerSettings.h
@@ -2,7 +2,7 @@
 
 #include "Lagoonward/Leadership/LeaseSettings.h"
 #include "Lagoonward/Placement/PlacementSettings.h"
-#include "Lagoonward/Platform/PlatformSettings.h"
+#include "Lagoonward/Providers/PlatformSettings.h"
 
 namespace lagoonward {
 
--- a/Lagoonward/Daemon/HttpOrderSender.h
+++ b/Lagoonward/Daemon/HttpOrderSender.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Daemon/OrderSender.h"
-#include "Lagoonward/Platform/PlatformHttpClient.h"
+#include "Lagoonward/Providers/PlatformHttpClient.h"
 
 #include <atomic>
 
--- a/Lagoonward/Daemon/PlatformWatcher.h
+++ b/Lagoonward/Daemon/PlatformWatcher.h
@@ -2,8 +2,8 @@
 
 #include "Lagoonward/Core/Service.h"
 #include "Lagoonward/Membership/HostListPace.h"
-#include "Lagoonward/Platform/HttpCloudService.h"
-#include "Lagoonward/Platform/HttpHostListService.h"
+#include "Lagoonward/Providers/HttpCloudService.h"
+#include "Lagoonward/Providers/HttpHostListService.h"
 
 #include <atomic>
 #include <condition_variable>
--- /dev/null
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -0,0 +1,386 @@
+#include "Lagoonward/Daemon/RelayDaemon.h"
+
+#include "Lagoonward/Daemon/PeerKeys.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <thread>
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("daemon");
+
+constexpr std::string_view kRelayMarket = "relay";
+constexpr std::string_view kConfigurationState = "relay/configuration";
+constexpr Milliseconds kDirectoryTick{ 200 };
+
+/// A balancer that asks once a second takes a daemon out after two misses; a little more covers the way.
+constexpr Milliseconds kBalancerNotice{ 2500 };
+
+/// Left between the last answer and the end by force, for the answers to reach their callers.
+constexpr Milliseconds kEndMargin{ 900 };
+/// Between two messages about clients' demand; bounds how long daemons do not know of each other's.
+constexpr Milliseconds kDemandInterval{ 500 };
+
+constexpr Milliseconds kDrainPoll{ 20 };
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+/// The largest header block and what the library needs beside it.
+constexpr std::size_t kConnectionMemory = 48U << 10U;
+
+/// Parts of what is tolerated over a client's limit that admission hands out.
+constexpr double kToleranceUsed = 0.8;
+constexpr double kSlackUsed = 0.5;
+
+MarketSettings
+MarketSettingsOf(const RelayDaemonSettings& aSettings)
+{
+  MarketSettings market;
+  // Half of what may be repeated beyond the ratio is saved up, the other half comes with time, so that
+  // no window holds more than both
+  const double window = static_cast<double>(aSettings.retryWindow.count());
+  market.retries.perSuccess = aSettings.retryRatio * 0.75;
+  market.retries.capacity = aSettings.retrySlack / 2;
+  market.retries.perSecond = aSettings.retrySlack / 2 / window / 2;
+  // The rest is left to requests that overdraw, at most one a daemon
+  market.admission.limitTolerance = aSettings.limitTolerance * kToleranceUsed;
+  market.admission.limitSlack = aSettings.limitSlack * kSlackUsed;
+  market.admission.pooled = true;
+  return market;
+}
+
+} // namespace
+
+RelayDaemon::RelayDaemon(RelayDaemonSettings aSettings, const Clock& aClock)
+  : settings(std::move(aSettings))
+  , clock(aClock)
+  , markets(MarketSettingsOf(this->settings), aClock, HashBytes(this->settings.peer.address))
+  , market(this->markets.FindOrAdd(std::string(kRelayMarket)))
+  , reporter(aClock)
+  , directory({}, aClock)
+  , seeds(this->settings.seeds)
+{
+}
+
+RelayDaemon::~RelayDaemon()
+{
+  this->Stop();
+}
+
+Result<void>
+RelayDaemon::Start(RelayPorts aPorts)
+{
+  if (sodium_init() < 0) {
+    return Error(ErrorKind::Internal, "libsodium cannot be initialized.");
+  }
+  this->ports = std::move(aPorts);
+  if (auto built = this->BuildMembership(); !built) {
+    return built;
+  }
+  this->relay = &this->kernel.Add(
+    std::make_unique<RelayService>(RelaySettings{}, this->ports.endpoints, *this->market,
+                                   this->fleet, this->reporter, this->clock));
+  this->BuildServers();
+  if (auto started = this->kernel.StartAll(); !started) {
+    return started;
+  }
+  for (HttpServer* server : { this->callers.get(), this->readiness.get(), this->metrics.get() }) {
+    if (server == nullptr) {
+      continue;
+    }
+    if (auto started = server->Start(); !started) {
+      return started;
+    }
+  }
+  this->membership->Loop().Run([this] {
+    this->demand->Start();
+    this->ApplyDaemons();
+    this->membership->Loop().Every(kDirectoryTick, [this] {
+      if (this->directory.Tick()) {
+        this->PublishFleet();
+      }
+    });
+  });
+  kLog.Event("started", { { "host", this->settings.name },
+                          { "failure_domain", this->settings.failureDomain },
+                          { "version", LAGOONWARD_VERSION } });
+  return boost::outcome_v2::success();
+}
+
+Result<void>
+RelayDaemon::BuildMembership()
+{
+  auto keys = ParsePeerKeys(this->settings.peerKeys, this->settings.cluster);
+  if (!keys) {
+    return keys.error();
+  }
+  MembershipIdentity identity;
+  identity.self.id = this->settings.peer.address;
+  identity.self.address = this->settings.peer.address;
+  identity.self.port = this->settings.peer.port;
+  identity.self.failureDomain = this->settings.failureDomain;
+  identity.self.region = this->settings.region;
+  identity.session = static_cast<std::uint64_t>(ToUnixMilliseconds(this->clock.WallNow()));
+  // Endpoints tell of themselves in the platform's store, so nobody polls them
+  const auto poll = [this](const HostEntry&, MembershipService::PollDone aDone) {
+    EndpointLoad load;
+    load.asOf = this->clock.WallNow();
+    aDone(std::move(load));
+  };
+  this->membership = &this->kernel.Add(std::make_unique<MembershipService>(
+    this->clock, std::move(identity), std::move(keys.value()), MembershipSettings{}, poll));
+  this->membership->OnState([this](const SharedState& aState) {
+    return aState.name == kConfigurationState && this->TakeConfiguration(aState.bytes, true);
+  });
+  this->membership->OnPeers([this](const PeerViewPtr& aView) {
+    this->market->SetLiveDaemons(static_cast<int>(aView->peers.size()) + 1);
+  });
+  this->demand = std::make_unique<DemandExchange>(
+    DemandExchangeSettings{ .interval = kDemandInterval }, *this->membership, this->markets,
+    this->settings.peer.address, this->settings.region);
+  return boost::outcome_v2::success();
+}
+
+void
+RelayDaemon::BuildServers()
+{
+  HttpServerSettings front;
+  front.address = this->settings.listen.address;
+  front.port = this->settings.listen.port;
+  front.connectionMemoryBytes = kConnectionMemory;
+  this->callers = std::make_unique<HttpServer>(
+    front, [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
+      this->HandleCall(std::move(aRequest), aExchange);
+    });
+
+  HttpServerSettings ready;
+  ready.address = this->settings.ready.address;
+  ready.port = this->settings.ready.port;
+  this->readiness = std::make_unique<HttpServer>(
+    ready, [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
+      aExchange->Respond(this->IsReady() ? kOk : kUnavailable, {}, {});
+    });
+
+  if (this->settings.metrics.port != 0) {
+    HttpServerSettings page;
+    page.address = this->settings.metrics.address;
+    page.port = this->settings.metrics.port;
+    this->metrics = std::make_unique<HttpServer>(
+      page, [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
+        aExchange->Respond(kOk, { { "Content-Type", "text/plain; version=0.0.4" } },
+                           this->reporter.MetricsText());
+      });
+  }
+}
+
+void
+RelayDaemon::HandleCall(HttpRequest aRequest, const HttpExchangePtr& aExchange)
+{
+  auto call = this->ports.callers.read(std::move(aRequest));
+  auto caller = std::make_unique<ExchangeCaller>(aExchange, this->ports.callers.writeError);
+  if (!call) {
+    kLog.Event("refused", { { "kind", GetErrorRule(call.error().kind).name },
+                            { "reason", call.error().message } });
+    caller->Refuse(call.error());
+    return;
+  }
+  this->relay->Submit(std::move(call.value()), std::move(caller));
+}
+
+RelayConfigurationPtr
+RelayDaemon::InForce() const
+{
+  return std::atomic_load(&this->inForce);
+}
+
+bool
+RelayDaemon::IsReady() const
+{
+  return !this->draining && this->InForce() != nullptr && this->knowsEndpoints;
+}
+
+void
+RelayDaemon::OnConfiguration(const std::string& aText)
+{
+  this->membership->Loop().Run(
+    [this, &aText] { static_cast<void>(this->TakeConfiguration(aText, false)); });
+}
+
+bool
+RelayDaemon::TakeConfiguration(const std::string& aText, bool aFromPeer)
+{
+  auto decoded = this->ports.decodeConfiguration(aText);
+  if (!decoded) {
+    kLog.Event(LogLevel::Warning, "configuration_refused",
+               { { "reason", decoded.error().message }, { "from_peer", aFromPeer } });
+    return false;
+  }
+  const auto next = std::make_shared<const RelayConfiguration>(std::move(decoded.value()));
+  const std::int64_t version = next->routes->Version();
+  const RelayConfigurationPtr current = this->InForce();
+  if (current != nullptr && version <= current->routes->Version()) {
+    return false;
+  }
+  // Accounts first: a request under the new routes needs its account
+  auto configuration = std::make_shared<Configuration>();
+  configuration->market = kRelayMarket;
+  configuration->offset = version;
+  configuration->manifest = next->manifest;
+  this->market->ApplyConfiguration(configuration);
+  std::atomic_store(&this->inForce, next);
+  this->PublishFleet();
+  kLog.Event("configuration", { { "version", version },
+                                { "from_peer", aFromPeer },
+                                { "before", current ? current->routes->Version() : -1 } });
+  if (!aFromPeer) {
+    this->membership->PublishState({ std::string(kConfigurationState), version, aText });
+  }
+  return true;
+}
+
+void
+RelayDaemon::OnEndpoint(Endpoint aEndpoint)
+{
+  this->membership->Loop().Post([this, endpoint = std::move(aEndpoint)] {
+    if (this->directory.OnEntry(endpoint)) {
+      kLog.Event("endpoint", { { "endpoint", endpoint.id },
+                               { "service", endpoint.name },
+                               { "leaving", endpoint.state == EndpointState::Leaving },
+                               { "reclaimable", endpoint.reclaimable } });
+      this->PublishFleet();
+    }
+  });
+}
+
+void
+RelayDaemon::OnEndpointRemoved(const std::string& aId)
+{
+  this->membership->Loop().Post([this, aId] {
+    const bool changed = this->directory.OnRemoved(aId);
+    kLog.Event("endpoint_removed", { { "endpoint", aId }, { "in_force", changed } });
+    if (changed) {
+      this->PublishFleet();
+    }
+  });
+}
+
+void
+RelayDaemon::OnEndpoints(std::vector<Endpoint> aEndpoints)
+{
+  this->membership->Loop().Post([this, endpoints = std::move(aEndpoints)] {
+    std::vector<std::string> ids;
+    bool changed = !this->knowsEndpoints;
+    for (const Endpoint& endpoint : endpoints) {
+      ids.push_back(endpoint.id);
+      changed = this->directory.OnEntry(endpoint) || changed;
+    }
+    changed = this->directory.OnWhole(ids) || changed;
+    kLog.Event("endpoints", { { "count", ids.size() }, { "changed", changed } });
+    this->knowsEndpoints = true;
+    if (changed) {
+      this->PublishFleet();
+    }
+  });
+}
+
+void
+RelayDaemon::OnEndpointSource(bool aAnswers)
+{
+  this->membership->Loop().Post([this, aAnswers] { this->directory.OnSource(aAnswers); });
+}
+
+void
+RelayDaemon::OnDaemons(std::vector<HostEntry> aDaemons)
+{
+  this->membership->Loop().Post([this, daemons = std::move(aDaemons)] {
+    this->listed = daemons;
+    this->ApplyDaemons();
+  });
+}
+
+void
+RelayDaemon::OnSettings(const RelayDaemonSettings& aSettings)
+{
+  this->membership->Loop().Post([this, seeds = aSettings.seeds] {
+    kLog.Event("reloaded", { { "seeds", seeds.size() } });
+    this->seeds = seeds;
+    this->ApplyDaemons();
+  });
+}
+
+void
+RelayDaemon::ApplyDaemons()
+{
+  std::vector<HostEntry> all = this->listed;
+  for (const SocketAddress& seed : this->seeds) {
+    const bool isListed = std::any_of(
+      all.begin(), all.end(), [&](const HostEntry& aHost) { return aHost.id == seed.address; });
+    if (!isListed) {
+      HostEntry host;
+      host.id = seed.address;
+      host.kind = HostEntry::Kind::Daemon;
+      host.address = seed.address;
+      host.port = seed.port;
+      host.region = this->settings.region;
+      all.push_back(std::move(host));
+    }
+  }
+  this->membership->ApplyHostList(std::move(all));
+}
+
+void
+RelayDaemon::PublishFleet()
+{
+  const FleetSnapshotPtr snapshot = this->directory.Snapshot();
+  this->fleet.Publish(snapshot);
+  this->market->ApplyFleet(*snapshot);
+}
+
+void
+RelayDaemon::Drain()
+{
+  if (this->draining.exchange(true)) {
+    return;
+  }
+  const TimePoint begun = this->clock.Now();
+  kLog.Event("draining", { { "open", this->callers->OpenExchanges() } });
+  this->callers->CloseAfterAnswers();
+  this->membership->Drain();
+
+  // The balancer still sends callers for a moment
+  std::this_thread::sleep_for(kBalancerNotice);
+  this->callers->StopListening();
+  this->WaitForAnswers(begun + this->settings.grace - kEndMargin);
+  if (this->callers->OpenExchanges() > 0) {
+    kLog.Event(LogLevel::Warning, "abandons", { { "open", this->callers->OpenExchanges() } });
+    this->relay->AbandonAll();
+    this->WaitForAnswers(begun + this->settings.grace - kEndMargin / 2);
+  }
+  kLog.Event("drained", { { "open", this->callers->OpenExchanges() } });
+}
+
+void
+RelayDaemon::WaitForAnswers(TimePoint aUntil)
+{
+  while (this->callers->OpenExchanges() > 0 && this->clock.Now() < aUntil) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+}
+
+void
+RelayDaemon::Stop()
+{
+  for (auto* server : { &this->callers, &this->readiness, &this->metrics }) {
+    if (*server != nullptr) {
+      (*server)->Stop();
+    }
+  }
+  this->kernel.StopAll();
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "Lagoonward/Attempts/Market.h"
+#include "Lagoonward/Core/Kernel.h"
+#include "Lagoonward/Daemon/DemandExchange.h"
+#include "Lagoonward/Daemon/RelayPorts.h"
+#include "Lagoonward/Daemon/RelayReporter.h"
+#include "Lagoonward/Fleet/EndpointDirectory.h"
+#include "Lagoonward/Membership/MembershipService.h"
+#include "Lagoonward/Relay/RelayService.h"
+#include "Lagoonward/Settings/RelayDaemonSettings.h"
+#include "Lagoonward/Wire/HttpServer.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace lagoonward {
+
+/// One daemon that relays requests: puts its services together and carries news between them. What
+/// happens outside is told to it through the On...() methods, which are safe from any thread.
+class RelayDaemon
+{
+public:
+  /// References must outlive it.
+  RelayDaemon(RelayDaemonSettings aSettings, const Clock& aClock);
+  ~RelayDaemon();
+  RelayDaemon(const RelayDaemon&) = delete;
+  RelayDaemon& operator=(const RelayDaemon&) = delete;
+
+  /// Binds all addresses and starts all threads. Errors: InvalidSettings.
+  [[nodiscard]] Result<void> Start(RelayPorts aPorts);
+
+  /// Turns unready, answers all that was taken, and returns before the grace period ends.
+  void Drain();
+  void Stop();
+
+  /// A configuration as it was published. Older ones than the one in force change nothing.
+  void OnConfiguration(const std::string& aText);
+
+  void OnEndpoint(Endpoint aEndpoint);
+  void OnEndpointRemoved(const std::string& aId);
+  /// All endpoints there are.
+  void OnEndpoints(std::vector<Endpoint> aEndpoints);
+  /// Whether whoever tells of endpoints is reachable.
+  void OnEndpointSource(bool aAnswers);
+
+  /// All daemons that are known outside, beside the seeds of the settings.
+  void OnDaemons(std::vector<HostEntry> aDaemons);
+
+  /// Settings that changed while it runs: new seeds are taken in, the rest waits for a restart.
+  void OnSettings(const RelayDaemonSettings& aSettings);
+
+  /// What is in force; null before the first.
+  [[nodiscard]] RelayConfigurationPtr InForce() const;
+
+  /// Whether callers should be sent here.
+  [[nodiscard]] bool IsReady() const;
+
+  [[nodiscard]] const RelayDaemonSettings& Settings() const { return this->settings; }
+
+private:
+  [[nodiscard]] Result<void> BuildMembership();
+  void BuildServers();
+  void HandleCall(HttpRequest aRequest, const HttpExchangePtr& aExchange);
+  [[nodiscard]] bool TakeConfiguration(const std::string& aText, bool aFromPeer);
+  void PublishFleet();
+  void ApplyDaemons();
+  void WaitForAnswers(TimePoint aUntil);
+
+  RelayDaemonSettings settings;
+  const Clock& clock;
+  RelayPorts ports;
+  MarketDirectory markets; ///< Holds one, for the decisions shared with other requests.
+  MarketPtr market;
+  FleetStore fleet;
+  RelayReporter reporter;
+  Kernel kernel;
+  MembershipService* membership = nullptr;
+  RelayService* relay = nullptr;
+  std::unique_ptr<DemandExchange> demand;
+  std::unique_ptr<HttpServer> callers;
+  std::unique_ptr<HttpServer> readiness;
+  std::unique_ptr<HttpServer> metrics;
+
+  RelayConfigurationPtr inForce; ///< Read and written with std::atomic_load and std::atomic_store.
+  std::atomic<bool> knowsEndpoints{ false };
+  std::atomic<bool> draining{ false };
+  EndpointDirectory directory;      ///< Control thread only, as is what follows.
+  std::vector<HostEntry> listed;    ///< Daemons, as told from outside.
+  std::vector<SocketAddress> seeds; ///< As in the newest settings.
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -0,0 +1,112 @@
+#include "Lagoonward/Daemon/RelayReporter.h"
+
+#include "Lagoonward/Core/Log.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("relay");
+
+/// Seconds; from a plain call's answer to the end of a caller's patience.
+const prometheus::Histogram::BucketBoundaries kLatencies{ 0.01, 0.025, 0.05, 0.1, 0.25, 0.5,
+                                                          1,    2,     4,    8,   15 };
+
+} // namespace
+
+RelayReporter::RelayReporter(const Clock& aClock)
+  : clock(aClock)
+  , ended(prometheus::BuildCounter()
+            .Name("lagoonward_relay_requests_total")
+            .Help("Relayed requests by route and status; 0 where the caller had gone.")
+            .Register(this->registry))
+  , attempts(prometheus::BuildCounter()
+               .Name("lagoonward_relay_attempts_total")
+               .Help("Attempts at endpoints by service and outcome.")
+               .Register(this->registry))
+  , firstByte(prometheus::BuildHistogram()
+                .Name("lagoonward_relay_began_seconds")
+                .Help("Time from a request's arrival until an endpoint began to answer, by route.")
+                .Register(this->registry))
+{
+}
+
+void
+RelayReporter::OnBeganDo(BeganHandler aHandler)
+{
+  this->onBegan = std::move(aHandler);
+}
+
+std::string
+RelayReporter::MetricsText() const
+{
+  return prometheus::TextSerializer().Serialize(this->registry.Collect());
+}
+
+std::int64_t
+RelayReporter::AgeOf(const RelayCall& aCall) const
+{
+  return std::chrono::floor<Milliseconds>(this->clock.Now() - aCall.receivedAt).count();
+}
+
+void
+RelayReporter::OnAccepted(const RelayCall& aCall)
+{
+  kLog.Event("accepted", { { "request", aCall.id },
+                           { "route", aCall.route->name },
+                           { "configuration", aCall.configurationVersion },
+                           { "service", aCall.service },
+                           { "account", aCall.account },
+                           { "prompt_tokens", aCall.promptTokens },
+                           { "output_tokens", aCall.outputTokens } });
+}
+
+void
+RelayReporter::OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend)
+{
+  this->attempts.Add({ { "service", aCall.service }, { "outcome", "sent" } }).Increment();
+  kLog.Event("sent", { { "request", aCall.id },
+                       { "endpoint", aEndpoint },
+                       { "send", aSend },
+                       { "age_ms", this->AgeOf(aCall) } });
+}
+
+void
+RelayReporter::OnBegan(const RelayCall& aCall)
+{
+  const std::chrono::duration<double> age = this->clock.Now() - aCall.receivedAt;
+  this->firstByte.Add({ { "route", aCall.route->name } }, kLatencies).Observe(age.count());
+  if (this->onBegan) {
+    this->onBegan(aCall);
+  }
+}
+
+void
+RelayReporter::OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint,
+                               std::string_view aReason, bool aGoesOn)
+{
+  this->attempts.Add({ { "service", aCall.service }, { "outcome", "failed" } }).Increment();
+  kLog.Event("attempt_failed", { { "request", aCall.id },
+                                 { "endpoint", aEndpoint },
+                                 { "reason", aReason },
+                                 { "goes_on", aGoesOn },
+                                 { "age_ms", this->AgeOf(aCall) } });
+}
+
+void
+RelayReporter::OnEnded(const RelayCall& aCall, const RelayEnd& aEnd)
+{
+  this->ended.Add({ { "route", aCall.route->name }, { "status", std::to_string(aEnd.status) } })
+    .Increment();
+  kLog.Event("ended", { { "request", aCall.id },
+                        { "status", aEnd.status },
+                        { "whole", aEnd.whole },
+                        { "sends", aEnd.sends },
+                        { "endpoint", aEnd.endpoint },
+                        { "reason", aEnd.reason },
+                        { "age_ms", this->AgeOf(aCall) } });
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Relay/RelayObserver.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+namespace lagoonward {
+
+/// Writes down what happens to relayed requests: a log line for each decision, counters and latencies.
+class RelayReporter final : public RelayObserver
+{
+public:
+  /// Told of each request that an endpoint has begun to run.
+  using BeganHandler = std::function<void(const RelayCall&)>;
+
+  explicit RelayReporter(const Clock& aClock);
+
+  /// Set before the first request.
+  void OnBeganDo(BeganHandler aHandler);
+
+  /// The metrics page, in Prometheus' text form.
+  [[nodiscard]] std::string MetricsText() const;
+
+  void OnAccepted(const RelayCall& aCall) override;
+  void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend) override;
+  void OnBegan(const RelayCall& aCall) override;
+  void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint, std::string_view aReason,
+                       bool aGoesOn) override;
+  void OnEnded(const RelayCall& aCall, const RelayEnd& aEnd) override;
+
+private:
+  [[nodiscard]] std::int64_t AgeOf(const RelayCall& aCall) const;
+
+  const Clock& clock;
+  BeganHandler onBegan;
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Counter>& ended;
+  prometheus::Family<prometheus::Counter>& attempts;
+  prometheus::Family<prometheus::Histogram>& firstByte;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -0,0 +1,101 @@
+#include "Lagoonward/Fleet/EndpointDirectory.h"
+
+#include <algorithm>
+
+namespace lagoonward {
+
+EndpointDirectory::EndpointDirectory(const EndpointDirectorySettings& aSettings,
+                                     const Clock& aClock)
+  : settings(aSettings)
+  , clock(aClock)
+{
+}
+
+bool
+EndpointDirectory::OnEntry(Endpoint aEndpoint)
+{
+  Entry& entry = this->entries[aEndpoint.id];
+  const Endpoint& known = entry.endpoint;
+  // Who has said that it leaves does not come back under the same id
+  if (known.state == EndpointState::Leaving) {
+    aEndpoint.state = EndpointState::Leaving;
+  }
+  const bool changed = entry.missingSince.has_value() || known.id != aEndpoint.id ||
+                       known.address != aEndpoint.address || known.port != aEndpoint.port ||
+                       known.state != aEndpoint.state || known.name != aEndpoint.name;
+  entry.missingSince.reset();
+  entry.endpoint = std::move(aEndpoint);
+  return changed;
+}
+
+bool
+EndpointDirectory::IsAroundOutage() const
+{
+  return !this->sourceAnswers ||
+         (this->answersSince &&
+          this->clock.Now() < *this->answersSince + this->settings.returnGrace);
+}
+
+bool
+EndpointDirectory::OnRemoved(const std::string& aId)
+{
+  const auto found = this->entries.find(aId);
+  if (found == this->entries.end()) {
+    return false;
+  }
+  if (this->IsAroundOutage() && found->second.endpoint.state == EndpointState::Live) {
+    found->second.missingSince = this->clock.Now();
+    return false;
+  }
+  this->entries.erase(found);
+  return true;
+}
+
+bool
+EndpointDirectory::OnWhole(const std::vector<std::string>& aIds)
+{
+  std::vector<std::string> missing;
+  for (const auto& [id, entry] : this->entries) {
+    if (std::find(aIds.begin(), aIds.end(), id) == aIds.end()) {
+      missing.push_back(id);
+    }
+  }
+  bool changed = false;
+  for (const std::string& id : missing) {
+    changed = this->OnRemoved(id) || changed;
+  }
+  return changed;
+}
+
+void
+EndpointDirectory::OnSource(bool aAnswers)
+{
+  if (aAnswers && !this->sourceAnswers) {
+    this->answersSince = this->clock.Now();
+  }
+  this->sourceAnswers = aAnswers;
+}
+
+bool
+EndpointDirectory::Tick()
+{
+  if (this->IsAroundOutage()) {
+    return false;
+  }
+  const auto removed = std::erase_if(
+    this->entries, [](const auto& aEntry) { return aEntry.second.missingSince.has_value(); });
+  return removed > 0;
+}
+
+FleetSnapshotPtr
+EndpointDirectory::Snapshot()
+{
+  auto snapshot = std::make_shared<FleetSnapshot>();
+  snapshot->generation = ++this->generation;
+  for (const auto& [id, entry] : this->entries) {
+    snapshot->endpoints.push_back(entry.endpoint);
+  }
+  return snapshot;
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Fleet/FleetSnapshot.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lagoonward {
+
+/// Tunables of the endpoint directory.
+struct EndpointDirectorySettings
+{
+  /// How long entries that vanish around an outage of their source are kept after its return. Entries
+  /// of live endpoints lapse with the source and are back within about two seconds.
+  Milliseconds returnGrace{ 2200 };
+};
+
+/// Endpoints as their own entries in the platform's store name them. An entry that says "leaving", or
+/// vanishes while the store answers, binds at once and for good; one that vanishes around an outage of
+/// the store gets time to return. Not thread-safe.
+class EndpointDirectory
+{
+public:
+  EndpointDirectory(const EndpointDirectorySettings& aSettings, const Clock& aClock);
+
+  /// Takes an entry.
+  /// @return whether the picture has changed
+  bool OnEntry(Endpoint aEndpoint);
+
+  /// An entry has been removed.
+  /// @return whether the picture has changed
+  bool OnRemoved(const std::string& aId);
+
+  /// The source was read whole: entries that are not among the ids have gone.
+  /// @return whether the picture has changed
+  bool OnWhole(const std::vector<std::string>& aIds);
+
+  /// The source does not answer, or answers again.
+  void OnSource(bool aAnswers);
+
+  /// Removes what has had its time to return. To be called every few hundred milliseconds.
+  /// @return whether the picture has changed
+  bool Tick();
+
+  /// The endpoints, in the order of their ids.
+  [[nodiscard]] FleetSnapshotPtr Snapshot();
+
+private:
+  struct Entry
+  {
+    Endpoint endpoint;
+    std::optional<TimePoint> missingSince; ///< Its entry vanished around an outage.
+  };
+
+  [[nodiscard]] bool IsAroundOutage() const;
+
+  EndpointDirectorySettings settings;
+  const Clock& clock;
+  std::map<std::string, Entry> entries;
+  bool sourceAnswers = true;
+  std::optional<TimePoint> answersSince; ///< End of the last outage.
+  std::uint64_t generation = 0;
+};
+
+} // namespace lagoonward
--- a/Lagoonward/Frontend/AnswerWriters.cpp
+++ b/Lagoonward/Frontend/AnswerWriters.cpp
@@ -1,6 +1,6 @@
 #include "Lagoonward/Frontend/AnswerWriters.h"
 
-#include "Lagoonward/Wire/JsonText.h"
+#include "Lagoonward/Core/JsonText.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/Lagoonward/Leadership/LeaseKeeper.h
+++ b/Lagoonward/Leadership/LeaseKeeper.h
@@ -2,7 +2,7 @@
 
 #include "Lagoonward/Leadership/LeaseLedger.h"
 #include "Lagoonward/Leadership/LeaseSettings.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <map>
 
--- a/Lagoonward/Main.cpp
+++ b/Lagoonward/Main.cpp
@@ -2,6 +2,7 @@
 #include "Lagoonward/Cli/CheckCommand.h"
 #include "Lagoonward/Cli/PublishCommand.h"
 #include "Lagoonward/Cli/ServeCommand.h"
+#include "platform/RelayCommand.h"
 
 #include <array>
 #include <iostream>
@@ -32,6 +33,7 @@
 
 constexpr std::array kCommands{
   Command{ "serve", "run a daemon", &RunServe },
+  Command{ "relay", "run a daemon that relays requests on the platform", &platform::RunRelay },
   Command{ "check", "validate a manifest", &RunCheck },
   Command{ "publish", "append a manifest to its market's stream", &RunPublish },
   Command{ "status", "show what is in force where, per daemon and per endpoint", &RunStatus },
--- a/Lagoonward/Membership/EndpointFact.h
+++ b/Lagoonward/Membership/EndpointFact.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Membership/Messages.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <optional>
 
--- a/Lagoonward/Membership/HostListShare.h
+++ b/Lagoonward/Membership/HostListShare.h
@@ -3,7 +3,7 @@
 #include "Lagoonward/Core/Result.h"
 #include "Lagoonward/Membership/MembershipSettings.h"
 #include "Lagoonward/Membership/Messages.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <optional>
 #include <span>
--- a/Lagoonward/Membership/LoadWatch.h
+++ b/Lagoonward/Membership/LoadWatch.h
@@ -4,7 +4,7 @@
 #include "Lagoonward/Membership/EndpointFact.h"
 #include "Lagoonward/Membership/MembershipSettings.h"
 #include "Lagoonward/Membership/Messages.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <optional>
 #include <span>
--- a/Lagoonward/Membership/MembershipService.h
+++ b/Lagoonward/Membership/MembershipService.h
@@ -12,7 +12,7 @@
 #include "Lagoonward/Membership/PeerTransport.h"
 #include "Lagoonward/Membership/SharedStates.h"
 #include "Lagoonward/Membership/SoftRecords.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <atomic>
 #include <functional>
--- a/Lagoonward/Membership/PeerTable.h
+++ b/Lagoonward/Membership/PeerTable.h
@@ -6,7 +6,7 @@
 #include "Lagoonward/Membership/PeerEntry.h"
 #include "Lagoonward/Membership/ProbePlan.h"
 #include "Lagoonward/Membership/RegionGraph.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <map>
 #include <span>
--- a/Lagoonward/Placement/PlacementOrder.h
+++ b/Lagoonward/Placement/PlacementOrder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Fleet/FleetSnapshot.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <string>
 #include <vector>
--- a/Lagoonward/Platform/Backoff.cpp
+++ b/Lagoonward/Providers/Backoff.cpp
@@ -1,4 +1,4 @@
-#include "Lagoonward/Platform/Backoff.h"
+#include "Lagoonward/Providers/Backoff.h"
 
 #include <algorithm>
 
--- a/Lagoonward/Platform/HttpCloudService.cpp
+++ b/Lagoonward/Providers/HttpCloudService.cpp
@@ -1,6 +1,6 @@
-#include "Lagoonward/Platform/HttpCloudService.h"
+#include "Lagoonward/Providers/HttpCloudService.h"
 
-#include "Lagoonward/Platform/PlatformDecoder.h"
+#include "Lagoonward/Providers/PlatformDecoder.h"
 
 #include <fmt/format.h>
 
--- a/Lagoonward/Platform/HttpHostListService.cpp
+++ b/Lagoonward/Providers/HttpHostListService.cpp
@@ -1,6 +1,6 @@
-#include "Lagoonward/Platform/HttpHostListService.h"
+#include "Lagoonward/Providers/HttpHostListService.h"
 
-#include "Lagoonward/Platform/PlatformDecoder.h"
+#include "Lagoonward/Providers/PlatformDecoder.h"
 
 namespace lagoonward {
 
--- a/Lagoonward/Platform/HttpLogService.cpp
+++ b/Lagoonward/Providers/HttpLogService.cpp
@@ -1,6 +1,6 @@
-#include "Lagoonward/Platform/HttpLogService.h"
+#include "Lagoonward/Providers/HttpLogService.h"
 
-#include "Lagoonward/Platform/PlatformDecoder.h"
+#include "Lagoonward/Providers/PlatformDecoder.h"
 
 #include <fmt/format.h>
 
--- a/Lagoonward/Platform/HttpLogService.h
+++ b/Lagoonward/Providers/HttpLogService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "Lagoonward/Platform/PlatformHttpClient.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformHttpClient.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 namespace lagoonward {
 
--- a/Lagoonward/Platform/HttpWeightStore.cpp
+++ b/Lagoonward/Providers/HttpWeightStore.cpp
@@ -1,4 +1,4 @@
-#include "Lagoonward/Platform/HttpWeightStore.h"
+#include "Lagoonward/Providers/HttpWeightStore.h"
 
 namespace lagoonward {
 
--- a/Lagoonward/Platform/LoadPoller.cpp
+++ b/Lagoonward/Providers/LoadPoller.cpp
@@ -1,4 +1,4 @@
-#include "Lagoonward/Platform/LoadPoller.h"
+#include "Lagoonward/Providers/LoadPoller.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- a/Lagoonward/Platform/LoadPoller.h
+++ b/Lagoonward/Providers/LoadPoller.h
@@ -2,7 +2,7 @@
 
 #include "Lagoonward/Core/Result.h"
 #include "Lagoonward/Fleet/Endpoint.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 #include "Lagoonward/Wire/TrafficLoop.h"
 
 #include <functional>
--- a/Lagoonward/Platform/PlatformDecoder.h
+++ b/Lagoonward/Providers/PlatformDecoder.h
@@ -2,8 +2,8 @@
 
 #include "Lagoonward/Configuration/JsonReader.h"
 #include "Lagoonward/Core/Log.h"
-#include "Lagoonward/Platform/PlatformHttpClient.h"
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformHttpClient.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 namespace lagoonward {
 
--- a/Lagoonward/Platform/PlatformHttpClient.cpp
+++ b/Lagoonward/Providers/PlatformHttpClient.cpp
@@ -1,7 +1,10 @@
-#include "Lagoonward/Platform/PlatformHttpClient.h"
+#include "Lagoonward/Providers/PlatformHttpClient.h"
 
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 #include <cctype>
 
@@ -14,6 +17,12 @@
 constexpr long kFirstServerError = 500;
 constexpr long kUnavailable = 503;
 
+/// Pause before, and between, probes of a connection that carries nothing.
+constexpr long kKeepAliveSeconds = 1;
+
+/// Unanswered for so long, a connection counts as lost: two probes.
+constexpr unsigned kSilenceMilliseconds = 2000;
+
 /// What the library's callbacks of one call need.
 struct Transfer
 {
@@ -59,6 +68,16 @@
   return error.is_object() && error.contains("kind") && error["kind"] == aKind;
 }
 
+/// A connection that something between the two ends has lost track of ends by itself, so that a call
+/// that may wait for long is not waited for in vain.
+int
+LimitSilence(void* /*aContext*/, curl_socket_t aSocket, curlsocktype /*aPurpose*/)
+{
+  setsockopt(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kSilenceMilliseconds,
+             sizeof(kSilenceMilliseconds));
+  return CURL_SOCKOPT_OK;
+}
+
 /// Initializes the library once per process.
 void
 InitializeLibrary()
@@ -77,6 +96,11 @@
   curl_easy_setopt(aHandle, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(aSettings.connectTimeout.count()));
   curl_easy_setopt(aHandle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
+  curl_easy_setopt(aHandle, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(aHandle, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
+  curl_easy_setopt(aHandle, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
+  curl_easy_setopt(aHandle, CURLOPT_SOCKOPTFUNCTION, &LimitSilence);
+  curl_easy_setopt(aHandle, CURLOPT_SOCKOPTDATA, nullptr);
   curl_easy_setopt(aHandle, CURLOPT_MAXAGE_CONN,
                    static_cast<long>(aSettings.maxConnectionAge.count()));
   curl_easy_setopt(aHandle, CURLOPT_CUSTOMREQUEST, aCall.method.c_str());
@@ -105,10 +129,13 @@
 
 /// Names the body's type and leaves out the round trip of `Expect: 100-continue`.
 HeaderList
-MakeHeaders()
+MakeHeaders(const PlatformCall& aCall)
 {
   HeaderList headers(curl_slist_append(nullptr, "Content-Type: application/json"));
   curl_slist_append(headers.get(), "Expect:");
+  for (const std::string& line : aCall.headers) {
+    curl_slist_append(headers.get(), line.c_str());
+  }
   return headers;
 }
 
@@ -139,7 +166,7 @@
 
   // Make the call
   const std::string url = this->baseUrl + aCall.path;
-  const HeaderList headers = MakeHeaders();
+  const HeaderList headers = MakeHeaders(aCall);
   Transfer transfer;
   transfer.maxBytes = this->settings.maxBodyBytes;
   transfer.discardsBody = aCall.discardsBody;
--- a/Lagoonward/Platform/PlatformHttpClient.h
+++ b/Lagoonward/Providers/PlatformHttpClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Result.h"
-#include "Lagoonward/Platform/PlatformSettings.h"
+#include "Lagoonward/Providers/PlatformSettings.h"
 
 #include <curl/curl.h>
 
@@ -18,10 +18,11 @@
 struct PlatformCall
 {
   std::string method = "GET";
-  std::string path;          ///< Behind the base URL, already escaped, with its query.
-  std::string body;          ///< Sent with POST only.
-  Milliseconds wait{ 0 };    ///< How long the service itself may hold the answer back.
-  bool discardsBody = false; ///< Ends the call once the status is known.
+  std::string path;                 ///< Behind the base URL, already escaped, with its query.
+  std::string body;                 ///< Sent with POST only.
+  std::vector<std::string> headers; ///< Further header lines, `Name: value`.
+  Milliseconds wait{ 0 };           ///< How long the service itself may hold the answer back.
+  bool discardsBody = false;        ///< Ends the call once the status is known.
   std::string refusal; ///< Error kind that is the service's answer under 503 too; may be empty.
 };
 
--- /dev/null
+++ b/Lagoonward/Relay/EventSplitter.cpp
@@ -0,0 +1,79 @@
+#include "Lagoonward/Relay/EventSplitter.h"
+
+#include <charconv>
+
+namespace lagoonward {
+
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+/// The line at the beginning of a text, without its end, and where the next one begins.
+struct Line
+{
+  std::string_view text;
+  std::size_t next = std::string_view::npos; ///< npos while the line's end is missing.
+};
+
+Line
+FirstLine(std::string_view aText)
+{
+  const std::size_t end = aText.find('\n');
+  if (end == std::string_view::npos) {
+    return { aText, end };
+  }
+  std::string_view line = aText.substr(0, end);
+  if (!line.empty() && line.back() == '\r') {
+    line.remove_suffix(1);
+  }
+  return { line, end + 1 };
+}
+
+} // namespace
+
+EventSplitter::EventSplitter(std::size_t aMaximumEventBytes)
+  : maximumEventBytes(aMaximumEventBytes)
+{
+}
+
+std::size_t
+EventSplitter::FindEnd(std::size_t aStart) const
+{
+  std::size_t position = aStart;
+  for (;;) {
+    const Line line = FirstLine(std::string_view(this->pending).substr(position));
+    if (line.next == std::string_view::npos) {
+      return std::string::npos;
+    }
+    position += line.next;
+    if (line.text.empty()) {
+      return position;
+    }
+  }
+}
+
+std::string_view
+EventSplitter::IdOf(std::string_view aEvent)
+{
+  std::string_view id;
+  while (!aEvent.empty()) {
+    const Line line = FirstLine(aEvent);
+    if (line.text.starts_with(kIdField)) {
+      id = line.text.substr(kIdField.size());
+      id.remove_prefix(id.starts_with(' ') ? 1 : 0);
+    }
+    aEvent.remove_prefix(line.next == std::string_view::npos ? aEvent.size() : line.next);
+  }
+  return id;
+}
+
+std::optional<std::int64_t>
+EventNumber(std::string_view aId)
+{
+  std::int64_t number = 0;
+  const auto [end, error] = std::from_chars(aId.data(), aId.data() + aId.size(), number);
+  const bool isWhole = error == std::errc() && end == aId.data() + aId.size() && !aId.empty();
+  return isWhole ? std::optional(number) : std::nullopt;
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Relay/RelayCall.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "Lagoonward/Relay/RelayRoutes.h"
+#include "Lagoonward/Wire/HttpExchange.h"
+
+#include <concepts>
+#include <functional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace lagoonward {
+
+/// One part of a prompt that requests may share, in the prompt's order.
+struct PromptPart
+{
+  std::uint64_t id = 0;
+  int tokens = 0;
+};
+
+/// One request that is passed on as it came, and the terms on which it is.
+struct RelayCall
+{
+  std::string id;     ///< Names this request everywhere; unique.
+  std::string method; ///< Passed on unchanged, as are target, headers and body.
+  std::string target;
+  std::vector<HttpHeader> headers; ///< Only those that go on to the endpoint.
+  std::string body;
+
+  RelayRoutePtr route;
+  std::int64_t configurationVersion = 0; ///< Under which it was accepted; for logs.
+  std::string service;                   ///< Chosen among the route's.
+  std::string account;                   ///< Empty where the route needs none.
+  int priority = 0;                      ///< Higher goes first.
+  TimePoint receivedAt;
+  TimePoint deadline; ///< After it the caller does not wait any more.
+
+  double limitTokens = 0; ///< What it uses of its account's limit.
+  int promptTokens = 0;
+  int outputTokens = 0; ///< Expected; zero for a plain service.
+  std::vector<PromptPart> promptParts;
+  std::string lastEventId; ///< A stream's caller has this event already; empty for none.
+
+  /// When the final answer is due: the route's timeout or the deadline, whichever comes first.
+  [[nodiscard]] TimePoint EndsAt() const;
+};
+
+/// What an endpoint is told beside the request.
+struct SendTerms
+{
+  std::string_view endpointId;  ///< Any other endpoint at that address must refuse the request.
+  Milliseconds left{ 0 };       ///< Until the answer is of no use.
+  int priority = 0;             ///< Higher goes first; see EnginePriority().
+  std::string_view lastEventId; ///< The stream goes on after this event; empty for its beginning.
+};
+
+/// What the head of an endpoint's answer says.
+struct EndpointHead
+{
+  int status = 0;
+  bool belongs = false;    ///< It answers the request that was sent.
+  bool genuine = false;    ///< It bears the mark that endpoints put on their own answers.
+  bool notRun = false;     ///< It proves that the request did not run.
+  bool otherOwner = false; ///< Another endpoint has this address now.
+  bool encoded = false;    ///< Its body was changed on the way.
+  bool streamsEvents = false;
+  std::vector<HttpHeader> headers; ///< Those that the caller gets.
+};
+
+/// How endpoints are spoken to, as functions of one EndpointDialect.
+struct EndpointLanguage
+{
+  std::function<std::vector<std::string>(const RelayCall&, const SendTerms&)> writeHeaders;
+  std::function<EndpointHead(const RelayCall&, int, std::span<const HttpHeader>)> readHead;
+};
+
+/// How endpoints are spoken to: which header lines go with a request, and what an answer's head says.
+template<typename Dialect>
+concept EndpointDialect = requires(const Dialect& aDialect, const RelayCall& aCall,
+                                   const SendTerms& aTerms, std::span<const HttpHeader> aHeaders)
+{
+  {
+    aDialect.WriteHeaders(aCall, aTerms)
+    } -> std::same_as<std::vector<std::string>>;
+  {
+    aDialect.ReadHead(aCall, 0, aHeaders)
+    } -> std::same_as<EndpointHead>;
+};
+
+/// Makes a dialect's functions available to code that is compiled once for all dialects.
+template<EndpointDialect Dialect>
+[[nodiscard]] EndpointLanguage
+LanguageOf(Dialect aDialect)
+{
+  return { [aDialect](const RelayCall& aCall, const SendTerms& aTerms) {
+            return aDialect.WriteHeaders(aCall, aTerms);
+          },
+           [aDialect](const RelayCall& aCall, int aStatus, std::span<const HttpHeader> aHeaders) {
+             return aDialect.ReadHead(aCall, aStatus, aHeaders);
+           } };
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Lagoonward/Core/Error.h"
+#include "Lagoonward/Relay/RelayCall.h"
+
+#include <optional>
+#include <string_view>
+
+namespace lagoonward {
+
+/// How a relayed request ended.
+struct RelayEnd
+{
+  int status = 0;       ///< As the caller got it; zero when it had gone.
+  bool whole = false;   ///< A success, whole.
+  int sends = 0;        ///< Attempts that may have reached an endpoint.
+  std::string reason;   ///< Why it was not a success; empty for one.
+  std::string endpoint; ///< The last one asked; empty for none.
+};
+
+/// Hears what happens to relayed requests, on the traffic loop: for logs, metrics, metering and demand.
+class RelayObserver
+{
+public:
+  virtual ~RelayObserver() = default;
+
+  virtual void OnAccepted(const RelayCall& aCall) = 0;
+  virtual void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend) = 0;
+  /// An endpoint has begun to answer for the first time: the request runs.
+  virtual void OnBegan(const RelayCall& aCall) = 0;
+  virtual void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint,
+                               std::string_view aReason, bool aGoesOn) = 0;
+  virtual void OnEnded(const RelayCall& aCall, const RelayEnd& aEnd) = 0;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -0,0 +1,386 @@
+#include "Lagoonward/Relay/RelayRun.h"
+
+#include "Lagoonward/Core/Hash.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace lagoonward {
+
+namespace {
+
+constexpr int kServerError = 500;
+
+Milliseconds
+Times(Milliseconds aSpan, double aFactor)
+{
+  return Milliseconds(static_cast<std::int64_t>(static_cast<double>(aSpan.count()) * aFactor));
+}
+
+} // namespace
+
+std::vector<std::uint64_t>
+PromptBlocks(std::span<const PromptPart> aParts, int aBlockTokens)
+{
+  std::vector<std::uint64_t> blocks;
+  std::uint64_t hash = 0;
+  for (const PromptPart& part : aParts) {
+    for (int tokens = 0; tokens < part.tokens; tokens += aBlockTokens) {
+      hash = CombineHashes(hash, CombineHashes(part.id, static_cast<std::uint64_t>(tokens)));
+      blocks.push_back(hash);
+    }
+  }
+  return blocks;
+}
+
+RelayRun::RelayRun(const RelayContext& aContext, RelayCall aCall,
+                   std::unique_ptr<RelayCaller> aCaller, std::function<void()> aOnEnded)
+  : context(aContext)
+  , call(std::move(aCall))
+  , caller(std::move(aCaller))
+  , onEnded(std::move(aOnEnded))
+  , blocks(PromptBlocks(this->call.promptParts, aContext.settings.blockTokens))
+  , lastEventId(this->call.lastEventId)
+{
+}
+
+RelayRun::~RelayRun()
+{
+  if (!this->ended) {
+    this->DropAttempt(DispatchOutcome::Cancelled);
+  }
+  for (const auto& timer : { this->dueTimer, this->placeTimer, this->silenceTimer }) {
+    if (timer) {
+      this->context.loop.CancelTimer(*timer);
+    }
+  }
+}
+
+void
+RelayRun::Start()
+{
+  this->context.observer.OnAccepted(this->call);
+  const TimePoint now = this->context.loop.GetClock().Now();
+  const auto left = std::chrono::ceil<Milliseconds>(this->call.EndsAt() - now);
+  this->dueTimer =
+    this->context.loop.RunAfter(std::max(left, Milliseconds(0)), [this] { this->OnDue(); });
+  this->Dispatch();
+}
+
+RouteRequest
+RelayRun::MakeRouteRequest() const
+{
+  RouteRequest request;
+  request.service = this->call.service;
+  request.firstToken = this->call.route->firstEvent;
+  request.priority = this->call.priority;
+  request.promptTokens = this->call.promptTokens;
+  request.expectedOutputTokens = std::max(this->call.outputTokens, 1);
+  request.prefixBlocks = this->blocks;
+  return request;
+}
+
+void
+RelayRun::Dispatch()
+{
+  this->placeTimer.reset();
+  if (this->ended) {
+    return;
+  }
+  const std::vector<std::string_view> excludedViews(this->excluded.begin(), this->excluded.end());
+  RouteRequest request = this->MakeRouteRequest();
+  request.excludedEndpoints = excludedViews;
+  auto choice = this->context.router.Choose(request);
+  if (!choice && !this->excluded.empty()) {
+    // Better one that has failed than none
+    request.excludedEndpoints = {};
+    choice = this->context.router.Choose(request);
+  }
+  if (choice) {
+    this->BeginAttempt(choice.value(), request);
+  } else {
+    this->WaitForPlace(choice.error());
+  }
+}
+
+void
+RelayRun::WaitForPlace(const Error& aError)
+{
+  // A short gap, as between two releases, is not worth a refusal
+  const TimePoint now = this->context.loop.GetClock().Now();
+  const Milliseconds patience =
+    Times(this->call.route->firstEvent, this->context.settings.placeWaitFactor);
+  if (now + this->context.settings.placePause < this->call.receivedAt + patience) {
+    this->placeTimer =
+      this->context.loop.RunAfter(this->context.settings.placePause, [this] { this->Dispatch(); });
+    return;
+  }
+  if (this->mayHaveRun) {
+    this->Fail(Error(ErrorKind::EndpointFailed, this->lastReason, Ran::Unknown));
+    return;
+  }
+  this->Fail(aError.retryAfter ? aError
+                               : aError.WithRetryAfter(this->context.settings.retryAfterFloor));
+}
+
+void
+RelayRun::BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest)
+{
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const Endpoint* endpoint = fleet->Find(aChoice.Target().id);
+  if (endpoint == nullptr) {
+    this->WaitForPlace(Error(ErrorKind::NoEndpoint, "The endpoint has just gone."));
+    return;
+  }
+  ++this->sends;
+  this->endpointId = endpoint->id;
+  this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
+  this->context.observer.OnSent(this->call, this->endpointId, this->sends);
+
+  const TimePoint now = this->context.loop.GetClock().Now();
+  SendTerms terms;
+  terms.endpointId = this->endpointId;
+  terms.left = std::chrono::floor<Milliseconds>(this->call.EndsAt() - now);
+  terms.priority = aChoice.priority;
+  terms.lastEventId = this->lastEventId;
+  AttemptListener& listener = *this;
+  this->attempt = std::make_unique<RelayAttempt>(this->context.loop, this->context.settings,
+                                                 this->context.language, this->call, listener);
+  this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms);
+  this->ArmSilence(false);
+}
+
+void
+RelayRun::ArmSilence(bool aHasBegun)
+{
+  if (this->silenceTimer) {
+    this->context.loop.CancelTimer(*this->silenceTimer);
+    this->silenceTimer.reset();
+  }
+  const RelayRoute& route = *this->call.route;
+  // The last attempt that is allowed may take all the time there is
+  if (!this->MayRunAgain()) {
+    return;
+  }
+  const RelaySettings& settings = this->context.settings;
+  Milliseconds patience{ 0 };
+  if (route.kind != RelayKind::Stream) {
+    patience = std::max(Times(route.firstEvent, settings.silenceFactor), settings.minimumSilence);
+  } else if (aHasBegun) {
+    patience = Times(route.betweenEvents, settings.pauseSilenceFactor);
+  } else {
+    patience = Times(route.firstEvent, settings.firstEventSilenceFactor);
+  }
+  if (patience > Milliseconds::zero()) {
+    this->silenceTimer = this->context.loop.RunAfter(patience, [this] { this->OnSilence(); });
+  }
+}
+
+void
+RelayRun::OnSilence()
+{
+  this->silenceTimer.reset();
+  if (this->ended || this->attempt == nullptr || !this->context.retryBudget.TryTake()) {
+    return;
+  }
+  this->mayHaveRun = true;
+  this->lastReason = "the endpoint fell silent";
+  this->context.observer.OnAttemptFailed(this->call, this->endpointId, this->lastReason, true);
+  this->excluded.push_back(this->endpointId);
+  this->DropAttempt(DispatchOutcome::Failed);
+  this->Dispatch();
+}
+
+bool
+RelayRun::MayRunAgain() const
+{
+  return this->call.route->IsRepeatable() && this->sends < this->call.route->attempts;
+}
+
+void
+RelayRun::NoteFirstByte()
+{
+  if (!this->dispatch.hasFirstToken) {
+    this->context.router.OnToken(this->dispatch);
+  }
+}
+
+void
+RelayRun::NoteBegan()
+{
+  if (!std::exchange(this->began, true)) {
+    this->context.observer.OnBegan(this->call);
+  }
+}
+
+void
+RelayRun::OnStreamHead(const RelayReply& aHead)
+{
+  this->NoteFirstByte();
+  this->NoteBegan();
+  this->mayHaveRun = true;
+  // A stream that another endpoint continues keeps the head of its first
+  if (!this->streaming) {
+    this->streaming = true;
+    this->caller->BeginStream(aHead);
+  }
+}
+
+void
+RelayRun::OnStreamEvent(std::string_view aBytes, std::string_view aId)
+{
+  this->ArmSilence(true);
+  const auto number = EventNumber(aId);
+  const auto last = EventNumber(this->lastEventId);
+  if (number && last && *number <= *last) {
+    return;
+  }
+  if (!aId.empty()) {
+    this->lastEventId = aId;
+  }
+  this->caller->WriteEvent(aBytes);
+}
+
+void
+RelayRun::OnAttemptEnd(const AttemptEnd& aEnd)
+{
+  const std::unique_ptr<RelayAttempt> finished = std::move(this->attempt);
+  if (aEnd.outcome == AttemptOutcome::Whole) {
+    this->NoteFirstByte();
+    this->NoteBegan();
+    this->context.router.OnFinished(this->dispatch, DispatchOutcome::Completed);
+    this->Succeed(aEnd.reply);
+    return;
+  }
+  this->OnAttemptFailed(aEnd);
+}
+
+void
+RelayRun::OnAttemptFailed(const AttemptEnd& aEnd)
+{
+  // A full endpoint is not a broken one
+  const bool isRefusal = aEnd.outcome == AttemptOutcome::NotRun && !aEnd.otherOwner;
+  this->context.router.OnFinished(this->dispatch,
+                                  isRefusal ? DispatchOutcome::Cancelled : DispatchOutcome::Failed);
+  const bool provenNotRun =
+    aEnd.outcome == AttemptOutcome::NotSent || aEnd.outcome == AttemptOutcome::NotRun;
+  this->sends -= aEnd.outcome == AttemptOutcome::NotSent ? 1 : 0;
+  this->mayHaveRun = this->mayHaveRun || !provenNotRun;
+  this->lastReason = fmt::format("endpoint {}: {}", this->endpointId, aEnd.reason);
+  if (aEnd.outcome == AttemptOutcome::Failure) {
+    this->NoteBegan();
+    this->failure = aEnd.reply;
+  }
+  this->excluded.push_back(this->endpointId);
+
+  const bool isCallersFault =
+    aEnd.outcome == AttemptOutcome::Failure && aEnd.reply.status < kServerError;
+  const bool hasAttempts = this->sends < this->call.route->attempts;
+  const bool isAllowed =
+    hasAttempts && !isCallersFault && (!this->mayHaveRun || this->call.route->IsRepeatable());
+  const bool isFree = aEnd.outcome == AttemptOutcome::NotSent;
+  const bool goesOn = isAllowed && (isFree || this->context.retryBudget.TryTake());
+  this->context.observer.OnAttemptFailed(this->call, this->endpointId, aEnd.reason, goesOn);
+  if (goesOn) {
+    this->Dispatch();
+    return;
+  }
+  if (this->failure && !this->streaming) {
+    this->Succeed(std::move(*this->failure));
+    return;
+  }
+  if (!this->mayHaveRun) {
+    this->Fail(Error(ErrorKind::Overloaded, this->lastReason, Ran::No)
+                 .WithRetryAfter(this->context.settings.retryAfterFloor));
+    return;
+  }
+  const bool repeatable = this->call.route->IsRepeatable();
+  this->Fail(Error(repeatable ? ErrorKind::EndpointFailed : ErrorKind::OutcomeUnknown,
+                   this->lastReason, Ran::Unknown));
+}
+
+void
+RelayRun::DropAttempt(DispatchOutcome aOutcome)
+{
+  if (this->attempt != nullptr) {
+    this->attempt.reset();
+    this->context.router.OnFinished(this->dispatch, aOutcome);
+  }
+}
+
+void
+RelayRun::OnDue()
+{
+  this->dueTimer.reset();
+  if (this->ended) {
+    return;
+  }
+  const bool wasSent = this->mayHaveRun || this->attempt != nullptr;
+  this->DropAttempt(DispatchOutcome::Cancelled);
+  this->Fail(Error(ErrorKind::DeadlineExceeded, "No whole answer came in time.",
+                   wasSent ? Ran::Unknown : Ran::No));
+}
+
+void
+RelayRun::CheckCaller()
+{
+  if (this->ended || !this->caller->IsGone()) {
+    return;
+  }
+  this->DropAttempt(DispatchOutcome::Cancelled);
+  this->caller->AbortStream();
+  this->End({ 0, false, this->sends, "the caller has gone", this->endpointId });
+}
+
+void
+RelayRun::Abandon()
+{
+  if (this->ended) {
+    return;
+  }
+  const bool wasSent = this->mayHaveRun || this->attempt != nullptr;
+  this->DropAttempt(DispatchOutcome::Cancelled);
+  this->Fail(Error(wasSent ? ErrorKind::EndpointFailed : ErrorKind::Draining,
+                   "The daemon ends before the answer.", wasSent ? Ran::Unknown : Ran::No)
+               .WithRetryAfter(this->context.settings.retryAfterFloor));
+}
+
+void
+RelayRun::Succeed(RelayReply aReply)
+{
+  const int status = aReply.status;
+  const bool isWhole = status < 300;
+  if (this->streaming) {
+    this->caller->EndStream();
+  } else {
+    this->caller->Answer(std::move(aReply));
+  }
+  this->End(
+    { status, isWhole, this->sends, isWhole ? std::string() : this->lastReason, this->endpointId });
+}
+
+void
+RelayRun::Fail(const Error& aError)
+{
+  if (this->streaming) {
+    this->caller->AbortStream();
+  } else {
+    this->caller->Refuse(aError);
+  }
+  const int status = this->streaming ? 0 : GetErrorRule(aError.kind).httpStatus;
+  this->End({ status, false, this->sends, aError.message, this->endpointId });
+}
+
+void
+RelayRun::End(RelayEnd aEnd)
+{
+  assert(!this->ended);
+  this->ended = true;
+  this->context.observer.OnEnded(this->call, aEnd);
+  this->context.loop.Post(std::move(this->onEnded));
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -0,0 +1,112 @@
+#include "Lagoonward/Relay/RelayService.h"
+
+namespace lagoonward {
+
+RelayService::RelayService(const RelaySettings& aSettings, EndpointLanguage aLanguage,
+                           Market& aMarket, const FleetStore& aFleet, RelayObserver& aObserver,
+                           const Clock& aClock)
+  : settings(aSettings)
+  , language(std::move(aLanguage))
+  , market(aMarket)
+  , observer(aObserver)
+  , loop(aClock, aSettings.client)
+  , context{ this->loop,     aMarket.router, aMarket.retryBudget, aFleet, this->settings,
+             this->language, aObserver }
+{
+}
+
+RelayService::~RelayService()
+{
+  this->Stop();
+}
+
+std::string_view
+RelayService::Name() const
+{
+  return kName;
+}
+
+Result<void>
+RelayService::Start()
+{
+  this->loop.Post([this] { this->CheckCallers(); });
+  this->loop.Start();
+  return boost::outcome_v2::success();
+}
+
+void
+RelayService::Stop()
+{
+  this->loop.Stop();
+  this->runs.clear();
+}
+
+void
+RelayService::Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller)
+{
+  // A task must be copyable, so both travel behind a shared pointer
+  auto call = std::make_shared<RelayCall>(std::move(aCall));
+  auto caller = std::make_shared<std::unique_ptr<RelayCaller>>(std::move(aCaller));
+  this->loop.Post([this, call, caller] { this->Begin(std::move(*call), std::move(*caller)); });
+}
+
+void
+RelayService::Begin(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller)
+{
+  this->NotePressure(aCall);
+  ActiveRun active;
+  if (!aCall.account.empty()) {
+    AdmissionRequest request;
+    request.client = aCall.account;
+    request.rank = this->market.router.RankOf(aCall.priority);
+    request.tokens = aCall.limitTokens;
+    auto ticket = this->market.admission.Admit(request);
+    if (!ticket) {
+      this->observer.OnAccepted(aCall);
+      aCaller->Refuse(ticket.error());
+      const int status = GetErrorRule(ticket.error().kind).httpStatus;
+      this->observer.OnEnded(aCall, { status, false, 0, ticket.error().message, {} });
+      return;
+    }
+    active.ticket = std::make_unique<Ticket>(std::move(ticket.value()));
+  }
+  const std::uint64_t id = this->nextRun++;
+  ++this->activeRuns;
+  active.run =
+    std::make_unique<RelayRun>(this->context, std::move(aCall), std::move(aCaller), [this, id] {
+      this->runs.erase(id);
+      --this->activeRuns;
+    });
+  RelayRun& run = *active.run;
+  this->runs.emplace(id, std::move(active));
+  run.Start();
+}
+
+void
+RelayService::NotePressure(const RelayCall& aCall)
+{
+  RouteRequest request;
+  request.service = aCall.service;
+  this->market.admission.SetPressure(this->market.router.Pressure(request));
+}
+
+void
+RelayService::CheckCallers()
+{
+  for (auto& [id, active] : this->runs) {
+    active.run->CheckCaller();
+  }
+  this->loop.RunAfter(this->settings.callerCheck, [this] { this->CheckCallers(); });
+}
+
+void
+RelayService::AbandonAll()
+{
+  this->loop.Post([this] {
+    for (auto& [id, active] : this->runs) {
+      active.run->Abandon();
+    }
+  });
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Relay/RelayService.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Lagoonward/Attempts/Market.h"
+#include "Lagoonward/Core/Service.h"
+#include "Lagoonward/Relay/RelayRun.h"
+
+#include <atomic>
+#include <memory>
+#include <unordered_map>
+
+namespace lagoonward {
+
+/// Owns the traffic thread of relayed requests and all of them that are in progress: admits or refuses
+/// each, runs it, and ends it when its caller has gone.
+class RelayService final : public Service
+{
+public:
+  static constexpr std::string_view kName = "relay";
+
+  /// References must outlive it.
+  RelayService(const RelaySettings& aSettings, EndpointLanguage aLanguage, Market& aMarket,
+               const FleetStore& aFleet, RelayObserver& aObserver, const Clock& aClock);
+  ~RelayService() override;
+
+  [[nodiscard]] std::string_view Name() const override;
+  [[nodiscard]] Result<void> Start() override;
+  void Stop() override;
+
+  /// Runs a request, or refuses it at once. Safe from any thread.
+  void Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller);
+
+  /// Gives up on all that is still in progress, for a daemon about to end. Safe from any thread.
+  void AbandonAll();
+
+  [[nodiscard]] int ActiveRuns() const { return this->activeRuns; }
+
+  /// The traffic loop, for others that share its thread.
+  [[nodiscard]] TrafficLoop& Loop() { return this->loop; }
+
+private:
+  struct ActiveRun
+  {
+    std::unique_ptr<Ticket> ticket; ///< Null for a request without an account.
+    std::unique_ptr<RelayRun> run;
+  };
+
+  void Begin(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller);
+  void CheckCallers();
+  void NotePressure(const RelayCall& aCall);
+
+  RelaySettings settings;
+  EndpointLanguage language;
+  Market& market;
+  RelayObserver& observer;
+  TrafficLoop loop;
+  RelayContext context;
+  std::unordered_map<std::uint64_t, ActiveRun> runs; ///< Touched on the loop only.
+  std::uint64_t nextRun = 1;
+  std::atomic<int> activeRuns{ 0 };
+};
+
+} // namespace lagoonward
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -437,6 +437,13 @@
   return places > 0 ? taken / places : 0;
 }
 
+int
+Router::RankOf(int aPriority) const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->table ? this->table->RankOf(aPriority) : 0;
+}
+
 bool
 Router::IsAllowed(std::string_view aEndpointId) const
 {
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -85,6 +85,9 @@
   /// they run at once. 1 is full. Zero when the group is unknown.
   [[nodiscard]] double Pressure(const RouteRequest& aRequest) const;
 
+  /// Rank of a priority, see RoutingTable::RankOf(); zero before the first table.
+  [[nodiscard]] int RankOf(int aPriority) const;
+
   /// Whether the endpoint's circuit breaker lets requests through.
   [[nodiscard]] bool IsAllowed(std::string_view aEndpointId) const;
 
--- /dev/null
+++ b/Lagoonward/Settings/RelaySettingsReader.cpp
@@ -0,0 +1,198 @@
+#include "Lagoonward/Settings/RelaySettingsReader.h"
+
+#include "Lagoonward/Settings/SettingTexts.h"
+#include "Lagoonward/Settings/SettingsReader.h"
+
+#include <boost/program_options.hpp>
+#include <fmt/format.h>
+
+#include <array>
+#include <fstream>
+#include <sstream>
+
+namespace lagoonward {
+
+namespace po = boost::program_options;
+
+namespace {
+
+/// Settings that have no default.
+constexpr std::array kRequired{ "name",   "listen",         "ready",           "peer",
+                                "region", "failure-domain", "failure-domains", "store-url" };
+
+/// The values as text, as they were given.
+struct RelayTexts
+{
+  std::string listen;
+  std::string ready;
+  std::string peer;
+  std::string metrics;
+  std::string failureDomains;
+  std::string seeds;
+  std::string logLevel;
+  int graceMilliseconds = 0;
+  int leaseQuietMilliseconds = 0;
+  int usageWindowSeconds = 0;
+  int usageLatenessSeconds = 0;
+  int retryWindowSeconds = 0;
+};
+
+po::options_description
+Describe(RelayDaemonSettings& aSettings, RelayTexts& aTexts, std::string& aFile)
+{
+  po::options_description options("settings");
+  auto add = options.add_options();
+  add("settings", po::value(&aFile), "FILE of lines `name = value`");
+  add("name", po::value(&aSettings.name), "this host's name in its orders");
+  add("listen", po::value(&aTexts.listen), "IP:PORT for callers");
+  add("ready", po::value(&aTexts.ready), "IP:PORT that tells a balancer if it is ready");
+  add("peer", po::value(&aTexts.peer), "IP:PORT, UDP and TCP, between daemons");
+  add("metrics", po::value(&aTexts.metrics)->default_value(""), "IP:PORT for metrics; empty: none");
+  add("region", po::value(&aSettings.region), "region of this host");
+  add("failure-domain", po::value(&aSettings.failureDomain), "of this host");
+  add("failure-domains", po::value(&aTexts.failureDomains), "all, joined by commas");
+  add("seeds", po::value(&aTexts.seeds)->default_value(""), "IP:PORT of peers, joined by commas");
+  add("store-url", po::value(&aSettings.storeUrl), "URL of the platform's store");
+  add("cloud-url", po::value(&aSettings.cloudUrl)->default_value(""),
+      "URL for orders; empty: none");
+  add("cluster", po::value(&aSettings.cluster)->default_value("lagoonward"), "name of the cluster");
+  add("peer-keys", po::value(&aSettings.peerKeys)->default_value(""), "ID:HEX[,ID:HEX...]");
+  add("log-level", po::value(&aTexts.logLevel)->default_value("info"),
+      "debug, info, warning, error");
+  add("grace-ms", po::value(&aTexts.graceMilliseconds)->default_value(8000),
+      "from SIGTERM to the end by force");
+  add("lease-quiet-ms", po::value(&aTexts.leaseQuietMilliseconds)->default_value(3000),
+      "orders do not go from one daemon to another and back within this");
+  add("usage-window-s", po::value(&aTexts.usageWindowSeconds)->default_value(5),
+      "length of a window of reported usage");
+  add("usage-lateness-s", po::value(&aTexts.usageLatenessSeconds)->default_value(10),
+      "usage is due so long after its window");
+  add("limit-tolerance", po::value(&aSettings.limitTolerance)->default_value(0),
+      "part by which clients' limits may be exceeded, all daemons together");
+  add("limit-slack", po::value(&aSettings.limitSlack)->default_value(0),
+      "tokens by which they may be exceeded beside that");
+  add("retry-ratio", po::value(&aSettings.retryRatio)->default_value(0.2),
+      "repeats allowed for each request");
+  add("retry-slack", po::value(&aSettings.retrySlack)->default_value(54),
+      "repeats allowed beyond that in a window, all daemons together");
+  add("retry-window-s", po::value(&aTexts.retryWindowSeconds)->default_value(10),
+      "length of that window");
+  return options;
+}
+
+void
+TakeAddress(const char* aName, const std::string& aText, SocketAddress& aAddress,
+            std::vector<std::string>& aFaults)
+{
+  if (aText.empty()) {
+    return;
+  }
+  if (const Fault fault = ReadAddress(aText, aAddress)) {
+    aFaults.push_back(fmt::format("{}: \"{}\" {}", aName, aText, *fault));
+  }
+}
+
+template<typename Duration>
+void
+TakePositive(const char* aName, int aValue, Duration& aDuration, std::vector<std::string>& aFaults)
+{
+  if (aValue <= 0) {
+    aFaults.push_back(fmt::format("{}: {} is not above zero", aName, aValue));
+  }
+  aDuration = Duration(aValue);
+}
+
+void
+TakeTexts(const RelayTexts& aTexts, RelaySettingsOutcome& aOutcome)
+{
+  RelayDaemonSettings& settings = aOutcome.settings;
+  auto& faults = aOutcome.faults;
+  TakeAddress("listen", aTexts.listen, settings.listen, faults);
+  TakeAddress("ready", aTexts.ready, settings.ready, faults);
+  TakeAddress("peer", aTexts.peer, settings.peer, faults);
+  TakeAddress("metrics", aTexts.metrics, settings.metrics, faults);
+  for (const std::string& seed : SplitList(aTexts.seeds)) {
+    SocketAddress address;
+    TakeAddress("seeds", seed, address, faults);
+    settings.seeds.push_back(std::move(address));
+  }
+  settings.failureDomains = SplitList(aTexts.failureDomains);
+  TakePositive("grace-ms", aTexts.graceMilliseconds, settings.grace, faults);
+  TakePositive("lease-quiet-ms", aTexts.leaseQuietMilliseconds, settings.leaseQuiet, faults);
+  TakePositive("usage-window-s", aTexts.usageWindowSeconds, settings.usageWindow, faults);
+  TakePositive("usage-lateness-s", aTexts.usageLatenessSeconds, settings.usageLateness, faults);
+  TakePositive("retry-window-s", aTexts.retryWindowSeconds, settings.retryWindow, faults);
+  if (const Fault fault = ReadLogLevel(aTexts.logLevel, settings.logLevel)) {
+    faults.push_back(fmt::format("log-level: \"{}\" {}", aTexts.logLevel, *fault));
+  }
+  if (const Fault fault = ReadUrl(settings.storeUrl, settings.storeUrl)) {
+    faults.push_back(fmt::format("store-url: \"{}\" {}", settings.storeUrl, *fault));
+  }
+}
+
+} // namespace
+
+RelaySettingsOutcome
+RelaySettingsReader::Read(std::span<const std::string> aArguments,
+                          std::span<const std::string> aEnvironment)
+{
+  RelaySettingsOutcome outcome;
+  RelayTexts texts;
+  const po::options_description options = Describe(outcome.settings, texts, outcome.file);
+  po::variables_map values;
+  try {
+    // The first source that names a setting wins
+    po::options_description all;
+    all.add(options).add_options()("help", "");
+    po::store(po::command_line_parser({ aArguments.begin(), aArguments.end() }).options(all).run(),
+              values);
+    if (values.count("help") > 0) {
+      outcome.helpAsked = true;
+      return outcome;
+    }
+    std::ostringstream variables;
+    for (const auto& option : options.options()) {
+      const std::string prefix = SettingsReader::VariableName(option->long_name()) + "=";
+      for (const std::string& entry : aEnvironment) {
+        if (entry.starts_with(prefix)) {
+          variables << option->long_name() << '=' << entry.substr(prefix.size()) << '\n';
+        }
+      }
+    }
+    std::istringstream variableLines(variables.str());
+    po::store(po::parse_config_file(variableLines, options), values);
+    if (values.count("settings") > 0) {
+      const auto path = values["settings"].as<std::string>();
+      std::ifstream file(path);
+      if (!file) {
+        outcome.faults.push_back(fmt::format("settings: cannot read {}", path));
+        return outcome;
+      }
+      po::store(po::parse_config_file(file, options), values);
+    }
+    for (const char* name : kRequired) {
+      if (values.count(name) == 0) {
+        outcome.faults.push_back(fmt::format("{}: missing", name));
+      }
+    }
+    po::notify(values);
+  } catch (const po::error& fault) {
+    outcome.faults.emplace_back(fault.what());
+    return outcome;
+  }
+  TakeTexts(texts, outcome);
+  return outcome;
+}
+
+std::string
+RelaySettingsReader::Help()
+{
+  RelayDaemonSettings settings;
+  RelayTexts texts;
+  std::string file;
+  std::ostringstream text;
+  text << Describe(settings, texts, file);
+  return std::move(text).str();
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Wire/HttpExchange.cpp
+++ b/Lagoonward/Wire/HttpExchange.cpp
@@ -103,6 +103,15 @@
   this->ResumeLocked();
 }
 
+void
+HttpExchange::AbortStream()
+{
+  const std::scoped_lock lock(this->mutex);
+  this->aborted = true;
+  this->ended = true;
+  this->ResumeLocked();
+}
+
 void
 HttpExchange::OnCallerGone(std::function<void()> aCallback)
 {
@@ -117,10 +126,7 @@
   if (this->state == State::Done) {
     return true;
   }
-  // The descriptor cannot be closed while the connection is suspended
-  if (!this->suspended) {
-    return false;
-  }
+  // The server says that it is done with a connection before it closes the descriptor
   const auto* info = MHD_get_connection_info(this->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   if (info == nullptr) {
     return false;
--- a/Lagoonward/Wire/HttpExchange.h
+++ b/Lagoonward/Wire/HttpExchange.h
@@ -20,7 +20,8 @@
 struct HttpRequest
 {
   std::string method;
-  std::string path; ///< Without the query.
+  std::string target; ///< Path and query exactly as the caller sent them.
+  std::string path;   ///< Unescaped, without the query.
   std::vector<HttpHeader> headers;
   std::vector<HttpHeader> query;
   std::string body;
@@ -54,11 +55,16 @@
   /// Ends the streamed answer properly.
   void EndStream();
 
+  /// Breaks the streamed answer off: the caller sees that it is not whole. Before any answer it closes
+  /// the connection.
+  void AbortStream();
+
   /// Called once if the connection is lost before the answer was sent whole. Runs on a server
   /// thread; set before the first answer call.
   void OnCallerGone(std::function<void()> aCallback);
 
-  /// Looks at the socket whether the caller has closed it. True only when sure.
+  /// Looks at the socket whether the caller has closed it, or its sending half. True only when sure.
+  /// A connection whose answer is pending is not read by the server, so nothing else would show it.
   [[nodiscard]] bool IsCallerGone();
 
 private:
@@ -80,6 +86,7 @@
   bool suspended = false;
   bool streamed = false;
   bool ended = false;
+  bool aborted = false;
   int status = 0;
   std::vector<HttpHeader> headers;
   std::string bytes;    ///< Body, or the part of the stream that waits to be sent.
--- a/Lagoonward/Wire/HttpServer.cpp
+++ b/Lagoonward/Wire/HttpServer.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <strings.h>
 
 namespace lagoonward {
 
@@ -37,9 +38,36 @@
   HttpRequest request;
   HttpExchangePtr exchange;
   std::size_t receivedBytes = 0;
+  bool begun = false; ///< The headers have been taken in.
   bool handedOver = false;
 };
 
+namespace {
+
+/// Whether two parsers could disagree on where the request's body ends (RFC 9112, section 6.3).
+bool
+IsFramingAmbiguous(const HttpRequest& aRequest)
+{
+  int lengths = 0;
+  int encodings = 0;
+  bool isPlainChunked = true;
+  bool isPlainLength = true;
+  for (const auto& [name, value] : aRequest.headers) {
+    if (strcasecmp(name.c_str(), "Content-Length") == 0) {
+      ++lengths;
+      isPlainLength = !value.empty() && std::all_of(value.begin(), value.end(), [](char aDigit) {
+        return aDigit >= '0' && aDigit <= '9';
+      });
+    } else if (strcasecmp(name.c_str(), "Transfer-Encoding") == 0) {
+      ++encodings;
+      isPlainChunked = strcasecmp(value.c_str(), "chunked") == 0;
+    }
+  }
+  return lengths + encodings > 1 || !isPlainChunked || !isPlainLength;
+}
+
+} // namespace
+
 struct HttpServer::Callbacks
 {
   static MHD_Result OnHeader(void* aHeaders, MHD_ValueKind, const char* aName, const char* aValue)
@@ -61,19 +89,30 @@
       aConnection, static_cast<unsigned>(GetErrorRule(aError.kind).httpStatus), response.get());
   }
 
-  static MHD_Result BeginRequest(HttpServer& aServer, MHD_Connection* aConnection, const char* aUrl,
-                                 const char* aMethod, void** aContext)
+  /// Sees the target before it is unescaped. What it returns becomes the request's context.
+  static void* OnTarget(void* aServer, const char* aTarget, MHD_Connection* /*aConnection*/)
   {
     auto incoming = std::make_unique<IncomingRequest>();
-    incoming->request.method = aMethod;
-    incoming->request.path = aUrl;
-    MHD_get_connection_values(aConnection, MHD_HEADER_KIND, &OnHeader, &incoming->request.headers);
+    incoming->request.target = aTarget;
+    ++static_cast<HttpServer*>(aServer)->openExchanges;
+    return incoming.release();
+  }
+
+  static MHD_Result BeginRequest(const HttpServer& aServer, MHD_Connection* aConnection,
+                                 const char* aUrl, const char* aMethod, IncomingRequest& aIncoming)
+  {
+    aIncoming.begun = true;
+    aIncoming.request.method = aMethod;
+    aIncoming.request.path = aUrl;
+    MHD_get_connection_values(aConnection, MHD_HEADER_KIND, &OnHeader, &aIncoming.request.headers);
     MHD_get_connection_values(aConnection, MHD_GET_ARGUMENT_KIND, &OnHeader,
-                              &incoming->request.query);
-    incoming->exchange = std::make_shared<HttpExchange>(aConnection);
-    const std::string_view length = incoming->request.Header("Content-Length");
-    *aContext = incoming.release();
-    ++aServer.openExchanges;
+                              &aIncoming.request.query);
+    aIncoming.exchange = std::make_shared<HttpExchange>(aConnection);
+    if (IsFramingAmbiguous(aIncoming.request)) {
+      return Refuse(aConnection, Error(ErrorKind::InvalidRequest,
+                                       "The headers do not say clearly where the body ends."));
+    }
+    const std::string_view length = aIncoming.request.Header("Content-Length");
 
     // Refuse an announced oversize before its bytes come
     std::size_t announced = 0;
@@ -97,7 +136,10 @@
     auto& server = *static_cast<HttpServer*>(aServer);
     auto* incoming = static_cast<IncomingRequest*>(*aContext);
     if (incoming == nullptr) {
-      return BeginRequest(server, aConnection, aUrl, aMethod, aContext);
+      return MHD_NO;
+    }
+    if (!incoming->begun) {
+      return BeginRequest(server, aConnection, aUrl, aMethod, *incoming);
     }
     // Collect the body
     if (*aUploadSize > 0) {
@@ -132,6 +174,10 @@
   {
     const std::scoped_lock lock(aExchange->mutex);
     if (aExchange->state == HttpExchange::State::Waiting) {
+      // Nobody waits any more: close without an answer
+      if (aExchange->aborted) {
+        return MHD_NO;
+      }
       aExchange->suspended = true;
       MHD_suspend_connection(aConnection);
       return MHD_YES;
@@ -143,7 +189,7 @@
     for (const auto& [name, value] : aExchange->headers) {
       MHD_add_response_header(response.get(), name.c_str(), value.c_str());
     }
-    if (!aServer.listening) {
+    if (!aServer.listening || aServer.closingAfterAnswers) {
       MHD_add_response_header(response.get(), "Connection", "close");
     }
     aExchange->state = HttpExchange::State::Streaming;
@@ -176,7 +222,8 @@
       return static_cast<ssize_t>(count);
     }
     if (exchange.ended) {
-      return MHD_CONTENT_READER_END_OF_STREAM;
+      return exchange.aborted ? MHD_CONTENT_READER_END_WITH_ERROR
+                              : MHD_CONTENT_READER_END_OF_STREAM;
     }
     exchange.suspended = true;
     MHD_suspend_connection(exchange.connection);
@@ -194,7 +241,7 @@
       return;
     }
     std::function<void()> gone;
-    {
+    if (incoming->exchange != nullptr) {
       const std::scoped_lock lock(incoming->exchange->mutex);
       incoming->exchange->state = HttpExchange::State::Done;
       incoming->exchange->connection = nullptr;
@@ -242,9 +289,10 @@
     MHD_OPTION_CONNECTION_LIMIT,
     std::max(this->settings.maximumConnections, this->settings.threads),
     MHD_OPTION_CONNECTION_MEMORY_LIMIT, this->settings.connectionMemoryBytes,
-    MHD_OPTION_CONNECTION_TIMEOUT, this->settings.idleTimeoutSeconds,
-    MHD_OPTION_LISTEN_BACKLOG_SIZE, static_cast<unsigned>(SOMAXCONN), MHD_OPTION_NOTIFY_COMPLETED,
-    &Callbacks::OnCompleted, this, MHD_OPTION_END));
+    MHD_OPTION_CONNECTION_TIMEOUT, this->settings.idleTimeoutSeconds, MHD_OPTION_STRICT_FOR_CLIENT,
+    1, MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::OnTarget, this, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+    static_cast<unsigned>(SOMAXCONN), MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::OnCompleted, this,
+    MHD_OPTION_END));
   if (this->daemon == nullptr) {
     return Error(ErrorKind::InvalidSettings,
                  fmt::format("Cannot listen on {}:{}: {}.", this->settings.address,
@@ -253,6 +301,12 @@
   return boost::outcome_v2::success();
 }
 
+void
+HttpServer::CloseAfterAnswers()
+{
+  this->closingAfterAnswers = true;
+}
+
 void
 HttpServer::StopListening()
 {
--- a/Lagoonward/Wire/HttpServer.h
+++ b/Lagoonward/Wire/HttpServer.h
@@ -42,6 +42,10 @@
   /// Binds and starts the threads.
   [[nodiscard]] Result<void> Start();
 
+  /// From now on each answer closes its connection, so that callers go elsewhere. New connections
+  /// are still taken, since a balancer needs a moment to stop sending them.
+  void CloseAfterAnswers();
+
   /// Takes no new connections; those open are served on, each closed after its answer.
   void StopListening();
 
@@ -70,6 +74,7 @@
   UniqueFd quiesced; ///< The listening socket after StopListening().
   std::atomic<int> openExchanges{ 0 };
   std::atomic<bool> listening{ false };
+  std::atomic<bool> closingAfterAnswers{ false };
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -19,6 +19,11 @@
   int maximumIdleConnections = 256;   ///< Connections that each loop keeps open for reuse.
   /// Receive buffer of each transfer. A stream's tokens need little, and many streams are open at once.
   long receiveBufferBytes = 2048;
+  /// Longest time that sent bytes may stay unacknowledged before the connection counts as lost. A host
+  /// without power answers nothing at all; one that is only slow still acknowledges.
+  Milliseconds unacknowledgedTimeout{ 2000 };
+  /// Idle connections older than this are not used again: the other end may be about to close them.
+  Seconds maximumIdleAge{ 118 };
 };
 
 /// One outgoing HTTP request.
@@ -28,6 +33,9 @@
   std::string url;
   std::vector<std::string> headers; ///< Whole header lines, `Name: value`.
   std::string body;
+  /// Sends at most once, on a kept connection or a new one. When a kept one turns out to be closed, the
+  /// transfer ends as Broken instead of being sent again by the library.
+  bool singleSend = false;
   /// Opens a new connection and sends at most once. Without it libcurl may send again on a new
   /// connection when a reused one turns out to be closed, which a non-idempotent call must not.
   bool freshConnection = false;
--- a/Lagoonward/Wire/TrafficLoop.cpp
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -1,12 +1,16 @@
 #include "Lagoonward/Wire/TrafficLoop.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <utility>
 
 namespace lagoonward {
 
@@ -15,6 +19,10 @@
 constexpr int kMaximumEvents = 128;
 constexpr int kMaximumWaitMilliseconds = 1000;
 
+/// Pause before, and between, probes of a silent connection; two of them fit the usual 2 s of
+/// HttpClientSettings::unacknowledgedTimeout.
+constexpr long kKeepAliveSeconds = 1;
+
 struct EasyDeleter
 {
   void operator()(CURL* aEasy) const { curl_easy_cleanup(aEasy); }
@@ -64,6 +72,28 @@
   std::unique_ptr<curl_slist, HeaderListDeleter> headers;
   std::string body;
   HttpTransferObserver* observer = nullptr; ///< Null when nobody listens.
+  Milliseconds unacknowledgedTimeout{ 0 };
+  bool singleSend = false;
+  bool wasSent = false; ///< The library has been about to send the request once.
+
+  /// Called each time before the request is sent; the library may do so again by itself when a kept
+  /// connection was closed at the other end.
+  static int OnBeforeSend(void* aTransfer, char* /*aRemote*/, char* /*aLocal*/, int /*aRemotePort*/,
+                          int /*aLocalPort*/)
+  {
+    auto& transfer = *static_cast<Transfer*>(aTransfer);
+    const bool isRepeat = std::exchange(transfer.wasSent, true);
+    return transfer.singleSend && isRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  }
+
+  /// Lets a connection to a host that has vanished end by itself.
+  static int OnNewSocket(void* aTransfer, curl_socket_t aSocket, curlsocktype /*aPurpose*/)
+  {
+    const auto& transfer = *static_cast<Transfer*>(aTransfer);
+    const auto timeout = static_cast<unsigned>(transfer.unacknowledgedTimeout.count());
+    setsockopt(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+    return CURL_SOCKOPT_OK;
+  }
 
   static std::size_t OnBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
   {
@@ -220,10 +250,14 @@
   transfer->easy.reset(curl_easy_init());
   transfer->observer = aObserver;
   transfer->body = aRequest.body;
+  transfer->singleSend = aRequest.singleSend;
+  transfer->unacknowledgedTimeout = this->settings.unacknowledgedTimeout;
   CURL* easy = transfer->easy.get();
 
   // What to send
   curl_easy_setopt(easy, CURLOPT_URL, aRequest.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
   curl_slist* headers = curl_slist_append(nullptr, "Expect:");
   for (const std::string& line : aRequest.headers) {
     headers = curl_slist_append(headers, line.c_str());
@@ -234,7 +268,13 @@
     curl_easy_setopt(easy, CURLOPT_POST, 1L);
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+  } else if (aRequest.method == "HEAD") {
+    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
   } else {
+    if (!transfer->body.empty()) {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
+    }
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, aRequest.method.c_str());
   }
 
@@ -246,6 +286,15 @@
                    static_cast<long>(this->settings.connectTimeout.count()));
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, aRequest.freshConnection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::OnBeforeSend);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Transfer::OnNewSocket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(this->settings.maximumIdleAge.count()));
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
 
--- a/UnitTests/Wire/JsonTextTests.cpp
+++ b/UnitTests/Core/JsonTextTests.cpp
@@ -1,4 +1,4 @@
-#include "Lagoonward/Wire/JsonText.h"
+#include "Lagoonward/Core/JsonText.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
--- a/UnitTests/Platform/HttpServicesTests.cpp
+++ b/UnitTests/Providers/HttpServicesTests.cpp
@@ -1,7 +1,7 @@
-#include "Lagoonward/Platform/HttpCloudService.h"
-#include "Lagoonward/Platform/HttpHostListService.h"
-#include "Lagoonward/Platform/HttpLogService.h"
-#include "Lagoonward/Platform/HttpWeightStore.h"
+#include "Lagoonward/Providers/HttpCloudService.h"
+#include "Lagoonward/Providers/HttpHostListService.h"
+#include "Lagoonward/Providers/HttpLogService.h"
+#include "Lagoonward/Providers/HttpWeightStore.h"
 #include "UnitTests/Support/FakeHttpServer.h"
 
 #include <boost/test/unit_test.hpp>
--- a/UnitTests/Support/FakeLogService.h
+++ b/UnitTests/Support/FakeLogService.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Lagoonward/Platform/PlatformInterfaces.h"
+#include "Lagoonward/Providers/PlatformInterfaces.h"
 
 #include <deque>
 #include <map>
