Do the duties: usage reported once a window, endpoints ordered by demand

Change: a lease in the store's log, usage counted by window on a calendar that ignores clock jumps and written down before it is reported, demand told to those who may lead, reclaimable endpoints ordered for it with ordinary ones in their stead while none are to be had; a drain turns callers away once its notice is over; waits at the store stay below what a missed record may cost.

--- /dev/null
+++ b/Lagoonward/Daemon/DutyService.cpp
@@ -0,0 +1,411 @@
+#include "Lagoonward/Daemon/DutyService.h"
+
+#include "Lagoonward/Core/Hash.h"
+#include "Lagoonward/Daemon/PeerMessages.h"
+#include "Lagoonward/Daemon/RelayRanks.h"
+
+#include <cereal/types/map.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("duties");
+
+/// The message; numbers above RequestType::FirstForeign are this folder's.
+constexpr auto kLoadReport =
+  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstForeign) + 3);
+
+constexpr std::string_view kLeaseName = "relay";
+constexpr Milliseconds kUsageReadWait{ 0 };
+constexpr std::int64_t kWindowsKept = 6;
+
+/// What a daemon tells those who may lead. Both are cumulative.
+struct LoadReport
+{
+  std::uint64_t run = 0;
+  std::map<std::int64_t, std::map<std::string, std::int64_t>> usage;
+  std::map<std::string, double> engineSeconds;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->run, this->usage, this->engineSeconds);
+  }
+};
+
+} // namespace
+
+DutyService::DutyService(DutySettings aSettings, DutyFacts aFacts, DutyPorts aPorts,
+                         UsageCounter& aUsage, MembershipService& aMembership, const Clock& aClock)
+  : settings(aSettings)
+  , facts(std::move(aFacts))
+  , ports(std::move(aPorts))
+  , usage(aUsage)
+  , membership(aMembership)
+  , clock(aClock)
+  , run(HashBytes(this->facts.incarnation))
+  , usageStream("usage/" + this->facts.region)
+  , lease(this->settings.lease, std::string(kLeaseName), this->facts.region, this->facts.self,
+          this->facts.incarnation, *this->ports.leaseLog, aClock)
+  , usageBook(this->settings.usage, aClock)
+  , demandBook(this->settings.usage.silence, aClock)
+  , otherLedAt(aClock.BootNow())
+{
+  this->membership.Transport().OnRequest(
+    kLoadReport, [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
+      this->TakeReport(aBytes);
+      aRespond(std::string());
+    });
+}
+
+DutyService::~DutyService()
+{
+  this->Stop();
+}
+
+std::string_view
+DutyService::Name() const
+{
+  return kName;
+}
+
+Result<void>
+DutyService::Start()
+{
+  this->membership.Loop().Run([this] {
+    this->membership.Loop().Every(this->settings.reportInterval, [this] { this->SendReports(); });
+  });
+  this->leaseThread = std::thread([this] { this->RunLease(); });
+  this->dutyThread = std::thread([this] { this->RunDuties(); });
+  return boost::outcome_v2::success();
+}
+
+void
+DutyService::Drain()
+{
+  this->lease.Resign();
+}
+
+void
+DutyService::Stop()
+{
+  {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+  }
+  this->stopped.notify_all();
+  this->ports.leaseLog->Interrupt();
+  this->ports.usageLog->Interrupt();
+  for (std::thread* thread : { &this->leaseThread, &this->dutyThread }) {
+    if (thread->joinable()) {
+      thread->join();
+    }
+  }
+}
+
+bool
+DutyService::Pause(Milliseconds aSpan)
+{
+  std::unique_lock lock(this->mutex);
+  return !this->stopped.wait_for(lock, aSpan, [this] { return this->stopping; });
+}
+
+void
+DutyService::OnSent(const std::string& aService, double aEngineSeconds)
+{
+  const std::lock_guard lock(this->mutex);
+  this->sent[aService] += aEngineSeconds;
+}
+
+std::vector<std::string>
+DutyService::Ranked() const
+{
+  std::vector<std::string> daemons{ this->facts.self };
+  const PeerViewPtr view = this->membership.Peers();
+  for (const Peer& peer : view->peers) {
+    if (peer.info.region == this->facts.region && peer.state == PeerState::Alive) {
+      daemons.push_back(peer.info.id);
+    }
+  }
+  SortByRank(daemons, this->facts.region);
+  return daemons;
+}
+
+int
+DutyService::OwnRank() const
+{
+  const std::vector<std::string> daemons = this->Ranked();
+  return static_cast<int>(std::find(daemons.begin(), daemons.end(), this->facts.self) -
+                          daemons.begin());
+}
+
+void
+DutyService::SendReports()
+{
+  LoadReport report;
+  report.run = this->run;
+  const UsageByWindow own = this->usage.Read();
+  for (const auto& [window, counts] : own) {
+    report.usage[window] = { counts.begin(), counts.end() };
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    report.engineSeconds = { this->sent.begin(), this->sent.end() };
+  }
+  const std::string bytes = EncodePeerMessage(report);
+  this->TakeReport(bytes);
+
+  // Those who stand for election, and whoever leads should it be none of them
+  std::vector<std::string> receivers = this->Ranked();
+  const auto candidates = static_cast<std::size_t>(this->settings.lease.lease.candidates);
+  receivers.resize(std::min(receivers.size(), candidates));
+  const std::string leader = this->lease.Status().holder;
+  if (!leader.empty() &&
+      std::find(receivers.begin(), receivers.end(), leader) == receivers.end()) {
+    receivers.push_back(leader);
+  }
+  for (const std::string& receiver : receivers) {
+    const auto address = this->membership.AddressOf(ToPeerKey(receiver));
+    if (receiver != this->facts.self && address) {
+      this->membership.Transport().Request(*address, kLoadReport, bytes,
+                                           this->settings.reportTimeout,
+                                           [](const Result<std::string>&) {});
+    }
+  }
+}
+
+void
+DutyService::TakeReport(std::string_view aBytes)
+{
+  const auto report = DecodePeerMessage<LoadReport>(aBytes);
+  if (!report) {
+    kLog.Warning("A daemon sent a malformed load report.");
+    return;
+  }
+  UsageByWindow counts;
+  for (const auto& [window, accounts] : report->usage) {
+    counts[window] = { accounts.begin(), accounts.end() };
+  }
+  this->Take(report->run, counts, { report->engineSeconds.begin(), report->engineSeconds.end() });
+}
+
+void
+DutyService::Take(std::uint64_t aRun, const UsageByWindow& aUsage, const EngineSeconds& aTotals)
+{
+  const std::lock_guard lock(this->mutex);
+  this->usageBook.OnCounts(aRun, aUsage);
+  this->demandBook.OnTotals(aRun, aTotals);
+}
+
+void
+DutyService::RunLease()
+{
+  for (;;) {
+    const Milliseconds pause = this->lease.Step(this->OwnRank());
+    if (!this->Pause(pause)) {
+      return;
+    }
+  }
+}
+
+void
+DutyService::RunDuties()
+{
+  while (this->Pause(this->settings.interval)) {
+    this->WatchLeader();
+    // The load is followed by all who may lead, so that a successor knows its peak
+    const RelayConfigurationPtr configuration = this->facts.inForce();
+    if (configuration == nullptr) {
+      continue;
+    }
+    this->ReportUsage();
+    this->SizeServices();
+  }
+}
+
+void
+DutyService::WatchLeader()
+{
+  const LeaseStatus status = this->lease.Status();
+  if (!status.holder.empty() && status.holder != this->facts.self) {
+    this->otherLedAt = this->clock.BootNow();
+  }
+}
+
+std::optional<Offset>
+DutyService::MayAct() const
+{
+  const TimePoint now = this->clock.BootNow();
+  if (now < this->otherLedAt + this->settings.quiet || now < this->refusedUntil) {
+    return std::nullopt;
+  }
+  const auto grant = this->lease.Authorize(OrderKind::StartHost, true);
+  if (!grant) {
+    return std::nullopt;
+  }
+  // Offsets count from zero, fencing numbers from one
+  return grant.value().fencing + 1;
+}
+
+void
+DutyService::OnRefused(Offset aFencing)
+{
+  kLog.Event(LogLevel::Warning, "refused_as_stale", { { "fencing", aFencing } });
+  this->refusedUntil = this->clock.BootNow() + this->settings.refusedPause;
+  this->lease.Abandon(aFencing - 1);
+}
+
+bool
+DutyService::ReadUsageLog()
+{
+  for (;;) {
+    const auto page = this->ports.usageLog->Read(this->usageStream, this->ledger.NextOffset(),
+                                                 this->settings.lease.leasePage, kUsageReadWait);
+    if (!page) {
+      return false;
+    }
+    this->ledger.SkipTo(page.value().start);
+    for (const LogRecord& record : page.value().records) {
+      this->ledger.Apply(record.offset, record.data);
+    }
+    if (page.value().records.empty()) {
+      return true;
+    }
+  }
+}
+
+bool
+DutyService::WriteDownUsage(std::int64_t aWindow)
+{
+  if (!this->ReadUsageLog()) {
+    return false;
+  }
+  if (this->ledger.Find(aWindow) != nullptr) {
+    return true;
+  }
+  UsageRecord record;
+  record.window = aWindow;
+  {
+    const std::lock_guard lock(this->mutex);
+    record.counts = this->usageBook.TotalOf(aWindow);
+  }
+  // What counts is what is read back, whatever became of the append
+  if (!this->ports.usageLog->Append(this->usageStream, WriteUsageRecord(record))) {
+    kLog.Event(LogLevel::Warning, "usage_append_unanswered", { { "window", aWindow } });
+  }
+  return this->ReadUsageLog() && this->ledger.Find(aWindow) != nullptr;
+}
+
+void
+DutyService::ReportUsage()
+{
+  const std::int64_t current = this->usage.CurrentWindow();
+  for (std::int64_t window = current - kWindowsKept; window < current; ++window) {
+    const auto fencing = this->MayAct();
+    if (!fencing || this->reported.contains(window)) {
+      continue;
+    }
+    const Milliseconds since = this->usage.SinceEndOf(window);
+    {
+      const std::lock_guard lock(this->mutex);
+      if (!this->usageBook.IsDue(since)) {
+        continue;
+      }
+    }
+    if (!this->WriteDownUsage(window)) {
+      return;
+    }
+    const UsageRecord& record = *this->ledger.Find(window);
+    const auto sentReport = this->ports.reportUsage(record, *fencing);
+    kLog.Event("usage", { { "window", window },
+                          { "since_end_ms", since.count() },
+                          { "accounts", record.counts.size() },
+                          { "fencing", *fencing },
+                          { "accepted", sentReport.has_value() } });
+    if (sentReport) {
+      this->reported.insert(window);
+    } else if (sentReport.error().kind == ErrorKind::StaleFencing) {
+      this->OnRefused(*fencing);
+      return;
+    }
+  }
+  const std::lock_guard lock(this->mutex);
+  this->usageBook.Forget(current - kWindowsKept);
+  this->ledger.Forget(current - kWindowsKept);
+  std::erase_if(this->reported,
+                [&](std::int64_t aWindow) { return aWindow < current - kWindowsKept; });
+}
+
+std::map<std::string, DomainCount>
+DutyService::CountLive(const std::string& aService) const
+{
+  std::map<std::string, DomainCount> live;
+  const FleetSnapshotPtr fleet = this->facts.fleet->Get();
+  for (const Endpoint& endpoint : fleet->endpoints) {
+    if (endpoint.name != aService || endpoint.state != EndpointState::Live) {
+      continue;
+    }
+    DomainCount& there = live[endpoint.failureDomain];
+    ++(endpoint.reclaimable ? there.reclaimable : there.ordinary);
+  }
+  return live;
+}
+
+void
+DutyService::SizeServices()
+{
+  const RelayConfigurationPtr configuration = this->facts.inForce();
+  for (const RelayServiceFacts& service : configuration->services) {
+    if (service.scaling) {
+      this->SizeService(service);
+    }
+  }
+}
+
+void
+DutyService::SizeService(const RelayServiceFacts& aService)
+{
+  auto place = this->sizings.find(aService.name);
+  if (place == this->sizings.end()) {
+    place = this->sizings.emplace(aService.name, DemandSizing(this->settings.sizing, this->clock))
+              .first;
+  }
+  DemandSizing& sizing = place->second;
+  {
+    const std::lock_guard lock(this->mutex);
+    sizing.OnLoad(this->demandBook.LoadOf(aService.name));
+  }
+  const SizingTerms terms{ aService.scaling->minimum, aService.scaling->maximum,
+                           aService.scaling->bootTime, aService.scaling->prices };
+  const auto live = this->CountLive(aService.name);
+  for (const SizingOrder& order : sizing.Plan(terms, live)) {
+    const auto fencing = this->MayAct();
+    if (!fencing) {
+      return;
+    }
+    const auto sentOrder = this->ports.orderEndpoints(aService.name, order, *fencing);
+    kLog.Event("order", { { "service", aService.name },
+                          { "failure_domain", order.failureDomain },
+                          { "reclaimable", order.reclaimable },
+                          { "count", order.count },
+                          { "need", sizing.Need() },
+                          { "fencing", *fencing },
+                          { "outcome", sentOrder
+                                         ? "accepted"
+                                         : GetErrorRule(sentOrder.error().kind).name } });
+    if (sentOrder) {
+      sizing.OnAccepted(order);
+    } else if (sentOrder.error().kind == ErrorKind::StaleFencing) {
+      this->OnRefused(*fencing);
+      return;
+    } else if (sentOrder.error().kind == ErrorKind::NoEndpoint) {
+      sizing.OnUnavailable(order);
+    }
+  }
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Daemon/DutyService.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "Lagoonward/Core/Service.h"
+#include "Lagoonward/Daemon/LeaseFollower.h"
+#include "Lagoonward/Fleet/FleetStore.h"
+#include "Lagoonward/Membership/MembershipService.h"
+#include "Lagoonward/Metering/UsageBook.h"
+#include "Lagoonward/Metering/UsageRecord.h"
+#include "Lagoonward/Placement/DemandBook.h"
+#include "Lagoonward/Placement/DemandSizing.h"
+#include "Lagoonward/Relay/RelayConfiguration.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace lagoonward {
+
+/// Where the duties of the daemon that leads reach outside. Calls block. Errors: StaleFencing when a higher
+/// number was seen, NoEndpoint when none are to be had now, PlatformUnavailable when no answer came.
+struct DutyPorts
+{
+  LogService* leaseLog = nullptr; ///< Used by one thread.
+  LogService* usageLog = nullptr; ///< Used by another.
+  std::function<Result<void>(const UsageRecord&, Offset aFencing)> reportUsage;
+  std::function<Result<void>(const std::string& aService, const SizingOrder&, Offset aFencing)>
+    orderEndpoints;
+};
+
+/// Tunables of the duties.
+struct DutySettings
+{
+  FleetManagerSettings lease;             ///< How the lease is followed; the rest of it is not used.
+  Milliseconds interval{ 250 };           ///< Between two looks at what is due.
+  Milliseconds reportInterval{ 500 };     ///< Between two messages of a daemon to those who may lead.
+  Milliseconds reportTimeout{ 800 };      ///< For one message.
+  Milliseconds quiet{ 3500 };             ///< From the sight of another leader to the first own order.
+  Milliseconds refusedPause{ 4000 };      ///< After an order was refused as another leads.
+  UsageBookSettings usage;
+  DemandSizingSettings sizing;
+};
+
+/// What the duties are told of the daemon. All may be called from any thread.
+struct DutyFacts
+{
+  std::string self;   ///< This daemon's id.
+  std::string region;
+  std::string incarnation;
+  std::function<RelayConfigurationPtr()> inForce;
+  const FleetStore* fleet = nullptr;
+};
+
+/// The duties that one daemon at a time does for all: reporting usage, ordering endpoints. Every daemon
+/// tells those who may lead what it counts, so that a successor knows it too. Whoever holds the lease acts;
+/// after taking over from another it first keeps quiet, so that orders never go to and fro within the
+/// time in which the platform forbids it.
+class DutyService final : public Service
+{
+public:
+  static constexpr std::string_view kName = "duties";
+
+  /// References must outlive it.
+  DutyService(DutySettings aSettings, DutyFacts aFacts, DutyPorts aPorts, UsageCounter& aUsage,
+              MembershipService& aMembership, const Clock& aClock);
+  ~DutyService() override;
+
+  [[nodiscard]] std::string_view Name() const override;
+  [[nodiscard]] Result<void> Start() override;
+  /// Gives the lease up.
+  void Drain() override;
+  void Stop() override;
+
+  /// A request was sent to an endpoint. Any thread.
+  void OnSent(const std::string& aService, double aEngineSeconds);
+
+private:
+  void RunLease();
+  void RunDuties();
+  [[nodiscard]] bool Pause(Milliseconds aSpan);
+  [[nodiscard]] int OwnRank() const;
+  [[nodiscard]] std::vector<std::string> Ranked() const;
+  void SendReports();
+  void TakeReport(std::string_view aBytes);
+  void Take(std::uint64_t aRun, const UsageByWindow& aUsage, const EngineSeconds& aTotals);
+  void WatchLeader();
+  /// The fencing number if this daemon may act now.
+  [[nodiscard]] std::optional<Offset> MayAct() const;
+  void OnRefused(Offset aFencing);
+
+  void ReportUsage();
+  [[nodiscard]] bool ReadUsageLog();
+  [[nodiscard]] bool WriteDownUsage(std::int64_t aWindow);
+  void SizeServices();
+  void SizeService(const RelayServiceFacts& aService);
+  [[nodiscard]] std::map<std::string, DomainCount> CountLive(const std::string& aService) const;
+
+  DutySettings settings;
+  DutyFacts facts;
+  DutyPorts ports;
+  UsageCounter& usage;
+  MembershipService& membership;
+  const Clock& clock;
+  std::uint64_t run; ///< Names this run of this daemon in messages.
+  std::string usageStream;
+  LeaseFollower lease;
+
+  mutable std::mutex mutex; ///< Guards what follows.
+  std::condition_variable stopped;
+  bool stopping = false;
+  UsageBook usageBook;
+  DemandBook demandBook;
+  EngineSeconds sent; ///< By this daemon, since its start.
+
+  /// The duty thread's own.
+  UsageLedger ledger;
+  std::set<std::int64_t> reported;
+  std::map<std::string, DemandSizing> sizings; ///< By service.
+  TimePoint otherLedAt;                        ///< On Clock::BootNow(): last sight of another leader.
+  TimePoint refusedUntil;                      ///< On Clock::BootNow().
+  std::thread leaseThread;
+  std::thread dutyThread;
+};
+
+} // namespace lagoonward
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -20,8 +20,25 @@
 /// A balancer that asks once a second takes a daemon out after two misses; a little more covers the way.
 constexpr Milliseconds kBalancerNotice{ 2500 };
 
+/// When a caller turned away by a leaving daemon should try again, elsewhere.
+constexpr Milliseconds kElsewhere{ 50 };
+
 /// Left between the last answer and the end by force, for the answers to reach their callers.
 constexpr Milliseconds kEndMargin{ 900 };
+/// A short lease: usage is due within ten seconds, so a dead leader must be succeeded in about five. It
+/// costs one append and a few reads a second in all.
+constexpr LeaseSettings kLease{ .duration = Milliseconds(3000),
+                                .renewAfter = Milliseconds(1000),
+                                .handover = Milliseconds(700),
+                                .retryInterval = Milliseconds(400),
+                                .rankDelay = Milliseconds(400),
+                                .candidates = 3 };
+constexpr Milliseconds kLeaseWait{ 900 };
+constexpr Milliseconds kLeaseRetryPause{ 200 };
+
+/// Beyond the time in which orders may not go to and fro, for the call itself to arrive.
+constexpr Milliseconds kQuietMargin{ 300 };
+
 /// Between two messages about clients' demand; bounds how long daemons do not know of each other's.
 constexpr Milliseconds kDemandInterval{ 500 };
 
@@ -33,6 +50,13 @@
 /// The largest header block and what the library needs beside it.
 constexpr std::size_t kConnectionMemory = 48U << 10U;
 
+/// What the users state of their engines; learned from there on.
+constexpr SpeedPriors kEngineSpeed{ .prefillTokensPerSecond = 56'600,
+                                    .prefillPerSequence = 0.0000005,
+                                    .stepBaseSeconds = 0.00379,
+                                    .stepPerSequenceSeconds = 0.0000893,
+                                    .sequences = 64 };
+
 /// Parts of what is tolerated over a client's limit that admission hands out.
 constexpr double kToleranceUsed = 0.8;
 constexpr double kSlackUsed = 0.5;
@@ -41,6 +65,7 @@
 MarketSettingsOf(const RelayDaemonSettings& aSettings)
 {
   MarketSettings market;
+  market.routing.speed = kEngineSpeed;
   // Half of what may be repeated beyond the ratio is saved up, the other half comes with time, so that
   // no window holds more than both
   const double window = static_cast<double>(aSettings.retryWindow.count());
@@ -62,6 +87,7 @@
   , markets(MarketSettingsOf(this->settings), aClock, HashBytes(this->settings.peer.address))
   , market(this->markets.FindOrAdd(std::string(kRelayMarket)))
   , reporter(aClock)
+  , usage(this->settings.usageWindow, aClock)
   , directory({}, aClock)
   , seeds(this->settings.seeds)
 {
@@ -85,6 +111,7 @@
   this->relay = &this->kernel.Add(
     std::make_unique<RelayService>(RelaySettings{}, this->ports.endpoints, *this->market,
                                    this->fleet, this->reporter, this->clock));
+  this->BuildDuties();
   this->BuildServers();
   if (auto started = this->kernel.StartAll(); !started) {
     return started;
@@ -146,6 +173,34 @@
   return boost::outcome_v2::success();
 }
 
+void
+RelayDaemon::BuildDuties()
+{
+  DutySettings duty;
+  duty.quiet = this->settings.leaseQuiet + kQuietMargin;
+  duty.lease.leaseWait = kLeaseWait;
+  duty.lease.leaseRetryPause = kLeaseRetryPause;
+  duty.lease.lease = kLease;
+  DutyFacts facts;
+  facts.self = this->settings.peer.address;
+  facts.region = this->settings.region;
+  facts.incarnation = fmt::format("{}@{}", this->settings.peer.address,
+                                  ToUnixMilliseconds(this->clock.WallNow()));
+  facts.inForce = [this] { return this->InForce(); };
+  facts.fleet = &this->fleet;
+  this->duties = &this->kernel.Add(
+    std::make_unique<DutyService>(duty, std::move(facts), this->ports.duties, this->usage,
+                                  *this->membership, this->clock));
+  this->reporter.OnBeganDo([this](const RelayCall& aCall) {
+    if (!aCall.account.empty()) {
+      this->usage.OnBegan(aCall.account);
+    }
+  });
+  this->reporter.OnSentDo([this](const RelayCall& aCall, double aEngineSeconds) {
+    this->duties->OnSent(aCall.service, aEngineSeconds);
+  });
+}
+
 void
 RelayDaemon::BuildServers()
 {
@@ -181,8 +236,13 @@
 void
 RelayDaemon::HandleCall(HttpRequest aRequest, const HttpExchangePtr& aExchange)
 {
-  auto call = this->ports.callers.read(std::move(aRequest));
   auto caller = std::make_unique<ExchangeCaller>(aExchange, this->ports.callers.writeError);
+  if (this->refusing) {
+    // What is taken now could be cut off by the end of the grace period
+    caller->Refuse(Error(ErrorKind::Draining, "This daemon is leaving.").WithRetryAfter(kElsewhere));
+    return;
+  }
+  auto call = this->ports.callers.read(std::move(aRequest));
   if (!call) {
     kLog.Event("refused", { { "kind", GetErrorRule(call.error().kind).name },
                             { "reason", call.error().message } });
@@ -350,10 +410,12 @@
   const TimePoint begun = this->clock.Now();
   kLog.Event("draining", { { "open", this->callers->OpenExchanges() } });
   this->callers->CloseAfterAnswers();
+  this->duties->Drain();
   this->membership->Drain();
 
   // The balancer still sends callers for a moment
   std::this_thread::sleep_for(kBalancerNotice);
+  this->refusing = true;
   this->callers->StopListening();
   this->WaitForAnswers(begun + this->settings.grace - kEndMargin);
   if (this->callers->OpenExchanges() > 0) {
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -61,6 +61,7 @@
 
 private:
   [[nodiscard]] Result<void> BuildMembership();
+  void BuildDuties();
   void BuildServers();
   void HandleCall(HttpRequest aRequest, const HttpExchangePtr& aExchange);
   [[nodiscard]] bool TakeConfiguration(const std::string& aText, bool aFromPeer);
@@ -78,6 +79,8 @@
   Kernel kernel;
   MembershipService* membership = nullptr;
   RelayService* relay = nullptr;
+  UsageCounter usage;
+  DutyService* duties = nullptr;
   std::unique_ptr<DemandExchange> demand;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> readiness;
@@ -86,6 +89,7 @@
   RelayConfigurationPtr inForce; ///< Read and written with std::atomic_load and std::atomic_store.
   std::atomic<bool> knowsEndpoints{ false };
   std::atomic<bool> draining{ false };
+  std::atomic<bool> refusing{ false }; ///< Too late in the drain to take a request.
   EndpointDirectory directory;      ///< Control thread only, as is what follows.
   std::vector<HostEntry> listed;    ///< Daemons, as told from outside.
   std::vector<SocketAddress> seeds; ///< As in the newest settings.
--- a/Lagoonward/Daemon/RelayPorts.h
+++ b/Lagoonward/Daemon/RelayPorts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Daemon/DutyService.h"
 #include "Lagoonward/Relay/ExchangeCaller.h"
 #include "Lagoonward/Relay/RelayCall.h"
 #include "Lagoonward/Relay/RelayConfiguration.h"
@@ -31,6 +32,7 @@
   CallerLanguage callers;
   EndpointLanguage endpoints;
   std::function<Result<RelayConfiguration>(std::string_view aText)> decodeConfiguration;
+  DutyPorts duties;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -39,6 +39,12 @@
   this->onBegan = std::move(aHandler);
 }
 
+void
+RelayReporter::OnSentDo(SentHandler aHandler)
+{
+  this->onSent = std::move(aHandler);
+}
+
 std::string
 RelayReporter::MetricsText() const
 {
@@ -64,8 +70,12 @@
 }
 
 void
-RelayReporter::OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend)
+RelayReporter::OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
+                      double aEngineSeconds)
 {
+  if (this->onSent) {
+    this->onSent(aCall, aEngineSeconds);
+  }
   this->attempts.Add({ { "service", aCall.service }, { "outcome", "sent" } }).Increment();
   kLog.Event("sent", { { "request", aCall.id },
                        { "endpoint", aEndpoint },
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -21,16 +21,21 @@
   /// Told of each request that an endpoint has begun to run.
   using BeganHandler = std::function<void(const RelayCall&)>;
 
+  /// Told of each send and the engine seconds that it is expected to take.
+  using SentHandler = std::function<void(const RelayCall&, double aEngineSeconds)>;
+
   explicit RelayReporter(const Clock& aClock);
 
   /// Set before the first request.
   void OnBeganDo(BeganHandler aHandler);
+  void OnSentDo(SentHandler aHandler);
 
   /// The metrics page, in Prometheus' text form.
   [[nodiscard]] std::string MetricsText() const;
 
   void OnAccepted(const RelayCall& aCall) override;
-  void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend) override;
+  void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
+              double aEngineSeconds) override;
   void OnBegan(const RelayCall& aCall) override;
   void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint, std::string_view aReason,
                        bool aGoesOn) override;
@@ -41,6 +46,7 @@
 
   const Clock& clock;
   BeganHandler onBegan;
+  SentHandler onSent;
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& ended;
   prometheus::Family<prometheus::Counter>& attempts;
--- /dev/null
+++ b/Lagoonward/Metering/UsageBook.cpp
@@ -0,0 +1,73 @@
+#include "Lagoonward/Metering/UsageBook.h"
+
+#include <algorithm>
+
+namespace lagoonward {
+
+UsageBook::UsageBook(const UsageBookSettings& aSettings, const Clock& aClock)
+  : settings(aSettings)
+  , clock(aClock)
+{
+}
+
+void
+UsageBook::OnCounts(std::uint64_t aRun, const UsageByWindow& aCounts)
+{
+  Run& run = this->runs[aRun];
+  run.heard = this->clock.Now();
+  for (const auto& [window, counts] : aCounts) {
+    UsageCounts& known = run.windows[window];
+    for (const auto& [account, count] : counts) {
+      std::int64_t& most = known[account];
+      most = std::max(most, count);
+    }
+  }
+}
+
+UsageCounts
+UsageBook::TotalOf(std::int64_t aWindow) const
+{
+  UsageCounts total;
+  for (const auto& [key, run] : this->runs) {
+    const auto found = run.windows.find(aWindow);
+    if (found == run.windows.end()) {
+      continue;
+    }
+    for (const auto& [account, count] : found->second) {
+      total[account] += count;
+    }
+  }
+  return total;
+}
+
+bool
+UsageBook::IsDue(Milliseconds aSinceEnd) const
+{
+  if (aSinceEnd < this->settings.settle || aSinceEnd > this->settings.oldest) {
+    return false;
+  }
+  if (aSinceEnd >= this->settings.patience) {
+    return true;
+  }
+  // Everyone who lives has spoken since its end
+  const TimePoint now = this->clock.Now();
+  const TimePoint settled = now - aSinceEnd + this->settings.settle / 2;
+  return std::all_of(this->runs.begin(), this->runs.end(), [&](const auto& aRun) {
+    const TimePoint heard = aRun.second.heard;
+    return heard >= settled || now - heard > this->settings.silence;
+  });
+}
+
+void
+UsageBook::Forget(std::int64_t aBefore)
+{
+  for (auto& [key, run] : this->runs) {
+    std::erase_if(run.windows, [&](const auto& aEntry) { return aEntry.first < aBefore; });
+  }
+  std::erase_if(this->runs, [&](const auto& aRun) {
+    return aRun.second.windows.empty() &&
+           this->clock.Now() - aRun.second.heard > this->settings.oldest;
+  });
+}
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Metering/UsageCounter.cpp
@@ -0,0 +1,62 @@
+#include "Lagoonward/Metering/UsageCounter.h"
+
+namespace lagoonward {
+
+SteadyCalendar::SteadyCalendar(const Clock& aClock)
+  : clock(aClock)
+  , anchorWall(aClock.WallNow())
+  , anchorBoot(aClock.BootNow())
+{
+}
+
+WallTime
+SteadyCalendar::Now() const
+{
+  const auto passed = this->clock.BootNow() - this->anchorBoot;
+  return this->anchorWall + std::chrono::duration_cast<WallTime::duration>(passed);
+}
+
+UsageCounter::UsageCounter(Seconds aWindow, const Clock& aClock)
+  : window(aWindow)
+  , calendar(aClock)
+{
+}
+
+void
+UsageCounter::OnBegan(std::string_view aAccount)
+{
+  const std::int64_t current = this->CurrentWindow();
+  const std::lock_guard lock(this->mutex);
+  UsageCounts& counts = this->windows[current];
+  const auto known = counts.find(aAccount);
+  if (known == counts.end()) {
+    counts.emplace(aAccount, 1);
+  } else {
+    ++known->second;
+  }
+  std::erase_if(this->windows,
+                [&](const auto& aEntry) { return aEntry.first <= current - kKept; });
+}
+
+UsageByWindow
+UsageCounter::Read() const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->windows;
+}
+
+std::int64_t
+UsageCounter::CurrentWindow() const
+{
+  const std::int64_t length = std::chrono::duration_cast<Milliseconds>(this->window).count();
+  return ToUnixMilliseconds(this->calendar.Now()) / length;
+}
+
+Milliseconds
+UsageCounter::SinceEndOf(std::int64_t aWindow) const
+{
+  const std::int64_t length = std::chrono::duration_cast<Milliseconds>(this->window).count();
+  return Milliseconds(ToUnixMilliseconds(this->calendar.Now()) - (aWindow + 1) * length);
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -25,7 +25,9 @@
   virtual ~RelayObserver() = default;
 
   virtual void OnAccepted(const RelayCall& aCall) = 0;
-  virtual void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend) = 0;
+  /// @param aEngineSeconds  what it is expected to take there
+  virtual void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
+                      double aEngineSeconds) = 0;
   /// An endpoint has begun to answer for the first time: the request runs.
   virtual void OnBegan(const RelayCall& aCall) = 0;
   virtual void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint,
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -138,7 +138,8 @@
   ++this->sends;
   this->endpointId = endpoint->id;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
-  this->context.observer.OnSent(this->call, this->endpointId, this->sends);
+  this->context.observer.OnSent(this->call, this->endpointId, this->sends,
+                                this->context.router.EngineSeconds(aChoice, aRequest));
 
   const TimePoint now = this->context.loop.GetClock().Now();
   SendTerms terms;
