--- a/Lagoonward/Admission/PooledBucket.cpp
+++ b/Lagoonward/Admission/PooledBucket.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-/// Part of what is left that one request may take alone.
+/// While so much of the bucket is left, a daemon need not keep to its equal part...
+constexpr double kAmplePart = 0.5;
+
+/// ...but may take this part of what is left in one interval.
 constexpr double kLargestPart = 0.5;
 
 double
@@ -39,8 +42,10 @@
 double
 PooledBucket::AssumedRate(const Peer& aPeer, TimePoint aNow) const
 {
+  // A burst of one interval does not go on; what it was short of shows at the next message
+  const double equal = this->limit.rate / this->daemons;
   const bool silent = aNow - aPeer.heard > this->settings.silence;
-  return silent ? this->limit.rate / this->daemons : aPeer.rate;
+  return silent ? equal : std::min(aPeer.rate, equal);
 }
 
 void
@@ -64,9 +69,10 @@
 PooledBucket::Take(double aTokens, TimePoint aNow)
 {
   this->Advance(aNow);
-  const bool fits = aTokens <= this->allowance - this->takenNow;
-  const bool passesAlone = this->takenNow <= 0 && aTokens <= this->level * kLargestPart;
-  if (fits || passesAlone) {
+  const bool isAmple = this->level >= this->limit.capacity * kAmplePart;
+  const double most =
+    isAmple ? std::max(this->allowance, this->level * kLargestPart) : this->allowance;
+  if (this->takenNow + aTokens <= most) {
     this->takenNow += aTokens;
     this->total += aTokens;
     this->level -= aTokens;
--- a/Lagoonward/Admission/PooledBucket.h
+++ b/Lagoonward/Admission/PooledBucket.h
@@ -26,13 +26,13 @@
 
 /// One client's token bucket, kept by every daemon for the whole deployment. Daemons tell each other at
 /// an interval how many tokens they have admitted in all; between two messages a peer is assumed to go
-/// on as before, and a silent one to use an equal part of the rate, so that daemons cut off from each
+/// on as before, up to an equal part of the rate, and a silent one to use an equal part of the rate, so that daemons cut off from each
 /// other stay within the limit together.
 ///
-/// Error bound: in one interval the daemons admit at most capacity + slack, as each may take an equal
-/// part of (1 + slack / capacity) times what is left; the excess shows at the next message and is paid off
-/// before more is admitted. A request larger than a daemon's part passes alone while half of the bucket
-/// could pay it. Not thread-safe.
+/// Error bound: below half of the bucket the daemons admit at most what is left + slack in one interval, as
+/// each may take an equal part of (1 + slack / capacity) times what is left. Above it, a daemon whose clients
+/// clump may take half of what is left; all daemons together then admit at most what is asked of them in one
+/// interval. The excess shows at the next message and is paid off before more is admitted. Not thread-safe.
 class PooledBucket
 {
 public:
--- a/Lagoonward/Daemon/DutyService.cpp
+++ b/Lagoonward/Daemon/DutyService.cpp
@@ -164,8 +164,7 @@
   const auto candidates = static_cast<std::size_t>(this->settings.lease.lease.candidates);
   receivers.resize(std::min(receivers.size(), candidates));
   const std::string leader = this->lease.Status().holder;
-  if (!leader.empty() &&
-      std::find(receivers.begin(), receivers.end(), leader) == receivers.end()) {
+  if (!leader.empty() && std::find(receivers.begin(), receivers.end(), leader) == receivers.end()) {
     receivers.push_back(leader);
   }
   for (const std::string& receiver : receivers) {
@@ -371,8 +370,8 @@
 {
   auto place = this->sizings.find(aService.name);
   if (place == this->sizings.end()) {
-    place = this->sizings.emplace(aService.name, DemandSizing(this->settings.sizing, this->clock))
-              .first;
+    place =
+      this->sizings.emplace(aService.name, DemandSizing(this->settings.sizing, this->clock)).first;
   }
   DemandSizing& sizing = place->second;
   {
@@ -394,9 +393,8 @@
                           { "count", order.count },
                           { "need", sizing.Need() },
                           { "fencing", *fencing },
-                          { "outcome", sentOrder
-                                         ? "accepted"
-                                         : GetErrorRule(sentOrder.error().kind).name } });
+                          { "outcome",
+                            sentOrder ? "accepted" : GetErrorRule(sentOrder.error().kind).name } });
     if (sentOrder) {
       sizing.OnAccepted(order);
     } else if (sentOrder.error().kind == ErrorKind::StaleFencing) {
--- a/Lagoonward/Daemon/DutyService.h
+++ b/Lagoonward/Daemon/DutyService.h
@@ -33,12 +33,12 @@
 /// Tunables of the duties.
 struct DutySettings
 {
-  FleetManagerSettings lease;             ///< How the lease is followed; the rest of it is not used.
-  Milliseconds interval{ 250 };           ///< Between two looks at what is due.
-  Milliseconds reportInterval{ 500 };     ///< Between two messages of a daemon to those who may lead.
-  Milliseconds reportTimeout{ 800 };      ///< For one message.
-  Milliseconds quiet{ 3500 };             ///< From the sight of another leader to the first own order.
-  Milliseconds refusedPause{ 4000 };      ///< After an order was refused as another leads.
+  FleetManagerSettings lease;         ///< How the lease is followed; the rest of it is not used.
+  Milliseconds interval{ 250 };       ///< Between two looks at what is due.
+  Milliseconds reportInterval{ 500 }; ///< Between two messages of a daemon to those who may lead.
+  Milliseconds reportTimeout{ 800 };  ///< For one message.
+  Milliseconds quiet{ 3500 };         ///< From the sight of another leader to the first own order.
+  Milliseconds refusedPause{ 4000 };  ///< After an order was refused as another leads.
   UsageBookSettings usage;
   DemandSizingSettings sizing;
 };
@@ -46,7 +46,7 @@
 /// What the duties are told of the daemon. All may be called from any thread.
 struct DutyFacts
 {
-  std::string self;   ///< This daemon's id.
+  std::string self; ///< This daemon's id.
   std::string region;
   std::string incarnation;
   std::function<RelayConfigurationPtr()> inForce;
@@ -118,8 +118,8 @@
   UsageLedger ledger;
   std::set<std::int64_t> reported;
   std::map<std::string, DemandSizing> sizings; ///< By service.
-  TimePoint otherLedAt;                        ///< On Clock::BootNow(): last sight of another leader.
-  TimePoint refusedUntil;                      ///< On Clock::BootNow().
+  TimePoint otherLedAt;   ///< On Clock::BootNow(): last sight of another leader.
+  TimePoint refusedUntil; ///< On Clock::BootNow().
   std::thread leaseThread;
   std::thread dutyThread;
 };
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -40,7 +40,7 @@
 constexpr Milliseconds kQuietMargin{ 300 };
 
 /// Between two messages about clients' demand; bounds how long daemons do not know of each other's.
-constexpr Milliseconds kDemandInterval{ 500 };
+constexpr Milliseconds kDemandInterval{ 250 };
 
 constexpr Milliseconds kDrainPoll{ 20 };
 
@@ -55,7 +55,18 @@
                                     .prefillPerSequence = 0.0000005,
                                     .stepBaseSeconds = 0.00379,
                                     .stepPerSequenceSeconds = 0.0000893,
-                                    .sequences = 64 };
+                                    .sequences = 64,
+                                    .learningRate = 0 };
+
+/// Without load reports the first tokens of busy engines would be taken for slow ones, so their speed is not
+/// learned.
+
+/// A second of answer time against a second of engine time.
+constexpr double kLatencyWorth = 1;
+
+/// A session's prompt is read at its home endpoint unless waiting there costs more than this many times
+/// its reading.
+constexpr double kHomePull = 12;
 
 /// Parts of what is tolerated over a client's limit that admission hands out.
 constexpr double kToleranceUsed = 0.8;
@@ -66,6 +77,10 @@
 {
   MarketSettings market;
   market.routing.speed = kEngineSpeed;
+  // Sizing sees to it that no endpoint idles, so requests need not be packed
+  market.routing.packing = 0;
+  market.routing.latencyWorth = kLatencyWorth;
+  market.routing.homePull = kHomePull;
   // Half of what may be repeated beyond the ratio is saved up, the other half comes with time, so that
   // no window holds more than both
   const double window = static_cast<double>(aSettings.retryWindow.count());
@@ -184,13 +199,12 @@
   DutyFacts facts;
   facts.self = this->settings.peer.address;
   facts.region = this->settings.region;
-  facts.incarnation = fmt::format("{}@{}", this->settings.peer.address,
-                                  ToUnixMilliseconds(this->clock.WallNow()));
+  facts.incarnation =
+    fmt::format("{}@{}", this->settings.peer.address, ToUnixMilliseconds(this->clock.WallNow()));
   facts.inForce = [this] { return this->InForce(); };
   facts.fleet = &this->fleet;
-  this->duties = &this->kernel.Add(
-    std::make_unique<DutyService>(duty, std::move(facts), this->ports.duties, this->usage,
-                                  *this->membership, this->clock));
+  this->duties = &this->kernel.Add(std::make_unique<DutyService>(
+    duty, std::move(facts), this->ports.duties, this->usage, *this->membership, this->clock));
   this->reporter.OnBeganDo([this](const RelayCall& aCall) {
     if (!aCall.account.empty()) {
       this->usage.OnBegan(aCall.account);
@@ -239,7 +253,8 @@
   auto caller = std::make_unique<ExchangeCaller>(aExchange, this->ports.callers.writeError);
   if (this->refusing) {
     // What is taken now could be cut off by the end of the grace period
-    caller->Refuse(Error(ErrorKind::Draining, "This daemon is leaving.").WithRetryAfter(kElsewhere));
+    caller->Refuse(
+      Error(ErrorKind::Draining, "This daemon is leaving.").WithRetryAfter(kElsewhere));
     return;
   }
   auto call = this->ports.callers.read(std::move(aRequest));
@@ -297,6 +312,12 @@
   kLog.Event("configuration", { { "version", version },
                                 { "from_peer", aFromPeer },
                                 { "before", current ? current->routes->Version() : -1 } });
+  for (const ManifestClient& client : next->manifest.clients) {
+    kLog.Event("limit", { { "configuration", version },
+                          { "account", client.name },
+                          { "tokens_per_second", client.tokensPerSecond },
+                          { "burst", client.burstTokens } });
+  }
   if (!aFromPeer) {
     this->membership->PublishState({ std::string(kConfigurationState), version, aText });
   }
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -90,9 +90,9 @@
   std::atomic<bool> knowsEndpoints{ false };
   std::atomic<bool> draining{ false };
   std::atomic<bool> refusing{ false }; ///< Too late in the drain to take a request.
-  EndpointDirectory directory;      ///< Control thread only, as is what follows.
-  std::vector<HostEntry> listed;    ///< Daemons, as told from outside.
-  std::vector<SocketAddress> seeds; ///< As in the newest settings.
+  EndpointDirectory directory;         ///< Control thread only, as is what follows.
+  std::vector<HostEntry> listed;       ///< Daemons, as told from outside.
+  std::vector<SocketAddress> seeds;    ///< As in the newest settings.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Metering/UsageCounter.cpp
+++ b/Lagoonward/Metering/UsageCounter.cpp
@@ -34,8 +34,7 @@
   } else {
     ++known->second;
   }
-  std::erase_if(this->windows,
-                [&](const auto& aEntry) { return aEntry.first <= current - kKept; });
+  std::erase_if(this->windows, [&](const auto& aEntry) { return aEntry.first <= current - kKept; });
 }
 
 UsageByWindow
--- a/Lagoonward/Placement/DemandSizing.h
+++ b/Lagoonward/Placement/DemandSizing.h
@@ -3,10 +3,10 @@
 #include "Lagoonward/Core/Clock.h"
 
 #include <deque>
-#include <optional>
-#include <utility>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lagoonward {
@@ -16,18 +16,20 @@
 {
   /// Part of the endpoints' time that demand may take. Above it, waiting eats the targets for the first
   /// event.
-  double utilization = 0.6;
+  double utilization = 0.7;
 
   /// The same up to which ordinary endpoints, several times as dear, do not stand in for missing
   /// reclaimable ones.
-  double strainedUtilization = 0.85;
+  double strainedUtilization = 1.0;
 
   /// Endpoints ordered beyond the need, so that the loss of one failure domain's reclaimable ones leaves
   /// enough.
   double reserve = 1.25;
 
   Milliseconds peakMemory{ 12'000 }; ///< The need follows the highest load of this long.
-  Milliseconds unknownFor{ 8'000 };  ///< Until load was seen for so long the fleet found counts as needed.
+  Milliseconds unknownFor{
+    8'000
+  }; ///< Until load was seen for so long the fleet found counts as needed.
 
   /// The fleet found is what has shown up within so long of the first endpoint.
   Milliseconds foundAfter{ 3'000 };
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -77,6 +77,7 @@
   request.service = this->call.service;
   request.firstToken = this->call.route->firstEvent;
   request.priority = this->call.priority;
+  request.isPlainCall = this->call.promptTokens <= 0;
   request.promptTokens = this->call.promptTokens;
   request.expectedOutputTokens = std::max(this->call.outputTokens, 1);
   request.prefixBlocks = this->blocks;
--- a/Lagoonward/Routing/EndpointActivity.cpp
+++ b/Lagoonward/Routing/EndpointActivity.cpp
@@ -4,6 +4,16 @@
 
 namespace lagoonward {
 
+namespace {
+
+/// Weight of the newest plain call: the last twenty or so count.
+constexpr double kCallWeight = 0.05;
+
+/// Bounds how much an endpoint that fails all calls is avoided, so that its recovery shows.
+constexpr double kLeastWhole = 0.2;
+
+} // namespace
+
 void
 EndpointActivity::Recent::Add(TimePoint aTime)
 {
@@ -53,6 +63,25 @@
   this->inFlight = std::max(this->inFlight - 1, 0);
 }
 
+void
+EndpointActivity::OnCallEnded(double aSeconds, bool aWhole)
+{
+  this->callFailures += kCallWeight * ((aWhole ? 0 : 1) - this->callFailures);
+  if (aWhole) {
+    this->callSeconds = this->callSeconds > 0
+                          ? this->callSeconds + kCallWeight * (aSeconds - this->callSeconds)
+                          : aSeconds;
+  }
+}
+
+double
+EndpointActivity::CallCost() const
+{
+  // A failed call costs its caller more than the time to try again
+  const double whole = std::max(1 - this->callFailures, kLeastWhole);
+  return this->callSeconds / (whole * whole * whole);
+}
+
 int
 EndpointActivity::NetSince(TimePoint aSince) const
 {
--- a/Lagoonward/Routing/EndpointActivity.h
+++ b/Lagoonward/Routing/EndpointActivity.h
@@ -34,6 +34,12 @@
   [[nodiscard]] TimePoint FirstSeen() const { return this->firstSeen; }
   [[nodiscard]] int InFlight() const { return this->inFlight; }
 
+  /// Notes how a plain call ended, for CallCost().
+  void OnCallEnded(double aSeconds, bool aWhole);
+
+  /// Seconds that a plain call is expected to take there, failed ones tried again; zero while unknown.
+  [[nodiscard]] double CallCost() const;
+
   CircuitBreaker breaker;
 
 private:
@@ -52,6 +58,8 @@
   std::uint64_t key = 0;
   TimePoint firstSeen;
   int inFlight = 0;
+  double callSeconds = 0;                    ///< Averaged; zero before the first.
+  double callFailures = 0;                   ///< Averaged part of calls that failed.
   std::array<int, kLevels> prefillPending{}; ///< Tokens, by engine priority.
   Recent dispatched;
   Recent finished;
--- a/Lagoonward/Routing/RouteChoice.h
+++ b/Lagoonward/Routing/RouteChoice.h
@@ -15,12 +15,13 @@
   double reclaim = 0;   ///< Expected recomputation if the host is reclaimed.
   double recompute = 0; ///< Prompt tokens that another endpoint has cached and this one has not.
   double locality = 0;  ///< Negative: what later requests save by finding the prefix at its home.
+  double latency = 0; ///< The answer time, where RoutingSettings::latencyWorth sets a price on it.
   double slowStart = 0; ///< Surcharge of an endpoint that is new.
 
   [[nodiscard]] double Total() const
   {
     return this->prefill + this->decode + this->miss + this->reclaim + this->recompute +
-           this->locality + this->slowStart;
+           this->locality + this->latency + this->slowStart;
   }
 };
 
--- a/Lagoonward/Routing/RouteScore.cpp
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -112,6 +112,7 @@
   const double unknown = std::max(aRequest.promptTokens - aOutlook.bestCachedTokens, 0.0);
   score.cost.locality = -aOutlook.homeShare * aSettings.homePull * unknown * tokenWorth /
                         std::max(aSettings.recomputedTokenWorth, 1.0);
+  score.cost.latency = aMeanPrice * aSettings.latencyWorth * score.finishSeconds;
   score.cost.slowStart =
     aOutlook.newness * aOutlook.sequences * aMeanPrice * score.betweenTokensSeconds * output;
   return score;
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoonward {
 
@@ -126,7 +127,9 @@
     }
     const EndpointOutlook outlook = this->OutlookOf(target, scene);
     const RouteScore score =
-      ScoreEndpoint(outlook, aRequest, scene.rank, this->table->MeanPricePerSecond(), rules);
+      aRequest.isPlainCall
+        ? this->ScoreCall(target, this->PeerFactor(this->table->Targets()[target]))
+        : ScoreEndpoint(outlook, aRequest, scene.rank, this->table->MeanPricePerSecond(), rules);
     soonest = eligible == 0 ? score.finishSeconds : std::min(soonest, score.finishSeconds);
     ++eligible;
     const double total = score.cost.Total();
@@ -262,9 +265,29 @@
          this->activities[aTarget].breaker.Allows(this->settings.breaker, aNow);
 }
 
+RouteScore
+Router::ScoreCall(std::uint32_t aTarget, double aPeerFactor)
+{
+  const RoutingTarget& target = this->table->Targets()[aTarget];
+  const double learned = this->activities[aTarget].CallCost();
+  const double call = learned > 0 ? learned : this->settings.speed.serviceCallSeconds;
+  const double places = std::max(target.sequences, 1);
+  const double taken = this->SequencesAt(aTarget, aPeerFactor) / places;
+  const double draw = std::ldexp(static_cast<double>(this->NextRandom() >> 11U), -53);
+  RouteScore score;
+  score.firstTokenSeconds = this->settings.networkSeconds + call * (1 + taken);
+  score.finishSeconds = score.firstTokenSeconds;
+  score.cost.latency = this->table->MeanPricePerSecond() * score.firstTokenSeconds *
+                       (1 + this->settings.callNoise * draw);
+  return score;
+}
+
 double
 Router::PeerFactor(const RoutingTarget& aTarget) const
 {
+  if (!aTarget.reports) {
+    return 1 + (this->liveDaemons - 1) * this->settings.peerLikeness;
+  }
   // They see the same reports and follow the same rules. A few own dispatches among many endpoints
   // say little about where the others' have gone; many say more
   const double missed = this->everywhere.DispatchedSince(aTarget.asOf);
@@ -285,6 +308,9 @@
 {
   const RoutingTarget& target = this->table->Targets()[aTarget];
   const EndpointActivity& activity = this->activities[aTarget];
+  if (!target.reports) {
+    return activity.InFlight() * aPeerFactor;
+  }
   const double reported = target.waiting + target.running;
   const double since = activity.NetSince(target.asOf) * aPeerFactor;
   return std::max<double>(reported + since, activity.InFlight());
@@ -297,6 +323,9 @@
   const EndpointActivity& activity = this->activities[aTarget];
   EndpointOutlook outlook;
   outlook.speed = this->speed.Get(this->speedIndices[target.machineClass]);
+  if (target.sequences > 0) {
+    outlook.speed.sequences = target.sequences;
+  }
   outlook.pricePerSecond = target.pricePerSecond;
   const double peers = this->PeerFactor(target);
   outlook.sequences = this->SequencesAt(aTarget, peers);
@@ -336,6 +365,7 @@
   Dispatch dispatch;
   dispatch.endpointKey = target.key;
   dispatch.uncachedTokens = std::max(aRequest.promptTokens - aChoice.cachedTokens, 0);
+  dispatch.isPlainCall = aRequest.isPlainCall;
   dispatch.priority = aChoice.priority;
   dispatch.dispatchedAt = this->clock.Now();
   dispatch.speedIndex = this->speed.IndexOf(aChoice.table->MachineClasses()[target.machineClass]);
@@ -395,6 +425,10 @@
   if (!aDispatch.hasFirstToken) {
     activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.priority);
   }
+  if (aDispatch.isPlainCall && aOutcome != DispatchOutcome::Cancelled) {
+    activity->OnCallEnded(ToSeconds(now - aDispatch.dispatchedAt),
+                          aOutcome == DispatchOutcome::Completed);
+  }
   activity->OnFinished(now);
   if (aOutcome == DispatchOutcome::Completed) {
     activity->breaker.OnSuccess();
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -34,6 +34,7 @@
   int uncachedTokens = 0;
   int priority = 0;     ///< As sent to the engine.
   double sequences = 0; ///< Estimated batch at the endpoint when it was sent.
+  bool isPlainCall = false;
   bool ranIdle = false; ///< Little was ahead of it, so its first token shows the prefill speed.
   bool hasFirstToken = false;
   bool finished = false;
@@ -131,6 +132,8 @@
   [[nodiscard]] EndpointOutlook OutlookOf(std::uint32_t aTarget, const Scene& aScene) const;
   [[nodiscard]] double SequencesAt(std::uint32_t aTarget, double aPeerFactor) const;
   [[nodiscard]] double PeerFactor(const RoutingTarget& aTarget) const;
+  /// What a plain call is expected to take at an endpoint.
+  [[nodiscard]] RouteScore ScoreCall(std::uint32_t aTarget, double aPeerFactor);
   [[nodiscard]] EndpointActivity* FindActivity(std::uint64_t aKey);
   [[nodiscard]] std::uint64_t NextRandom();
 
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -76,6 +76,16 @@
   /// How fast that charge falls with the sequences that are there already.
   double packingPower = 1.7;
 
+  /// Engine seconds that a second of predicted answer time is worth even where no target is missed. Zero
+  /// packs requests where they are cheapest; above, they go where they are answered soonest.
+  double latencyWorth = 0;
+
+  /// How much an unreported load of other daemons is assumed to be like the own one: 1 takes them for alike.
+  double peerLikeness = 0.7;
+
+  /// Part of its own draw by which each plain call's cost is varied, so that daemons do not herd.
+  double callNoise = 0.2;
+
   /// Part of a prompt's prefill that is expected to be saved later if a prefix that nobody has goes
   /// to its home.
   double homePull = 4;
--- a/Lagoonward/Routing/RoutingTable.cpp
+++ b/Lagoonward/Routing/RoutingTable.cpp
@@ -101,6 +101,8 @@
     aEndpoint.pricePerHour > 0 ? aEndpoint.pricePerHour : aSettings.fallbackPricePerHour;
   target.pricePerSecond = perHour / kSecondsPerHour;
   target.asOf = aClock.Now();
+  target.sequences = aEndpoint.sequences;
+  target.reports = aEndpoint.load.has_value();
   if (aEndpoint.load) {
     target.waiting = aEndpoint.load->waiting;
     target.running = aEndpoint.load->running;
--- a/Lagoonward/Routing/RoutingTable.h
+++ b/Lagoonward/Routing/RoutingTable.h
@@ -22,9 +22,11 @@
   std::uint16_t machineClass = 0;  ///< Index into RoutingTable::MachineClasses().
   std::uint16_t failureDomain = 0; ///< Index into RoutingTable::FailureDomains().
   double pricePerSecond = 0;
-  int waiting = 0; ///< As reported.
-  int running = 0; ///< As reported.
-  TimePoint asOf;  ///< When the report was taken, on this daemon's clock.
+  int sequences = 0;    ///< That it runs at once, as it says itself; zero where it does not.
+  bool reports = false; ///< Whether it tells its load; else only own dispatches are known.
+  int waiting = 0;      ///< As reported.
+  int running = 0;      ///< As reported.
+  TimePoint asOf;       ///< When the report was taken, on this daemon's clock.
 };
 
 /// A place on a group's hash ring.
--- /dev/null
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -0,0 +1,77 @@
+#include "Lagoonward/Core/VirtualClock.h"
+#include "Lagoonward/Fleet/EndpointDirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonward;
+
+namespace {
+
+Endpoint
+MakeEndpoint(const std::string& aId, EndpointState aState = EndpointState::Live)
+{
+  Endpoint endpoint;
+  endpoint.id = aId;
+  endpoint.address = "127.0.0.1";
+  endpoint.port = 1000;
+  endpoint.state = aState;
+  return endpoint;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EndpointDirectoryTests)
+
+BOOST_AUTO_TEST_CASE(ARemovedEndpointGoesAtOnce)
+{
+  VirtualClock clock;
+  EndpointDirectory directory({}, clock);
+  BOOST_TEST(directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST(!directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST(directory.OnRemoved("a"));
+  BOOST_TEST(directory.Snapshot()->endpoints.empty());
+}
+
+BOOST_AUTO_TEST_CASE(LeavingBindsForGood)
+{
+  VirtualClock clock;
+  EndpointDirectory directory({}, clock);
+  directory.OnEntry(MakeEndpoint("a"));
+  BOOST_TEST(directory.OnEntry(MakeEndpoint("a", EndpointState::Leaving)));
+  // An older entry that comes late
+  BOOST_TEST(!directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST((directory.Snapshot()->endpoints.front().state == EndpointState::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(EntriesThatLapseAroundAnOutageGetTimeToReturn)
+{
+  VirtualClock clock;
+  EndpointDirectory directory({}, clock);
+  directory.OnEntry(MakeEndpoint("stays"));
+  directory.OnEntry(MakeEndpoint("goes"));
+  directory.OnSource(false);
+  clock.Advance(Seconds(5));
+  directory.OnSource(true);
+  directory.OnWhole({});
+  BOOST_TEST(directory.Snapshot()->endpoints.size() == 2U);
+  clock.Advance(Milliseconds(1500));
+  BOOST_TEST(!directory.Tick());
+  directory.OnEntry(MakeEndpoint("stays"));
+  clock.Advance(Milliseconds(1500));
+  BOOST_TEST(directory.Tick());
+  BOOST_REQUIRE_EQUAL(directory.Snapshot()->endpoints.size(), 1U);
+  BOOST_TEST(directory.Snapshot()->endpoints.front().id == "stays");
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingOneGetsNoTimeToReturn)
+{
+  VirtualClock clock;
+  EndpointDirectory directory({}, clock);
+  directory.OnEntry(MakeEndpoint("a", EndpointState::Leaving));
+  directory.OnSource(false);
+  directory.OnSource(true);
+  BOOST_TEST(directory.OnWhole({}));
+  BOOST_TEST(directory.Snapshot()->endpoints.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/UnitTests/Placement/DemandSizingTests.cpp
@@ -0,0 +1,145 @@
+#include "Lagoonward/Core/VirtualClock.h"
+#include "Lagoonward/Placement/DemandBook.h"
+#include "Lagoonward/Placement/DemandSizing.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace lagoonward;
+
+namespace {
+
+using Live = std::map<std::string, DomainCount>;
+
+const SizingTerms kTerms{ 1, 6, Milliseconds(4000), { { "a", 1.0 }, { "b", 0.8 }, { "c", 1.25 } } };
+
+/// A sizing that has seen its fleet and a steady load.
+DemandSizing
+MakeSettled(VirtualClock& aClock, const Live& aLive, double aLoad)
+{
+  DemandSizing sizing({}, aClock);
+  static_cast<void>(sizing.Plan(kTerms, aLive));
+  for (int second = 0; second < 10; ++second) {
+    aClock.Advance(Seconds(1));
+    sizing.OnLoad(aLoad);
+  }
+  return sizing;
+}
+
+int
+CountOf(const std::vector<SizingOrder>& aOrders, bool aReclaimable)
+{
+  int count = 0;
+  for (const SizingOrder& order : aOrders) {
+    count += order.reclaimable == aReclaimable ? order.count : 0;
+  }
+  return count;
+}
+
+void
+Accept(DemandSizing& aSizing, const std::vector<SizingOrder>& aOrders)
+{
+  for (const SizingOrder& order : aOrders) {
+    aSizing.OnAccepted(order);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(DemandSizingTests)
+
+BOOST_AUTO_TEST_CASE(OrdersNothingBeforeTheFleetHasShownUp)
+{
+  VirtualClock clock;
+  DemandSizing sizing({}, clock);
+  BOOST_TEST(sizing.Plan(kTerms, {}).empty());
+  BOOST_TEST(sizing.Plan(kTerms, { { "a", { 1, 0 } } }).empty());
+  clock.Advance(Seconds(4));
+  BOOST_TEST(!sizing.Plan(kTerms, { { "a", { 3, 0 } } }).empty());
+}
+
+BOOST_AUTO_TEST_CASE(KeepsOrdinaryOnesUntilReclaimableOnesLive)
+{
+  VirtualClock clock;
+  const Live found{ { "a", { 2, 0 } }, { "b", { 2, 0 } }, { "c", { 1, 0 } } };
+  DemandSizing sizing = MakeSettled(clock, found, 3);
+  const auto first = sizing.Plan(kTerms, found);
+  BOOST_TEST(CountOf(first, true) >= 5);
+  BOOST_TEST(CountOf(first, false) >= 3);
+  Accept(sizing, first);
+  // What grows is ordered before what shrinks
+  BOOST_TEST(first.front().reclaimable);
+
+  const Live both{ { "a", { 2, 2 } }, { "b", { 2, 3 } }, { "c", { 1, 2 } } };
+  const auto second = sizing.Plan(kTerms, both);
+  BOOST_TEST(!second.empty());
+  BOOST_TEST(CountOf(second, false) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(OrdinaryOnesStandInWhileNoneCanBeReclaimed)
+{
+  VirtualClock clock;
+  const Live steady{ { "a", { 0, 2 } }, { "b", { 0, 3 } }, { "c", { 0, 2 } } };
+  DemandSizing sizing = MakeSettled(clock, steady, 4);
+  Accept(sizing, sizing.Plan(kTerms, steady));
+
+  // Two failure domains lose all of theirs and give none
+  sizing.OnUnavailable({ "a", true, 3 });
+  sizing.OnUnavailable({ "b", true, 3 });
+  const auto orders = sizing.Plan(kTerms, { { "c", { 0, 2 } } });
+  BOOST_TEST(CountOf(orders, false) >= 2);
+  for (const SizingOrder& order : orders) {
+    BOOST_TEST((!order.reclaimable || order.failureDomain == "c"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KeepsToTheBoundsOfEachFailureDomain)
+{
+  VirtualClock clock;
+  const Live found{ { "a", { 2, 0 } } };
+  DemandSizing sizing = MakeSettled(clock, found, 100);
+  std::map<std::string, int> counts;
+  for (const SizingOrder& order : sizing.Plan(kTerms, found)) {
+    counts[order.failureDomain] = std::max(counts[order.failureDomain], order.count);
+  }
+  for (const auto& [domain, count] : counts) {
+    BOOST_TEST(count <= kTerms.maximum);
+  }
+  DemandSizing idle = MakeSettled(clock, found, 0.01);
+  for (const SizingOrder& order : idle.Plan(kTerms, found)) {
+    BOOST_TEST((!order.reclaimable || order.count >= kTerms.minimum));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OrdersOnceAndAgainOnlyWhenTheCountStaysWrong)
+{
+  VirtualClock clock;
+  const Live found{ { "a", { 2, 0 } }, { "b", { 1, 0 } }, { "c", { 1, 0 } } };
+  DemandSizing sizing = MakeSettled(clock, found, 2);
+  Accept(sizing, sizing.Plan(kTerms, found));
+  BOOST_TEST(sizing.Plan(kTerms, found).empty());
+  clock.Advance(Seconds(8));
+  sizing.OnLoad(2);
+  BOOST_TEST(!sizing.Plan(kTerms, found).empty());
+}
+
+BOOST_AUTO_TEST_CASE(SumsTheLoadOfAllDaemons)
+{
+  VirtualClock clock;
+  DemandBook book(Seconds(3), clock);
+  for (int message = 0; message <= 60; ++message) {
+    book.OnTotals(1, { { "s", message * 0.5 } });
+    book.OnTotals(2, { { "s", message * 1.0 } });
+    clock.Advance(Milliseconds(500));
+  }
+  BOOST_TEST(book.LoadOf("s") == 3.0, boost::test_tools::tolerance(0.02));
+  BOOST_TEST(book.LoadOf("other") == 0);
+  // One that has gone no longer counts
+  clock.Advance(Seconds(2));
+  book.OnTotals(1, { { "s", 30.0 } });
+  clock.Advance(Seconds(2));
+  BOOST_TEST(book.LoadOf("s") < 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/UnitTests/Relay/EventSplitterTests.cpp
@@ -0,0 +1,69 @@
+#include "Lagoonward/Relay/EventSplitter.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace lagoonward;
+
+namespace {
+
+using Events = std::vector<std::pair<std::string, std::string>>;
+
+/// Feeds a text in pieces of one size and collects the events and their ids.
+Events
+Split(EventSplitter& aSplitter, std::string_view aText, std::size_t aPiece)
+{
+  Events events;
+  while (!aText.empty()) {
+    const std::string_view piece = aText.substr(0, aPiece);
+    BOOST_TEST(aSplitter.Consume(piece, [&](std::string_view aBytes, std::string_view aId) {
+      events.emplace_back(aBytes, aId);
+    }));
+    aText.remove_prefix(piece.size());
+  }
+  return events;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(EventSplitterTests)
+
+BOOST_AUTO_TEST_CASE(CutsAnyPiecesIntoTheSameEventsByteForByte)
+{
+  const std::string text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: no id\n\n";
+  for (std::size_t piece = 1; piece <= text.size(); ++piece) {
+    EventSplitter splitter(1000);
+    const Events events = Split(splitter, text, piece);
+    BOOST_REQUIRE_EQUAL(events.size(), 3U);
+    BOOST_TEST(events[0].first + events[1].first + events[2].first == text);
+    BOOST_TEST(events[0].second == "1");
+    BOOST_TEST(events[1].second == "2");
+    BOOST_TEST(events[2].second.empty());
+    BOOST_TEST(!splitter.HasPartialEvent());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KeepsAnEventThatIsCutOff)
+{
+  EventSplitter splitter(1000);
+  BOOST_TEST(Split(splitter, "id: 1\ndata: a\n\nid: 2\ndata: b\n", 7).size() == 1U);
+  BOOST_TEST(splitter.HasPartialEvent());
+}
+
+BOOST_AUTO_TEST_CASE(FailsOnAnEventWithoutEnd)
+{
+  EventSplitter splitter(16);
+  BOOST_TEST(!splitter.Consume(std::string(17, 'x'), [](std::string_view, std::string_view) {}));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsNumbersOfIds)
+{
+  BOOST_TEST(*EventNumber("12") == 12);
+  BOOST_TEST(!EventNumber("12a").has_value());
+  BOOST_TEST(!EventNumber("").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/UnitTests/Relay/RelayRoutesTests.cpp
@@ -0,0 +1,75 @@
+#include "Lagoonward/Relay/RelayRoutes.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonward;
+
+namespace {
+
+RelayRoute
+MakeRoute(std::string aName, std::string aPrefix)
+{
+  RelayRoute route;
+  route.name = std::move(aName);
+  route.host = "a.example";
+  route.prefix = std::move(aPrefix);
+  route.services = { { "first", 90 }, { "second", 10 } };
+  return route;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayRoutesTests)
+
+BOOST_AUTO_TEST_CASE(TakesTheLongestPrefixOfTheHost)
+{
+  RelayRoutes routes(7);
+  routes.AddRoute(MakeRoute("short", "/a/"));
+  routes.AddRoute(MakeRoute("long", "/a/b/"));
+  routes.AddRoute(MakeRoute("middle", "/a/bc/"));
+  BOOST_TEST(routes.FindRoute("a.example", "/a/b/c")->name == "long");
+  BOOST_TEST(routes.FindRoute("a.example", "/a/bc/")->name == "middle");
+  BOOST_TEST(routes.FindRoute("a.example", "/a/b")->name == "short");
+  BOOST_TEST(routes.FindRoute("a.example", "/b/").get() == nullptr);
+  BOOST_TEST(routes.FindRoute("b.example", "/a/").get() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(FindsTheAccountOfAKey)
+{
+  RelayRoutes routes(7);
+  BOOST_TEST(!routes.HasAccounts());
+  routes.AddAccount({ "first", {}, true, 1 }, { "k1", "k2" });
+  routes.AddAccount({ "second", {}, true, 1 }, { "k3" });
+  BOOST_TEST(routes.FindAccount("k2")->name == "first");
+  BOOST_TEST(routes.FindAccount("k3")->name == "second");
+  BOOST_TEST(routes.FindAccount("k4") == nullptr);
+  BOOST_TEST(routes.FindAccount("") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(SplitsTrafficByWeight)
+{
+  const RelayRoute route = MakeRoute("split", "/");
+  int second = 0;
+  constexpr std::uint64_t kDraws = 1000;
+  for (std::uint64_t draw = 0; draw < kDraws; ++draw) {
+    second += route.ServiceFor(draw * (UINT64_MAX / kDraws)) == "second" ? 1 : 0;
+  }
+  // The draws are spread evenly but for the rounding of their distance
+  BOOST_TEST(second >= 99);
+  BOOST_TEST(second <= 101);
+}
+
+BOOST_AUTO_TEST_CASE(RepeatsOnlyWhatMayRunTwice)
+{
+  RelayRoute route = MakeRoute("kind", "/");
+  route.kind = RelayKind::NonIdempotent;
+  BOOST_TEST(!route.IsRepeatable());
+  route.kind = RelayKind::Stream;
+  BOOST_TEST(!route.IsRepeatable());
+  route.resumable = true;
+  BOOST_TEST(route.IsRepeatable());
+  route.kind = RelayKind::Idempotent;
+  BOOST_TEST(route.IsRepeatable());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -0,0 +1,443 @@
+#include "Lagoonward/Core/SystemClock.h"
+#include "Lagoonward/Relay/RelayService.h"
+#include "UnitTests/Support/ScriptedServer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace lagoonward;
+using namespace lagoonward::testing;
+
+namespace {
+
+using Kind = ScriptStep::Kind;
+
+/// The smallest dialect: an id that is echoed, a mark on the endpoint's own answers.
+struct TestDialect
+{
+  [[nodiscard]] std::vector<std::string> WriteHeaders(const RelayCall& aCall,
+                                                      const SendTerms& aTerms) const
+  {
+    return { "Id: " + aCall.id, fmt::format("Endpoint: {}", aTerms.endpointId),
+             fmt::format("After: {}", aTerms.lastEventId) };
+  }
+
+  [[nodiscard]] EndpointHead ReadHead(const RelayCall& aCall, int aStatus,
+                                      std::span<const HttpHeader> aHeaders) const
+  {
+    EndpointHead head;
+    head.status = aStatus;
+    for (const auto& [name, value] : aHeaders) {
+      head.belongs = head.belongs || (name == "Id" && value == aCall.id);
+      head.genuine = head.genuine || name == "Mark";
+      head.notRun = head.notRun || name == "Not-Run";
+      head.streamsEvents = head.streamsEvents || value == "text/event-stream";
+    }
+    return head;
+  }
+};
+
+/// What a caller got.
+struct Received
+{
+  std::optional<RelayReply> reply;
+  std::optional<Error> error;
+  std::string events;
+  bool streamed = false;
+  bool ended = false;
+  bool aborted = false;
+};
+
+/// Collects what comes, and lets the test wait for the end.
+class TestCaller
+{
+public:
+  class Side final : public RelayCaller
+  {
+  public:
+    explicit Side(TestCaller& aOwner)
+      : owner(aOwner)
+    {
+    }
+
+    void Answer(RelayReply aReply) override
+    {
+      this->owner.Change([&](Received& aReceived) {
+        aReceived.reply = std::move(aReply);
+        aReceived.ended = true;
+      });
+    }
+    void Refuse(const Error& aError) override
+    {
+      this->owner.Change([&](Received& aReceived) {
+        aReceived.error = aError;
+        aReceived.ended = true;
+      });
+    }
+    void BeginStream(const RelayReply&) override
+    {
+      this->owner.Change([](Received& aReceived) { aReceived.streamed = true; });
+    }
+    void WriteEvent(std::string_view aBytes) override
+    {
+      this->owner.Change([&](Received& aReceived) { aReceived.events += aBytes; });
+    }
+    void EndStream() override
+    {
+      this->owner.Change([](Received& aReceived) { aReceived.ended = true; });
+    }
+    void AbortStream() override
+    {
+      this->owner.Change([](Received& aReceived) { aReceived.aborted = aReceived.ended = true; });
+    }
+    [[nodiscard]] bool IsGone() override { return this->owner.gone; }
+
+  private:
+    TestCaller& owner;
+  };
+
+  template<typename Edit>
+  void Change(Edit aEdit)
+  {
+    const std::lock_guard lock(this->mutex);
+    aEdit(this->received);
+    this->changed.notify_all();
+  }
+
+  [[nodiscard]] Received Wait()
+  {
+    std::unique_lock lock(this->mutex);
+    BOOST_TEST(this->changed.wait_for(lock, Seconds(10), [&] { return this->received.ended; }));
+    return this->received;
+  }
+
+  std::atomic<bool> gone{ false };
+
+private:
+  std::mutex mutex;
+  std::condition_variable changed;
+  Received received;
+};
+
+class QuietObserver final : public RelayObserver
+{
+public:
+  void OnAccepted(const RelayCall&) override {}
+  void OnSent(const RelayCall&, std::string_view, int, double) override { ++this->sent; }
+  void OnBegan(const RelayCall&) override { ++this->began; }
+  void OnAttemptFailed(const RelayCall&, std::string_view, std::string_view, bool) override {}
+  void OnEnded(const RelayCall&, const RelayEnd&) override { ++this->ended; }
+
+  std::atomic<int> sent{ 0 };
+  std::atomic<int> began{ 0 };
+  std::atomic<int> ended{ 0 };
+};
+
+/// A relay before scripted endpoints of one service.
+class Scene
+{
+public:
+  explicit Scene(const std::vector<const ScriptedServer*>& aEndpoints)
+  {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->offset = 1;
+    configuration->manifest.failureDomains = { "d" };
+    configuration->manifest.services = { { "s", false } };
+    this->market.ApplyConfiguration(configuration);
+    auto snapshot = std::make_shared<FleetSnapshot>();
+    for (const ScriptedServer* server : aEndpoints) {
+      Endpoint endpoint;
+      endpoint.id = fmt::format("e{}", snapshot->endpoints.size());
+      endpoint.kind = EndpointKind::Service;
+      endpoint.name = "s";
+      endpoint.address = "127.0.0.1";
+      endpoint.port = server->Port();
+      endpoint.failureDomain = "d";
+      snapshot->endpoints.push_back(std::move(endpoint));
+    }
+    this->fleet.Publish(snapshot);
+    this->market.ApplyFleet(*snapshot);
+    BOOST_TEST(this->service.Start().has_value());
+  }
+
+  ~Scene() { this->service.Stop(); }
+
+  Received Ask(RelayKind aKind, bool aResumable = false, Milliseconds aTimeout = Seconds(5))
+  {
+    TestCaller caller;
+    this->Submit(caller, aKind, aResumable, aTimeout);
+    return caller.Wait();
+  }
+
+  void Submit(TestCaller& aCaller, RelayKind aKind, bool aResumable, Milliseconds aTimeout)
+  {
+    RelayRoute route;
+    route.kind = aKind;
+    route.resumable = aResumable;
+    route.attempts = 2;
+    route.timeout = aTimeout;
+    route.firstEvent = Milliseconds(1000);
+    route.betweenEvents = Milliseconds(200);
+    route.services = { { "s", 1 } };
+    RelayCall call;
+    call.id = "r1";
+    call.method = "POST";
+    call.target = "/a/./b?x=%41";
+    call.body = "body";
+    call.route = std::make_shared<const RelayRoute>(route);
+    call.service = "s";
+    call.receivedAt = this->clock.Now();
+    call.deadline = call.receivedAt + Seconds(20);
+    this->service.Submit(std::move(call), std::make_unique<TestCaller::Side>(aCaller));
+  }
+
+  SystemClock clock;
+  Market market{ "m", {}, clock, 1 };
+  FleetStore fleet;
+  QuietObserver observer;
+  RelayService service{ {}, LanguageOf(TestDialect()), market, fleet, observer, clock };
+};
+
+std::string
+Whole(const std::string& aBody, const std::string& aStatus = "200 OK",
+      const std::string& aHeaders = "Id: r1\r\nMark: m\r\n")
+{
+  return fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n\r\n{}", aStatus, aHeaders,
+                     aBody.size(), aBody);
+}
+
+const std::string kStreamHead =
+  "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nContent-Type: text/event-stream\r\n"
+  "Transfer-Encoding: chunked\r\n\r\n";
+
+std::string
+Chunk(const std::string& aBytes)
+{
+  return fmt::format("{:x}\r\n{}\r\n", aBytes.size(), aBytes);
+}
+
+Script
+Send(std::string aBytes)
+{
+  return { { Kind::Send, std::move(aBytes) } };
+}
+
+/// Answers the first request with one script and all others with another.
+ScriptedServer::Handler
+FirstThen(Script aFirst, Script aThen)
+{
+  return [count = std::make_shared<std::atomic<int>>(0), aFirst, aThen](const std::string&) {
+    return (*count)++ == 0 ? aFirst : aThen;
+  };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayServiceTests)
+
+BOOST_AUTO_TEST_CASE(PassesRequestAndAnswerOnUnchanged)
+{
+  const ScriptedServer server([](const std::string&) { return Send(Whole("hello")); });
+  Scene scene({ &server });
+  const Received received = scene.Ask(RelayKind::NonIdempotent);
+  BOOST_REQUIRE(received.reply.has_value());
+  BOOST_TEST(received.reply->body == "hello");
+  const std::string request = server.Requests().at(0);
+  BOOST_TEST(request.starts_with("POST /a/./b?x=%41 HTTP/1.1\r\n"));
+  BOOST_TEST(request.ends_with("\r\n\r\nbody"));
+  BOOST_TEST(request.find("Endpoint: e0\r\n") != std::string::npos);
+  BOOST_TEST(scene.observer.began == 1);
+}
+
+BOOST_AUTO_TEST_CASE(SendsANonIdempotentRequestOnlyOnceWhenItsAnswerIsLost)
+{
+  for (const Script& loss : { Script{ { Kind::Reset } }, Script{ { Kind::Close } },
+                              Script{ { Kind::Send, "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n"
+                                                    "Content-Length: 9\r\n\r\nhalf" },
+                                      { Kind::Close } } }) {
+    const ScriptedServer server(FirstThen(loss, Send(Whole("second"))));
+    const ScriptedServer other([](const std::string&) { return Send(Whole("other")); });
+    Scene scene({ &server });
+    const Received received = scene.Ask(RelayKind::NonIdempotent);
+    BOOST_REQUIRE(received.error.has_value());
+    BOOST_TEST((received.error->kind == ErrorKind::OutcomeUnknown));
+    BOOST_TEST((received.error->ran == Ran::Unknown));
+    BOOST_TEST(server.Requests().size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotRepeatOnAKeptConnectionThatWasClosed)
+{
+  // The first answer keeps the connection; the second request on it is read and then cut
+  const ScriptedServer server(FirstThen(Send(Whole("first")), { { Kind::Reset } }));
+  Scene scene({ &server });
+  BOOST_TEST(scene.Ask(RelayKind::NonIdempotent).reply->body == "first");
+  const Received second = scene.Ask(RelayKind::NonIdempotent);
+  BOOST_REQUIRE(second.error.has_value());
+  BOOST_TEST(server.Requests().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(TriesElsewhereWithProofThatItDidNotRun)
+{
+  const ScriptedServer full([](const std::string&) {
+    return Send(Whole("", "503 Service Unavailable", "Id: r1\r\nNot-Run: 1\r\n"));
+  });
+  const ScriptedServer free([](const std::string&) { return Send(Whole("ran")); });
+  Scene scene({ &full, &free });
+  for (int turn = 0; turn < 8; ++turn) {
+    BOOST_TEST(scene.Ask(RelayKind::NonIdempotent).reply->body == "ran");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PromisesThatItDidNotRunOnlyWithProof)
+{
+  const ScriptedServer full([](const std::string&) {
+    return Send(Whole("", "503 Service Unavailable", "Id: r1\r\nNot-Run: 1\r\n"));
+  });
+  Scene refusing({ &full });
+  const Received refused = refusing.Ask(RelayKind::NonIdempotent);
+  BOOST_TEST((refused.error->ran == Ran::No));
+  BOOST_TEST(refused.error->retryAfter.has_value());
+
+  const ScriptedServer vague(
+    [](const std::string&) { return Send(Whole("", "503 Service Unavailable", "Id: r1\r\n")); });
+  Scene unknown({ &vague });
+  BOOST_TEST((unknown.Ask(RelayKind::NonIdempotent).error->ran == Ran::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(TakesNoAnswerOfAnotherRequest)
+{
+  for (const std::string& head : { std::string("Id: r2\r\nMark: m\r\n"), std::string("Id: r1\r\n"),
+                                   std::string("Mark: m\r\n") }) {
+    const ScriptedServer server(
+      [&](const std::string&) { return Send(Whole("not yours", "200 OK", head)); });
+    Scene scene({ &server });
+    BOOST_TEST(!scene.Ask(RelayKind::NonIdempotent).reply.has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TakesNothingThatComesAfterAnAnswerForTheNextOne)
+{
+  const ScriptedServer server(
+    FirstThen(Send(Whole("first") + Whole("extra")), Send(Whole("second"))));
+  Scene scene({ &server });
+  BOOST_TEST(scene.Ask(RelayKind::Idempotent).reply->body == "first");
+  BOOST_TEST(scene.Ask(RelayKind::Idempotent).reply->body == "second");
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutLengthIsWholeOnlyIfItsConnectionEndsProperly)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nConnection: close\r\n\r\n";
+  const ScriptedServer proper([&](const std::string&) {
+    return Script{ { Kind::Send, head + "all" }, { Kind::Close } };
+  });
+  Scene whole({ &proper });
+  BOOST_TEST(whole.Ask(RelayKind::NonIdempotent).reply->body == "all");
+  const ScriptedServer broken([&](const std::string&) {
+    return Script{ { Kind::Send, head + "al" },
+                   { Kind::Wait, {}, Milliseconds(50) },
+                   { Kind::Reset } };
+  });
+  Scene cut({ &broken });
+  BOOST_TEST(cut.Ask(RelayKind::NonIdempotent).error.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ContinuesAResumableStreamAfterItsLastEvent)
+{
+  // Whichever is asked first breaks off; the other one repeats event 1, which must not come twice
+  const auto script =
+    FirstThen({ { Kind::Send, kStreamHead + Chunk("id: 1\ndata: a\n\nid: 2\nda") },
+                { Kind::Wait, {}, Milliseconds(50) },
+                { Kind::Reset } },
+              Send(kStreamHead + Chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") + "0\r\n\r\n"));
+  const ScriptedServer left(script);
+  const ScriptedServer right(script);
+  Scene scene({ &left, &right });
+  const Received received = scene.Ask(RelayKind::Stream, true);
+  BOOST_TEST(!received.aborted);
+  BOOST_TEST(received.events == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(left.Requests().size() == 1U);
+  BOOST_REQUIRE_EQUAL(right.Requests().size(), 1U);
+  const bool resumes = left.Requests().at(0).find("After: 1\r\n") != std::string::npos ||
+                       right.Requests().at(0).find("After: 1\r\n") != std::string::npos;
+  BOOST_TEST(resumes);
+}
+
+BOOST_AUTO_TEST_CASE(BreaksOffAStreamThatMayNotBeResumed)
+{
+  const ScriptedServer breaks([](const std::string&) {
+    return Script{ { Kind::Send, kStreamHead + Chunk("id: 1\ndata: a\n\n") },
+                   { Kind::Wait, {}, Milliseconds(50) },
+                   { Kind::Reset } };
+  });
+  Scene scene({ &breaks });
+  const Received received = scene.Ask(RelayKind::Stream, false);
+  BOOST_TEST(received.aborted);
+  BOOST_TEST(received.events == "id: 1\ndata: a\n\n");
+  BOOST_TEST(breaks.Requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatEndsWithinAnEventIsNotWhole)
+{
+  const ScriptedServer cuts([](const std::string&) {
+    return Send(kStreamHead + Chunk("id: 1\ndata: a\n\nid: 2\nda") + "0\r\n\r\n");
+  });
+  Scene scene({ &cuts });
+  BOOST_TEST(scene.Ask(RelayKind::Stream, false).aborted);
+}
+
+BOOST_AUTO_TEST_CASE(EndsTheEndpointsWorkWhenTheCallerHasGone)
+{
+  const ScriptedServer slow([](const std::string&) {
+    return Script{ { Kind::Wait, {}, Seconds(8) } };
+  });
+  Scene scene({ &slow });
+  TestCaller caller;
+  scene.Submit(caller, RelayKind::NonIdempotent, false, Seconds(10));
+  while (slow.Requests().empty()) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  caller.gone = true;
+  const auto gone = std::chrono::steady_clock::now();
+  while (slow.Abandoned() == 0 && std::chrono::steady_clock::now() - gone < Seconds(5)) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  BOOST_TEST(slow.Abandoned() == 1);
+  BOOST_TEST(caller.Wait().aborted);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersAtTheRoutesTimeout)
+{
+  const ScriptedServer slow([](const std::string&) {
+    return Script{ { Kind::Wait, {}, Seconds(8) } };
+  });
+  Scene scene({ &slow });
+  const auto begun = std::chrono::steady_clock::now();
+  const Received received = scene.Ask(RelayKind::NonIdempotent, false, Milliseconds(300));
+  BOOST_TEST((received.error->ran == Ran::Unknown));
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < Seconds(4)));
+}
+
+BOOST_AUTO_TEST_CASE(RelaysAnEndpointsOwnFailure)
+{
+  const ScriptedServer fails(
+    [](const std::string&) { return Send(Whole("why", "500 Internal Server Error")); });
+  Scene scene({ &fails });
+  const Received received = scene.Ask(RelayKind::NonIdempotent);
+  BOOST_REQUIRE(received.reply.has_value());
+  BOOST_TEST(received.reply->status == 500);
+  BOOST_TEST(received.reply->body == "why");
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhenThereIsNoEndpoint)
+{
+  Scene scene({});
+  const Received received = scene.Ask(RelayKind::NonIdempotent);
+  BOOST_TEST((received.error->ran == Ran::No));
+  BOOST_TEST(received.error->retryAfter.has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/UnitTests/Settings/RelaySettingsReaderTests.cpp
@@ -0,0 +1,96 @@
+#include "Lagoonward/Settings/RelaySettingsReader.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdio>
+#include <fstream>
+
+using namespace lagoonward;
+
+namespace {
+
+/// A settings file that goes away with the test.
+class SettingsFile
+{
+public:
+  explicit SettingsFile(const std::string& aText)
+    : path(std::tmpnam(nullptr))
+  {
+    std::ofstream(this->path) << aText;
+  }
+
+  ~SettingsFile() { std::remove(this->path.c_str()); }
+  SettingsFile(const SettingsFile&) = delete;
+  SettingsFile& operator=(const SettingsFile&) = delete;
+
+  const std::string path;
+};
+
+constexpr const char* kWhole = "# a comment\n"
+                               "name = host-1\n"
+                               "listen = 10.0.0.1:80\n"
+                               "ready = 10.0.0.1:81\n"
+                               "peer = 10.0.0.1:82\n"
+                               "region = r\n"
+                               "failure-domain = a\n"
+                               "failure-domains = a,b\n"
+                               "seeds = 10.0.0.2:82, 10.0.0.3:82\n"
+                               "store-url = http://10.0.0.9:90/\n"
+                               "retry-ratio = 0.25\n";
+
+RelaySettingsOutcome
+Read(std::vector<std::string> aArguments, std::vector<std::string> aEnvironment = {})
+{
+  return RelaySettingsReader::Read(aArguments, aEnvironment);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelaySettingsReaderTests)
+
+BOOST_AUTO_TEST_CASE(ReadsTheFileThatAFlagOrAVariableNames)
+{
+  const SettingsFile file(kWhole);
+  for (const auto& outcome :
+       { Read({ "--settings", file.path }), Read({}, { "LAGOONWARD_SETTINGS=" + file.path }) }) {
+    BOOST_TEST(outcome.faults.empty());
+    BOOST_TEST(outcome.settings.name == "host-1");
+    BOOST_TEST(outcome.settings.peer.port == 82);
+    BOOST_TEST(outcome.settings.seeds.size() == 2U);
+    BOOST_TEST(outcome.settings.seeds.at(1).address == "10.0.0.3");
+    BOOST_TEST(outcome.settings.failureDomains.size() == 2U);
+    BOOST_TEST(outcome.settings.storeUrl == "http://10.0.0.9:90");
+    BOOST_TEST(outcome.settings.retryRatio == 0.25);
+    BOOST_TEST(outcome.file == file.path);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AFlagWinsOverAVariableAndThatOverTheFile)
+{
+  const SettingsFile file(kWhole);
+  const auto outcome =
+    Read({ "--settings", file.path, "--name", "flag" },
+         { "LAGOONWARD_NAME=variable", "LAGOONWARD_REGION=variable", "OTHER=1" });
+  BOOST_TEST(outcome.faults.empty());
+  BOOST_TEST(outcome.settings.name == "flag");
+  BOOST_TEST(outcome.settings.region == "variable");
+}
+
+BOOST_AUTO_TEST_CASE(NamesAllFaultsAtOnce)
+{
+  const auto outcome = Read(
+    { "--listen", "nonsense", "--store-url", "ftp://x", "--grace-ms", "0", "--log-level", "loud" });
+  // Five settings are missing beside the four that are wrong
+  BOOST_TEST(outcome.faults.size() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhatItDoesNotKnow)
+{
+  const SettingsFile file(std::string(kWhole) + "no-such-setting = 1\n");
+  BOOST_TEST(Read({ "--settings", file.path }).faults.size() == 1U);
+  BOOST_TEST(Read({ "--no-such-flag", "1" }).faults.size() == 1U);
+  BOOST_TEST(Read({ "--settings", "/no/such/file" }).faults.size() == 1U);
+  BOOST_TEST(Read({ "--help" }).helpAsked);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/UnitTests/Support/ScriptedServer.cpp
@@ -0,0 +1,153 @@
+#include "UnitTests/Support/ScriptedServer.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+
+namespace lagoonward::testing {
+
+namespace {
+
+constexpr int kPollMilliseconds = 20;
+
+/// Length of the request at the beginning of some bytes, or zero while it is not whole.
+std::size_t
+RequestLength(const std::string& aBytes)
+{
+  const std::size_t head = aBytes.find("\r\n\r\n");
+  if (head == std::string::npos) {
+    return 0;
+  }
+  std::size_t body = 0;
+  const std::size_t length = aBytes.find("Content-Length: ");
+  if (length < head) {
+    body = std::strtoul(aBytes.c_str() + length + sizeof("Content-Length: ") - 1, nullptr, 10);
+  }
+  const std::size_t whole = head + 4 + body;
+  return aBytes.size() >= whole ? whole : 0;
+}
+
+bool
+IsClosed(int aSocket, Milliseconds aWait)
+{
+  pollfd descriptor{ aSocket, POLLRDHUP, 0 };
+  return ::poll(&descriptor, 1, static_cast<int>(aWait.count())) > 0;
+}
+
+} // namespace
+
+ScriptedServer::ScriptedServer(Handler aHandler)
+  : handler(std::move(aHandler))
+  , listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  if (::bind(this->listener.Get(), reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+      ::listen(this->listener.Get(), SOMAXCONN) != 0) {
+    std::abort();
+  }
+  ::getsockname(this->listener.Get(), reinterpret_cast<sockaddr*>(&address), &size);
+  this->port = ntohs(address.sin_port);
+  this->acceptor = std::thread([this] { this->Accept(); });
+}
+
+ScriptedServer::~ScriptedServer()
+{
+  this->stopping = true;
+  this->acceptor.join();
+  for (std::thread& connection : this->connections) {
+    connection.join();
+  }
+}
+
+std::vector<std::string>
+ScriptedServer::Requests() const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->requests;
+}
+
+void
+ScriptedServer::Accept()
+{
+  while (!this->stopping) {
+    pollfd descriptor{ this->listener.Get(), POLLIN, 0 };
+    if (::poll(&descriptor, 1, kPollMilliseconds) <= 0) {
+      continue;
+    }
+    const int socket = ::accept4(this->listener.Get(), nullptr, nullptr, SOCK_CLOEXEC);
+    if (socket >= 0) {
+      const std::lock_guard lock(this->mutex);
+      this->connections.emplace_back([this, socket] { this->Serve(socket); });
+    }
+  }
+}
+
+void
+ScriptedServer::Serve(int aSocket)
+{
+  const UniqueFd socket(aSocket);
+  std::string received;
+  while (!this->stopping) {
+    pollfd descriptor{ aSocket, POLLIN, 0 };
+    if (::poll(&descriptor, 1, kPollMilliseconds) <= 0) {
+      continue;
+    }
+    std::array<char, 4096> buffer{};
+    const ssize_t count = ::recv(aSocket, buffer.data(), buffer.size(), 0);
+    if (count <= 0) {
+      return;
+    }
+    received.append(buffer.data(), static_cast<std::size_t>(count));
+    while (const std::size_t length = RequestLength(received)) {
+      const std::string request = received.substr(0, length);
+      received.erase(0, length);
+      {
+        const std::lock_guard lock(this->mutex);
+        this->requests.push_back(request);
+      }
+      if (!this->Play(aSocket, this->handler(request))) {
+        return;
+      }
+    }
+  }
+}
+
+bool
+ScriptedServer::Play(int aSocket, const Script& aScript)
+{
+  for (const ScriptStep& step : aScript) {
+    switch (step.kind) {
+      case ScriptStep::Kind::Send:
+        static_cast<void>(::send(aSocket, step.bytes.data(), step.bytes.size(), MSG_NOSIGNAL));
+        break;
+      case ScriptStep::Kind::Wait:
+        for (Milliseconds left = step.span; left > Milliseconds::zero() && !this->stopping;
+             left -= Milliseconds(kPollMilliseconds)) {
+          if (IsClosed(aSocket, std::min(left, Milliseconds(kPollMilliseconds)))) {
+            ++this->abandoned;
+            return false;
+          }
+        }
+        break;
+      case ScriptStep::Kind::Close:
+        ::shutdown(aSocket, SHUT_RDWR);
+        return false;
+      case ScriptStep::Kind::Reset: {
+        const linger now{ 1, 0 };
+        ::setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+} // namespace lagoonward::testing
