Scale calls at the store with the deployment, measure load by full batches

Change: pace and waits grow with the number of live daemons within the leaving notice, spectators of the lease look every 20 s; engine seconds count the endpoint's own places at a full batch.

--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -36,6 +36,9 @@
 constexpr Milliseconds kLeaseWait{ 900 };
 constexpr Milliseconds kLeaseRetryPause{ 200 };
 
+/// Those that stand too far behind to lead look seldom: who may lead they know by rank.
+constexpr Milliseconds kSpectatorPause{ 20'000 };
+
 /// Beyond the time in which orders may not go to and fro, for the call itself to arrive.
 constexpr Milliseconds kQuietMargin{ 300 };
 
@@ -169,7 +172,7 @@
   identity.self.region = this->settings.region;
   identity.session = static_cast<std::uint64_t>(ToUnixMilliseconds(this->clock.WallNow()));
   // Endpoints tell of themselves in the platform's store, so nobody polls them
-  const auto poll = [this](const HostEntry&, MembershipService::PollDone aDone) {
+  const auto poll = [this](const HostEntry&, const MembershipService::PollDone& aDone) {
     EndpointLoad load;
     load.asOf = this->clock.WallNow();
     aDone(std::move(load));
@@ -194,6 +197,7 @@
   DutySettings duty;
   duty.quiet = this->settings.leaseQuiet + kQuietMargin;
   duty.lease.leaseWait = kLeaseWait;
+  duty.lease.spectatorPause = kSpectatorPause;
   duty.lease.leaseRetryPause = kLeaseRetryPause;
   duty.lease.lease = kLease;
   DutyFacts facts;
@@ -273,6 +277,12 @@
   return std::atomic_load(&this->inForce);
 }
 
+int
+RelayDaemon::LiveDaemons() const
+{
+  return static_cast<int>(this->membership->Peers()->peers.size()) + 1;
+}
+
 bool
 RelayDaemon::IsReady() const
 {
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -54,6 +54,9 @@
   /// What is in force; null before the first.
   [[nodiscard]] RelayConfigurationPtr InForce() const;
 
+  /// Daemons of the deployment that are thought to live, this one included.
+  [[nodiscard]] int LiveDaemons() const;
+
   /// Whether callers should be sent here.
   [[nodiscard]] bool IsReady() const;
 
--- a/Lagoonward/Placement/DemandSizing.h
+++ b/Lagoonward/Placement/DemandSizing.h
@@ -16,11 +16,11 @@
 {
   /// Part of the endpoints' time that demand may take. Above it, waiting eats the targets for the first
   /// event.
-  double utilization = 0.7;
+  double utilization = 0.5;
 
   /// The same up to which ordinary endpoints, several times as dear, do not stand in for missing
   /// reclaimable ones.
-  double strainedUtilization = 1.0;
+  double strainedUtilization = 0.75;
 
   /// Endpoints ordered beyond the need, so that the loss of one failure domain's reclaimable ones leaves
   /// enough.
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -377,7 +377,7 @@
 }
 
 void
-RelayRun::End(RelayEnd aEnd)
+RelayRun::End(const RelayEnd& aEnd)
 {
   assert(!this->ended);
   this->ended = true;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -95,7 +95,7 @@
 
   void Succeed(RelayReply aReply);
   void Fail(const Error& aError);
-  void End(RelayEnd aEnd);
+  void End(const RelayEnd& aEnd);
 
   RelayContext context;
   RelayCall call;
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -474,13 +474,13 @@
 double
 Router::EngineSeconds(const RouteChoice& aChoice, const RouteRequest& aRequest)
 {
-  // A step's base is shared by those that run beside the request; a third of the places is usual
-  constexpr double kUsualShare = 1.0 / 3;
   const std::lock_guard lock(this->mutex);
   const auto& machineClass = aChoice.table->MachineClasses()[aChoice.Target().machineClass];
   const MachineSpeed& known = this->speed.Get(this->speed.IndexOf(machineClass));
   const double uncached = std::max(aRequest.promptTokens - aChoice.cachedTokens, 0);
-  const double batch = std::max(known.sequences * kUsualShare, 1.0);
+  // A step's base is shared by those that run beside the request
+  const int places = aChoice.Target().sequences;
+  const double batch = std::max(places > 0 ? places : known.sequences, 1.0);
   return uncached * known.prefillSecondsPerToken +
          aRequest.expectedOutputTokens *
            (known.stepPerSequenceSeconds + known.stepBaseSeconds / batch);
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -86,7 +86,7 @@
   /// they run at once. 1 is full. Zero when the group is unknown.
   [[nodiscard]] double Pressure(const RouteRequest& aRequest) const;
 
-  /// Engine seconds that a request is expected to take at its endpoint, beside a usual batch.
+  /// Engine seconds that a request is expected to take at its endpoint, if that runs as many as it can.
   [[nodiscard]] double EngineSeconds(const RouteChoice& aChoice, const RouteRequest& aRequest);
 
   /// Rank of a priority, see RoutingTable::RankOf(); zero before the first table.
--- a/Lagoonward/Settings/RelaySettingsReader.cpp
+++ b/Lagoonward/Settings/RelaySettingsReader.cpp
@@ -31,6 +31,7 @@
   std::string seeds;
   std::string logLevel;
   int graceMilliseconds = 0;
+  int leavingNoticeMilliseconds = 0;
   int leaseQuietMilliseconds = 0;
   int usageWindowSeconds = 0;
   int usageLatenessSeconds = 0;
@@ -61,6 +62,8 @@
       "debug, info, warning, error");
   add("grace-ms", po::value(&aTexts.graceMilliseconds)->default_value(8000),
       "from SIGTERM to the end by force");
+  add("leaving-notice-ms", po::value(&aTexts.leavingNoticeMilliseconds)->default_value(2000),
+      "new work may reach a leaving endpoint for so long");
   add("lease-quiet-ms", po::value(&aTexts.leaseQuietMilliseconds)->default_value(3000),
       "orders do not go from one daemon to another and back within this");
   add("usage-window-s", po::value(&aTexts.usageWindowSeconds)->default_value(5),
@@ -118,6 +121,8 @@
   }
   settings.failureDomains = SplitList(aTexts.failureDomains);
   TakePositive("grace-ms", aTexts.graceMilliseconds, settings.grace, faults);
+  TakePositive("leaving-notice-ms", aTexts.leavingNoticeMilliseconds, settings.leavingNotice,
+               faults);
   TakePositive("lease-quiet-ms", aTexts.leaseQuietMilliseconds, settings.leaseQuiet, faults);
   TakePositive("usage-window-s", aTexts.usageWindowSeconds, settings.usageWindow, faults);
   TakePositive("usage-lateness-s", aTexts.usageLatenessSeconds, settings.usageLateness, faults);
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -227,7 +227,7 @@
 
 /// Answers the first request with one script and all others with another.
 ScriptedServer::Handler
-FirstThen(Script aFirst, Script aThen)
+FirstThen(const Script& aFirst, const Script& aThen)
 {
   return [count = std::make_shared<std::atomic<int>>(0), aFirst, aThen](const std::string&) {
     return (*count)++ == 0 ? aFirst : aThen;
