--- a/Lagoonward/Daemon/DutyService.cpp
+++ b/Lagoonward/Daemon/DutyService.cpp
@@ -5,6 +5,7 @@
 #include "Lagoonward/Daemon/RelayRanks.h"
 
 #include <cereal/types/map.hpp>
+#include <cereal/types/utility.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -23,17 +24,22 @@
 constexpr Milliseconds kUsageReadWait{ 0 };
 constexpr std::int64_t kWindowsKept = 6;
 
-/// What a daemon tells those who may lead. Both are cumulative.
+/// Requests in flight by endpoint key.
+using InFlight = std::vector<std::pair<std::uint64_t, std::int32_t>>;
+
+/// What a daemon tells those who may lead. Usage and engine seconds are cumulative.
 struct LoadReport
 {
   std::uint64_t run = 0;
+  bool wantsSum = false; ///< Whether the answer is to be what all others have in flight.
+  InFlight inFlight;
   std::map<std::int64_t, std::map<std::string, std::int64_t>> usage;
   std::map<std::string, double> engineSeconds;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->run, this->usage, this->engineSeconds);
+    aArchive(this->run, this->wantsSum, this->inFlight, this->usage, this->engineSeconds);
   }
 };
 
@@ -57,8 +63,7 @@
 {
   this->membership.Transport().OnRequest(
     kLoadReport, [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
-      this->TakeReport(aBytes);
-      aRespond(std::string());
+      aRespond(this->TakeReport(aBytes));
     });
 }
 
@@ -156,8 +161,9 @@
     const std::lock_guard lock(this->mutex);
     report.engineSeconds = { this->sent.begin(), this->sent.end() };
   }
-  const std::string bytes = EncodePeerMessage(report);
-  this->TakeReport(bytes);
+  for (const EndpointCount& count : this->facts.router->OwnInFlight()) {
+    report.inFlight.emplace_back(count.endpointKey, count.count);
+  }
 
   // Those who stand for election, and whoever leads should it be none of them
   std::vector<std::string> receivers = this->Ranked();
@@ -167,29 +173,82 @@
   if (!leader.empty() && std::find(receivers.begin(), receivers.end(), leader) == receivers.end()) {
     receivers.push_back(leader);
   }
+  // The first of them tells what all have in flight
+  report.wantsSum = true;
   for (const std::string& receiver : receivers) {
+    const std::string bytes = EncodePeerMessage(report);
+    const auto take = [this, isSum = report.wantsSum](const Result<std::string>& aAnswer) {
+      if (isSum && aAnswer) {
+        this->TakeSum(aAnswer.value());
+      }
+    };
     const auto address = this->membership.AddressOf(ToPeerKey(receiver));
-    if (receiver != this->facts.self && address) {
+    if (receiver == this->facts.self) {
+      take(this->TakeReport(bytes));
+    } else if (address) {
       this->membership.Transport().Request(*address, kLoadReport, bytes,
-                                           this->settings.reportTimeout,
-                                           [](const Result<std::string>&) {});
+                                           this->settings.reportTimeout, take);
     }
+    report.wantsSum = false;
+  }
+  if (std::find(receivers.begin(), receivers.end(), this->facts.self) == receivers.end()) {
+    static_cast<void>(this->TakeReport(EncodePeerMessage(report)));
   }
 }
 
 void
+DutyService::TakeSum(std::string_view aBytes)
+{
+  const auto sum = DecodePeerMessage<InFlight>(aBytes);
+  if (!sum) {
+    kLog.Warning("A daemon sent a malformed sum of requests in flight.");
+    return;
+  }
+  std::vector<EndpointCount> counts;
+  for (const auto& [key, count] : *sum) {
+    counts.push_back({ key, count });
+  }
+  this->facts.router->OnPeersInFlight(counts);
+}
+
+std::string
 DutyService::TakeReport(std::string_view aBytes)
 {
   const auto report = DecodePeerMessage<LoadReport>(aBytes);
   if (!report) {
     kLog.Warning("A daemon sent a malformed load report.");
-    return;
+    return {};
   }
   UsageByWindow counts;
   for (const auto& [window, accounts] : report->usage) {
     counts[window] = { accounts.begin(), accounts.end() };
   }
   this->Take(report->run, counts, { report->engineSeconds.begin(), report->engineSeconds.end() });
+  {
+    const std::lock_guard lock(this->mutex);
+    this->inFlight[report->run] = { this->clock.Now(), report->inFlight };
+  }
+  return report->wantsSum ? this->SumOfOthers(report->run) : std::string();
+}
+
+std::string
+DutyService::SumOfOthers(std::uint64_t aRun)
+{
+  const std::lock_guard lock(this->mutex);
+  const TimePoint now = this->clock.Now();
+  std::erase_if(this->inFlight, [&](const auto& aEntry) {
+    return now - aEntry.second.heard > this->settings.usage.silence;
+  });
+  std::map<std::uint64_t, std::int32_t> sums;
+  for (const auto& [key, told] : this->inFlight) {
+    if (key == aRun) {
+      continue;
+    }
+    for (const auto& [endpoint, count] : told.counts) {
+      sums[endpoint] += count;
+    }
+  }
+  return EncodePeerMessage(InFlight(sums.begin(), sums.end()));
 }
 
 void
--- a/Lagoonward/Daemon/DutyService.h
+++ b/Lagoonward/Daemon/DutyService.h
@@ -9,6 +9,7 @@
 #include "Lagoonward/Placement/DemandBook.h"
 #include "Lagoonward/Placement/DemandSizing.h"
 #include "Lagoonward/Relay/RelayConfiguration.h"
+#include "Lagoonward/Routing/Router.h"
 
 #include <condition_variable>
 #include <functional>
@@ -51,6 +52,7 @@
   std::string incarnation;
   std::function<RelayConfigurationPtr()> inForce;
   const FleetStore* fleet = nullptr;
+  Router* router = nullptr; ///< Learns what the others have in flight.
 };
 
 /// The duties that one daemon at a time does for all: reporting usage, ordering endpoints. Every daemon
@@ -83,7 +85,11 @@
   [[nodiscard]] int OwnRank() const;
   [[nodiscard]] std::vector<std::string> Ranked() const;
   void SendReports();
-  void TakeReport(std::string_view aBytes);
+  /// @return the answer
+  [[nodiscard]] std::string TakeReport(std::string_view aBytes);
+  void TakeSum(std::string_view aBytes);
+  /// What all but one run have in flight, encoded.
+  [[nodiscard]] std::string SumOfOthers(std::uint64_t aRun);
   void Take(std::uint64_t aRun, const UsageByWindow& aUsage, const EngineSeconds& aTotals);
   void WatchLeader();
   /// The fencing number if this daemon may act now.
@@ -114,6 +120,14 @@
   DemandBook demandBook;
   EngineSeconds sent; ///< By this daemon, since its start.
 
+  /// What one run of a daemon has in flight, by endpoint key.
+  struct Told
+  {
+    TimePoint heard;
+    std::vector<std::pair<std::uint64_t, std::int32_t>> counts;
+  };
+  std::map<std::uint64_t, Told> inFlight; ///< By run.
+
   /// The duty thread's own.
   UsageLedger ledger;
   std::set<std::int64_t> reported;
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -83,6 +83,7 @@
   // Sizing sees to it that no endpoint idles, so requests need not be packed
   market.routing.packing = 0;
   market.routing.latencyWorth = kLatencyWorth;
+  market.routing.ranksPreempt = false;
   market.routing.homePull = kHomePull;
   // Half of what may be repeated beyond the ratio is saved up, the other half comes with time, so that
   // no window holds more than both
@@ -207,6 +208,7 @@
     fmt::format("{}@{}", this->settings.peer.address, ToUnixMilliseconds(this->clock.WallNow()));
   facts.inForce = [this] { return this->InForce(); };
   facts.fleet = &this->fleet;
+  facts.router = &this->market->router;
   this->duties = &this->kernel.Add(std::make_unique<DutyService>(
     duty, std::move(facts), this->ports.duties, this->usage, *this->membership, this->clock));
   this->reporter.OnBeganDo([this](const RelayCall& aCall) {
--- a/Lagoonward/Routing/EndpointActivity.h
+++ b/Lagoonward/Routing/EndpointActivity.h
@@ -40,6 +40,10 @@
   /// Seconds that a plain call is expected to take there, failed ones tried again; zero while unknown.
   [[nodiscard]] double CallCost() const;
 
+  /// Requests that the other daemons had in flight there when they last told.
+  void OnPeersInFlight(int aCount) { this->peersInFlight = aCount; }
+  [[nodiscard]] int PeersInFlight() const { return this->peersInFlight; }
+
   CircuitBreaker breaker;
 
 private:
@@ -58,6 +62,7 @@
   std::uint64_t key = 0;
   TimePoint firstSeen;
   int inFlight = 0;
+  int peersInFlight = 0;
   double callSeconds = 0;                    ///< Averaged; zero before the first.
   double callFailures = 0;                   ///< Averaged part of calls that failed.
   std::array<int, kLevels> prefillPending{}; ///< Tokens, by engine priority.
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace lagoonward {
 
@@ -80,6 +81,9 @@
                             target.running);
   }
   this->activities = std::move(kept);
+  this->ownInFlight = std::accumulate(
+    this->activities.begin(), this->activities.end(), 0,
+    [](int aSum, const EndpointActivity& aActivity) { return aSum + aActivity.InFlight(); });
   this->positions = std::move(places);
   this->table = std::move(aTable);
 }
@@ -126,10 +130,11 @@
       continue;
     }
     const EndpointOutlook outlook = this->OutlookOf(target, scene);
-    const RouteScore score =
+    RouteScore score =
       aRequest.isPlainCall
-        ? this->ScoreCall(target, this->PeerFactor(this->table->Targets()[target]))
+        ? this->ScoreCall(target)
         : ScoreEndpoint(outlook, aRequest, scene.rank, this->table->MeanPricePerSecond(), rules);
+    score.cost.latency = this->WithNoise(score.cost.latency);
     soonest = eligible == 0 ? score.finishSeconds : std::min(soonest, score.finishSeconds);
     ++eligible;
     const double total = score.cost.Total();
@@ -266,28 +271,50 @@
 }
 
 RouteScore
-Router::ScoreCall(std::uint32_t aTarget, double aPeerFactor)
+Router::ScoreCall(std::uint32_t aTarget) const
 {
   const RoutingTarget& target = this->table->Targets()[aTarget];
+  // One that is new is taken for a good one of its kind, so that it gets its first calls
   const double learned = this->activities[aTarget].CallCost();
-  const double call = learned > 0 ? learned : this->settings.speed.serviceCallSeconds;
+  const double usual = this->everywhere.CallCost();
+  const double unknown = usual > 0 ? std::min(usual, this->settings.speed.serviceCallSeconds)
+                                   : this->settings.speed.serviceCallSeconds;
+  const double call = learned > 0 ? learned : unknown;
   const double places = std::max(target.sequences, 1);
-  const double taken = this->SequencesAt(aTarget, aPeerFactor) / places;
-  const double draw = std::ldexp(static_cast<double>(this->NextRandom() >> 11U), -53);
+  const double taken = this->SequencesAt(aTarget, this->PeerFactor(target)) / places;
   RouteScore score;
   score.firstTokenSeconds = this->settings.networkSeconds + call * (1 + taken);
   score.finishSeconds = score.firstTokenSeconds;
-  score.cost.latency = this->table->MeanPricePerSecond() * score.firstTokenSeconds *
-                       (1 + this->settings.callNoise * draw);
+  score.cost.latency = this->table->MeanPricePerSecond() * score.firstTokenSeconds;
   return score;
 }
 
+double
+Router::WithNoise(double aCost)
+{
+  const double draw = std::ldexp(static_cast<double>(this->NextRandom() >> 11U), -53);
+  return aCost * (1 + this->settings.latencyNoise * draw);
+}
+
+double
+Router::PeersAt(const EndpointActivity& aActivity) const
+{
+  const bool isTold = this->peersInFlightAt &&
+                      this->clock.Now() - *this->peersInFlightAt <= this->settings.peerLoadMemory;
+  if (isTold) {
+    return aActivity.PeersInFlight();
+  }
+  // A few own requests among many endpoints say little about where the others' are; many say more
+  const double targets = std::max<double>(static_cast<double>(this->activities.size()), 1);
+  const double weight =
+    this->ownInFlight / (this->ownInFlight + this->settings.peerPrior * targets);
+  const double mean = this->ownInFlight / targets;
+  return (this->liveDaemons - 1) * (weight * aActivity.InFlight() + (1 - weight) * mean);
+}
+
 double
 Router::PeerFactor(const RoutingTarget& aTarget) const
 {
-  if (!aTarget.reports) {
-    return 1 + (this->liveDaemons - 1) * this->settings.peerLikeness;
-  }
   // They see the same reports and follow the same rules. A few own dispatches among many endpoints
   // say little about where the others' have gone; many say more
   const double missed = this->everywhere.DispatchedSince(aTarget.asOf);
@@ -309,7 +336,7 @@
   const RoutingTarget& target = this->table->Targets()[aTarget];
   const EndpointActivity& activity = this->activities[aTarget];
   if (!target.reports) {
-    return activity.InFlight() * aPeerFactor;
+    return activity.InFlight() + this->PeersAt(activity);
   }
   const double reported = target.waiting + target.running;
   const double since = activity.NetSince(target.asOf) * aPeerFactor;
@@ -329,7 +356,7 @@
   outlook.pricePerSecond = target.pricePerSecond;
   const double peers = this->PeerFactor(target);
   outlook.sequences = this->SequencesAt(aTarget, peers);
-  outlook.mayPreempt = aScene.rank > 0;
+  outlook.mayPreempt = this->settings.ranksPreempt && aScene.rank > 0;
   if (target.reclaimable) {
     const double perHour = this->table->IsGoing(target.failureDomain)
                              ? this->settings.goingDomainPerHour
@@ -377,6 +404,7 @@
       activity->PrefillPending(0) <= kIdleTokens && this->table->Targets()[index].waiting == 0;
     activity->breaker.OnDispatched(this->settings.breaker, dispatch.dispatchedAt);
     activity->OnDispatched(dispatch.dispatchedAt, dispatch.uncachedTokens, dispatch.priority);
+    ++this->ownInFlight;
     this->everywhere.OnDispatched(dispatch.dispatchedAt, 0, dispatch.priority);
   }
   this->prefixes.OnDispatched(target.key, aRequest.prefixBlocks);
@@ -426,10 +454,13 @@
     activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.priority);
   }
   if (aDispatch.isPlainCall && aOutcome != DispatchOutcome::Cancelled) {
-    activity->OnCallEnded(ToSeconds(now - aDispatch.dispatchedAt),
-                          aOutcome == DispatchOutcome::Completed);
+    const double seconds = ToSeconds(now - aDispatch.dispatchedAt);
+    const bool isWhole = aOutcome == DispatchOutcome::Completed;
+    activity->OnCallEnded(seconds, isWhole);
+    this->everywhere.OnCallEnded(seconds, isWhole);
   }
   activity->OnFinished(now);
+  this->ownInFlight = std::max(this->ownInFlight - 1, 0);
   if (aOutcome == DispatchOutcome::Completed) {
     activity->breaker.OnSuccess();
   } else if (aOutcome == DispatchOutcome::Failed) {
@@ -471,6 +502,34 @@
   return places > 0 ? taken / places : 0;
 }
 
+std::vector<EndpointCount>
+Router::OwnInFlight() const
+{
+  const std::lock_guard lock(this->mutex);
+  std::vector<EndpointCount> counts;
+  for (const EndpointActivity& activity : this->activities) {
+    if (activity.InFlight() > 0) {
+      counts.push_back({ activity.Key(), activity.InFlight() });
+    }
+  }
+  return counts;
+}
+
+void
+Router::OnPeersInFlight(std::span<const EndpointCount> aCounts)
+{
+  const std::lock_guard lock(this->mutex);
+  for (EndpointActivity& activity : this->activities) {
+    activity.OnPeersInFlight(0);
+  }
+  for (const EndpointCount& count : aCounts) {
+    if (EndpointActivity* activity = this->FindActivity(count.endpointKey)) {
+      activity->OnPeersInFlight(count.count);
+    }
+  }
+  this->peersInFlightAt = this->clock.Now();
+}
+
 double
 Router::EngineSeconds(const RouteChoice& aChoice, const RouteRequest& aRequest)
 {
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +26,13 @@
   Cancelled, ///< Moved or no longer wanted; says nothing about the endpoint.
 };
 
+/// Requests in flight at one endpoint.
+struct EndpointCount
+{
+  std::uint64_t endpointKey = 0; ///< As RoutingTarget::key.
+  int count = 0;
+};
+
 /// One attempt in progress, as Router::OnDispatched() gave it. Plain data; the attempt keeps it and
 /// hands it back with each event.
 struct Dispatch
@@ -86,6 +94,12 @@
   /// they run at once. 1 is full. Zero when the group is unknown.
   [[nodiscard]] double Pressure(const RouteRequest& aRequest) const;
 
+  /// Requests of this daemon in flight at each endpoint that has any.
+  [[nodiscard]] std::vector<EndpointCount> OwnInFlight() const;
+
+  /// What the other daemons have in flight at endpoints; those not named have none.
+  void OnPeersInFlight(std::span<const EndpointCount> aCounts);
+
   /// Engine seconds that a request is expected to take at its endpoint, if that runs as many as it can.
   [[nodiscard]] double EngineSeconds(const RouteChoice& aChoice, const RouteRequest& aRequest);
 
@@ -133,7 +147,11 @@
   [[nodiscard]] double SequencesAt(std::uint32_t aTarget, double aPeerFactor) const;
   [[nodiscard]] double PeerFactor(const RoutingTarget& aTarget) const;
   /// What a plain call is expected to take at an endpoint.
-  [[nodiscard]] RouteScore ScoreCall(std::uint32_t aTarget, double aPeerFactor);
+  [[nodiscard]] RouteScore ScoreCall(std::uint32_t aTarget) const;
+  /// Varies a price at random, see RoutingSettings::latencyNoise.
+  [[nodiscard]] double WithNoise(double aCost);
+  /// What the other daemons are thought to have in flight at an endpoint that does not tell its load.
+  [[nodiscard]] double PeersAt(const EndpointActivity& aActivity) const;
   [[nodiscard]] EndpointActivity* FindActivity(std::uint64_t aKey);
   [[nodiscard]] std::uint64_t NextRandom();
 
@@ -153,6 +171,8 @@
   std::unordered_map<std::uint64_t, std::uint32_t> positions; ///< Endpoint key to target.
   std::unordered_map<std::uint32_t, std::uint32_t> tags;      ///< Prefix tag to target.
   int liveDaemons = 1;
+  int ownInFlight = 0;                      ///< At all endpoints.
+  std::optional<TimePoint> peersInFlightAt; ///< When the others last told.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -80,11 +80,15 @@
   /// packs requests where they are cheapest; above, they go where they are answered soonest.
   double latencyWorth = 0;
 
-  /// How much an unreported load of other daemons is assumed to be like the own one: 1 takes them for alike.
-  double peerLikeness = 0.7;
+  /// Whether a request of a higher rank need not wait where all places are taken.
+  bool ranksPreempt = true;
 
-  /// Part of its own draw by which each plain call's cost is varied, so that daemons do not herd.
-  double callNoise = 0.2;
+  /// How long what the other daemons told of their requests in flight is believed.
+  Milliseconds peerLoadMemory{ 2000 };
+
+  /// Part by which the price of answer time is varied at random, so that daemons that see the same do not all
+  /// choose the same endpoint.
+  double latencyNoise = 0.2;
 
   /// Part of a prompt's prefill that is expected to be saved later if a prefix that nobody has goes
   /// to its home.
--- a/Lagoonward/Settings/RelayDaemonSettings.h
+++ b/Lagoonward/Settings/RelayDaemonSettings.h
@@ -27,7 +27,7 @@
   std::string peerKeys;               ///< `ID:HEX[,ID:HEX…]`; the first signs, all are accepted.
   LogLevel logLevel = LogLevel::Info;
 
-  Milliseconds grace{ 8000 }; ///< From the signal that ends the daemon to its end by force.
+  Milliseconds grace{ 8000 };         ///< From the signal that ends the daemon to its end by force.
   Milliseconds leavingNotice{ 2000 }; ///< New work may reach a leaving endpoint for so long.
   Milliseconds leaseQuiet{
     3000
--- /dev/null
+++ b/UnitTests/Wire/RawHttpTests.cpp
@@ -0,0 +1,154 @@
+#include "Lagoonward/Wire/HttpServer.h"
+#include "UnitTests/Support/RawClient.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace lagoonward;
+using namespace lagoonward::testing;
+
+namespace {
+
+/// A server that keeps what it got and answers "ok" unless it is told to wait.
+class Keeper
+{
+public:
+  Keeper()
+    : server({}, [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
+      const std::lock_guard lock(this->mutex);
+      this->requests.push_back(std::move(aRequest));
+      this->exchange = aExchange;
+      if (!this->waits) {
+        aExchange->Respond(200, {}, "ok");
+      }
+      this->changed.notify_all();
+    })
+  {
+    BOOST_TEST(this->server.Start().has_value());
+  }
+
+  ~Keeper()
+  {
+    if (this->exchange != nullptr) {
+      this->exchange->AbortStream();
+    }
+    this->server.Stop();
+  }
+
+  /// The exchange of the first request, once there is one.
+  HttpExchangePtr Await()
+  {
+    std::unique_lock lock(this->mutex);
+    BOOST_TEST(this->changed.wait_for(lock, std::chrono::seconds(10),
+                                      [&] { return this->exchange != nullptr; }));
+    return this->exchange;
+  }
+
+  std::size_t Count()
+  {
+    const std::lock_guard lock(this->mutex);
+    return this->requests.size();
+  }
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  std::vector<HttpRequest> requests;
+  HttpExchangePtr exchange;
+  bool waits = false;
+  HttpServer server;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RawHttpTests)
+
+BOOST_AUTO_TEST_CASE(KeepsTheTargetAsItWasSent)
+{
+  Keeper keeper;
+  RawClient client(keeper.server.Port());
+  client.Send("GET /a%2Fb/../c?x=%41&y HTTP/1.1\r\nHost: h\r\n\r\n");
+  BOOST_TEST(client.Read("ok").starts_with("HTTP/1.1 200"));
+  BOOST_TEST(keeper.requests.at(0).target == "/a%2Fb/../c?x=%41&y");
+}
+
+BOOST_AUTO_TEST_CASE(RefusesRequestsWhoseEndIsUnclear)
+{
+  for (const char* headers : {
+         "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+         "Content-Length: 5\r\nContent-Length: 6\r\n",
+         "Content-Length: 5\r\nContent-Length: 5\r\n",
+         "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: gzip, chunked\r\n",
+         "Content-Length: +5\r\n",
+       }) {
+    Keeper keeper;
+    RawClient client(keeper.server.Port());
+    client.Send(std::string("POST / HTTP/1.1\r\nHost: h\r\n") + headers +
+                "\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answer = client.ReadToEnd();
+    BOOST_TEST(answer.find(" 200 ") == std::string::npos);
+    BOOST_TEST(keeper.Count() == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusesAMalformedChunk)
+{
+  Keeper keeper;
+  RawClient client(keeper.server.Port());
+  client.Send(
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\nabc\r\n0\r\n\r\n");
+  BOOST_TEST(client.ReadToEnd().find(" 200 ") == std::string::npos);
+  BOOST_TEST(keeper.Count() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SeesACallerGoWhileItsAnswerIsPending)
+{
+  for (const bool half : { true, false }) {
+    Keeper keeper;
+    keeper.waits = true;
+    RawClient client(keeper.server.Port());
+    client.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const HttpExchangePtr exchange = keeper.Await();
+    BOOST_TEST(!exchange->IsCallerGone());
+    if (half) {
+      client.CloseSendingHalf();
+    } else {
+      client.Close();
+    }
+    const auto begun = std::chrono::steady_clock::now();
+    while (!exchange->IsCallerGone() &&
+           std::chrono::steady_clock::now() - begun < std::chrono::seconds(5)) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    BOOST_TEST(exchange->IsCallerGone());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAbortedStreamDoesNotLookWhole)
+{
+  Keeper keeper;
+  keeper.waits = true;
+  RawClient client(keeper.server.Port());
+  client.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const HttpExchangePtr exchange = keeper.Await();
+  exchange->BeginStream(200, {});
+  BOOST_TEST(exchange->Write("first"));
+  BOOST_TEST(client.Read("first").find("first") != std::string::npos);
+  exchange->AbortStream();
+  BOOST_TEST(client.ReadToEnd().find("0\r\n\r\n") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ClosesAfterAnswersWhileStillListening)
+{
+  Keeper keeper;
+  keeper.server.CloseAfterAnswers();
+  RawClient client(keeper.server.Port());
+  client.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string answer = client.ReadToEnd();
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
