--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -429,9 +429,18 @@
 void
 RelayDaemon::PublishFleet()
 {
-  const FleetSnapshotPtr snapshot = this->directory.Snapshot();
+  auto snapshot = std::make_shared<FleetSnapshot>(*this->directory.Snapshot());
+  if (const RelayConfigurationPtr current = this->InForce()) {
+    for (Endpoint& endpoint : snapshot->endpoints) {
+      const auto service =
+        std::find_if(current->services.begin(), current->services.end(),
+                     [&](const RelayServiceFacts& aEach) { return aEach.name == endpoint.name; });
+      endpoint.movesStreams = service != current->services.end() && service->movesStreams;
+    }
+  }
   this->fleet.Publish(snapshot);
   this->market->ApplyFleet(*snapshot);
+  this->relay->OnFleet(snapshot);
 }
 
 void
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -105,6 +105,21 @@
                                  { "age_ms", this->AgeOf(aCall) } });
 }
 
+void
+RelayReporter::OnMoved(const RelayCall& aCall, std::string_view aFrom, std::string_view aTo,
+                       bool aMoved, std::string_view aReason)
+{
+  this->attempts
+    .Add({ { "service", aCall.service }, { "outcome", aMoved ? "moved" : "not_moved" } })
+    .Increment();
+  kLog.Event("move", { { "request", aCall.id },
+                       { "from", aFrom },
+                       { "to", aTo },
+                       { "moved", aMoved },
+                       { "reason", aReason },
+                       { "age_ms", this->AgeOf(aCall) } });
+}
+
 void
 RelayReporter::OnEnded(const RelayCall& aCall, const RelayEnd& aEnd)
 {
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -39,6 +39,8 @@
   void OnBegan(const RelayCall& aCall) override;
   void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint, std::string_view aReason,
                        bool aGoesOn) override;
+  void OnMoved(const RelayCall& aCall, std::string_view aFrom, std::string_view aTo, bool aMoved,
+               std::string_view aReason) override;
   void OnEnded(const RelayCall& aCall, const RelayEnd& aEnd) override;
 
 private:
--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -20,10 +20,12 @@
   if (known.state == EndpointState::Leaving) {
     aEndpoint.state = EndpointState::Leaving;
   }
-  const bool changed = entry.missingSince.has_value() || known.id != aEndpoint.id ||
-                       known.address != aEndpoint.address || known.port != aEndpoint.port ||
-                       known.state != aEndpoint.state || known.name != aEndpoint.name;
+  const bool changed = entry.missingSince.has_value() || entry.removedAt.has_value() ||
+                       known.id != aEndpoint.id || known.address != aEndpoint.address ||
+                       known.port != aEndpoint.port || known.state != aEndpoint.state ||
+                       known.name != aEndpoint.name;
   entry.missingSince.reset();
+  entry.removedAt.reset();
   entry.endpoint = std::move(aEndpoint);
   return changed;
 }
@@ -40,14 +42,15 @@
 EndpointDirectory::OnRemoved(const std::string& aId)
 {
   const auto found = this->entries.find(aId);
-  if (found == this->entries.end()) {
+  if (found == this->entries.end() || found->second.removedAt) {
     return false;
   }
   if (this->IsAroundOutage() && found->second.endpoint.state == EndpointState::Live) {
     found->second.missingSince = this->clock.Now();
     return false;
   }
-  this->entries.erase(found);
+  found->second.missingSince.reset();
+  found->second.removedAt = this->clock.Now();
   return true;
 }
 
@@ -79,12 +82,23 @@
 bool
 EndpointDirectory::Tick()
 {
+  const TimePoint now = this->clock.Now();
+  const auto forgotten = std::erase_if(this->entries, [&](const auto& aEntry) {
+    const auto& removedAt = aEntry.second.removedAt;
+    return removedAt && now >= *removedAt + this->settings.removedMemory;
+  });
   if (this->IsAroundOutage()) {
-    return false;
+    return forgotten > 0;
+  }
+  bool changed = forgotten > 0;
+  for (auto& [id, entry] : this->entries) {
+    if (entry.missingSince) {
+      entry.missingSince.reset();
+      entry.removedAt = now;
+      changed = true;
+    }
   }
-  const auto removed = std::erase_if(
-    this->entries, [](const auto& aEntry) { return aEntry.second.missingSince.has_value(); });
-  return removed > 0;
+  return changed;
 }
 
 FleetSnapshotPtr
@@ -94,6 +108,9 @@
   snapshot->generation = ++this->generation;
   for (const auto& [id, entry] : this->entries) {
     snapshot->endpoints.push_back(entry.endpoint);
+    if (entry.removedAt) {
+      snapshot->endpoints.back().state = EndpointState::Leaving;
+    }
   }
   return snapshot;
 }
--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -15,11 +15,15 @@
   /// How long entries that vanish around an outage of their source are kept after its return. Entries
   /// of live endpoints lapse with the source and are back within about two seconds.
   Milliseconds returnGrace{ 2200 };
+
+  /// How long an endpoint whose entry was removed is still known, as leaving: it serves on for a while, and
+  /// what runs there may be moved.
+  Milliseconds removedMemory{ 10'000 };
 };
 
-/// Endpoints as their own entries in the platform's store name them. An entry that says "leaving", or
-/// vanishes while the store answers, binds at once and for good; one that vanishes around an outage of
-/// the store gets time to return. Not thread-safe.
+/// Endpoints as their own entries in the platform's store name them. An entry that says "leaving" binds at
+/// once and for good; one that is removed while the store answers leaves, too, until it comes back; one that
+/// vanishes around an outage of the store gets time to return. Not thread-safe.
 class EndpointDirectory
 {
 public:
@@ -52,6 +56,7 @@
   {
     Endpoint endpoint;
     std::optional<TimePoint> missingSince; ///< Its entry vanished around an outage.
+    std::optional<TimePoint> removedAt;    ///< Its entry was removed.
   };
 
   [[nodiscard]] bool IsAroundOutage() const;
--- a/Lagoonward/Placement/DemandSizing.cpp
+++ b/Lagoonward/Placement/DemandSizing.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 
 namespace lagoonward {
 
@@ -152,7 +153,10 @@
   const Subject& last = subject->second;
   const bool isStale = last.ordered == aCount && aLive != aCount &&
                        now >= last.orderedAt + aBootTime + this->settings.settle;
-  if (last.ordered != aCount || isStale) {
+  const int difference = std::abs(last.ordered - aCount);
+  const bool isNegligible = difference <= last.ordered * this->settings.negligiblePart &&
+                            now < last.orderedAt + this->settings.settle;
+  if ((last.ordered != aCount && !isNegligible) || isStale) {
     aOrders.push_back({ aDomain, aReclaimable, aCount });
   }
 }
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -38,6 +38,7 @@
   double limitTokens = 0; ///< What it uses of its account's limit.
   int promptTokens = 0;
   int outputTokens = 0; ///< Expected; zero for a plain service.
+  int eventTokens = 1;  ///< Tokens in one event of its stream.
   std::vector<PromptPart> promptParts;
   std::string lastEventId; ///< A stream's caller has this event already; empty for none.
 
@@ -52,6 +53,23 @@
   Milliseconds left{ 0 };       ///< Until the answer is of no use.
   int priority = 0;             ///< Higher goes first; see EnginePriority().
   std::string_view lastEventId; ///< The stream goes on after this event; empty for its beginning.
+  std::string_view
+    copy; ///< Memory of the same run that the endpoint is to go on from; empty for none.
+};
+
+/// A call that makes an endpoint stop a run and copy its memory elsewhere.
+struct MoveOrder
+{
+  std::string path;
+  std::string body;
+};
+
+/// What came of moving a running stream's memory to another endpoint.
+struct MoveEnd
+{
+  bool moved = false; ///< The memory lies at the destination; the run has stopped at the source.
+  std::string handle; ///< Names the memory; empty where the source did not say.
+  std::string reason; ///< For logs.
 };
 
 /// What the head of an endpoint's answer says.
@@ -72,9 +90,12 @@
 {
   std::function<std::vector<std::string>(const RelayCall&, const SendTerms&)> writeHeaders;
   std::function<EndpointHead(const RelayCall&, int, std::span<const HttpHeader>)> readHead;
+  std::function<MoveOrder(const RelayCall&, std::string_view aDestination)> writeMove;
+  std::function<MoveEnd(int aStatus, const std::string& aBody)> readMove;
 };
 
-/// How endpoints are spoken to: which header lines go with a request, and what an answer's head says.
+/// How endpoints are spoken to: which header lines go with a request, what an answer's head says, and how a
+/// run is moved.
 template<typename Dialect>
 concept EndpointDialect = requires(const Dialect& aDialect, const RelayCall& aCall,
                                    const SendTerms& aTerms, std::span<const HttpHeader> aHeaders)
@@ -85,6 +106,12 @@
   {
     aDialect.ReadHead(aCall, 0, aHeaders)
     } -> std::same_as<EndpointHead>;
+  {
+    aDialect.WriteMove(aCall, std::string_view())
+    } -> std::same_as<MoveOrder>;
+  {
+    aDialect.ReadMove(0, std::string())
+    } -> std::same_as<MoveEnd>;
 };
 
 /// Makes a dialect's functions available to code that is compiled once for all dialects.
@@ -97,6 +124,12 @@
           },
            [aDialect](const RelayCall& aCall, int aStatus, std::span<const HttpHeader> aHeaders) {
              return aDialect.ReadHead(aCall, aStatus, aHeaders);
+           },
+           [aDialect](const RelayCall& aCall, std::string_view aDestination) {
+             return aDialect.WriteMove(aCall, aDestination);
+           },
+           [aDialect](int aStatus, const std::string& aBody) {
+             return aDialect.ReadMove(aStatus, aBody);
            } };
 }
 
--- a/Lagoonward/Relay/RelayConfiguration.h
+++ b/Lagoonward/Relay/RelayConfiguration.h
@@ -26,8 +26,9 @@
   std::string name;
   int maximumConnections = 0; ///< Of one endpoint, from all daemons together; zero means none.
   bool isEngine = false;
-  int sequences = 0;                     ///< Requests that one engine runs at once.
-  int eventTokens = 1;                   ///< Tokens in one event of a stream.
+  int sequences = 0;         ///< Requests that one engine runs at once.
+  bool movesStreams = false; ///< Its endpoints copy the memory of a run to another one on demand.
+  int eventTokens = 1;       ///< Tokens in one event of a stream.
   std::optional<ServiceScaling> scaling; ///< Nothing where endpoints cannot be ordered.
 };
 
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -32,6 +32,9 @@
   virtual void OnBegan(const RelayCall& aCall) = 0;
   virtual void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint,
                                std::string_view aReason, bool aGoesOn) = 0;
+  /// A stream was moved from an endpoint that leaves, or could not be.
+  virtual void OnMoved(const RelayCall& aCall, std::string_view aFrom, std::string_view aTo,
+                       bool aMoved, std::string_view aReason) = 0;
   virtual void OnEnded(const RelayCall& aCall, const RelayEnd& aEnd) = 0;
 };
 
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -148,6 +148,8 @@
   terms.left = std::chrono::floor<Milliseconds>(this->call.EndsAt() - now);
   terms.priority = aChoice.priority;
   terms.lastEventId = this->lastEventId;
+  const std::string from = std::exchange(this->copy, {});
+  terms.copy = from;
   AttemptListener& listener = *this;
   this->attempt = std::make_unique<RelayAttempt>(this->context.loop, this->context.settings,
                                                  this->context.language, this->call, listener);
@@ -185,7 +187,8 @@
 RelayRun::OnSilence()
 {
   this->silenceTimer.reset();
-  if (this->ended || this->attempt == nullptr || !this->context.retryBudget.TryTake()) {
+  if (this->ended || this->attempt == nullptr || this->move != nullptr ||
+      !this->context.retryBudget.TryTake()) {
     return;
   }
   this->mayHaveRun = true;
@@ -243,6 +246,7 @@
   if (!aId.empty()) {
     this->lastEventId = aId;
   }
+  ++this->events;
   this->caller->WriteEvent(aBytes);
 }
 
@@ -250,6 +254,12 @@
 RelayRun::OnAttemptEnd(const AttemptEnd& aEnd)
 {
   const std::unique_ptr<RelayAttempt> finished = std::move(this->attempt);
+  if (this->move != nullptr && aEnd.outcome != AttemptOutcome::Whole) {
+    // The source stops its run before the copy is complete
+    this->endedWhileMoved = aEnd;
+    return;
+  }
+  this->move.reset();
   if (aEnd.outcome == AttemptOutcome::Whole) {
     this->NoteFirstByte();
     this->NoteBegan();
@@ -304,6 +314,84 @@
                    this->lastReason, Ran::Unknown));
 }
 
+bool
+RelayRun::IsWorthMoving() const
+{
+  // A prompt is read again for less than its memory costs to copy, so what can be resumed is
+  if (this->call.route->resumable) {
+    return false;
+  }
+  const double expected = std::max(this->call.outputTokens, 1);
+  const double done = static_cast<double>(this->events) * this->call.eventTokens / expected;
+  return this->streaming && done < this->context.settings.finishPart;
+}
+
+void
+RelayRun::OnFleet(const FleetSnapshot& aFleet)
+{
+  if (this->ended || this->attempt == nullptr || this->move != nullptr ||
+      this->movedFrom == this->endpointId || !this->IsWorthMoving()) {
+    return;
+  }
+  const Endpoint* endpoint = aFleet.Find(this->endpointId);
+  if (endpoint != nullptr && endpoint->movesStreams && endpoint->state == EndpointState::Leaving) {
+    this->BeginMove(*endpoint);
+  }
+}
+
+void
+RelayRun::BeginMove(const Endpoint& aSource)
+{
+  const std::string_view source = this->endpointId;
+  RouteRequest request = this->MakeRouteRequest();
+  request.excludedEndpoints = std::span(&source, 1);
+  auto choice = this->context.router.Choose(request);
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const Endpoint* target = choice ? fleet->Find(choice.value().Target().id) : nullptr;
+  if (target == nullptr) {
+    return;
+  }
+  this->movedFrom = this->endpointId;
+  this->moveChoice = std::move(choice.value());
+  this->move = std::make_unique<RelayMove>(this->context.loop, this->context.language,
+                                           [this](const MoveEnd& aEnd) { this->OnMoveEnd(aEnd); });
+  this->move->Start(this->call, fmt::format("{}:{}", aSource.address, aSource.port),
+                    fmt::format("{}:{}", target->address, target->port),
+                    this->context.settings.moveTimeout);
+}
+
+void
+RelayRun::OnMoveEnd(const MoveEnd& aEnd)
+{
+  const std::unique_ptr<RelayMove> finished = std::move(this->move);
+  const std::string target = this->moveChoice->Target().id;
+  this->context.observer.OnMoved(this->call, this->movedFrom, target, aEnd.moved, aEnd.reason);
+  if (!aEnd.moved) {
+    // It runs on at the source, or has stopped there and is judged like any that broke off
+    if (this->endedWhileMoved) {
+      this->OnAttemptFailed(*std::exchange(this->endedWhileMoved, {}));
+    }
+    return;
+  }
+  this->endedWhileMoved.reset();
+  if (this->attempt != nullptr) {
+    this->DropAttempt(DispatchOutcome::Cancelled);
+  } else {
+    this->context.router.OnFinished(this->dispatch, DispatchOutcome::Cancelled);
+  }
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const Endpoint* source = fleet->Find(this->movedFrom);
+  if (source == nullptr) {
+    this->Dispatch();
+    return;
+  }
+  // The same run goes on, so this is no further attempt
+  --this->sends;
+  this->copy = fmt::format("{}:{}/{}", source->address, source->port, aEnd.handle);
+  const RouteChoice choice = std::move(*std::exchange(this->moveChoice, {}));
+  this->BeginAttempt(choice, this->MakeRouteRequest());
+}
+
 void
 RelayRun::DropAttempt(DispatchOutcome aOutcome)
 {
@@ -321,6 +409,7 @@
     return;
   }
   const bool wasSent = this->mayHaveRun || this->attempt != nullptr;
+  this->move.reset();
   this->DropAttempt(DispatchOutcome::Cancelled);
   this->Fail(Error(ErrorKind::DeadlineExceeded, "No whole answer came in time.",
                    wasSent ? Ran::Unknown : Ran::No));
@@ -332,6 +421,7 @@
   if (this->ended || !this->caller->IsGone()) {
     return;
   }
+  this->move.reset();
   this->DropAttempt(DispatchOutcome::Cancelled);
   this->caller->AbortStream();
   this->End({ 0, false, this->sends, "the caller has gone", this->endpointId });
@@ -344,6 +434,7 @@
     return;
   }
   const bool wasSent = this->mayHaveRun || this->attempt != nullptr;
+  this->move.reset();
   this->DropAttempt(DispatchOutcome::Cancelled);
   this->Fail(Error(wasSent ? ErrorKind::EndpointFailed : ErrorKind::Draining,
                    "The daemon ends before the answer.", wasSent ? Ran::Unknown : Ran::No)
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -4,6 +4,7 @@
 #include "Lagoonward/Core/Error.h"
 #include "Lagoonward/Fleet/FleetStore.h"
 #include "Lagoonward/Relay/RelayAttempt.h"
+#include "Lagoonward/Relay/RelayMove.h"
 #include "Lagoonward/Relay/RelayObserver.h"
 #include "Lagoonward/Routing/Router.h"
 
@@ -68,6 +69,9 @@
   /// Ends the run if its caller has gone. To be called every RelaySettings::callerCheck.
   void CheckCaller();
 
+  /// Takes a new picture of the endpoints: a stream on one that leaves goes on elsewhere.
+  void OnFleet(const FleetSnapshot& aFleet);
+
   /// Gives up on an answer that cannot come in time before the daemon ends.
   void Abandon();
 
@@ -82,6 +86,9 @@
   void Dispatch();
   [[nodiscard]] RouteRequest MakeRouteRequest() const;
   void BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest);
+  [[nodiscard]] bool IsWorthMoving() const;
+  void BeginMove(const Endpoint& aSource);
+  void OnMoveEnd(const MoveEnd& aEnd);
   void WaitForPlace(const Error& aError);
   /// Decides after an attempt without a whole success.
   void OnAttemptFailed(const AttemptEnd& aEnd);
@@ -114,7 +121,14 @@
   bool began = false;     ///< An endpoint has answered, so it ran.
   bool streaming = false; ///< The caller has the head of the stream.
   std::string lastEventId;
+  int events = 0; ///< Of its stream, passed on.
   bool ended = false;
+
+  std::unique_ptr<RelayMove> move;           ///< Null while none is under way.
+  std::optional<RouteChoice> moveChoice;     ///< Where it goes.
+  std::string movedFrom;                     ///< The last endpoint that a move was tried from.
+  std::string copy;                          ///< Memory that the next attempt goes on from.
+  std::optional<AttemptEnd> endedWhileMoved; ///< How the attempt at the source ended.
   std::optional<TrafficLoop::TimerId> dueTimer;
   std::optional<TrafficLoop::TimerId> placeTimer;
   std::optional<TrafficLoop::TimerId> silenceTimer;
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -99,6 +99,16 @@
   this->loop.RunAfter(this->settings.callerCheck, [this] { this->CheckCallers(); });
 }
 
+void
+RelayService::OnFleet(const FleetSnapshotPtr& aFleet)
+{
+  this->loop.Post([this, aFleet] {
+    for (auto& [id, active] : this->runs) {
+      active.run->OnFleet(*aFleet);
+    }
+  });
+}
+
 void
 RelayService::AbandonAll()
 {
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -29,6 +29,9 @@
   /// Runs a request, or refuses it at once. Safe from any thread.
   void Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller);
 
+  /// Takes a new picture of the endpoints. Safe from any thread.
+  void OnFleet(const FleetSnapshotPtr& aFleet);
+
   /// Gives up on all that is still in progress, for a daemon about to end. Safe from any thread.
   void AbandonAll();
 
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -31,6 +31,12 @@
   double placeWaitFactor = 0.1;
   Milliseconds placePause{ 20 }; ///< Between two looks for an endpoint.
 
+  /// A stream that cannot be resumed is moved off an endpoint that leaves unless this part of it has come.
+  double finishPart = 0.8;
+
+  /// How long a move may take: most of the two seconds of notice that reclaimed endpoints give.
+  Milliseconds moveTimeout{ 1500 };
+
   Milliseconds retryAfterFloor{ 100 }; ///< Shortest Retry-After that is given.
 
   /// Size of the blocks by which prompts are compared, in tokens; also RoutingSettings::prefix.
--- a/Lagoonward/Wire/TrafficLoop.cpp
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -126,7 +126,8 @@
     long status = 0;
     curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
     end.status = static_cast<int>(status);
-    end.message = curl_easy_strerror(aResult);
+    end.message = aResult == CURLE_ABORTED_BY_CALLBACK ? "a kept connection turned out to be closed"
+                                                       : curl_easy_strerror(aResult);
     long requestBytes = 0;
     curl_easy_getinfo(this->easy.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
     if (aResult == CURLE_OK) {
--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -22,16 +22,34 @@
 
 BOOST_AUTO_TEST_SUITE(EndpointDirectoryTests)
 
-BOOST_AUTO_TEST_CASE(ARemovedEndpointGoesAtOnce)
+BOOST_AUTO_TEST_CASE(ARemovedEndpointLeavesAtOnceAndIsForgottenLater)
 {
   VirtualClock clock;
   EndpointDirectory directory({}, clock);
   BOOST_TEST(directory.OnEntry(MakeEndpoint("a")));
   BOOST_TEST(!directory.OnEntry(MakeEndpoint("a")));
   BOOST_TEST(directory.OnRemoved("a"));
+  BOOST_TEST(!directory.OnRemoved("a"));
+  // What runs there can still be moved
+  BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Leaving));
+  clock.Advance(Seconds(9));
+  BOOST_TEST(!directory.Tick());
+  clock.Advance(Seconds(2));
+  BOOST_TEST(directory.Tick());
   BOOST_TEST(directory.Snapshot()->endpoints.empty());
 }
 
+BOOST_AUTO_TEST_CASE(ARemovedEndpointMayComeBack)
+{
+  // It had been silent for too long, and lives
+  VirtualClock clock;
+  EndpointDirectory directory({}, clock);
+  directory.OnEntry(MakeEndpoint("a"));
+  directory.OnRemoved("a");
+  BOOST_TEST(directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
+}
+
 BOOST_AUTO_TEST_CASE(LeavingBindsForGood)
 {
   VirtualClock clock;
@@ -59,6 +77,11 @@
   directory.OnEntry(MakeEndpoint("stays"));
   clock.Advance(Milliseconds(1500));
   BOOST_TEST(directory.Tick());
+  for (const Endpoint& endpoint : directory.Snapshot()->endpoints) {
+    BOOST_TEST((endpoint.state == EndpointState::Live) == (endpoint.id == "stays"));
+  }
+  clock.Advance(Seconds(11));
+  BOOST_TEST(directory.Tick());
   BOOST_REQUIRE_EQUAL(directory.Snapshot()->endpoints.size(), 1U);
   BOOST_TEST(directory.Snapshot()->endpoints.front().id == "stays");
 }
@@ -71,6 +94,8 @@
   directory.OnSource(false);
   directory.OnSource(true);
   BOOST_TEST(directory.OnWhole({}));
+  clock.Advance(Seconds(11));
+  BOOST_TEST(directory.Tick());
   BOOST_TEST(directory.Snapshot()->endpoints.empty());
 }
 
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -22,7 +22,7 @@
                                                       const SendTerms& aTerms) const
   {
     return { "Id: " + aCall.id, fmt::format("Endpoint: {}", aTerms.endpointId),
-             fmt::format("After: {}", aTerms.lastEventId) };
+             fmt::format("After: {}", aTerms.lastEventId), fmt::format("Copy: {}", aTerms.copy) };
   }
 
   [[nodiscard]] EndpointHead ReadHead(const RelayCall& aCall, int aStatus,
@@ -38,6 +38,16 @@
     }
     return head;
   }
+
+  [[nodiscard]] MoveOrder WriteMove(const RelayCall& aCall, std::string_view aDestination) const
+  {
+    return { "/move", fmt::format("{} {}", aCall.id, aDestination) };
+  }
+
+  [[nodiscard]] MoveEnd ReadMove(int aStatus, const std::string& aBody) const
+  {
+    return { aStatus == 200, aBody, {} };
+  }
 };
 
 /// What a caller got.
@@ -129,11 +139,17 @@
   void OnSent(const RelayCall&, std::string_view, int, double) override { ++this->sent; }
   void OnBegan(const RelayCall&) override { ++this->began; }
   void OnAttemptFailed(const RelayCall&, std::string_view, std::string_view, bool) override {}
+  void OnMoved(const RelayCall&, std::string_view, std::string_view, bool aMoved,
+               std::string_view) override
+  {
+    this->moved += aMoved ? 1 : 0;
+  }
   void OnEnded(const RelayCall&, const RelayEnd&) override { ++this->ended; }
 
   std::atomic<int> sent{ 0 };
   std::atomic<int> began{ 0 };
   std::atomic<int> ended{ 0 };
+  std::atomic<int> moved{ 0 };
 };
 
 /// A relay before scripted endpoints of one service.
@@ -150,6 +166,7 @@
     auto snapshot = std::make_shared<FleetSnapshot>();
     for (const ScriptedServer* server : aEndpoints) {
       Endpoint endpoint;
+      endpoint.movesStreams = true;
       endpoint.id = fmt::format("e{}", snapshot->endpoints.size());
       endpoint.kind = EndpointKind::Service;
       endpoint.name = "s";
@@ -165,6 +182,20 @@
 
   ~Scene() { this->service.Stop(); }
 
+  /// The endpoint with that port says that it leaves.
+  void Leave(std::uint16_t aPort)
+  {
+    auto snapshot = std::make_shared<FleetSnapshot>(*this->fleet.Get());
+    for (Endpoint& endpoint : snapshot->endpoints) {
+      if (endpoint.port == aPort) {
+        endpoint.state = EndpointState::Leaving;
+      }
+    }
+    this->fleet.Publish(snapshot);
+    this->market.ApplyFleet(*snapshot);
+    this->service.OnFleet(snapshot);
+  }
+
   Received Ask(RelayKind aKind, bool aResumable = false, Milliseconds aTimeout = Seconds(5))
   {
     TestCaller caller;
@@ -187,6 +218,8 @@
     call.method = "POST";
     call.target = "/a/./b?x=%41";
     call.body = "body";
+    call.outputTokens = 100;
+    call.outputTokens = 100;
     call.route = std::make_shared<const RelayRoute>(route);
     call.service = "s";
     call.receivedAt = this->clock.Now();
@@ -366,6 +399,63 @@
   BOOST_TEST(resumes);
 }
 
+BOOST_AUTO_TEST_CASE(MovesAStreamOffAnEndpointThatLeaves)
+{
+  // One that may not be resumed: only its own memory lets it go on
+  std::atomic<int> begun{ 0 };
+  const auto script = [&](const std::string& aRequest) -> Script {
+    if (aRequest.starts_with("POST /move ")) {
+      return Send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nh-1");
+    }
+    if (aRequest.find("/h-1\r\n") != std::string::npos) {
+      return Send(kStreamHead + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    }
+    ++begun;
+    return { { Kind::Send, kStreamHead + Chunk("id: 1\ndata: a\n\n") },
+             { Kind::Wait, {}, Milliseconds(600) },
+             { Kind::Close } };
+  };
+  const ScriptedServer left(script);
+  const ScriptedServer right(script);
+  Scene scene({ &left, &right });
+  TestCaller caller;
+  scene.Submit(caller, RelayKind::Stream, false, Seconds(5));
+  while (scene.observer.began == 0) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  scene.Leave(left.Requests().empty() ? right.Port() : left.Port());
+  const Received received = caller.Wait();
+  BOOST_TEST(!received.aborted);
+  BOOST_TEST(received.events == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(begun == 1);
+  BOOST_TEST(scene.observer.moved == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AStreamThatCannotBeMovedRunsOnWhereItIs)
+{
+  const auto script = [](const std::string& aRequest) -> Script {
+    if (aRequest.starts_with("POST /move ")) {
+      return Send("HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n");
+    }
+    return { { Kind::Send, kStreamHead + Chunk("id: 1\ndata: a\n\n") },
+             { Kind::Wait, {}, Milliseconds(400) },
+             { Kind::Send, Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" } };
+  };
+  const ScriptedServer left(script);
+  const ScriptedServer right(script);
+  Scene scene({ &left, &right });
+  TestCaller caller;
+  scene.Submit(caller, RelayKind::Stream, false, Seconds(5));
+  while (scene.observer.began == 0) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  scene.Leave(left.Requests().empty() ? right.Port() : left.Port());
+  const Received received = caller.Wait();
+  BOOST_TEST(!received.aborted);
+  BOOST_TEST(received.events == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(scene.observer.moved == 0);
+}
+
 BOOST_AUTO_TEST_CASE(BreaksOffAStreamThatMayNotBeResumed)
 {
   const ScriptedServer breaks([](const std::string&) {
--- a/UnitTests/Settings/RelaySettingsReaderTests.cpp
+++ b/UnitTests/Settings/RelaySettingsReaderTests.cpp
@@ -1,4 +1,5 @@
 #include "Lagoonward/Settings/RelaySettingsReader.h"
+#include "Lagoonward/Settings/SettingsReader.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -52,7 +53,8 @@
 {
   const SettingsFile file(kWhole);
   for (const auto& outcome :
-       { Read({ "--settings", file.path }), Read({}, { "LAGOONWARD_SETTINGS=" + file.path }) }) {
+       { Read({ "--settings", file.path }),
+         Read({}, { SettingsReader::VariableName("settings") + "=" + file.path }) }) {
     BOOST_TEST(outcome.faults.empty());
     BOOST_TEST(outcome.settings.name == "host-1");
     BOOST_TEST(outcome.settings.peer.port == 82);
