--- a/Lagoonward/Daemon/DutyService.cpp
+++ b/Lagoonward/Daemon/DutyService.cpp
@@ -24,15 +24,12 @@
 constexpr Milliseconds kUsageReadWait{ 0 };
 constexpr std::int64_t kWindowsKept = 6;
 
-/// Requests in flight by endpoint key.
-using InFlight = std::vector<std::pair<std::uint64_t, std::int32_t>>;
-
 /// What a daemon tells those who may lead. Usage and engine seconds are cumulative.
 struct LoadReport
 {
   std::uint64_t run = 0;
   bool wantsSum = false; ///< Whether the answer is to be what all others have in flight.
-  InFlight inFlight;
+  InFlightCounts inFlight;
   std::map<std::int64_t, std::map<std::string, std::int64_t>> usage;
   std::map<std::string, double> engineSeconds;
 
@@ -59,6 +56,7 @@
           this->facts.incarnation, *this->ports.leaseLog, aClock)
   , usageBook(this->settings.usage, aClock)
   , demandBook(this->settings.usage.silence, aClock)
+  , inFlight(this->settings.usage.silence, aClock)
   , otherLedAt(aClock.BootNow())
 {
   this->membership.Transport().OnRequest(
@@ -199,7 +197,7 @@
 void
 DutyService::TakeSum(std::string_view aBytes)
 {
-  const auto sum = DecodePeerMessage<InFlight>(aBytes);
+  const auto sum = DecodePeerMessage<InFlightCounts>(aBytes);
   if (!sum) {
     kLog.Warning("A daemon sent a malformed sum of requests in flight.");
     return;
@@ -224,31 +222,10 @@
     counts[window] = { accounts.begin(), accounts.end() };
   }
   this->Take(report->run, counts, { report->engineSeconds.begin(), report->engineSeconds.end() });
-  {
-    const std::lock_guard lock(this->mutex);
-    this->inFlight[report->run] = { this->clock.Now(), report->inFlight };
-  }
-  return report->wantsSum ? this->SumOfOthers(report->run) : std::string();
-}
-
-std::string
-DutyService::SumOfOthers(std::uint64_t aRun)
-{
   const std::lock_guard lock(this->mutex);
-  const TimePoint now = this->clock.Now();
-  std::erase_if(this->inFlight, [&](const auto& aEntry) {
-    return now - aEntry.second.heard > this->settings.usage.silence;
-  });
-  std::map<std::uint64_t, std::int32_t> sums;
-  for (const auto& [key, told] : this->inFlight) {
-    if (key == aRun) {
-      continue;
-    }
-    for (const auto& [endpoint, count] : told.counts) {
-      sums[endpoint] += count;
-    }
-  }
-  return EncodePeerMessage(InFlight(sums.begin(), sums.end()));
+  this->inFlight.OnCounts(report->run, report->inFlight);
+  return report->wantsSum ? EncodePeerMessage(this->inFlight.SumOfOthers(report->run))
+                          : std::string();
 }
 
 void
--- a/Lagoonward/Daemon/DutyService.h
+++ b/Lagoonward/Daemon/DutyService.h
@@ -9,6 +9,7 @@
 #include "Lagoonward/Placement/DemandBook.h"
 #include "Lagoonward/Placement/DemandSizing.h"
 #include "Lagoonward/Relay/RelayConfiguration.h"
+#include "Lagoonward/Routing/InFlightBook.h"
 #include "Lagoonward/Routing/Router.h"
 
 #include <condition_variable>
@@ -88,8 +89,6 @@
   /// @return the answer
   [[nodiscard]] std::string TakeReport(std::string_view aBytes);
   void TakeSum(std::string_view aBytes);
-  /// What all but one run have in flight, encoded.
-  [[nodiscard]] std::string SumOfOthers(std::uint64_t aRun);
   void Take(std::uint64_t aRun, const UsageByWindow& aUsage, const EngineSeconds& aTotals);
   void WatchLeader();
   /// The fencing number if this daemon may act now.
@@ -119,14 +118,7 @@
   UsageBook usageBook;
   DemandBook demandBook;
   EngineSeconds sent; ///< By this daemon, since its start.
-
-  /// What one run of a daemon has in flight, by endpoint key.
-  struct Told
-  {
-    TimePoint heard;
-    std::vector<std::pair<std::uint64_t, std::int32_t>> counts;
-  };
-  std::map<std::uint64_t, Told> inFlight; ///< By run.
+  InFlightBook inFlight;
 
   /// The duty thread's own.
   UsageLedger ledger;
--- a/Lagoonward/Placement/DemandSizing.h
+++ b/Lagoonward/Placement/DemandSizing.h
@@ -24,7 +24,7 @@
 
   /// Endpoints ordered beyond the need, so that the loss of one failure domain's reclaimable ones leaves
   /// enough.
-  double reserve = 1.5;
+  double reserve = 1.25;
 
   /// A count that differs from the last order by no more than this part waits until that order is settled:
   /// each order costs a call, and endpoints that come and go cost their boot time.
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -1,6 +1,6 @@
 #include "Lagoonward/Relay/RelayRun.h"
 
-#include "Lagoonward/Core/Hash.h"
+#include "Lagoonward/Relay/PromptBlocks.h"
 
 #include <fmt/format.h>
 
@@ -22,20 +22,6 @@
 
 } // namespace
 
-std::vector<std::uint64_t>
-PromptBlocks(std::span<const PromptPart> aParts, int aBlockTokens)
-{
-  std::vector<std::uint64_t> blocks;
-  std::uint64_t hash = 0;
-  for (const PromptPart& part : aParts) {
-    for (int tokens = 0; tokens < part.tokens; tokens += aBlockTokens) {
-      hash = CombineHashes(hash, CombineHashes(part.id, static_cast<std::uint64_t>(tokens)));
-      blocks.push_back(hash);
-    }
-  }
-  return blocks;
-}
-
 RelayRun::RelayRun(const RelayContext& aContext, RelayCall aCall,
                    std::unique_ptr<RelayCaller> aCaller, std::function<void()> aOnEnded)
   : context(aContext)
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -134,9 +134,4 @@
   std::optional<TrafficLoop::TimerId> silenceTimer;
 };
 
-/// Hashes of the blocks of a prompt that is known by its parts, each covering all before it. Parts that
-/// end within a block count as if they filled it.
-[[nodiscard]] std::vector<std::uint64_t>
-PromptBlocks(std::span<const PromptPart> aParts, int aBlockTokens);
-
 } // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Routing/InFlightBook.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "Lagoonward/Core/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace lagoonward {
+
+/// Requests in flight by endpoint key.
+using InFlightCounts = std::vector<std::pair<std::uint64_t, std::int32_t>>;
+
+/// What the daemons have in flight at endpoints, as each told last. Not thread-safe.
+class InFlightBook
+{
+public:
+  /// @param aMemory  a daemon that has been silent this long no longer counts
+  InFlightBook(Milliseconds aMemory, const Clock& aClock);
+
+  /// A daemon has told.
+  /// @param aRun  names the daemon and this run of it
+  void OnCounts(std::uint64_t aRun, InFlightCounts aCounts);
+
+  /// The sum over all but one run.
+  [[nodiscard]] InFlightCounts SumOfOthers(std::uint64_t aRun);
+
+private:
+  struct Told
+  {
+    TimePoint heard;
+    InFlightCounts counts;
+  };
+
+  Milliseconds memory;
+  const Clock& clock;
+  std::map<std::uint64_t, Told> runs;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -0,0 +1,167 @@
+#include "Lagoonward/Wire/CurlTransfer.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <string_view>
+#include <utility>
+
+namespace lagoonward {
+
+namespace {
+
+/// Pause before, and between, probes of a silent connection; two of them fit the usual 2 s of
+/// HttpClientSettings::unacknowledgedTimeout.
+constexpr long kKeepAliveSeconds = 1;
+
+} // namespace
+
+CurlTransfer::CurlTransfer()
+  : easy(curl_easy_init())
+{
+}
+
+void
+CurlTransfer::Prepare(const HttpTransferRequest& aRequest, const HttpClientSettings& aSettings)
+{
+  this->body = aRequest.body;
+  this->singleSend = aRequest.singleSend;
+  this->unacknowledgedTimeout = aSettings.unacknowledgedTimeout;
+  this->SetRequest(aRequest);
+  this->SetConnection(aRequest, aSettings);
+  this->SetCallbacks();
+}
+
+void
+CurlTransfer::SetRequest(const HttpTransferRequest& aRequest)
+{
+  CURL* const handle = this->easy.get();
+  curl_easy_setopt(handle, CURLOPT_URL, aRequest.url.c_str());
+  curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_slist* lines = curl_slist_append(nullptr, "Expect:");
+  for (const std::string& line : aRequest.headers) {
+    lines = curl_slist_append(lines, line.c_str());
+  }
+  this->headers.reset(lines);
+  curl_easy_setopt(handle, CURLOPT_HTTPHEADER, lines);
+  if (aRequest.method == "POST") {
+    curl_easy_setopt(handle, CURLOPT_POST, 1L);
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(this->body.size()));
+    curl_easy_setopt(handle, CURLOPT_POSTFIELDS, this->body.c_str());
+  } else if (aRequest.method == "HEAD") {
+    curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+  } else {
+    if (!this->body.empty()) {
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE, static_cast<long>(this->body.size()));
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDS, this->body.c_str());
+    }
+    curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, aRequest.method.c_str());
+  }
+}
+
+void
+CurlTransfer::SetConnection(const HttpTransferRequest& aRequest,
+                            const HttpClientSettings& aSettings)
+{
+  CURL* const handle = this->easy.get();
+  curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(handle, CURLOPT_BUFFERSIZE, aSettings.receiveBufferBytes);
+  curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                   static_cast<long>(aSettings.connectTimeout.count()));
+  curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.timeout.count()));
+  curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, aRequest.freshConnection ? 1L : 0L);
+  curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &CurlTransfer::OnBeforeSend);
+  curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &CurlTransfer::OnNewSocket);
+  curl_easy_setopt(handle, CURLOPT_SOCKOPTDATA, this);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
+  curl_easy_setopt(handle, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
+  curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(aSettings.maximumIdleAge.count()));
+  curl_easy_setopt(handle, CURLOPT_PROXY, "");
+  curl_easy_setopt(handle, CURLOPT_PROTOCOLS_STR, "http,https");
+}
+
+void
+CurlTransfer::SetCallbacks()
+{
+  CURL* const handle = this->easy.get();
+  curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &CurlTransfer::OnBytes);
+  curl_easy_setopt(handle, CURLOPT_WRITEDATA, this);
+  curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &CurlTransfer::OnHeader);
+  curl_easy_setopt(handle, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(handle, CURLOPT_PRIVATE, this);
+}
+
+int
+CurlTransfer::OnBeforeSend(void* aTransfer, char* /*aRemote*/, char* /*aLocal*/,
+                           int /*aRemotePort*/, int /*aLocalPort*/)
+{
+  auto& transfer = *static_cast<CurlTransfer*>(aTransfer);
+  const bool isRepeat = std::exchange(transfer.wasSent, true);
+  return transfer.singleSend && isRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
+int
+CurlTransfer::OnNewSocket(void* aTransfer, curl_socket_t aSocket, curlsocktype /*aPurpose*/)
+{
+  const auto& transfer = *static_cast<CurlTransfer*>(aTransfer);
+  const auto timeout = static_cast<unsigned>(transfer.unacknowledgedTimeout.count());
+  setsockopt(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+  return CURL_SOCKOPT_OK;
+}
+
+std::size_t
+CurlTransfer::OnBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+{
+  auto& transfer = *static_cast<CurlTransfer*>(aTransfer);
+  long status = 0;
+  curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  if (transfer.observer != nullptr) {
+    transfer.observer->OnBytes(static_cast<int>(status), { aData, aSize * aCount });
+  }
+  return aSize * aCount;
+}
+
+std::size_t
+CurlTransfer::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+{
+  auto& transfer = *static_cast<CurlTransfer*>(aTransfer);
+  std::string_view line(aData, aSize * aCount);
+  while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
+    line.remove_suffix(1);
+  }
+  if (transfer.observer != nullptr) {
+    transfer.observer->OnHeaderLine(line);
+  }
+  return aSize * aCount;
+}
+
+TransferEnd
+CurlTransfer::DescribeEnd(CURLcode aResult) const
+{
+  TransferEnd end;
+  long status = 0;
+  curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  end.status = static_cast<int>(status);
+  end.message = aResult == CURLE_ABORTED_BY_CALLBACK ? "a kept connection turned out to be closed"
+                                                     : curl_easy_strerror(aResult);
+  long requestBytes = 0;
+  curl_easy_getinfo(this->easy.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
+  if (aResult == CURLE_OK) {
+    end.outcome = TransferOutcome::Complete;
+  } else if (requestBytes == 0) {
+    end.outcome = TransferOutcome::NotSent;
+  } else if (aResult == CURLE_OPERATION_TIMEDOUT) {
+    end.outcome = TransferOutcome::TimedOut;
+  } else {
+    end.outcome = TransferOutcome::Broken;
+  }
+  return end;
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Wire/TrafficLoop.cpp
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -1,16 +1,14 @@
 #include "Lagoonward/Wire/TrafficLoop.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include "Lagoonward/Wire/CurlTransfer.h"
+
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cassert>
-#include <utility>
 
 namespace lagoonward {
 
@@ -19,20 +17,6 @@
 constexpr int kMaximumEvents = 128;
 constexpr int kMaximumWaitMilliseconds = 1000;
 
-/// Pause before, and between, probes of a silent connection; two of them fit the usual 2 s of
-/// HttpClientSettings::unacknowledgedTimeout.
-constexpr long kKeepAliveSeconds = 1;
-
-struct EasyDeleter
-{
-  void operator()(CURL* aEasy) const { curl_easy_cleanup(aEasy); }
-};
-
-struct HeaderListDeleter
-{
-  void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
-};
-
 std::uint32_t
 ToEpollEvents(int aWhat)
 {
@@ -64,85 +48,6 @@
 
 } // namespace
 
-/// One running transfer and everything libcurl holds pointers to.
-struct TrafficLoop::Transfer
-{
-  TransferId id = 0;
-  std::unique_ptr<CURL, EasyDeleter> easy;
-  std::unique_ptr<curl_slist, HeaderListDeleter> headers;
-  std::string body;
-  HttpTransferObserver* observer = nullptr; ///< Null when nobody listens.
-  Milliseconds unacknowledgedTimeout{ 0 };
-  bool singleSend = false;
-  bool wasSent = false; ///< The library has been about to send the request once.
-
-  /// Called each time before the request is sent; the library may do so again by itself when a kept
-  /// connection was closed at the other end.
-  static int OnBeforeSend(void* aTransfer, char* /*aRemote*/, char* /*aLocal*/, int /*aRemotePort*/,
-                          int /*aLocalPort*/)
-  {
-    auto& transfer = *static_cast<Transfer*>(aTransfer);
-    const bool isRepeat = std::exchange(transfer.wasSent, true);
-    return transfer.singleSend && isRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
-  }
-
-  /// Lets a connection to a host that has vanished end by itself.
-  static int OnNewSocket(void* aTransfer, curl_socket_t aSocket, curlsocktype /*aPurpose*/)
-  {
-    const auto& transfer = *static_cast<Transfer*>(aTransfer);
-    const auto timeout = static_cast<unsigned>(transfer.unacknowledgedTimeout.count());
-    setsockopt(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
-    return CURL_SOCKOPT_OK;
-  }
-
-  static std::size_t OnBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
-  {
-    auto& transfer = *static_cast<Transfer*>(aTransfer);
-    long status = 0;
-    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    if (transfer.observer != nullptr) {
-      transfer.observer->OnBytes(static_cast<int>(status), { aData, aSize * aCount });
-    }
-    return aSize * aCount;
-  }
-
-  static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
-  {
-    auto& transfer = *static_cast<Transfer*>(aTransfer);
-    std::string_view line(aData, aSize * aCount);
-    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
-      line.remove_suffix(1);
-    }
-    if (transfer.observer != nullptr) {
-      transfer.observer->OnHeaderLine(line);
-    }
-    return aSize * aCount;
-  }
-
-  /// Describes the end from libcurl's result.
-  [[nodiscard]] TransferEnd DescribeEnd(CURLcode aResult) const
-  {
-    TransferEnd end;
-    long status = 0;
-    curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    end.status = static_cast<int>(status);
-    end.message = aResult == CURLE_ABORTED_BY_CALLBACK ? "a kept connection turned out to be closed"
-                                                       : curl_easy_strerror(aResult);
-    long requestBytes = 0;
-    curl_easy_getinfo(this->easy.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
-    if (aResult == CURLE_OK) {
-      end.outcome = TransferOutcome::Complete;
-    } else if (requestBytes == 0) {
-      end.outcome = TransferOutcome::NotSent;
-    } else if (aResult == CURLE_OPERATION_TIMEDOUT) {
-      end.outcome = TransferOutcome::TimedOut;
-    } else {
-      end.outcome = TransferOutcome::Broken;
-    }
-    return end;
-  }
-};
-
 void
 TrafficLoop::MultiDeleter::operator()(CURLM* aMulti) const
 {
@@ -246,66 +151,10 @@
 TransferId
 TrafficLoop::AddTransfer(const HttpTransferRequest& aRequest, HttpTransferObserver* aObserver)
 {
-  auto transfer = std::make_unique<Transfer>();
+  auto transfer = std::make_unique<CurlTransfer>();
   transfer->id = this->nextTransfer++;
-  transfer->easy.reset(curl_easy_init());
   transfer->observer = aObserver;
-  transfer->body = aRequest.body;
-  transfer->singleSend = aRequest.singleSend;
-  transfer->unacknowledgedTimeout = this->settings.unacknowledgedTimeout;
-  CURL* easy = transfer->easy.get();
-
-  // What to send
-  curl_easy_setopt(easy, CURLOPT_URL, aRequest.url.c_str());
-  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
-  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
-  for (const std::string& line : aRequest.headers) {
-    headers = curl_slist_append(headers, line.c_str());
-  }
-  transfer->headers.reset(headers);
-  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
-  if (aRequest.method == "POST") {
-    curl_easy_setopt(easy, CURLOPT_POST, 1L);
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
-  } else if (aRequest.method == "HEAD") {
-    curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-  } else {
-    if (!transfer->body.empty()) {
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(transfer->body.size()));
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, transfer->body.c_str());
-    }
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, aRequest.method.c_str());
-  }
-
-  // How to send it
-  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, this->settings.receiveBufferBytes);
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(this->settings.connectTimeout.count()));
-  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.timeout.count()));
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, aRequest.freshConnection ? 1L : 0L);
-  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::OnBeforeSend);
-  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
-  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &Transfer::OnNewSocket);
-  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, transfer.get());
-  curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-  curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
-  curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
-  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
-                   static_cast<long>(this->settings.maximumIdleAge.count()));
-  curl_easy_setopt(easy, CURLOPT_PROXY, "");
-  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
-
-  // Who hears of it
-  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::OnBytes);
-  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
-  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
-  curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
-  curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
-
+  transfer->Prepare(aRequest, this->settings);
   const TransferId id = transfer->id;
   this->transfers.emplace(id, std::move(transfer));
   this->toStart.push_back(id);
@@ -443,14 +292,14 @@
       continue;
     }
     const CURLcode result = message->data.result;
-    Transfer* finished = nullptr;
+    CurlTransfer* finished = nullptr;
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &finished);
     assert(finished != nullptr);
 
     // Take the transfer out first: the observer may start another one or destroy itself
     const auto found = this->transfers.find(finished->id);
     assert(found != this->transfers.end());
-    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    const std::unique_ptr<CurlTransfer> transfer = std::move(found->second);
     this->transfers.erase(found);
     curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
     if (transfer->observer != nullptr) {
--- a/Lagoonward/Wire/TrafficLoop.h
+++ b/Lagoonward/Wire/TrafficLoop.h
@@ -16,6 +16,8 @@
 
 namespace lagoonward {
 
+struct CurlTransfer;
+
 /// One traffic thread: an epoll loop that runs outgoing HTTP transfers, timers and posted tasks.
 /// Everything that belongs to one request stays on one loop, so that its state needs no locks.
 /// Only Post() may be called from other threads.
@@ -59,7 +61,6 @@
   [[nodiscard]] const Clock& GetClock() const;
 
 private:
-  struct Transfer;
   struct MultiDeleter
   {
     void operator()(CURLM* aMulti) const;
@@ -93,7 +94,7 @@
   std::unordered_map<TimerId, TimerMap::iterator> timersById;
   TimerId nextTimer = 1;
   TimePoint libraryTimer = TimePoint::max(); ///< When libcurl wants to be called; max for never.
-  std::unordered_map<TransferId, std::unique_ptr<Transfer>> transfers;
+  std::unordered_map<TransferId, std::unique_ptr<CurlTransfer>> transfers;
   std::vector<TransferId> toStart;  ///< libcurl takes no new transfer inside its callbacks.
   std::vector<TransferId> toCancel; ///< Nor does it let one go there.
   TransferId nextTransfer = 1;
--- a/UnitTests/Placement/DemandSizingTests.cpp
+++ b/UnitTests/Placement/DemandSizingTests.cpp
@@ -124,6 +124,24 @@
   BOOST_TEST(!sizing.Plan(kTerms, found).empty());
 }
 
+BOOST_AUTO_TEST_CASE(ASmallChangeWaitsUntilTheLastOrderIsSettled)
+{
+  VirtualClock clock;
+  const SizingTerms large{ 1, 60, Milliseconds(4000), { { "a", 1.0 }, { "b", 1.0 } } };
+  const Live live{ { "a", { 0, 26 } }, { "b", { 0, 25 } } };
+  DemandSizing sizing({}, clock);
+  static_cast<void>(sizing.Plan(large, live));
+  for (int second = 0; second < 20; ++second) {
+    clock.Advance(Seconds(1));
+    sizing.OnLoad(20);
+  }
+  Accept(sizing, sizing.Plan(large, live));
+  sizing.OnLoad(20.8);
+  BOOST_TEST(sizing.Plan(large, live).empty());
+  sizing.OnLoad(26);
+  BOOST_TEST(!sizing.Plan(large, live).empty());
+}
+
 BOOST_AUTO_TEST_CASE(SumsTheLoadOfAllDaemons)
 {
   VirtualClock clock;
