--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -48,7 +48,8 @@
   request.body = this->call.body;
   // Whether to send again is decided by the run, within its route's limits
   request.singleSend = true;
-  request.timeout = std::max(aTerms.left, Milliseconds(1));
+  // The run ends the attempt when its time is over; this is for one that it has lost track of
+  request.timeout = aTerms.left + this->settings.attemptMargin;
   this->transfer = this->loop.StartTransfer(request, *this);
 }
 
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -26,6 +26,9 @@
   /// The same between two events, as a multiple of the target for pauses.
   double pauseSilenceFactor = 2;
 
+  /// How much longer than its request an attempt may last before the library ends it by itself.
+  Milliseconds attemptMargin{ 1000 };
+
   /// How long a request waits for an endpoint to become available before it is refused, as a part of
   /// its target: short enough that the caller's own retry still can meet it.
   double placeWaitFactor = 0.1;
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -507,6 +507,7 @@
   Scene scene({ &slow });
   const auto begun = std::chrono::steady_clock::now();
   const Received received = scene.Ask(RelayKind::NonIdempotent, false, Milliseconds(300));
+  BOOST_TEST((received.error->kind == ErrorKind::DeadlineExceeded));
   BOOST_TEST((received.error->ran == Ran::Unknown));
   BOOST_TEST((std::chrono::steady_clock::now() - begun < Seconds(4)));
 }
