--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -77,7 +77,8 @@
   directory.OnEntry(MakeEndpoint("stays"));
   clock.Advance(Milliseconds(1500));
   BOOST_TEST(directory.Tick());
-  for (const Endpoint& endpoint : directory.Snapshot()->endpoints) {
+  const FleetSnapshotPtr snapshot = directory.Snapshot();
+  for (const Endpoint& endpoint : snapshot->endpoints) {
     BOOST_TEST((endpoint.state == EndpointState::Live) == (endpoint.id == "stays"));
   }
   clock.Advance(Seconds(11));
