Say where it stands why engines' speed is not learned

Cause: a comment hung between two constants and another one said the opposite. Change: one comment. Measured: nothing changes in what runs. Conclusion: none.

--- a/Lagoonward/Daemon/RelayTuning.cpp
+++ b/Lagoonward/Daemon/RelayTuning.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-/// What the users state of their engines; learned from there on.
+/// What the users state of their engines. Not learned further: without load reports the first token of a busy
+/// engine would be taken for a slow one's.
 constexpr SpeedPriors kEngineSpeed{ .prefillTokensPerSecond = 56'600,
                                     .prefillPerSequence = 0.0000005,
                                     .stepBaseSeconds = 0.00379,
@@ -12,9 +13,6 @@
                                     .sequences = 64,
                                     .learningRate = 0 };
 
-/// Without load reports the first tokens of busy engines would be taken for slow ones, so their speed is not
-/// learned.
-
 /// A second of answer time against a second of engine time.
 constexpr double kLatencyWorth = 1;
 
