Notice a leader that came and went between two looks

The quiet time after another daemon led was counted from looks at the lease's state, every 250 ms. A daemon paused while another took over, acted and gave up reads all of it in one page, sees nobody lead, and could act again about a second after the other: to and fro within the time in which the platform forbids it.

LeaseFollower notes every record of another daemon that counted, and any time in which it is not known whose was; DutyService asks it.

--- a/Lagoonward/Daemon/DutyService.cpp
+++ b/Lagoonward/Daemon/DutyService.cpp
@@ -57,7 +57,6 @@
   , usageBook(this->settings.usage, aClock)
   , demandBook(this->settings.usage.silence, aClock)
   , inFlight(this->settings.usage.silence, aClock)
-  , otherLedAt(aClock.BootNow())
 {
   this->membership.Transport().OnRequest(
     kLoadReport, [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
@@ -251,7 +250,6 @@
 DutyService::RunDuties()
 {
   while (this->Pause(this->settings.interval)) {
-    this->WatchLeader();
     // The load is followed by all who may lead, so that a successor knows its peak
     const RelayConfigurationPtr configuration = this->facts.inForce();
     if (configuration == nullptr) {
@@ -262,20 +260,11 @@
   }
 }
 
-void
-DutyService::WatchLeader()
-{
-  const LeaseStatus status = this->lease.Status();
-  if (!status.holder.empty() && status.holder != this->facts.self) {
-    this->otherLedAt = this->clock.BootNow();
-  }
-}
-
 std::optional<Offset>
 DutyService::MayAct() const
 {
   const TimePoint now = this->clock.BootNow();
-  if (now < this->otherLedAt + this->settings.quiet || now < this->refusedUntil) {
+  if (now < this->lease.OtherLedAt() + this->settings.quiet || now < this->refusedUntil) {
     return std::nullopt;
   }
   const auto grant = this->lease.Authorize(OrderKind::StartHost, true);
--- a/Lagoonward/Daemon/DutyService.h
+++ b/Lagoonward/Daemon/DutyService.h
@@ -90,7 +90,6 @@
   [[nodiscard]] std::string TakeReport(std::string_view aBytes);
   void TakeSum(std::string_view aBytes);
   void Take(std::uint64_t aRun, const UsageByWindow& aUsage, const EngineSeconds& aTotals);
-  void WatchLeader();
   /// The fencing number if this daemon may act now.
   [[nodiscard]] std::optional<Offset> MayAct() const;
   void OnRefused(Offset aFencing);
@@ -124,8 +123,7 @@
   UsageLedger ledger;
   std::set<std::int64_t> reported;
   std::map<std::string, DemandSizing> sizings; ///< By service.
-  TimePoint otherLedAt;   ///< On Clock::BootNow(): last sight of another leader.
-  TimePoint refusedUntil; ///< On Clock::BootNow().
+  TimePoint refusedUntil;                      ///< On Clock::BootNow().
   std::thread leaseThread;
   std::thread dutyThread;
 };
--- a/Lagoonward/Daemon/LeaseFollower.cpp
+++ b/Lagoonward/Daemon/LeaseFollower.cpp
@@ -22,6 +22,7 @@
   , clock(aClock)
   , keeper(
       std::make_unique<LeaseKeeper>(aSettings.lease, aClock, this->daemonId, this->incarnation))
+  , otherLedAt(aClock.BootNow())
 {
 }
 
@@ -69,8 +70,14 @@
 {
   this->keeper->ObservePage(aPage);
   this->ledger.ObserveStart(aPage.start);
+  const LeaseInForce* before = this->ledger.InForce();
+  // Whoever leads now, and each that led and gave up within this page
+  if (before == nullptr || before->record.duration > Milliseconds::zero()) {
+    this->NoteOthers();
+  }
   for (const LogRecord& record : aPage.records) {
     this->ledger.Apply(record.offset, record.data);
+    this->NoteOthers();
   }
   this->LogChanges();
   if (this->abandoning && !this->resigned && !this->IsOwnTenure()) {
@@ -78,6 +85,16 @@
   }
 }
 
+void
+LeaseFollower::NoteOthers()
+{
+  const LeaseInForce* current = this->ledger.InForce();
+  const bool isOther = current != nullptr && current->record.holder != this->daemonId;
+  if (isOther || !this->ledger.IsCertain()) {
+    this->otherLedAt = this->clock.BootNow();
+  }
+}
+
 /// A keeper that has resigned stands no more, so another run takes its place.
 void
 LeaseFollower::StandAgain()
@@ -150,6 +167,13 @@
   this->keeper->Resign();
 }
 
+TimePoint
+LeaseFollower::OtherLedAt() const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->otherLedAt;
+}
+
 LeaseStatus
 LeaseFollower::Status() const
 {
--- a/Lagoonward/Daemon/LeaseFollower.h
+++ b/Lagoonward/Daemon/LeaseFollower.h
@@ -46,8 +46,14 @@
 
   [[nodiscard]] LeaseStatus Status() const;
 
+  /// When this daemon last had to take another daemon for the leader, on Clock::BootNow(): another's record
+  /// was in force, for however short a time, or it is not known whose was. At first the moment of construction,
+  /// since an earlier run on this host may have led and been succeeded.
+  [[nodiscard]] TimePoint OtherLedAt() const;
+
 private:
   void Observe(const LogPage& aPage);
+  void NoteOthers();
   void LogChanges();
   void StandAgain();
   [[nodiscard]] bool IsOwnTenure() const;
@@ -66,6 +72,7 @@
   int runs = 0;             ///< How often it has stood for election anew.
   std::unique_ptr<LeaseKeeper> keeper;
   LeaseLedger ledger; ///< The same stream, for whose tenure it is.
+  TimePoint otherLedAt;
   bool resigned = false;
   bool abandoning = false;
   LeaseStatus logged;
--- a/UnitTests/Daemon/LeaseFollowerTests.cpp
+++ b/UnitTests/Daemon/LeaseFollowerTests.cpp
@@ -89,4 +89,32 @@
   BOOST_TEST(this->first.Status().fencing > fencing);
 }
 
+BOOST_AUTO_TEST_CASE(ALeaderThatCameAndWentWhileThisOneWasPausedIsNoticed)
+{
+  Run(this->first, 0, Seconds(2));
+  const TimePoint before = this->first.OtherLedAt();
+  Run(this->second, 0, Seconds(15));
+  BOOST_REQUIRE(this->second.Status().held);
+  this->second.Resign();
+  Run(this->second, 0, Seconds(1));
+  // All of it is read in one step, after which nobody leads
+  static_cast<void>(this->first.Step(0));
+  BOOST_TEST(this->first.Status().holder.empty());
+  BOOST_TEST((this->first.OtherLedAt() > before));
+  BOOST_TEST((this->first.OtherLedAt() == this->clock.BootNow()));
+}
+
+BOOST_AUTO_TEST_CASE(AnotherLeaderIsNoticedForAsLongAsItLeads)
+{
+  Run(this->first, 0, Seconds(2));
+  static_cast<void>(this->second.Step(1));
+  this->clock.Advance(Seconds(5));
+  static_cast<void>(this->second.Step(1));
+  BOOST_TEST((this->second.OtherLedAt() == this->clock.BootNow()));
+  // Its own tenure is no other's
+  const TimePoint seen = this->first.OtherLedAt();
+  Run(this->first, 0, Seconds(5));
+  BOOST_TEST((this->first.OtherLedAt() == seen));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
