Measure demand by time, tell it once a request, count endpoints that live

Two faults: a request that endpoints refused to connect to was counted as demand at each of up to dozens of sends (2,700 sends for 640 requests in one second); and messages that came together after a delay divided a whole interval's work by a millisecond. A third: where a failure domain gave no more reclaimable endpoints, all those living there ceased to count, so ordinary ones were ordered and given back by turns.

DemandBook weighs by the time that a message covers; RelayRun tells a request's demand with its first send; DemandSizing keeps living reclaimable endpoints in its sums and gives none back before as many live elsewhere.

--- a/Lagoonward/Placement/DemandBook.cpp
+++ b/Lagoonward/Placement/DemandBook.cpp
@@ -1,12 +1,14 @@
 #include "Lagoonward/Placement/DemandBook.h"
 
+#include <cmath>
+
 namespace lagoonward {
 
 namespace {
 
-/// Weight of the newest message in the averaged load. Messages come twice a second; single long prompts
-/// must not look like a change of load, which shows within about three seconds.
-constexpr double kNewestWeight = 0.15;
+/// Time constant of the averaged load, in seconds: single long prompts must not look like a change of load,
+/// which shows within about three seconds.
+constexpr double kAverageSeconds = 3;
 
 } // namespace
 
@@ -32,9 +34,12 @@
   if (seconds <= 0) {
     return;
   }
+  // Weighed by the time that it covers, so that messages held up on the way show no burst when they come
+  // together
+  const double weight = 1 - std::exp(-seconds / kAverageSeconds);
   for (const auto& [service, total] : aTotals) {
     double& rate = run.rates[service];
-    rate += kNewestWeight * ((total - run.totals[service]) / seconds - rate);
+    rate += weight * ((total - run.totals[service]) / seconds - rate);
   }
   run.totals = aTotals;
   run.heard = now;
--- a/Lagoonward/Placement/DemandSizing.cpp
+++ b/Lagoonward/Placement/DemandSizing.cpp
@@ -100,7 +100,9 @@
   // Reclaimable ones, evenly, the cheapest domains first
   int left = static_cast<int>(std::ceil(need * this->settings.reserve));
   for (const std::string& domain : domains) {
-    target[domain].reclaimable = std::min(aTerms.minimum, aTerms.maximum);
+    // Where no more are to be had, those that live stay
+    const int kept = this->IsDry(domain) ? CountIn(aLive, domain).reclaimable : 0;
+    target[domain].reclaimable = std::min(std::max(aTerms.minimum, kept), aTerms.maximum);
     left -= target[domain].reclaimable;
   }
   for (bool placed = true; placed && left > 0;) {
@@ -178,13 +180,19 @@
     return {};
   }
   const auto target = this->Target(aTerms, aLive);
+  int spare = 0; // Reclaimable ones that live beyond those wanted
+  for (const std::string& domain : ByPrice(aTerms)) {
+    spare += CountIn(aLive, domain).reclaimable - CountIn(target, domain).reclaimable;
+  }
   std::vector<SizingOrder> more;
   std::vector<SizingOrder> fewer;
   for (const std::string& domain : ByPrice(aTerms)) {
     const DomainCount wanted = CountIn(target, domain);
     const DomainCount there = CountIn(aLive, domain);
-    if (!this->IsDry(domain)) {
-      auto& orders = wanted.reclaimable >= there.reclaimable ? more : fewer;
+    // What is too many here stays until as many live elsewhere
+    const int surplus = there.reclaimable - wanted.reclaimable;
+    if (!this->IsDry(domain) && (surplus <= 0 || surplus <= spare)) {
+      auto& orders = surplus <= 0 ? more : fewer;
       this->AddOrder(domain, true, wanted.reclaimable, there.reclaimable, aTerms.bootTime, orders);
     }
     auto& orders = wanted.ordinary >= there.ordinary ? more : fewer;
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -25,7 +25,7 @@
   virtual ~RelayObserver() = default;
 
   virtual void OnAccepted(const RelayCall& aCall) = 0;
-  /// @param aEngineSeconds  what it is expected to take there
+  /// @param aEngineSeconds  what it is expected to take there; zero where an earlier send has told of it
   virtual void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
                       double aEngineSeconds) = 0;
   /// An endpoint has begun to answer for the first time: the request runs.
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -125,8 +125,10 @@
   ++this->sends;
   this->endpointId = endpoint->id;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
+  // Demand is what callers ask for: endpoints that refuse connections by the dozen must not raise it
+  const bool isTold = std::exchange(this->demandTold, true);
   this->context.observer.OnSent(this->call, this->endpointId, this->sends,
-                                this->context.router.EngineSeconds(aChoice, aRequest));
+                                isTold ? 0 : this->context.router.EngineSeconds(aChoice, aRequest));
 
   const TimePoint now = this->context.loop.GetClock().Now();
   SendTerms terms;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -117,6 +117,7 @@
   std::string lastReason;            ///< Why the last attempt failed; for logs.
   std::optional<RelayReply> failure; ///< An endpoint's own failure answer, if one came.
   int sends = 0;                     ///< Attempts that may have reached an endpoint.
+  bool demandTold = false;           ///< The observer knows what it takes.
   bool mayHaveRun = false;
   bool began = false;     ///< An endpoint has answered, so it ran.
   bool streaming = false; ///< The caller has the head of the stream.
--- a/UnitTests/Placement/DemandSizingTests.cpp
+++ b/UnitTests/Placement/DemandSizingTests.cpp
@@ -94,6 +94,48 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ReclaimableOnesThatLiveCountWhereNoMoreAreToBeHad)
+{
+  VirtualClock clock;
+  const SizingTerms large{ 1, 60, Milliseconds(4000), { { "a", 1.0 }, { "b", 1.0 } } };
+  const Live steady{ { "a", { 0, 25 } }, { "b", { 0, 25 } } };
+  DemandSizing sizing({}, clock);
+  static_cast<void>(sizing.Plan(large, steady));
+  for (int second = 0; second < 20; ++second) {
+    clock.Advance(Seconds(1));
+    sizing.OnLoad(20);
+  }
+  Accept(sizing, sizing.Plan(large, steady));
+
+  // One failure domain loses a third, neither gives any more; the rest still carries the load
+  sizing.OnUnavailable({ "a", true, 25 });
+  sizing.OnUnavailable({ "b", true, 25 });
+  const auto orders = sizing.Plan(large, { { "a", { 0, 17 } }, { "b", { 0, 25 } } });
+  BOOST_TEST(CountOf(orders, false) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(GivesNoneBackBeforeThoseElsewhereLive)
+{
+  VirtualClock clock;
+  const SizingTerms large{ 1, 60, Milliseconds(4000), { { "a", 1.0 }, { "b", 1.0 } } };
+  const Live uneven{ { "a", { 0, 10 } }, { "b", { 0, 40 } } };
+  DemandSizing sizing({}, clock);
+  static_cast<void>(sizing.Plan(large, uneven));
+  for (int second = 0; second < 20; ++second) {
+    clock.Advance(Seconds(1));
+    sizing.OnLoad(20);
+  }
+  // More where few are, but those that are many stay until then
+  const auto orders = sizing.Plan(large, uneven);
+  Accept(sizing, orders);
+  for (const SizingOrder& order : orders) {
+    BOOST_TEST((!order.reclaimable || order.failureDomain == "a"));
+  }
+  const auto later = sizing.Plan(large, { { "a", { 0, 25 } }, { "b", { 0, 40 } } });
+  BOOST_REQUIRE(!later.empty());
+  BOOST_TEST(later.front().failureDomain == "b");
+}
+
 BOOST_AUTO_TEST_CASE(KeepsToTheBoundsOfEachFailureDomain)
 {
   VirtualClock clock;
@@ -153,9 +195,16 @@
   }
   BOOST_TEST(book.LoadOf("s") == 3.0, boost::test_tools::tolerance(0.02));
   BOOST_TEST(book.LoadOf("other") == 0);
+  // Messages that were held up come together: what they tell is no burst
+  for (int message = 61; message <= 66; ++message) {
+    clock.Advance(message == 61 ? Milliseconds(2'500) : Milliseconds(1));
+    book.OnTotals(1, { { "s", message * 0.5 } });
+    book.OnTotals(2, { { "s", message * 1.0 } });
+  }
+  BOOST_TEST(book.LoadOf("s") == 3.0, boost::test_tools::tolerance(0.35));
   // One that has gone no longer counts
   clock.Advance(Seconds(2));
-  book.OnTotals(1, { { "s", 30.0 } });
+  book.OnTotals(1, { { "s", 35.0 } });
   clock.Advance(Seconds(2));
   BOOST_TEST(book.LoadOf("s") < 2);
 }
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -136,7 +136,11 @@
 {
 public:
   void OnAccepted(const RelayCall&) override {}
-  void OnSent(const RelayCall&, std::string_view, int, double) override { ++this->sent; }
+  void OnSent(const RelayCall&, std::string_view, int, double aEngineSeconds) override
+  {
+    ++this->sent;
+    this->withDemand += aEngineSeconds > 0 ? 1 : 0;
+  }
   void OnBegan(const RelayCall&) override { ++this->began; }
   void OnAttemptFailed(const RelayCall&, std::string_view, std::string_view, bool) override {}
   void OnMoved(const RelayCall&, std::string_view, std::string_view, bool aMoved,
@@ -147,6 +151,7 @@
   void OnEnded(const RelayCall&, const RelayEnd&) override { ++this->ended; }
 
   std::atomic<int> sent{ 0 };
+  std::atomic<int> withDemand{ 0 }; ///< Sends that told of engine time.
   std::atomic<int> began{ 0 };
   std::atomic<int> ended{ 0 };
   std::atomic<int> moved{ 0 };
@@ -325,6 +330,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(TellsARequestsDemandOnceHoweverOftenItIsSent)
+{
+  const ScriptedServer full([](const std::string&) {
+    return Send(Whole("", "503 Service Unavailable", "Id: r1\r\nNot-Run: 1\r\n"));
+  });
+  const ScriptedServer free([](const std::string&) { return Send(Whole("ran")); });
+  Scene scene({ &full, &free });
+  constexpr int kRequests = 8;
+  for (int turn = 0; turn < kRequests; ++turn) {
+    static_cast<void>(scene.Ask(RelayKind::NonIdempotent));
+  }
+  BOOST_TEST(scene.observer.sent > kRequests);
+  BOOST_TEST(scene.observer.withDemand == kRequests);
+}
+
 BOOST_AUTO_TEST_CASE(PromisesThatItDidNotRunOnlyWithProof)
 {
   const ScriptedServer full([](const std::string&) {
