Let two daemons of a failure domain read the endpoints and tell the others

All 70 daemons of a grown site read the endpoints' records, each every 2.1 s to spare the store.

EndpointNews: in each failure domain the first two daemons by rendezvous rank read every 500 ms and tell the others what has changed, repeated for two seconds. A daemon that has heard of no read for 1.2 s reads by itself; one that hears reads the newest record of each endpoint every 10 s. Records carry the store's offset, so that the same news may come from anywhere in any order. platform/ only hands raw records over and decodes them.

--- /dev/null
+++ b/Lagoonward/Daemon/EndpointNews.cpp
@@ -0,0 +1,239 @@
+#include "Lagoonward/Daemon/EndpointNews.h"
+
+#include "Lagoonward/Core/Log.h"
+#include "Lagoonward/Daemon/PeerMessages.h"
+#include "Lagoonward/Daemon/RelayRanks.h"
+
+#include <algorithm>
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("endpoints");
+
+/// The message; numbers above RequestType::FirstForeign are this folder's.
+constexpr auto kEndpointNews =
+  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstForeign) + 4);
+
+/// One record as daemons tell each other.
+struct NewsEntry
+{
+  EndpointRecord record;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->record.id, this->record.text, this->record.version, this->record.removed);
+  }
+};
+
+/// The source was read just now; the entries are what has changed of late.
+struct NewsMessage
+{
+  std::vector<NewsEntry> entries;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->entries);
+  }
+};
+
+} // namespace
+
+EndpointNews::EndpointNews(const EndpointNewsSettings& aSettings, MembershipService& aMembership,
+                           std::string aSelf, std::string aFailureDomain, Decode aDecode,
+                           std::function<void()> aChanged, const Clock& aClock)
+  : settings(aSettings)
+  , membership(aMembership)
+  , self(std::move(aSelf))
+  , failureDomain(std::move(aFailureDomain))
+  , decode(std::move(aDecode))
+  , changed(std::move(aChanged))
+  , clock(aClock)
+  , directory({}, aClock)
+{
+  this->membership.Transport().OnRequest(
+    kEndpointNews,
+    [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
+      this->TakeMessage(aBytes);
+      aRespond(std::string());
+    });
+}
+
+void
+EndpointNews::Start()
+{
+  this->membership.Loop().Every(this->settings.tick, [this] { this->Tick(); });
+}
+
+bool
+EndpointNews::Take(const EndpointRecord& aRecord, bool aFromPeer)
+{
+  // The same record may come from the source and from several daemons, in any order
+  const auto [known, isNew] = this->versions.try_emplace(aRecord.id, aRecord.version);
+  if (!isNew && aRecord.version <= known->second) {
+    return false;
+  }
+  known->second = aRecord.version;
+  if (aRecord.removed) {
+    const bool isChange = this->directory.OnRemoved(aRecord.id);
+    kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
+                                     { "version", aRecord.version },
+                                     { "from_peer", aFromPeer },
+                                     { "in_force", isChange } });
+    return isChange;
+  }
+  auto endpoint = this->decode(aRecord);
+  if (!endpoint) {
+    kLog.Event(LogLevel::Warning, "endpoint_refused",
+               { { "endpoint", aRecord.id }, { "reason", endpoint.error().message } });
+    return false;
+  }
+  const bool isLeaving = endpoint.value().state == EndpointState::Leaving;
+  const std::string service = endpoint.value().name;
+  const bool isReclaimable = endpoint.value().reclaimable;
+  if (!this->directory.OnEntry(std::move(endpoint.value()))) {
+    return false;
+  }
+  kLog.Event("endpoint", { { "endpoint", aRecord.id },
+                           { "version", aRecord.version },
+                           { "from_peer", aFromPeer },
+                           { "service", service },
+                           { "leaving", isLeaving },
+                           { "reclaimable", isReclaimable } });
+  return true;
+}
+
+void
+EndpointNews::OnRecord(const EndpointRecord& aRecord)
+{
+  if (this->Take(aRecord, false)) {
+    this->recent.push_back({ this->clock.Now(), aRecord });
+    this->changed();
+  }
+}
+
+void
+EndpointNews::OnWhole(const std::vector<EndpointRecord>& aRecords, std::int64_t aEnd)
+{
+  bool isChange = false;
+  std::vector<std::string> ids;
+  for (const EndpointRecord& record : aRecords) {
+    ids.push_back(record.id);
+    isChange = this->Take(record, false) || isChange;
+  }
+  // Who has been heard of since is not among them yet
+  for (const auto& [id, version] : this->versions) {
+    if (version >= aEnd) {
+      ids.push_back(id);
+    }
+  }
+  isChange = this->directory.OnWhole(ids) || isChange;
+  kLog.Event("endpoints", { { "count", aRecords.size() }, { "changed", isChange } });
+  if (isChange) {
+    this->changed();
+  }
+}
+
+void
+EndpointNews::OnRead()
+{
+  const TimePoint now = this->clock.Now();
+  while (!this->recent.empty() && this->recent.front().at + this->settings.repeat < now) {
+    this->recent.pop_front();
+  }
+  if (!this->isReader || this->listeners.empty()) {
+    return;
+  }
+  NewsMessage message;
+  for (const Recent& news : this->recent) {
+    message.entries.push_back({ news.record });
+  }
+  const std::string bytes = EncodePeerMessage(message);
+  for (const PeerAddress& listener : this->listeners) {
+    // One that does not answer reads by itself, and hears the same again
+    this->membership.Transport().Request(listener, kEndpointNews, bytes, this->settings.timeout,
+                                         [](const Result<std::string>&) {});
+  }
+}
+
+void
+EndpointNews::TakeMessage(std::string_view aBytes)
+{
+  const auto message = DecodePeerMessage<NewsMessage>(aBytes);
+  if (!message) {
+    kLog.Warning("A daemon sent malformed news of endpoints.");
+    return;
+  }
+  this->heardAt = this->clock.Now();
+  bool isChange = false;
+  for (const NewsEntry& entry : message->entries) {
+    isChange = this->Take(entry.record, true) || isChange;
+  }
+  if (isChange) {
+    this->changed();
+  }
+}
+
+void
+EndpointNews::OnSource(bool aAnswers)
+{
+  this->directory.OnSource(aAnswers);
+}
+
+Milliseconds
+EndpointNews::Pace() const
+{
+  if (this->isReader) {
+    return this->settings.readerPace;
+  }
+  const TimePoint heard = this->heardAt;
+  if (heard != TimePoint::min() && this->clock.Now() - heard <= this->settings.readerSilence) {
+    return this->settings.listenerPace;
+  }
+  return std::clamp(this->settings.ownPacePerDaemon * this->daemons.load(),
+                    this->settings.readerPace, this->settings.ownPaceLimit);
+}
+
+void
+EndpointNews::Tick()
+{
+  this->ChooseReaders();
+  this->ForgetOldVersions();
+  if (this->directory.Tick()) {
+    this->changed();
+  }
+}
+
+void
+EndpointNews::ChooseReaders()
+{
+  std::vector<std::string> ranked{ this->self };
+  this->listeners.clear();
+  const PeerViewPtr view = this->membership.Peers();
+  for (const Peer& peer : view->peers) {
+    if (peer.info.failureDomain == this->failureDomain && peer.state == PeerState::Alive) {
+      ranked.push_back(peer.info.id);
+      this->listeners.push_back({ peer.key, peer.info.address, peer.info.port });
+    }
+  }
+  SortByRank(ranked, "endpoints/" + this->failureDomain);
+  const auto place = std::find(ranked.begin(), ranked.end(), this->self) - ranked.begin();
+  this->isReader = static_cast<std::size_t>(place) < this->settings.readers;
+  this->daemons = static_cast<int>(view->peers.size()) + 1;
+}
+
+void
+EndpointNews::ForgetOldVersions()
+{
+  if (this->versions.size() <= this->settings.remembered) {
+    return;
+  }
+  const FleetSnapshotPtr fleet = this->directory.Snapshot();
+  std::erase_if(this->versions,
+                [&](const auto& aKnown) { return fleet->Find(aKnown.first) == nullptr; });
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -16,7 +16,6 @@
 
 constexpr std::string_view kRelayMarket = "relay";
 constexpr std::string_view kConfigurationState = "relay/configuration";
-constexpr Milliseconds kDirectoryTick{ 200 };
 
 /// A balancer that asks once a second takes a daemon out after two misses; a little more covers the way.
 constexpr Milliseconds kBalancerNotice{ 2500 };
@@ -46,7 +45,6 @@
   , market(this->markets.FindOrAdd(std::string(kRelayMarket)))
   , reporter(aClock)
   , usage(this->settings.usageWindow, aClock)
-  , directory({}, aClock)
   , seeds(this->settings.seeds)
 {
 }
@@ -85,11 +83,7 @@
   this->membership->Loop().Run([this] {
     this->demand->Start();
     this->ApplyDaemons();
-    this->membership->Loop().Every(kDirectoryTick, [this] {
-      if (this->directory.Tick()) {
-        this->PublishFleet();
-      }
-    });
+    this->endpoints->Start();
   });
   kLog.Event("started", { { "host", this->settings.name },
                           { "failure_domain", this->settings.failureDomain },
@@ -128,6 +122,10 @@
   this->demand = std::make_unique<DemandExchange>(
     DemandExchangeSettings{ .interval = kDemandInterval }, *this->membership, this->markets,
     this->settings.peer.address, this->settings.region);
+  this->endpoints = std::make_unique<EndpointNews>(
+    EndpointNewsSettings{}, *this->membership, this->settings.peer.address,
+    this->settings.failureDomain, this->ports.decodeEndpoint, [this] { this->PublishFleet(); },
+    this->clock);
   return boost::outcome_v2::success();
 }
 
@@ -271,54 +269,40 @@
 }
 
 void
-RelayDaemon::OnEndpoint(Endpoint aEndpoint)
+RelayDaemon::OnEndpointRecord(EndpointRecord aRecord)
 {
-  this->membership->Loop().Post([this, endpoint = std::move(aEndpoint)] {
-    if (this->directory.OnEntry(endpoint)) {
-      kLog.Event("endpoint", { { "endpoint", endpoint.id },
-                               { "service", endpoint.name },
-                               { "leaving", endpoint.state == EndpointState::Leaving },
-                               { "reclaimable", endpoint.reclaimable } });
-      this->PublishFleet();
-    }
-  });
+  this->membership->Loop().Post(
+    [this, record = std::move(aRecord)] { this->endpoints->OnRecord(record); });
 }
 
 void
-RelayDaemon::OnEndpointRemoved(const std::string& aId)
+RelayDaemon::OnEndpointRecords(std::vector<EndpointRecord> aRecords, std::int64_t aEnd)
 {
-  this->membership->Loop().Post([this, aId] {
-    const bool changed = this->directory.OnRemoved(aId);
-    kLog.Event("endpoint_removed", { { "endpoint", aId }, { "in_force", changed } });
-    if (changed) {
+  this->membership->Loop().Post([this, records = std::move(aRecords), aEnd] {
+    this->endpoints->OnWhole(records, aEnd);
+    // That there is none yet is a picture, too
+    if (!this->knowsEndpoints.exchange(true)) {
       this->PublishFleet();
     }
   });
 }
 
 void
-RelayDaemon::OnEndpoints(std::vector<Endpoint> aEndpoints)
+RelayDaemon::OnEndpointsRead()
 {
-  this->membership->Loop().Post([this, endpoints = std::move(aEndpoints)] {
-    std::vector<std::string> ids;
-    bool changed = !this->knowsEndpoints;
-    for (const Endpoint& endpoint : endpoints) {
-      ids.push_back(endpoint.id);
-      changed = this->directory.OnEntry(endpoint) || changed;
-    }
-    changed = this->directory.OnWhole(ids) || changed;
-    kLog.Event("endpoints", { { "count", ids.size() }, { "changed", changed } });
-    this->knowsEndpoints = true;
-    if (changed) {
-      this->PublishFleet();
-    }
-  });
+  this->membership->Loop().Post([this] { this->endpoints->OnRead(); });
 }
 
 void
 RelayDaemon::OnEndpointSource(bool aAnswers)
 {
-  this->membership->Loop().Post([this, aAnswers] { this->directory.OnSource(aAnswers); });
+  this->membership->Loop().Post([this, aAnswers] { this->endpoints->OnSource(aAnswers); });
+}
+
+Milliseconds
+RelayDaemon::EndpointPace() const
+{
+  return this->endpoints->Pace();
 }
 
 void
@@ -363,7 +347,7 @@
 void
 RelayDaemon::PublishFleet()
 {
-  auto snapshot = std::make_shared<FleetSnapshot>(*this->directory.Snapshot());
+  auto snapshot = std::make_shared<FleetSnapshot>(*this->endpoints->Snapshot());
   if (const RelayConfigurationPtr current = this->InForce()) {
     for (Endpoint& endpoint : snapshot->endpoints) {
       const auto service =
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -3,9 +3,9 @@
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Core/Kernel.h"
 #include "Lagoonward/Daemon/DemandExchange.h"
+#include "Lagoonward/Daemon/EndpointNews.h"
 #include "Lagoonward/Daemon/RelayPorts.h"
 #include "Lagoonward/Daemon/RelayReporter.h"
-#include "Lagoonward/Fleet/EndpointDirectory.h"
 #include "Lagoonward/Membership/MembershipService.h"
 #include "Lagoonward/Relay/RelayService.h"
 #include "Lagoonward/Settings/RelayDaemonSettings.h"
@@ -38,12 +38,16 @@
   /// A configuration as it was published. Older ones than the one in force change nothing.
   void OnConfiguration(const std::string& aText);
 
-  void OnEndpoint(Endpoint aEndpoint);
-  void OnEndpointRemoved(const std::string& aId);
-  /// All endpoints there are.
-  void OnEndpoints(std::vector<Endpoint> aEndpoints);
-  /// Whether whoever tells of endpoints is reachable.
+  /// A record of an endpoint was read. See EndpointNews, also for what follows.
+  void OnEndpointRecord(EndpointRecord aRecord);
+  /// All records of endpoints were read.
+  void OnEndpointRecords(std::vector<EndpointRecord> aRecords, std::int64_t aEnd);
+  /// The endpoints' source has answered a read.
+  void OnEndpointsRead();
+  /// Whether the endpoints' source is reachable.
   void OnEndpointSource(bool aAnswers);
+  /// How long to wait between two reads of the endpoints' records, as things stand.
+  [[nodiscard]] Milliseconds EndpointPace() const;
 
   /// All daemons that are known outside, beside the seeds of the settings.
   void OnDaemons(std::vector<HostEntry> aDaemons);
@@ -85,6 +89,7 @@
   UsageCounter usage;
   DutyService* duties = nullptr;
   std::unique_ptr<DemandExchange> demand;
+  std::unique_ptr<EndpointNews> endpoints;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> readiness;
   std::unique_ptr<HttpServer> metrics;
@@ -93,9 +98,8 @@
   std::atomic<bool> knowsEndpoints{ false };
   std::atomic<bool> draining{ false };
   std::atomic<bool> refusing{ false }; ///< Too late in the drain to take a request.
-  EndpointDirectory directory;         ///< Control thread only, as is what follows.
-  std::vector<HostEntry> listed;       ///< Daemons, as told from outside.
-  std::vector<SocketAddress> seeds;    ///< As in the newest settings.
+  std::vector<HostEntry> listed;       ///< Daemons, as told from outside. Control thread only.
+  std::vector<SocketAddress> seeds;    ///< As in the newest settings. Control thread only.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/RelayPorts.h
+++ b/Lagoonward/Daemon/RelayPorts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Daemon/DutyService.h"
+#include "Lagoonward/Daemon/EndpointNews.h"
 #include "Lagoonward/Relay/ExchangeCaller.h"
 #include "Lagoonward/Relay/RelayCall.h"
 #include "Lagoonward/Relay/RelayConfiguration.h"
@@ -32,6 +33,7 @@
   CallerLanguage callers;
   EndpointLanguage endpoints;
   std::function<Result<RelayConfiguration>(std::string_view aText)> decodeConfiguration;
+  std::function<Result<Endpoint>(const EndpointRecord&)> decodeEndpoint;
   DutyPorts duties;
 };
 
