Pass all news of endpoints on, and trust only a sender heard without a gap

Every newer record is passed on, whoever brought it, removals whatever they change here, and what a whole read finds. A listener trusts a sender after 2.4 s without a gap longer than what is repeated.

Each case is a test that failed first: AReaderThatWasCutOffPassesRemovalsOn, AReaderPassesOnWhatTheOtherHasRead, WhatAReaderFindsInTheWholeIsPassedOn.

--- a/Lagoonward/Daemon/EndpointNews.cpp
+++ b/Lagoonward/Daemon/EndpointNews.cpp
@@ -5,6 +5,7 @@
 #include "Lagoonward/Daemon/RelayRanks.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonward {
 
@@ -56,8 +57,8 @@
 {
   this->membership.Transport().OnRequest(
     kEndpointNews,
-    [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
-      this->TakeMessage(aBytes);
+    [this](PeerKey aSender, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
+      this->TakeMessage(aSender, aBytes);
       aRespond(std::string());
     });
 }
@@ -77,6 +78,18 @@
     return false;
   }
   known->second = aRecord.version;
+  const bool isChange = this->Apply(aRecord, aFromPeer);
+  // Each reader passes on what the other has read first, as one of them may not reach all. Whether a removal counts
+  // at once depends on who saw an outage, so each daemon decides on its own
+  if (this->knowsWhole && (isChange || aRecord.removed)) {
+    this->recent.push_back({ this->clock.Now(), aRecord });
+  }
+  return isChange;
+}
+
+bool
+EndpointNews::Apply(const EndpointRecord& aRecord, bool aFromPeer)
+{
   if (aRecord.removed) {
     const bool isChange = this->directory.OnRemoved(aRecord.id);
     kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
@@ -109,20 +122,17 @@
 void
 EndpointNews::OnRecord(const EndpointRecord& aRecord)
 {
-  if (this->Take(aRecord, false)) {
-    this->recent.push_back({ this->clock.Now(), aRecord });
-    this->changed();
-  }
+  this->isChanged = this->Take(aRecord, false) || this->isChanged;
 }
 
 void
 EndpointNews::OnWhole(const std::vector<EndpointRecord>& aRecords, std::int64_t aEnd)
 {
-  bool isChange = false;
+  const FleetSnapshotPtr before = this->directory.Snapshot();
   std::vector<std::string> ids;
   for (const EndpointRecord& record : aRecords) {
     ids.push_back(record.id);
-    isChange = this->Take(record, false) || isChange;
+    this->isChanged = this->Take(record, false) || this->isChanged;
   }
   // Who has been heard of since is not among them yet
   for (const auto& [id, version] : this->versions) {
@@ -130,16 +140,24 @@
       ids.push_back(id);
     }
   }
-  isChange = this->directory.OnWhole(ids) || isChange;
-  kLog.Event("endpoints", { { "count", aRecords.size() }, { "changed", isChange } });
-  if (isChange) {
-    this->changed();
+  for (const Endpoint& endpoint : before->endpoints) {
+    const bool isThere = std::find(ids.begin(), ids.end(), endpoint.id) != ids.end();
+    if (!isThere && endpoint.state != EndpointState::Leaving) {
+      this->recent.push_back({ this->clock.Now(), { endpoint.id, {}, aEnd - 1, true } });
+    }
   }
+  this->isChanged = this->directory.OnWhole(ids) || this->isChanged;
+  this->knowsWhole = true;
+  kLog.Event("endpoints", { { "count", aRecords.size() }, { "changed", this->isChanged } });
 }
 
 void
 EndpointNews::OnRead()
 {
+  // All that one read brought is one change: to publish the picture is dear
+  if (std::exchange(this->isChanged, false)) {
+    this->changed();
+  }
   const TimePoint now = this->clock.Now();
   while (!this->recent.empty() && this->recent.front().at + this->settings.repeat < now) {
     this->recent.pop_front();
@@ -160,14 +178,24 @@
 }
 
 void
-EndpointNews::TakeMessage(std::string_view aBytes)
+EndpointNews::TakeMessage(PeerKey aSender, std::string_view aBytes)
 {
   const auto message = DecodePeerMessage<NewsMessage>(aBytes);
   if (!message) {
     kLog.Warning("A daemon sent malformed news of endpoints.");
     return;
   }
-  this->heardAt = this->clock.Now();
+  // What a sender repeats covers a gap of this length, so that nothing of it was missed
+  const TimePoint now = this->clock.Now();
+  Sender& sender = this->senders.try_emplace(aSender, Sender{ now, now }).first->second;
+  if (now - sender.heard > this->settings.readerSilence) {
+    sender.since = now;
+  }
+  sender.heard = now;
+  // What had changed before its first message is found by one more read of one's own
+  if (now - sender.since > this->settings.listenAfter) {
+    this->listensUntil = now + this->settings.readerSilence;
+  }
   bool isChange = false;
   for (const NewsEntry& entry : message->entries) {
     isChange = this->Take(entry.record, true) || isChange;
@@ -189,8 +217,7 @@
   if (this->isReader) {
     return this->settings.readerPace;
   }
-  const TimePoint heard = this->heardAt;
-  if (heard != TimePoint::min() && this->clock.Now() - heard <= this->settings.readerSilence) {
+  if (this->clock.Now() <= this->listensUntil.load()) {
     return this->settings.listenerPace;
   }
   return std::clamp(this->settings.ownPacePerDaemon * this->daemons.load(),
@@ -201,7 +228,7 @@
 EndpointNews::Tick()
 {
   this->ChooseReaders();
-  this->ForgetOldVersions();
+  this->Forget();
   if (this->directory.Tick()) {
     this->changed();
   }
@@ -226,8 +253,11 @@
 }
 
 void
-EndpointNews::ForgetOldVersions()
+EndpointNews::Forget()
 {
+  std::erase_if(this->senders, [&](const auto& aSender) {
+    return this->clock.Now() - aSender.second.heard > this->settings.listenerPace;
+  });
   if (this->versions.size() <= this->settings.remembered) {
     return;
   }
--- a/Lagoonward/Daemon/EndpointNews.h
+++ b/Lagoonward/Daemon/EndpointNews.h
@@ -32,9 +32,12 @@
   /// Between two reads of a daemon that hears its readers: only to find what they may have missed.
   Milliseconds listenerPace{ 10'000 };
 
-  /// A daemon that has heard of no read for so long reads by itself: two messages missed.
+  /// A daemon that has heard of no read for so long reads by itself: two messages missed. Below repeat.
   Milliseconds readerSilence{ 1'200 };
 
+  /// A daemon that hears of reads again goes on reading by itself for so long: twice its own pace.
+  Milliseconds listenAfter{ 2'400 };
+
   /// Between two reads of a daemon that has no reader: so much for each daemon, as all may be without, but
   /// never more than ownPaceLimit.
   Milliseconds ownPacePerDaemon{ 30 };
@@ -96,12 +99,20 @@
     EndpointRecord record;
   };
 
+  /// One who tells of its reads.
+  struct Sender
+  {
+    TimePoint since; ///< First message after a gap.
+    TimePoint heard; ///< Last message.
+  };
+
   /// @return whether the picture has changed
   bool Take(const EndpointRecord& aRecord, bool aFromPeer);
-  void TakeMessage(std::string_view aBytes);
+  [[nodiscard]] bool Apply(const EndpointRecord& aRecord, bool aFromPeer);
+  void TakeMessage(PeerKey aSender, std::string_view aBytes);
   void Tick();
   void ChooseReaders();
-  void ForgetOldVersions();
+  void Forget();
 
   EndpointNewsSettings settings;
   MembershipService& membership;
@@ -116,7 +127,10 @@
   std::vector<PeerAddress> listeners;                     ///< The others of the failure domain.
   std::atomic<bool> isReader{ true };
   std::atomic<int> daemons{ 1 };
-  std::atomic<TimePoint> heardAt{ TimePoint::min() }; ///< Last news of a read by another.
+  std::atomic<TimePoint> listensUntil{ TimePoint::min() }; ///< Till then others read for this one.
+  std::unordered_map<PeerKey, Sender> senders;
+  bool knowsWhole = false;
+  bool isChanged = false; ///< Since the picture was published.
 };
 
 } // namespace lagoonward
--- a/UnitTests/Daemon/EndpointNewsTests.cpp
+++ b/UnitTests/Daemon/EndpointNewsTests.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Core/SystemClock.h"
 #include "Lagoonward/Daemon/EndpointNews.h"
+#include "Lagoonward/Daemon/RelayRanks.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -43,6 +44,14 @@
 
   ~Daemon() { this->membership.Stop(); }
 
+  /// News is repeated for longer than a daemon needs to join.
+  static EndpointNewsSettings Settings()
+  {
+    EndpointNewsSettings settings;
+    settings.repeat = kPatience;
+    return settings;
+  }
+
   static MembershipIdentity Identity(int aIndex, const std::string& aDomain)
   {
     MembershipIdentity identity;
@@ -80,23 +89,40 @@
 {
   Fleet()
   {
-    std::vector<HostEntry> hosts;
     for (int index = 0; index < 5; ++index) {
-      const std::string domain = index < 4 ? "a" : "b";
-      this->daemons.push_back(std::make_unique<Daemon>(this->clock, index, domain));
-      HostEntry host;
-      host.id = "daemon-" + std::to_string(index);
-      host.kind = HostEntry::Kind::Daemon;
-      host.address = "127.0.0.1";
-      host.port = this->daemons.back()->membership.Transport().Port();
-      host.failureDomain = domain;
-      host.region = "region";
-      hosts.push_back(host);
+      this->Add(index, index < 4 ? "a" : "b");
     }
+    BOOST_TEST(this->Eventually([this] { return this->Readers().size() == 2; }));
+  }
+
+  Daemon& Add(int aIndex, const std::string& aDomain)
+  {
+    this->daemons.push_back(std::make_unique<Daemon>(this->clock, aIndex, aDomain));
+    HostEntry host;
+    host.id = "daemon-" + std::to_string(aIndex);
+    host.kind = HostEntry::Kind::Daemon;
+    host.address = "127.0.0.1";
+    host.port = this->daemons.back()->membership.Transport().Port();
+    host.failureDomain = aDomain;
+    host.region = "region";
+    this->hosts.push_back(host);
     for (const auto& daemon : this->daemons) {
-      daemon->membership.ApplyHostList(hosts);
+      daemon->membership.ApplyHostList(this->hosts);
+    }
+    return *this->daemons.back();
+  }
+
+  /// Adds a daemon to the first failure domain that stands last there, so that it does not read for others.
+  Daemon& AddLast()
+  {
+    for (int index = 5;; ++index) {
+      const std::string last = "daemon-" + std::to_string(index);
+      std::vector<std::string> ids{ "daemon-0", "daemon-1", "daemon-2", "daemon-3", last };
+      SortByRank(ids, "endpoints/a");
+      if (ids.back() == last) {
+        return this->Add(index, "a");
+      }
     }
-    BOOST_TEST(this->Eventually([this] { return this->Readers().size() == 2; }));
   }
 
   template<typename Condition>
@@ -126,13 +152,16 @@
   }
 
   SystemClock clock;
+  std::vector<HostEntry> hosts;
   std::vector<std::unique_ptr<Daemon>> daemons;
 };
 
+/// A record is read by a daemon that has read the whole before.
 void
 Tell(Daemon& aDaemon, const EndpointRecord& aRecord)
 {
   aDaemon.Do([&] {
+    aDaemon.news.OnWhole({}, 0);
     aDaemon.news.OnRecord(aRecord);
     aDaemon.news.OnRead();
   });
@@ -147,7 +176,6 @@
   Tell(*this->Readers().front(), { "e1", "live", 5, false });
   for (Daemon* daemon : this->Readers(false)) {
     BOOST_TEST(this->Eventually([&] { return daemon->StateOf("e1") == EndpointState::Live; }));
-    BOOST_TEST((daemon->news.Pace() == EndpointNewsSettings{}.listenerPace));
   }
   BOOST_TEST(!this->daemons[4]->StateOf("e1").has_value());
 
@@ -157,15 +185,82 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(ADaemonThatHearsOfNoReadReadsByItself)
+BOOST_AUTO_TEST_CASE(ADaemonReadsByItselfUntilItHearsOfReadsForAWhile)
 {
-  Tell(*this->Readers().front(), { "e1", "live", 5, false });
-  Daemon& listener = *this->Readers(false).front();
   const EndpointNewsSettings settings;
-  BOOST_TEST(this->Eventually([&] { return listener.news.Pace() == settings.listenerPace; }));
+  Daemon& reader = *this->Readers().front();
+  Daemon& listener = *this->Readers(false).front();
+  Tell(reader, { "e1", "live", 5, false });
+  BOOST_TEST(this->Eventually([&] { return listener.StateOf("e1").has_value(); }));
+  BOOST_TEST((listener.news.Pace() <= settings.ownPaceLimit));
+
+  const TimePoint begun = this->clock.Now();
+  BOOST_TEST(this->Eventually([&] {
+    reader.Do([&] { reader.news.OnRead(); });
+    return listener.news.Pace() == settings.listenerPace;
+  }));
+  BOOST_TEST((this->clock.Now() - begun > settings.listenAfter - settings.readerSilence));
+  // Then nothing more is heard
   BOOST_TEST(this->Eventually([&] { return listener.news.Pace() <= settings.ownPaceLimit; }));
 }
 
+// Found by a played day: 81 requests reached endpoints three seconds after they had gone, because their reader had
+// just lost the source and kept the removals to itself.
+BOOST_AUTO_TEST_CASE(AReaderThatWasCutOffPassesRemovalsOn)
+{
+  Daemon& reader = *this->Readers().front();
+  Tell(reader, { "e1", "live", 5, false });
+  for (Daemon* daemon : this->Readers(false)) {
+    BOOST_TEST(this->Eventually([&] { return daemon->StateOf("e1") == EndpointState::Live; }));
+  }
+  reader.Do([&] {
+    reader.news.OnSource(false);
+    reader.news.OnSource(true);
+  });
+  Tell(reader, { "e1", "", 6, true });
+  BOOST_TEST((reader.StateOf("e1") == EndpointState::Live));
+  for (Daemon* daemon : this->Readers(false)) {
+    BOOST_TEST(this->Eventually([&] { return daemon->StateOf("e1") == EndpointState::Leaving; }));
+  }
+}
+
+// Found by a played day: one reader did not reach a daemon, the other had heard the news from the first and kept
+// it to itself.
+BOOST_AUTO_TEST_CASE(AReaderPassesOnWhatTheOtherHasRead)
+{
+  Daemon& first = *this->Readers().front();
+  Daemon& second = *this->Readers().back();
+  second.Do([&] { second.news.OnWhole({}, 0); });
+  Tell(first, { "e1", "live", 5, false });
+  BOOST_TEST(this->Eventually([&] { return second.StateOf("e1").has_value(); }));
+
+  // From now on only the second tells of reads; a daemon that comes then hears it from that one
+  Daemon& newcomer = this->AddLast();
+  BOOST_TEST(this->Eventually([&] {
+    second.Do([&] { second.news.OnRead(); });
+    return newcomer.StateOf("e1") == EndpointState::Live;
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(WhatAReaderFindsInTheWholeIsPassedOn)
+{
+  Daemon& reader = *this->Readers().front();
+  const auto tellWhole = [&](const std::vector<EndpointRecord>& aRecords, std::int64_t aEnd) {
+    reader.Do([&] {
+      reader.news.OnWhole(aRecords, aEnd);
+      reader.news.OnRead();
+    });
+  };
+  tellWhole({ { "e1", "live", 5, false } }, 6);
+  Tell(reader, { "e2", "live", 6, false });
+  Daemon& listener = *this->Readers(false).front();
+  BOOST_TEST(this->Eventually([&] { return listener.StateOf("e2") == EndpointState::Live; }));
+  // History was lost in between
+  tellWhole({ { "e3", "live", 9, false } }, 10);
+  BOOST_TEST(this->Eventually([&] { return listener.StateOf("e2") == EndpointState::Leaving; }));
+  BOOST_TEST(this->Eventually([&] { return listener.StateOf("e3") == EndpointState::Live; }));
+}
+
 BOOST_AUTO_TEST_CASE(AnOlderRecordChangesNothing)
 {
   Daemon& daemon = *this->daemons[4];
