Order ordinary endpoints sooner, and for one more failure domain in a wave

They are ordered from 0.6 on, and while a failure domain gives no reclaimable ones, so many that the loss of the largest other one is covered. The test of the change before asked for none in that state; it now asks for exactly those 17, and for none once reclaimable ones are to be had again.

--- a/Lagoonward/Placement/DemandSizing.cpp
+++ b/Lagoonward/Placement/DemandSizing.cpp
@@ -116,11 +116,18 @@
     }
   }
 
-  // Ordinary ones for what the reclaimable ones that live cannot carry
+  // Ordinary ones for what the reclaimable ones that live cannot carry. While a failure domain gives none, another
+  // may be reclaimed before those lost are replaced
   int missing = static_cast<int>(std::ceil(this->StrainedNeed()));
+  int largest = 0;
+  bool isReclaiming = false;
   for (const std::string& domain : domains) {
-    missing -= std::min(CountIn(aLive, domain).reclaimable, target[domain].reclaimable);
+    const int counted = std::min(CountIn(aLive, domain).reclaimable, target[domain].reclaimable);
+    missing -= counted;
+    largest = std::max(largest, counted);
+    isReclaiming = isReclaiming || this->IsDry(domain);
   }
+  missing += isReclaiming ? largest : 0;
   for (const std::string& domain : domains) {
     // Those that are there already need not boot
     const int kept = std::clamp(missing, 0, CountIn(aLive, domain).ordinary);
--- a/Lagoonward/Placement/DemandSizing.h
+++ b/Lagoonward/Placement/DemandSizing.h
@@ -20,7 +20,7 @@
 
   /// The same up to which ordinary endpoints, several times as dear, do not stand in for missing
   /// reclaimable ones.
-  double strainedUtilization = 0.75;
+  double strainedUtilization = 0.6;
 
   /// Endpoints ordered beyond the need, so that the loss of one failure domain's reclaimable ones leaves
   /// enough.
--- a/UnitTests/Placement/DemandSizingTests.cpp
+++ b/UnitTests/Placement/DemandSizingTests.cpp
@@ -107,11 +107,20 @@
   }
   Accept(sizing, sizing.Plan(large, steady));
 
-  // One failure domain loses a third, neither gives any more; the rest still carries the load
+  // One failure domain loses a third, neither gives any more. The rest carries the load, but would not without the
+  // other failure domain: the 34 that are needed then, less 17
   sizing.OnUnavailable({ "a", true, 25 });
   sizing.OnUnavailable({ "b", true, 25 });
-  const auto orders = sizing.Plan(large, { { "a", { 0, 17 } }, { "b", { 0, 25 } } });
-  BOOST_TEST(CountOf(orders, false) == 0);
+  const Live struck{ { "a", { 0, 17 } }, { "b", { 0, 25 } } };
+  const auto orders = sizing.Plan(large, struck);
+  BOOST_TEST(CountOf(orders, false) == 17);
+  Accept(sizing, orders);
+
+  // Once more are to be had, the ordinary ones go
+  clock.Advance(Seconds(4));
+  sizing.OnLoad(20);
+  const Live both{ { "a", { 9, 17 } }, { "b", { 8, 25 } } };
+  BOOST_TEST(CountOf(sizing.Plan(large, both), false) == 0);
 }
 
 BOOST_AUTO_TEST_CASE(GivesNoneBackBeforeThoseElsewhereLive)
