Tell what a daemon believes in its metrics; split the largest files

On-call engineers could not see from the metrics which configuration a daemon has in force, how many endpoints it knows, who leads.

Gauges for configuration, endpoints by state, daemons, open requests, lease, readers (RelayReporterTests).

--- a/Lagoonward/Daemon/DutyService.h
+++ b/Lagoonward/Daemon/DutyService.h
@@ -76,6 +76,9 @@
   void Drain() override;
   void Stop() override;
 
+  /// Whether this daemon holds the lease. Any thread.
+  [[nodiscard]] bool Leads() const { return this->lease.Status().held; }
+
   /// A request was sent to an endpoint. Any thread.
   void OnSent(const std::string& aService, double aEngineSeconds);
 
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -180,7 +180,7 @@
     this->metrics = std::make_unique<HttpServer>(
       page, [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
         aExchange->Respond(kOk, { { "Content-Type", "text/plain; version=0.0.4" } },
-                           this->reporter.MetricsText());
+                           this->reporter.MetricsText(this->State()));
       });
   }
 }
@@ -211,6 +211,30 @@
   return std::atomic_load(&this->inForce);
 }
 
+RelayState
+RelayDaemon::State() const
+{
+  RelayState state;
+  const RelayConfigurationPtr current = this->InForce();
+  state.configurationVersion = current == nullptr ? 0 : current->routes->Version();
+  // Services that have lost their last endpoint count zero
+  if (current != nullptr) {
+    for (const RelayServiceFacts& service : current->services) {
+      state.endpoints[service.name] = {};
+    }
+  }
+  const FleetSnapshotPtr snapshot = this->fleet.Get();
+  for (const Endpoint& endpoint : snapshot->endpoints) {
+    EndpointTally& tally = state.endpoints[endpoint.name];
+    ++(endpoint.state == EndpointState::Live ? tally.live : tally.leaving);
+  }
+  state.daemons = this->LiveDaemons();
+  state.openRequests = this->callers->OpenExchanges();
+  state.leads = this->duties->Leads();
+  state.readsEndpoints = this->endpoints->IsReader();
+  return state;
+}
+
 int
 RelayDaemon::LiveDaemons() const
 {
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -58,6 +58,9 @@
   /// What is in force; null before the first.
   [[nodiscard]] RelayConfigurationPtr InForce() const;
 
+  /// What this daemon believes now, for its metrics.
+  [[nodiscard]] RelayState State() const;
+
   /// Daemons of the deployment that are thought to live, this one included.
   [[nodiscard]] int LiveDaemons() const;
 
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -45,9 +45,41 @@
   this->onSent = std::move(aHandler);
 }
 
+void
+RelayReporter::SetGauge(const std::string& aName, const std::string& aHelp, double aValue)
+{
+  // The same family and gauge each time
+  prometheus::BuildGauge().Name(aName).Help(aHelp).Register(this->registry).Add({}).Set(aValue);
+}
+
+void
+RelayReporter::SetEndpoints(const RelayState& aState)
+{
+  auto& family = prometheus::BuildGauge()
+                   .Name("lagoonward_relay_endpoints")
+                   .Help("Endpoints known, by service and state.")
+                   .Register(this->registry);
+  for (const auto& [service, tally] : aState.endpoints) {
+    family.Add({ { "service", service }, { "state", "live" } }).Set(tally.live);
+    family.Add({ { "service", service }, { "state", "leaving" } }).Set(tally.leaving);
+  }
+}
+
 std::string
-RelayReporter::MetricsText() const
+RelayReporter::MetricsText(const RelayState& aState)
 {
+  this->SetGauge("lagoonward_relay_configuration_version", "Version in force; 0 for none.",
+                 static_cast<double>(aState.configurationVersion));
+  this->SetGauge("lagoonward_relay_daemons", "Daemons thought to live, this one included.",
+                 aState.daemons);
+  this->SetGauge("lagoonward_relay_open_requests", "Callers that wait for an answer.",
+                 aState.openRequests);
+  this->SetGauge("lagoonward_relay_leads", "1 while this daemon holds the lease.",
+                 aState.leads ? 1 : 0);
+  this->SetGauge("lagoonward_relay_reads_endpoints",
+                 "1 while this daemon reads endpoints' records for its failure domain.",
+                 aState.readsEndpoints ? 1 : 0);
+  this->SetEndpoints(aState);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
 
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -5,15 +5,35 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
+#include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace lagoonward {
 
+/// Endpoints of one service, counted by state.
+struct EndpointTally
+{
+  int live = 0;
+  int leaving = 0;
+};
+
+/// What a daemon believes at the moment at which its metrics are read.
+struct RelayState
+{
+  std::int64_t configurationVersion = 0;          ///< Zero while none is in force.
+  std::map<std::string, EndpointTally> endpoints; ///< By service.
+  int daemons = 0;                                ///< That are thought to live, this one included.
+  int openRequests = 0;                           ///< Callers that wait for an answer here.
+  bool leads = false;                             ///< Whether this daemon holds the lease.
+  bool readsEndpoints = false; ///< Whether it reads endpoints' records for its failure domain.
+};
+
 /// Writes down what happens to relayed requests: a log line for each decision, counters and latencies.
 class RelayReporter final : public RelayObserver
 {
@@ -31,7 +51,7 @@
   void OnSentDo(SentHandler aHandler);
 
   /// The metrics page, in Prometheus' text form.
-  [[nodiscard]] std::string MetricsText() const;
+  [[nodiscard]] std::string MetricsText(const RelayState& aState);
 
   void OnAccepted(const RelayCall& aCall) override;
   void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
@@ -45,6 +65,8 @@
 
 private:
   [[nodiscard]] std::int64_t AgeOf(const RelayCall& aCall) const;
+  void SetGauge(const std::string& aName, const std::string& aHelp, double aValue);
+  void SetEndpoints(const RelayState& aState);
 
   const Clock& clock;
   BeganHandler onBegan;
--- /dev/null
+++ b/Lagoonward/Routing/RouterLearning.cpp
@@ -0,0 +1,186 @@
+#include "Lagoonward/Routing/Router.h"
+
+#include "Lagoonward/Core/Hash.h"
+
+#include <algorithm>
+
+// The part of Router that learns: what becomes of dispatches, what endpoints have cached, what the other daemons
+// have in flight.
+
+namespace lagoonward {
+
+namespace {
+
+/// With so little ahead of it, a request's first token shows the speed of prefill.
+constexpr double kIdleTokens = 64;
+
+double
+ToSeconds(TimePoint::duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
+} // namespace
+
+Dispatch
+Router::OnDispatched(const RouteChoice& aChoice, const RouteRequest& aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  const RoutingTarget& target = aChoice.Target();
+  Dispatch dispatch;
+  dispatch.endpointKey = target.key;
+  dispatch.uncachedTokens = std::max(aRequest.promptTokens - aChoice.cachedTokens, 0);
+  dispatch.isPlainCall = aRequest.isPlainCall;
+  dispatch.priority = aChoice.priority;
+  dispatch.dispatchedAt = this->clock.Now();
+  dispatch.speedIndex = this->speed.IndexOf(aChoice.table->MachineClasses()[target.machineClass]);
+  EndpointActivity* activity = this->FindActivity(target.key);
+  if (activity != nullptr) {
+    const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
+    dispatch.sequences = this->SequencesAt(index, this->PeerFactor(target)) + 1;
+    dispatch.ranIdle =
+      activity->PrefillPending(0) <= kIdleTokens && this->table->Targets()[index].waiting == 0;
+    activity->breaker.OnDispatched(this->settings.breaker, dispatch.dispatchedAt);
+    activity->OnDispatched(dispatch.dispatchedAt, dispatch.uncachedTokens, dispatch.priority);
+    ++this->ownInFlight;
+    this->everywhere.OnDispatched(dispatch.dispatchedAt, 0, dispatch.priority);
+  }
+  this->prefixes.OnDispatched(target.key, aRequest.prefixBlocks);
+  return dispatch;
+}
+
+void
+Router::OnToken(Dispatch& aDispatch)
+{
+  const std::lock_guard lock(this->mutex);
+  const TimePoint now = this->clock.Now();
+  EndpointActivity* activity = this->FindActivity(aDispatch.endpointKey);
+  if (!aDispatch.hasFirstToken) {
+    aDispatch.hasFirstToken = true;
+    if (activity != nullptr) {
+      activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.priority);
+    }
+    if (aDispatch.ranIdle) {
+      const double seconds =
+        ToSeconds(now - aDispatch.dispatchedAt) - this->settings.networkSeconds;
+      this->speed.ObservePrefill(aDispatch.speedIndex, aDispatch.uncachedTokens,
+                                 aDispatch.sequences - 1, seconds);
+    }
+  } else if (activity != nullptr) {
+    const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
+    const double running = std::min<double>(this->SequencesAt(index, 1),
+                                            this->speed.Get(aDispatch.speedIndex).sequences);
+    this->speed.ObserveStep(aDispatch.speedIndex, running, ToSeconds(now - aDispatch.lastToken));
+  }
+  aDispatch.lastToken = now;
+}
+
+void
+Router::OnFinished(Dispatch& aDispatch, DispatchOutcome aOutcome)
+{
+  const std::lock_guard lock(this->mutex);
+  if (aDispatch.finished) {
+    return;
+  }
+  aDispatch.finished = true;
+  EndpointActivity* activity = this->FindActivity(aDispatch.endpointKey);
+  if (activity == nullptr) {
+    return;
+  }
+  const TimePoint now = this->clock.Now();
+  if (!aDispatch.hasFirstToken) {
+    activity->OnFirstToken(aDispatch.uncachedTokens, aDispatch.priority);
+  }
+  if (aDispatch.isPlainCall && aOutcome != DispatchOutcome::Cancelled) {
+    const double seconds = ToSeconds(now - aDispatch.dispatchedAt);
+    const bool isWhole = aOutcome == DispatchOutcome::Completed;
+    activity->OnCallEnded(seconds, isWhole);
+    this->everywhere.OnCallEnded(seconds, isWhole);
+  }
+  activity->OnFinished(now);
+  this->ownInFlight = std::max(this->ownInFlight - 1, 0);
+  if (aOutcome == DispatchOutcome::Completed) {
+    activity->breaker.OnSuccess();
+  } else if (aOutcome == DispatchOutcome::Failed) {
+    activity->breaker.OnFailure(this->settings.breaker, now);
+  }
+}
+
+void
+Router::OnCacheEvents(std::string_view aEndpointId, std::span<const std::uint64_t> aStored,
+                      std::span<const std::uint64_t> aEvicted, bool aGap)
+{
+  const std::uint64_t key = HashBytes(aEndpointId);
+  const std::lock_guard lock(this->mutex);
+  if (aGap) {
+    this->prefixes.OnGap(key);
+  }
+  this->prefixes.OnStored(key, aStored);
+  this->prefixes.OnEvicted(key, aEvicted);
+}
+
+double
+Router::Pressure(const RouteRequest& aRequest) const
+{
+  const std::lock_guard lock(this->mutex);
+  if (!this->table) {
+    return 0;
+  }
+  const auto group = this->table->FindGroup(aRequest);
+  if (!group) {
+    return 0;
+  }
+  double taken = 0;
+  double places = 0;
+  for (const std::uint32_t target : group.value()->targets) {
+    const auto machineClass = this->table->Targets()[target].machineClass;
+    taken += this->SequencesAt(target, this->PeerFactor(this->table->Targets()[target]));
+    places += this->speed.Get(this->speedIndices[machineClass]).sequences;
+  }
+  return places > 0 ? taken / places : 0;
+}
+
+std::vector<EndpointCount>
+Router::OwnInFlight() const
+{
+  const std::lock_guard lock(this->mutex);
+  std::vector<EndpointCount> counts;
+  for (const EndpointActivity& activity : this->activities) {
+    if (activity.InFlight() > 0) {
+      counts.push_back({ activity.Key(), activity.InFlight() });
+    }
+  }
+  return counts;
+}
+
+void
+Router::OnPeersInFlight(std::span<const EndpointCount> aCounts)
+{
+  const std::lock_guard lock(this->mutex);
+  for (EndpointActivity& activity : this->activities) {
+    activity.OnPeersInFlight(0);
+  }
+  for (const EndpointCount& count : aCounts) {
+    if (EndpointActivity* activity = this->FindActivity(count.endpointKey)) {
+      activity->OnPeersInFlight(count.count);
+    }
+  }
+  this->peersInFlightAt = this->clock.Now();
+}
+
+double
+Router::EngineSeconds(const RouteChoice& aChoice, const RouteRequest& aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  const auto& machineClass = aChoice.table->MachineClasses()[aChoice.Target().machineClass];
+  const MachineSpeed& known = this->speed.Get(this->speed.IndexOf(machineClass));
+  const double uncached = std::max(aRequest.promptTokens - aChoice.cachedTokens, 0);
+  // A step's base is shared by those that run beside the request
+  const int places = aChoice.Target().sequences;
+  const double batch = std::max(places > 0 ? places : known.sequences, 1.0);
+  return uncached * known.prefillSecondsPerToken +
+         aRequest.expectedOutputTokens *
+           (known.stepPerSequenceSeconds + known.stepBaseSeconds / batch);
+}
+
+} // namespace lagoonward
