--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -28,6 +28,10 @@
 /// Between two messages about clients' demand; bounds how long daemons do not know of each other's.
 constexpr Milliseconds kDemandInterval{ 250 };
 
+/// Before a configuration that was read is announced to the others: they read it at the same moment, and one of a
+/// thousand routes has 250 KB, 0.2 s of a small host's link. A fifth of the shortest time in which it must be in force.
+constexpr Milliseconds kAnnounceAfter{ 400 };
+
 constexpr Milliseconds kDrainPoll{ 20 };
 
 constexpr int kOk = 200;
@@ -257,6 +261,10 @@
 bool
 RelayDaemon::TakeConfiguration(const std::string& aText, bool aFromPeer)
 {
+  // Read by this daemon and told by others, it comes more than once; to decode a large one stalls a small host
+  if (aText == this->textInForce) {
+    return false;
+  }
   auto decoded = this->ports.decodeConfiguration(aText);
   if (!decoded) {
     kLog.Event(LogLevel::Warning, "configuration_refused",
@@ -276,6 +284,7 @@
   configuration->manifest = next->manifest;
   this->market->ApplyConfiguration(configuration);
   std::atomic_store(&this->inForce, next);
+  this->textInForce = aText;
   this->PublishFleet();
   kLog.Event("configuration", { { "version", version },
                                 { "from_peer", aFromPeer },
@@ -287,7 +296,8 @@
                           { "burst", client.burstTokens } });
   }
   if (!aFromPeer) {
-    this->membership->PublishState({ std::string(kConfigurationState), version, aText });
+    this->membership->PublishState({ std::string(kConfigurationState), version, aText },
+                                   kAnnounceAfter);
   }
   return true;
 }
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -101,6 +101,7 @@
   std::atomic<bool> knowsEndpoints{ false };
   std::atomic<bool> draining{ false };
   std::atomic<bool> refusing{ false }; ///< Too late in the drain to take a request.
+  std::string textInForce;             ///< As it was published. Control thread only.
   std::vector<HostEntry> listed;       ///< Daemons, as told from outside. Control thread only.
   std::vector<SocketAddress> seeds;    ///< As in the newest settings. Control thread only.
 };
--- a/Lagoonward/Membership/MembershipService.cpp
+++ b/Lagoonward/Membership/MembershipService.cpp
@@ -119,7 +119,9 @@
     this->PublishPeers();
     const auto shared = this->readsHostList ? this->hostList.OnRead(hosts) : std::nullopt;
     if (shared) {
-      this->Publish(*shared);
+      if (this->states.Publish(*shared)) {
+        this->Announce(*shared);
+      }
     }
   });
 }
@@ -142,9 +144,23 @@
 }
 
 void
-MembershipService::PublishState(SharedState aState)
+MembershipService::PublishState(SharedState aState, Milliseconds aAnnounceAfter)
 {
-  this->loop.Post([this, state = std::move(aState)] { this->Publish(state); });
+  this->loop.Post([this, state = std::move(aState), aAnnounceAfter] {
+    if (!this->states.Publish(state)) {
+      return;
+    }
+    if (aAnnounceAfter <= Milliseconds(0)) {
+      this->Announce(state);
+      return;
+    }
+    this->loop.After(aAnnounceAfter, [this, topic = state.Topic()] {
+      // Whatever is the newest by then
+      if (const SharedState* newest = this->states.Find(topic)) {
+        this->Announce(*newest);
+      }
+    });
+  });
 }
 
 void
@@ -337,12 +353,10 @@
 }
 
 void
-MembershipService::Publish(const SharedState& aState)
+MembershipService::Announce(const SharedState& aState)
 {
-  if (this->states.Publish(aState)) {
-    this->exchange.QueueNote(aState);
-    this->ScheduleNews();
-  }
+  this->exchange.QueueNote(aState);
+  this->ScheduleNews();
 }
 
 void
--- a/Lagoonward/Membership/MembershipService.h
+++ b/Lagoonward/Membership/MembershipService.h
@@ -80,7 +80,9 @@
 
   /// Publishes a shared state, for example a configuration read from the log, to every daemon. An
   /// older version than the one known changes nothing. Any thread.
-  void PublishState(SharedState aState);
+  /// @param aAnnounceAfter  how long to wait before the others are told: where they read it at the same source
+  ///                        themselves, only those that cannot will then still ask for it
+  void PublishState(SharedState aState, Milliseconds aAnnounceAfter = Milliseconds(0));
 
   /// Called on the control thread for each newer shared state that a peer brought. Returning false
   /// refuses it (malformed); it is then neither kept nor passed on.
@@ -120,7 +122,7 @@
   void ChooseHostListReaders(const PeerView& aView);
   void TakeHosts(const std::vector<HostEntry>& aHosts);
   [[nodiscard]] bool TakeState(const SharedState& aState);
-  void Publish(const SharedState& aState);
+  void Announce(const SharedState& aState);
   void TakeDatagram(PeerKey aSender, const Datagram& aDatagram);
   void TakeNews(PeerKey aSender, const Datagram& aDatagram);
   void Answer(PeerKey aSender, const Datagram& aDatagram);
--- a/UnitTests/Membership/MembershipServiceTests.cpp
+++ b/UnitTests/Membership/MembershipServiceTests.cpp
@@ -113,6 +113,28 @@
   BOOST_TEST(this->AllEventually([&](const MembershipService&) { return adopted == 42; }));
 }
 
+BOOST_AUTO_TEST_CASE(AStateThatAllReadThemselvesIsFetchedByNobody)
+{
+  std::atomic<int> fetched{ 0 };
+  for (const auto& daemon : this->daemons) {
+    daemon->Loop().Run([&] {
+      daemon->OnState([&](const SharedState&) {
+        ++fetched;
+        return true;
+      });
+    });
+  }
+  BOOST_TEST(this->AllEventually(
+    [](const MembershipService& aDaemon) { return aDaemon.Peers()->peers.size() == 3; }));
+  // All but one read it within less than the delay; that one gets it from a peer
+  for (std::size_t index = 0; index < 3; ++index) {
+    this->daemons[index]->PublishState({ "config/market", 42, "forty-two" }, Milliseconds(300));
+  }
+  BOOST_TEST(this->AllEventually([&](const MembershipService&) { return fetched == 1; }));
+  std::this_thread::sleep_for(Milliseconds(300));
+  BOOST_TEST(fetched == 1);
+}
+
 BOOST_AUTO_TEST_CASE(SoftRecordIsFoundThroughAnyDaemonAfterItsServerDied)
 {
   BOOST_TEST(this->AllEventually(
