--- a/Lagoonward/Admission/Admission.cpp
+++ b/Lagoonward/Admission/Admission.cpp
@@ -15,12 +15,6 @@
 /// Weight of the newest request in the averaged duration.
 constexpr double kDurationWeight = 0.05;
 
-double
-ToSeconds(TimePoint::duration aSpan)
-{
-  return std::chrono::duration<double>(aSpan).count();
-}
-
 } // namespace
 
 Ticket::Ticket(Admission& aAdmission, std::uint64_t aClient, const AdmissionRequest& aRequest)
--- a/Lagoonward/Admission/PooledBucket.cpp
+++ b/Lagoonward/Admission/PooledBucket.cpp
@@ -12,12 +12,6 @@
 /// ...but may take this part of what is left in one interval.
 constexpr double kLargestPart = 0.5;
 
-double
-ToSeconds(TimePoint::duration aSpan)
-{
-  return std::chrono::duration<double>(aSpan).count();
-}
-
 } // namespace
 
 PooledBucket::PooledBucket(const PooledBucketSettings& aSettings, TimePoint aNow)
--- a/Lagoonward/Core/Clock.h
+++ b/Lagoonward/Core/Clock.h
@@ -27,6 +27,13 @@
   [[nodiscard]] virtual TimePoint BootNow() const = 0;
 };
 
+/// A span in seconds, for what is reckoned in fractions of them.
+[[nodiscard]] inline double
+ToSeconds(TimePoint::duration aSpan)
+{
+  return std::chrono::duration<double>(aSpan).count();
+}
+
 /// Milliseconds since the Unix epoch.
 [[nodiscard]] std::int64_t
 ToUnixMilliseconds(WallTime aTime);
--- a/Lagoonward/Placement/DemandBook.cpp
+++ b/Lagoonward/Placement/DemandBook.cpp
@@ -30,7 +30,7 @@
     return;
   }
   Run& run = known->second;
-  const double seconds = std::chrono::duration<double>(now - run.heard).count();
+  const double seconds = ToSeconds(now - run.heard);
   if (seconds <= 0) {
     return;
   }
--- a/Lagoonward/Routing/RouteScore.cpp
+++ b/Lagoonward/Routing/RouteScore.cpp
@@ -7,12 +7,6 @@
 
 namespace {
 
-double
-ToSeconds(Milliseconds aSpan)
-{
-  return std::chrono::duration<double>(aSpan).count();
-}
-
 /// Chance that a value predicted with a relative error of about aSpread ends up over its target.
 double
 ChanceOver(double aPredicted, Milliseconds aTarget, double aSpread)
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -18,12 +18,6 @@
 
 constexpr double kSecondsPerHour = 3600;
 
-double
-ToSeconds(TimePoint::duration aSpan)
-{
-  return std::chrono::duration<double>(aSpan).count();
-}
-
 } // namespace
 
 void
--- a/Lagoonward/Routing/RouterLearning.cpp
+++ b/Lagoonward/Routing/RouterLearning.cpp
@@ -14,12 +14,6 @@
 /// With so little ahead of it, a request's first token shows the speed of prefill.
 constexpr double kIdleTokens = 64;
 
-double
-ToSeconds(TimePoint::duration aSpan)
-{
-  return std::chrono::duration<double>(aSpan).count();
-}
-
 } // namespace
 
 Dispatch
--- a/UnitTests/Daemon/EndpointNewsTests.cpp
+++ b/UnitTests/Daemon/EndpointNewsTests.cpp
@@ -31,7 +31,7 @@
 /// One daemon with its picture of the endpoints.
 struct Daemon
 {
-  Daemon(const Clock& aClock, int aIndex, std::string aDomain)
+  Daemon(const Clock& aClock, int aIndex, const std::string& aDomain)
     : membership(aClock, Identity(aIndex, aDomain), KeyRing::Parse(kKey, "test").value(), {},
                  [](const HostEntry&, const MembershipService::PollDone&) {})
     , news(
