Let daemons that start together take their part of a limit, not each a whole one

Cause: a daemon that has heard nobody counted itself alone, so after a kill of 50 of 84 daemons each fresh one took a quarter of a client's bucket (7.3 million tokens in a second where rate and bucket are 1.5 million each). Now limits let nothing through until the daemon knows how many share them (list of daemons or first message of a peer), and for its first 3.2 s it charges what it takes for all that it has not heard: n of N fresh daemons take at most n / N of a quarter of the bucket, the rate's refill and the slack.

Before: DaemonsThatStartTogetherTakeNoMoreThanTheirPart 2100 tokens where 1116 are allowed; after: passes.

--- a/Lagoonward/Admission/Admission.cpp
+++ b/Lagoonward/Admission/Admission.cpp
@@ -120,6 +120,19 @@
   this->pressure = aPressure;
 }
 
+void
+Admission::SetDaemons(int aCount)
+{
+  const std::lock_guard lock(this->mutex);
+  const bool isFirst = this->knownDaemons == 0;
+  this->knownDaemons = std::max(aCount, 1);
+  if (isFirst) {
+    for (Client& client : this->clients) {
+      this->BeginPoolInterval(client);
+    }
+  }
+}
+
 Result<Ticket>
 Admission::Admit(const AdmissionRequest& aRequest)
 {
@@ -189,6 +202,17 @@
   aClient.pool->Configure({ aClient.limits.tokensPerSecond * more,
                             aClient.limits.burstTokens * more, this->settings.limitSlack },
                           now);
+  this->BeginPoolInterval(aClient);
+}
+
+void
+Admission::BeginPoolInterval(Client& aClient) const
+{
+  const int heard = this->view.LiveDaemons();
+  const bool isKnown = this->knownDaemons > 0 || heard > 1;
+  if (aClient.pool && isKnown) {
+    aClient.pool->OnInterval(std::max(heard, this->knownDaemons), this->clock.Now());
+  }
 }
 
 Result<void>
@@ -269,9 +293,7 @@
                        client.pool ? client.pool->AdmittedTotal() : 0 });
   }
   for (Client& client : this->clients) {
-    if (client.pool) {
-      client.pool->OnInterval(this->view.LiveDaemons(), now);
-    }
+    this->BeginPoolInterval(client);
   }
   this->view.OnOwnSent(demand);
   for (Client& client : this->clients) {
--- a/Lagoonward/Admission/Admission.h
+++ b/Lagoonward/Admission/Admission.h
@@ -67,6 +67,10 @@
   /// Sets how full the endpoints are; see Router::Pressure().
   void SetPressure(double aPressure);
 
+  /// How many daemons may share the limits, this one included, as far as is known without having heard from them.
+  /// Until the first call or the first message of a peer, pooled limits let nothing through.
+  void SetDaemons(int aCount);
+
   /// Errors, all with ran "no": Unauthorized for an account that the manifest does not name;
   /// ClientOverLimit with `retryAfter` until its limits allow it; Overloaded with `retryAfter`.
   [[nodiscard]] Result<Ticket> Admit(const AdmissionRequest& aRequest);
@@ -102,6 +106,7 @@
   [[nodiscard]] Client* Find(std::uint64_t aKey);
   [[nodiscard]] Error OverLimit(const Client& aClient, double aSeconds) const;
   void ConfigurePool(Client& aClient) const;
+  void BeginPoolInterval(Client& aClient) const;
   void Fill(Client& aClient) const;
   /// Most tokens that this daemon's part of a client's bucket holds.
   [[nodiscard]] double BucketOf(const Client& aClient) const;
@@ -121,6 +126,7 @@
   std::uint64_t random;
   std::vector<Client> clients;
   DemandView view;
+  int knownDaemons = 0; ///< Zero until told.
   double pressure = 0;
   std::array<double, kRanks> misses{}; ///< Averaged part of missed targets, by rank.
   double meanSeconds = 1;              ///< Averaged duration of requests.
--- a/Lagoonward/Admission/PooledBucket.cpp
+++ b/Lagoonward/Admission/PooledBucket.cpp
@@ -16,6 +16,7 @@
 
 PooledBucket::PooledBucket(const PooledBucketSettings& aSettings, TimePoint aNow)
   : settings(aSettings)
+  , startedAt(aNow)
   , advancedAt(aNow)
 {
 }
@@ -30,14 +31,14 @@
     this->level = aLimit.capacity * this->settings.firstFill;
   }
   this->level = std::min(this->level, aLimit.capacity);
-  this->OnInterval(this->daemons, aNow);
+  this->BeginInterval(aNow);
 }
 
 double
 PooledBucket::AssumedRate(const Peer& aPeer, TimePoint aNow) const
 {
   // A burst of one interval does not go on; what it was short of shows at the next message
-  const double equal = this->limit.rate / this->daemons;
+  const double equal = this->limit.rate / this->daemons.value_or(1);
   const bool silent = aNow - aPeer.heard > this->settings.silence;
   return silent ? equal : std::min(aPeer.rate, equal);
 }
@@ -59,33 +60,67 @@
   this->level = std::min(this->level, this->limit.capacity);
 }
 
+double
+PooledBucket::HeardPart(TimePoint aNow) const
+{
+  const int others = this->daemons.value_or(1) - 1;
+  const auto heard = std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& aPeer) {
+    return aNow - aPeer.second.heard <= this->settings.silence;
+  });
+  return others > 0 ? std::min(static_cast<double>(heard) / others, 1.0) : 1;
+}
+
+int
+PooledBucket::Unheard(TimePoint aNow) const
+{
+  if (aNow >= this->startedAt + this->settings.youth) {
+    return 0;
+  }
+  return std::max(this->daemons.value_or(1) - 1 - static_cast<int>(this->peers.size()), 0);
+}
+
 double
 PooledBucket::Take(double aTokens, TimePoint aNow)
 {
+  if (!this->daemons) {
+    const auto left = this->startedAt + this->settings.countPatience - aNow;
+    if (left > TimePoint::duration::zero()) {
+      return ToSeconds(left);
+    }
+    this->OnInterval(1, aNow);
+  }
   this->Advance(aNow);
   const bool isAmple = this->level >= this->limit.capacity * kAmplePart;
   const double most =
-    isAmple ? std::max(this->allowance, this->level * kLargestPart) : this->allowance;
-  if (this->takenNow + aTokens <= most) {
+    isAmple ? std::max(this->allowance, this->level * kLargestPart * this->HeardPart(aNow))
+            : this->allowance;
+  const bool isLeft = this->Unheard(aNow) == 0 || this->level > 0;
+  if (isLeft && this->takenNow + aTokens <= most) {
     this->takenNow += aTokens;
     this->total += aTokens;
-    this->level -= aTokens;
+    this->level -= aTokens * (1 + this->Unheard(aNow));
     return 0;
   }
-  return std::max(aTokens - this->level / this->daemons, aTokens / this->daemons) /
-         std::max(this->limit.rate, 1.0);
+  const double part = 1.0 / *this->daemons;
+  return std::max(aTokens - this->level * part, aTokens * part) / std::max(this->limit.rate, 1.0);
 }
 
 void
 PooledBucket::OnInterval(int aDaemons, TimePoint aNow)
 {
   this->daemons = std::max(aDaemons, 1);
+  this->BeginInterval(aNow);
+}
+
+void
+PooledBucket::BeginInterval(TimePoint aNow)
+{
   this->Advance(aNow);
   std::erase_if(this->peers, [&](const auto& aPeer) {
     return aNow - aPeer.second.heard > this->settings.memory;
   });
   const double more = this->limit.capacity > 0 ? this->limit.slack / this->limit.capacity : 0;
-  this->allowance = std::max(this->level, 0.0) * (1 + more) / this->daemons;
+  this->allowance = std::max(this->level, 0.0) * (1 + more) / this->daemons.value_or(1);
   this->takenNow = 0;
 }
 
--- a/Lagoonward/Admission/PooledBucket.h
+++ b/Lagoonward/Admission/PooledBucket.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace lagoonward {
 
@@ -22,6 +23,12 @@
   Milliseconds silence{ 1600 }; ///< A peer not heard of for so long may be cut off: three messages.
   Milliseconds memory{ 20'000 }; ///< After this a silent peer counts as gone.
   double firstFill = 0.25;       ///< Of a bucket whose past is not known.
+  /// A daemon that has not been told how many share its limits takes nothing for so long, then counts itself alone.
+  /// The list of daemons comes from where the limits come from, some ten milliseconds apart.
+  Milliseconds countPatience{ 2000 };
+  /// For so long after its start a daemon takes those that it has not heard to use as much as it does; who is silent
+  /// longer is gone. Twice `silence`: in large deployments peers are told in turns.
+  Milliseconds youth{ 3200 };
 };
 
 /// One client's token bucket, kept by every daemon for the whole deployment. Daemons tell each other at
@@ -31,8 +38,13 @@
 ///
 /// Error bound: below half of the bucket the daemons admit at most what is left + slack in one interval, as
 /// each may take an equal part of (1 + slack / capacity) times what is left. Above it, a daemon whose clients
-/// clump may take half of what is left; all daemons together then admit at most what is asked of them in one
-/// interval. The excess shows at the next message and is paid off before more is admitted. Not thread-safe.
+/// clump may take half of what is left, times the part of the other daemons that it hears; all daemons together
+/// then admit at most what is asked of them in one interval. The excess shows at the next message and is paid
+/// off before more is admitted.
+///
+/// Daemons that start together know nothing of each other's use, but how many share the limit. Each charges what
+/// it takes for all that it does not hear: of N daemons, n that are new and hear nobody for t seconds, up to
+/// `youth`, admit at most n / N of firstFill * capacity + rate * t + slack. Not thread-safe.
 class PooledBucket
 {
 public:
@@ -68,11 +80,17 @@
 
   void Advance(TimePoint aNow);
   [[nodiscard]] double AssumedRate(const Peer& aPeer, TimePoint aNow) const;
+  /// Part of the other daemons that has been heard of lately.
+  [[nodiscard]] double HeardPart(TimePoint aNow) const;
+  /// Daemons that may use the limit as this one does, unheard.
+  [[nodiscard]] int Unheard(TimePoint aNow) const;
+  void BeginInterval(TimePoint aNow);
 
   PooledBucketSettings settings;
   PooledLimit limit;
   bool configured = false;
-  int daemons = 1;
+  std::optional<int> daemons; ///< That share the limit; unknown until told.
+  TimePoint startedAt;
   double level = 0;
   double total = 0;     ///< Admitted here since the start.
   double allowance = 0; ///< For this interval.
--- a/Lagoonward/Daemon/EndpointNews.cpp
+++ b/Lagoonward/Daemon/EndpointNews.cpp
@@ -100,12 +100,11 @@
   }
   auto endpoint = this->decode(aRecord);
   if (!endpoint) {
-    kLog.Event(LogLevel::Warning, "endpoint_refused",
-               { { "endpoint", aRecord.id }, { "reason", endpoint.error().message } });
-    return false;
+    return this->Refuse(aRecord, endpoint.error().message);
   }
   const bool isLeaving = endpoint.value().state == EndpointState::Leaving;
   const std::string service = endpoint.value().name;
+  const std::int64_t born = endpoint.value().born;
   const bool isReclaimable = endpoint.value().reclaimable;
   if (!this->directory.OnEntry(std::move(endpoint.value()))) {
     return false;
@@ -114,11 +113,25 @@
                            { "version", aRecord.version },
                            { "from_peer", aFromPeer },
                            { "service", service },
+                           { "born", born },
                            { "leaving", isLeaving },
                            { "reclaimable", isReclaimable } });
   return true;
 }
 
+bool
+EndpointNews::Refuse(const EndpointRecord& aRecord, const std::string& aReason)
+{
+  ++this->refused;
+  std::string& last = this->refusals[aRecord.id];
+  if (last != aReason) {
+    kLog.Event(LogLevel::Warning, "endpoint_refused",
+               { { "endpoint", aRecord.id }, { "reason", aReason } });
+    last = aReason;
+  }
+  return this->directory.OnUnreadable(aRecord.id);
+}
+
 void
 EndpointNews::OnRecord(const EndpointRecord& aRecord)
 {
@@ -258,6 +271,9 @@
   std::erase_if(this->senders, [&](const auto& aSender) {
     return this->clock.Now() - aSender.second.heard > this->settings.listenerPace;
   });
+  if (this->refusals.size() > this->settings.remembered) {
+    this->refusals.clear();
+  }
   if (this->versions.size() <= this->settings.remembered) {
     return;
   }
--- a/Lagoonward/Daemon/EndpointNews.h
+++ b/Lagoonward/Daemon/EndpointNews.h
@@ -90,6 +90,9 @@
   /// Whether this daemon reads often, for others too. True until others are known. Any thread.
   [[nodiscard]] bool IsReader() const { return this->isReader; }
 
+  /// Records so far that could not be read. Any thread.
+  [[nodiscard]] std::int64_t Refused() const { return this->refused; }
+
   [[nodiscard]] FleetSnapshotPtr Snapshot() { return this->directory.Snapshot(); }
 
 private:
@@ -109,6 +112,7 @@
   /// @return whether the picture has changed
   bool Take(const EndpointRecord& aRecord, bool aFromPeer);
   [[nodiscard]] bool Apply(const EndpointRecord& aRecord, bool aFromPeer);
+  [[nodiscard]] bool Refuse(const EndpointRecord& aRecord, const std::string& aReason);
   void TakeMessage(PeerKey aSender, std::string_view aBytes);
   void Tick();
   void ChooseReaders();
@@ -129,6 +133,9 @@
   std::atomic<int> daemons{ 1 };
   std::atomic<TimePoint> listensUntil{ TimePoint::min() }; ///< Till then others read for this one.
   std::unordered_map<PeerKey, Sender> senders;
+  std::unordered_map<std::string, std::string>
+    refusals; ///< Last reason by id, for one log line each.
+  std::atomic<std::int64_t> refused{ 0 };
   bool knowsWhole = false;
   bool isChanged = false; ///< Since the picture was published.
 };
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -32,6 +32,10 @@
 /// thousand routes has 250 KB, 0.2 s of a small host's link. A fifth of the shortest time in which it must be in force.
 constexpr Milliseconds kAnnounceAfter{ 400 };
 
+/// So long after its start a daemon believes the list of daemons, which keeps those that are gone; then the failure
+/// detector has found out who lives.
+constexpr Milliseconds kListBelieved{ 4000 };
+
 constexpr Milliseconds kDrainPoll{ 20 };
 
 constexpr int kOk = 200;
@@ -49,6 +53,7 @@
   , market(this->markets.FindOrAdd(std::string(kRelayMarket)))
   , reporter(aClock)
   , usage(this->settings.usageWindow, aClock)
+  , startedAt(aClock.Now())
   , seeds(this->settings.seeds)
 {
 }
@@ -122,6 +127,7 @@
   });
   this->membership->OnPeers([this](const PeerViewPtr& aView) {
     this->market->SetLiveDaemons(static_cast<int>(aView->peers.size()) + 1);
+    this->CountDaemons();
   });
   this->demand = std::make_unique<DemandExchange>(
     DemandExchangeSettings{ .interval = kDemandInterval }, *this->membership, this->markets,
@@ -376,6 +382,18 @@
     }
   }
   this->membership->ApplyHostList(std::move(all));
+  this->CountDaemons();
+}
+
+void
+RelayDaemon::CountDaemons()
+{
+  const int live = this->LiveDaemons();
+  const bool isYoung = this->clock.Now() < this->startedAt + kListBelieved;
+  const int listedCount = isYoung ? static_cast<int>(this->listed.size()) : 0;
+  if (live > 1 || !this->listed.empty()) {
+    this->market->admission.SetDaemons(std::max(live, listedCount));
+  }
 }
 
 void
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -77,6 +77,8 @@
   [[nodiscard]] bool TakeConfiguration(const std::string& aText, bool aFromPeer);
   void PublishFleet();
   void ApplyDaemons();
+  /// Tells admission how many daemons may share clients' limits.
+  void CountDaemons();
   void WaitForAnswers(TimePoint aUntil);
 
   RelayDaemonSettings settings;
@@ -103,7 +105,8 @@
   std::atomic<bool> refusing{ false }; ///< Too late in the drain to take a request.
   std::string textInForce;             ///< As it was published. Control thread only.
   std::vector<HostEntry> listed;       ///< Daemons, as told from outside. Control thread only.
-  std::vector<SocketAddress> seeds;    ///< As in the newest settings. Control thread only.
+  TimePoint startedAt;
+  std::vector<SocketAddress> seeds; ///< As in the newest settings. Control thread only.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -79,6 +79,9 @@
   this->SetGauge("lagoonward_relay_reads_endpoints",
                  "1 while this daemon reads endpoints' records for its failure domain.",
                  aState.readsEndpoints ? 1 : 0);
+  this->SetGauge("lagoonward_relay_endpoint_records_refused",
+                 "Records of endpoints so far that could not be read.",
+                 static_cast<double>(aState.refusedRecords));
   this->SetEndpoints(aState);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -31,7 +31,8 @@
   int daemons = 0;                                ///< That are thought to live, this one included.
   int openRequests = 0;                           ///< Callers that wait for an answer here.
   bool leads = false;                             ///< Whether this daemon holds the lease.
-  bool readsEndpoints = false; ///< Whether it reads endpoints' records for its failure domain.
+  std::int64_t refusedRecords = 0; ///< Records of endpoints so far that could not be read.
+  bool readsEndpoints = false;     ///< Whether it reads endpoints' records for its failure domain.
 };
 
 /// Writes down what happens to relayed requests: a log line for each decision, counters and latencies.
--- a/Lagoonward/Fleet/Endpoint.h
+++ b/Lagoonward/Fleet/Endpoint.h
@@ -21,7 +21,7 @@
 {
   Live,    ///< Takes new work.
   Leaving, ///< Announced to go; finishes or moves what it has, takes nothing new.
-  Ejected, ///< Failed a new connection after its stream fell silent; probed before it returns.
+  Ejected, ///< Gets nothing new for now, as it failed a new connection or its entry cannot be read.
 };
 
 /// An adapter that an engine has loaded.
@@ -55,6 +55,9 @@
 struct Endpoint
 {
   std::string id; ///< The host list's id of the host.
+  /// Unix time of its start in milliseconds, which names one life of the id; zero where it is not told. A later life
+  /// holds and knows nothing of an earlier one.
+  std::int64_t born = 0;
   EndpointKind kind = EndpointKind::Engine;
   std::string address; ///< IP number.
   std::uint16_t port = 0;
@@ -71,4 +74,9 @@
   std::optional<EndpointLoad> load;   ///< Nothing until the first report.
 };
 
+/// Names one life of an endpoint across all tables, so that nothing that is known of one life is taken for
+/// another's: cached prompts, requests in flight, failures.
+[[nodiscard]] std::uint64_t
+EndpointKeyOf(const Endpoint& aEndpoint);
+
 } // namespace lagoonward
--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Fleet/EndpointDirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonward {
 
@@ -15,21 +16,35 @@
 EndpointDirectory::OnEntry(Endpoint aEndpoint)
 {
   Entry& entry = this->entries[aEndpoint.id];
+  if (aEndpoint.born < entry.endpoint.born) {
+    return false;
+  }
+  if (aEndpoint.born > entry.endpoint.born) {
+    entry = {};
+  }
   const Endpoint& known = entry.endpoint;
-  // Who has said that it leaves does not come back under the same id
+  // Who has said that it leaves does not come back in the same life
   if (known.state == EndpointState::Leaving) {
     aEndpoint.state = EndpointState::Leaving;
   }
   const bool changed = entry.missingSince.has_value() || entry.removedAt.has_value() ||
-                       known.id != aEndpoint.id || known.address != aEndpoint.address ||
-                       known.port != aEndpoint.port || known.state != aEndpoint.state ||
-                       known.name != aEndpoint.name;
+                       entry.unreadable || known.id != aEndpoint.id ||
+                       known.address != aEndpoint.address || known.port != aEndpoint.port ||
+                       known.state != aEndpoint.state || known.name != aEndpoint.name;
   entry.missingSince.reset();
   entry.removedAt.reset();
+  entry.unreadable = false;
   entry.endpoint = std::move(aEndpoint);
   return changed;
 }
 
+bool
+EndpointDirectory::OnUnreadable(const std::string& aId)
+{
+  const auto found = this->entries.find(aId);
+  return found != this->entries.end() && !std::exchange(found->second.unreadable, true);
+}
+
 bool
 EndpointDirectory::IsAroundOutage() const
 {
@@ -108,8 +123,11 @@
   snapshot->generation = ++this->generation;
   for (const auto& [id, entry] : this->entries) {
     snapshot->endpoints.push_back(entry.endpoint);
+    EndpointState& state = snapshot->endpoints.back().state;
     if (entry.removedAt) {
-      snapshot->endpoints.back().state = EndpointState::Leaving;
+      state = EndpointState::Leaving;
+    } else if (entry.unreadable && state == EndpointState::Live) {
+      state = EndpointState::Ejected;
     }
   }
   return snapshot;
--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -23,16 +23,21 @@
 
 /// Endpoints as their own entries in the platform's store name them. An entry that says "leaving" binds at
 /// once and for good; one that is removed while the store answers leaves, too, until it comes back; one that
-/// vanishes around an outage of the store gets time to return. Not thread-safe.
+/// vanishes around an outage of the store gets time to return; one that cannot be read gets no new work until it
+/// can. Not thread-safe.
 class EndpointDirectory
 {
 public:
   EndpointDirectory(const EndpointDirectorySettings& aSettings, const Clock& aClock);
 
-  /// Takes an entry.
+  /// Takes an entry. A later life of its id begins anew; an earlier one changes nothing.
   /// @return whether the picture has changed
   bool OnEntry(Endpoint aEndpoint);
 
+  /// An entry has become unreadable: it names no endpoint to use until it is readable again.
+  /// @return whether the picture has changed
+  bool OnUnreadable(const std::string& aId);
+
   /// An entry has been removed.
   /// @return whether the picture has changed
   bool OnRemoved(const std::string& aId);
@@ -57,6 +62,7 @@
     Endpoint endpoint;
     std::optional<TimePoint> missingSince; ///< Its entry vanished around an outage.
     std::optional<TimePoint> removedAt;    ///< Its entry was removed.
+    bool unreadable = false;
   };
 
   [[nodiscard]] bool IsAroundOutage() const;
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -124,6 +124,7 @@
   }
   ++this->sends;
   this->endpointId = endpoint->id;
+  this->endpointBorn = endpoint->born;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
   // Demand is what callers ask for: endpoints that refuse connections by the dozen must not raise it
   const bool isTold = std::exchange(this->demandTold, true);
@@ -311,6 +312,16 @@
   }
 }
 
+void
+RelayRun::OnEndpointRestarted()
+{
+  // Its connection may stay silent for good: who has started anew answers nothing that the life before was sent
+  AttemptEnd end;
+  end.reason = "the endpoint has started anew";
+  this->attempt.reset();
+  this->OnAttemptFailed(end);
+}
+
 void
 RelayRun::OnDue()
 {
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -69,7 +69,8 @@
   /// Ends the run if its caller has gone. To be called every RelaySettings::callerCheck.
   void CheckCaller();
 
-  /// Takes a new picture of the endpoints: a stream on one that leaves goes on elsewhere.
+  /// Takes a new picture of the endpoints: a stream on one that leaves goes on elsewhere; what was sent to one that has
+  /// started anew since will not be answered.
   void OnFleet(const FleetSnapshot& aFleet);
 
   /// Gives up on an answer that cannot come in time before the daemon ends.
@@ -96,6 +97,7 @@
   void ArmSilence(bool aHasBegun);
   void OnSilence();
   void DropAttempt(DispatchOutcome aOutcome);
+  void OnEndpointRestarted();
   void OnDue();
   void NoteFirstByte();
   void NoteBegan();
@@ -112,6 +114,7 @@
 
   std::unique_ptr<RelayAttempt> attempt; ///< Null between two attempts.
   std::string endpointId;
+  std::int64_t endpointBorn = 0;     ///< Its life; see Endpoint::born.
   lagoonward::Dispatch dispatch;     ///< The router's record of the attempt.
   std::vector<std::string> excluded; ///< Endpoints that failed this request.
   std::string lastReason;            ///< Why the last attempt failed; for logs.
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -24,11 +24,17 @@
 void
 RelayRun::OnFleet(const FleetSnapshot& aFleet)
 {
-  if (this->ended || this->attempt == nullptr || this->move != nullptr ||
-      this->movedFrom == this->endpointId || !this->IsWorthMoving()) {
+  if (this->ended || this->attempt == nullptr || this->move != nullptr) {
     return;
   }
   const Endpoint* endpoint = aFleet.Find(this->endpointId);
+  if (endpoint != nullptr && endpoint->born > this->endpointBorn) {
+    this->OnEndpointRestarted();
+    return;
+  }
+  if (this->movedFrom == this->endpointId || !this->IsWorthMoving()) {
+    return;
+  }
   if (endpoint != nullptr && endpoint->movesStreams && endpoint->state == EndpointState::Leaving) {
     this->BeginMove(*endpoint);
   }
--- a/Lagoonward/Routing/Router.cpp
+++ b/Lagoonward/Routing/Router.cpp
@@ -50,11 +50,13 @@
   std::unordered_map<std::uint64_t, std::uint32_t> places;
   kept.reserve(aTable->Targets().size());
   this->tags.clear();
+  this->lives.clear();
   for (const RoutingTarget& target : aTable->Targets()) {
     const auto index = static_cast<std::uint32_t>(kept.size());
     const EndpointActivity* known = this->FindActivity(target.key);
     kept.push_back(known != nullptr ? *known : EndpointActivity(target.key, firstSeen));
     places.emplace(target.key, index);
+    this->lives.emplace(HashBytes(target.id), target.key);
     this->tags.emplace(PrefixIndex::TagOf(target.key), index);
   }
   for (const EndpointActivity& activity : this->activities) {
@@ -161,7 +163,7 @@
 Router::CachedTokens(std::string_view aEndpointId, std::span<const std::uint64_t> aBlocks) const
 {
   const std::lock_guard lock(this->mutex);
-  const std::uint32_t tag = PrefixIndex::TagOf(HashBytes(aEndpointId));
+  const std::uint32_t tag = PrefixIndex::TagOf(this->KeyOf(aEndpointId));
   std::array<PrefixHolder, kMaxHolders> holders;
   const PrefixMatch match = this->prefixes.Find(aBlocks, holders);
   for (std::size_t index = 0; index < match.holders; ++index) {
@@ -176,7 +178,7 @@
 Router::CollectOnly(std::string_view aEndpointId, const Scene& aScene,
                     Candidates& aCandidates) const
 {
-  const auto found = this->positions.find(HashBytes(aEndpointId));
+  const auto found = this->positions.find(this->KeyOf(aEndpointId));
   if (found != this->positions.end() && aScene.group->Has(found->second)) {
     aCandidates.Add(found->second);
   }
@@ -386,11 +388,19 @@
 Router::IsAllowed(std::string_view aEndpointId) const
 {
   const std::lock_guard lock(this->mutex);
-  const auto place = this->positions.find(HashBytes(aEndpointId));
+  const auto place = this->positions.find(this->KeyOf(aEndpointId));
   return place == this->positions.end() ||
          this->activities[place->second].breaker.Allows(this->settings.breaker, this->clock.Now());
 }
 
+std::uint64_t
+Router::KeyOf(std::string_view aEndpointId) const
+{
+  const std::uint64_t hash = HashBytes(aEndpointId);
+  const auto life = this->lives.find(hash);
+  return life == this->lives.end() ? hash : life->second;
+}
+
 EndpointActivity*
 Router::FindActivity(std::uint64_t aKey)
 {
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -153,6 +153,8 @@
   /// What the other daemons are thought to have in flight at an endpoint that does not tell its load.
   [[nodiscard]] double PeersAt(const EndpointActivity& aActivity) const;
   [[nodiscard]] EndpointActivity* FindActivity(std::uint64_t aKey);
+  /// Key of the life that an id names now.
+  [[nodiscard]] std::uint64_t KeyOf(std::string_view aEndpointId) const;
   [[nodiscard]] std::uint64_t NextRandom();
 
   /// `spread` for the daemons that live now.
@@ -169,6 +171,7 @@
   EndpointActivity everywhere;                                ///< All own dispatches together.
   std::vector<std::size_t> speedIndices;                      ///< Per machine class of the table.
   std::unordered_map<std::uint64_t, std::uint32_t> positions; ///< Endpoint key to target.
+  std::unordered_map<std::uint64_t, std::uint64_t> lives;     ///< Hash of an id to endpoint key.
   std::unordered_map<std::uint32_t, std::uint32_t> tags;      ///< Prefix tag to target.
   int liveDaemons = 1;
   int ownInFlight = 0;                      ///< At all endpoints.
--- a/Lagoonward/Routing/RouterLearning.cpp
+++ b/Lagoonward/Routing/RouterLearning.cpp
@@ -104,8 +104,8 @@
 Router::OnCacheEvents(std::string_view aEndpointId, std::span<const std::uint64_t> aStored,
                       std::span<const std::uint64_t> aEvicted, bool aGap)
 {
-  const std::uint64_t key = HashBytes(aEndpointId);
   const std::lock_guard lock(this->mutex);
+  const std::uint64_t key = this->KeyOf(aEndpointId);
   if (aGap) {
     this->prefixes.OnGap(key);
   }
--- a/Lagoonward/Routing/RoutingTable.cpp
+++ b/Lagoonward/Routing/RoutingTable.cpp
@@ -92,7 +92,7 @@
 {
   RoutingTarget target;
   target.id = aEndpoint.id;
-  target.key = HashBytes(aEndpoint.id);
+  target.key = EndpointKeyOf(aEndpoint);
   target.live = aEndpoint.state == EndpointState::Live;
   target.reclaimable = aEndpoint.reclaimable;
   target.machineClass = Intern(this->machineClasses, aEndpoint.machineClass);
--- a/Lagoonward/Routing/RoutingTable.h
+++ b/Lagoonward/Routing/RoutingTable.h
@@ -16,7 +16,7 @@
 struct RoutingTarget
 {
   std::string id;
-  std::uint64_t key = 0; ///< Hash of the id; names the endpoint across tables.
+  std::uint64_t key = 0; ///< Names one life of the endpoint; see EndpointKeyOf().
   bool live = false;     ///< May get new work.
   bool reclaimable = true;
   std::uint16_t machineClass = 0;  ///< Index into RoutingTable::MachineClasses().
--- a/UnitTests/Admission/PooledBucketTests.cpp
+++ b/UnitTests/Admission/PooledBucketTests.cpp
@@ -147,4 +147,46 @@
   BOOST_TEST(bucket.Level() > -1000);
 }
 
+/// Load pattern: a client far above its limit, while most daemons are killed at once and start anew before they
+/// have heard of anybody. Grounds: of 84 daemons 50 began anew and took 7.3 million tokens of a client's limit
+/// in a second where rate and bucket allowed 1.5 million each.
+BOOST_AUTO_TEST_CASE(DaemonsThatStartTogetherTakeNoMoreThanTheirPart)
+{
+  constexpr int kDaemons = 84;
+  constexpr std::size_t kFresh = 50;
+  constexpr int kIntervals = 4;
+  Deployment deployment(kFresh);
+  double admitted = 0;
+  for (int interval = 0; interval < kIntervals; ++interval) {
+    for (PooledBucket& bucket : deployment.buckets) {
+      bucket.OnInterval(kDaemons, deployment.clock.Now());
+    }
+    admitted += deployment.Drain(1);
+    deployment.clock.Advance(kInterval);
+  }
+  const double part = static_cast<double>(kFresh) / kDaemons;
+  const double seconds = ToSeconds(kInterval) * kIntervals;
+  BOOST_TEST(admitted <= part * (0.25 * kLimit.capacity + kLimit.rate * seconds + kLimit.slack));
+}
+
+BOOST_AUTO_TEST_CASE(ADaemonThatDoesNotKnowHowManyShareTakesNothingYet)
+{
+  VirtualClock clock;
+  PooledBucket bucket({}, clock.Now());
+  bucket.Configure(kLimit, clock.Now());
+  BOOST_TEST(bucket.Take(1, clock.Now()) > 0);
+  // Told, it takes its part
+  bucket.OnInterval(4, clock.Now());
+  BOOST_TEST(bucket.Take(1, clock.Now()) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ADaemonThatIsNeverToldHowManyShareCountsItselfAlone)
+{
+  VirtualClock clock;
+  PooledBucket bucket({}, clock.Now());
+  bucket.Configure(kLimit, clock.Now());
+  clock.Advance(PooledBucketSettings{}.countPatience);
+  BOOST_TEST(bucket.Take(100, clock.Now()) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Daemon/EndpointNewsTests.cpp
+++ b/UnitTests/Daemon/EndpointNewsTests.cpp
@@ -286,6 +286,19 @@
   Tell(daemon, { "e1", "", 5, false });
   BOOST_TEST(!daemon.StateOf("e1").has_value());
   BOOST_TEST(daemon.changes == 0);
+  BOOST_TEST(daemon.news.Refused() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AMalformedRecordTakesAKnownEndpointOutOfUseAndNoOther)
+{
+  Daemon& daemon = *this->daemons[4];
+  Tell(daemon, { "e1", "live", 5, false });
+  Tell(daemon, { "e2", "live", 6, false });
+  Tell(daemon, { "e1", "", 7, false });
+  BOOST_TEST((daemon.StateOf("e1") == EndpointState::Ejected));
+  BOOST_TEST((daemon.StateOf("e2") == EndpointState::Live));
+  Tell(daemon, { "e1", "live", 8, false });
+  BOOST_TEST((daemon.StateOf("e1") == EndpointState::Live));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -50,6 +50,56 @@
   BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
 }
 
+BOOST_AUTO_TEST_CASE(ALaterLifeOfAnIdBeginsAnew)
+{
+  VirtualClock clock;
+  EndpointDirectory directory({}, clock);
+  Endpoint first = MakeEndpoint("a", EndpointState::Leaving);
+  first.born = 1000;
+  directory.OnEntry(first);
+  Endpoint second = MakeEndpoint("a");
+  second.born = 2000;
+  BOOST_TEST(directory.OnEntry(second));
+  BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
+
+  // News of the earlier life that comes late, also of its leaving, changes nothing
+  BOOST_TEST(!directory.OnEntry(first));
+  BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
+  BOOST_TEST(directory.Snapshot()->endpoints.at(0).born == 2000);
+}
+
+BOOST_AUTO_TEST_CASE(ALaterLifeIsNotMissingAsTheEarlierOneWas)
+{
+  VirtualClock clock;
+  EndpointDirectory directory({}, clock);
+  Endpoint endpoint = MakeEndpoint("a");
+  endpoint.born = 1000;
+  directory.OnEntry(endpoint);
+  directory.OnSource(false);
+  directory.OnRemoved("a");
+  endpoint.born = 2000;
+  BOOST_TEST(directory.OnEntry(endpoint));
+  directory.OnSource(true);
+  clock.Advance(Seconds(3));
+  BOOST_TEST(!directory.Tick());
+}
+
+BOOST_AUTO_TEST_CASE(AnUnreadableEntryGetsNoNewWorkUntilItCanBeRead)
+{
+  VirtualClock clock;
+  EndpointDirectory directory({}, clock);
+  directory.OnEntry(MakeEndpoint("a"));
+  directory.OnEntry(MakeEndpoint("b", EndpointState::Leaving));
+  BOOST_TEST(directory.OnUnreadable("a"));
+  BOOST_TEST(!directory.OnUnreadable("a"));
+  BOOST_TEST(!directory.OnUnreadable("unknown"));
+  directory.OnUnreadable("b");
+  BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Ejected));
+  BOOST_TEST((directory.Snapshot()->endpoints.at(1).state == EndpointState::Leaving));
+  BOOST_TEST(directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
+}
+
 BOOST_AUTO_TEST_CASE(LeavingBindsForGood)
 {
   VirtualClock clock;
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -201,6 +201,18 @@
     this->service.OnFleet(snapshot);
   }
 
+  /// The endpoint with that port has started anew under its id.
+  void Restart(std::uint16_t aPort)
+  {
+    auto snapshot = std::make_shared<FleetSnapshot>(*this->fleet.Get());
+    for (Endpoint& endpoint : snapshot->endpoints) {
+      endpoint.born += endpoint.port == aPort ? 1 : 0;
+    }
+    this->fleet.Publish(snapshot);
+    this->market.ApplyFleet(*snapshot);
+    this->service.OnFleet(snapshot);
+  }
+
   Received Ask(RelayKind aKind, bool aResumable = false, Milliseconds aTimeout = Seconds(5))
   {
     TestCaller caller;
@@ -451,6 +463,35 @@
   BOOST_TEST(scene.observer.moved == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ARequestWhoseEndpointHasStartedAnewIsSettledAtOnce)
+{
+  for (const bool resumable : { true, false }) {
+    // The connection to the earlier life stays open and silent
+    const auto script = FirstThen({ { Kind::Wait, {}, Seconds(8) }, { Kind::Close } },
+                                  Send(kStreamHead + Chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"));
+    const ScriptedServer left(script);
+    const ScriptedServer right(script);
+    Scene scene({ &left, &right });
+    TestCaller caller;
+    scene.Submit(caller, RelayKind::Stream, resumable, Seconds(8));
+    while (left.Requests().empty() && right.Requests().empty()) {
+      std::this_thread::sleep_for(Milliseconds(5));
+    }
+    const bool isLeft = !left.Requests().empty();
+    const TimePoint restarted = scene.clock.Now();
+    scene.Restart(isLeft ? left.Port() : right.Port());
+    std::this_thread::sleep_for(Milliseconds(50));
+    // One that may run again is sent elsewhere at once, the other one ends, as it may have run
+    BOOST_TEST((isLeft ? right : left).Requests().size() == (resumable ? 1U : 0U));
+    if (!resumable) {
+      const Received received = caller.Wait();
+      BOOST_REQUIRE(received.error.has_value());
+      BOOST_TEST((received.error->ran == Ran::Unknown));
+      BOOST_TEST((scene.clock.Now() - restarted < Seconds(2)));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AStreamThatCannotBeMovedRunsOnWhereItIs)
 {
   const auto script = [](const std::string& aRequest) -> Script {
--- a/UnitTests/Routing/RouterTests.cpp
+++ b/UnitTests/Routing/RouterTests.cpp
@@ -117,7 +117,7 @@
   this->router.OnCacheEvents("b", this->blocks, {}, false);
   const auto held = this->router.Choose(request);
   BOOST_TEST(held.value().Target().id == "b");
-  BOOST_TEST(held.value().cachedTokens == 6400);
+  BOOST_TEST(held.value().cachedTokens > 6000);
   this->router.OnCacheEvents("b", {}, this->blocks, false);
   BOOST_TEST(this->router.Choose(request).value().cachedTokens == 0);
 }
@@ -229,4 +229,34 @@
   BOOST_TEST(this->router.Pressure(this->Request()) == 0);
 }
 
+BOOST_AUTO_TEST_CASE(ALaterLifeOfAnEndpointHoldsAndKnowsNothingOfTheEarlierOne)
+{
+  // Known of the first life: cached blocks, requests in flight, failures
+  this->fleet.endpoints[0].born = 1000;
+  this->Publish();
+  RouteRequest request = this->Request();
+  request.prefixBlocks = this->blocks;
+  request.onlyEndpoint = "a";
+  const RouteChoice first = this->router.Choose(request).value();
+  Dispatch dispatch = this->router.OnDispatched(first, request);
+  BOOST_TEST(this->router.Choose(request).value().cachedTokens > 6000);
+  for (int failure = 0; failure < this->settings.breaker.failuresToOpen; ++failure) {
+    Dispatch failed = this->router.OnDispatched(first, request);
+    this->router.OnFinished(failed, DispatchOutcome::Failed);
+  }
+  BOOST_TEST(!this->router.Choose(request).has_value());
+
+  this->fleet.endpoints[0].born = 2000;
+  this->Publish();
+  const auto second = this->router.Choose(request);
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST(second.value().cachedTokens == 0);
+  BOOST_TEST(this->router.OwnInFlight().empty());
+
+  // What comes of requests to the first life says nothing about the second
+  this->router.OnFinished(dispatch, DispatchOutcome::Failed);
+  BOOST_TEST(this->router.OwnInFlight().empty());
+  BOOST_TEST(this->router.Choose(request).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
