--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -242,6 +242,7 @@
   state.openRequests = this->callers->OpenExchanges();
   state.leads = this->duties->Leads();
   state.readsEndpoints = this->endpoints->IsReader();
+  state.refusedRecords = this->endpoints->Refused();
   return state;
 }
 
