Learn engines' speed from callers' answers instead of stating one customer's

Cause: routing and sizing stood on constants of one customer (56,600 prompt tokens a second, steps of 3.79 ms). Endpoints that tell no load are now learned from the fastest of their answers: reading from the 0.9 quantile of what was read anew a second, steps from the 0.1 quantile of time per token, the median over all daemons. Faster is followed at once, slower only as far as steps grow alike, as waiting lengthens the reading and not the steps. Daemons report work (tokens, calls), not engine seconds, so a leader weighs it with what is known now; until speed is known the fleet found is held. Target utilization 0.5 to 0.6 and 0.65 to 0.78, as learned speeds include the reading's growth with context.

--- a/Lagoonward/Daemon/DutyService.cpp
+++ b/Lagoonward/Daemon/DutyService.cpp
@@ -24,19 +24,34 @@
 constexpr Milliseconds kUsageReadWait{ 0 };
 constexpr std::int64_t kWindowsKept = 6;
 
-/// What a daemon tells those who may lead. Usage and engine seconds are cumulative.
+/// What a daemon tells those who may lead. Usage and work are cumulative.
 struct LoadReport
 {
   std::uint64_t run = 0;
   bool wantsSum = false; ///< Whether the answer is to be what all others have in flight.
   InFlightCounts inFlight;
   std::map<std::int64_t, std::map<std::string, std::int64_t>> usage;
-  std::map<std::string, double> engineSeconds;
+  std::map<std::string, EngineWork> work;
+  std::vector<SpeedReport> speeds; ///< As it has learned them.
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->run, this->wantsSum, this->inFlight, this->usage, this->engineSeconds);
+    aArchive(this->run, this->wantsSum, this->inFlight, this->usage, this->work, this->speeds);
+  }
+};
+
+/// The answer: what all others have in flight, and the speeds that the receiver goes by.
+struct LoadSum
+{
+  std::uint64_t run = 0; ///< The receiver's.
+  InFlightCounts inFlight;
+  std::vector<SpeedReport> speeds;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->run, this->inFlight, this->speeds);
   }
 };
 
@@ -117,10 +132,10 @@
 }
 
 void
-DutyService::OnSent(const std::string& aService, double aEngineSeconds)
+DutyService::OnSent(const std::string& aService, const EngineWork& aWork)
 {
   const std::lock_guard lock(this->mutex);
-  this->sent[aService] += aEngineSeconds;
+  this->sent[aService] += aWork;
 }
 
 std::vector<std::string>
@@ -156,8 +171,9 @@
   }
   {
     const std::lock_guard lock(this->mutex);
-    report.engineSeconds = { this->sent.begin(), this->sent.end() };
+    report.work = { this->sent.begin(), this->sent.end() };
   }
+  report.speeds = this->facts.router->LearnedSpeeds();
   for (const EndpointCount& count : this->facts.router->OwnInFlight()) {
     report.inFlight.emplace_back(count.endpointKey, count.count);
   }
@@ -196,16 +212,19 @@
 void
 DutyService::TakeSum(std::string_view aBytes)
 {
-  const auto sum = DecodePeerMessage<InFlightCounts>(aBytes);
+  const auto sum = DecodePeerMessage<LoadSum>(aBytes);
   if (!sum) {
     kLog.Warning("A daemon sent a malformed sum of requests in flight.");
     return;
   }
   std::vector<EndpointCount> counts;
-  for (const auto& [key, count] : *sum) {
+  for (const auto& [key, count] : sum->inFlight) {
     counts.push_back({ key, count });
   }
   this->facts.router->OnPeersInFlight(counts);
+  if (sum->run != this->run) {
+    this->facts.router->OnToldSpeeds(sum->run, sum->speeds);
+  }
 }
 
 std::string
@@ -220,15 +239,24 @@
   for (const auto& [window, accounts] : report->usage) {
     counts[window] = { accounts.begin(), accounts.end() };
   }
-  this->Take(report->run, counts, { report->engineSeconds.begin(), report->engineSeconds.end() });
+  this->Take(report->run, counts, { report->work.begin(), report->work.end() });
+  if (report->run != this->run) {
+    this->facts.router->OnToldSpeeds(report->run, report->speeds);
+  }
+  LoadSum sum;
+  sum.run = this->run;
+  sum.speeds = this->facts.router->SpeedsInUse();
   const std::lock_guard lock(this->mutex);
   this->inFlight.OnCounts(report->run, report->inFlight);
-  return report->wantsSum ? EncodePeerMessage(this->inFlight.SumOfOthers(report->run))
-                          : std::string();
+  if (!report->wantsSum) {
+    return {};
+  }
+  sum.inFlight = this->inFlight.SumOfOthers(report->run);
+  return EncodePeerMessage(sum);
 }
 
 void
-DutyService::Take(std::uint64_t aRun, const UsageByWindow& aUsage, const EngineSeconds& aTotals)
+DutyService::Take(std::uint64_t aRun, const UsageByWindow& aUsage, const WorkByService& aTotals)
 {
   const std::lock_guard lock(this->mutex);
   this->usageBook.OnCounts(aRun, aUsage);
@@ -390,6 +418,17 @@
   }
 }
 
+double
+DutyService::SpeedOf(const std::string& aService) const
+{
+  for (const SpeedReport& report : this->facts.router->SpeedsInUse()) {
+    if (report.machineClass == aService) {
+      return 1 / report.prefillSecondsPerToken;
+    }
+  }
+  return 0;
+}
+
 void
 DutyService::SizeService(const RelayServiceFacts& aService)
 {
@@ -399,9 +438,14 @@
       this->sizings.emplace(aService.name, DemandSizing(this->settings.sizing, this->clock)).first;
   }
   DemandSizing& sizing = place->second;
+  EngineWork rate;
   {
     const std::lock_guard lock(this->mutex);
-    sizing.OnLoad(this->demandBook.LoadOf(aService.name));
+    rate = this->demandBook.RateOf(aService.name);
+  }
+  // Until the endpoints' speed is known, the fleet found counts as needed
+  if (const auto load = this->facts.router->EndpointSeconds(aService.name, rate)) {
+    sizing.OnLoad(*load);
   }
   const SizingTerms terms{ aService.scaling->minimum, aService.scaling->maximum,
                            aService.scaling->bootTime, aService.scaling->prices };
@@ -417,6 +461,7 @@
                           { "reclaimable", order.reclaimable },
                           { "count", order.count },
                           { "need", sizing.Need() },
+                          { "prompt_tokens_per_s", this->SpeedOf(aService.name) },
                           { "fencing", *fencing },
                           { "outcome",
                             sentOrder ? "accepted" : GetErrorRule(sentOrder.error().kind).name } });
--- a/Lagoonward/Daemon/DutyService.h
+++ b/Lagoonward/Daemon/DutyService.h
@@ -80,7 +80,7 @@
   [[nodiscard]] bool Leads() const { return this->lease.Status().held; }
 
   /// A request was sent to an endpoint. Any thread.
-  void OnSent(const std::string& aService, double aEngineSeconds);
+  void OnSent(const std::string& aService, const EngineWork& aWork);
 
 private:
   void RunLease();
@@ -92,7 +92,7 @@
   /// @return the answer
   [[nodiscard]] std::string TakeReport(std::string_view aBytes);
   void TakeSum(std::string_view aBytes);
-  void Take(std::uint64_t aRun, const UsageByWindow& aUsage, const EngineSeconds& aTotals);
+  void Take(std::uint64_t aRun, const UsageByWindow& aUsage, const WorkByService& aTotals);
   /// The fencing number if this daemon may act now.
   [[nodiscard]] std::optional<Offset> MayAct() const;
   void OnRefused(Offset aFencing);
@@ -102,6 +102,8 @@
   [[nodiscard]] bool WriteDownUsage(std::int64_t aWindow);
   void SizeServices();
   void SizeService(const RelayServiceFacts& aService);
+  /// Prompt tokens that an endpoint of the service reads a second, as it is taken here; zero while unknown. For logs.
+  [[nodiscard]] double SpeedOf(const std::string& aService) const;
   [[nodiscard]] std::map<std::string, DomainCount> CountLive(const std::string& aService) const;
 
   DutySettings settings;
@@ -119,7 +121,7 @@
   bool stopping = false;
   UsageBook usageBook;
   DemandBook demandBook;
-  EngineSeconds sent; ///< By this daemon, since its start.
+  WorkByService sent; ///< By this daemon, since its start.
   InFlightBook inFlight;
 
   /// The duty thread's own.
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -158,8 +158,8 @@
       this->usage.OnBegan(aCall.account);
     }
   });
-  this->reporter.OnSentDo([this](const RelayCall& aCall, double aEngineSeconds) {
-    this->duties->OnSent(aCall.service, aEngineSeconds);
+  this->reporter.OnSentDo([this](const RelayCall& aCall, const EngineWork& aWork) {
+    this->duties->OnSent(aCall.service, aWork);
   });
 }
 
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -106,10 +106,10 @@
 
 void
 RelayReporter::OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
-                      double aEngineSeconds)
+                      const EngineWork& aWork)
 {
   if (this->onSent) {
-    this->onSent(aCall, aEngineSeconds);
+    this->onSent(aCall, aWork);
   }
   this->attempts.Add({ { "service", aCall.service }, { "outcome", "sent" } }).Increment();
   kLog.Event("sent", { { "request", aCall.id },
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -42,8 +42,8 @@
   /// Told of each request that an endpoint has begun to run.
   using BeganHandler = std::function<void(const RelayCall&)>;
 
-  /// Told of each send and the engine seconds that it is expected to take.
-  using SentHandler = std::function<void(const RelayCall&, double aEngineSeconds)>;
+  /// Told of each send and what it asks of the endpoint.
+  using SentHandler = std::function<void(const RelayCall&, const EngineWork&)>;
 
   explicit RelayReporter(const Clock& aClock);
 
@@ -56,7 +56,7 @@
 
   void OnAccepted(const RelayCall& aCall) override;
   void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
-              double aEngineSeconds) override;
+              const EngineWork& aWork) override;
   void OnBegan(const RelayCall& aCall) override;
   void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint, std::string_view aReason,
                        bool aGoesOn) override;
--- a/Lagoonward/Daemon/RelayTuning.cpp
+++ b/Lagoonward/Daemon/RelayTuning.cpp
@@ -4,15 +4,6 @@
 
 namespace {
 
-/// What the users state of their engines. Not learned further: without load reports the first token of a busy
-/// engine would be taken for a slow one's.
-constexpr SpeedPriors kEngineSpeed{ .prefillTokensPerSecond = 56'600,
-                                    .prefillPerSequence = 0.0000005,
-                                    .stepBaseSeconds = 0.00379,
-                                    .stepPerSequenceSeconds = 0.0000893,
-                                    .sequences = 64,
-                                    .learningRate = 0 };
-
 /// A second of answer time against a second of engine time.
 constexpr double kLatencyWorth = 1;
 
@@ -47,7 +38,6 @@
 MarketSettingsOf(const RelayDaemonSettings& aSettings)
 {
   MarketSettings market;
-  market.routing.speed = kEngineSpeed;
   // Sizing sees to it that no endpoint idles, so requests need not be packed
   market.routing.packing = 0;
   market.routing.latencyWorth = kLatencyWorth;
--- a/Lagoonward/Placement/DemandBook.cpp
+++ b/Lagoonward/Placement/DemandBook.cpp
@@ -19,7 +19,7 @@
 }
 
 void
-DemandBook::OnTotals(std::uint64_t aRun, const EngineSeconds& aTotals)
+DemandBook::OnTotals(std::uint64_t aRun, const WorkByService& aTotals)
 {
   const TimePoint now = this->clock.Now();
   std::erase_if(this->runs,
@@ -38,23 +38,25 @@
   // together
   const double weight = 1 - std::exp(-seconds / kAverageSeconds);
   for (const auto& [service, total] : aTotals) {
-    double& rate = run.rates[service];
-    rate += weight * ((total - run.totals[service]) / seconds - rate);
+    EngineWork& rate = run.rates[service];
+    rate += ((total - run.totals[service]) * (1 / seconds) - rate) * weight;
   }
   run.totals = aTotals;
   run.heard = now;
 }
 
-double
-DemandBook::LoadOf(const std::string& aService) const
+EngineWork
+DemandBook::RateOf(const std::string& aService) const
 {
-  double load = 0;
+  EngineWork sum;
   for (const auto& [key, run] : this->runs) {
     const auto rate = run.rates.find(aService);
     const bool lives = this->clock.Now() - run.heard <= this->memory;
-    load += lives && rate != run.rates.end() ? rate->second : 0;
+    if (lives && rate != run.rates.end()) {
+      sum += rate->second;
+    }
   }
-  return load;
+  return sum;
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Placement/DemandBook.h
+++ b/Lagoonward/Placement/DemandBook.h
@@ -2,16 +2,15 @@
 
 #include "Lagoonward/Core/Clock.h"
 
+#include "Lagoonward/Routing/EngineWork.h"
+
 #include <cstdint>
 #include <map>
 #include <string>
 
 namespace lagoonward {
 
-/// Engine seconds by service.
-using EngineSeconds = std::map<std::string, double, std::less<>>;
-
-/// Sums the load that the daemons tell of. Totals are cumulative per run of a daemon, so messages may be
+/// Sums the work that the daemons tell of. Totals are cumulative per run of a daemon, so messages may be
 /// lost or repeated. Not thread-safe.
 class DemandBook
 {
@@ -19,19 +18,19 @@
   /// @param aMemory  a daemon that has been silent this long no longer counts
   DemandBook(Milliseconds aMemory, const Clock& aClock);
 
-  /// A daemon has told what it has sent to endpoints since its start.
+  /// A daemon has told what work it has sent to endpoints since its start.
   /// @param aRun  names the daemon and this run of it
-  void OnTotals(std::uint64_t aRun, const EngineSeconds& aTotals);
+  void OnTotals(std::uint64_t aRun, const WorkByService& aTotals);
 
-  /// Engine seconds per second that all daemons together send to a service.
-  [[nodiscard]] double LoadOf(const std::string& aService) const;
+  /// Work per second that all daemons together send to a service.
+  [[nodiscard]] EngineWork RateOf(const std::string& aService) const;
 
 private:
   struct Run
   {
     TimePoint heard;
-    EngineSeconds totals;
-    EngineSeconds rates; ///< Averaged over the last few messages.
+    WorkByService totals;
+    WorkByService rates; ///< Averaged over the last few messages.
   };
 
   Milliseconds memory;
--- a/Lagoonward/Placement/DemandSizing.h
+++ b/Lagoonward/Placement/DemandSizing.h
@@ -16,11 +16,11 @@
 {
   /// Part of the endpoints' time that demand may take. Above it, waiting eats the targets for the first
   /// event.
-  double utilization = 0.5;
+  double utilization = 0.6;
 
   /// The same up to which ordinary endpoints, several times as dear, do not stand in for missing
   /// reclaimable ones.
-  double strainedUtilization = 0.65;
+  double strainedUtilization = 0.78;
 
   /// Part of the largest failure domain's reclaimable endpoints that ordinary ones make up for in advance while some
   /// failure domain gives no reclaimable ones: reclaims come in waves. A whole one served large deployments better
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Core/Error.h"
 #include "Lagoonward/Relay/RelayCall.h"
+#include "Lagoonward/Routing/EngineWork.h"
 
 #include <optional>
 #include <string_view>
@@ -25,9 +26,9 @@
   virtual ~RelayObserver() = default;
 
   virtual void OnAccepted(const RelayCall& aCall) = 0;
-  /// @param aEngineSeconds  what it is expected to take there; zero where an earlier send has told of it
+  /// @param aWork  what it asks of the endpoint; nothing where an earlier send has told of it
   virtual void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
-                      double aEngineSeconds) = 0;
+                      const EngineWork& aWork) = 0;
   /// An endpoint has begun to answer for the first time: the request runs.
   virtual void OnBegan(const RelayCall& aCall) = 0;
   virtual void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint,
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -65,6 +65,7 @@
   request.priority = this->call.priority;
   request.isPlainCall = this->call.promptTokens <= 0;
   request.promptTokens = this->call.promptTokens;
+  request.freshTokens = this->FreshTokens();
   request.expectedOutputTokens = std::max(this->call.outputTokens, 1);
   request.prefixBlocks = this->blocks;
   return request;
@@ -129,7 +130,7 @@
   // Demand is what callers ask for: endpoints that refuse connections by the dozen must not raise it
   const bool isTold = std::exchange(this->demandTold, true);
   this->context.observer.OnSent(this->call, this->endpointId, this->sends,
-                                isTold ? 0 : this->context.router.EngineSeconds(aChoice, aRequest));
+                                isTold ? EngineWork{} : this->WorkOf(aChoice));
 
   const TimePoint now = this->context.loop.GetClock().Now();
   SendTerms terms;
@@ -146,6 +147,27 @@
   this->ArmSilence(false);
 }
 
+EngineWork
+RelayRun::WorkOf(const RouteChoice& aChoice) const
+{
+  if (this->call.promptTokens <= 0) {
+    return { 0, 0, 1 };
+  }
+  const int uncached = std::max(this->call.promptTokens - aChoice.cachedTokens, 0);
+  return { static_cast<double>(uncached), static_cast<double>(std::max(this->call.outputTokens, 1)),
+           0 };
+}
+
+int
+RelayRun::FreshTokens() const
+{
+  // The last part of a prompt is the request's own. What was sent before, here or by its caller, may have been read
+  if (this->sends > 0 || !this->lastEventId.empty() || this->call.promptParts.empty()) {
+    return 0;
+  }
+  return this->call.promptParts.back().tokens;
+}
+
 void
 RelayRun::ArmSilence(bool aHasBegun)
 {
@@ -236,6 +258,7 @@
     this->lastEventId = aId;
   }
   ++this->events;
+  this->context.router.OnEvent(this->dispatch, this->call.eventTokens);
   this->caller->WriteEvent(aBytes);
 }
 
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -87,6 +87,10 @@
   void Dispatch();
   [[nodiscard]] RouteRequest MakeRouteRequest() const;
   void BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest);
+  /// What the request asks of its endpoint.
+  [[nodiscard]] EngineWork WorkOf(const RouteChoice& aChoice) const;
+  /// See RouteRequest::freshTokens.
+  [[nodiscard]] int FreshTokens() const;
   [[nodiscard]] bool IsWorthMoving() const;
   void BeginMove(const Endpoint& aSource);
   void OnMoveEnd(const MoveEnd& aEnd);
--- a/Lagoonward/Routing/RouteRequest.h
+++ b/Lagoonward/Routing/RouteRequest.h
@@ -23,7 +23,9 @@
   int priority = 0;                ///< The class's priority; higher goes first.
   TimePoint deadline = TimePoint::max();
 
-  bool isPlainCall = false;     ///< Neither prompt nor tokens: one call, one answer.
+  bool isPlainCall = false; ///< Neither prompt nor tokens: one call, one answer.
+  /// Tokens of the prompt that no endpoint can have read before; zero where that is not known.
+  int freshTokens = 0;
   int promptTokens = 0;         ///< On a resumed request: prompt and tokens already relayed.
   int expectedOutputTokens = 0; ///< Tokens still to come.
   std::span<const std::uint64_t>
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Core/Result.h"
 #include "Lagoonward/Routing/EndpointActivity.h"
+#include "Lagoonward/Routing/EngineWork.h"
 #include "Lagoonward/Routing/PrefixIndex.h"
 #include "Lagoonward/Routing/RouteChoice.h"
 #include "Lagoonward/Routing/RouteRequest.h"
@@ -40,6 +41,7 @@
   std::uint64_t endpointKey = 0;
   std::size_t speedIndex = 0;
   int uncachedTokens = 0;
+  int freshTokens = 0;  ///< As in the request.
   int priority = 0;     ///< As sent to the engine.
   double sequences = 0; ///< Estimated batch at the endpoint when it was sent.
   bool isPlainCall = false;
@@ -48,6 +50,11 @@
   bool finished = false;
   TimePoint dispatchedAt;
   TimePoint lastToken;
+
+  /// Events of a stream so far, and the tokens since a moment, of which speed is learned.
+  int events = 0;
+  int sampleTokens = 0;
+  TimePoint sampleFrom;
 };
 
 /// Chooses the endpoint for each attempt: the one with the lowest expected cost in money.
@@ -83,6 +90,9 @@
   /// A token has arrived. The first one also for plain services: their answer.
   void OnToken(Dispatch& aDispatch);
 
+  /// An event of a stream has arrived from an endpoint that tells no load: speed is learned from it.
+  void OnEvent(Dispatch& aDispatch, int aTokens);
+
   /// The attempt is over. Safe to call twice; only the first call counts.
   void OnFinished(Dispatch& aDispatch, DispatchOutcome aOutcome);
 
@@ -100,8 +110,18 @@
   /// What the other daemons have in flight at endpoints; those not named have none.
   void OnPeersInFlight(std::span<const EndpointCount> aCounts);
 
-  /// Engine seconds that a request is expected to take at its endpoint, if that runs as many as it can.
-  [[nodiscard]] double EngineSeconds(const RouteChoice& aChoice, const RouteRequest& aRequest);
+  /// Seconds of a service's endpoints that some work takes, if each runs as many at once as it can. Nothing while
+  /// their speed is not known.
+  [[nodiscard]] std::optional<double> EndpointSeconds(std::string_view aService,
+                                                      const EngineWork& aWork);
+
+  /// What this daemon itself has learned of endpoints' speed.
+  [[nodiscard]] std::vector<SpeedReport> LearnedSpeeds() const;
+  /// What it goes by, with what others have told.
+  [[nodiscard]] std::vector<SpeedReport> SpeedsInUse() const;
+  /// Another daemon has told either.
+  /// @param aSource  names that daemon
+  void OnToldSpeeds(std::uint64_t aSource, std::span<const SpeedReport> aReports);
 
   /// Rank of a priority, see RoutingTable::RankOf(); zero before the first table.
   [[nodiscard]] int RankOf(int aPriority) const;
@@ -150,6 +170,8 @@
   [[nodiscard]] RouteScore ScoreCall(std::uint32_t aTarget) const;
   /// Varies a price at random, see RoutingSettings::latencyNoise.
   [[nodiscard]] double WithNoise(double aCost);
+  /// Concludes anew from what was learned, if the last time is long enough ago.
+  void RefreshSpeed(TimePoint aNow);
   /// What the other daemons are thought to have in flight at an endpoint that does not tell its load.
   [[nodiscard]] double PeersAt(const EndpointActivity& aActivity) const;
   [[nodiscard]] EndpointActivity* FindActivity(std::uint64_t aKey);
@@ -166,6 +188,7 @@
   std::uint64_t random;
   RoutingTablePtr table;
   SpeedModel speed;
+  TimePoint speedRefreshedAt;
   PrefixIndex prefixes;
   std::vector<EndpointActivity> activities;                   ///< Parallel to the table's targets.
   EndpointActivity everywhere;                                ///< All own dispatches together.
--- a/Lagoonward/Routing/RouterLearning.cpp
+++ b/Lagoonward/Routing/RouterLearning.cpp
@@ -14,6 +14,12 @@
 /// With so little ahead of it, a request's first token shows the speed of prefill.
 constexpr double kIdleTokens = 64;
 
+/// Events of a stream that make one observation: two that arrive together still leave the others' time true.
+constexpr int kEventsPerSample = 4;
+
+/// Between two conclusions from what was observed: the speed changes slowly, and each costs some microseconds.
+constexpr Milliseconds kSpeedPace{ 250 };
+
 } // namespace
 
 Dispatch
@@ -24,6 +30,7 @@
   Dispatch dispatch;
   dispatch.endpointKey = target.key;
   dispatch.uncachedTokens = std::max(aRequest.promptTokens - aChoice.cachedTokens, 0);
+  dispatch.freshTokens = aRequest.freshTokens;
   dispatch.isPlainCall = aRequest.isPlainCall;
   dispatch.priority = aChoice.priority;
   dispatch.dispatchedAt = this->clock.Now();
@@ -69,6 +76,40 @@
   aDispatch.lastToken = now;
 }
 
+void
+Router::OnEvent(Dispatch& aDispatch, int aTokens)
+{
+  const TimePoint now = this->clock.Now();
+  aDispatch.sampleTokens += aTokens;
+  const bool isFirst = aDispatch.events++ == 0;
+  if (!isFirst && aDispatch.events % kEventsPerSample != 1) {
+    return;
+  }
+  const std::lock_guard lock(this->mutex);
+  if (isFirst) {
+    const double seconds = ToSeconds(now - aDispatch.dispatchedAt) - this->settings.networkSeconds;
+    this->speed.ObserveFreshPrompt(aDispatch.speedIndex, now, aDispatch.freshTokens, seconds);
+  } else if (const EndpointActivity* activity = this->FindActivity(aDispatch.endpointKey)) {
+    const auto index = static_cast<std::uint32_t>(activity - this->activities.data());
+    this->speed.ObserveTokens(
+      aDispatch.speedIndex, now,
+      this->SequencesAt(index, this->PeerFactor(this->table->Targets()[index])),
+      ToSeconds(now - aDispatch.sampleFrom) / aDispatch.sampleTokens);
+  }
+  aDispatch.sampleFrom = now;
+  aDispatch.sampleTokens = 0;
+  this->RefreshSpeed(now);
+}
+
+void
+Router::RefreshSpeed(TimePoint aNow)
+{
+  if (aNow >= this->speedRefreshedAt + kSpeedPace) {
+    this->speedRefreshedAt = aNow;
+    this->speed.Refresh(aNow);
+  }
+}
+
 void
 Router::OnFinished(Dispatch& aDispatch, DispatchOutcome aOutcome)
 {
@@ -162,19 +203,54 @@
   this->peersInFlightAt = this->clock.Now();
 }
 
-double
-Router::EngineSeconds(const RouteChoice& aChoice, const RouteRequest& aRequest)
+std::optional<double>
+Router::EndpointSeconds(std::string_view aService, const EngineWork& aWork)
 {
   const std::lock_guard lock(this->mutex);
-  const auto& machineClass = aChoice.table->MachineClasses()[aChoice.Target().machineClass];
-  const MachineSpeed& known = this->speed.Get(this->speed.IndexOf(machineClass));
-  const double uncached = std::max(aRequest.promptTokens - aChoice.cachedTokens, 0);
+  this->RefreshSpeed(this->clock.Now());
+  const std::size_t index = this->speed.IndexOf(aService);
+  const MachineSpeed& known = this->speed.Get(index);
+  const bool isEngine = aWork.promptTokens > 0 || aWork.outputTokens > 0;
+  if (isEngine && !this->speed.IsLearned(index)) {
+    return std::nullopt;
+  }
+  double places = known.sequences;
+  if (this->table) {
+    for (const RoutingTarget& target : this->table->Targets()) {
+      if (this->table->MachineClasses()[target.machineClass] == aService && target.sequences > 0) {
+        places = target.sequences;
+      }
+    }
+  }
   // A step's base is shared by those that run beside the request
-  const int places = aChoice.Target().sequences;
-  const double batch = std::max(places > 0 ? places : known.sequences, 1.0);
-  return uncached * known.prefillSecondsPerToken +
-         aRequest.expectedOutputTokens *
-           (known.stepPerSequenceSeconds + known.stepBaseSeconds / batch);
+  places = std::max(places, 1.0);
+  const double call = std::max(this->everywhere.CallCost(), 0.0);
+  return aWork.promptTokens * known.prefillSecondsPerToken +
+         aWork.outputTokens * (known.stepPerSequenceSeconds + known.stepBaseSeconds / places) +
+         aWork.calls * call / places;
+}
+
+std::vector<SpeedReport>
+Router::LearnedSpeeds() const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->speed.Learned();
+}
+
+std::vector<SpeedReport>
+Router::SpeedsInUse() const
+{
+  const std::lock_guard lock(this->mutex);
+  return this->speed.InUse();
+}
+
+void
+Router::OnToldSpeeds(std::uint64_t aSource, std::span<const SpeedReport> aReports)
+{
+  const std::lock_guard lock(this->mutex);
+  for (const SpeedReport& report : aReports) {
+    this->speed.OnTold(aSource, report, this->clock.Now());
+  }
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Routing/RoutingSettings.h
+++ b/Lagoonward/Routing/RoutingSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Routing/SpeedEnvelope.h"
 
 #include <cstddef>
 
@@ -19,6 +20,9 @@
   double learningRate = 0.02;       ///< Share of one observation's error that is corrected.
   double range = 8;                 ///< Learned values stay within prior / range and prior * range.
   double serviceCallSeconds = 0.02; ///< How long a plain service's call takes.
+
+  /// Endpoints that tell no load are learned from the fastest of their answers instead of from each one's error.
+  SpeedEnvelopeSettings envelope;
 };
 
 /// Bounds of what a daemon remembers of prefix caches.
--- a/Lagoonward/Routing/SpeedModel.cpp
+++ b/Lagoonward/Routing/SpeedModel.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Routing/SpeedModel.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lagoonward {
 
@@ -31,7 +32,8 @@
   const MachineSpeed speed{ 1 / this->priors.prefillTokensPerSecond,
                             this->priors.prefillPerSequence, this->priors.stepBaseSeconds,
                             this->priors.stepPerSequenceSeconds, this->priors.sequences };
-  this->classes.push_back({ std::string(aMachineClass), speed });
+  this->classes.push_back(
+    { std::string(aMachineClass), speed, SpeedEnvelope(this->priors.envelope), {}, {}, {} });
   return this->classes.size() - 1;
 }
 
@@ -71,6 +73,132 @@
                   this->priors.stepPerSequenceSeconds);
 }
 
+void
+SpeedModel::ObserveFreshPrompt(std::size_t aIndex, TimePoint aNow, int aFreshTokens,
+                               double aSeconds)
+{
+  this->classes[aIndex].envelope.OnPrompt(aNow, aFreshTokens, aSeconds);
+}
+
+void
+SpeedModel::ObserveTokens(std::size_t aIndex, TimePoint aNow, double aSequences,
+                          double aSecondsPerToken)
+{
+  this->classes[aIndex].envelope.OnStep(aNow, aSequences, aSecondsPerToken);
+}
+
+void
+SpeedModel::Refresh(TimePoint aNow)
+{
+  for (MachineClass& each : this->classes) {
+    this->Conclude(each, aNow);
+    this->Combine(each, aNow);
+  }
+}
+
+void
+SpeedModel::Conclude(MachineClass& aClass, TimePoint aNow) const
+{
+  const auto steps = aClass.envelope.Steps(aNow);
+  const auto speed =
+    steps ? aClass.envelope.PromptTokensPerSecond(aNow, steps->base) : std::nullopt;
+  if (!speed) {
+    return;
+  }
+  SpeedReport next{ aClass.name, 1 / *speed, steps->base, steps->perSequence,
+                    static_cast<std::uint32_t>(aClass.envelope.CountPrompts(aNow)) };
+  if (aClass.own) {
+    const SpeedEnvelopeSettings& settings = this->priors.envelope;
+    const auto since = ToSeconds(aNow - aClass.concludedAt);
+    const auto follow = [&](double aKnown, double aConcluded, Milliseconds aSlower) {
+      const Milliseconds constant = aConcluded < aKnown ? settings.fasterAfter : aSlower;
+      return aKnown + (1 - std::exp(-since / ToSeconds(constant))) * (aConcluded - aKnown);
+    };
+    const SpeedReport& known = *aClass.own;
+    next.stepBaseSeconds =
+      follow(known.stepBaseSeconds, next.stepBaseSeconds, settings.slowerAfter);
+    next.stepPerSequenceSeconds =
+      follow(known.stepPerSequenceSeconds, next.stepPerSequenceSeconds, settings.slowerAfter);
+    // An engine that has become slower reads and writes slower alike; if only its reading has, it is busy
+    const double growth = std::max(next.stepBaseSeconds / known.stepBaseSeconds, 1.0);
+    const double reading = known.prefillSecondsPerToken * growth;
+    next.prefillSecondsPerToken =
+      follow(reading, std::min(next.prefillSecondsPerToken, reading * settings.busiestReading),
+             settings.busyAfter);
+  }
+  aClass.own = std::move(next);
+  aClass.concludedAt = aNow;
+}
+
+void
+SpeedModel::Combine(MachineClass& aClass, TimePoint aNow) const
+{
+  std::erase_if(aClass.told, [&](const auto& aTold) {
+    return aNow - aTold.second.heard > this->priors.envelope.toldMemory;
+  });
+  std::vector<const SpeedReport*> reports;
+  if (aClass.own) {
+    reports.push_back(&*aClass.own);
+  }
+  for (const auto& [source, told] : aClass.told) {
+    reports.push_back(&told.report);
+  }
+  if (reports.empty()) {
+    return;
+  }
+  const auto median = [&](double SpeedReport::*aMember) {
+    std::vector<double> values;
+    for (const SpeedReport* report : reports) {
+      values.push_back(report->*aMember);
+    }
+    std::sort(values.begin(), values.end());
+    return (values[(values.size() - 1) / 2] + values[values.size() / 2]) / 2;
+  };
+  MachineSpeed& speed = aClass.speed;
+  speed.prefillSecondsPerToken = median(&SpeedReport::prefillSecondsPerToken);
+  speed.prefillPerSequence = speed.prefillSecondsPerToken * this->priors.envelope.besidePart;
+  speed.stepBaseSeconds = median(&SpeedReport::stepBaseSeconds);
+  speed.stepPerSequenceSeconds = median(&SpeedReport::stepPerSequenceSeconds);
+}
+
+std::vector<SpeedReport>
+SpeedModel::Learned() const
+{
+  std::vector<SpeedReport> reports;
+  for (const MachineClass& each : this->classes) {
+    if (each.own) {
+      reports.push_back(*each.own);
+    }
+  }
+  return reports;
+}
+
+std::vector<SpeedReport>
+SpeedModel::InUse() const
+{
+  std::vector<SpeedReport> reports;
+  for (std::size_t index = 0; index < this->classes.size(); ++index) {
+    const MachineClass& each = this->classes[index];
+    if (this->IsLearned(index)) {
+      reports.push_back({ each.name, each.speed.prefillSecondsPerToken, each.speed.stepBaseSeconds,
+                          each.speed.stepPerSequenceSeconds, each.own ? each.own->prompts : 0 });
+    }
+  }
+  return reports;
+}
+
+void
+SpeedModel::OnTold(std::uint64_t aSource, const SpeedReport& aReport, TimePoint aNow)
+{
+  const auto isTime = [](double aSeconds) { return std::isfinite(aSeconds) && aSeconds > 0; };
+  if (!isTime(aReport.prefillSecondsPerToken) || !isTime(aReport.stepBaseSeconds) ||
+      !std::isfinite(aReport.stepPerSequenceSeconds) || aReport.stepPerSequenceSeconds < 0) {
+    return;
+  }
+  MachineClass& known = this->classes[this->IndexOf(aReport.machineClass)];
+  known.told[aSource] = { aNow, aReport };
+}
+
 void
 SpeedModel::ObserveLoad(std::size_t aIndex, int aWaiting, int aRunning)
 {
--- a/Lagoonward/Routing/SpeedModel.h
+++ b/Lagoonward/Routing/SpeedModel.h
@@ -1,7 +1,11 @@
 #pragma once
 
 #include "Lagoonward/Routing/RoutingSettings.h"
+#include "Lagoonward/Routing/SpeedEnvelope.h"
 
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -30,9 +34,28 @@
   }
 };
 
-/// Learns how fast each machine class prefills and decodes, by correcting a share of each
-/// observation's error (normalised least mean squares). Values stay within a range of the priors, so
-/// that a stalled connection cannot teach nonsense. Not thread-safe.
+/// What is known of one machine class, as daemons tell each other.
+struct SpeedReport
+{
+  std::string machineClass;
+  double prefillSecondsPerToken = 0;
+  double stepBaseSeconds = 0;
+  double stepPerSequenceSeconds = 0;
+  std::uint32_t prompts = 0; ///< Answers that it rests on.
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->machineClass, this->prefillSecondsPerToken, this->stepBaseSeconds,
+             this->stepPerSequenceSeconds, this->prompts);
+  }
+};
+
+/// Learns how fast each machine class prefills and decodes. Where endpoints report their load, a share of each
+/// observation's error is corrected (normalised least mean squares), and values stay within a range of the priors, so
+/// that a stalled connection cannot teach nonsense. Where they do not, the fastest answers are taken for the
+/// engine's speed (SpeedEnvelope), without any bound, and the median over all daemons that tell theirs is used, so that a
+/// fresh daemon knows with the first message. Not thread-safe.
 class SpeedModel
 {
 public:
@@ -52,17 +75,58 @@
   /// Time between two tokens while the batch held about aSequences.
   void ObserveStep(std::size_t aIndex, double aSequences, double aSeconds);
 
+  /// First token of a request to an endpoint that tells no load; see SpeedEnvelope::OnPrompt().
+  void ObserveFreshPrompt(std::size_t aIndex, TimePoint aNow, int aFreshTokens, double aSeconds);
+
+  /// Tokens that followed each other there; see SpeedEnvelope::OnStep().
+  void ObserveTokens(std::size_t aIndex, TimePoint aNow, double aSequences,
+                     double aSecondsPerToken);
+
+  /// Concludes from what was observed. To be called some times a second; Get() changes only here.
+  void Refresh(TimePoint aNow);
+
+  /// Whether the speed of a class was learned from its answers, here or by a daemon that has told of it.
+  [[nodiscard]] bool IsLearned(std::size_t aIndex) const
+  {
+    return this->classes[aIndex].own || !this->classes[aIndex].told.empty();
+  }
+
+  /// What this daemon itself has learned from answers.
+  [[nodiscard]] std::vector<SpeedReport> Learned() const;
+
+  /// What is in use for all classes whose speed was learned.
+  [[nodiscard]] std::vector<SpeedReport> InUse() const;
+
+  /// Another daemon has told what it has learned, or has in use.
+  /// @param aSource  names that daemon
+  void OnTold(std::uint64_t aSource, const SpeedReport& aReport, TimePoint aNow);
+
   /// A load report: an engine where requests wait is full, and one that runs more than it was thought to
   /// can run that many.
   void ObserveLoad(std::size_t aIndex, int aWaiting, int aRunning);
 
 private:
+  struct Told
+  {
+    TimePoint heard;
+    SpeedReport report;
+  };
+
   struct MachineClass
   {
     std::string name;
-    MachineSpeed speed;
+    MachineSpeed speed; ///< In use.
+    SpeedEnvelope envelope;
+    std::optional<SpeedReport> own;     ///< As this daemon has learned it.
+    TimePoint concludedAt;              ///< When it was last learned.
+    std::map<std::uint64_t, Told> told; ///< By daemon.
   };
 
+  /// Follows what the answers seen here show now.
+  void Conclude(MachineClass& aClass, TimePoint aNow) const;
+  /// Brings own and told together.
+  void Combine(MachineClass& aClass, TimePoint aNow) const;
+
   [[nodiscard]] double Bounded(double aValue, double aPrior) const;
 
   SpeedPriors priors;
--- a/UnitTests/Placement/DemandSizingTests.cpp
+++ b/UnitTests/Placement/DemandSizingTests.cpp
@@ -18,7 +18,7 @@
 DemandSizing
 MakeSettled(VirtualClock& aClock, const Live& aLive, double aLoad)
 {
-  DemandSizing sizing({}, aClock);
+  DemandSizing sizing({ .utilization = 0.5, .strainedUtilization = 0.65 }, aClock);
   static_cast<void>(sizing.Plan(kTerms, aLive));
   for (int second = 0; second < 10; ++second) {
     aClock.Advance(Seconds(1));
@@ -99,7 +99,7 @@
   VirtualClock clock;
   const SizingTerms large{ 1, 60, Milliseconds(4000), { { "a", 1.0 }, { "b", 1.0 } } };
   const Live steady{ { "a", { 0, 25 } }, { "b", { 0, 25 } } };
-  DemandSizing sizing({}, clock);
+  DemandSizing sizing({ .utilization = 0.5, .strainedUtilization = 0.65 }, clock);
   static_cast<void>(sizing.Plan(large, steady));
   for (int second = 0; second < 20; ++second) {
     clock.Advance(Seconds(1));
@@ -198,24 +198,24 @@
   VirtualClock clock;
   DemandBook book(Seconds(3), clock);
   for (int message = 0; message <= 60; ++message) {
-    book.OnTotals(1, { { "s", message * 0.5 } });
-    book.OnTotals(2, { { "s", message * 1.0 } });
+    book.OnTotals(1, { { "s", { message * 0.5 } } });
+    book.OnTotals(2, { { "s", { message * 1.0 } } });
     clock.Advance(Milliseconds(500));
   }
-  BOOST_TEST(book.LoadOf("s") == 3.0, boost::test_tools::tolerance(0.02));
-  BOOST_TEST(book.LoadOf("other") == 0);
+  BOOST_TEST(book.RateOf("s").promptTokens == 3.0, boost::test_tools::tolerance(0.02));
+  BOOST_TEST(book.RateOf("other").promptTokens == 0);
   // Messages that were held up come together: what they tell is no burst
   for (int message = 61; message <= 66; ++message) {
     clock.Advance(message == 61 ? Milliseconds(2'500) : Milliseconds(1));
-    book.OnTotals(1, { { "s", message * 0.5 } });
-    book.OnTotals(2, { { "s", message * 1.0 } });
+    book.OnTotals(1, { { "s", { message * 0.5 } } });
+    book.OnTotals(2, { { "s", { message * 1.0 } } });
   }
-  BOOST_TEST(book.LoadOf("s") == 3.0, boost::test_tools::tolerance(0.35));
+  BOOST_TEST(book.RateOf("s").promptTokens == 3.0, boost::test_tools::tolerance(0.35));
   // One that has gone no longer counts
   clock.Advance(Seconds(2));
-  book.OnTotals(1, { { "s", 35.0 } });
+  book.OnTotals(1, { { "s", { 35.0 } } });
   clock.Advance(Seconds(2));
-  BOOST_TEST(book.LoadOf("s") < 2);
+  BOOST_TEST(book.RateOf("s").promptTokens < 2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -136,10 +136,10 @@
 {
 public:
   void OnAccepted(const RelayCall&) override {}
-  void OnSent(const RelayCall&, std::string_view, int, double aEngineSeconds) override
+  void OnSent(const RelayCall&, std::string_view, int, const EngineWork& aWork) override
   {
     ++this->sent;
-    this->withDemand += aEngineSeconds > 0 ? 1 : 0;
+    this->withDemand += aWork.calls + aWork.outputTokens > 0 ? 1 : 0;
   }
   void OnBegan(const RelayCall&) override { ++this->began; }
   void OnAttemptFailed(const RelayCall&, std::string_view, std::string_view, bool) override {}
@@ -151,7 +151,7 @@
   void OnEnded(const RelayCall&, const RelayEnd&) override { ++this->ended; }
 
   std::atomic<int> sent{ 0 };
-  std::atomic<int> withDemand{ 0 }; ///< Sends that told of engine time.
+  std::atomic<int> withDemand{ 0 }; ///< Sends that told of work.
   std::atomic<int> began{ 0 };
   std::atomic<int> ended{ 0 };
   std::atomic<int> moved{ 0 };
