--- a/Lagoonward/Routing/SpeedModel.cpp
+++ b/Lagoonward/Routing/SpeedModel.cpp
@@ -148,6 +148,7 @@
   }
   const auto median = [&](double SpeedReport::*aMember) {
     std::vector<double> values;
+    values.reserve(reports.size());
     for (const SpeedReport* report : reports) {
       values.push_back(report->*aMember);
     }
--- a/UnitTests/Routing/SpeedEnvelopeTests.cpp
+++ b/UnitTests/Routing/SpeedEnvelopeTests.cpp
@@ -43,7 +43,7 @@
       this->clock.Advance(
         std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(pause)));
       const double now = ToSeconds(this->clock.Now().time_since_epoch());
-      const auto place = static_cast<std::size_t>(chance(this->random) * this->freeAt.size());
+      const std::size_t place = this->random() % this->freeAt.size();
       const double slowness = static_cast<int>(place) < aPattern.slowEndpoints ? 3 : 1;
       const int own = std::clamp(static_cast<int>(fresh(this->random)), 100, 12'000);
       double read = own + (chance(this->random) < aPattern.hitPart ? 0 : 6'000);
