Judge news of endpoints by its age, not by when it comes

What callers saw: requests reached endpoints later than allowed after these had said that they leave.

Cause: a daemon took every message that came for news and read nothing by itself while messages came, though what they told of could be seconds old: held up at the reader, at an aggregator, on a link or in a queue. Nothing knew how old a picture is, nor told it.

Now each picture has an age, carried along with the news and lengthened by the time on the way (DelayMeter, the base delay of RFC 6817); a daemon reads by itself once its picture is older than the silence it waited for before. A picture is whole up to a version of the source, and news extends it only without a gap, which replaces the time that a daemon had to hear of reads before it believed them.

Sight: endpoints_late and endpoints_current, endpoints_age_ms at each send, lagoonward_relay_endpoints_age_seconds.

Changed tests: ADaemonReadsByItselfUntilItHearsOfReadsForAWhile let a daemon listen that had never read the whole, after 1.8 s of messages; it becomes ADaemonReadsByItselfUntilItHasReadTheWhole, which lets it listen at no time before and at once afterwards. WhoHearsOfReadsNeedNotAskForConfigurations and WhoHasNotReadTheWholeTellsNobodyThatItReads wait for the age to pass.

--- a/Lagoonward/Daemon/EndpointNews.cpp
+++ b/Lagoonward/Daemon/EndpointNews.cpp
@@ -17,31 +17,24 @@
 constexpr auto kEndpointNews =
   static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstForeign) + 4);
 
-/// One record as daemons tell each other.
-struct NewsEntry
-{
-  EndpointRecord record;
-
-  template<class Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(this->record.id, this->record.text, this->record.version, this->record.removed);
-  }
-};
-
-/// The source was read just now; the entries are what has changed of late.
+/// The picture of the sender, as far as the receiver may not have it.
 struct NewsMessage
 {
-  bool isForAll = false;          ///< Whether the receiver is to tell its group.
-  std::int64_t covers = 0;        ///< Milliseconds before which changes are not among the entries.
+  bool isForAll = false; ///< Whether the receiver is to tell its group.
+  std::int64_t sentAt =
+    0;                  ///< The sender's BootNow() in milliseconds; only differences say something.
+  std::int64_t age = 0; ///< Of the sender's picture, in milliseconds.
+  std::int64_t from = 0;          ///< All changes of this version and above are among the entries.
+  std::int64_t end = 0;           ///< The sender's picture is whole below this version.
   std::uint64_t digest = 0;       ///< Of the endpoints that live as the sender knows them.
   std::int64_t configuration = 0; ///< Version in force at the sender.
-  std::vector<NewsEntry> entries;
+  std::vector<EndpointRecord> entries;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->isForAll, this->covers, this->digest, this->configuration, this->entries);
+    aArchive(this->isForAll, this->sentAt, this->age, this->from, this->end, this->digest,
+             this->configuration, this->entries);
   }
 };
 
@@ -61,7 +54,7 @@
   settings.readerSilence = 2 * settings.readerPace + kOnTheWay;
   settings.silenceStep = std::min(aLeavingNotice / 14, Milliseconds(400));
   settings.ownPaceLimit = settings.readerSilence;
-  settings.listenAfter = 2 * settings.ownPaceLimit;
+  settings.lateAfter = aLeavingNotice * 3 / 4;
   settings.repeat = settings.readerSilence + 2 * settings.silenceStep + 2 * settings.readerPace;
   return settings;
 }
@@ -74,6 +67,7 @@
   , hooks(std::move(aHooks))
   , clock(aClock)
   , directory({}, aClock)
+  , changes(aSettings.repeat)
 {
   this->membership.Transport().OnRequest(
     kEndpointNews,
@@ -102,8 +96,8 @@
   const bool isChange = this->Apply(aRecord, aFromPeer);
   // Each reader passes on what the other has read first, as one of them may not reach all. Whether a removal counts
   // at once depends on who saw an outage, so each daemon decides on its own
-  if (this->wholeSince && (isChange || aRecord.removed)) {
-    this->recent.push_back({ this->clock.Now(), aRecord });
+  if (isChange || aRecord.removed) {
+    this->changes.Add(aRecord, false, this->clock.BootNow());
   }
   return isChange;
 }
@@ -177,57 +171,86 @@
   for (const Endpoint& endpoint : before->endpoints) {
     const bool isThere = std::find(ids.begin(), ids.end(), endpoint.id) != ids.end();
     if (!isThere && endpoint.state != EndpointState::Leaving) {
-      this->recent.push_back({ this->clock.Now(), { endpoint.id, {}, aEnd - 1, true } });
+      this->changes.Add({ endpoint.id, {}, aEnd - 1, true }, true, this->clock.BootNow());
     }
   }
   this->isChanged = this->directory.OnWhole(ids) || this->isChanged;
-  if (!this->wholeSince) {
-    this->wholeSince = this->clock.Now();
+  if (!this->end) {
+    // What was heard before was not kept
+    std::int64_t from = aEnd;
+    for (const auto& [id, version] : this->versions) {
+      from = std::max(from, version + 1);
+    }
+    this->changes.Begin(from);
+    this->end = aEnd;
   }
   kLog.Event("endpoints", { { "count", aRecords.size() }, { "changed", this->isChanged } });
 }
 
 void
-EndpointNews::OnRead()
+EndpointNews::OnRead(TimePoint aAsOf, std::int64_t aEnd)
 {
-  this->readAt = this->clock.Now();
   this->needsRepair = false;
+  if (this->end) {
+    this->Extend(aAsOf, aEnd);
+  }
   // All that one read brought is one change: to publish the picture is dear
   if (std::exchange(this->isChanged, false)) {
     this->OnChanged();
   }
-  if (this->tells && this->wholeSince) {
+  if (this->tells) {
     this->Tell(this->rank < kReadersForAll);
   }
 }
 
+void
+EndpointNews::Extend(TimePoint aAsOf, std::int64_t aEnd)
+{
+  this->end = std::max(this->end.value_or(aEnd), aEnd);
+  this->asOf = std::max(this->asOf.load(), aAsOf);
+}
+
+Milliseconds
+EndpointNews::Age() const
+{
+  const TimePoint known = this->asOf;
+  return known == TimePoint::min() ? Milliseconds::max()
+                                   : std::chrono::ceil<Milliseconds>(this->clock.BootNow() - known);
+}
+
 void
 EndpointNews::Tell(bool aToGroups)
 {
-  const TimePoint now = this->clock.Now();
-  while (!this->recent.empty() && this->recent.front().at + this->settings.repeat < now) {
-    this->recent.pop_front();
+  // Who has not read the whole knows less than it tells of
+  if (!this->end) {
+    return;
   }
+  this->changes.Forget(this->clock.BootNow());
+  // Those who pass it on first
+  if (aToGroups) {
+    this->TellTo(this->plan.others, true);
+  }
+  this->TellTo(this->plan.members, false);
+}
+
+void
+EndpointNews::TellTo(std::span<const PeerAddress> aReceivers, bool aForGroups)
+{
   NewsMessage message;
-  const auto known = std::chrono::floor<Milliseconds>(now - this->wholeSince.value_or(now));
-  message.covers = std::min(known, this->settings.repeat).count();
+  message.isForAll = aForGroups;
+  message.sentAt =
+    std::chrono::floor<Milliseconds>(this->clock.BootNow().time_since_epoch()).count();
+  message.age = this->Age().count();
+  message.end = *this->end;
   message.digest = this->Digest();
   message.configuration = this->hooks.configuration();
-  for (const Recent& news : this->recent) {
-    message.entries.push_back({ news.record });
-  }
-  const auto send = [&](std::span<const PeerAddress> aReceivers) {
-    const std::string bytes = EncodePeerMessage(message);
-    for (const PeerAddress& receiver : aReceivers) {
-      // One that does not answer reads by itself, and hears the same again
-      this->membership.Transport().Request(receiver, kEndpointNews, bytes, this->settings.timeout,
-                                           [](const Result<std::string>&) {});
-    }
-  };
-  send(this->plan.members);
-  if (aToGroups) {
-    message.isForAll = true;
-    send(this->plan.others);
+  message.from = this->changes.From();
+  message.entries = this->changes.Since(message.from);
+  const std::string bytes = EncodePeerMessage(message);
+  for (const PeerAddress& receiver : aReceivers) {
+    // One that does not answer reads by itself, and is told the same again
+    this->membership.Transport().Request(receiver, kEndpointNews, bytes, this->settings.timeout,
+                                         [](const Result<std::string>&) {});
   }
 }
 
@@ -239,33 +262,22 @@
     kLog.Warning("A daemon sent malformed news of endpoints.");
     return;
   }
-  const TimePoint now = this->clock.Now();
-  const Milliseconds silence = this->Silence();
-  const auto [known, isNew] = this->senders.try_emplace(aSender, Sender{ now, now });
-  Sender& sender = known->second;
-  // What a sender repeats covers a gap of this length, so that nothing of it was missed
-  if (isNew || now - sender.heard > silence) {
-    const bool hasRead = this->readAt != TimePoint::min();
-    sender.since = now;
-    sender.isWhole = hasRead && now - this->readAt + this->settings.readAge <=
-                                  Milliseconds(std::max<std::int64_t>(message->covers, 0));
-  }
-  sender.heard = now;
-  // What had changed before its first message is found by one more read of one's own
-  if (sender.isWhole || now - sender.since > this->settings.listenAfter) {
-    this->listensUntil = now + silence;
-  }
+  const TimePoint now = this->clock.BootNow();
+  const Milliseconds delay = this->delays[aSender].OnMessage(Milliseconds(message->sentAt), now);
   bool isChange = false;
-  for (const NewsEntry& entry : message->entries) {
-    isChange = this->Take(entry.record, true) || isChange;
+  for (const EndpointRecord& entry : message->entries) {
+    isChange = this->Take(entry, true) || isChange;
+  }
+  if (this->end && message->from <= *this->end) {
+    const Milliseconds age(std::max<std::int64_t>(message->age, 0));
+    this->Extend(now - delay - age, message->end);
   }
   if (isChange) {
     this->OnChanged();
   }
   this->toldConfiguration = std::max(this->toldConfiguration.load(), message->configuration);
   this->CompareDigest(message->digest);
-  // Who has not read the whole knows less than it tells of
-  if (message->isForAll && this->tells && this->wholeSince) {
+  if (message->isForAll && this->tells) {
     this->Tell(false);
   }
 }
@@ -320,7 +332,7 @@
 bool
 EndpointNews::WatchesSource() const
 {
-  return this->rank < kReadersForAll || this->clock.Now() > this->listensUntil.load();
+  return this->rank < kReadersForAll || !this->IsCurrent();
 }
 
 Milliseconds
@@ -339,7 +351,7 @@
   if (this->needsRepair) {
     return Milliseconds(0);
   }
-  if (this->clock.Now() <= this->listensUntil.load()) {
+  if (this->IsCurrent()) {
     return this->settings.listenerPace;
   }
   // The next in line reads for all now
@@ -355,11 +367,32 @@
 {
   this->UpdatePlan();
   this->Forget();
+  this->NoteAge();
   if (this->directory.Tick()) {
     this->OnChanged();
   }
 }
 
+void
+EndpointNews::NoteAge()
+{
+  if (!this->end) {
+    return;
+  }
+  const Milliseconds age = this->Age();
+  const bool wasLate = this->longestAge > Milliseconds(0);
+  if (age > this->settings.lateAfter) {
+    this->longestAge = std::max(this->longestAge, age);
+    if (!wasLate) {
+      kLog.Event(LogLevel::Warning, "endpoints_late",
+                 { { "age_ms", age.count() }, { "reads_itself", this->WatchesSource() } });
+    }
+  } else if (wasLate) {
+    kLog.Event("endpoints_current", { { "longest_ms", this->longestAge.count() } });
+    this->longestAge = Milliseconds(0);
+  }
+}
+
 void
 EndpointNews::UpdatePlan()
 {
@@ -372,14 +405,17 @@
   this->rank = this->plan.RankOf(this->self.Key());
   this->tells = this->plan.IsAggregator(this->self.Key());
   this->daemons = this->plan.daemons;
+  const auto isIn = [](const std::vector<PeerAddress>& aDaemons, PeerKey aKey) {
+    return std::any_of(aDaemons.begin(), aDaemons.end(),
+                       [&](const PeerAddress& aEach) { return aEach.key == aKey; });
+  };
+  std::erase_if(this->delays,
+                [&](const auto& aSender) { return !isIn(this->plan.candidates, aSender.first); });
 }
 
 void
 EndpointNews::Forget()
 {
-  std::erase_if(this->senders, [&](const auto& aSender) {
-    return this->clock.Now() - aSender.second.heard > this->settings.repeat;
-  });
   if (this->refusals.size() > this->settings.remembered) {
     this->refusals.clear();
   }
--- a/Lagoonward/Daemon/EndpointNews.h
+++ b/Lagoonward/Daemon/EndpointNews.h
@@ -1,27 +1,19 @@
 #pragma once
 
 #include "Lagoonward/Core/Result.h"
+#include "Lagoonward/Daemon/EndpointChanges.h"
 #include "Lagoonward/Fleet/EndpointDirectory.h"
 #include "Lagoonward/Membership/AggregationPlan.h"
+#include "Lagoonward/Membership/DelayMeter.h"
 #include "Lagoonward/Membership/MembershipService.h"
 
 #include <atomic>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <unordered_map>
 
 namespace lagoonward {
 
-/// An endpoint's own record, as its source keeps it.
-struct EndpointRecord
-{
-  std::string id;
-  std::string text;         ///< Empty where it was removed.
-  std::int64_t version = 0; ///< Grows with each record of the source.
-  bool removed = false;
-};
-
 /// Tunables of endpoint news. The figures are for a leaving endpoint that must be known within two seconds; see
 /// EndpointNewsSettingsFor().
 struct EndpointNewsSettings
@@ -34,28 +26,24 @@
   /// how long a fault of the digest itself could last.
   Milliseconds listenerPace{ 300'000 };
 
-  /// The next in line that has heard of no read for so long reads in the reader's place: two messages missed.
+  /// The next in line reads in the reader's place once its picture is so old: two messages missed.
   Milliseconds readerSilence{ 900 };
 
   /// Aggregators wait so much longer before they read by themselves, and all others twice that, so that the death of the
   /// reader does not make all read at once.
   Milliseconds silenceStep{ 142 };
 
-  /// A daemon that hears of reads again goes on reading by itself for so long, unless it is certain that it missed
-  /// nothing: twice its own pace.
-  Milliseconds listenAfter{ 1'800 };
-
   /// Between two reads of a daemon that has no reader: so much for each daemon, as all may be without, but
   /// never more than ownPaceLimit.
   Milliseconds ownPacePerDaemon{ 30 };
   Milliseconds ownPaceLimit{ 900 };
 
-  /// News is repeated in each message for so long, as messages may be lost and their sender succeeded: longer than the
-  /// longest silence.
+  /// Changes are kept so long for those who have not confirmed them, as messages may be lost and their sender succeeded:
+  /// longer than the longest silence.
   Milliseconds repeat{ 1'984 };
 
-  /// A read that was answered may have been under way for so long.
-  Milliseconds readAge{ 300 };
+  /// A picture older than this is written down: of the time in which a leaving must be known a quarter is left.
+  Milliseconds lateAfter{ 1'500 };
 
   /// A digest that differs for so long shows that something was missed: removals are held back for up to some seconds
   /// where the source was away.
@@ -83,13 +71,17 @@
 };
 
 /// Keeps the picture of the endpoints. One daemon reads the endpoints' records often, for the whole deployment, and tells
-/// the aggregators of all groups (AggregationPlan) what has changed; those tell their groups. A daemon that hears of no
-/// read does it by itself, the next in line first. So a leaving endpoint is known everywhere within one pace and
-/// two messages, and the source is asked as often whatever the number of daemons: with two readers in each failure
-/// domain, their reads alone were three of four calls of a deployment of 18 daemons.
+/// the aggregators of all groups (AggregationPlan) what has changed; those tell their groups. So a leaving endpoint is
+/// known everywhere within one pace and two messages, and the source is asked as often whatever the number of daemons.
 ///
-/// Each message also tells the sender's digest of the endpoints that live, so that who missed something finds out, and
-/// its configuration's version, so that who hears of reads need not ask for configurations either.
+/// Each picture has an age: everything that the source acknowledged before then is in it. A message tells its sender's,
+/// and the time that it took is added (DelayMeter). A daemon whose picture grows too old reads by itself, the next in line
+/// first; messages that come in time with news that is old do not keep it from that.
+///
+/// A picture is whole up to a version of the source, and a message goes on from one. A message that begins beyond it
+/// leaves a gap and makes it no younger.
+/// Each also tells the digest of the endpoints that live, so that a fault in this shows, and the sender's configuration's
+/// version, so that who hears of reads need not ask for configurations either.
 ///
 /// On the control thread, but for what is said to be for any thread. Register before the membership starts.
 class EndpointNews
@@ -110,7 +102,9 @@
   void OnWhole(const std::vector<EndpointRecord>& aRecords, std::int64_t aEnd);
 
   /// The source has answered a read; what it brought has been told by the calls above.
-  void OnRead();
+  /// @param aAsOf  BootNow() at which the read began: what was acknowledged before then has been told
+  /// @param aEnd   records below this version have been told
+  void OnRead(TimePoint aAsOf, std::int64_t aEnd);
 
   /// The source does not answer, or answers again.
   void OnSource(bool aAnswers);
@@ -118,6 +112,10 @@
   /// How long to wait between two reads as things stand. Any thread.
   [[nodiscard]] Milliseconds Pace() const;
 
+  /// How old the picture is: all that the source had acknowledged before then is in it. The greatest value before the
+  /// first whole read. Any thread.
+  [[nodiscard]] Milliseconds Age() const;
+
   /// Whether this daemon reads often, for all. True until others are known. Any thread.
   [[nodiscard]] bool IsReader() const { return this->rank == 0; }
 
@@ -137,34 +135,25 @@
   [[nodiscard]] FleetSnapshotPtr Snapshot() { return this->directory.Snapshot(); }
 
 private:
-  struct Recent
-  {
-    TimePoint at;
-    EndpointRecord record;
-  };
-
-  /// One who tells of its reads.
-  struct Sender
-  {
-    TimePoint since;      ///< First message after a gap.
-    TimePoint heard;      ///< Last message.
-    bool isWhole = false; ///< Nothing can have been missed before its first message.
-  };
-
   /// @return whether the picture has changed
   bool Take(const EndpointRecord& aRecord, bool aFromPeer);
   [[nodiscard]] bool Apply(const EndpointRecord& aRecord, bool aFromPeer);
   [[nodiscard]] bool Refuse(const EndpointRecord& aRecord, const std::string& aReason);
   void TakeMessage(PeerKey aSender, std::string_view aBytes);
+  /// The picture holds all of the records below a version, as of a time.
+  void Extend(TimePoint aAsOf, std::int64_t aEnd);
   void Tell(bool aToGroups);
+  void TellTo(std::span<const PeerAddress> aReceivers, bool aForGroups);
   void CompareDigest(std::uint64_t aDigest);
   [[nodiscard]] std::uint64_t Digest();
   void OnChanged();
   void Tick();
+  void NoteAge();
   void UpdatePlan();
   void Forget();
-  /// Silence after which this daemon reads by itself.
+  /// Age of the picture at which this daemon reads by itself.
   [[nodiscard]] Milliseconds Silence() const;
+  [[nodiscard]] bool IsCurrent() const { return this->Age() <= this->Silence(); }
 
   EndpointNewsSettings settings;
   MembershipService& membership;
@@ -173,8 +162,13 @@
   const Clock& clock;
   EndpointDirectory directory;
   std::unordered_map<std::string, std::int64_t> versions; ///< Newest known of each endpoint.
-  std::deque<Recent> recent;                              ///< What the others are told.
-  PeerViewPtr planned;                                    ///< The view that the plan rests on.
+  EndpointChanges changes;                                ///< What the others are told.
+  std::optional<std::int64_t>
+    end; ///< The picture is whole below this version; empty before the first whole read.
+  std::atomic<TimePoint> asOf{ TimePoint::min() }; ///< BootNow(); see Age().
+  std::unordered_map<PeerKey, DelayMeter> delays;  ///< Of those who tell.
+  Milliseconds longestAge{ 0 }; ///< Since the picture was late first; zero while it is not.
+  PeerViewPtr planned;          ///< The view that the plan rests on.
   AggregationPlan plan;
   std::atomic<int> rank{ 0 };      ///< In the plan; zero reads for all.
   std::atomic<bool> tells{ true }; ///< Whether this daemon is an aggregator of its group.
@@ -184,10 +178,6 @@
   std::optional<TimePoint> differsSince;  ///< Since when the digest told differs.
   std::optional<TimePoint> repairedAt;
   std::optional<std::uint64_t> digest; ///< Of the picture; empty after a change.
-  std::optional<TimePoint> wholeSince; ///< When the whole was read first.
-  TimePoint readAt = TimePoint::min(); ///< Last own read.
-  std::atomic<TimePoint> listensUntil{ TimePoint::min() }; ///< Till then others read for this one.
-  std::unordered_map<PeerKey, Sender> senders;
   std::unordered_map<std::string, std::string>
     refusals; ///< Last reason by id, for one log line each.
   std::atomic<std::int64_t> refused{ 0 };
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -145,6 +145,7 @@
   this->endpoints =
     std::make_unique<EndpointNews>(EndpointNewsSettingsFor(this->settings.leavingNotice),
                                    *this->membership, self, std::move(hooks), this->clock);
+  this->reporter.SetEndpointsAge([this] { return this->endpoints->Age(); });
   return boost::outcome_v2::success();
 }
 
@@ -252,6 +253,7 @@
   state.leads = this->duties->Leads();
   state.readsEndpoints = this->endpoints->IsReader();
   state.refusedRecords = this->endpoints->Refused();
+  state.endpointsAge = this->endpoints->Age();
   return state;
 }
 
@@ -337,9 +339,9 @@
 }
 
 void
-RelayDaemon::OnEndpointsRead()
+RelayDaemon::OnEndpointsRead(TimePoint aAsOf, std::int64_t aEnd)
 {
-  this->membership->Loop().Post([this] { this->endpoints->OnRead(); });
+  this->membership->Loop().Post([this, aAsOf, aEnd] { this->endpoints->OnRead(aAsOf, aEnd); });
 }
 
 void
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -42,8 +42,8 @@
   void OnEndpointRecord(EndpointRecord aRecord);
   /// All records of endpoints were read.
   void OnEndpointRecords(std::vector<EndpointRecord> aRecords, std::int64_t aEnd);
-  /// The endpoints' source has answered a read.
-  void OnEndpointsRead();
+  /// The endpoints' source has answered a read that began at a time of the clock's BootNow(), up to a version.
+  void OnEndpointsRead(TimePoint aAsOf, std::int64_t aEnd);
   /// Whether the endpoints' source is reachable.
   void OnEndpointSource(bool aAnswers);
   /// How long to wait between two reads of the endpoints' records, as things stand.
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -45,6 +45,12 @@
   this->onSent = std::move(aHandler);
 }
 
+void
+RelayReporter::SetEndpointsAge(std::function<Milliseconds()> aAge)
+{
+  this->endpointsAge = std::move(aAge);
+}
+
 void
 RelayReporter::SetGauge(const std::string& aName, const std::string& aHelp, double aValue)
 {
@@ -82,6 +88,9 @@
   this->SetGauge("lagoonward_relay_endpoint_records_refused",
                  "Records of endpoints so far that could not be read.",
                  static_cast<double>(aState.refusedRecords));
+  this->SetGauge("lagoonward_relay_endpoints_age_seconds",
+                 "Age of the picture of the endpoints: what was acknowledged before is in it.",
+                 std::chrono::duration<double>(aState.endpointsAge).count());
   this->SetEndpoints(aState);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
@@ -115,6 +124,7 @@
   kLog.Event("sent", { { "request", aCall.id },
                        { "endpoint", aEndpoint },
                        { "send", aSend },
+                       { "endpoints_age_ms", this->endpointsAge().count() },
                        { "age_ms", this->AgeOf(aCall) } });
 }
 
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -33,6 +33,7 @@
   bool leads = false;                             ///< Whether this daemon holds the lease.
   std::int64_t refusedRecords = 0; ///< Records of endpoints so far that could not be read.
   bool readsEndpoints = false;     ///< Whether it reads endpoints' records for all.
+  Milliseconds endpointsAge{ 0 };  ///< How old the picture of the endpoints is.
 };
 
 /// Writes down what happens to relayed requests: a log line for each decision, counters and latencies.
@@ -50,6 +51,8 @@
   /// Set before the first request.
   void OnBeganDo(BeganHandler aHandler);
   void OnSentDo(SentHandler aHandler);
+  /// How old the picture of the endpoints is, for what is written down of each send.
+  void SetEndpointsAge(std::function<Milliseconds()> aAge);
 
   /// The metrics page, in Prometheus' text form.
   [[nodiscard]] std::string MetricsText(const RelayState& aState);
@@ -72,6 +75,7 @@
   const Clock& clock;
   BeganHandler onBegan;
   SentHandler onSent;
+  std::function<Milliseconds()> endpointsAge = [] { return Milliseconds(0); };
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& ended;
   prometheus::Family<prometheus::Counter>& attempts;
--- a/UnitTests/Daemon/EndpointNewsTests.cpp
+++ b/UnitTests/Daemon/EndpointNewsTests.cpp
@@ -34,7 +34,8 @@
 {
   Daemon(const Clock& aClock, int aIndex, const std::string& aDomain,
          const EndpointNewsSettings& aSettings)
-    : membership(aClock, Identity(aIndex, aDomain), KeyRing::Parse(kKey, "test").value(), {},
+    : clock(aClock)
+    , membership(aClock, Identity(aIndex, aDomain), KeyRing::Parse(kKey, "test").value(), {},
                  [](const HostEntry&, const MembershipService::PollDone&) {})
     , news(aSettings, membership, Identity(aIndex, aDomain).self, Hooks(), aClock)
   {
@@ -67,6 +68,21 @@
     this->membership.Loop().Run(aAction);
   }
 
+  /// The source answers a read that began just now.
+  void Read(std::int64_t aEnd)
+  {
+    this->Do([&] { this->news.OnRead(this->clock.BootNow(), aEnd); });
+  }
+
+  /// The same for a read of all records.
+  void ReadWhole(const std::vector<EndpointRecord>& aRecords, std::int64_t aEnd)
+  {
+    this->Do([&] {
+      this->news.OnWhole(aRecords, aEnd);
+      this->news.OnRead(this->clock.BootNow(), aEnd);
+    });
+  }
+
   [[nodiscard]] std::optional<EndpointState> StateOf(std::string_view aId)
   {
     std::optional<EndpointState> state;
@@ -80,6 +96,7 @@
     return state;
   }
 
+  const Clock& clock;
   std::atomic<int> changes{ 0 };
   std::atomic<std::int64_t> configuration{ -1 };
   MembershipService membership;
@@ -181,7 +198,7 @@
   aDaemon.Do([&] {
     aDaemon.news.OnWhole({}, 0);
     aDaemon.news.OnRecord(aRecord);
-    aDaemon.news.OnRead();
+    aDaemon.news.OnRead(aDaemon.clock.BootNow(), aRecord.version + 1);
   });
 }
 
@@ -220,11 +237,10 @@
   reader.configuration = 7;
   Daemon& listener = *this->Readers(false).front();
   BOOST_TEST(listener.news.WatchesSource());
+  listener.ReadWhole({}, 0);
+  BOOST_TEST(this->Eventually([&] { return listener.news.WatchesSource(); }));
   BOOST_TEST(this->Eventually([&] {
-    reader.Do([&] {
-      reader.news.OnWhole({}, 0);
-      reader.news.OnRead();
-    });
+    reader.ReadWhole({}, 0);
     return !listener.news.WatchesSource();
   }));
   // It hears the version from an aggregator of its group, which has it from the reader
@@ -232,7 +248,7 @@
     teller->configuration = 7;
   }
   BOOST_TEST(this->Eventually([&] {
-    reader.Do([&] { reader.news.OnRead(); });
+    reader.Read(0);
     return listener.news.ToldConfiguration() == 7;
   }));
   BOOST_TEST(reader.news.WatchesSource());
@@ -244,29 +260,72 @@
   Daemon& listener = *this->Readers(false).front();
   reader.Do([&] { reader.news.OnWhole({}, 0); });
   std::this_thread::sleep_for(this->settings.repeat);
-  listener.Do([&] { listener.news.OnRead(); });
-  reader.Do([&] { reader.news.OnRead(); });
+  listener.ReadWhole({}, 0);
+  reader.Read(0);
   BOOST_TEST(this->Eventually([&] { return listener.news.Pace() == this->settings.listenerPace; }));
 }
 
-BOOST_AUTO_TEST_CASE(ADaemonReadsByItselfUntilItHearsOfReadsForAWhile)
+BOOST_AUTO_TEST_CASE(ADaemonReadsByItselfUntilItHasReadTheWhole)
 {
   Daemon& reader = *this->Readers().front();
   Daemon& listener = *this->Readers(false).front();
   Tell(reader, { "e1", "live", 5, false });
   BOOST_TEST(this->Eventually([&] { return listener.StateOf("e1").has_value(); }));
-  BOOST_TEST((listener.news.Pace() <= settings.ownPaceLimit));
-
+  // However long it hears of reads: what there was before it has not been told
   const TimePoint begun = this->clock.Now();
-  BOOST_TEST(this->Eventually([&] {
-    reader.Do([&] { reader.news.OnRead(); });
-    return listener.news.Pace() == settings.listenerPace;
-  }));
-  BOOST_TEST((this->clock.Now() - begun > settings.listenAfter - settings.readerSilence));
+  while (this->clock.Now() - begun < 2 * this->settings.readerSilence) {
+    reader.Read(6);
+    std::this_thread::sleep_for(Milliseconds(20));
+    BOOST_TEST((listener.news.Pace() <= this->settings.ownPaceLimit));
+  }
+  listener.ReadWhole({ { "e1", "live", 5, false } }, 6);
+  BOOST_TEST((listener.news.Pace() == this->settings.listenerPace));
+  while (this->clock.Now() - begun < 5 * this->settings.readerSilence) {
+    reader.Read(6);
+    std::this_thread::sleep_for(Milliseconds(20));
+    BOOST_TEST((listener.news.Pace() == this->settings.listenerPace));
+  }
   // Then nothing more is heard
   BOOST_TEST(this->Eventually([&] { return listener.news.Pace() <= settings.ownPaceLimit; }));
 }
 
+// Seen by callers: requests reached endpoints longer than allowed after these had said that they leave. Messages came
+// several times a second, and what they told of was seconds old: the reader, and each aggregator after it, had too
+// much to send. A daemon took whatever came for new and did not read by itself.
+BOOST_AUTO_TEST_CASE(OldNewsDoesNotKeepADaemonFromReading)
+{
+  Daemon& reader = *this->Readers().front();
+  Daemon& listener = *this->Readers(false).front();
+  reader.ReadWhole({}, 0);
+  listener.ReadWhole({}, 0);
+  const TimePoint old = this->clock.BootNow();
+  BOOST_TEST(this->Eventually([&] {
+    reader.Do([&] { reader.news.OnRead(old, 0); });
+    return listener.news.Pace() <= this->settings.ownPaceLimit;
+  }));
+  // It tells its age as it is, and becomes current by what is new
+  BOOST_TEST((listener.news.Age() >= this->settings.readerSilence));
+  BOOST_TEST(this->Eventually([&] {
+    reader.Read(0);
+    return listener.news.Pace() == this->settings.listenerPace;
+  }));
+}
+
+/// Whoever was away for longer than changes are kept has missed some.
+BOOST_AUTO_TEST_CASE(NewsThatLeavesAGapMakesAPictureNoYounger)
+{
+  Daemon& reader = *this->Readers().front();
+  Daemon& listener = *this->Readers(false).front();
+  listener.ReadWhole({}, 5);
+  reader.ReadWhole({}, 9);
+  BOOST_TEST(this->Eventually([&] {
+    reader.Read(9);
+    return listener.news.Pace() <= this->settings.ownPaceLimit;
+  }));
+  listener.ReadWhole({}, 9);
+  BOOST_TEST((listener.news.Pace() == this->settings.listenerPace));
+}
+
 // Found by a played day: 81 requests reached endpoints three seconds after they had gone, because their reader had
 // just lost the source and kept the removals to itself.
 BOOST_AUTO_TEST_CASE(AReaderThatWasCutOffPassesRemovalsOn)
@@ -300,7 +359,7 @@
   // From now on only the second tells of reads; a daemon that comes then hears it from that one
   Daemon& newcomer = this->AddLast();
   BOOST_TEST(this->Eventually([&] {
-    second.Do([&] { second.news.OnRead(); });
+    second.Read(6);
     return newcomer.StateOf("e1") == EndpointState::Live;
   }));
 }
@@ -308,18 +367,12 @@
 BOOST_AUTO_TEST_CASE(WhatAReaderFindsInTheWholeIsPassedOn)
 {
   Daemon& reader = *this->Readers().front();
-  const auto tellWhole = [&](const std::vector<EndpointRecord>& aRecords, std::int64_t aEnd) {
-    reader.Do([&] {
-      reader.news.OnWhole(aRecords, aEnd);
-      reader.news.OnRead();
-    });
-  };
-  tellWhole({ { "e1", "live", 5, false } }, 6);
+  reader.ReadWhole({ { "e1", "live", 5, false } }, 6);
   Tell(reader, { "e2", "live", 6, false });
   Daemon& listener = *this->Readers(false).front();
   BOOST_TEST(this->Eventually([&] { return listener.StateOf("e2") == EndpointState::Live; }));
   // History was lost in between
-  tellWhole({ { "e3", "live", 9, false } }, 10);
+  reader.ReadWhole({ { "e3", "live", 9, false } }, 10);
   BOOST_TEST(this->Eventually([&] { return listener.StateOf("e2") == EndpointState::Leaving; }));
   BOOST_TEST(this->Eventually([&] { return listener.StateOf("e3") == EndpointState::Live; }));
 }
@@ -368,12 +421,11 @@
 {
   Daemon& reader = *this->Readers().front();
   Daemon& listener = *this->Readers(false).front();
-  listener.Do([&] { listener.news.OnRead(); });
-  for (int round = 0; round < 20; ++round) {
-    reader.Do([&] { reader.news.OnRead(); });
-    std::this_thread::sleep_for(Milliseconds(10));
-  }
-  BOOST_TEST(listener.news.WatchesSource());
+  listener.ReadWhole({}, 0);
+  BOOST_TEST(this->Eventually([&] {
+    reader.Read(0);
+    return listener.news.WatchesSource();
+  }));
 }
 
 // Seen by callers: while a large deployment started, requests reached endpoints four to five seconds after these had
@@ -390,13 +442,15 @@
     reader.Do([&] { sent = reader.membership.Transport().Counters().streamBytesSent; });
     return sent;
   };
-  reader.Do([&] { reader.news.OnWhole({}, 0); });
+  for (const auto& daemon : this->daemons) {
+    daemon->ReadWhole({}, 0);
+  }
   const std::uint64_t before = sentBytes();
   reader.Do([&] {
     for (int index = 0; index < kEndpoints; ++index) {
       reader.news.OnRecord({ "endpoint-" + std::to_string(index), "live", index, false });
     }
-    reader.news.OnRead();
+    reader.news.OnRead(this->clock.BootNow(), kEndpoints);
   });
   const std::string last = "endpoint-" + std::to_string(kEndpoints - 1);
   for (const auto& daemon : this->daemons) {
@@ -405,7 +459,7 @@
   std::this_thread::sleep_for(Milliseconds(100));
   const std::uint64_t first = sentBytes() - before;
   for (int read = 0; read < kFurtherReads; ++read) {
-    reader.Do([&] { reader.news.OnRead(); });
+    reader.Read(kEndpoints);
     std::this_thread::sleep_for(Milliseconds(20));
   }
   BOOST_TEST(sentBytes() - before - first < first);
@@ -418,14 +472,11 @@
   Daemon& listener = *this->Readers(false).front();
   reader.Do([&] { reader.news.OnWhole({ { "e1", "live", 5, false } }, 6); });
   BOOST_TEST(this->Eventually([&] {
-    reader.Do([&] { reader.news.OnRead(); });
+    reader.Read(6);
     return listener.news.Pace() == Milliseconds(0);
   }));
   BOOST_TEST(!listener.StateOf("e1").has_value());
-  listener.Do([&] {
-    listener.news.OnWhole({ { "e1", "live", 5, false } }, 6);
-    listener.news.OnRead();
-  });
+  listener.ReadWhole({ { "e1", "live", 5, false } }, 6);
   BOOST_TEST((listener.news.Pace() > Milliseconds(0)));
 }
 
@@ -453,7 +504,7 @@
   BOOST_TEST((defaults.readerSilence == derived.readerSilence));
   BOOST_TEST((defaults.silenceStep == derived.silenceStep));
   BOOST_TEST((defaults.ownPaceLimit == derived.ownPaceLimit));
-  BOOST_TEST((defaults.listenAfter == derived.listenAfter));
+  BOOST_TEST((defaults.lateAfter == derived.lateAfter));
   BOOST_TEST((defaults.repeat == derived.repeat));
 }
 
--- a/UnitTests/Daemon/RelayReporterTests.cpp
+++ b/UnitTests/Daemon/RelayReporterTests.cpp
@@ -16,11 +16,13 @@
   state.endpoints["s"] = { 3, 1 };
   state.daemons = 70;
   state.leads = true;
+  state.endpointsAge = Milliseconds(750);
   const std::string first = reporter.MetricsText(state);
   BOOST_TEST(first.find("lagoonward_relay_configuration_version 7\n") != std::string::npos);
   BOOST_TEST(first.find("lagoonward_relay_endpoints{service=\"s\",state=\"live\"} 3\n") !=
              std::string::npos);
   BOOST_TEST(first.find("lagoonward_relay_leads 1\n") != std::string::npos);
+  BOOST_TEST(first.find("lagoonward_relay_endpoints_age_seconds 0.75\n") != std::string::npos);
 
   // A service that has lost its endpoints shows none, not the last count
   state.endpoints["s"] = {};
