Tell each daemon only what it has not confirmed of the endpoints' changes

What callers saw: requests reached endpoints later than allowed after these had said that they leave, most of all while a large deployment started.

Cause: each read repeated all changes of the last four seconds to 52 members and 11 aggregators. With 49 KB a message that is a second of a link of 20 Mbit/s at the reader, and again at each aggregator; messages that were not answered within 0.8 s closed their connections, reports of load and usage with them.

--- a/Lagoonward/Daemon/EndpointNews.cpp
+++ b/Lagoonward/Daemon/EndpointNews.cpp
@@ -5,6 +5,7 @@
 #include "Lagoonward/Daemon/PeerMessages.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 namespace lagoonward {
@@ -38,6 +39,19 @@
   }
 };
 
+/// The answer to it.
+struct NewsAnswer
+{
+  bool isWhole = false; ///< Whether the receiver has read the whole once.
+  std::int64_t end = 0; ///< Its picture is whole below this version.
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->isWhole, this->end);
+  }
+};
+
 /// Daemons that read for all: the first, and the next in line while the first is silent.
 constexpr int kReadersForAll = 2;
 
@@ -72,8 +86,7 @@
   this->membership.Transport().OnRequest(
     kEndpointNews,
     [this](PeerKey aSender, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
-      this->TakeMessage(aSender, aBytes);
-      aRespond(std::string());
+      aRespond(this->TakeMessage(aSender, aBytes));
     });
 }
 
@@ -244,23 +257,49 @@
   message.end = *this->end;
   message.digest = this->Digest();
   message.configuration = this->hooks.configuration();
-  message.from = this->changes.From();
-  message.entries = this->changes.Since(message.from);
-  const std::string bytes = EncodePeerMessage(message);
+  // To repeat all changes of some seconds to everybody takes a small host's link for longer than a message may take, so
+  // each is told what it has not confirmed. Most have confirmed the same
+  std::map<std::int64_t, std::string> encoded;
   for (const PeerAddress& receiver : aReceivers) {
+    const auto known = this->confirmed.find(receiver.key);
+    message.from = this->changes.From();
+    if (known != this->confirmed.end()) {
+      message.from = std::max(message.from, known->second);
+    }
+    const auto [bytes, isNew] = encoded.try_emplace(message.from);
+    if (isNew) {
+      message.entries = this->changes.Since(message.from);
+      bytes->second = EncodePeerMessage(message);
+    }
     // One that does not answer reads by itself, and is told the same again
-    this->membership.Transport().Request(receiver, kEndpointNews, bytes, this->settings.timeout,
-                                         [](const Result<std::string>&) {});
+    this->membership.Transport().Request(
+      receiver, kEndpointNews, bytes->second, this->settings.timeout,
+      [this, key = receiver.key](const Result<std::string>& aAnswer) {
+        if (aAnswer) {
+          this->OnConfirmed(key, aAnswer.value());
+        }
+      });
   }
 }
 
 void
+EndpointNews::OnConfirmed(PeerKey aReceiver, std::string_view aAnswer)
+{
+  const auto answer = DecodePeerMessage<NewsAnswer>(aAnswer);
+  if (answer && answer->isWhole) {
+    this->confirmed[aReceiver] = answer->end;
+  } else {
+    this->confirmed.erase(aReceiver);
+  }
+}
+
+std::string
 EndpointNews::TakeMessage(PeerKey aSender, std::string_view aBytes)
 {
   const auto message = DecodePeerMessage<NewsMessage>(aBytes);
   if (!message) {
     kLog.Warning("A daemon sent malformed news of endpoints.");
-    return;
+    return {};
   }
   const TimePoint now = this->clock.BootNow();
   const Milliseconds delay = this->delays[aSender].OnMessage(Milliseconds(message->sentAt), now);
@@ -280,6 +319,7 @@
   if (message->isForAll && this->tells) {
     this->Tell(false);
   }
+  return EncodePeerMessage(NewsAnswer{ this->end.has_value(), this->end.value_or(0) });
 }
 
 void
@@ -409,6 +449,9 @@
     return std::any_of(aDaemons.begin(), aDaemons.end(),
                        [&](const PeerAddress& aEach) { return aEach.key == aKey; });
   };
+  std::erase_if(this->confirmed, [&](const auto& aReceiver) {
+    return !isIn(this->plan.members, aReceiver.first) && !isIn(this->plan.others, aReceiver.first);
+  });
   std::erase_if(this->delays,
                 [&](const auto& aSender) { return !isIn(this->plan.candidates, aSender.first); });
 }
--- a/Lagoonward/Daemon/EndpointNews.h
+++ b/Lagoonward/Daemon/EndpointNews.h
@@ -78,8 +78,8 @@
 /// and the time that it took is added (DelayMeter). A daemon whose picture grows too old reads by itself, the next in line
 /// first; messages that come in time with news that is old do not keep it from that.
 ///
-/// A picture is whole up to a version of the source, and a message goes on from one. A message that begins beyond it
-/// leaves a gap and makes it no younger.
+/// A picture is whole up to a version of the source, and a message goes on from one: the receiver confirms up to where
+/// its own is whole, and is told from there on. A message that begins beyond it leaves a gap and makes it no younger.
 /// Each also tells the digest of the endpoints that live, so that a fault in this shows, and the sender's configuration's
 /// version, so that who hears of reads need not ask for configurations either.
 ///
@@ -139,11 +139,13 @@
   bool Take(const EndpointRecord& aRecord, bool aFromPeer);
   [[nodiscard]] bool Apply(const EndpointRecord& aRecord, bool aFromPeer);
   [[nodiscard]] bool Refuse(const EndpointRecord& aRecord, const std::string& aReason);
-  void TakeMessage(PeerKey aSender, std::string_view aBytes);
+  /// @return the answer
+  [[nodiscard]] std::string TakeMessage(PeerKey aSender, std::string_view aBytes);
   /// The picture holds all of the records below a version, as of a time.
   void Extend(TimePoint aAsOf, std::int64_t aEnd);
   void Tell(bool aToGroups);
   void TellTo(std::span<const PeerAddress> aReceivers, bool aForGroups);
+  void OnConfirmed(PeerKey aReceiver, std::string_view aAnswer);
   void CompareDigest(std::uint64_t aDigest);
   [[nodiscard]] std::uint64_t Digest();
   void OnChanged();
@@ -166,7 +168,9 @@
   std::optional<std::int64_t>
     end; ///< The picture is whole below this version; empty before the first whole read.
   std::atomic<TimePoint> asOf{ TimePoint::min() }; ///< BootNow(); see Age().
-  std::unordered_map<PeerKey, DelayMeter> delays;  ///< Of those who tell.
+  std::unordered_map<PeerKey, std::int64_t>
+    confirmed; ///< Below which version others' pictures are whole.
+  std::unordered_map<PeerKey, DelayMeter> delays; ///< Of those who tell.
   Milliseconds longestAge{ 0 }; ///< Since the picture was late first; zero while it is not.
   PeerViewPtr planned;          ///< The view that the plan rests on.
   AggregationPlan plan;
--- a/UnitTests/Daemon/EndpointNewsTests.cpp
+++ b/UnitTests/Daemon/EndpointNewsTests.cpp
@@ -432,7 +432,7 @@
 // said that they leave. Each read repeated the changes of the last four seconds to everybody: up to 49 KB to 60
 // daemons, a second of a small host's link at the reader and another one at each aggregator. Messages that were not
 // answered within their time took connections with them.
-BOOST_AUTO_TEST_CASE(WhatADaemonHasConfirmedIsNotToldAgain, *boost::unit_test::expected_failures(1))
+BOOST_AUTO_TEST_CASE(WhatADaemonHasConfirmedIsNotToldAgain)
 {
   constexpr int kEndpoints = 200;
   constexpr int kFurtherReads = 10;
