Look at the endpoint again right before a request leaves

What callers saw: a request reached an endpoint 1.3 s after it had been chosen, 5.0 s after the endpoint had said that it leaves. Cause: a choice stood for good, however long it took until the request was written: a connection has to be opened, on a host that is busy with others. The picture is looked at again by the library's last callback before the send; a request withdrawn there has provably not left and goes elsewhere. IsNotSentToAnEndpointThatLeavesAfterItWasChosen failed before.

--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -39,7 +39,8 @@
 }
 
 void
-RelayAttempt::Start(std::string_view aAddress, const SendTerms& aTerms)
+RelayAttempt::Start(std::string_view aAddress, const SendTerms& aTerms,
+                    std::function<bool()> aMayBeSent)
 {
   HttpTransferRequest request;
   request.method = this->call.method;
@@ -48,6 +49,7 @@
   request.body = this->call.body;
   // Whether to send again is decided by the run, within its route's limits
   request.singleSend = true;
+  request.mayBeSent = std::move(aMayBeSent);
   // The run ends the attempt when its time is over; this is for one that it has lost track of
   request.timeout = aTerms.left + this->settings.attemptMargin;
   this->transfer = this->loop.StartTransfer(request, *this);
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -5,6 +5,7 @@
 #include "Lagoonward/Relay/RelaySettings.h"
 #include "Lagoonward/Wire/TrafficLoop.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,7 +69,8 @@
   RelayAttempt& operator=(const RelayAttempt&) = delete;
 
   /// Sends the request to an address `IP:PORT`.
-  void Start(std::string_view aAddress, const SendTerms& aTerms);
+  /// @param aMayBeSent  see HttpTransferRequest
+  void Start(std::string_view aAddress, const SendTerms& aTerms, std::function<bool()> aMayBeSent);
 
 private:
   void OnHeaderLine(std::string_view aLine) override;
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -145,7 +145,13 @@
   AttemptListener& listener = *this;
   this->attempt = std::make_unique<RelayAttempt>(this->context.loop, this->context.settings,
                                                  this->context.language, this->call, listener);
-  this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms);
+  // Between the choice and the first byte lie a new connection and whatever else a busy host does, a second at times
+  const auto isLive = [&current = this->context.fleet, id = this->endpointId] {
+    const FleetSnapshotPtr newest = current.Get();
+    const Endpoint* target = newest->Find(id);
+    return target != nullptr && target->state == EndpointState::Live;
+  };
+  this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms, isLive);
   this->ArmSilence(false);
 }
 
--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -27,6 +27,7 @@
 {
   this->body = aRequest.body;
   this->singleSend = aRequest.singleSend;
+  this->mayBeSent = aRequest.mayBeSent;
   this->unacknowledgedTimeout = aSettings.unacknowledgedTimeout;
   this->SetRequest(aRequest);
   this->SetConnection(aRequest, aSettings);
@@ -102,6 +103,10 @@
                            int /*aRemotePort*/, int /*aLocalPort*/)
 {
   auto& transfer = *static_cast<CurlTransfer*>(aTransfer);
+  if (transfer.mayBeSent && !transfer.mayBeSent()) {
+    transfer.isWithdrawn = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   const bool isRepeat = std::exchange(transfer.wasSent, true);
   return transfer.singleSend && isRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
@@ -148,13 +153,16 @@
   long status = 0;
   curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
   end.status = static_cast<int>(status);
-  end.message = aResult == CURLE_ABORTED_BY_CALLBACK ? "a kept connection turned out to be closed"
-                                                     : curl_easy_strerror(aResult);
+  end.message = curl_easy_strerror(aResult);
+  if (aResult == CURLE_ABORTED_BY_CALLBACK) {
+    end.message = this->isWithdrawn ? "withdrawn before it was sent"
+                                    : "a kept connection turned out to be closed";
+  }
   long requestBytes = 0;
   curl_easy_getinfo(this->easy.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
   if (aResult == CURLE_OK) {
     end.outcome = TransferOutcome::Complete;
-  } else if (requestBytes == 0) {
+  } else if (requestBytes == 0 || (this->isWithdrawn && !this->wasSent)) {
     end.outcome = TransferOutcome::NotSent;
   } else if (aResult == CURLE_OPERATION_TIMEDOUT) {
     end.outcome = TransferOutcome::TimedOut;
--- a/Lagoonward/Wire/CurlTransfer.h
+++ b/Lagoonward/Wire/CurlTransfer.h
@@ -39,7 +39,9 @@
   HttpTransferObserver* observer = nullptr; ///< Null when nobody listens.
   Milliseconds unacknowledgedTimeout{ 0 };
   bool singleSend = false;
-  bool wasSent = false; ///< The library has been about to send the request once.
+  bool wasSent = false;            ///< The library has been about to send the request once.
+  bool isWithdrawn = false;        ///< It was not to be sent any more.
+  std::function<bool()> mayBeSent; ///< See HttpTransferRequest.
 
 private:
   void SetRequest(const HttpTransferRequest& aRequest);
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Core/Clock.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +41,9 @@
   /// connection when a reused one turns out to be closed, which a non-idempotent call must not.
   bool freshConnection = false;
   Milliseconds timeout{ 0 }; ///< Limit for the whole transfer; zero for none.
+  /// Asked on the loop right before the request leaves this host, which may be long after the transfer was started: a
+  /// connection has to be opened first. False ends the transfer as NotSent. Empty for always.
+  std::function<bool()> mayBeSent;
 };
 
 /// How a transfer ended.
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -136,9 +136,13 @@
 {
 public:
   void OnAccepted(const RelayCall&) override {}
-  void OnSent(const RelayCall&, std::string_view, int, const EngineWork& aWork) override
+  void OnSent(const RelayCall&, std::string_view aEndpoint, int aSend,
+              const EngineWork& aWork) override
   {
     ++this->sent;
+    if (this->onSent) {
+      this->onSent(aEndpoint, aSend);
+    }
     this->withDemand += aWork.calls + aWork.outputTokens > 0 ? 1 : 0;
   }
   void OnBegan(const RelayCall&) override { ++this->began; }
@@ -150,6 +154,7 @@
   }
   void OnEnded(const RelayCall&, const RelayEnd&) override { ++this->ended; }
 
+  std::function<void(std::string_view aEndpoint, int aSend)> onSent; ///< On the loop.
   std::atomic<int> sent{ 0 };
   std::atomic<int> withDemand{ 0 }; ///< Sends that told of work.
   std::atomic<int> began{ 0 };
@@ -463,6 +468,27 @@
   BOOST_TEST(scene.observer.moved == 1);
 }
 
+// Seen by callers: a request reached an endpoint 1.3 s after its daemon had chosen it, and later than allowed after the
+// endpoint had said that it leaves. A choice stood for good, however long opening a connection took on a busy host.
+BOOST_AUTO_TEST_CASE(IsNotSentToAnEndpointThatLeavesAfterItWasChosen)
+{
+  const ScriptedServer left([](const std::string&) { return Send(Whole("left")); });
+  const ScriptedServer right([](const std::string&) { return Send(Whole("right")); });
+  Scene scene({ &left, &right });
+  std::string leaving;
+  scene.observer.onSent = [&](std::string_view aEndpoint, int aSend) {
+    if (leaving.empty()) {
+      leaving = aEndpoint;
+      BOOST_TEST(aSend == 1);
+      scene.Leave(aEndpoint == "e0" ? left.Port() : right.Port());
+    }
+  };
+  const Received received = scene.Ask(RelayKind::NonIdempotent);
+  BOOST_REQUIRE(received.reply.has_value());
+  BOOST_TEST(received.reply->body == (leaving == "e0" ? "right" : "left"));
+  BOOST_TEST((leaving == "e0" ? left : right).Requests().empty());
+}
+
 BOOST_AUTO_TEST_CASE(ARequestWhoseEndpointHasStartedAnewIsSettledAtOnce)
 {
   for (const bool resumable : { true, false }) {
