--- a/Lagoonward/Daemon/EndpointNews.cpp
+++ b/Lagoonward/Daemon/EndpointNews.cpp
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Core/Hash.h"
 #include "Lagoonward/Core/Log.h"
+#include "Lagoonward/Daemon/EndpointNewsMessages.h"
 #include "Lagoonward/Daemon/PeerMessages.h"
 
 #include <algorithm>
@@ -14,44 +15,10 @@
 
 const Log kLog("endpoints");
 
-/// The message; numbers above RequestType::FirstForeign are this folder's.
+/// The message, a NewsMessage that is answered by a NewsAnswer; numbers above RequestType::FirstForeign are this folder's.
 constexpr auto kEndpointNews =
   static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstForeign) + 4);
 
-/// The picture of the sender, as far as the receiver may not have it.
-struct NewsMessage
-{
-  bool isForAll = false; ///< Whether the receiver is to tell its group.
-  std::int64_t sentAt =
-    0;                  ///< The sender's BootNow() in milliseconds; only differences say something.
-  std::int64_t age = 0; ///< Of the sender's picture, in milliseconds.
-  std::int64_t from = 0;          ///< All changes of this version and above are among the entries.
-  std::int64_t end = 0;           ///< The sender's picture is whole below this version.
-  std::uint64_t digest = 0;       ///< Of the endpoints that live as the sender knows them.
-  std::int64_t configuration = 0; ///< Version in force at the sender.
-  std::vector<EndpointRecord> entries;
-
-  template<class Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(this->isForAll, this->sentAt, this->age, this->from, this->end, this->digest,
-             this->configuration, this->entries);
-  }
-};
-
-/// The answer to it.
-struct NewsAnswer
-{
-  bool isWhole = false; ///< Whether the receiver has read the whole once.
-  std::int64_t end = 0; ///< Its picture is whole below this version.
-
-  template<class Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(this->isWhole, this->end);
-  }
-};
-
 /// Daemons that read for all: the first, and the next in line while the first is silent.
 constexpr int kReadersForAll = 2;
 
