Believe no age of a picture that cannot be

A daemon that had read all records, and not yet been told that the read is over, could pass on news with the greatest age there is; reckoned with, that overflows. It tells nothing before its picture has an age, and an age beyond an hour is not believed. Found while the diff was read. The test passes on the code before in the release build, where the overflow happens to give an age of a millisecond; it was not run there under sanitizers.

--- a/Lagoonward/Daemon/EndpointNews.cpp
+++ b/Lagoonward/Daemon/EndpointNews.cpp
@@ -22,24 +22,11 @@
 /// Daemons that read for all: the first, and the next in line while the first is silent.
 constexpr int kReadersForAll = 2;
 
-/// For news to pass through two daemons, some milliseconds each, beside other work of a small host.
-constexpr Milliseconds kOnTheWay{ 100 };
+/// A picture as old as this says nothing, and no longer answering of the source matters.
+constexpr Milliseconds kOldest = Seconds(3600);
 
 } // namespace
 
-EndpointNewsSettings
-EndpointNewsSettingsFor(Milliseconds aLeavingNotice)
-{
-  EndpointNewsSettings settings;
-  settings.readerPace = std::clamp(aLeavingNotice / 5, Milliseconds(50), Milliseconds(1000));
-  settings.readerSilence = 2 * settings.readerPace + kOnTheWay;
-  settings.silenceStep = std::min(aLeavingNotice / 14, Milliseconds(400));
-  settings.ownPaceLimit = settings.readerSilence;
-  settings.lateAfter = aLeavingNotice * 3 / 4;
-  settings.repeat = settings.readerSilence + 2 * settings.silenceStep + 2 * settings.readerPace;
-  return settings;
-}
-
 EndpointNews::EndpointNews(const EndpointNewsSettings& aSettings, MembershipService& aMembership,
                            PeerInfo aSelf, EndpointNewsHooks aHooks, const Clock& aClock)
   : settings(aSettings)
@@ -209,8 +196,8 @@
 void
 EndpointNews::Tell(bool aToGroups)
 {
-  // Who has not read the whole knows less than it tells of
-  if (!this->end) {
+  // Who has not read the whole knows less than it tells of, and its picture has no age yet
+  if (!this->end || this->Age() > kOldest) {
     return;
   }
   this->changes.Forget(this->clock.BootNow());
@@ -284,11 +271,12 @@
   for (const EndpointRecord& entry : message->entries) {
     isChange = this->Take(entry, true) || isChange;
   }
-  if (this->end && message->from <= *this->end) {
-    const Milliseconds age(std::max<std::int64_t>(message->age, 0));
-    const Milliseconds answeredFor(std::max<std::int64_t>(message->answered, 0));
-    const TimePoint readAt = now - delay - age;
-    this->Extend({ readAt - answeredFor, readAt }, message->end);
+  const bool isPlausible = message->age >= 0 && message->age <= kOldest.count();
+  if (isPlausible && this->end && message->from <= *this->end) {
+    const std::int64_t answeredFor =
+      std::clamp<std::int64_t>(message->answered, 0, kOldest.count());
+    const TimePoint readAt = now - delay - Milliseconds(message->age);
+    this->Extend({ readAt - Milliseconds(answeredFor), readAt }, message->end);
   }
   if (isChange) {
     this->OnChanged();
--- a/UnitTests/Daemon/EndpointNewsTests.cpp
+++ b/UnitTests/Daemon/EndpointNewsTests.cpp
@@ -1,10 +1,13 @@
 #include "Lagoonward/Core/SystemClock.h"
 #include "Lagoonward/Daemon/EndpointNews.h"
+#include "Lagoonward/Daemon/EndpointNewsMessages.h"
+#include "Lagoonward/Daemon/PeerMessages.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
 #include <thread>
 
 using namespace lagoonward;
@@ -311,6 +314,35 @@
   }));
 }
 
+/// A daemon that has read all records and not yet heard that the read is over has a picture of no age.
+BOOST_AUTO_TEST_CASE(AnAgeThatCannotBeIsNotBelieved)
+{
+  constexpr auto kEndpointNews =
+    static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstForeign) + 4);
+  Daemon& sender = *this->daemons[0];
+  Daemon& listener = *this->daemons[1];
+  const PeerAddress receiver{ Daemon::Identity(1, "a").self.Key(), "127.0.0.1",
+                              listener.membership.Transport().Port() };
+  listener.ReadWhole({}, 5);
+  NewsMessage message;
+  message.end = 5;
+  for (const std::int64_t implausible :
+       { std::numeric_limits<std::int64_t>::max(), std::numeric_limits<std::int64_t>::min() }) {
+    message.age = implausible;
+    message.answered = implausible;
+    std::atomic<bool> answered{ false };
+    sender.Do([&] {
+      sender.membership.Transport().Request(
+        receiver, kEndpointNews, EncodePeerMessage(message), Seconds(5),
+        [&](const Result<std::string>& aAnswer) { answered = aAnswer.has_value(); });
+    });
+    BOOST_TEST(this->Eventually([&] { return answered.load(); }));
+    BOOST_TEST((listener.news.Age() >= Milliseconds(0)));
+    BOOST_TEST((listener.news.Age() < kPatience));
+  }
+  BOOST_TEST(this->Eventually([&] { return listener.news.WatchesSource(); }));
+}
+
 /// Whoever was away for longer than changes are kept has missed some.
 BOOST_AUTO_TEST_CASE(NewsThatLeavesAGapMakesAPictureNoYounger)
 {
