--- a/Lagoonward/Membership/PeerConnection.cpp
+++ b/Lagoonward/Membership/PeerConnection.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t kReadBytes = 16384;
 constexpr int kReadsPerWake = 16;
 constexpr std::uint64_t kSegmentHeaderBytes = 40;
-constexpr std::size_t kFrameOverhead = 64; ///< At least what a frame has beside its bytes.
+constexpr std::size_t kFrameOverhead = 64; ///< No frame adds more to its bytes.
 
 bool
 WouldBlock(int aError)
