Divide a client's limit between the daemons and two reserves that lend

Seen: a client that asks every daemon at once from a full bucket is given many times its limit: 2.6 to 331 times (capacity + rate x time) x 1.1 + slack with 7 to 600 daemons, told one or three intervals late; at other clients' cost.

Cause: above half of the bucket each daemon took half of what was left before it had heard of the others. Without asking, a daemon cannot tell one large request from one at every daemon, so no rule by its own knowledge keeps both promises.

Change: the bucket is divided. A tenth and the slack are split evenly; the rest are two reserves kept by two daemons of different failure domains (rendezvous hashing), from which a daemon borrows when it holds too little, by one message there and back. Unused parts go to the primary reserve once no news can tell of their use.

LetsOneDaemonTakeALargeRequestWhileTheOthersAreIdle and all bounds of the older tests are unchanged; their harness now lets daemons borrow. PaysOffWhatWasTakenTooMuch asked for an excess to exist; it is replaced by NothingIsTakenTooMuchFromAFullBucket, which asks that there is none.

--- a/Lagoonward/Admission/Admission.cpp
+++ b/Lagoonward/Admission/Admission.cpp
@@ -136,6 +136,58 @@
   }
 }
 
+void
+Admission::SetReserves(std::function<ReserveRole(std::uint64_t aClient)> aRoleOf)
+{
+  const std::lock_guard lock(this->mutex);
+  this->roleOf = std::move(aRoleOf);
+  for (Client& client : this->clients) {
+    if (client.pool) {
+      client.pool->SetRole(this->roleOf(client.key), this->clock.Now());
+    }
+  }
+}
+
+std::optional<LoanRequest>
+Admission::WantedLoan(const AdmissionRequest& aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  Client* client = this->Find(HashBytes(aRequest.client));
+  if (client == nullptr || !client->pool || client->limits.tokensPerSecond <= 0) {
+    return std::nullopt;
+  }
+  auto wanted = client->pool->WantedLoan(aRequest.tokens, this->clock.Now());
+  if (wanted) {
+    wanted->client = client->key;
+    wanted->account = client->limits.name;
+  }
+  return wanted;
+}
+
+Loan
+Admission::Lend(const LoanRequest& aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  Client* client = this->Find(aRequest.client);
+  return client != nullptr && client->pool ? client->pool->Lend(aRequest, this->clock.Now())
+                                           : Loan{};
+}
+
+void
+Admission::OnLoan(const LoanRequest& aRequest, const std::optional<Loan>& aLoan)
+{
+  const std::lock_guard lock(this->mutex);
+  Client* client = this->Find(aRequest.client);
+  if (client == nullptr || !client->pool) {
+    return;
+  }
+  if (aLoan) {
+    client->pool->OnLoan(*aLoan, aRequest.need, this->clock.Now());
+  } else {
+    client->pool->OnLoanUnanswered(this->clock.Now());
+  }
+}
+
 Result<Ticket>
 Admission::Admit(const AdmissionRequest& aRequest)
 {
@@ -205,6 +257,7 @@
   aClient.pool->Configure({ aClient.limits.tokensPerSecond * more,
                             aClient.limits.burstTokens * more, this->settings.limitSlack },
                           now);
+  aClient.pool->SetRole(this->roleOf(aClient.key), now);
   this->BeginPoolInterval(aClient);
 }
 
--- a/Lagoonward/Admission/Admission.h
+++ b/Lagoonward/Admission/Admission.h
@@ -5,6 +5,7 @@
 #include "Lagoonward/Core/Result.h"
 
 #include <array>
+#include <functional>
 #include <mutex>
 #include <optional>
 #include <string_view>
@@ -71,6 +72,19 @@
   /// Until the first call or the first message of a peer, pooled limits let nothing through.
   void SetDaemons(int aCount);
 
+  /// Says what this daemon keeps of each pooled limit, named by the hash of its account's name. Until the first call it
+  /// keeps the primary reserve of each, as nobody else is known to.
+  void SetReserves(std::function<ReserveRole(std::uint64_t aClient)> aRoleOf);
+
+  /// What to borrow from a reserve before Admit() is called, or nothing.
+  [[nodiscard]] std::optional<LoanRequest> WantedLoan(const AdmissionRequest& aRequest);
+
+  /// Another daemon asks for a part of a reserve that is kept here.
+  [[nodiscard]] Loan Lend(const LoanRequest& aRequest);
+
+  /// A reserve has answered this daemon, or none has.
+  void OnLoan(const LoanRequest& aRequest, const std::optional<Loan>& aLoan);
+
   /// Errors, all with ran "no": Unauthorized for an account that the manifest does not name;
   /// ClientOverLimit with `retryAfter` until its limits allow it; Overloaded with `retryAfter`.
   [[nodiscard]] Result<Ticket> Admit(const AdmissionRequest& aRequest);
@@ -131,6 +145,9 @@
   std::uint64_t random;
   std::vector<Client> clients;
   DemandView view;
+  std::function<ReserveRole(std::uint64_t)> roleOf = [](std::uint64_t) {
+    return ReserveRole::Primary;
+  };
   int knownDaemons = 0; ///< Zero until told.
   double pressure = 0;
   std::array<double, kRanks> misses{}; ///< Averaged part of missed targets, by rank.
--- a/Lagoonward/Admission/PooledBucket.cpp
+++ b/Lagoonward/Admission/PooledBucket.cpp
@@ -6,11 +6,22 @@
 
 namespace {
 
-/// While so much of the bucket is left, a daemon need not keep to its equal part...
+/// While a reserve holds at least this part of its capacity, it lends more than is needed at once.
 constexpr double kAmplePart = 0.5;
 
-/// ...but may take this part of what is left in one interval.
-constexpr double kLargestPart = 0.5;
+/// Reserves that have refused a loan are asked again at once for this part of it: what is left may do for smaller requests.
+constexpr double kSmallerLoan = 0.5;
+
+/// Adds to a part until it is full. What a part holds beyond, by loans or since its capacity fell, stays.
+/// @return what it could not hold
+double
+Fill(double& aLevel, double aTokens, double aCapacity)
+{
+  const double room = std::max(aCapacity - aLevel, 0.0);
+  const double added = std::min(aTokens, room);
+  aLevel += added;
+  return aTokens - added;
+}
 
 } // namespace
 
@@ -18,6 +29,8 @@
   : settings(aSettings)
   , startedAt(aNow)
   , advancedAt(aNow)
+  , turnedAt(aNow)
+  , refusedUntil(aNow)
 {
 }
 
@@ -28,19 +41,94 @@
   this->limit = aLimit;
   if (!this->configured) {
     this->configured = true;
-    this->level = aLimit.capacity * this->settings.firstFill;
+    this->own = this->OwnCapacity(aNow) * this->settings.firstFill;
+    this->others = this->OthersCapacity(aNow) * this->settings.firstFill;
+  }
+  this->own = std::min(this->own, this->OwnCapacity(aNow));
+  this->reserve = std::min(this->reserve, this->ReserveCapacity());
+  this->others = std::min(this->others, this->OthersCapacity(aNow));
+  this->surplusNew = 0;
+  this->surplusOld = 0;
+}
+
+void
+PooledBucket::SetRole(ReserveRole aRole, TimePoint aNow)
+{
+  if (aRole == this->role) {
+    return;
+  }
+  this->Advance(aNow);
+  this->role = aRole;
+  // Who becomes the primary reserve goes on with what it kept as the backup: nobody else holds that
+  this->reserve = std::min(this->reserve, this->ReserveCapacity());
+  this->others = std::min(this->others, this->OthersCapacity(aNow));
+  this->surplusNew = 0;
+  this->surplusOld = 0;
+}
+
+double
+PooledBucket::HeardPart(TimePoint aNow) const
+{
+  int heard = 1;
+  for (const auto& [key, peer] : this->peers) {
+    heard += aNow - peer.heard <= this->settings.silence ? peer.daemons : 0;
+  }
+  return std::min(static_cast<double>(heard) / this->daemons.value_or(1), 1.0);
+}
+
+double
+PooledBucket::ReservePart() const
+{
+  switch (this->role) {
+    case ReserveRole::Primary:
+      return 1 - this->settings.ownPart - this->settings.backupPart;
+    case ReserveRole::Backup:
+      return this->settings.backupPart;
+    case ReserveRole::None:
+      break;
   }
-  this->level = std::min(this->level, aLimit.capacity);
-  this->BeginInterval(aNow);
+  return 0;
+}
+
+bool
+PooledBucket::IsCutOff(TimePoint aNow) const
+{
+  return this->role == ReserveRole::None && this->unansweredSince &&
+         aNow - *this->unansweredSince >= this->settings.silence &&
+         aNow - this->unansweredLast <= this->settings.silence;
 }
 
 double
-PooledBucket::AssumedRate(const Peer& aPeer, TimePoint aNow) const
+PooledBucket::OwnRate(TimePoint aNow) const
 {
-  // A burst of one interval does not go on; what it was short of shows at the next message
-  const double equal = this->limit.rate / this->daemons.value_or(1) * aPeer.daemons;
-  const bool silent = aNow - aPeer.heard > this->settings.silence;
-  return silent ? equal : std::min(aPeer.rate, equal);
+  if (this->IsAlone()) {
+    return this->limit.rate;
+  }
+  const double equal = this->limit.rate / *this->daemons;
+  return this->IsCutOff(aNow) ? equal : equal * this->settings.ownPart;
+}
+
+double
+PooledBucket::OwnCapacity(TimePoint aNow) const
+{
+  if (this->IsAlone()) {
+    return this->limit.capacity + this->limit.slack;
+  }
+  const double part = this->IsCutOff(aNow) ? 1 : this->settings.ownPart;
+  return (this->limit.capacity * part + this->limit.slack) / *this->daemons;
+}
+
+double
+PooledBucket::ReserveCapacity() const
+{
+  return this->IsAlone() ? 0 : this->limit.capacity * this->ReservePart();
+}
+
+double
+PooledBucket::OthersCapacity(TimePoint aNow) const
+{
+  return this->limit.capacity + this->limit.slack - this->OwnCapacity(aNow) -
+         this->ReserveCapacity();
 }
 
 void
@@ -51,37 +139,37 @@
     return;
   }
   this->advancedAt = aNow;
-  this->level += this->limit.rate * seconds;
-  for (auto& [key, peer] : this->peers) {
-    const double used = this->AssumedRate(peer, aNow) * seconds;
-    peer.assumed += used;
-    this->level -= used;
-  }
-  if (!this->IsYoung(aNow)) {
-    this->level -= this->limit.rate * seconds * this->Unheard() / this->daemons.value_or(1);
+  this->TurnGenerations(aNow);
+  const double ownRate = this->OwnRate(aNow);
+  Fill(this->own, ownRate * seconds, this->OwnCapacity(aNow));
+  if (this->IsAlone()) {
+    return;
   }
-  this->level = std::min(this->level, this->limit.capacity);
-}
-
-double
-PooledBucket::HeardPart(TimePoint aNow) const
-{
-  const int others = this->daemons.value_or(1) - 1;
-  int heard = 0;
-  for (const auto& [key, peer] : this->peers) {
-    heard += aNow - peer.heard <= this->settings.silence ? peer.daemons : 0;
+  // Those that are not heard may be cut off, and then use an equal part of the whole rate
+  const double heardRate = this->limit.rate * this->HeardPart(aNow);
+  const double reserveRate = heardRate * this->ReservePart();
+  Fill(this->reserve, reserveRate * seconds, this->ReserveCapacity());
+  const double othersRate = std::max(heardRate - reserveRate - ownRate, 0.0);
+  const double left = Fill(this->others, othersRate * seconds, this->OthersCapacity(aNow));
+  if (this->role == ReserveRole::Primary) {
+    const double coming = this->reserve + this->surplusNew + this->surplusOld;
+    this->surplusNew += std::clamp(this->ReserveCapacity() - coming, 0.0, left);
   }
-  return others > 0 ? std::min(static_cast<double>(heard) / others, 1.0) : 1;
 }
 
-int
-PooledBucket::Unheard() const
+void
+PooledBucket::TurnGenerations(TimePoint aNow)
 {
-  int unheard = this->daemons.value_or(1) - 1;
-  for (const auto& [key, peer] : this->peers) {
-    unheard -= peer.daemons;
+  if (aNow - this->turnedAt < this->settings.silence) {
+    return;
   }
-  return std::max(unheard, 0);
+  this->turnedAt = aNow;
+  // Nobody has told of having used it for as long as news may take
+  Fill(this->reserve, this->surplusOld, this->ReserveCapacity());
+  this->surplusOld = this->surplusNew;
+  this->surplusNew = 0;
+  this->lentBefore = this->lentNow;
+  this->lentNow = 0;
 }
 
 double
@@ -95,39 +183,93 @@
     this->OnInterval(1, aNow);
   }
   this->Advance(aNow);
-  const bool isAmple = this->level >= this->limit.capacity * kAmplePart;
-  const double most =
-    isAmple ? std::max(this->allowance, this->level * kLargestPart * this->HeardPart(aNow))
-            : this->allowance;
-  const int alike = this->IsYoung(aNow) ? this->Unheard() : 0;
-  const bool isLeft = alike == 0 || this->level > 0;
-  if (isLeft && this->takenNow + aTokens <= most) {
-    this->takenNow += aTokens;
+  if (aTokens <= this->own + this->reserve) {
+    const double fromOwn = std::min(aTokens, this->own);
+    this->own -= fromOwn;
+    this->reserve -= aTokens - fromOwn;
     this->total += aTokens;
-    this->level -= aTokens * (1 + alike);
     return 0;
   }
-  const double part = 1.0 / *this->daemons;
-  return std::max(aTokens - this->level * part, aTokens * part) / std::max(this->limit.rate, 1.0);
+  const double part = aTokens / *this->daemons;
+  const double wait = std::max(aTokens - this->Level(), part) / std::max(this->limit.rate, 1.0);
+  return std::max(wait, ToSeconds(this->refusedUntil - aNow));
+}
+
+std::optional<LoanRequest>
+PooledBucket::WantedLoan(double aTokens, TimePoint aNow)
+{
+  this->Advance(aNow);
+  const double need = aTokens - this->own - this->reserve;
+  const bool isRefused = aNow < this->refusedUntil && need > this->refusedNeed * kSmallerLoan;
+  if (need <= 0 || this->IsAlone() || isRefused) {
+    return std::nullopt;
+  }
+  const double ahead = this->limit.rate / *this->daemons * ToSeconds(this->settings.loanAhead);
+  return LoanRequest{ 0, need, need + ahead, {} };
 }
 
 void
-PooledBucket::OnInterval(int aDaemons, TimePoint aNow)
+PooledBucket::OnLoan(const Loan& aLoan, double aNeed, TimePoint aNow)
+{
+  this->Advance(aNow);
+  this->unansweredSince.reset();
+  if (aLoan.tokens > 0) {
+    this->own += aLoan.tokens;
+    this->others -= aLoan.tokens;
+    return;
+  }
+  this->refusedNeed = aNeed;
+  this->refusedUntil = aNow + std::chrono::duration_cast<TimePoint::duration>(
+                                std::chrono::duration<double>(aLoan.wait));
+}
+
+void
+PooledBucket::OnLoanUnanswered(TimePoint aNow)
 {
-  this->daemons = std::max(aDaemons, 1);
-  this->BeginInterval(aNow);
+  // Its own part fills faster from some time on: what was earned before is added first
+  this->Advance(aNow);
+  this->refusedNeed = 0;
+  this->refusedUntil = aNow + this->settings.unansweredPause;
+  if (!this->unansweredSince || aNow - this->unansweredLast > this->settings.silence) {
+    this->unansweredSince = aNow;
+  }
+  this->unansweredLast = aNow;
+}
+
+Loan
+PooledBucket::Lend(const LoanRequest& aRequest, TimePoint aNow)
+{
+  if (this->role == ReserveRole::None || !this->daemons) {
+    return {};
+  }
+  this->Advance(aNow);
+  const bool isAmple = this->reserve >= this->ReserveCapacity() * kAmplePart;
+  const double most = isAmple ? std::max(aRequest.want, aRequest.need) : aRequest.need;
+  const double given = most <= this->reserve ? most : aRequest.need;
+  if (given <= this->reserve) {
+    this->reserve -= given;
+    this->lentNow += given;
+    return { given, 0 };
+  }
+  const double earned = (aRequest.need - this->reserve) / std::max(this->limit.rate, 1.0);
+  const double spread = *this->daemons / this->settings.refusalsPerSecond;
+  return { 0, std::max({ earned, spread, ToSeconds(this->settings.shortestRefusal) }) };
 }
 
 void
-PooledBucket::BeginInterval(TimePoint aNow)
+PooledBucket::OnInterval(int aDaemons, TimePoint aNow)
 {
   this->Advance(aNow);
   std::erase_if(this->peers, [&](const auto& aPeer) {
     return aNow - aPeer.second.heard > this->settings.memory;
   });
-  const double more = this->limit.capacity > 0 ? this->limit.slack / this->limit.capacity : 0;
-  this->allowance = std::max(this->level, 0.0) * (1 + more) / this->daemons.value_or(1);
-  this->takenNow = 0;
+  const int count = std::max(aDaemons, 1);
+  if (this->daemons == count) {
+    return;
+  }
+  this->daemons = count;
+  this->own = std::min(this->own, this->OwnCapacity(aNow));
+  this->others = std::min(this->others, this->OthersCapacity(aNow));
 }
 
 void
@@ -136,27 +278,27 @@
 {
   this->Advance(aNow);
   const auto known = this->peers.find(aPeer);
-  if (known == this->peers.end()) {
-    this->peers[aPeer] = Peer{ aNow, aTotal, 0, 0, aDaemons, aSeries };
-    return;
-  }
-  if (known->second.series != aSeries) {
-    // What was assumed meanwhile stays charged
-    known->second = Peer{ aNow, aTotal, known->second.rate, 0, aDaemons, aSeries };
+  if (known == this->peers.end() || known->second.series != aSeries) {
+    this->peers[aPeer] = Peer{ aNow, aTotal, aDaemons, aSeries };
     return;
   }
   // A peer that has started anew counts from zero again
   Peer& peer = known->second;
-  const double used = aTotal >= peer.total ? aTotal - peer.total : aTotal;
-  const double seconds = ToSeconds(aNow - peer.heard);
-  if (seconds > 0) {
-    peer.rate = used / seconds;
-  }
-  this->level = std::min(this->level + peer.assumed - used, this->limit.capacity);
-  peer.assumed = 0;
-  peer.total = aTotal;
-  peer.heard = aNow;
-  peer.daemons = aDaemons;
+  this->ChargeOthers(aTotal >= peer.total ? aTotal - peer.total : aTotal);
+  peer = Peer{ aNow, aTotal, aDaemons, aSeries };
+}
+
+void
+PooledBucket::ChargeOthers(double aTokens)
+{
+  double left = aTokens;
+  // Loans were charged when they were given; what seemed to be left over was not
+  for (double* paid : { &this->lentBefore, &this->lentNow, &this->surplusNew, &this->surplusOld }) {
+    const double part = std::min(left, *paid);
+    *paid -= part;
+    left -= part;
+  }
+  this->others = std::max(this->others - left, -this->limit.capacity);
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -76,6 +76,7 @@
   this->relay = &this->kernel.Add(
     std::make_unique<RelayService>(RelaySettings{}, this->ports.endpoints, *this->market,
                                    this->fleet, this->reporter, this->clock));
+  this->relay->SetLender(*this->loans);
   this->BuildDuties();
   this->BuildServers();
   if (auto started = this->kernel.StartAll(); !started) {
@@ -129,6 +130,7 @@
   this->membership->OnPeers([this](const PeerViewPtr& aView) {
     this->market->SetLiveDaemons(static_cast<int>(aView->peers.size()) + 1);
     this->CountDaemons();
+    this->loans->OnPeers(*aView);
   });
   LoadExchangeFacts facts;
   facts.self = self;
@@ -138,6 +140,8 @@
   facts.market = this->market.get();
   this->load = std::make_unique<LoadExchange>(LoadExchangeSettings{}, std::move(facts),
                                               *this->membership, this->clock);
+  this->loans = std::make_unique<LimitLoans>(LimitLoanSettings{}, self, *this->membership,
+                                             this->market->admission, this->clock);
   EndpointNewsHooks hooks;
   hooks.decode = this->ports.decodeEndpoint;
   hooks.changed = [this] { this->PublishFleet(); };
@@ -473,6 +477,7 @@
   this->callers->CloseAfterAnswers();
   this->duties->Drain();
   this->load->Drain();
+  this->loans->Drain();
   this->membership->Drain();
 
   // The balancer still sends callers for a moment
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Core/Kernel.h"
 #include "Lagoonward/Daemon/EndpointNews.h"
+#include "Lagoonward/Daemon/LimitLoans.h"
 #include "Lagoonward/Daemon/LoadExchange.h"
 #include "Lagoonward/Daemon/RelayPorts.h"
 #include "Lagoonward/Daemon/RelayReporter.h"
@@ -106,6 +107,7 @@
   UsageCounter usage;
   DutyService* duties = nullptr;
   std::unique_ptr<LoadExchange> load;
+  std::unique_ptr<LimitLoans> loans;
   std::unique_ptr<EndpointNews> endpoints;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> readiness;
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -44,10 +44,34 @@
 void
 RelayService::Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller)
 {
-  // A task must be copyable, so both travel behind a shared pointer
-  auto call = std::make_shared<RelayCall>(std::move(aCall));
-  auto caller = std::make_shared<std::unique_ptr<RelayCaller>>(std::move(aCaller));
-  this->loop.Post([this, call, caller] { this->Begin(std::move(*call), std::move(*caller)); });
+  const auto request = std::make_shared<Waiting>(Waiting{ std::move(aCall), std::move(aCaller) });
+  this->loop.Post([this, request] { this->Prepare(request); });
+}
+
+void
+RelayService::Prepare(const std::shared_ptr<Waiting>& aRequest)
+{
+  const auto go = [this, aRequest] {
+    this->Begin(std::move(aRequest->call), std::move(aRequest->caller));
+  };
+  if (this->lender != nullptr && !aRequest->call.account.empty()) {
+    const AdmissionRequest request = this->MakeAdmissionRequest(aRequest->call);
+    if (const auto wanted = this->market.admission.WantedLoan(request)) {
+      this->lender->Borrow(*wanted, [this, go] { this->loop.Post(go); });
+      return;
+    }
+  }
+  go();
+}
+
+AdmissionRequest
+RelayService::MakeAdmissionRequest(const RelayCall& aCall) const
+{
+  AdmissionRequest request;
+  request.client = aCall.account;
+  request.rank = this->market.router.RankOf(aCall.priority);
+  request.tokens = aCall.limitTokens;
+  return request;
 }
 
 void
@@ -56,11 +80,7 @@
   this->NotePressure(aCall);
   ActiveRun active;
   if (!aCall.account.empty()) {
-    AdmissionRequest request;
-    request.client = aCall.account;
-    request.rank = this->market.router.RankOf(aCall.priority);
-    request.tokens = aCall.limitTokens;
-    auto ticket = this->market.admission.Admit(request);
+    auto ticket = this->market.admission.Admit(this->MakeAdmissionRequest(aCall));
     if (!ticket) {
       this->observer.OnAccepted(aCall);
       aCaller->Refuse(ticket.error());
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Admission/LimitLender.h"
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Core/Service.h"
 #include "Lagoonward/Relay/RelayRun.h"
@@ -26,7 +27,11 @@
   [[nodiscard]] Result<void> Start() override;
   void Stop() override;
 
-  /// Runs a request, or refuses it at once. Safe from any thread.
+  /// Where tokens of clients' limits are borrowed that this daemon does not hold. Before Start(); must outlive it.
+  void SetLender(LimitLender& aLender) { this->lender = &aLender; }
+
+  /// Runs a request, or refuses it: at once, or as soon as it is known that nobody lends what its client's limit lacks
+  /// here. Safe from any thread.
   void Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller);
 
   /// Takes a new picture of the endpoints. Safe from any thread.
@@ -47,7 +52,17 @@
     std::unique_ptr<RelayRun> run;
   };
 
+  /// A request that waits for its turn. A task must be copyable, so it travels behind a shared pointer.
+  struct Waiting
+  {
+    RelayCall call;
+    std::unique_ptr<RelayCaller> caller;
+  };
+
+  /// Borrows what the request's client lacks here, if that may help, and goes on.
+  void Prepare(const std::shared_ptr<Waiting>& aRequest);
   void Begin(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller);
+  [[nodiscard]] AdmissionRequest MakeAdmissionRequest(const RelayCall& aCall) const;
   void CheckCallers();
   void NotePressure(const RelayCall& aCall);
 
@@ -55,6 +70,7 @@
   EndpointLanguage language;
   Market& market;
   RelayObserver& observer;
+  LimitLender* lender = nullptr;
   TrafficLoop loop;
   RelayContext context;
   std::unordered_map<std::uint64_t, ActiveRun> runs; ///< Touched on the loop only.
--- a/UnitTests/Admission/DemandSumTests.cpp
+++ b/UnitTests/Admission/DemandSumTests.cpp
@@ -1,17 +1,20 @@
 #include "Lagoonward/Admission/DemandSum.h"
 #include "Lagoonward/Admission/PooledBucket.h"
 #include "Lagoonward/Core/VirtualClock.h"
+#include "UnitTests/Support/SharedLimit.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cmath>
 #include <vector>
 
 using namespace lagoonward;
+using namespace lagoonward::testing;
 
 namespace {
 
@@ -25,26 +28,35 @@
 public:
   Fleet(std::size_t aDaemons, std::size_t aPerGroup)
     : perGroup(aPerGroup)
-    , buckets(aDaemons, PooledBucket({}, clock.Now()))
+    , limit(aDaemons, kLimit, clock.Now())
     , members((aDaemons + aPerGroup - 1) / aPerGroup, DemandSum({}, clock))
     , groups(this->members.size(), DemandSum({}, clock))
   {
-    for (PooledBucket& bucket : this->buckets) {
-      bucket.Configure(kLimit, this->clock.Now());
+    for (PooledBucket& bucket : this->limit.buckets) {
       bucket.OnInterval(static_cast<int>(aDaemons), this->clock.Now());
     }
+    this->connected = this->members.size();
+    this->limit.reaches = [this](std::size_t aFrom, std::size_t aTo) {
+      const std::size_t from = aFrom / this->perGroup;
+      const std::size_t to = aTo / this->perGroup;
+      return from == to || std::max(from, to) < this->connected;
+    };
   }
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
 
   /// One interval: daemons tell their group, groups tell each other, daemons hear the sum.
   /// @param aConnected  groups that hear each other, from the first on
   void Exchange(std::size_t aConnected)
   {
     this->clock.Advance(kInterval);
+    this->connected = aConnected;
     const TimePoint now = this->clock.Now();
-    for (std::size_t index = 0; index < this->buckets.size(); ++index) {
-      this->buckets[index].OnInterval(static_cast<int>(this->buckets.size()), now);
-      const std::array<ClientDemand, 1> told{ ClientDemand{
-        kClient, 0, 0, this->buckets[index].AdmittedTotal() } };
+    std::vector<PooledBucket>& buckets = this->limit.buckets;
+    for (std::size_t index = 0; index < buckets.size(); ++index) {
+      buckets[index].OnInterval(static_cast<int>(buckets.size()), now);
+      const std::array<ClientDemand, 1> told{ ClientDemand{ kClient, 0, 0,
+                                                            buckets[index].AdmittedTotal() } };
       this->members[index / this->perGroup].OnTold(index, 1, 1, told);
     }
     for (std::size_t from = 0; from < aConnected; ++from) {
@@ -55,12 +67,12 @@
         }
       }
     }
-    for (std::size_t index = 0; index < this->buckets.size(); ++index) {
+    for (std::size_t index = 0; index < buckets.size(); ++index) {
       const std::size_t group = index / this->perGroup;
       const DemandOfOthers near = this->members[group].SumOfOthers(index);
       const DemandOfOthers far = this->groups[group].Sum();
       const double total = Total(near) + Total(far);
-      this->buckets[index].OnPeer(0, total, now, near.daemons + far.daemons, near.series);
+      buckets[index].OnPeer(0, total, now, near.daemons + far.daemons, near.series);
     }
   }
 
@@ -83,15 +95,16 @@
   {
     double admitted = 0;
     for (double asked = 0; asked < aTokens; asked += aPerRequest) {
-      PooledBucket& bucket = this->buckets[this->next++ % this->buckets.size()];
-      admitted += bucket.Take(aPerRequest, this->clock.Now()) == 0 ? aPerRequest : 0;
+      const std::size_t daemon = this->next++ % this->limit.buckets.size();
+      admitted += this->limit.Take(daemon, aPerRequest, this->clock.Now()) == 0 ? aPerRequest : 0;
     }
     return admitted;
   }
 
   VirtualClock clock;
   std::size_t perGroup;
-  std::vector<PooledBucket> buckets;
+  SharedLimit limit;
+  std::size_t connected = 0;      ///< Groups that reach each other, from the first on.
   std::vector<DemandSum> members; ///< By group.
   std::size_t next = 0;           ///< Daemon that is asked next.
   std::vector<DemandSum> groups;  ///< What each group hears of the others.
--- /dev/null
+++ b/UnitTests/Daemon/LimitLoansTests.cpp
@@ -0,0 +1,186 @@
+#include "Lagoonward/Core/SystemClock.h"
+#include "Lagoonward/Daemon/LimitLoans.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <thread>
+
+using namespace lagoonward;
+
+namespace {
+
+constexpr std::string_view kKey =
+  "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
+constexpr Seconds kPatience{ 20 };
+constexpr std::string_view kAccount = "account";
+
+/// One daemon that takes part in the loans of one account's limit.
+struct Daemon
+{
+  Daemon(const Clock& aClock, int aIndex, int aDaemons)
+    : membership(aClock, Identity(aIndex), KeyRing::Parse(kKey, "test").value(), {},
+                 [](const HostEntry&, const MembershipService::PollDone&) {})
+    , admission(Pooled(), aClock, static_cast<std::uint64_t>(aIndex))
+    , loans({}, Identity(aIndex).self, membership, admission, aClock)
+  {
+    this->membership.OnPeers([this](const PeerViewPtr& aView) { this->loans.OnPeers(*aView); });
+    this->admission.SetDaemons(aDaemons);
+    Manifest manifest;
+    ManifestClient client;
+    client.name = kAccount;
+    client.tokensPerSecond = 10'000;
+    client.burstTokens = 10'000;
+    manifest.clients.push_back(client);
+    this->admission.Configure(manifest);
+    BOOST_TEST_REQUIRE(this->membership.Start().has_value());
+  }
+
+  static AdmissionSettings Pooled()
+  {
+    AdmissionSettings settings;
+    settings.pooled = true;
+    return settings;
+  }
+
+  static MembershipIdentity Identity(int aIndex)
+  {
+    MembershipIdentity identity;
+    identity.self = { "daemon-" + std::to_string(aIndex), "127.0.0.1", 0,
+                      "domain-" + std::to_string(aIndex), "region" };
+    identity.session = static_cast<std::uint64_t>(aIndex) + 1;
+    return identity;
+  }
+
+  /// Borrows where that may help, and looks at the limit again. @return whether the request is admitted
+  bool Ask(double aTokens)
+  {
+    const AdmissionRequest request{ kAccount, 0, aTokens };
+    if (const auto wanted = this->admission.WantedLoan(request)) {
+      std::promise<void> settled;
+      this->loans.Borrow(*wanted, [&settled] { settled.set_value(); });
+      BOOST_TEST_REQUIRE((settled.get_future().wait_for(kPatience) == std::future_status::ready));
+    }
+    return this->admission.Admit(request).has_value();
+  }
+
+  MembershipService membership;
+  Admission admission;
+  LimitLoans loans;
+};
+
+/// Daemons on loopback, each in a failure domain of its own, that know each other and have full reserves.
+struct Fleet
+{
+  static constexpr int kDaemons = 3;
+
+  Fleet()
+  {
+    for (int index = 0; index < kDaemons; ++index) {
+      this->daemons.push_back(std::make_unique<Daemon>(this->clock, index, kDaemons));
+    }
+    std::vector<HostEntry> hosts;
+    for (int index = 0; index < kDaemons; ++index) {
+      const PeerInfo self = Daemon::Identity(index).self;
+      hosts.push_back(
+        { self.id, HostEntry::Kind::Daemon, self.address,
+          this->daemons[static_cast<std::size_t>(index)]->membership.Transport().Port(),
+          self.failureDomain, self.region, "small", "", false });
+    }
+    for (const auto& daemon : this->daemons) {
+      daemon->membership.ApplyHostList(hosts);
+    }
+    this->Await([this] {
+      return std::all_of(this->daemons.begin(), this->daemons.end(), [](const auto& aEach) {
+        return aEach->membership.Peers()->peers.size() == kDaemons - 1;
+      });
+    });
+    // A reserve fills while the daemons hear of each other
+    for (int interval = 0; interval < 12; ++interval) {
+      for (const auto& daemon : this->daemons) {
+        static_cast<void>(daemon->admission.TakeDemand());
+        daemon->admission.OnOthers({ 1, kDaemons - 1, {} });
+      }
+      std::this_thread::sleep_for(Milliseconds(100));
+    }
+  }
+
+  ~Fleet()
+  {
+    for (const auto& daemon : this->daemons) {
+      daemon->membership.Stop();
+    }
+  }
+
+  template<typename Condition>
+  void Await(Condition aCondition)
+  {
+    for (Milliseconds waited{ 0 }; waited < kPatience && !aCondition();
+         waited += Milliseconds(10)) {
+      std::this_thread::sleep_for(Milliseconds(10));
+    }
+    BOOST_TEST_REQUIRE(aCondition());
+  }
+
+  /// The index of a holder of the account's reserves.
+  std::size_t IndexOf(const PeerAddress& aHolder) const
+  {
+    std::size_t index = 0;
+    while (ToPeerKey("daemon-" + std::to_string(index)) != aHolder.key) {
+      ++index;
+    }
+    return index;
+  }
+
+  [[nodiscard]] ReserveHolders Holders() const
+  {
+    ReservePlan plan(Daemon::Identity(0).self, true, *this->daemons[0]->membership.Peers());
+    return plan.HoldersOf(HashBytes(kAccount));
+  }
+
+  SystemClock clock;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LimitLoansTests, Fleet)
+
+BOOST_AUTO_TEST_CASE(ALargeRequestIsTakenAtTheDaemonThatKeepsNothing)
+{
+  const ReserveHolders holders = this->Holders();
+  const std::size_t third = 3 - this->IndexOf(*holders.primary) - this->IndexOf(*holders.backup);
+  BOOST_TEST(this->daemons[third]->Ask(6000));
+  // That was the primary reserve; what is left does not suffice, and asking is put off
+  BOOST_TEST(!this->daemons[third]->Ask(9000));
+  BOOST_TEST(!this->daemons[third]->admission.WantedLoan({ kAccount, 0, 9000 }).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TheBackupLendsWhereThePrimaryIsGone)
+{
+  const ReserveHolders holders = this->Holders();
+  const std::size_t primary = this->IndexOf(*holders.primary);
+  const std::size_t third = 3 - primary - this->IndexOf(*holders.backup);
+  this->daemons[primary]->membership.Stop();
+  const auto begun = std::chrono::steady_clock::now();
+  BOOST_TEST(this->daemons[third]->Ask(1500));
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < Seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(ADaemonThatLeavesLendsNothingMore)
+{
+  const ReserveHolders holders = this->Holders();
+  const std::size_t primary = this->IndexOf(*holders.primary);
+  this->daemons[primary]->loans.Drain();
+  BOOST_TEST(this->daemons[primary]->admission.Lend({ HashBytes(kAccount), 100, 100, {} }).tokens ==
+             0);
+}
+
+BOOST_AUTO_TEST_CASE(NonsenseIsAnsweredWithNothing)
+{
+  const Loan loan = this->daemons[0]->admission.Lend({ 12345, 100, 100, {} });
+  BOOST_TEST(loan.tokens == 0);
+  BOOST_TEST(loan.wait == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -166,12 +166,16 @@
 class Scene
 {
 public:
-  explicit Scene(const std::vector<const ScriptedServer*>& aEndpoints)
+  explicit Scene(const std::vector<const ScriptedServer*>& aEndpoints,
+                 const MarketSettings& aMarket = {},
+                 const std::vector<ManifestClient>& aClients = {})
+    : market("m", aMarket, clock, 1)
   {
     auto configuration = std::make_shared<Configuration>();
     configuration->offset = 1;
     configuration->manifest.failureDomains = { "d" };
     configuration->manifest.services = { { "s", false } };
+    configuration->manifest.clients = aClients;
     this->market.ApplyConfiguration(configuration);
     auto snapshot = std::make_shared<FleetSnapshot>();
     for (const ScriptedServer* server : aEndpoints) {
@@ -225,7 +229,8 @@
     return caller.Wait();
   }
 
-  void Submit(TestCaller& aCaller, RelayKind aKind, bool aResumable, Milliseconds aTimeout)
+  void Submit(TestCaller& aCaller, RelayKind aKind, bool aResumable, Milliseconds aTimeout,
+              const std::string& aAccount = {}, double aTokens = 0)
   {
     RelayRoute route;
     route.kind = aKind;
@@ -244,18 +249,91 @@
     call.outputTokens = 100;
     call.route = std::make_shared<const RelayRoute>(route);
     call.service = "s";
+    call.account = aAccount;
+    call.limitTokens = aTokens;
     call.receivedAt = this->clock.Now();
     call.deadline = call.receivedAt + Seconds(20);
     this->service.Submit(std::move(call), std::make_unique<TestCaller::Side>(aCaller));
   }
 
   SystemClock clock;
-  Market market{ "m", {}, clock, 1 };
+  Market market;
   FleetStore fleet;
   QuietObserver observer;
   RelayService service{ {}, LanguageOf(TestDialect()), market, fleet, observer, clock };
 };
 
+constexpr std::string_view kAccount = "account";
+
+/// A relay whose account's limit is kept by daemons that only a lender reaches.
+struct LimitedScene
+{
+  /// Lends, or refuses, when the test says so.
+  class Lender final : public LimitLender
+  {
+  public:
+    explicit Lender(LimitedScene& aOwner)
+      : owner(aOwner)
+    {
+    }
+
+    void Borrow(const LoanRequest& aRequest, std::function<void()> aSettled) override
+    {
+      const std::lock_guard lock(this->mutex);
+      this->wanted = aRequest;
+      this->settled = std::move(aSettled);
+      this->asked.notify_all();
+    }
+
+    /// Waits until somebody asks, and answers.
+    void Answer(const std::function<Loan(const LoanRequest&)>& aLoanFor)
+    {
+      std::unique_lock lock(this->mutex);
+      BOOST_TEST_REQUIRE(
+        this->asked.wait_for(lock, Seconds(10), [this] { return this->settled != nullptr; }));
+      this->owner.scene.market.admission.OnLoan(this->wanted, aLoanFor(this->wanted));
+      std::exchange(this->settled, nullptr)();
+    }
+
+  private:
+    LimitedScene& owner;
+    std::mutex mutex;
+    std::condition_variable asked;
+    LoanRequest wanted;
+    std::function<void()> settled;
+  };
+
+  LimitedScene()
+  {
+    this->scene.market.admission.SetReserves([](std::uint64_t) { return ReserveRole::None; });
+    this->scene.market.admission.SetDaemons(10);
+    this->scene.service.SetLender(this->lender);
+  }
+
+  static MarketSettings Pooled()
+  {
+    MarketSettings settings;
+    settings.admission.pooled = true;
+    return settings;
+  }
+
+  static std::vector<ManifestClient> Clients()
+  {
+    ManifestClient client;
+    client.name = kAccount;
+    client.tokensPerSecond = 1;
+    client.burstTokens = 1000;
+    return { client };
+  }
+
+  const ScriptedServer server{ [](const std::string&) {
+    return Script{ { Kind::Send,
+                     "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nContent-Length: 2\r\n\r\nhi" } };
+  } };
+  Scene scene{ { &server }, Pooled(), Clients() };
+  Lender lender{ *this };
+};
+
 std::string
 Whole(const std::string& aBody, const std::string& aStatus = "200 OK",
       const std::string& aHeaders = "Id: r1\r\nMark: m\r\n")
@@ -307,6 +385,46 @@
   BOOST_TEST(scene.observer.began == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ARequestLargerThanWhatIsHeldHereWaitsForALoan)
+{
+  LimitedScene limited;
+  TestCaller caller;
+  limited.scene.Submit(caller, RelayKind::NonIdempotent, false, Seconds(5), std::string(kAccount),
+                       400);
+  limited.lender.Answer([](const LoanRequest& aWanted) { return Loan{ aWanted.need, 0 }; });
+  BOOST_TEST(caller.Wait().reply.has_value());
+  // A small one is not held up
+  TestCaller small;
+  limited.scene.Submit(small, RelayKind::NonIdempotent, false, Seconds(5), std::string(kAccount),
+                       1);
+  limited.lender.Answer([](const LoanRequest& aWanted) { return Loan{ aWanted.want, 0 }; });
+  BOOST_TEST(small.Wait().reply.has_value());
+  TestCaller next;
+  limited.scene.Submit(next, RelayKind::NonIdempotent, false, Seconds(5), std::string(kAccount),
+                       0.05);
+  BOOST_TEST(next.Wait().reply.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatNobodyLendsForIsRefusedWithTheTimeToComeBack)
+{
+  LimitedScene limited;
+  TestCaller caller;
+  limited.scene.Submit(caller, RelayKind::NonIdempotent, false, Seconds(5), std::string(kAccount),
+                       400);
+  limited.lender.Answer([](const LoanRequest&) { return Loan{ 0, 3 }; });
+  const Received refused = caller.Wait();
+  BOOST_REQUIRE(refused.error.has_value());
+  BOOST_TEST((refused.error->kind == ErrorKind::ClientOverLimit));
+  BOOST_TEST((refused.error->ran == Ran::No));
+  BOOST_TEST((refused.error->retryAfter >= Milliseconds(2000)));
+  BOOST_TEST(limited.server.Requests().empty());
+  // The reserve is not asked again before: it is refused at once
+  TestCaller again;
+  limited.scene.Submit(again, RelayKind::NonIdempotent, false, Seconds(5), std::string(kAccount),
+                       400);
+  BOOST_TEST(again.Wait().error.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(SendsANonIdempotentRequestOnlyOnceWhenItsAnswerIsLost)
 {
   for (const Script& loss : { Script{ { Kind::Reset } }, Script{ { Kind::Close } },
