Let the daemon under test take the free port itself

Seen: RelayDaemonTests/ServesARequestAndReportsItsUsage does not start: started.has_value() failed in 1 of 60 runs, 20 at once (2 of 540 in the users' record).

Cause: the test bound port 0, closed the socket and handed the number on; meanwhile another process could take it. The daemon has always been able to bind port 0 itself; it now tells which port its callers reach (CallerPort). Nothing else here hands on a number that the kernel gave: scripts and the soak choose below that range.

--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -78,6 +78,9 @@
   /// Whether callers should be sent here.
   [[nodiscard]] bool IsReady() const;
 
+  /// The port for callers, once started: that of the settings, or the one that was free where they say 0.
+  [[nodiscard]] std::uint16_t CallerPort() const { return this->callers->Port(); }
+
   [[nodiscard]] const RelayDaemonSettings& Settings() const { return this->settings; }
 
 private:
