--- a/Lagoonward/Admission/AdmissionSettings.h
+++ b/Lagoonward/Admission/AdmissionSettings.h
@@ -18,7 +18,7 @@
   double limitTolerance = 0; ///< As a part of rate and burst.
   double limitSlack = 0;     ///< Further tokens at once.
   /// Daemons keep one bucket for each client together instead of splitting its rate. Serves a client
-  /// whose requests are large beside a daemon's part; needs the slack above.
+  /// whose requests are large beside a daemon's part; needs somebody who carries loans between them.
   bool pooled = false;
   PooledBucketSettings pool;
   double shedFrom = 0.8;     ///< Pressure at which the lowest rank begins to be shed.
--- a/Lagoonward/Admission/PooledBucket.cpp
+++ b/Lagoonward/Admission/PooledBucket.cpp
@@ -219,8 +219,9 @@
     return;
   }
   this->refusedNeed = aNeed;
-  this->refusedUntil = aNow + std::chrono::duration_cast<TimePoint::duration>(
-                                std::chrono::duration<double>(aLoan.wait));
+  const double wait = std::min(aLoan.wait, ToSeconds(this->settings.longestRefusal));
+  this->refusedUntil =
+    aNow + std::chrono::duration_cast<TimePoint::duration>(std::chrono::duration<double>(wait));
 }
 
 void
--- a/Lagoonward/Admission/PooledBucket.h
+++ b/Lagoonward/Admission/PooledBucket.h
@@ -38,8 +38,9 @@
   Milliseconds loanAhead{ 1000 };
   /// Refusals that a reserve gives at the most, each second, by the time for which it sends daemons away.
   double refusalsPerSecond = 200;
-  Milliseconds shortestRefusal{ 50 };  ///< For which a reserve sends a daemon away.
-  Milliseconds unansweredPause{ 200 }; ///< Until a reserve that does not answer is asked again.
+  Milliseconds shortestRefusal{ 50 };    ///< For which a reserve sends a daemon away.
+  Milliseconds longestRefusal{ 30'000 }; ///< For which a daemon stays away, whatever it was told.
+  Milliseconds unansweredPause{ 200 };   ///< Until a reserve that does not answer is asked again.
 };
 
 /// What a daemon keeps of a client's limit beside its own part.
--- a/Lagoonward/Daemon/RelayTuning.cpp
+++ b/Lagoonward/Daemon/RelayTuning.cpp
@@ -28,7 +28,8 @@
 /// Beyond the time in which orders may not go to and fro, for the call itself to arrive.
 constexpr Milliseconds kQuietMargin{ 300 };
 
-/// Parts of what is tolerated over a client's limit that admission hands out.
+/// Parts of what is tolerated over a client's limit that admission hands out. The rest is for what was admitted at
+/// different moments and reaches endpoints at one.
 constexpr double kToleranceUsed = 0.8;
 constexpr double kSlackUsed = 0.5;
 
@@ -49,7 +50,6 @@
   market.retries.perSuccess = aSettings.retryRatio * 0.75;
   market.retries.capacity = aSettings.retrySlack / 2;
   market.retries.perSecond = aSettings.retrySlack / 2 / window / 2;
-  // The rest is left to requests that overdraw, at most one a daemon
   market.admission.limitTolerance = aSettings.limitTolerance * kToleranceUsed;
   market.admission.limitSlack = aSettings.limitSlack * kSlackUsed;
   market.admission.pooled = true;
--- a/UnitTests/Admission/PooledBucketTests.cpp
+++ b/UnitTests/Admission/PooledBucketTests.cpp
@@ -336,6 +336,16 @@
              0);
 }
 
+BOOST_AUTO_TEST_CASE(ARefusalWithoutEndKeepsADaemonAwayForABoundedTime)
+{
+  Pressure pressure(40, 1);
+  PooledBucket& bucket = pressure.limit.buckets[0];
+  bucket.OnLoan({ 0, 1e300 }, 700, pressure.clock.Now());
+  BOOST_TEST(!bucket.WantedLoan(700, pressure.clock.Now()).has_value());
+  pressure.clock.Advance(PooledBucketSettings{}.longestRefusal);
+  BOOST_TEST(bucket.WantedLoan(700, pressure.clock.Now()).has_value());
+}
+
 /// The daemon that keeps the primary reserve is gone: the backup lends at once, and goes on as the primary one.
 BOOST_AUTO_TEST_CASE(ABackupLendsWhereThePrimaryReserveIsSilent)
 {
