Leave borrowed tokens alone where a configuration or a count of daemons comes between

Found in reading: each configuration, and each change of how many daemons there are, cut what a daemon holds down to its own part, and with it what it had just borrowed for a request that was about to be admitted; that request was refused. The same limit now changes nothing, and the count cuts only what a daemon held while it took itself to be alone.

ALimitThatIsSetAgainTakesNoLoanBack fails with the first of the two taken out.

--- a/Lagoonward/Admission/PooledBucket.cpp
+++ b/Lagoonward/Admission/PooledBucket.cpp
@@ -37,6 +37,11 @@
 void
 PooledBucket::Configure(const PooledLimit& aLimit, TimePoint aNow)
 {
+  // Configurations come several times a second, most of them about other things: what was borrowed for a request that is
+  // about to be admitted must not be cut off
+  if (this->configured && aLimit == this->limit) {
+    return;
+  }
   this->Advance(aNow);
   this->limit = aLimit;
   if (!this->configured) {
@@ -268,8 +273,12 @@
   if (this->daemons == count) {
     return;
   }
+  // Alone it holds everything; else what it has beyond its part was borrowed
+  const bool wasAlone = this->IsAlone();
   this->daemons = count;
-  this->own = std::min(this->own, this->OwnCapacity(aNow));
+  if (wasAlone) {
+    this->own = std::min(this->own, this->OwnCapacity(aNow));
+  }
   this->others = std::min(this->others, this->OthersCapacity(aNow));
 }
 
--- a/Lagoonward/Admission/PooledBucket.h
+++ b/Lagoonward/Admission/PooledBucket.h
@@ -16,6 +16,8 @@
   double capacity = 0; ///< Tokens at once.
   /// Tokens by which all daemons together may exceed the capacity.
   double slack = 0;
+
+  [[nodiscard]] bool operator==(const PooledLimit&) const = default;
 };
 
 /// Tunables of pooled buckets.
@@ -82,8 +84,8 @@
 /// in all.
 ///
 /// Error bound: while one daemon at a time is the primary reserve and one the backup, all daemons together admit at
-/// most capacity + slack + rate * time, however many they are and however late news come, up to `silence`. Where daemons
-/// disagree about the roles, each role held twice adds its part of the rate for that time. A reserve earns for the part
+/// most capacity + slack + rate * time, however many they are and however late news come, up to `silence`. A daemon that
+/// starts brings firstFill of its own part. Where daemons disagree about the roles, each role held twice adds its part of the rate for that time. A reserve earns for the part
 /// of the daemons that it hears; a daemon that no reserve has answered for `silence` holds and earns an equal part of
 /// the whole. Sides that are cut off from each other thus stay within the limit, but for the time that it takes to
 /// notice.
@@ -94,7 +96,7 @@
 public:
   PooledBucket(const PooledBucketSettings& aSettings, TimePoint aNow);
 
-  /// Sets the limit. A lower one takes effect at once.
+  /// Sets the limit. A lower one takes effect at once; the same one changes nothing.
   void Configure(const PooledLimit& aLimit, TimePoint aNow);
 
   /// Sets what this daemon keeps of the limit. A reserve begins empty, unless it was the other one before.
--- a/UnitTests/Admission/PooledBucketTests.cpp
+++ b/UnitTests/Admission/PooledBucketTests.cpp
@@ -336,6 +336,17 @@
              0);
 }
 
+/// A configuration that is about something else comes between a loan and the request that it is for.
+BOOST_AUTO_TEST_CASE(ALimitThatIsSetAgainTakesNoLoanBack)
+{
+  Pressure pressure(40, 1);
+  PooledBucket& bucket = pressure.limit.buckets[0];
+  bucket.OnLoan({ 4000, 0 }, 4000, pressure.clock.Now());
+  bucket.Configure(Pressure::kLimit, pressure.clock.Now());
+  bucket.OnInterval(41, pressure.clock.Now());
+  BOOST_TEST(bucket.Take(4000, pressure.clock.Now()) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(ARefusalWithoutEndKeepsADaemonAwayForABoundedTime)
 {
   Pressure pressure(40, 1);
