--- a/Lagoonward/Daemon/LimitLoans.cpp
+++ b/Lagoonward/Daemon/LimitLoans.cpp
@@ -120,6 +120,7 @@
     const auto found = this->silentAt.find(aReserve.key);
     return found != this->silentAt.end() && now - found->second < this->settings.distrust;
   };
+  // They are asked from the back
   std::stable_partition(reserves.begin(), reserves.end(), isSilent);
   return reserves;
 }
