Say by type why an attempt at an endpoint ended, and name what a request asks in its failures

A lost connection, a restart, a silence and a failure answer all went one way, told apart by a text only; nothing in the logs showed that two requests with different ids asked the same. attempt_failed now has the cause and the print of the request (hash of method, target, account and body). No decision changes.

--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -139,14 +139,15 @@
 }
 
 void
-RelayReporter::OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint,
-                               std::string_view aReason, bool aGoesOn)
+RelayReporter::OnAttemptFailed(const RelayCall& aCall, const FailedAttempt& aFailed)
 {
   this->attempts.Add({ { "service", aCall.service }, { "outcome", "failed" } }).Increment();
   kLog.Event("attempt_failed", { { "request", aCall.id },
-                                 { "endpoint", aEndpoint },
-                                 { "reason", aReason },
-                                 { "goes_on", aGoesOn },
+                                 { "print", aCall.print },
+                                 { "endpoint", aFailed.endpoint },
+                                 { "cause", ToString(aFailed.cause) },
+                                 { "reason", aFailed.reason },
+                                 { "goes_on", aFailed.goesOn },
                                  { "age_ms", this->AgeOf(aCall) } });
 }
 
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -61,8 +61,7 @@
   void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
               const EngineWork& aWork) override;
   void OnBegan(const RelayCall& aCall) override;
-  void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint, std::string_view aReason,
-                       bool aGoesOn) override;
+  void OnAttemptFailed(const RelayCall& aCall, const FailedAttempt& aFailed) override;
   void OnMoved(const RelayCall& aCall, std::string_view aFrom, std::string_view aTo, bool aMoved,
                std::string_view aReason) override;
   void OnEnded(const RelayCall& aCall, const RelayEnd& aEnd) override;
--- /dev/null
+++ b/Lagoonward/Relay/AttemptEnd.cpp
@@ -0,0 +1,35 @@
+#include "Lagoonward/Relay/AttemptEnd.h"
+
+namespace lagoonward {
+
+std::string_view
+ToString(AttemptCause aCause)
+{
+  switch (aCause) {
+    case AttemptCause::None:
+      return "none";
+    case AttemptCause::NoConnection:
+      return "no_connection";
+    case AttemptCause::Refused:
+      return "refused";
+    case AttemptCause::Failed:
+      return "failed";
+    case AttemptCause::Unusable:
+      return "unusable";
+    case AttemptCause::ConnectionLost:
+      return "connection_lost";
+    case AttemptCause::Restarted:
+      return "restarted";
+    case AttemptCause::Silent:
+      return "silent";
+  }
+  return "none";
+}
+
+bool
+MayBeCrash(AttemptCause aCause)
+{
+  return aCause == AttemptCause::ConnectionLost || aCause == AttemptCause::Restarted;
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -126,9 +126,12 @@
   end.reason = aEnd.message;
   if (aEnd.outcome == TransferOutcome::NotSent) {
     end.outcome = AttemptOutcome::NotSent;
+    end.cause = AttemptCause::NoConnection;
     return end;
   }
   if (aEnd.outcome != TransferOutcome::Complete) {
+    end.cause =
+      aEnd.outcome == TransferOutcome::Broken ? AttemptCause::ConnectionLost : AttemptCause::Silent;
     return end;
   }
   this->ReadHead(aEnd.status);
@@ -136,8 +139,10 @@
   end.reason = fmt::format("status {}", aEnd.status);
   if (this->head.notRun || aEnd.status == kMisdirected) {
     end.outcome = AttemptOutcome::NotRun;
+    end.cause = AttemptCause::Refused;
     return end;
   }
+  end.cause = AttemptCause::Unusable;
   if (!this->head.belongs || this->head.encoded || this->unusable) {
     end.reason += this->head.belongs ? ", unusable body" : ", answer of another request";
     return end;
@@ -146,10 +151,13 @@
   if (IsSuccess(aEnd.status)) {
     end.reason += this->head.genuine ? "" : ", not the endpoint's own";
     end.reason += isCutEvent ? ", ends within an event" : "";
-    end.outcome =
-      this->head.genuine && !isCutEvent ? AttemptOutcome::Whole : AttemptOutcome::Unknown;
+    if (this->head.genuine && !isCutEvent) {
+      end.outcome = AttemptOutcome::Whole;
+      end.cause = AttemptCause::None;
+    }
   } else if (this->head.genuine) {
     end.outcome = AttemptOutcome::Failure;
+    end.cause = AttemptCause::Failed;
   }
   end.reply = { aEnd.status, this->head.headers, std::move(this->body) };
   return end;
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Relay/AttemptEnd.h"
 #include "Lagoonward/Relay/EventSplitter.h"
 #include "Lagoonward/Relay/RelayCall.h"
 #include "Lagoonward/Relay/RelaySettings.h"
@@ -12,33 +13,6 @@
 
 namespace lagoonward {
 
-/// An answer as the caller gets it.
-struct RelayReply
-{
-  int status = 0;
-  std::vector<HttpHeader> headers;
-  std::string body;
-};
-
-/// What is known once one attempt is over.
-enum class AttemptOutcome
-{
-  Whole,   ///< The endpoint's whole answer, a success.
-  Failure, ///< The endpoint's whole answer, a failure; the request ran.
-  NotSent, ///< Proven: the request never left.
-  NotRun,  ///< Proven by the endpoint: it did not run the request.
-  Unknown, ///< It may have run; no whole answer came.
-};
-
-/// The end of one attempt.
-struct AttemptEnd
-{
-  AttemptOutcome outcome = AttemptOutcome::Unknown;
-  bool otherOwner = false; ///< The address belongs to another endpoint now.
-  RelayReply reply;        ///< Of Whole and Failure; without a body for a stream of events.
-  std::string reason;      ///< For logs.
-};
-
 /// Hears of one attempt, on the traffic loop.
 class AttemptListener
 {
--- a/Lagoonward/Relay/RelayCall.cpp
+++ b/Lagoonward/Relay/RelayCall.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Relay/RelayCall.h"
 
+#include "Lagoonward/Core/Hash.h"
+
 #include <algorithm>
 
 namespace lagoonward {
@@ -12,4 +14,11 @@
                    : this->deadline;
 }
 
+std::uint64_t
+PrintOf(const RelayCall& aCall)
+{
+  const std::uint64_t asked = HashBytes(aCall.target, HashBytes(aCall.method));
+  return HashBytes(aCall.body, HashBytes(aCall.account, asked));
+}
+
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -41,11 +41,16 @@
   int eventTokens = 1;  ///< Tokens in one event of its stream.
   std::vector<PromptPart> promptParts;
   std::string lastEventId; ///< A stream's caller has this event already; empty for none.
+  std::uint64_t print = 0; ///< See PrintOf().
 
   /// When the final answer is due: the route's timeout or the deadline, whichever comes first.
   [[nodiscard]] TimePoint EndsAt() const;
 };
 
+/// Names what a request asks, whatever its id: the same each time that its account sends the same method, target and body.
+[[nodiscard]] std::uint64_t
+PrintOf(const RelayCall& aCall);
+
 /// What an endpoint is told beside the request.
 struct SendTerms
 {
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Error.h"
+#include "Lagoonward/Relay/AttemptEnd.h"
 #include "Lagoonward/Relay/RelayCall.h"
 #include "Lagoonward/Routing/EngineWork.h"
 
@@ -19,6 +20,15 @@
   std::string endpoint; ///< The last one asked; empty for none.
 };
 
+/// How one attempt at an endpoint failed.
+struct FailedAttempt
+{
+  std::string_view endpoint;
+  AttemptCause cause = AttemptCause::None;
+  std::string_view reason; ///< For logs.
+  bool goesOn = false;     ///< The request is sent again.
+};
+
 /// Hears what happens to relayed requests, on the traffic loop: for logs, metrics, metering and demand.
 class RelayObserver
 {
@@ -31,8 +41,7 @@
                       const EngineWork& aWork) = 0;
   /// An endpoint has begun to answer for the first time: the request runs.
   virtual void OnBegan(const RelayCall& aCall) = 0;
-  virtual void OnAttemptFailed(const RelayCall& aCall, std::string_view aEndpoint,
-                               std::string_view aReason, bool aGoesOn) = 0;
+  virtual void OnAttemptFailed(const RelayCall& aCall, const FailedAttempt& aFailed) = 0;
   /// A stream was moved from an endpoint that leaves, or could not be.
   virtual void OnMoved(const RelayCall& aCall, std::string_view aFrom, std::string_view aTo,
                        bool aMoved, std::string_view aReason) = 0;
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -222,7 +222,8 @@
   }
   this->mayHaveRun = true;
   this->lastReason = "the endpoint fell silent";
-  this->context.observer.OnAttemptFailed(this->call, this->endpointId, this->lastReason, true);
+  this->context.observer.OnAttemptFailed(
+    this->call, { this->endpointId, AttemptCause::Silent, this->lastReason, true });
   this->excluded.push_back(this->endpointId);
   this->DropAttempt(DispatchOutcome::Failed);
   this->Dispatch();
@@ -325,7 +326,8 @@
     hasAttempts && !isCallersFault && (!this->mayHaveRun || this->call.route->IsRepeatable());
   const bool isFree = aEnd.outcome == AttemptOutcome::NotSent;
   const bool goesOn = isAllowed && (isFree || this->context.retryBudget.TryTake());
-  this->context.observer.OnAttemptFailed(this->call, this->endpointId, aEnd.reason, goesOn);
+  this->context.observer.OnAttemptFailed(this->call,
+                                         { this->endpointId, aEnd.cause, aEnd.reason, goesOn });
   if (goesOn) {
     this->Dispatch();
     return;
@@ -358,6 +360,7 @@
 {
   // Its connection may stay silent for good: who has started anew answers nothing that the life before was sent
   AttemptEnd end;
+  end.cause = AttemptCause::Restarted;
   end.reason = "the endpoint has started anew";
   this->attempt.reset();
   this->OnAttemptFailed(end);
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -44,6 +44,7 @@
 void
 RelayService::Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller)
 {
+  aCall.print = PrintOf(aCall);
   const auto request = std::make_shared<Waiting>(Waiting{ std::move(aCall), std::move(aCaller) });
   this->loop.Post([this, request] { this->Prepare(request); });
 }
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -2,6 +2,8 @@
 #include "Lagoonward/Relay/RelayService.h"
 #include "UnitTests/Support/ScriptedServer.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
@@ -11,6 +13,17 @@
 using namespace lagoonward;
 using namespace lagoonward::testing;
 
+namespace lagoonward {
+
+/// Names the cases of a test.
+std::ostream&
+operator<<(std::ostream& aStream, RelayKind aKind)
+{
+  return aStream << static_cast<int>(aKind);
+}
+
+} // namespace lagoonward
+
 namespace {
 
 using Kind = ScriptStep::Kind;
@@ -146,7 +159,7 @@
     this->withDemand += aWork.calls + aWork.outputTokens > 0 ? 1 : 0;
   }
   void OnBegan(const RelayCall&) override { ++this->began; }
-  void OnAttemptFailed(const RelayCall&, std::string_view, std::string_view, bool) override {}
+  void OnAttemptFailed(const RelayCall&, const FailedAttempt&) override {}
   void OnMoved(const RelayCall&, std::string_view, std::string_view, bool aMoved,
                std::string_view) override
   {
@@ -229,6 +242,15 @@
     return caller.Wait();
   }
 
+  /// Asks with another body than all other requests.
+  Received AskWith(const std::string& aBody, RelayKind aKind)
+  {
+    TestCaller caller;
+    this->body = aBody;
+    this->Submit(caller, aKind, false, Seconds(5));
+    return caller.Wait();
+  }
+
   void Submit(TestCaller& aCaller, RelayKind aKind, bool aResumable, Milliseconds aTimeout,
               const std::string& aAccount = {}, double aTokens = 0)
   {
@@ -244,8 +266,7 @@
     call.id = "r1";
     call.method = "POST";
     call.target = "/a/./b?x=%41";
-    call.body = "body";
-    call.outputTokens = 100;
+    call.body = this->body;
     call.outputTokens = 100;
     call.route = std::make_shared<const RelayRoute>(route);
     call.service = "s";
@@ -257,6 +278,7 @@
   }
 
   SystemClock clock;
+  std::string body = "body";
   Market market;
   FleetStore fleet;
   QuietObserver observer;
