--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -389,6 +389,37 @@
   };
 }
 
+constexpr std::string_view kCrashingBody = "crash";
+
+bool
+IsCrashing(const std::string& aRequest)
+{
+  return aRequest.ends_with(kCrashingBody);
+}
+
+/// An endpoint that dies of a request with a certain body as it begins to answer, and answers all others.
+Script
+CrashOrAnswer(const std::string& aRequest)
+{
+  if (!IsCrashing(aRequest)) {
+    return Send(Whole("hi"));
+  }
+  return { { Kind::Send, kStreamHead }, { Kind::Reset } };
+}
+
+/// How often endpoints were sent the request that crashes them.
+std::size_t
+CrashesOf(const std::vector<const ScriptedServer*>& aEndpoints)
+{
+  std::size_t crashes = 0;
+  for (const ScriptedServer* endpoint : aEndpoints) {
+    const auto requests = endpoint->Requests();
+    crashes +=
+      static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), IsCrashing));
+  }
+  return crashes;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayServiceTests)
@@ -750,6 +781,24 @@
   BOOST_TEST(received.reply->body == "why");
 }
 
+/// Seen: a request that crashed each endpoint that began it came again and again, and took down eighteen.
+BOOST_DATA_TEST_CASE(ARequestThatCrashedThreeEndpointsReachesNoFurther,
+                     boost::unit_test::data::make({ RelayKind::Stream, RelayKind::Idempotent }),
+                     kind)
+{
+  const ScriptedServer first(CrashOrAnswer);
+  const ScriptedServer second(CrashOrAnswer);
+  const ScriptedServer third(CrashOrAnswer);
+  const ScriptedServer fourth(CrashOrAnswer);
+  const std::vector<const ScriptedServer*> endpoints{ &first, &second, &third, &fourth };
+  Scene scene(endpoints);
+  for (int time = 0; time < 12; ++time) {
+    static_cast<void>(scene.AskWith(std::string(kCrashingBody), kind));
+    BOOST_TEST(scene.AskWith(fmt::format("other {}", time), kind).reply.has_value());
+  }
+  BOOST_TEST(CrashesOf(endpoints) == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(RefusesWhenThereIsNoEndpoint)
 {
   Scene scene({});
