Know the keepers of shared keys in one place

Who keeps a client's reserves was worked out in LimitLoans, with its own lock, view and drain. KeeperPlan (was ReservePlan) and KeeperDirectory do it for any key, so that what else daemons keep for each other need not repeat it. No decision changes: LimitLoansTests and KeeperPlanTests hold as they were.

--- a/Lagoonward/Daemon/LimitLoans.cpp
+++ b/Lagoonward/Daemon/LimitLoans.cpp
@@ -47,14 +47,13 @@
 
 } // namespace
 
-LimitLoans::LimitLoans(const LimitLoanSettings& aSettings, PeerInfo aSelf,
+LimitLoans::LimitLoans(const LimitLoanSettings& aSettings, KeeperDirectory& aKeepers,
                        MembershipService& aMembership, Admission& aAdmission, const Clock& aClock)
   : settings(aSettings)
-  , self(std::move(aSelf))
+  , keepers(aKeepers)
   , membership(aMembership)
   , admission(aAdmission)
   , clock(aClock)
-  , plan(this->self, true, this->view)
 {
   this->membership.Transport().OnRequest(
     kLoan, [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
@@ -63,64 +62,37 @@
 }
 
 void
-LimitLoans::OnPeers(const PeerView& aView)
+LimitLoans::OnKeepers()
 {
-  {
-    const std::lock_guard lock(this->mutex);
-    this->view = aView;
-  }
-  this->UpdatePlan();
-}
-
-void
-LimitLoans::Drain()
-{
-  {
-    const std::lock_guard lock(this->mutex);
-    this->draining = true;
-  }
-  this->UpdatePlan();
-}
-
-void
-LimitLoans::UpdatePlan()
-{
-  {
-    const std::lock_guard lock(this->mutex);
-    this->plan = ReservePlan(this->self, !this->draining, this->view);
-  }
   this->admission.SetReserves([this](std::uint64_t aClient) { return this->RoleOf(aClient); });
 }
 
 ReserveRole
 LimitLoans::RoleOf(std::uint64_t aClient)
 {
-  const std::lock_guard lock(this->mutex);
-  const ReserveHolders& holders = this->plan.HoldersOf(aClient);
-  if (holders.primary && holders.primary->key == this->self.Key()) {
-    return ReserveRole::Primary;
+  switch (this->keepers.RoleOf(aClient)) {
+    case KeeperRole::Primary:
+      return ReserveRole::Primary;
+    case KeeperRole::Backup:
+      return ReserveRole::Backup;
+    case KeeperRole::None:
+      break;
   }
-  const bool isBackup = holders.backup && holders.backup->key == this->self.Key();
-  return isBackup ? ReserveRole::Backup : ReserveRole::None;
+  return ReserveRole::None;
 }
 
 std::vector<PeerAddress>
 LimitLoans::ReservesFor(std::uint64_t aClient)
 {
+  std::vector<PeerAddress> reserves = this->keepers.OthersFor(aClient);
+  // They are asked from the back
+  std::reverse(reserves.begin(), reserves.end());
   const std::lock_guard lock(this->mutex);
-  const ReserveHolders& holders = this->plan.HoldersOf(aClient);
-  std::vector<PeerAddress> reserves;
-  for (const auto& holder : { holders.backup, holders.primary }) {
-    if (holder && holder->key != this->self.Key()) {
-      reserves.push_back(*holder);
-    }
-  }
   const TimePoint now = this->clock.Now();
   const auto isSilent = [&](const PeerAddress& aReserve) {
     const auto found = this->silentAt.find(aReserve.key);
     return found != this->silentAt.end() && now - found->second < this->settings.distrust;
   };
-  // They are asked from the back
   std::stable_partition(reserves.begin(), reserves.end(), isSilent);
   return reserves;
 }
--- a/Lagoonward/Daemon/LimitLoans.h
+++ b/Lagoonward/Daemon/LimitLoans.h
@@ -2,8 +2,8 @@
 
 #include "Lagoonward/Admission/Admission.h"
 #include "Lagoonward/Admission/LimitLender.h"
+#include "Lagoonward/Membership/KeeperDirectory.h"
 #include "Lagoonward/Membership/MembershipService.h"
-#include "Lagoonward/Membership/ReservePlan.h"
 
 #include <memory>
 #include <mutex>
@@ -24,21 +24,18 @@
   Milliseconds distrust{ 1000 };
 };
 
-/// Borrows tokens of clients' limits from the daemons that keep the reserves (ReservePlan), and lends from those kept here.
+/// Borrows tokens of clients' limits from the daemons that keep the reserves (KeeperDirectory), and lends from those kept here.
 /// The primary reserve is asked first; the backup where it refuses or is silent. A loan that comes late is kept for the
 /// next request.
 class LimitLoans final : public LimitLender
 {
 public:
   /// Must be made before the membership starts; references must outlive it.
-  LimitLoans(const LimitLoanSettings& aSettings, PeerInfo aSelf, MembershipService& aMembership,
-             Admission& aAdmission, const Clock& aClock);
+  LimitLoans(const LimitLoanSettings& aSettings, KeeperDirectory& aKeepers,
+             MembershipService& aMembership, Admission& aAdmission, const Clock& aClock);
 
-  /// The daemons have changed. Any thread.
-  void OnPeers(const PeerView& aView);
-
-  /// This daemon leaves: it keeps no reserves any more. Any thread.
-  void Drain();
+  /// Who keeps which reserves may have changed. Any thread.
+  void OnKeepers();
 
   void Borrow(const LoanRequest& aRequest, std::function<void()> aSettled) override;
 
@@ -55,7 +52,6 @@
 
   using InquiryPtr = std::shared_ptr<Inquiry>;
 
-  void UpdatePlan();
   [[nodiscard]] ReserveRole RoleOf(std::uint64_t aClient);
   [[nodiscard]] std::vector<PeerAddress> ReservesFor(std::uint64_t aClient);
   [[nodiscard]] std::string Serve(std::string_view aBytes);
@@ -65,15 +61,12 @@
   static void Settle(const InquiryPtr& aInquiry);
 
   LimitLoanSettings settings;
-  const PeerInfo self;
+  KeeperDirectory& keepers;
   MembershipService& membership;
   Admission& admission;
   const Clock& clock;
 
-  std::mutex mutex; ///< Guards what follows.
-  bool draining = false;
-  PeerView view;
-  ReservePlan plan;
+  std::mutex mutex;                                ///< Guards what follows.
   std::unordered_map<PeerKey, TimePoint> silentAt; ///< When a reserve was last asked in vain.
 };
 
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -130,7 +130,8 @@
   this->membership->OnPeers([this](const PeerViewPtr& aView) {
     this->market->SetLiveDaemons(static_cast<int>(aView->peers.size()) + 1);
     this->CountDaemons();
-    this->loans->OnPeers(*aView);
+    this->keepers->OnPeers(*aView);
+    this->loans->OnKeepers();
   });
   LoadExchangeFacts facts;
   facts.self = self;
@@ -140,7 +141,8 @@
   facts.market = this->market.get();
   this->load = std::make_unique<LoadExchange>(LoadExchangeSettings{}, std::move(facts),
                                               *this->membership, this->clock);
-  this->loans = std::make_unique<LimitLoans>(LimitLoanSettings{}, self, *this->membership,
+  this->keepers = std::make_unique<KeeperDirectory>(self);
+  this->loans = std::make_unique<LimitLoans>(LimitLoanSettings{}, *this->keepers, *this->membership,
                                              this->market->admission, this->clock);
   EndpointNewsHooks hooks;
   hooks.decode = this->ports.decodeEndpoint;
@@ -477,7 +479,8 @@
   this->callers->CloseAfterAnswers();
   this->duties->Drain();
   this->load->Drain();
-  this->loans->Drain();
+  this->keepers->Drain();
+  this->loans->OnKeepers();
   this->membership->Drain();
 
   // The balancer still sends callers for a moment
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -110,6 +110,7 @@
   UsageCounter usage;
   DutyService* duties = nullptr;
   std::unique_ptr<LoadExchange> load;
+  std::unique_ptr<KeeperDirectory> keepers;
   std::unique_ptr<LimitLoans> loans;
   std::unique_ptr<EndpointNews> endpoints;
   std::unique_ptr<HttpServer> callers;
--- a/Lagoonward/Membership/ReservePlan.cpp
+++ b/Lagoonward/Membership/KeeperPlan.cpp
@@ -1,8 +1,15 @@
-#include "Lagoonward/Membership/ReservePlan.h"
+#include "Lagoonward/Membership/KeeperPlan.h"
 
 namespace lagoonward {
 
-ReservePlan::ReservePlan(const PeerInfo& aSelf, bool aStands, const PeerView& aView)
+namespace {
+
+/// Keys come from callers, too, so what is worked out for them is not kept without end.
+constexpr std::size_t kMaximumKnown = 4096;
+
+} // namespace
+
+KeeperPlan::KeeperPlan(const PeerInfo& aSelf, bool aStands, const PeerView& aView)
 {
   const auto add = [this](const PeerInfo& aInfo, PeerKey aKey) {
     this->daemons.push_back(
@@ -20,10 +27,10 @@
   }
 }
 
-const ReserveHolders&
-ReservePlan::HoldersOf(std::uint64_t aClient)
+const Keepers&
+KeeperPlan::KeepersOf(std::uint64_t aKey)
 {
-  const auto found = this->known.find(aClient);
+  const auto found = this->known.find(aKey);
   if (found != this->known.end()) {
     return found->second;
   }
@@ -36,7 +43,7 @@
         continue;
       }
       const bool elsewhere = aFirst != nullptr && each.domain != aFirst->domain;
-      const std::uint64_t weight = RendezvousWeight(aClient, each.address.key);
+      const std::uint64_t weight = RendezvousWeight(aKey, each.address.key);
       const bool isBetter = elsewhere == isElsewhere ? weight > most : elsewhere;
       if (best == nullptr || isBetter) {
         best = &each;
@@ -46,14 +53,17 @@
     }
     return best;
   };
-  ReserveHolders holders;
+  Keepers keepers;
   if (const Standing* primary = heaviest(nullptr)) {
-    holders.primary = primary->address;
+    keepers.primary = primary->address;
     if (const Standing* backup = heaviest(primary)) {
-      holders.backup = backup->address;
+      keepers.backup = backup->address;
     }
   }
-  return this->known.emplace(aClient, std::move(holders)).first->second;
+  if (this->known.size() >= kMaximumKnown) {
+    this->known.clear();
+  }
+  return this->known.emplace(aKey, std::move(keepers)).first->second;
 }
 
 } // namespace lagoonward
--- a/UnitTests/Daemon/LimitLoansTests.cpp
+++ b/UnitTests/Daemon/LimitLoansTests.cpp
@@ -22,9 +22,13 @@
     : membership(aClock, Identity(aIndex), KeyRing::Parse(kKey, "test").value(), {},
                  [](const HostEntry&, const MembershipService::PollDone&) {})
     , admission(Pooled(), aClock, static_cast<std::uint64_t>(aIndex))
-    , loans({}, Identity(aIndex).self, membership, admission, aClock)
+    , keepers(Identity(aIndex).self)
+    , loans({}, keepers, membership, admission, aClock)
   {
-    this->membership.OnPeers([this](const PeerViewPtr& aView) { this->loans.OnPeers(*aView); });
+    this->membership.OnPeers([this](const PeerViewPtr& aView) {
+      this->keepers.OnPeers(*aView);
+      this->loans.OnKeepers();
+    });
     this->admission.SetDaemons(aDaemons);
     Manifest manifest;
     ManifestClient client;
@@ -66,6 +70,7 @@
 
   MembershipService membership;
   Admission admission;
+  KeeperDirectory keepers;
   LimitLoans loans;
 };
 
@@ -132,10 +137,10 @@
     return index;
   }
 
-  [[nodiscard]] ReserveHolders Holders() const
+  [[nodiscard]] Keepers Holders() const
   {
-    ReservePlan plan(Daemon::Identity(0).self, true, *this->daemons[0]->membership.Peers());
-    return plan.HoldersOf(HashBytes(kAccount));
+    KeeperPlan plan(Daemon::Identity(0).self, true, *this->daemons[0]->membership.Peers());
+    return plan.KeepersOf(HashBytes(kAccount));
   }
 
   SystemClock clock;
@@ -148,7 +153,7 @@
 
 BOOST_AUTO_TEST_CASE(ALargeRequestIsTakenAtTheDaemonThatKeepsNothing)
 {
-  const ReserveHolders holders = this->Holders();
+  const Keepers holders = this->Holders();
   const std::size_t third = 3 - this->IndexOf(*holders.primary) - this->IndexOf(*holders.backup);
   BOOST_TEST(this->daemons[third]->Ask(6000));
   // That was the primary reserve; what is left does not suffice, and asking is put off
@@ -158,7 +163,7 @@
 
 BOOST_AUTO_TEST_CASE(TheBackupLendsWhereThePrimaryIsGone)
 {
-  const ReserveHolders holders = this->Holders();
+  const Keepers holders = this->Holders();
   const std::size_t primary = this->IndexOf(*holders.primary);
   const std::size_t third = 3 - primary - this->IndexOf(*holders.backup);
   this->daemons[primary]->membership.Stop();
@@ -169,9 +174,10 @@
 
 BOOST_AUTO_TEST_CASE(ADaemonThatLeavesLendsNothingMore)
 {
-  const ReserveHolders holders = this->Holders();
+  const Keepers holders = this->Holders();
   const std::size_t primary = this->IndexOf(*holders.primary);
-  this->daemons[primary]->loans.Drain();
+  this->daemons[primary]->keepers.Drain();
+  this->daemons[primary]->loans.OnKeepers();
   BOOST_TEST(this->daemons[primary]->admission.Lend({ HashBytes(kAccount), 100, 100, {} }).tokens ==
              0);
 }
--- a/UnitTests/Membership/ReservePlanTests.cpp
+++ b/UnitTests/Membership/KeeperPlanTests.cpp
@@ -1,4 +1,4 @@
-#include "Lagoonward/Membership/ReservePlan.h"
+#include "Lagoonward/Membership/KeeperPlan.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -43,7 +43,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(ReservePlanTests)
+BOOST_AUTO_TEST_SUITE(KeeperPlanTests)
 
 BOOST_DATA_TEST_CASE(AllDaemonsAgreeOnTwoHoldersInTwoFailureDomains,
                      boost::unit_test::data::make({ 2, 6, 100 }), daemons)
@@ -55,8 +55,8 @@
   for (int client = 0; client < 20; ++client) {
     std::set<std::pair<PeerKey, PeerKey>> seen;
     for (int self = 0; self < daemons; ++self) {
-      ReservePlan plan(Daemon(self), true, ViewOf(self, daemons));
-      const ReserveHolders& holders = plan.HoldersOf(Client(client));
+      KeeperPlan plan(Daemon(self), true, ViewOf(self, daemons));
+      const Keepers& holders = plan.KeepersOf(Client(client));
       BOOST_REQUIRE(holders.primary && holders.backup);
       seen.emplace(holders.primary->key, holders.backup->key);
       BOOST_TEST(domains[holders.primary->key] != domains[holders.backup->key]);
@@ -69,14 +69,14 @@
 {
   constexpr int kDaemons = 20;
   constexpr int kClients = 400;
-  ReservePlan before(Daemon(0), true, ViewOf(0, kDaemons));
-  ReservePlan after(Daemon(0), true, ViewOf(0, kDaemons + 1));
+  KeeperPlan before(Daemon(0), true, ViewOf(0, kDaemons));
+  KeeperPlan after(Daemon(0), true, ViewOf(0, kDaemons + 1));
   std::map<PeerKey, int> counts;
   int moved = 0;
   for (int client = 0; client < kClients; ++client) {
-    const PeerKey primary = before.HoldersOf(Client(client)).primary->key;
+    const PeerKey primary = before.KeepersOf(Client(client)).primary->key;
     ++counts[primary];
-    moved += after.HoldersOf(Client(client)).primary->key == primary ? 0 : 1;
+    moved += after.KeepersOf(Client(client)).primary->key == primary ? 0 : 1;
   }
   BOOST_TEST(counts.size() == static_cast<std::size_t>(kDaemons));
   BOOST_TEST(moved <= 3 * kClients / kDaemons);
@@ -87,11 +87,11 @@
   PeerView view = ViewOf(0, 3);
   view.peers[0].state = PeerState::Leaving;
   view.peers[1].info.failureDomain.clear();
-  ReservePlan plan(Daemon(0), true, view);
-  BOOST_TEST(plan.HoldersOf(Client(0)).primary->key == Daemon(0).Key());
-  BOOST_TEST(!plan.HoldersOf(Client(0)).backup.has_value());
-  ReservePlan leaving(Daemon(0), false, view);
-  BOOST_TEST(!leaving.HoldersOf(Client(0)).primary.has_value());
+  KeeperPlan plan(Daemon(0), true, view);
+  BOOST_TEST(plan.KeepersOf(Client(0)).primary->key == Daemon(0).Key());
+  BOOST_TEST(!plan.KeepersOf(Client(0)).backup.has_value());
+  KeeperPlan leaving(Daemon(0), false, view);
+  BOOST_TEST(!leaving.KeepersOf(Client(0)).primary.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(ABackupStandsInTheSameDomainWhereThereIsNoOther)
@@ -99,8 +99,8 @@
   PeerView view;
   const PeerInfo near = Daemon(kDomains);
   view.peers.push_back({ near, near.Key(), PeerState::Alive, 1 });
-  ReservePlan plan(Daemon(0), true, view);
-  BOOST_TEST(plan.HoldersOf(Client(0)).backup.has_value());
+  KeeperPlan plan(Daemon(0), true, view);
+  BOOST_TEST(plan.KeepersOf(Client(0)).backup.has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
