Keep a request that crashes endpoints from all further ones

What callers saw: a request that crashed each endpoint that began it came again and again, at any host; 18 endpoints ended in fifteen seconds, and with each all streams that ran beside it. Cause: nothing remembered a request beyond its own run, so each arrival started from nothing (class: a fault that the callers carry from host to host, judged by each host alone). Mend: a lost connection or a restart under a request is a crash, told to the two daemons that keep the request's key; three crashes convict it, and that goes to all daemons with the load's news within three intervals. It is then refused at once, with 503 and no time to come back. Not blamed: what ran whole of late anywhere, what went with its failure domain, endpoints that had said that they leave. Ruled out: own retries as the cause (each arrival was sent once).

--- a/Lagoonward/Attempts/Market.cpp
+++ b/Lagoonward/Attempts/Market.cpp
@@ -9,6 +9,7 @@
   : router(aSettings.routing, aClock, aSeed)
   , admission(aSettings.admission, aClock, aSeed)
   , retryBudget(aSettings.retries, aClock)
+  , poison(aSettings.poison, aClock)
   , name(std::move(aName))
   , settings(aSettings)
   , clock(aClock)
--- a/Lagoonward/Attempts/Market.h
+++ b/Lagoonward/Attempts/Market.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Admission/Admission.h"
+#include "Lagoonward/Admission/PoisonGuard.h"
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Configuration/Configuration.h"
 #include "Lagoonward/Fleet/FleetSnapshot.h"
@@ -23,6 +24,7 @@
   RoutingTableSettings table;
   AdmissionSettings admission;
   RetryBudgetSettings retries;
+  PoisonSettings poison;
 };
 
 /// One market as the traffic threads see it: what is in force, and the modules that decide under it.
@@ -56,6 +58,7 @@
   Router router;
   Admission admission;
   RetryBudget retryBudget;
+  PoisonGuard poison;
 
 private:
   const std::string name;
--- a/Lagoonward/Core/ErrorKind.cpp
+++ b/Lagoonward/Core/ErrorKind.cpp
@@ -30,6 +30,7 @@
   ErrorRule{ErrorKind::EndpointFailed, "endpoint_failed", 502, Ran::Unknown, false, "The endpoint failed after the request was sent."},
   ErrorRule{ErrorKind::EndpointRejected, "endpoint_rejected", 502, Ran::No, false, "The endpoint refused the request before running it."},
   ErrorRule{ErrorKind::RetryBudgetExhausted, "retry_budget_exhausted", 503, Ran::Unknown, true, "The deployment's retry budget is spent."},
+  ErrorRule{ErrorKind::PoisonRequest, "poison_request", 503, Ran::No, false, "Endpoints crashed that ran this request; it is sent to no other and will not be served."},
   ErrorRule{ErrorKind::ClaimUnavailable, "claim_unavailable", 503, Ran::No, true, "The claim of a non-idempotent request could not be recorded."},
   ErrorRule{ErrorKind::OutcomeUnknown, "outcome_unknown", 502, Ran::Unknown, false, "A non-idempotent request was claimed earlier and its outcome is not known."},
   ErrorRule{ErrorKind::AlreadyRan, "already_ran", 409, Ran::Yes, false, "A non-idempotent request with this key ran; its answer is no longer kept."},
--- a/Lagoonward/Core/ErrorKind.h
+++ b/Lagoonward/Core/ErrorKind.h
@@ -38,6 +38,7 @@
   EndpointFailed,
   EndpointRejected,
   RetryBudgetExhausted,
+  PoisonRequest,
   ClaimUnavailable,
   OutcomeUnknown,
   AlreadyRan,
--- a/Lagoonward/Daemon/LoadExchange.cpp
+++ b/Lagoonward/Daemon/LoadExchange.cpp
@@ -163,6 +163,7 @@
   });
   report.speeds = this->facts.market->router.LearnedSpeeds();
   report.leader = this->facts.leader();
+  report.poison = this->facts.market->poison.Notes();
   const std::lock_guard lock(this->mutex);
   report.work = this->sent;
   return report;
@@ -229,6 +230,7 @@
     const std::lock_guard lock(this->mutex);
     report = this->book.GroupSum(this->reportsUsage);
   }
+  report.poison = this->facts.market->poison.Notes();
   const std::string bytes = EncodeMessage(report);
   std::vector<PeerAddress> receivers = this->plan.others;
   if (const auto leader = this->LeaderElsewhere()) {
@@ -250,6 +252,7 @@
   }
   const MemberReport& report = decoded.value();
   this->facts.market->router.OnToldSpeeds(report.run, report.speeds);
+  this->facts.market->poison.OnNotes(report.poison);
   {
     const std::lock_guard lock(this->mutex);
     this->book.OnMember(report);
@@ -267,6 +270,7 @@
     return;
   }
   const GroupReport& report = decoded.value();
+  this->facts.market->poison.OnNotes(report.poison);
   const std::lock_guard lock(this->mutex);
   if (this->book.OnGroup(report)) {
     this->facts.market->router.OnToldSpeeds(report.run, report.speeds);
@@ -282,6 +286,7 @@
     sum = this->book.SumFor(aRun);
   }
   sum.speeds = this->facts.market->router.SpeedsInUse();
+  sum.poison = this->facts.market->poison.Notes();
   return sum;
 }
 
@@ -314,6 +319,7 @@
   }
   this->facts.market->router.OnPeersInFlight(counts);
   this->facts.market->admission.OnOthers(aSum.demand);
+  this->facts.market->poison.OnNotes(aSum.poison);
   if (aSum.run != this->facts.run) {
     this->facts.market->router.OnToldSpeeds(aSum.run, aSum.speeds);
   }
--- a/Lagoonward/Daemon/LoadExchange.h
+++ b/Lagoonward/Daemon/LoadExchange.h
@@ -54,6 +54,7 @@
 /// | demand and totals of accounts, requests in flight, work | member to two aggregators | interval | 28 an account asked for, 12 an endpoint in use | - |
 /// | the same, summed | first aggregator to two of each other group | interval | the same over the group | two intervals |
 /// | the sum of all others | in the answer to a member's report | interval | the same over the deployment | three intervals |
+/// | requests that crash endpoints | with each of these | interval | 13 a request that is suspect | three intervals |
 /// | usage by window and account | with every report of each usageInterval | 1 s | 28 an account and window | 2 s at whoever leads |
 ///
 /// With N daemons in groups of G a member sends two messages an interval, an aggregator takes G and 2 N / G.
--- a/Lagoonward/Daemon/LoadMessages.h
+++ b/Lagoonward/Daemon/LoadMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Admission/DemandView.h"
+#include "Lagoonward/Admission/PoisonGuard.h"
 #include "Lagoonward/Membership/WireCodec.h"
 #include "Lagoonward/Metering/UsageCounter.h"
 #include "Lagoonward/Routing/EngineWork.h"
@@ -92,6 +93,7 @@
   WorkByService work;              ///< Sent to endpoints since its start.
   std::vector<SpeedReport> speeds; ///< As it has learned them.
   LeaderNote leader;               ///< Itself, while it leads.
+  std::vector<PoisonNote> poison;  ///< All that it knows of.
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -103,6 +105,7 @@
     SerializeWork(aArchive, this->work);
     SerializeList<std::uint8_t>(aArchive, this->speeds);
     aArchive(this->leader);
+    SerializeList<std::uint8_t>(aArchive, this->poison);
   }
 };
 
@@ -114,6 +117,7 @@
   DemandOfOthers demand;
   std::vector<SpeedReport> speeds;
   LeaderNote leader;
+  std::vector<PoisonNote> poison; ///< All that the aggregator knows of.
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -123,6 +127,7 @@
     aArchive(this->demand);
     SerializeList<std::uint8_t>(aArchive, this->speeds);
     aArchive(this->leader);
+    SerializeList<std::uint8_t>(aArchive, this->poison);
   }
 };
 
@@ -139,6 +144,7 @@
   WorkByService workRate;          ///< Per second.
   std::vector<SpeedReport> speeds; ///< Medians of what its members have learned.
   LeaderNote leader;               ///< As one of the members has said.
+  std::vector<PoisonNote> poison;  ///< All that the aggregator knows of.
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -150,6 +156,7 @@
     SerializeWork(aArchive, this->workRate);
     SerializeList<std::uint8_t>(aArchive, this->speeds);
     aArchive(this->leader);
+    SerializeList<std::uint8_t>(aArchive, this->poison);
   }
 };
 
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -132,6 +132,7 @@
     this->CountDaemons();
     this->keepers->OnPeers(*aView);
     this->loans->OnKeepers();
+    this->crashes->OnKeepers();
   });
   LoadExchangeFacts facts;
   facts.self = self;
@@ -144,6 +145,8 @@
   this->keepers = std::make_unique<KeeperDirectory>(self);
   this->loans = std::make_unique<LimitLoans>(LimitLoanSettings{}, *this->keepers, *this->membership,
                                              this->market->admission, this->clock);
+  this->crashes = std::make_unique<CrashExchange>(
+    CrashExchangeSettings{}, *this->keepers, *this->membership, this->market->poison, this->clock);
   EndpointNewsHooks hooks;
   hooks.decode = this->ports.decodeEndpoint;
   hooks.changed = [this] { this->PublishFleet(); };
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Core/Kernel.h"
+#include "Lagoonward/Daemon/CrashExchange.h"
 #include "Lagoonward/Daemon/EndpointNews.h"
 #include "Lagoonward/Daemon/LimitLoans.h"
 #include "Lagoonward/Daemon/LoadExchange.h"
@@ -112,6 +113,7 @@
   std::unique_ptr<LoadExchange> load;
   std::unique_ptr<KeeperDirectory> keepers;
   std::unique_ptr<LimitLoans> loans;
+  std::unique_ptr<CrashExchange> crashes;
   std::unique_ptr<EndpointNews> endpoints;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> readiness;
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Relay/RelayRun.h"
 
+#include "Lagoonward/Core/Hash.h"
 #include "Lagoonward/Relay/PromptBlocks.h"
 
 #include <fmt/format.h>
@@ -78,6 +79,10 @@
   if (this->ended) {
     return;
   }
+  if (this->context.poison.IsPoisoned(this->call.print)) {
+    this->FailAsPoison();
+    return;
+  }
   const std::vector<std::string_view> excludedViews(this->excluded.begin(), this->excluded.end());
   RouteRequest request = this->MakeRouteRequest();
   request.excludedEndpoints = excludedViews;
@@ -94,6 +99,33 @@
   }
 }
 
+void
+RelayRun::FailAsPoison()
+{
+  const Error error(ErrorKind::PoisonRequest,
+                    "Endpoints crashed that ran this request. It will not be served.",
+                    this->mayHaveRun ? Ran::Unknown : Ran::No);
+  this->Fail(error);
+}
+
+void
+RelayRun::NoteCrash(AttemptCause aCause)
+{
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const Endpoint* endpoint = fleet->Find(this->endpointId);
+  if (!MayBeCrash(aCause) || endpoint == nullptr || endpoint->state == EndpointState::Leaving) {
+    return;
+  }
+  CrashReport report;
+  report.request = this->call.print;
+  report.endpoint =
+    CombineHashes(HashBytes(this->endpointId), static_cast<std::uint64_t>(this->endpointBorn));
+  report.domain = HashBytes(endpoint->failureDomain);
+  const TimePoint now = this->context.loop.GetClock().Now();
+  report.sentAge = std::chrono::floor<Milliseconds>(now - this->sentAt).count();
+  this->context.poison.OnCrash(report);
+}
+
 void
 RelayRun::WaitForPlace(const Error& aError)
 {
@@ -133,6 +165,7 @@
                                 isTold ? EngineWork{} : this->WorkOf(aChoice));
 
   const TimePoint now = this->context.loop.GetClock().Now();
+  this->sentAt = now;
   SendTerms terms;
   terms.endpointId = this->endpointId;
   terms.left = std::chrono::floor<Milliseconds>(this->call.EndsAt() - now);
@@ -146,12 +179,13 @@
   this->attempt = std::make_unique<RelayAttempt>(this->context.loop, this->context.settings,
                                                  this->context.language, this->call, listener);
   // Between the choice and the first byte lie a new connection and whatever else a busy host does, a second at times
-  const auto isLive = [&current = this->context.fleet, id = this->endpointId] {
+  const auto mayBeSent = [&current = this->context.fleet, &poison = this->context.poison,
+                          id = this->endpointId, print = this->call.print] {
     const FleetSnapshotPtr newest = current.Get();
     const Endpoint* target = newest->Find(id);
-    return target != nullptr && target->state == EndpointState::Live;
+    return target != nullptr && target->state == EndpointState::Live && !poison.IsPoisoned(print);
   };
-  this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms, isLive);
+  this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms, mayBeSent);
   this->ArmSilence(false);
 }
 
@@ -295,6 +329,7 @@
     this->NoteFirstByte();
     this->NoteBegan();
     this->context.router.OnFinished(this->dispatch, DispatchOutcome::Completed);
+    this->context.poison.OnWhole(this->call.print);
     this->Succeed(aEnd.reply);
     return;
   }
@@ -318,12 +353,14 @@
     this->failure = aEnd.reply;
   }
   this->excluded.push_back(this->endpointId);
+  this->NoteCrash(aEnd.cause);
 
   const bool isCallersFault =
     aEnd.outcome == AttemptOutcome::Failure && aEnd.reply.status < kServerError;
   const bool hasAttempts = this->sends < this->call.route->attempts;
-  const bool isAllowed =
-    hasAttempts && !isCallersFault && (!this->mayHaveRun || this->call.route->IsRepeatable());
+  const bool isSuspect = MayBeCrash(aEnd.cause) && this->context.poison.IsSuspect(this->call.print);
+  const bool isAllowed = hasAttempts && !isCallersFault && !isSuspect &&
+                         (!this->mayHaveRun || this->call.route->IsRepeatable());
   const bool isFree = aEnd.outcome == AttemptOutcome::NotSent;
   const bool goesOn = isAllowed && (isFree || this->context.retryBudget.TryTake());
   this->context.observer.OnAttemptFailed(this->call,
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Admission/PoisonGuard.h"
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Core/Error.h"
 #include "Lagoonward/Fleet/FleetStore.h"
@@ -44,6 +45,7 @@
   TrafficLoop& loop;
   Router& router;
   RetryBudget& retryBudget;
+  PoisonGuard& poison;
   const FleetStore& fleet;
   const RelaySettings& settings;
   const EndpointLanguage& language;
@@ -98,6 +100,9 @@
   void BeginMove(const Endpoint& aSource);
   void OnMoveEnd(const MoveEnd& aEnd);
   void WaitForPlace(const Error& aError);
+  void FailAsPoison();
+  /// Tells of an endpoint that was lost with this request, unless its end was announced.
+  void NoteCrash(AttemptCause aCause);
   /// Decides after an attempt without a whole success.
   void OnAttemptFailed(const AttemptEnd& aEnd);
   [[nodiscard]] bool MayRunAgain() const;
@@ -122,6 +127,7 @@
   std::unique_ptr<RelayAttempt> attempt; ///< Null between two attempts.
   std::string endpointId;
   std::int64_t endpointBorn = 0;     ///< Its life; see Endpoint::born.
+  TimePoint sentAt;                  ///< When the attempt began.
   lagoonward::Dispatch dispatch;     ///< The router's record of the attempt.
   std::vector<std::string> excluded; ///< Endpoints that failed this request.
   std::string lastReason;            ///< Why the last attempt failed; for logs.
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -10,8 +10,8 @@
   , market(aMarket)
   , observer(aObserver)
   , loop(aClock, aSettings.client)
-  , context{ this->loop,     aMarket.router, aMarket.retryBudget, aFleet, this->settings,
-             this->language, aObserver }
+  , context{ this->loop, aMarket.router, aMarket.retryBudget, aMarket.poison,
+             aFleet,     this->settings, this->language,      aObserver }
 {
 }
 
