--- a/UnitTests/Daemon/LimitLoansTests.cpp
+++ b/UnitTests/Daemon/LimitLoansTests.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Core/SystemClock.h"
 #include "Lagoonward/Daemon/LimitLoans.h"
+#include "UnitTests/Support/LoopbackPeers.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,22 +8,19 @@
 #include <thread>
 
 using namespace lagoonward;
+using namespace lagoonward::testing;
 
 namespace {
 
-constexpr std::string_view kKey =
-  "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
-constexpr Seconds kPatience{ 20 };
 constexpr std::string_view kAccount = "account";
 
 /// One daemon that takes part in the loans of one account's limit.
 struct Daemon
 {
   Daemon(const Clock& aClock, int aIndex, int aDaemons)
-    : membership(aClock, Identity(aIndex), KeyRing::Parse(kKey, "test").value(), {},
-                 [](const HostEntry&, const MembershipService::PollDone&) {})
+    : membership(aClock, LoopbackIdentity(aIndex), LoopbackKeys(), {}, PollNothing)
     , admission(Pooled(), aClock, static_cast<std::uint64_t>(aIndex))
-    , keepers(Identity(aIndex).self)
+    , keepers(LoopbackIdentity(aIndex).self)
     , loans({}, keepers, membership, admission, aClock)
   {
     this->membership.OnPeers([this](const PeerViewPtr& aView) {
@@ -47,15 +45,6 @@
     return settings;
   }
 
-  static MembershipIdentity Identity(int aIndex)
-  {
-    MembershipIdentity identity;
-    identity.self = { "daemon-" + std::to_string(aIndex), "127.0.0.1", 0,
-                      "domain-" + std::to_string(aIndex), "region" };
-    identity.session = static_cast<std::uint64_t>(aIndex) + 1;
-    return identity;
-  }
-
   /// Borrows where that may help, and looks at the limit again. @return whether the request is admitted
   bool Ask(double aTokens)
   {
@@ -84,22 +73,11 @@
     for (int index = 0; index < kDaemons; ++index) {
       this->daemons.push_back(std::make_unique<Daemon>(this->clock, index, kDaemons));
     }
-    std::vector<HostEntry> hosts;
-    for (int index = 0; index < kDaemons; ++index) {
-      const PeerInfo self = Daemon::Identity(index).self;
-      hosts.push_back(
-        { self.id, HostEntry::Kind::Daemon, self.address,
-          this->daemons[static_cast<std::size_t>(index)]->membership.Transport().Port(),
-          self.failureDomain, self.region, "small", "", false });
-    }
+    std::vector<MembershipService*> memberships;
     for (const auto& daemon : this->daemons) {
-      daemon->membership.ApplyHostList(hosts);
+      memberships.push_back(&daemon->membership);
     }
-    this->Await([this] {
-      return std::all_of(this->daemons.begin(), this->daemons.end(), [](const auto& aEach) {
-        return aEach->membership.Peers()->peers.size() == kDaemons - 1;
-      });
-    });
+    Introduce(memberships);
     // A reserve fills while the daemons hear of each other
     for (int interval = 0; interval < 12; ++interval) {
       for (const auto& daemon : this->daemons) {
@@ -117,29 +95,9 @@
     }
   }
 
-  template<typename Condition>
-  void Await(Condition aCondition)
-  {
-    for (Milliseconds waited{ 0 }; waited < kPatience && !aCondition();
-         waited += Milliseconds(10)) {
-      std::this_thread::sleep_for(Milliseconds(10));
-    }
-    BOOST_TEST_REQUIRE(aCondition());
-  }
-
-  /// The index of a holder of the account's reserves.
-  std::size_t IndexOf(const PeerAddress& aHolder) const
-  {
-    std::size_t index = 0;
-    while (ToPeerKey("daemon-" + std::to_string(index)) != aHolder.key) {
-      ++index;
-    }
-    return index;
-  }
-
   [[nodiscard]] Keepers Holders() const
   {
-    KeeperPlan plan(Daemon::Identity(0).self, true, *this->daemons[0]->membership.Peers());
+    KeeperPlan plan(LoopbackIdentity(0).self, true, *this->daemons[0]->membership.Peers());
     return plan.KeepersOf(HashBytes(kAccount));
   }
 
@@ -154,7 +112,8 @@
 BOOST_AUTO_TEST_CASE(ALargeRequestIsTakenAtTheDaemonThatKeepsNothing)
 {
   const Keepers holders = this->Holders();
-  const std::size_t third = 3 - this->IndexOf(*holders.primary) - this->IndexOf(*holders.backup);
+  const std::size_t third =
+    3 - LoopbackIndexOf(holders.primary->key) - LoopbackIndexOf(holders.backup->key);
   BOOST_TEST(this->daemons[third]->Ask(6000));
   // That was the primary reserve; what is left does not suffice, and asking is put off
   BOOST_TEST(!this->daemons[third]->Ask(9000));
@@ -164,8 +123,8 @@
 BOOST_AUTO_TEST_CASE(TheBackupLendsWhereThePrimaryIsGone)
 {
   const Keepers holders = this->Holders();
-  const std::size_t primary = this->IndexOf(*holders.primary);
-  const std::size_t third = 3 - primary - this->IndexOf(*holders.backup);
+  const std::size_t primary = LoopbackIndexOf(holders.primary->key);
+  const std::size_t third = 3 - primary - LoopbackIndexOf(holders.backup->key);
   this->daemons[primary]->membership.Stop();
   const auto begun = std::chrono::steady_clock::now();
   BOOST_TEST(this->daemons[third]->Ask(1500));
@@ -175,7 +134,7 @@
 BOOST_AUTO_TEST_CASE(ADaemonThatLeavesLendsNothingMore)
 {
   const Keepers holders = this->Holders();
-  const std::size_t primary = this->IndexOf(*holders.primary);
+  const std::size_t primary = LoopbackIndexOf(holders.primary->key);
   this->daemons[primary]->keepers.Drain();
   this->daemons[primary]->loans.OnKeepers();
   BOOST_TEST(this->daemons[primary]->admission.Lend({ HashBytes(kAccount), 100, 100, {} }).tokens ==
--- /dev/null
+++ b/UnitTests/Support/LoopbackPeers.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Lagoonward/Membership/MembershipService.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <thread>
+#include <vector>
+
+namespace lagoonward::testing {
+
+/// How long tests wait for what must come.
+inline constexpr Seconds kPatience{ 20 };
+
+/// Waits until a condition holds, or fails the test.
+template<typename Condition>
+void
+Await(Condition aCondition)
+{
+  for (Milliseconds waited{ 0 }; waited < kPatience && !aCondition(); waited += Milliseconds(10)) {
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  BOOST_TEST_REQUIRE(aCondition());
+}
+
+/// A daemon on loopback, in a failure domain of its own.
+inline MembershipIdentity
+LoopbackIdentity(int aIndex)
+{
+  MembershipIdentity identity;
+  const std::string number = std::to_string(aIndex);
+  identity.self = { "daemon-" + number, "127.0.0.1", 0, "domain-" + number, "region" };
+  identity.session = static_cast<std::uint64_t>(aIndex) + 1;
+  return identity;
+}
+
+/// The keys that these daemons share.
+inline KeyRing
+LoopbackKeys()
+{
+  return KeyRing::Parse("1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f",
+                        "test")
+    .value();
+}
+
+/// Polls nobody.
+inline void
+PollNothing(const HostEntry& /*aEndpoint*/, const MembershipService::PollDone& /*aDone*/)
+{
+}
+
+/// Introduces started daemons, in the order of their indices, to each other and waits until each knows all.
+inline void
+Introduce(const std::vector<MembershipService*>& aDaemons)
+{
+  std::vector<HostEntry> hosts;
+  for (MembershipService* daemon : aDaemons) {
+    const PeerInfo self = LoopbackIdentity(static_cast<int>(hosts.size())).self;
+    hosts.push_back({ self.id, HostEntry::Kind::Daemon, self.address, daemon->Transport().Port(),
+                      self.failureDomain, self.region, "small", "", false });
+  }
+  for (MembershipService* daemon : aDaemons) {
+    daemon->ApplyHostList(hosts);
+  }
+  Await([&] {
+    return std::all_of(aDaemons.begin(), aDaemons.end(), [&](MembershipService* aEach) {
+      return aEach->Peers()->peers.size() == aDaemons.size() - 1;
+    });
+  });
+}
+
+/// The index of a daemon that LoopbackIdentity() names.
+inline std::size_t
+LoopbackIndexOf(PeerKey aKey)
+{
+  int index = 0;
+  while (LoopbackIdentity(index).self.Key() != aKey) {
+    ++index;
+  }
+  return static_cast<std::size_t>(index);
+}
+
+} // namespace lagoonward::testing
