Read the limits that endpoints name, and write them down

An endpoint may say how many requests a second it takes from all daemons together; no daemon read it. No decision changes.

--- a/Lagoonward/Attempts/Market.cpp
+++ b/Lagoonward/Attempts/Market.cpp
@@ -10,6 +10,7 @@
   , admission(aSettings.admission, aClock, aSeed)
   , retryBudget(aSettings.retries, aClock)
   , poison(aSettings.poison, aClock)
+  , endpointLimits(aSettings.endpointLimits, aClock)
   , name(std::move(aName))
   , settings(aSettings)
   , clock(aClock)
--- a/Lagoonward/Attempts/Market.h
+++ b/Lagoonward/Attempts/Market.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Admission/Admission.h"
+#include "Lagoonward/Admission/EndpointLimits.h"
 #include "Lagoonward/Admission/PoisonGuard.h"
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Configuration/Configuration.h"
@@ -25,6 +26,7 @@
   AdmissionSettings admission;
   RetryBudgetSettings retries;
   PoisonSettings poison;
+  EndpointLimitSettings endpointLimits;
 };
 
 /// One market as the traffic threads see it: what is in force, and the modules that decide under it.
@@ -59,6 +61,7 @@
   Admission admission;
   RetryBudget retryBudget;
   PoisonGuard poison;
+  EndpointLimits endpointLimits;
 
 private:
   const std::string name;
--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -80,6 +80,11 @@
   }
   this->headRead = true;
   this->head = this->language.readHead(this->call, aStatus, this->headers);
+  // Who else may have got hold of the address speaks for itself
+  const bool isAsked = (this->head.belongs && this->head.genuine) || this->head.notRun;
+  if (isAsked && !this->head.otherOwner) {
+    this->listener.OnHead(this->head);
+  }
 }
 
 bool
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -19,6 +19,9 @@
 public:
   virtual ~AttemptListener() = default;
 
+  /// The head of an answer that the asked endpoint gave, whatever it says of the request.
+  virtual void OnHead(const EndpointHead& aHead) = 0;
+
   /// The head of a stream of events, a success.
   virtual void OnStreamHead(const RelayReply& aHead) = 0;
 
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -79,6 +79,20 @@
   std::string reason; ///< For logs.
 };
 
+/// What an answer says of the requests that its endpoint takes from all daemons together.
+struct LimitStatement
+{
+  enum class Kind
+  {
+    None,      ///< Nothing: no limit holds.
+    Limited,   ///< So many requests per second.
+    Malformed, ///< Not to be understood: what was said before holds on.
+  };
+
+  Kind kind = Kind::None;
+  double perSecond = 0; ///< Of Limited; finite, not negative.
+};
+
 /// What the head of an endpoint's answer says.
 struct EndpointHead
 {
@@ -89,6 +103,7 @@
   bool otherOwner = false; ///< Another endpoint has this address now.
   bool encoded = false;    ///< Its body was changed on the way.
   bool streamsEvents = false;
+  LimitStatement limit; ///< Of the requests that the endpoint takes from all daemons together.
   std::vector<HttpHeader> headers; ///< Those that the caller gets.
 };
 
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -285,6 +285,22 @@
   }
 }
 
+void
+RelayRun::OnHead(const EndpointHead& aHead)
+{
+  switch (aHead.limit.kind) {
+    case LimitStatement::Kind::Limited:
+      this->context.limits.OnNamed(this->endpointId, aHead.limit.perSecond);
+      break;
+    case LimitStatement::Kind::None:
+      this->context.limits.OnNoneNamed(this->endpointId);
+      break;
+    case LimitStatement::Kind::Malformed:
+      this->context.limits.OnMalformed(this->endpointId);
+      break;
+  }
+}
+
 void
 RelayRun::OnStreamHead(const RelayReply& aHead)
 {
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Admission/EndpointLimits.h"
 #include "Lagoonward/Admission/PoisonGuard.h"
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Core/Error.h"
@@ -46,6 +47,7 @@
   Router& router;
   RetryBudget& retryBudget;
   PoisonGuard& poison;
+  EndpointLimits& limits;
   const FleetStore& fleet;
   const RelaySettings& settings;
   const EndpointLanguage& language;
@@ -82,6 +84,7 @@
   [[nodiscard]] bool Ended() const { return this->ended; }
 
 private:
+  void OnHead(const EndpointHead& aHead) override;
   void OnStreamHead(const RelayReply& aHead) override;
   void OnStreamEvent(std::string_view aBytes, std::string_view aId) override;
   void OnAttemptEnd(const AttemptEnd& aEnd) override;
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -10,8 +10,9 @@
   , market(aMarket)
   , observer(aObserver)
   , loop(aClock, aSettings.client)
-  , context{ this->loop, aMarket.router, aMarket.retryBudget, aMarket.poison,
-             aFleet,     this->settings, this->language,      aObserver }
+  , context{ this->loop,     aMarket.router,         aMarket.retryBudget,
+             aMarket.poison, aMarket.endpointLimits, aFleet,
+             this->settings, this->language,         aObserver }
 {
 }
 
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -48,6 +48,9 @@
       head.genuine = head.genuine || name == "Mark";
       head.notRun = head.notRun || name == "Not-Run";
       head.streamsEvents = head.streamsEvents || value == "text/event-stream";
+      if (name == "Limit") {
+        head.limit = { LimitStatement::Kind::Limited, std::stod(value) };
+      }
     }
     return head;
   }
