--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -802,6 +802,24 @@
   BOOST_TEST(CrashesOf(endpoints) == 3U);
 }
 
+/// Seen: an endpoint that said that it takes one request a second went on to get as many as the others.
+BOOST_AUTO_TEST_CASE(AnEndpointThatNamesALimitGetsNoMore)
+{
+  const ScriptedServer inNeed([](const std::string&) {
+    return Send(Whole("hi", "200 OK", "Id: r1\r\nMark: m\r\nLimit: 1\r\n"));
+  });
+  const ScriptedServer other([](const std::string&) { return Send(Whole("hi")); });
+  Scene scene({ &inNeed, &other });
+  const TimePoint begun = scene.clock.Now();
+  for (int time = 0; time < 60; ++time) {
+    BOOST_TEST(scene.Ask(RelayKind::Idempotent).reply.has_value());
+  }
+  const std::chrono::duration<double> took = scene.clock.Now() - begun;
+  // One and a half times the limit and five more is what is borne; the first was sent unknowing
+  BOOST_TEST(static_cast<double>(inNeed.Requests().size()) <= 1.5 * took.count() + 5 + 1);
+  BOOST_TEST(!other.Requests().empty());
+}
+
 BOOST_AUTO_TEST_CASE(RefusesWhenThereIsNoEndpoint)
 {
   Scene scene({});
