Ask the keepers of a key in one place

The way in which a loan is asked for (primary first, the backup where that one refuses or is silent, a late answer still taken, a silent keeper asked last for a while) is KeeperQuery now, as requests for an endpoint need the same. LimitLoans keeps what loans are. LimitLoansTests hold unchanged.

--- a/Lagoonward/Daemon/LimitLoans.cpp
+++ b/Lagoonward/Daemon/LimitLoans.cpp
@@ -3,7 +3,6 @@
 #include "Lagoonward/Core/Log.h"
 #include "Lagoonward/Membership/WireCodec.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace lagoonward {
@@ -47,30 +46,10 @@
 
 } // namespace
 
-LimitLoans::LimitLoans(const LimitLoanSettings& aSettings, KeeperDirectory& aKeepers,
-                       MembershipService& aMembership, Admission& aAdmission, const Clock& aClock)
-  : settings(aSettings)
-  , keepers(aKeepers)
-  , membership(aMembership)
-  , admission(aAdmission)
-  , clock(aClock)
-{
-  this->membership.Transport().OnRequest(
-    kLoan, [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
-      aRespond(this->Serve(aBytes));
-    });
-}
-
-void
-LimitLoans::OnKeepers()
-{
-  this->admission.SetReserves([this](std::uint64_t aClient) { return this->RoleOf(aClient); });
-}
-
 ReserveRole
-LimitLoans::RoleOf(std::uint64_t aClient)
+ReserveRoleOf(KeeperDirectory& aKeepers, std::uint64_t aKey)
 {
-  switch (this->keepers.RoleOf(aClient)) {
+  switch (aKeepers.RoleOf(aKey)) {
     case KeeperRole::Primary:
       return ReserveRole::Primary;
     case KeeperRole::Backup:
@@ -81,20 +60,23 @@
   return ReserveRole::None;
 }
 
-std::vector<PeerAddress>
-LimitLoans::ReservesFor(std::uint64_t aClient)
+LimitLoans::LimitLoans(const KeeperQuerySettings& aSettings, KeeperDirectory& aKeepers,
+                       MembershipService& aMembership, Admission& aAdmission, const Clock& aClock)
+  : keepers(aKeepers)
+  , admission(aAdmission)
+  , query(aSettings, kLoan, aKeepers, aMembership, aClock)
 {
-  std::vector<PeerAddress> reserves = this->keepers.OthersFor(aClient);
-  // They are asked from the back
-  std::reverse(reserves.begin(), reserves.end());
-  const std::lock_guard lock(this->mutex);
-  const TimePoint now = this->clock.Now();
-  const auto isSilent = [&](const PeerAddress& aReserve) {
-    const auto found = this->silentAt.find(aReserve.key);
-    return found != this->silentAt.end() && now - found->second < this->settings.distrust;
-  };
-  std::stable_partition(reserves.begin(), reserves.end(), isSilent);
-  return reserves;
+  aMembership.Transport().OnRequest(
+    kLoan, [this](PeerKey, std::string_view aBytes, const PeerTransport::Respond& aRespond) {
+      aRespond(this->Serve(aBytes));
+    });
+}
+
+void
+LimitLoans::OnKeepers()
+{
+  this->admission.SetReserves(
+    [this](std::uint64_t aClient) { return ReserveRoleOf(this->keepers, aClient); });
 }
 
 std::string
@@ -113,87 +95,46 @@
 void
 LimitLoans::Borrow(const LoanRequest& aRequest, std::function<void()> aSettled)
 {
-  auto inquiry = std::make_shared<Inquiry>();
-  inquiry->request = aRequest;
-  inquiry->settled = std::move(aSettled);
-  this->membership.Loop().Post([this, inquiry] {
-    inquiry->left = this->ReservesFor(inquiry->request.client);
-    this->AskNext(inquiry);
-  });
-}
-
-void
-LimitLoans::AskNext(const InquiryPtr& aInquiry)
-{
-  if (aInquiry->left.empty()) {
-    if (!aInquiry->isRefused) {
-      this->admission.OnLoan(aInquiry->request, std::nullopt);
-      kLog.Event(
-        LogLevel::Warning, "loan_unanswered",
-        { { "account", aInquiry->request.account }, { "tokens", aInquiry->request.need } });
-    }
-    Settle(aInquiry);
-    return;
-  }
-  const PeerAddress reserve = aInquiry->left.back();
-  aInquiry->left.pop_back();
-  const std::uint64_t asked = ++aInquiry->asked;
-  this->membership.Transport().Request(
-    reserve, kLoan, EncodeMessage(LoanMessage{ aInquiry->request }), this->settings.timeout,
-    [this, aInquiry, asked, key = reserve.key](const Result<std::string>& aAnswer) {
-      this->OnAnswer(aInquiry, asked, key, aAnswer);
-    });
-  this->membership.Loop().After(this->settings.patience, [this, aInquiry, asked, reserve] {
-    if (!aInquiry->settled || aInquiry->asked != asked) {
-      return;
-    }
-    {
-      const std::lock_guard lock(this->mutex);
-      this->silentAt[reserve.key] = this->clock.Now();
+  const auto progress = std::make_shared<Progress>();
+  KeeperQuestion question;
+  question.key = aRequest.client;
+  question.message = EncodeMessage(LoanMessage{ aRequest });
+  question.take = [this, progress, request = aRequest](std::string_view aAnswer, bool aIsLate) {
+    return this->Take(request, *progress, aAnswer, aIsLate);
+  };
+  question.end = [this, progress, request = aRequest, settled = std::move(aSettled)] {
+    if (!progress->isLent && !progress->isRefused) {
+      this->admission.OnLoan(request, std::nullopt);
+      kLog.Event(LogLevel::Warning, "loan_unanswered",
+                 { { "account", request.account }, { "tokens", request.need } });
     }
-    this->AskNext(aInquiry);
-  });
+    settled();
+  };
+  this->query.Ask(std::move(question));
 }
 
-void
-LimitLoans::OnAnswer(const InquiryPtr& aInquiry, std::uint64_t aAsked, PeerKey aReserve,
-                     const Result<std::string>& aAnswer)
+KeeperAnswer
+LimitLoans::Take(const LoanRequest& aRequest, Progress& aProgress, std::string_view aAnswer,
+                 bool aIsLate)
 {
-  const auto reply =
-    aAnswer ? DecodeMessage<LoanReply>(aAnswer.value()) : Result<LoanReply>(aAnswer.error());
+  const auto reply = DecodeMessage<LoanReply>(aAnswer);
   const bool isGood = reply.has_value() && IsPlausible(reply.value().loan.tokens) &&
                       IsPlausible(reply.value().loan.wait);
-  {
-    const std::lock_guard lock(this->mutex);
-    if (isGood) {
-      this->silentAt.erase(aReserve);
-    } else {
-      this->silentAt[aReserve] = this->clock.Now();
-    }
+  if (!isGood) {
+    return KeeperAnswer::Malformed;
   }
-  const Loan loan = isGood ? reply.value().loan : Loan{};
+  const Loan& loan = reply.value().loan;
   if (loan.tokens > 0) {
-    this->admission.OnLoan(aInquiry->request, loan);
-    Settle(aInquiry);
-    return;
-  }
-  if (aInquiry->asked != aAsked || !aInquiry->settled) {
-    return;
+    aProgress.isLent = true;
+    this->admission.OnLoan(aRequest, loan);
+    return KeeperAnswer::Settled;
   }
   // Who keeps no reserve, as it sees the daemons, has not refused
-  if (loan.wait > 0) {
-    aInquiry->isRefused = true;
-    this->admission.OnLoan(aInquiry->request, loan);
-  }
-  this->AskNext(aInquiry);
-}
-
-void
-LimitLoans::Settle(const InquiryPtr& aInquiry)
-{
-  if (const auto settled = std::exchange(aInquiry->settled, nullptr)) {
-    settled();
+  if (loan.wait > 0 && !aIsLate) {
+    aProgress.isRefused = true;
+    this->admission.OnLoan(aRequest, loan);
   }
+  return KeeperAnswer::AskNext;
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -143,8 +143,8 @@
   this->load = std::make_unique<LoadExchange>(LoadExchangeSettings{}, std::move(facts),
                                               *this->membership, this->clock);
   this->keepers = std::make_unique<KeeperDirectory>(self);
-  this->loans = std::make_unique<LimitLoans>(LimitLoanSettings{}, *this->keepers, *this->membership,
-                                             this->market->admission, this->clock);
+  this->loans = std::make_unique<LimitLoans>(
+    KeeperQuerySettings{}, *this->keepers, *this->membership, this->market->admission, this->clock);
   this->crashes = std::make_unique<CrashExchange>(
     CrashExchangeSettings{}, *this->keepers, *this->membership, this->market->poison, this->clock);
   EndpointNewsHooks hooks;
