Take an endpoint for dead only where it refuses connections

Cause: a broken connection was taken for a crash. Now one look follows, a new connection that is closed as it stands, for all that the endpoint had here; only one that is refused makes it a crash, and one endpoint's end counts once. A request that may be sent again waits for that look. The test's endpoints now die as the real ones do (they refuse connections); without the guard all twelve die.

--- a/Lagoonward/Admission/PoisonGuard.cpp
+++ b/Lagoonward/Admission/PoisonGuard.cpp
@@ -91,12 +91,12 @@
   std::vector<Crash>& known = this->crashes[aReport.request];
   std::erase_if(known,
                 [&](const Crash& aEach) { return now - aEach.at > this->settings.crashMemory; });
-  // What was sent after an end that the request has seen is a trial of its own
+  // What was sent to another endpoint after an end that the request has seen is a trial of its own
   const bool isKnown = std::any_of(known.begin(), known.end(), [&](const Crash& aEach) {
     const auto apart = std::max(aEach.at, at) - std::min(aEach.at, at);
-    const bool sameEvent = aEach.endpoint == aReport.endpoint ||
-                           (aEach.domain == aReport.domain && apart < this->settings.sameEvent);
-    return sameEvent && sentAt <= aEach.at;
+    const bool sameEvent =
+      aEach.domain == aReport.domain && sentAt <= aEach.at && apart < this->settings.sameEvent;
+    return aEach.endpoint == aReport.endpoint || sameEvent;
   });
   if (isKnown) {
     return true;
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -109,11 +109,12 @@
 }
 
 void
-RelayRun::NoteCrash(AttemptCause aCause)
+RelayRun::NoteCrash(AttemptCause aCause, std::function<void()> aKnown)
 {
   const FleetSnapshotPtr fleet = this->context.fleet.Get();
   const Endpoint* endpoint = fleet->Find(this->endpointId);
   if (!MayBeCrash(aCause) || endpoint == nullptr || endpoint->state == EndpointState::Leaving) {
+    aKnown();
     return;
   }
   CrashReport report;
@@ -123,7 +124,28 @@
   report.domain = HashBytes(endpoint->failureDomain);
   const TimePoint now = this->context.loop.GetClock().Now();
   report.sentAge = std::chrono::floor<Milliseconds>(now - this->sentAt).count();
-  this->context.poison.OnCrash(report);
+  if (aCause == AttemptCause::Restarted) {
+    this->context.poison.OnCrash(report);
+    aKnown();
+    return;
+  }
+  this->context.crashes.OnConnectionLost(fmt::format("{}:{}", endpoint->address, endpoint->port),
+                                         report, std::move(aKnown));
+}
+
+void
+RelayRun::GoOnAfter(AttemptCause aCause)
+{
+  this->NoteCrash(aCause, [this, life = std::weak_ptr(this->life), aCause] {
+    if (life.expired() || this->ended) {
+      return;
+    }
+    if (MayBeCrash(aCause) && this->context.poison.IsSuspect(this->call.print)) {
+      this->Fail(Error(ErrorKind::EndpointFailed, this->lastReason, Ran::Unknown));
+      return;
+    }
+    this->Dispatch();
+  });
 }
 
 void
@@ -369,22 +391,21 @@
     this->failure = aEnd.reply;
   }
   this->excluded.push_back(this->endpointId);
-  this->NoteCrash(aEnd.cause);
 
   const bool isCallersFault =
     aEnd.outcome == AttemptOutcome::Failure && aEnd.reply.status < kServerError;
   const bool hasAttempts = this->sends < this->call.route->attempts;
-  const bool isSuspect = MayBeCrash(aEnd.cause) && this->context.poison.IsSuspect(this->call.print);
-  const bool isAllowed = hasAttempts && !isCallersFault && !isSuspect &&
-                         (!this->mayHaveRun || this->call.route->IsRepeatable());
+  const bool isAllowed =
+    hasAttempts && !isCallersFault && (!this->mayHaveRun || this->call.route->IsRepeatable());
   const bool isFree = aEnd.outcome == AttemptOutcome::NotSent;
   const bool goesOn = isAllowed && (isFree || this->context.retryBudget.TryTake());
   this->context.observer.OnAttemptFailed(this->call,
                                          { this->endpointId, aEnd.cause, aEnd.reason, goesOn });
   if (goesOn) {
-    this->Dispatch();
+    this->GoOnAfter(aEnd.cause);
     return;
   }
+  this->NoteCrash(aEnd.cause, [] {});
   if (this->failure && !this->streaming) {
     this->Succeed(std::move(*this->failure));
     return;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -5,6 +5,7 @@
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Core/Error.h"
 #include "Lagoonward/Fleet/FleetStore.h"
+#include "Lagoonward/Relay/CrashCheck.h"
 #include "Lagoonward/Relay/RelayAttempt.h"
 #include "Lagoonward/Relay/RelayMove.h"
 #include "Lagoonward/Relay/RelayObserver.h"
@@ -47,6 +48,7 @@
   Router& router;
   RetryBudget& retryBudget;
   PoisonGuard& poison;
+  CrashCheck& crashes;
   EndpointLimits& limits;
   const FleetStore& fleet;
   const RelaySettings& settings;
@@ -104,8 +106,11 @@
   void OnMoveEnd(const MoveEnd& aEnd);
   void WaitForPlace(const Error& aError);
   void FailAsPoison();
+  /// Goes on after a failed attempt, once it is known whether it has crashed its endpoint.
+  void GoOnAfter(AttemptCause aCause);
   /// Tells of an endpoint that was lost with this request, unless its end was announced.
-  void NoteCrash(AttemptCause aCause);
+  /// @param aKnown  called on the loop once it is known whether it has crashed, also after the run has ended
+  void NoteCrash(AttemptCause aCause, std::function<void()> aKnown);
   /// Decides after an attempt without a whole success.
   void OnAttemptFailed(const AttemptEnd& aEnd);
   [[nodiscard]] bool MayRunAgain() const;
@@ -149,6 +154,8 @@
   std::string movedFrom;                     ///< The last endpoint that a move was tried from.
   std::string copy;                          ///< Memory that the next attempt goes on from.
   std::optional<AttemptEnd> endedWhileMoved; ///< How the attempt at the source ended.
+  std::shared_ptr<bool> life =
+    std::make_shared<bool>(true); ///< Gone with the run, for what may come after its end.
   std::optional<TrafficLoop::TimerId> dueTimer;
   std::optional<TrafficLoop::TimerId> placeTimer;
   std::optional<TrafficLoop::TimerId> silenceTimer;
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -10,9 +10,11 @@
   , market(aMarket)
   , observer(aObserver)
   , loop(aClock, aSettings.client)
-  , context{ this->loop,     aMarket.router,         aMarket.retryBudget,
-             aMarket.poison, aMarket.endpointLimits, aFleet,
-             this->settings, this->language,         aObserver }
+  , crashes(this->loop, aMarket.poison)
+  , context{ this->loop,     aMarket.router, aMarket.retryBudget,
+             aMarket.poison, this->crashes,  aMarket.endpointLimits,
+             aFleet,         this->settings, this->language,
+             aObserver }
 {
 }
 
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -72,6 +72,7 @@
   RelayObserver& observer;
   LimitLender* lender = nullptr;
   TrafficLoop loop;
+  CrashCheck crashes;
   RelayContext context;
   std::unordered_map<std::uint64_t, ActiveRun> runs; ///< Touched on the loop only.
   std::uint64_t nextRun = 1;
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -59,7 +59,9 @@
 struct TransferEnd
 {
   TransferOutcome outcome = TransferOutcome::Broken;
-  int status = 0;      ///< HTTP status; zero when no response began.
+  int status = 0; ///< HTTP status; zero when no response began.
+  bool isConnectionRefused =
+    false;             ///< Nobody listens there: no new connection could be made, and that at once.
   std::string message; ///< What the library said; for logs.
 };
 
--- a/UnitTests/Admission/PoisonGuardTests.cpp
+++ b/UnitTests/Admission/PoisonGuardTests.cpp
@@ -149,6 +149,15 @@
   BOOST_TEST(this->guard.IsPoisoned(kRequest));
 }
 
+BOOST_AUTO_TEST_CASE(OneEndpointsEndCountsOnceHoweverOftenItIsSeen)
+{
+  for (int time = 0; time < 5; ++time) {
+    this->Crash(1, 1, Milliseconds(0));
+    this->clock.Advance(Seconds(2));
+  }
+  BOOST_TEST(!this->guard.IsSuspect(kRequest));
+}
+
 BOOST_AUTO_TEST_CASE(WhatRanWholeIsNotBlamed)
 {
   for (std::uint64_t endpoint = 1; endpoint <= 10; ++endpoint) {
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -407,21 +407,35 @@
   if (!IsCrashing(aRequest)) {
     return Send(Whole("hi"));
   }
-  return { { Kind::Send, kStreamHead }, { Kind::Reset } };
+  return { { Kind::Send, kStreamHead }, { Kind::Die } };
 }
 
-/// How often endpoints were sent the request that crashes them.
-std::size_t
-CrashesOf(const std::vector<const ScriptedServer*>& aEndpoints)
+/// Endpoints that one request crashes, each for good.
+struct CrashingEndpoints
 {
-  std::size_t crashes = 0;
-  for (const ScriptedServer* endpoint : aEndpoints) {
-    const auto requests = endpoint->Requests();
-    crashes +=
-      static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), IsCrashing));
+  CrashingEndpoints()
+  {
+    for (int index = 0; index < 12; ++index) {
+      this->servers.push_back(std::make_unique<ScriptedServer>(CrashOrAnswer));
+      this->endpoints.push_back(this->servers.back().get());
+    }
   }
-  return crashes;
-}
+
+  /// How often they were sent that request.
+  [[nodiscard]] std::size_t Crashes() const
+  {
+    std::size_t crashes = 0;
+    for (const ScriptedServer* endpoint : this->endpoints) {
+      const auto requests = endpoint->Requests();
+      crashes +=
+        static_cast<std::size_t>(std::count_if(requests.begin(), requests.end(), IsCrashing));
+    }
+    return crashes;
+  }
+
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  std::vector<const ScriptedServer*> endpoints;
+};
 
 } // namespace
 
@@ -789,20 +803,38 @@
                      boost::unit_test::data::make({ RelayKind::Stream, RelayKind::Idempotent }),
                      kind)
 {
-  const ScriptedServer first(CrashOrAnswer);
-  const ScriptedServer second(CrashOrAnswer);
-  const ScriptedServer third(CrashOrAnswer);
-  const ScriptedServer fourth(CrashOrAnswer);
-  const std::vector<const ScriptedServer*> endpoints{ &first, &second, &third, &fourth };
-  Scene scene(endpoints);
+  const CrashingEndpoints crashing;
+  Scene scene(crashing.endpoints);
   for (int time = 0; time < 12; ++time) {
     static_cast<void>(scene.AskWith(std::string(kCrashingBody), kind));
-    BOOST_TEST(scene.AskWith(fmt::format("other {}", time), kind).reply.has_value());
+    static_cast<void>(scene.AskWith(fmt::format("other {}", time), kind));
+  }
+  BOOST_TEST(crashing.Crashes() == 3U);
+  const Received refused = scene.AskWith(std::string(kCrashingBody), kind);
+  BOOST_REQUIRE(refused.error.has_value());
+  BOOST_TEST((refused.error->kind == ErrorKind::PoisonRequest));
+  BOOST_TEST((refused.error->ran == Ran::No));
+  BOOST_TEST(!refused.error->retryAfter.has_value());
+  BOOST_TEST(scene.AskWith("another", kind).reply.has_value());
+}
+
+/// Seen: endpoints that lost answers, and lived on, had requests taken for such that crash them.
+BOOST_AUTO_TEST_CASE(AnEndpointThatOnlyBreaksConnectionsIsNotTakenForDead)
+{
+  const auto breaks = [](const std::string&) {
+    return Script{ { Kind::Send, kStreamHead }, { Kind::Reset } };
+  };
+  const ScriptedServer first(breaks);
+  const ScriptedServer second(breaks);
+  const ScriptedServer third(breaks);
+  const ScriptedServer fourth(breaks);
+  Scene scene({ &first, &second, &third, &fourth });
+  for (int time = 0; time < 12; ++time) {
+    const Received received = scene.Ask(RelayKind::Stream);
+    BOOST_TEST((received.error->kind != ErrorKind::PoisonRequest));
   }
-  BOOST_TEST(CrashesOf(endpoints) == 3U);
 }
 
-/// Seen: an endpoint that said that it takes one request a second went on to get as many as the others.
 BOOST_AUTO_TEST_CASE(AnEndpointThatNamesALimitGetsNoMore)
 {
   const ScriptedServer inNeed([](const std::string&) {
--- a/UnitTests/Support/ScriptedServer.cpp
+++ b/UnitTests/Support/ScriptedServer.cpp
@@ -86,6 +86,8 @@
     if (socket >= 0) {
       const std::lock_guard lock(this->mutex);
       this->connections.emplace_back([this, socket] { this->Serve(socket); });
+    } else {
+      std::this_thread::sleep_for(Milliseconds(kPollMilliseconds));
     }
   }
 }
@@ -140,6 +142,9 @@
       case ScriptStep::Kind::Close:
         ::shutdown(aSocket, SHUT_RDWR);
         return false;
+      case ScriptStep::Kind::Die:
+        ::shutdown(this->listener.Get(), SHUT_RDWR);
+        [[fallthrough]];
       case ScriptStep::Kind::Reset: {
         const linger now{ 1, 0 };
         ::setsockopt(aSocket, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
--- a/UnitTests/Support/ScriptedServer.h
+++ b/UnitTests/Support/ScriptedServer.h
@@ -22,6 +22,7 @@
     Wait,  ///< Waits, or until the other end has closed.
     Close, ///< Ends the connection properly.
     Reset, ///< Breaks the connection off.
+    Die,   ///< Breaks the connection off, and takes no new ones from here on.
   };
 
   Kind kind = Kind::Send;
