Keep the limits that endpoints name, over all daemons together

What callers saw: an endpoint in need that had said that it takes 1.4 requests a second got as many as any other. Cause: the limit was passed on to the caller with the other headers and read by nobody (class: a statement of a peer that is relayed and not heeded). An equal part for each daemon would waste it, an own guess at each would pass it by their number. Mend: before a request goes to an endpoint whose newest answer named a limit, its keepers are asked (two messages; none for any other endpoint). The primary gives what the limit allows and two at once, the backup a fifth beside it; a keeper that takes over gives a fifth for five seconds. So all together stay below 1.2 times the limit and three more, however late news are. Who gets no permit is told when to ask again, and the request goes elsewhere; where none is left it is refused at once with that time.

--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -77,6 +77,7 @@
     std::make_unique<RelayService>(RelaySettings{}, this->ports.endpoints, *this->market,
                                    this->fleet, this->reporter, this->clock));
   this->relay->SetLender(*this->loans);
+  this->relay->SetPermits(*this->permits);
   this->BuildDuties();
   this->BuildServers();
   if (auto started = this->kernel.StartAll(); !started) {
@@ -142,11 +143,14 @@
   facts.market = this->market.get();
   this->load = std::make_unique<LoadExchange>(LoadExchangeSettings{}, std::move(facts),
                                               *this->membership, this->clock);
-  this->keepers = std::make_unique<KeeperDirectory>(self);
+  this->keepers = std::make_unique<KeeperDirectory>(self, this->clock);
   this->loans = std::make_unique<LimitLoans>(
     KeeperQuerySettings{}, *this->keepers, *this->membership, this->market->admission, this->clock);
   this->crashes = std::make_unique<CrashExchange>(
     CrashExchangeSettings{}, *this->keepers, *this->membership, this->market->poison, this->clock);
+  this->permits =
+    std::make_unique<PermitExchange>(KeeperQuerySettings{}, *this->keepers, *this->membership,
+                                     this->market->endpointLimits, this->clock);
   EndpointNewsHooks hooks;
   hooks.decode = this->ports.decodeEndpoint;
   hooks.changed = [this] { this->PublishFleet(); };
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -6,6 +6,7 @@
 #include "Lagoonward/Daemon/EndpointNews.h"
 #include "Lagoonward/Daemon/LimitLoans.h"
 #include "Lagoonward/Daemon/LoadExchange.h"
+#include "Lagoonward/Daemon/PermitExchange.h"
 #include "Lagoonward/Daemon/RelayPorts.h"
 #include "Lagoonward/Daemon/RelayReporter.h"
 #include "Lagoonward/Membership/MembershipService.h"
@@ -114,6 +115,7 @@
   std::unique_ptr<KeeperDirectory> keepers;
   std::unique_ptr<LimitLoans> loans;
   std::unique_ptr<CrashExchange> crashes;
+  std::unique_ptr<PermitExchange> permits;
   std::unique_ptr<EndpointNews> endpoints;
   std::unique_ptr<HttpServer> callers;
   std::unique_ptr<HttpServer> readiness;
--- a/Lagoonward/Membership/KeeperDirectory.cpp
+++ b/Lagoonward/Membership/KeeperDirectory.cpp
@@ -2,9 +2,11 @@
 
 namespace lagoonward {
 
-KeeperDirectory::KeeperDirectory(PeerInfo aSelf)
+KeeperDirectory::KeeperDirectory(PeerInfo aSelf, const Clock& aClock)
   : self(std::move(aSelf))
+  , clock(aClock)
   , plan(this->self, true, this->view)
+  , changedAt(aClock.Now())
 {
 }
 
@@ -13,7 +15,18 @@
 {
   const std::lock_guard lock(this->mutex);
   this->view = aView;
-  this->plan = KeeperPlan(this->self, !this->draining, this->view);
+  KeeperPlan next(this->self, !this->draining, this->view);
+  if (!next.HasSameDaemons(this->plan)) {
+    this->changedAt = this->clock.Now();
+  }
+  this->plan = std::move(next);
+}
+
+bool
+KeeperDirectory::IsSettled(Milliseconds aFor)
+{
+  const std::lock_guard lock(this->mutex);
+  return this->clock.Now() - this->changedAt >= aFor;
 }
 
 void
--- a/Lagoonward/Membership/KeeperDirectory.h
+++ b/Lagoonward/Membership/KeeperDirectory.h
@@ -19,7 +19,7 @@
 class KeeperDirectory
 {
 public:
-  explicit KeeperDirectory(PeerInfo aSelf);
+  KeeperDirectory(PeerInfo aSelf, const Clock& aClock);
 
   /// The daemons have changed.
   void OnPeers(const PeerView& aView);
@@ -29,15 +29,20 @@
 
   [[nodiscard]] KeeperRole RoleOf(std::uint64_t aKey);
 
+  /// Whether the daemons have been the same for a time, so that whoever keeps a key now kept it all along.
+  [[nodiscard]] bool IsSettled(Milliseconds aFor);
+
   /// The keepers of a key without this daemon, the primary first.
   [[nodiscard]] std::vector<PeerAddress> OthersFor(std::uint64_t aKey);
 
 private:
   const PeerInfo self;
+  const Clock& clock;
   std::mutex mutex; ///< Guards what follows.
   bool draining = false;
   PeerView view;
   KeeperPlan plan;
+  TimePoint changedAt; ///< When other daemons began to stand.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Membership/KeeperPlan.cpp
+++ b/Lagoonward/Membership/KeeperPlan.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Membership/KeeperPlan.h"
 
+#include <algorithm>
+
 namespace lagoonward {
 
 namespace {
@@ -27,6 +29,16 @@
   }
 }
 
+bool
+KeeperPlan::HasSameDaemons(const KeeperPlan& aOther) const
+{
+  // Views are ordered by key, and this daemon stands first
+  return std::equal(this->daemons.begin(), this->daemons.end(), aOther.daemons.begin(),
+                    aOther.daemons.end(), [](const Standing& aLeft, const Standing& aRight) {
+                      return aLeft.address.key == aRight.address.key;
+                    });
+}
+
 const Keepers&
 KeeperPlan::KeepersOf(std::uint64_t aKey)
 {
--- a/Lagoonward/Membership/KeeperPlan.h
+++ b/Lagoonward/Membership/KeeperPlan.h
@@ -28,6 +28,9 @@
   /// next call.
   [[nodiscard]] const Keepers& KeepersOf(std::uint64_t aKey);
 
+  /// Whether the same daemons may be keepers.
+  [[nodiscard]] bool HasSameDaemons(const KeeperPlan& aOther) const;
+
 private:
   struct Standing
   {
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -83,20 +83,59 @@
     this->FailAsPoison();
     return;
   }
-  const std::vector<std::string_view> excludedViews(this->excluded.begin(), this->excluded.end());
+  auto choice = this->Choose();
+  if (!choice) {
+    this->WaitForPlace(choice.error());
+    return;
+  }
+  if (const auto permit = this->context.limits.WantedPermit(choice.value().Target().id)) {
+    this->BeginPermitted(std::move(choice.value()), *permit);
+    return;
+  }
+  this->BeginAttempt(choice.value(), this->MakeRouteRequest());
+}
+
+Result<RouteChoice>
+RelayRun::Choose() const
+{
+  const std::vector<std::string> blocked = this->context.limits.Blocked();
+  std::vector<std::string_view> avoided(blocked.begin(), blocked.end());
+  avoided.insert(avoided.end(), this->excluded.begin(), this->excluded.end());
   RouteRequest request = this->MakeRouteRequest();
-  request.excludedEndpoints = excludedViews;
+  request.excludedEndpoints = avoided;
   auto choice = this->context.router.Choose(request);
   if (!choice && !this->excluded.empty()) {
     // Better one that has failed than none
-    request.excludedEndpoints = {};
+    request.excludedEndpoints = std::span(avoided).first(blocked.size());
     choice = this->context.router.Choose(request);
   }
-  if (choice) {
-    this->BeginAttempt(choice.value(), request);
-  } else {
-    this->WaitForPlace(choice.error());
+  return choice;
+}
+
+void
+RelayRun::BeginPermitted(RouteChoice aChoice, const PermitRequest& aPermit)
+{
+  const auto choice = std::make_shared<const RouteChoice>(std::move(aChoice));
+  const auto answered = [this, life = std::weak_ptr(this->life), &loop = this->context.loop,
+                         choice](const PermitReply& aReply) {
+    loop.Post([this, life, choice, aReply] {
+      if (!life.expired() && !this->ended) {
+        this->OnPermit(*choice, aReply);
+      }
+    });
+  };
+  this->context.permits->Ask(aPermit, answered);
+}
+
+void
+RelayRun::OnPermit(const RouteChoice& aChoice, const PermitReply& aReply)
+{
+  if (aReply.answer == PermitAnswer::Granted) {
+    this->BeginAttempt(aChoice, this->MakeRouteRequest());
+    return;
   }
+  this->context.limits.OnNoPermit(aChoice.Target().id, aReply);
+  this->Dispatch();
 }
 
 void
@@ -155,17 +194,20 @@
   const TimePoint now = this->context.loop.GetClock().Now();
   const Milliseconds patience =
     Times(this->call.route->firstEvent, this->context.settings.placeWaitFactor);
-  if (now + this->context.settings.placePause < this->call.receivedAt + patience) {
-    this->placeTimer =
-      this->context.loop.RunAfter(this->context.settings.placePause, [this] { this->Dispatch(); });
+  // Endpoints that are blocked for longer will not be free in time
+  const auto blocked = this->context.limits.UntilNextUnblocked();
+  const Milliseconds pause = this->context.settings.placePause;
+  if (now + std::max(pause, blocked.value_or(pause)) < this->call.receivedAt + patience) {
+    this->placeTimer = this->context.loop.RunAfter(pause, [this] { this->Dispatch(); });
     return;
   }
   if (this->mayHaveRun) {
     this->Fail(Error(ErrorKind::EndpointFailed, this->lastReason, Ran::Unknown));
     return;
   }
-  this->Fail(aError.retryAfter ? aError
-                               : aError.WithRetryAfter(this->context.settings.retryAfterFloor));
+  const Milliseconds floor =
+    std::max(this->context.settings.retryAfterFloor, blocked.value_or(pause));
+  this->Fail(aError.WithRetryAfter(std::max(aError.retryAfter.value_or(floor), floor)));
 }
 
 void
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Admission/EndpointLimits.h"
+#include "Lagoonward/Admission/PermitLender.h"
 #include "Lagoonward/Admission/PoisonGuard.h"
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Core/Error.h"
@@ -50,6 +51,7 @@
   PoisonGuard& poison;
   CrashCheck& crashes;
   EndpointLimits& limits;
+  PermitLender* permits; ///< Never null.
   const FleetStore& fleet;
   const RelaySettings& settings;
   const EndpointLanguage& language;
@@ -93,6 +95,11 @@
 
   void Dispatch();
   [[nodiscard]] RouteRequest MakeRouteRequest() const;
+  /// Chooses an endpoint that may get something now, best one that has not failed this request.
+  [[nodiscard]] Result<RouteChoice> Choose() const;
+  /// Begins the attempt once the endpoint's keepers permit it, or looks for another endpoint.
+  void BeginPermitted(RouteChoice aChoice, const PermitRequest& aPermit);
+  void OnPermit(const RouteChoice& aChoice, const PermitReply& aReply);
   void BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest);
   /// Where the endpoint is to fetch the kept beginning of the prompt; empty for nowhere.
   [[nodiscard]] static std::string AddressOfHolder(const RouteChoice& aChoice,
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -43,9 +43,12 @@
 void
 RelayRun::BeginMove(const Endpoint& aSource)
 {
-  const std::string_view source = this->endpointId;
+  // One that names a limit would have to permit it first
+  const std::vector<std::string> limited = this->context.limits.Limited();
+  std::vector<std::string_view> avoided(limited.begin(), limited.end());
+  avoided.push_back(this->endpointId);
   RouteRequest request = this->MakeRouteRequest();
-  request.excludedEndpoints = std::span(&source, 1);
+  request.excludedEndpoints = avoided;
   auto choice = this->context.router.Choose(request);
   const FleetSnapshotPtr fleet = this->context.fleet.Get();
   const Endpoint* target = choice ? fleet->Find(choice.value().Target().id) : nullptr;
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -11,10 +11,11 @@
   , observer(aObserver)
   , loop(aClock, aSettings.client)
   , crashes(this->loop, aMarket.poison)
-  , context{ this->loop,     aMarket.router, aMarket.retryBudget,
-             aMarket.poison, this->crashes,  aMarket.endpointLimits,
-             aFleet,         this->settings, this->language,
-             aObserver }
+  , localPermits(aClock)
+  , context{ this->loop,          aMarket.router, aMarket.retryBudget,
+             aMarket.poison,      this->crashes,  aMarket.endpointLimits,
+             &this->localPermits, aFleet,         this->settings,
+             this->language,      aObserver }
 {
 }
 
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Admission/LimitLender.h"
+#include "Lagoonward/Admission/PermitLender.h"
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Core/Service.h"
 #include "Lagoonward/Relay/RelayRun.h"
@@ -30,6 +31,10 @@
   /// Where tokens of clients' limits are borrowed that this daemon does not hold. Before Start(); must outlive it.
   void SetLender(LimitLender& aLender) { this->lender = &aLender; }
 
+  /// Where permits for endpoints that name a limit are asked for; without it this daemon gives them all. Before Start();
+  /// must outlive it.
+  void SetPermits(PermitLender& aPermits) { this->context.permits = &aPermits; }
+
   /// Runs a request, or refuses it: at once, or as soon as it is known that nobody lends what its client's limit lacks
   /// here. Safe from any thread.
   void Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller);
@@ -73,6 +78,7 @@
   LimitLender* lender = nullptr;
   TrafficLoop loop;
   CrashCheck crashes;
+  LocalPermits localPermits;
   RelayContext context;
   std::unordered_map<std::uint64_t, ActiveRun> runs; ///< Touched on the loop only.
   std::uint64_t nextRun = 1;
--- a/UnitTests/Daemon/CrashExchangeTests.cpp
+++ b/UnitTests/Daemon/CrashExchangeTests.cpp
@@ -17,7 +17,7 @@
   Daemon(const Clock& aClock, int aIndex)
     : membership(aClock, LoopbackIdentity(aIndex), LoopbackKeys(), {}, PollNothing)
     , guard({}, aClock)
-    , keepers(LoopbackIdentity(aIndex).self)
+    , keepers(LoopbackIdentity(aIndex).self, aClock)
     , crashes({}, keepers, membership, guard, aClock)
   {
     this->membership.OnPeers([this](const PeerViewPtr& aView) {
--- a/UnitTests/Daemon/LimitLoansTests.cpp
+++ b/UnitTests/Daemon/LimitLoansTests.cpp
@@ -20,7 +20,7 @@
   Daemon(const Clock& aClock, int aIndex, int aDaemons)
     : membership(aClock, LoopbackIdentity(aIndex), LoopbackKeys(), {}, PollNothing)
     , admission(Pooled(), aClock, static_cast<std::uint64_t>(aIndex))
-    , keepers(LoopbackIdentity(aIndex).self)
+    , keepers(LoopbackIdentity(aIndex).self, aClock)
     , loans({}, keepers, membership, admission, aClock)
   {
     this->membership.OnPeers([this](const PeerViewPtr& aView) {
