--- a/Lagoonward/Daemon/PermitExchange.cpp
+++ b/Lagoonward/Daemon/PermitExchange.cpp
@@ -95,8 +95,8 @@
     return wants && IsLeave(*best) ? KeeperAnswer::Settled : KeeperAnswer::AskNext;
   };
   question.end = [this, best, request = aRequest, answered = std::move(aAnswered), role] {
-    // This daemon's own part as the backup is for when the primary has none
-    if (!IsLeave(*best) && role != KeeperRole::None) {
+    // News are for this daemon, too; its own part as the backup is for when the primary has none
+    if (role != KeeperRole::None && (!request.wants || !IsLeave(*best))) {
       *best = Better(*best, this->Serve(request));
     }
     answered(*best);
--- /dev/null
+++ b/UnitTests/Daemon/PermitExchangeTests.cpp
@@ -0,0 +1,111 @@
+#include "Lagoonward/Core/SystemClock.h"
+#include "Lagoonward/Daemon/PermitExchange.h"
+#include "UnitTests/Support/LoopbackPeers.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace lagoonward;
+using namespace lagoonward::testing;
+
+namespace {
+
+constexpr std::string_view kEndpoint = "endpoint";
+
+/// One daemon that sends to an endpoint with a limit.
+struct Daemon
+{
+  Daemon(const Clock& aClock, int aIndex)
+    : membership(aClock, LoopbackIdentity(aIndex), LoopbackKeys(), {}, PollNothing)
+    , limits({}, aClock)
+    , keepers(LoopbackIdentity(aIndex).self, aClock)
+    , permits({}, keepers, membership, limits, aClock)
+  {
+    this->membership.OnPeers([this](const PeerViewPtr& aView) { this->keepers.OnPeers(*aView); });
+    BOOST_TEST_REQUIRE(this->membership.Start().has_value());
+  }
+
+  PermitReply Ask()
+  {
+    std::promise<PermitReply> reply;
+    this->permits.Ask(*this->limits.WantedPermit(kEndpoint),
+                      [&reply](const PermitReply& aReply) { reply.set_value(aReply); });
+    auto answered = reply.get_future();
+    BOOST_TEST_REQUIRE((answered.wait_for(kPatience) == std::future_status::ready));
+    return answered.get();
+  }
+
+  MembershipService membership;
+  EndpointLimits limits;
+  KeeperDirectory keepers;
+  PermitExchange permits;
+};
+
+/// Daemons on loopback that know each other, and an endpoint that takes very little.
+struct Fleet
+{
+  static constexpr int kDaemons = 4;
+
+  Fleet()
+  {
+    std::vector<MembershipService*> memberships;
+    for (int index = 0; index < kDaemons; ++index) {
+      this->daemons.push_back(std::make_unique<Daemon>(this->clock, index));
+      memberships.push_back(&this->daemons.back()->membership);
+    }
+    Introduce(memberships);
+    for (const auto& daemon : this->daemons) {
+      daemon->limits.OnNamed(kEndpoint, 0.5);
+    }
+  }
+
+  ~Fleet()
+  {
+    for (const auto& daemon : this->daemons) {
+      daemon->membership.Stop();
+    }
+  }
+
+  SystemClock clock;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PermitExchangeTests, Fleet)
+
+/// Seen: each of eight daemons sent an endpoint what it liked.
+BOOST_AUTO_TEST_CASE(AllDaemonsTogetherGetWhatOneEndpointTakes)
+{
+  const auto begun = this->clock.Now();
+  int granted = 0;
+  for (int round = 0; round < 20; ++round) {
+    for (const auto& daemon : this->daemons) {
+      granted += daemon->Ask().answer == PermitAnswer::Granted ? 1 : 0;
+    }
+  }
+  const std::chrono::duration<double> took = this->clock.Now() - begun;
+  BOOST_TEST(granted <= 1.5 * 0.5 * took.count() + 5);
+}
+
+BOOST_AUTO_TEST_CASE(WhoeverHearsThatALimitIsLiftedTellsAll)
+{
+  this->daemons[0]->limits.OnNoneNamed(kEndpoint);
+  Await([this] { return this->daemons[2]->Ask().answer == PermitAnswer::Unlimited; });
+}
+
+BOOST_AUTO_TEST_CASE(WhereThePrimaryIsGoneTheBackupAnswers)
+{
+  KeeperPlan plan(LoopbackIdentity(0).self, true, *this->daemons[0]->membership.Peers());
+  const Keepers keepers = plan.KeepersOf(HashBytes(kEndpoint));
+  const std::size_t primary = LoopbackIndexOf(keepers.primary->key);
+  std::size_t asker = 0;
+  while (asker == primary || asker == LoopbackIndexOf(keepers.backup->key)) {
+    ++asker;
+  }
+  this->daemons[primary]->membership.Stop();
+  BOOST_TEST((this->daemons[asker]->Ask().answer != PermitAnswer::NotKeeper));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
