--- a/UnitTests/Daemon/PermitExchangeTests.cpp
+++ b/UnitTests/Daemon/PermitExchangeTests.cpp
@@ -91,6 +91,8 @@
 
 BOOST_AUTO_TEST_CASE(WhoeverHearsThatALimitIsLiftedTellsAll)
 {
+  // Ages go in whole milliseconds
+  std::this_thread::sleep_for(Milliseconds(20));
   this->daemons[0]->limits.OnNoneNamed(kEndpoint);
   Await([this] { return this->daemons[2]->Ask().answer == PermitAnswer::Unlimited; });
 }
