Keep crashing requests from endpoints in the product's own path, too

Crashes go to the keepers by the CrashExchange, verdicts to the other daemons with the demand. A poisoned request is refused before anything is claimed for it; in the middle of a run the claim is settled with the error.

--- a/Lagoonward/Attempts/CompletionCall.h
+++ b/Lagoonward/Attempts/CompletionCall.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Attempts/DispatchClaim.h"
 #include "Lagoonward/Attempts/EngineStream.h"
 #include "Lagoonward/Configuration/Manifest.h"
+#include "Lagoonward/Core/Hash.h"
 
 #include <cstdint>
 #include <string>
@@ -33,6 +34,12 @@
     return !this->idempotent && !this->idempotencyKey.empty();
   }
 
+  /// Names what is asked, the same each time that the client asks it.
+  [[nodiscard]] std::uint64_t Print() const
+  {
+    return HashBytes(this->client, HashBytes(this->market, this->bodyHash));
+  }
+
   /// Market, client and key as one text; empty without an idempotency key.
   [[nodiscard]] std::string RegistryKey() const
   {
--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -17,6 +17,8 @@
   , call(std::move(aCall))
   , answer(std::move(aAnswer))
   , report(aContext, this->call.terms, this->answer, std::move(aOnEnded))
+  , witness(this->call.terms.Print(), aContext.poison, aContext.crashes, aContext.fleet,
+            aContext.loop.GetClock())
   , move(aContext, this->report, [this](std::string_view aReason) { this->MoveAway(aReason); })
 {
 }
@@ -57,6 +59,7 @@
     return false;
   }
   this->endpointId = endpoint->id;
+  this->witness.OnSent(*endpoint);
   this->baseUrl = fmt::format("http://{}:{}", endpoint->address, endpoint->port);
   this->streamId = this->call.takeOverStream;
   this->dispatch = this->context.router.OnDispatched(choice.value(), request);
@@ -207,14 +210,28 @@
   }
   const bool provenNotRun =
     aFailure == AttemptFailure::NotSent || aFailure == AttemptFailure::Rejected;
+  // A stream that was cut and finds nobody to go on with has lost its endpoint, too
+  const bool isLost =
+    aFailure == AttemptFailure::Broken || (aFailure == AttemptFailure::NotSent && this->resuming);
   if (!this->call.terms.idempotent && !(provenNotRun && this->streamId.empty())) {
+    if (isLost) {
+      this->witness.OnConnectionLost();
+    }
     this->FailUnrepeatable();
     return;
   }
   if (provenNotRun && this->answer->TokenCount() == 0 && this->attemptCount == 1) {
     this->everDispatched = false;
   }
-  this->TryElsewhere(ToString(aFailure));
+  if (!isLost) {
+    this->TryElsewhere(ToString(aFailure));
+    return;
+  }
+  this->witness.OnConnectionLost([this, aFailure] {
+    if (!this->ended) {
+      this->TryElsewhere(ToString(aFailure));
+    }
+  });
 }
 
 void
@@ -224,6 +241,10 @@
   if (this->ended || !this->endpointId.empty()) {
     return;
   }
+  if (this->witness.IsPoisoned()) {
+    this->Fail(CrashWitness::PoisonError(this->everDispatched ? Ran::Unknown : Ran::No));
+    return;
+  }
   std::vector<std::string_view> excludedViews;
   RouteRequest request = this->MakeRouteRequest(excludedViews);
   // A planned move goes where it was planned to, if that still takes work
@@ -472,6 +493,7 @@
 {
   this->report.Note(fmt::format("is answered whole: {} tokens, {}, {} attempts.",
                                 this->answer->TokenCount(), aFinishReason, this->attemptCount));
+  this->witness.OnWhole();
   this->report.SettleWhole();
   this->answer->Finish(aFinishReason);
   this->report.Announce(this->endpointId, this->streamId, true);
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -95,6 +95,7 @@
   CompletionCall call;
   AnswerPtr answer;
   RunReport report;
+  CrashWitness witness;
   PlannedMove move;
 
   std::string endpointId;
--- a/Lagoonward/Relay/CrashCheck.cpp
+++ b/Lagoonward/Attempts/CrashCheck.cpp
@@ -1,4 +1,4 @@
-#include "Lagoonward/Relay/CrashCheck.h"
+#include "Lagoonward/Attempts/CrashCheck.h"
 
 #include <utility>
 
@@ -29,9 +29,10 @@
   Look(const Look&) = delete;
   Look& operator=(const Look&) = delete;
 
-  void Add(const CrashReport& aReport, std::function<void()> aKnown)
+  void Add(PoisonGuard& aGuard, const CrashReport& aReport, std::function<void()> aKnown)
   {
-    this->lost.push_back({ aReport, this->owner.loop.GetClock().Now(), std::move(aKnown) });
+    this->lost.push_back(
+      { &aGuard, aReport, this->owner.loop.GetClock().Now(), std::move(aKnown) });
   }
 
   /// Tells the guard where the endpoint is dead, then all who wait.
@@ -43,7 +44,7 @@
         const auto since = std::chrono::floor<Milliseconds>(now - each.at).count();
         each.report.age += since;
         each.report.sentAge += since;
-        this->owner.guard.OnCrash(each.report);
+        each.guard->OnCrash(each.report);
       }
     }
     for (const Lost& each : this->lost) {
@@ -56,6 +57,7 @@
 private:
   struct Lost
   {
+    PoisonGuard* guard = nullptr;
     CrashReport report;
     TimePoint at;
     std::function<void()> known;
@@ -75,23 +77,22 @@
   std::vector<Lost> lost;
 };
 
-CrashCheck::CrashCheck(TrafficLoop& aLoop, PoisonGuard& aGuard)
+CrashCheck::CrashCheck(TrafficLoop& aLoop)
   : loop(aLoop)
-  , guard(aGuard)
 {
 }
 
 CrashCheck::~CrashCheck() = default;
 
 void
-CrashCheck::OnConnectionLost(const std::string& aAddress, const CrashReport& aReport,
-                             std::function<void()> aKnown)
+CrashCheck::OnConnectionLost(PoisonGuard& aGuard, const std::string& aAddress,
+                             const CrashReport& aReport, std::function<void()> aKnown)
 {
   std::unique_ptr<Look>& look = this->looks[aAddress];
   if (look == nullptr) {
     look = std::make_unique<Look>(*this, aAddress);
   }
-  look->Add(aReport, std::move(aKnown));
+  look->Add(aGuard, aReport, std::move(aKnown));
 }
 
 void
--- a/Lagoonward/Relay/CrashCheck.h
+++ b/Lagoonward/Attempts/CrashCheck.h
@@ -16,17 +16,18 @@
 class CrashCheck
 {
 public:
-  /// References must outlive it.
-  CrashCheck(TrafficLoop& aLoop, PoisonGuard& aGuard);
+  /// The loop must outlive it.
+  explicit CrashCheck(TrafficLoop& aLoop);
   ~CrashCheck();
   CrashCheck(const CrashCheck&) = delete;
   CrashCheck& operator=(const CrashCheck&) = delete;
 
   /// A connection broke under a request.
+  /// @param aGuard    is told of a crash; outlives this
   /// @param aAddress  the endpoint's, `IP:PORT`
   /// @param aKnown    called once it is known, and the guard was told of a crash; empty for nobody waits
-  void OnConnectionLost(const std::string& aAddress, const CrashReport& aReport,
-                        std::function<void()> aKnown);
+  void OnConnectionLost(PoisonGuard& aGuard, const std::string& aAddress,
+                        const CrashReport& aReport, std::function<void()> aKnown);
 
 private:
   class Look;
@@ -35,7 +36,6 @@
   void OnLooked(const std::string& aAddress, bool aIsDead);
 
   TrafficLoop& loop;
-  PoisonGuard& guard;
   std::unordered_map<std::string, std::unique_ptr<Look>> looks; ///< By address.
 };
 
--- a/Lagoonward/Attempts/RunContext.h
+++ b/Lagoonward/Attempts/RunContext.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Attempts/AttemptSettings.h"
+#include "Lagoonward/Attempts/CrashWitness.h"
 #include "Lagoonward/Attempts/DecisionJournal.h"
 #include "Lagoonward/Attempts/RequestDirectory.h"
 #include "Lagoonward/Fleet/FleetStore.h"
@@ -37,6 +38,8 @@
   RunCounters& counters;
   const AttemptSettings& settings;
   RequestDirectory* directory; ///< Null when there are no other daemons.
+  PoisonGuard& poison;
+  CrashCheck& crashes;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -15,6 +15,7 @@
 
 RunService::Worker::Worker(const Clock& aClock, const HttpClientSettings& aSettings)
   : loop(aClock, aSettings)
+  , crashes(loop)
 {
 }
 
@@ -25,6 +26,7 @@
   , fleet(aFleet)
   , journal(aSettings.attempts.journalRequests, aClock)
   , registry(aSettings.attempts, aClock)
+  , poison({}, aClock)
   , moves(aSettings.moves)
 {
   // All workers exist from here on, as other threads post to them before and after they run
@@ -271,6 +273,12 @@
 RunService::AdmitThenRun(Call aCall, const MarketPtr& aMarket, double aTokens,
                          const AnswerPtr& aAnswer, bool aWasAccepted)
 {
+  // Before anything is claimed for it
+  if (this->poison.IsPoisoned(aCall.terms.Print())) {
+    this->Refuse(aCall.terms, aAnswer, CrashWitness::PoisonError(Ran::No));
+    this->OnRunEnded({}, true);
+    return;
+  }
   if constexpr (std::is_same_v<Call, CompletionCall>) {
     RouteRequest request;
     request.model = aCall.engine.model;
@@ -335,8 +343,8 @@
                      const AnswerPtr& aAnswer, const std::shared_ptr<Ticket>& aTicket)
 {
   const RunContext context{
-    aWorker.loop,  aMarket->router, aMarket->retryBudget,    this->fleet,
-    this->journal, this->counters,  this->settings.attempts, this->directory
+    aWorker.loop,   aMarket->router,         aMarket->retryBudget, this->fleet,  this->journal,
+    this->counters, this->settings.attempts, this->directory,      this->poison, aWorker.crashes
   };
   const std::uint64_t id = this->nextRun++;
   const std::string key = aCall.terms.RegistryKey();
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -65,6 +65,8 @@
 
   [[nodiscard]] int ActiveRuns() const { return this->activeRuns; }
   [[nodiscard]] const RunCounters& Counters() const { return this->counters; }
+  /// What keeps requests that crash endpoints from them.
+  [[nodiscard]] PoisonGuard& Poison() { return this->poison; }
   [[nodiscard]] DecisionJournal& Journal() { return this->journal; }
 
 private:
@@ -85,7 +87,8 @@
     std::optional<TrafficLoop::TimerId> replanTimer;
     std::unordered_map<std::uint64_t, ActiveRun<CompletionRun>> completions;
     std::unordered_map<std::uint64_t, ActiveRun<ServiceRun>> services;
-    TrafficLoop loop; ///< Last, so that its thread ends before the runs go.
+    TrafficLoop loop; ///< After the runs, so that its thread ends before they go.
+    CrashCheck crashes;
   };
 
   template<typename Run, typename Call>
@@ -125,6 +128,7 @@
   DecisionJournal journal;
   AnswerRegistry registry;
   RunCounters counters;
+  PoisonGuard poison;
   MoveCoordinator moves;
   ClaimService* claims = nullptr;
   RequestDirectory* directory = nullptr;
--- a/Lagoonward/Attempts/ServiceRun.cpp
+++ b/Lagoonward/Attempts/ServiceRun.cpp
@@ -20,6 +20,8 @@
   , call(std::move(aCall))
   , answer(std::move(aAnswer))
   , report(aContext, this->call.terms, this->answer, std::move(aOnEnded))
+  , witness(this->call.terms.Print(), aContext.poison, aContext.crashes, aContext.fleet,
+            aContext.loop.GetClock())
 {
 }
 
@@ -87,6 +89,7 @@
   this->context.router.OnFinished(this->dispatch, DispatchOutcome::Completed);
   this->report.Note(fmt::format("is answered by endpoint {} with status {}, {} bytes.",
                                 this->endpointId, aEnd.status, this->reply.body.size()));
+  this->witness.OnWhole();
   this->report.SettleWhole();
   this->answer->FinishService(std::move(this->reply));
   this->report.Announce(this->endpointId, {}, true);
@@ -100,6 +103,10 @@
   if (this->ended) {
     return;
   }
+  if (this->witness.IsPoisoned()) {
+    this->Fail(CrashWitness::PoisonError(this->mayHaveRun ? Ran::Unknown : Ran::No));
+    return;
+  }
   const std::vector<std::string_view> excludedViews(this->excluded.begin(), this->excluded.end());
   RouteRequest request;
   request.service = this->call.service;
@@ -139,6 +146,7 @@
   ++this->attemptCount;
   ++this->context.counters.attempts;
   this->endpointId = endpoint->id;
+  this->witness.OnSent(*endpoint);
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
   this->report.Announce(this->endpointId, {}, false);
   this->report.Note("goes to " + aChoice.Describe());
@@ -175,7 +183,11 @@
                                 this->endpointId, aEnd.message));
   const bool provenNotSent = aEnd.outcome == TransferOutcome::NotSent;
   this->mayHaveRun = this->mayHaveRun || !provenNotSent;
+  const bool isLost = aEnd.outcome == TransferOutcome::Broken;
   if (!provenNotSent && !this->call.terms.idempotent) {
+    if (isLost) {
+      this->witness.OnConnectionLost();
+    }
     this->Fail(Error(ErrorKind::OutcomeUnknown,
                      "The service failed after the call was sent; it is not sent again.",
                      Ran::Unknown));
@@ -185,6 +197,19 @@
   if (!wasSilent) {
     this->excluded.push_back(this->endpointId);
   }
+  if (isLost) {
+    this->witness.OnConnectionLost([this] { this->TryAgain(); });
+  } else {
+    this->TryAgain();
+  }
+}
+
+void
+ServiceRun::TryAgain()
+{
+  if (this->ended) {
+    return;
+  }
   ++this->context.counters.retries;
   if (this->context.retryBudget.TryTake()) {
     this->Dispatch();
--- a/Lagoonward/Attempts/ServiceRun.h
+++ b/Lagoonward/Attempts/ServiceRun.h
@@ -37,6 +37,8 @@
   void Dispatch();
   void BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest);
   void OnAttemptFailed(const TransferEnd& aEnd);
+  /// Goes on after a failed attempt, within the retry budget.
+  void TryAgain();
   void PauseThenDispatch();
   void OnDeadline();
   void Fail(const Error& aError);
@@ -46,6 +48,7 @@
   ServiceCall call;
   AnswerPtr answer;
   RunReport report;
+  CrashWitness witness;
 
   std::string endpointId;
   lagoonward::Dispatch dispatch; ///< The router's record of the attempt.
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -74,6 +74,7 @@
     return;
   }
   kLog.Info("Drains: unready from now on, {} requests in progress.", this->runs->ActiveRuns());
+  this->keepers->Drain();
   this->membership->Drain();
   this->fleetManager->Resign();
   this->kernel.DrainAll();
@@ -123,6 +124,7 @@
     }
     this->poller.Poll(aEndpoint, std::move(aDone));
   };
+  this->keepers = std::make_unique<KeeperDirectory>(identity.self, this->clock);
   this->membership = &this->kernel.Add(std::make_unique<MembershipService>(
     this->clock, std::move(identity), std::move(aKeys), MembershipSettings{}, poll));
   this->control = &this->kernel.Add(std::make_unique<ControlPlane>(
@@ -199,9 +201,15 @@
     PeerRequestDirectorySettings{}, *this->membership, this->fleet, this->settings.hostId);
   this->directory->Serve(*this->runs);
   this->runs->SetDirectory(*this->directory);
-  this->demand =
-    std::make_unique<DemandExchange>(DemandExchangeSettings{}, *this->membership, this->markets,
-                                     this->settings.hostId, this->settings.region);
+  this->demand = std::make_unique<DemandExchange>(DemandExchangeSettings{}, *this->membership,
+                                                  this->markets, this->runs->Poison(),
+                                                  this->settings.hostId, this->settings.region);
+  this->crashes = std::make_unique<CrashExchange>(
+    CrashExchangeSettings{}, *this->keepers, *this->membership, this->runs->Poison(), this->clock);
+  this->membership->OnPeers([this](const PeerViewPtr& aView) {
+    this->keepers->OnPeers(*aView);
+    this->crashes->OnKeepers();
+  });
 }
 
 void
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Configuration/MarketIndex.h"
 #include "Lagoonward/Core/Kernel.h"
 #include "Lagoonward/Daemon/ControlPlane.h"
+#include "Lagoonward/Daemon/CrashExchange.h"
 #include "Lagoonward/Daemon/DemandExchange.h"
 #include "Lagoonward/Daemon/FleetManager.h"
 #include "Lagoonward/Daemon/PeerClaimForwarder.h"
@@ -74,6 +75,8 @@
   std::unique_ptr<PeerClaimForwarder> claimForwarder;
   std::unique_ptr<PeerRequestDirectory> directory;
   std::unique_ptr<DemandExchange> demand;
+  std::unique_ptr<KeeperDirectory> keepers;
+  std::unique_ptr<CrashExchange> crashes;
   Kernel kernel;
 
   // Owned by the kernel
--- a/Lagoonward/Daemon/DemandExchange.cpp
+++ b/Lagoonward/Daemon/DemandExchange.cpp
@@ -42,11 +42,12 @@
 struct DemandMessage
 {
   std::vector<MarketEntry> markets;
+  std::vector<PoisonNote> poison;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->markets);
+    aArchive(this->markets, this->poison);
   }
 };
 
@@ -62,10 +63,11 @@
 
 DemandExchange::DemandExchange(const DemandExchangeSettings& aSettings,
                                MembershipService& aMembership, MarketDirectory& aMarkets,
-                               const std::string& aOwnId, std::string aRegion)
+                               PoisonGuard& aPoison, const std::string& aOwnId, std::string aRegion)
   : settings(aSettings)
   , membership(aMembership)
   , markets(aMarkets)
+  , poison(aPoison)
   , self(ToPeerKey(aOwnId))
   , region(std::move(aRegion))
 {
@@ -86,6 +88,7 @@
 DemandExchange::SendAll()
 {
   DemandMessage message;
+  message.poison = this->poison.Notes();
   for (const MarketPtr& market : this->markets.InForce()) {
     MarketEntry entry;
     entry.market = market->Name();
@@ -109,6 +112,7 @@
   if (!message || aSender == this->self) {
     return;
   }
+  this->poison.OnNotes(message->poison);
   for (const MarketEntry& entry : message->markets) {
     const MarketPtr market = this->markets.Find(entry.market);
     if (market == nullptr) {
--- a/Lagoonward/Daemon/DemandExchange.h
+++ b/Lagoonward/Daemon/DemandExchange.h
@@ -14,13 +14,14 @@
 };
 
 /// Tells the region's other daemons what each client asks for here, so that limits per client hold
-/// over the whole deployment, and takes in what they tell. Lives on the control thread.
+/// over the whole deployment, and which requests crash endpoints, and takes in what they tell. Lives on the control thread.
 class DemandExchange
 {
 public:
   /// Must be made before the membership starts.
   DemandExchange(const DemandExchangeSettings& aSettings, MembershipService& aMembership,
-                 MarketDirectory& aMarkets, const std::string& aOwnId, std::string aRegion);
+                 MarketDirectory& aMarkets, PoisonGuard& aPoison, const std::string& aOwnId,
+                 std::string aRegion);
 
   /// Begins to send. On the control thread.
   void Start();
@@ -33,6 +34,7 @@
   DemandExchangeSettings settings;
   MembershipService& membership;
   MarketDirectory& markets;
+  PoisonGuard& poison;
   PeerKey self;
   std::string region;
   std::size_t nextPeer = 0; ///< Where the next turn begins.
--- a/Lagoonward/Membership/MembershipService.cpp
+++ b/Lagoonward/Membership/MembershipService.cpp
@@ -178,7 +178,7 @@
 void
 MembershipService::OnPeers(std::function<void(const PeerViewPtr&)> aHandler)
 {
-  this->peersHandler = std::move(aHandler);
+  this->peersHandlers.push_back(std::move(aHandler));
 }
 
 const LoadWatch&
@@ -306,8 +306,8 @@
   }
   this->loads.SetWatchers(watchers);
   this->ChooseHostListReaders(*next);
-  if (this->peersHandler) {
-    this->peersHandler(next);
+  for (const auto& handler : this->peersHandlers) {
+    handler(next);
   }
 }
 
--- a/Lagoonward/Membership/MembershipService.h
+++ b/Lagoonward/Membership/MembershipService.h
@@ -92,7 +92,7 @@
   /// most once a tick for loads.
   void OnEndpoints(std::function<void()> aHandler);
 
-  /// Called on the control thread after a new peer view was published.
+  /// Called on the control thread after a new peer view was published, after the handlers that were there before.
   void OnPeers(std::function<void(const PeerViewPtr&)> aHandler);
 
   /// What is known of the region's endpoints.
@@ -153,7 +153,7 @@
   std::atomic<bool> readsHostList{ true };
   SharedStates::Validator stateHandler;
   std::function<void()> endpointsHandler;
-  std::function<void(const PeerViewPtr&)> peersHandler;
+  std::vector<std::function<void(const PeerViewPtr&)>> peersHandlers;
   PeerViewPtr view; ///< Read and written with std::atomic_load and std::atomic_store.
   std::unordered_map<PeerKey, std::vector<IndirectProbe>> indirect; ///< By the daemon probed.
   TimePoint lastSpread;
--- a/Lagoonward/Relay/AttemptEnd.cpp
+++ b/Lagoonward/Relay/AttemptEnd.cpp
@@ -29,7 +29,7 @@
 bool
 MayBeCrash(AttemptCause aCause)
 {
-  return aCause == AttemptCause::ConnectionLost || aCause == AttemptCause::Restarted;
+  return aCause == AttemptCause::ConnectionLost;
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/AttemptEnd.h
+++ b/Lagoonward/Relay/AttemptEnd.h
@@ -43,7 +43,7 @@
 [[nodiscard]] std::string_view
 ToString(AttemptCause aCause);
 
-/// Whether the endpoint may have died of what it ran: its end was not announced, and it answered nothing.
+/// Whether the endpoint may have died of what it ran. One that has started anew is known to have.
 [[nodiscard]] bool
 MayBeCrash(AttemptCause aCause);
 
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -1,6 +1,5 @@
 #include "Lagoonward/Relay/RelayRun.h"
 
-#include "Lagoonward/Core/Hash.h"
 #include "Lagoonward/Relay/PromptBlocks.h"
 
 #include <fmt/format.h>
@@ -30,6 +29,8 @@
   , caller(std::move(aCaller))
   , onEnded(std::move(aOnEnded))
   , blocks(PromptBlocks(this->call.promptParts, aContext.settings.blockTokens))
+  , witness(this->call.print, aContext.poison, aContext.crashes, aContext.fleet,
+            aContext.loop.GetClock())
   , lastEventId(this->call.lastEventId)
 {
 }
@@ -79,8 +80,8 @@
   if (this->ended) {
     return;
   }
-  if (this->context.poison.IsPoisoned(this->call.print)) {
-    this->FailAsPoison();
+  if (this->witness.IsPoisoned()) {
+    this->Fail(CrashWitness::PoisonError(this->mayHaveRun ? Ran::Unknown : Ran::No));
     return;
   }
   auto choice = this->Choose();
@@ -139,47 +140,17 @@
 }
 
 void
-RelayRun::FailAsPoison()
-{
-  const Error error(ErrorKind::PoisonRequest,
-                    "Endpoints crashed that ran this request. It will not be served.",
-                    this->mayHaveRun ? Ran::Unknown : Ran::No);
-  this->Fail(error);
-}
-
-void
-RelayRun::NoteCrash(AttemptCause aCause, std::function<void()> aKnown)
+RelayRun::GoOnAfter(AttemptCause aCause)
 {
-  const FleetSnapshotPtr fleet = this->context.fleet.Get();
-  const Endpoint* endpoint = fleet->Find(this->endpointId);
-  if (!MayBeCrash(aCause) || endpoint == nullptr || endpoint->state == EndpointState::Leaving) {
-    aKnown();
-    return;
-  }
-  CrashReport report;
-  report.request = this->call.print;
-  report.endpoint =
-    CombineHashes(HashBytes(this->endpointId), static_cast<std::uint64_t>(this->endpointBorn));
-  report.domain = HashBytes(endpoint->failureDomain);
-  const TimePoint now = this->context.loop.GetClock().Now();
-  report.sentAge = std::chrono::floor<Milliseconds>(now - this->sentAt).count();
-  if (aCause == AttemptCause::Restarted) {
-    this->context.poison.OnCrash(report);
-    aKnown();
+  if (!MayBeCrash(aCause)) {
+    this->Dispatch();
     return;
   }
-  this->context.crashes.OnConnectionLost(fmt::format("{}:{}", endpoint->address, endpoint->port),
-                                         report, std::move(aKnown));
-}
-
-void
-RelayRun::GoOnAfter(AttemptCause aCause)
-{
-  this->NoteCrash(aCause, [this, life = std::weak_ptr(this->life), aCause] {
-    if (life.expired() || this->ended) {
+  this->witness.OnConnectionLost([this] {
+    if (this->ended) {
       return;
     }
-    if (MayBeCrash(aCause) && this->context.poison.IsSuspect(this->call.print)) {
+    if (this->witness.IsSuspect()) {
       this->Fail(Error(ErrorKind::EndpointFailed, this->lastReason, Ran::Unknown));
       return;
     }
@@ -229,7 +200,7 @@
                                 isTold ? EngineWork{} : this->WorkOf(aChoice));
 
   const TimePoint now = this->context.loop.GetClock().Now();
-  this->sentAt = now;
+  this->witness.OnSent(*endpoint);
   SendTerms terms;
   terms.endpointId = this->endpointId;
   terms.left = std::chrono::floor<Milliseconds>(this->call.EndsAt() - now);
@@ -409,7 +380,7 @@
     this->NoteFirstByte();
     this->NoteBegan();
     this->context.router.OnFinished(this->dispatch, DispatchOutcome::Completed);
-    this->context.poison.OnWhole(this->call.print);
+    this->witness.OnWhole();
     this->Succeed(aEnd.reply);
     return;
   }
@@ -447,7 +418,9 @@
     this->GoOnAfter(aEnd.cause);
     return;
   }
-  this->NoteCrash(aEnd.cause, [] {});
+  if (MayBeCrash(aEnd.cause)) {
+    this->witness.OnConnectionLost();
+  }
   if (this->failure && !this->streaming) {
     this->Succeed(std::move(*this->failure));
     return;
@@ -477,6 +450,7 @@
   // Its connection may stay silent for good: who has started anew answers nothing that the life before was sent
   AttemptEnd end;
   end.cause = AttemptCause::Restarted;
+  this->witness.OnRestarted();
   end.reason = "the endpoint has started anew";
   this->attempt.reset();
   this->OnAttemptFailed(end);
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -4,9 +4,9 @@
 #include "Lagoonward/Admission/PermitLender.h"
 #include "Lagoonward/Admission/PoisonGuard.h"
 #include "Lagoonward/Admission/RetryBudget.h"
+#include "Lagoonward/Attempts/CrashWitness.h"
 #include "Lagoonward/Core/Error.h"
 #include "Lagoonward/Fleet/FleetStore.h"
-#include "Lagoonward/Relay/CrashCheck.h"
 #include "Lagoonward/Relay/RelayAttempt.h"
 #include "Lagoonward/Relay/RelayMove.h"
 #include "Lagoonward/Relay/RelayObserver.h"
@@ -112,12 +112,8 @@
   void BeginMove(const Endpoint& aSource);
   void OnMoveEnd(const MoveEnd& aEnd);
   void WaitForPlace(const Error& aError);
-  void FailAsPoison();
   /// Goes on after a failed attempt, once it is known whether it has crashed its endpoint.
   void GoOnAfter(AttemptCause aCause);
-  /// Tells of an endpoint that was lost with this request, unless its end was announced.
-  /// @param aKnown  called on the loop once it is known whether it has crashed, also after the run has ended
-  void NoteCrash(AttemptCause aCause, std::function<void()> aKnown);
   /// Decides after an attempt without a whole success.
   void OnAttemptFailed(const AttemptEnd& aEnd);
   [[nodiscard]] bool MayRunAgain() const;
@@ -138,11 +134,11 @@
   std::unique_ptr<RelayCaller> caller;
   std::function<void()> onEnded;
   std::vector<std::uint64_t> blocks; ///< Of the prompt; see PromptBlocks().
+  CrashWitness witness;
 
   std::unique_ptr<RelayAttempt> attempt; ///< Null between two attempts.
   std::string endpointId;
   std::int64_t endpointBorn = 0;     ///< Its life; see Endpoint::born.
-  TimePoint sentAt;                  ///< When the attempt began.
   lagoonward::Dispatch dispatch;     ///< The router's record of the attempt.
   std::vector<std::string> excluded; ///< Endpoints that failed this request.
   std::string lastReason;            ///< Why the last attempt failed; for logs.
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -10,7 +10,7 @@
   , market(aMarket)
   , observer(aObserver)
   , loop(aClock, aSettings.client)
-  , crashes(this->loop, aMarket.poison)
+  , crashes(this->loop)
   , localPermits(aClock)
   , context{ this->loop,          aMarket.router, aMarket.retryBudget,
              aMarket.poison,      this->crashes,  aMarket.endpointLimits,
