--- /dev/null
+++ b/UnitTests/Attempts/RunServicePoisonTests.cpp
@@ -0,0 +1,133 @@
+#include "Lagoonward/Attempts/RunService.h"
+#include "Lagoonward/Core/SystemClock.h"
+#include "UnitTests/Support/ScriptedServer.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace lagoonward;
+using namespace lagoonward::testing;
+
+namespace {
+
+/// Waits for an answer's end.
+class Caller final : public AnswerSubscriber
+{
+public:
+  void OnChanged(const Answer& aAnswer) override
+  {
+    if (aAnswer.Ended() && !this->told.exchange(true)) {
+      this->end.set_value(aAnswer.Failure());
+    }
+  }
+  [[nodiscard]] bool IsGone() override { return false; }
+
+  std::promise<std::optional<Error>> end;
+
+private:
+  std::atomic<bool> told{ false };
+};
+
+/// Services that one call crashes, each for good, behind a daemon.
+struct Scene
+{
+  static constexpr std::size_t kEndpoints = 8;
+
+  Scene()
+  {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->offset = 1;
+    configuration->manifest.failureDomains = { "d" };
+    configuration->manifest.services = { { "s", true } };
+    ManifestClient client;
+    client.name = "client";
+    client.tokensPerSecond = 1e6;
+    configuration->manifest.clients.push_back(client);
+    this->market->ApplyConfiguration(configuration);
+    auto snapshot = std::make_shared<FleetSnapshot>();
+    for (std::size_t index = 0; index < kEndpoints; ++index) {
+      this->servers.push_back(std::make_unique<ScriptedServer>([](const std::string& aRequest) {
+        return aRequest.ends_with("crash")
+                 ? Script{ { ScriptStep::Kind::Die } }
+                 : Script{ { ScriptStep::Kind::Send,
+                             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi" } };
+      }));
+      Endpoint endpoint;
+      endpoint.id = "e" + std::to_string(index);
+      endpoint.kind = EndpointKind::Service;
+      endpoint.name = "s";
+      endpoint.address = "127.0.0.1";
+      endpoint.port = this->servers.back()->Port();
+      endpoint.failureDomain = "d";
+      snapshot->endpoints.push_back(std::move(endpoint));
+    }
+    this->fleet.Publish(snapshot);
+    this->market->ApplyFleet(*snapshot);
+    BOOST_TEST_REQUIRE(this->service.Start().has_value());
+  }
+
+  ~Scene() { this->service.Stop(); }
+
+  /// @return why the call failed; nothing where it did not
+  std::optional<Error> Ask(const std::string& aBody)
+  {
+    ServiceCall call;
+    call.terms.requestId = "r" + std::to_string(++this->asked);
+    call.terms.market = "m";
+    call.terms.client = "client";
+    call.terms.bodyHash = HashBytes(aBody);
+    call.terms.accepted = this->clock.Now();
+    call.terms.deadline = call.terms.accepted + Seconds(10);
+    call.service = "s";
+    call.path = "/p";
+    call.contentType = "text/plain";
+    call.body = aBody;
+    const auto caller = std::make_shared<Caller>();
+    this->service.Submit(std::move(call), this->market, caller);
+    auto end = caller->end.get_future();
+    BOOST_TEST_REQUIRE((end.wait_for(Seconds(20)) == std::future_status::ready));
+    return end.get();
+  }
+
+  /// Endpoints that got the call that crashes them.
+  [[nodiscard]] int Crashed() const
+  {
+    int crashed = 0;
+    for (const auto& server : this->servers) {
+      const auto requests = server->Requests();
+      crashed += std::any_of(requests.begin(), requests.end(),
+                             [](const std::string& aEach) { return aEach.ends_with("crash"); });
+    }
+    return crashed;
+  }
+
+  SystemClock clock;
+  MarketPtr market = std::make_shared<Market>("m", MarketSettings{}, this->clock, 1);
+  FleetStore fleet;
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  RunService service{ {}, this->clock, this->fleet };
+  int asked = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RunServicePoisonTests, Scene)
+
+/// Seen: a call that crashed each service that ran it was sent to all, one after the other, until its deadline.
+BOOST_AUTO_TEST_CASE(ACallThatCrashedThreeServicesReachesNoFurther)
+{
+  const auto first = this->Ask("crash");
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST((first->ran == Ran::Unknown));
+  BOOST_TEST(this->Crashed() == 3);
+  // It comes again, and is refused before anything is sent
+  const auto second = this->Ask("crash");
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST((second->kind == ErrorKind::PoisonRequest));
+  BOOST_TEST((second->ran == Ran::No));
+  BOOST_TEST(this->Crashed() == 3);
+  BOOST_TEST(!this->Ask("another").has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
