Count no places of endpoints that name a limit as room

Admission sheds by how full the endpoints are. One that takes next to nothing has all its places free, so beside full ones it made the service look half empty. RouterTests/PlacesOfAnExcludedEndpointAreNoRoom: 1 where 0.5 was seen.

--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -112,6 +112,10 @@
 {
   RouteRequest request;
   request.service = aCall.service;
+  // The places of an endpoint that names a limit are no room for what it does not take
+  const std::vector<std::string> limited = this->market.endpointLimits.Limited();
+  const std::vector<std::string_view> excluded(limited.begin(), limited.end());
+  request.excludedEndpoints = excluded;
   this->market.admission.SetPressure(this->market.router.Pressure(request));
 }
 
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -101,7 +101,7 @@
                      std::span<const std::uint64_t> aEvicted, bool aGap);
 
   /// How full the endpoints of a request's group are: sequences running and waiting over those that
-  /// they run at once. 1 is full. Zero when the group is unknown.
+  /// they run at once, excluded endpoints left out. 1 is full. Zero when the group is unknown.
   [[nodiscard]] double Pressure(const RouteRequest& aRequest) const;
 
   /// Requests of this daemon in flight at each endpoint that has any.
--- a/Lagoonward/Routing/RouterLearning.cpp
+++ b/Lagoonward/Routing/RouterLearning.cpp
@@ -170,6 +170,10 @@
   double places = 0;
   for (const std::uint32_t target : group.value()->targets) {
     const RoutingTarget& each = this->table->Targets()[target];
+    const auto& excluded = aRequest.excludedEndpoints;
+    if (std::find(excluded.begin(), excluded.end(), each.id) != excluded.end()) {
+      continue;
+    }
     taken += this->SequencesAt(target, this->PeerFactor(each));
     // What an endpoint says of itself goes before what is assumed of its class
     places += each.sequences > 0 ? each.sequences
--- a/UnitTests/Routing/RouterTests.cpp
+++ b/UnitTests/Routing/RouterTests.cpp
@@ -313,4 +313,26 @@
   BOOST_TEST(this->router.Pressure(call) == 0.5);
 }
 
+/// Load pattern: an endpoint that takes next to nothing beside a full one. Grounds: its free places are no room, so what
+/// comes beyond the others must be shed as if it were not there.
+BOOST_AUTO_TEST_CASE(PlacesOfAnExcludedEndpointAreNoRoom)
+{
+  RouteRequest call;
+  call.service = "portal";
+  call.isPlainCall = true;
+  this->fleet.endpoints[2].sequences = 4;
+  Endpoint second = this->fleet.endpoints[2];
+  second.id = "second";
+  this->fleet.endpoints.push_back(second);
+  this->Publish();
+  const std::string_view inNeed = "second";
+  call.excludedEndpoints = std::span(&inNeed, 1);
+  for (int sent = 0; sent < 4; ++sent) {
+    static_cast<void>(this->router.OnDispatched(this->router.Choose(call).value(), call));
+  }
+  BOOST_TEST(this->router.Pressure(call) == 1);
+  call.excludedEndpoints = {};
+  BOOST_TEST(this->router.Pressure(call) == 0.5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
