--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -267,6 +267,8 @@
   state.readsEndpoints = this->endpoints->IsReader();
   state.refusedRecords = this->endpoints->Refused();
   state.endpointsAge = this->endpoints->Age();
+  state.poisonedRequests = this->market->poison.Poisoned();
+  state.limitedEndpoints = static_cast<int>(this->market->endpointLimits.Limited().size());
   return state;
 }
 
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -91,6 +91,11 @@
   this->SetGauge("lagoonward_relay_endpoints_age_seconds",
                  "Age of the picture of the endpoints: what was acknowledged before is in it.",
                  std::chrono::duration<double>(aState.endpointsAge).count());
+  this->SetGauge("lagoonward_relay_poisoned_requests",
+                 "Requests that crash endpoints and are sent to none.", aState.poisonedRequests);
+  this->SetGauge("lagoonward_relay_limited_endpoints",
+                 "Endpoints that say how many requests they take from all daemons.",
+                 aState.limitedEndpoints);
   this->SetEndpoints(aState);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -34,6 +34,8 @@
   std::int64_t refusedRecords = 0; ///< Records of endpoints so far that could not be read.
   bool readsEndpoints = false;     ///< Whether it reads endpoints' records for all.
   Milliseconds endpointsAge{ 0 };  ///< How old the picture of the endpoints is.
+  int poisonedRequests = 0;        ///< Requests that are kept from all endpoints.
+  int limitedEndpoints = 0;        ///< Endpoints that have named a limit.
 };
 
 /// Writes down what happens to relayed requests: a log line for each decision, counters and latencies.
