Count a crash in mid-answer half when a request is judged

Another request had killed three endpoints within 430 ms of the start, and each time some of the same streams ran there, none of which had yet had the time to end. A request that crashes its endpoint does so as a rule before it has answered anything; one that had is less likely to be to blame. Three crashes before any answer still convict, six in mid-answer do.

--- a/Lagoonward/Admission/PoisonGuard.cpp
+++ b/Lagoonward/Admission/PoisonGuard.cpp
@@ -3,6 +3,7 @@
 #include "Lagoonward/Core/Log.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace lagoonward {
 
@@ -91,28 +92,41 @@
   std::vector<Crash>& known = this->crashes[aReport.request];
   std::erase_if(known,
                 [&](const Crash& aEach) { return now - aEach.at > this->settings.crashMemory; });
-  // What was sent to another endpoint after an end that the request has seen is a trial of its own
-  const bool isKnown = std::any_of(known.begin(), known.end(), [&](const Crash& aEach) {
-    const auto apart = std::max(aEach.at, at) - std::min(aEach.at, at);
-    const bool sameEvent =
-      aEach.domain == aReport.domain && sentAt <= aEach.at && apart < this->settings.sameEvent;
-    return aEach.endpoint == aReport.endpoint || sameEvent;
-  });
-  if (isKnown) {
-    return true;
-  }
-  known.push_back({ aReport.endpoint, aReport.domain, at });
-  const auto count = static_cast<int>(known.size());
-  if (count >= this->settings.crashesToPoison) {
+  const double weight = aReport.hadBegun ? this->settings.lateCrash : 1;
+  this->Add(known, { aReport.endpoint, aReport.domain, at, weight }, sentAt);
+  const double sum =
+    std::accumulate(known.begin(), known.end(), 0.0,
+                    [](double aSum, const Crash& aEach) { return aSum + aEach.weight; });
+  if (sum >= this->settings.crashesToPoison) {
     this->Hold(aReport.request, PoisonStanding::Poisoned, now + this->settings.poisonMemory);
-    // More are of no use to anyone
-    known.erase(known.begin(), known.end() - this->settings.crashesToPoison);
-  } else if (count >= this->settings.crashesToSuspect) {
+  } else if (static_cast<int>(known.size()) >= this->settings.crashesToSuspect) {
     this->Hold(aReport.request, PoisonStanding::Suspect, now + this->settings.poisonMemory);
   }
   return true;
 }
 
+void
+PoisonGuard::Add(std::vector<Crash>& aKnown, const Crash& aCrash, TimePoint aSentAt) const
+{
+  for (Crash& each : aKnown) {
+    const auto apart = std::max(each.at, aCrash.at) - std::min(each.at, aCrash.at);
+    // What was sent to another endpoint after an end that the request has seen is a trial of its own
+    const bool sameEvent =
+      each.domain == aCrash.domain && aSentAt <= each.at && apart < this->settings.sameEvent;
+    if (each.endpoint == aCrash.endpoint || sameEvent) {
+      each.weight = std::max(each.weight, aCrash.weight);
+      return;
+    }
+  }
+  aKnown.push_back(aCrash);
+  // More are of no use to anyone
+  const auto enough =
+    static_cast<std::size_t>(this->settings.crashesToPoison / this->settings.lateCrash);
+  if (aKnown.size() > enough) {
+    aKnown.erase(aKnown.begin());
+  }
+}
+
 bool
 PoisonGuard::RanWhole(std::uint64_t aRequest, TimePoint aNow)
 {
--- a/Lagoonward/Admission/PoisonGuard.h
+++ b/Lagoonward/Admission/PoisonGuard.h
@@ -16,9 +16,14 @@
 /// Tunables of the guard against requests that crash endpoints.
 struct PoisonSettings
 {
-  int crashesToSuspect =
-    2; ///< Told to all daemons, so that whoever saw the request run whole can say so.
-  int crashesToPoison = 3; ///< From here on it is sent to no endpoint.
+  /// From here on all daemons are told, so that whoever saw the request run whole can say so.
+  int crashesToSuspect = 2;
+
+  /// From here on it is sent to no endpoint.
+  int crashesToPoison = 3;
+
+  /// What a crash counts where the request had given part of its answer: such a one is less likely to be to blame.
+  double lateCrash = 0.5;
 
   /// How long a request stays poisoned. A mended service gets it again after that.
   Milliseconds poisonMemory{ 600'000 };
@@ -51,11 +56,12 @@
   std::uint64_t domain = 0;   ///< Hash of its failure domain.
   std::int64_t age = 0;       ///< Milliseconds since then.
   std::int64_t sentAge = 0;   ///< Milliseconds since the request was sent there.
+  bool hadBegun = false;      ///< Part of its answer had come.
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->request, this->endpoint, this->domain, this->age, this->sentAge);
+    aArchive(this->request, this->endpoint, this->domain, this->age, this->sentAge, this->hadBegun);
   }
 };
 
@@ -130,6 +136,7 @@
     std::uint64_t endpoint = 0;
     std::uint64_t domain = 0;
     TimePoint at;
+    double weight = 1; ///< What it counts.
   };
 
   struct Held
@@ -139,6 +146,8 @@
   };
 
   [[nodiscard]] bool Count(const CrashReport& aReport);
+  /// Adds a crash to those of its request, unless it is one of them.
+  void Add(std::vector<Crash>& aKnown, const Crash& aCrash, TimePoint aSentAt) const;
   [[nodiscard]] bool RanWhole(std::uint64_t aRequest, TimePoint aNow);
   [[nodiscard]] const Held* Find(std::uint64_t aRequest, TimePoint aNow);
   void Hold(std::uint64_t aRequest, PoisonStanding aStanding, TimePoint aUntil);
--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -164,6 +164,7 @@
 void
 CompletionRun::OnStreamProgress(std::size_t aNewTokens)
 {
+  this->witness.OnProgress();
   if (aNewTokens == 0) {
     return;
   }
--- a/Lagoonward/Attempts/CrashWitness.cpp
+++ b/Lagoonward/Attempts/CrashWitness.cpp
@@ -31,6 +31,7 @@
   this->endpoint = EndpointKeyOf(aEndpoint);
   this->domain = HashBytes(aEndpoint.failureDomain);
   this->sentAt = this->clock.Now();
+  this->hasBegun = false;
 }
 
 void
@@ -72,6 +73,7 @@
   report.endpoint = this->endpoint;
   report.domain = this->domain;
   report.sentAge = std::chrono::floor<Milliseconds>(this->clock.Now() - this->sentAt).count();
+  report.hadBegun = this->hasBegun;
   return report;
 }
 
--- a/Lagoonward/Attempts/CrashWitness.h
+++ b/Lagoonward/Attempts/CrashWitness.h
@@ -29,6 +29,9 @@
   /// An attempt at an endpoint begins.
   void OnSent(const Endpoint& aEndpoint);
 
+  /// Part of the answer has come.
+  void OnProgress() { this->hasBegun = true; }
+
   /// The endpoint has answered whole.
   void OnWhole() { this->guard.OnWhole(this->request); }
 
@@ -56,6 +59,7 @@
   std::uint64_t endpoint = 0;     ///< Names its life; see EndpointKeyOf().
   std::uint64_t domain = 0;       ///< Hash of its failure domain.
   TimePoint sentAt;
+  bool hasBegun = false; ///< Part of the answer has come.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -353,6 +353,7 @@
 RelayRun::OnStreamEvent(std::string_view aBytes, std::string_view aId)
 {
   this->ArmSilence(true);
+  this->witness.OnProgress();
   const auto number = EventNumber(aId);
   const auto last = EventNumber(this->lastEventId);
   if (number && last && *number <= *last) {
--- a/UnitTests/Admission/PoisonGuardTests.cpp
+++ b/UnitTests/Admission/PoisonGuardTests.cpp
@@ -158,6 +158,18 @@
   BOOST_TEST(!this->guard.IsSuspect(kRequest));
 }
 
+/// Seen: before any stream had come to its end, three endpoints died of another request, each with some of the same
+/// streams on it, and those that came next were refused.
+BOOST_AUTO_TEST_CASE(ACrashInMidAnswerCountsHalf)
+{
+  for (std::uint64_t endpoint = 1; endpoint <= 6; ++endpoint) {
+    BOOST_TEST(!this->guard.IsPoisoned(kRequest));
+    this->guard.OnCrash({ kRequest, endpoint, endpoint, 0, 50, true });
+    this->clock.Advance(Seconds(2));
+  }
+  BOOST_TEST(this->guard.IsPoisoned(kRequest));
+}
+
 BOOST_AUTO_TEST_CASE(WhatRanWholeIsNotBlamed)
 {
   for (std::uint64_t endpoint = 1; endpoint <= 10; ++endpoint) {
