--- a/Lagoonward/Admission/EndpointLimits.cpp
+++ b/Lagoonward/Admission/EndpointLimits.cpp
@@ -130,14 +130,15 @@
 }
 
 std::optional<Milliseconds>
-EndpointLimits::UntilNextUnblocked()
+EndpointLimits::UntilNextUnblocked(std::span<const std::string> aEndpoints)
 {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.Now();
   std::optional<Milliseconds> shortest;
-  for (const auto& [endpoint, each] : this->known) {
-    if (each.blockedUntil > now) {
-      const auto left = std::chrono::ceil<Milliseconds>(each.blockedUntil - now);
+  for (const std::string& endpoint : aEndpoints) {
+    const auto found = this->known.find(endpoint);
+    if (found != this->known.end() && found->second.blockedUntil > now) {
+      const auto left = std::chrono::ceil<Milliseconds>(found->second.blockedUntil - now);
       shortest = shortest ? std::min(*shortest, left) : left;
     }
   }
--- a/Lagoonward/Admission/EndpointLimits.h
+++ b/Lagoonward/Admission/EndpointLimits.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -57,8 +58,9 @@
   /// Endpoints that have named a limit.
   [[nodiscard]] std::vector<std::string> Limited();
 
-  /// How long until the first of the blocked ones may be asked for again; nothing where none is blocked.
-  [[nodiscard]] std::optional<Milliseconds> UntilNextUnblocked();
+  /// How long until the first of these endpoints may be asked for again; nothing where none of them is blocked.
+  [[nodiscard]] std::optional<Milliseconds> UntilNextUnblocked(
+    std::span<const std::string> aEndpoints);
 
 private:
   struct Known
--- a/Lagoonward/Attempts/CrashCheck.cpp
+++ b/Lagoonward/Attempts/CrashCheck.cpp
@@ -1,9 +1,17 @@
 #include "Lagoonward/Attempts/CrashCheck.h"
 
+#include <optional>
 #include <utility>
 
 namespace lagoonward {
 
+namespace {
+
+/// Whoever waits for a look waits no longer: an endpoint that refuses connections does so within some milliseconds.
+constexpr Milliseconds kPatience{ 50 };
+
+} // namespace
+
 /// One new connection to an endpoint, closed as soon as it stands.
 class CrashCheck::Look final : private HttpTransferObserver
 {
@@ -17,6 +25,10 @@
     request.freshConnection = true;
     request.mayBeSent = [] { return false; };
     this->transfer = this->owner.loop.StartTransfer(request, *this);
+    this->timer = this->owner.loop.RunAfter(kPatience, [this] {
+      this->timer.reset();
+      this->Release();
+    });
   }
 
   ~Look() override
@@ -24,6 +36,9 @@
     if (this->transfer != 0) {
       this->owner.loop.CancelTransfer(this->transfer);
     }
+    if (this->timer) {
+      this->owner.loop.CancelTimer(*this->timer);
+    }
   }
 
   Look(const Look&) = delete;
@@ -31,8 +46,11 @@
 
   void Add(PoisonGuard& aGuard, const CrashReport& aReport, std::function<void()> aKnown)
   {
-    this->lost.push_back(
-      { &aGuard, aReport, this->owner.loop.GetClock().Now(), std::move(aKnown) });
+    this->lost.push_back({ &aGuard, aReport, this->owner.loop.GetClock().Now() });
+    this->waiting.push_back(std::move(aKnown));
+    if (!this->timer) {
+      this->Release();
+    }
   }
 
   /// Tells the guard where the endpoint is dead, then all who wait.
@@ -47,11 +65,7 @@
         each.guard->OnCrash(each.report);
       }
     }
-    for (const Lost& each : this->lost) {
-      if (each.known) {
-        each.known();
-      }
-    }
+    this->Release();
   }
 
 private:
@@ -60,9 +74,16 @@
     PoisonGuard* guard = nullptr;
     CrashReport report;
     TimePoint at;
-    std::function<void()> known;
   };
 
+  /// Lets those go on who wait.
+  void Release()
+  {
+    for (const auto& known : std::exchange(this->waiting, {})) {
+      known();
+    }
+  }
+
   void OnBytes(int /*aStatus*/, std::string_view /*aBytes*/) override {}
 
   void OnEnd(const TransferEnd& aEnd) override
@@ -74,7 +95,9 @@
   CrashCheck& owner;
   std::string address;
   TransferId transfer = 0;
+  std::optional<TrafficLoop::TimerId> timer; ///< Until nobody waits any longer.
   std::vector<Lost> lost;
+  std::vector<std::function<void()>> waiting;
 };
 
 CrashCheck::CrashCheck(TrafficLoop& aLoop)
--- a/Lagoonward/Attempts/CrashCheck.h
+++ b/Lagoonward/Attempts/CrashCheck.h
@@ -25,7 +25,8 @@
   /// A connection broke under a request.
   /// @param aGuard    is told of a crash; outlives this
   /// @param aAddress  the endpoint's, `IP:PORT`
-  /// @param aKnown    called once it is known, and the guard was told of a crash; empty for nobody waits
+  /// @param aKnown    called once it is known, and the guard was told of a crash, or cannot be known soon: where
+  ///                  connections hang nobody refuses them
   void OnConnectionLost(PoisonGuard& aGuard, const std::string& aAddress,
                         const CrashReport& aReport, std::function<void()> aKnown);
 
--- a/Lagoonward/Core/Clock.h
+++ b/Lagoonward/Core/Clock.h
@@ -42,4 +42,11 @@
 [[nodiscard]] WallTime
 FromUnixMilliseconds(std::int64_t aMilliseconds);
 
+/// A part or a multiple of a span, in whole milliseconds.
+[[nodiscard]] inline Milliseconds
+Times(Milliseconds aSpan, double aFactor)
+{
+  return Milliseconds(static_cast<std::int64_t>(static_cast<double>(aSpan.count()) * aFactor));
+}
+
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -95,6 +95,8 @@
 
   void Dispatch();
   [[nodiscard]] RouteRequest MakeRouteRequest() const;
+  /// Endpoints of its service that must get nothing from here for now.
+  [[nodiscard]] std::vector<std::string> BlockedEndpoints() const;
   /// Chooses an endpoint that may get something now, best one that has not failed this request.
   [[nodiscard]] Result<RouteChoice> Choose() const;
   /// Begins the attempt once the endpoint's keepers permit it, or looks for another endpoint.
--- a/UnitTests/Admission/EndpointLimitsTests.cpp
+++ b/UnitTests/Admission/EndpointLimitsTests.cpp
@@ -62,13 +62,15 @@
   this->limits.OnNoPermit("a", { PermitAnswer::Wait, 800 });
   this->limits.OnNoPermit("b", { PermitAnswer::Wait, 300 });
   BOOST_TEST(this->limits.Blocked().size() == 2U);
-  BOOST_TEST((this->limits.UntilNextUnblocked() == Milliseconds(300)));
+  const std::vector<std::string> both{ "a", "b" };
+  BOOST_TEST((this->limits.UntilNextUnblocked(both) == Milliseconds(300)));
+  BOOST_TEST((this->limits.UntilNextUnblocked(std::span(both).first(1)) == Milliseconds(800)));
   this->clock.Advance(Milliseconds(400));
   BOOST_TEST(this->limits.Blocked() == std::vector<std::string>{ "a" },
              boost::test_tools::per_element());
   this->clock.Advance(Milliseconds(400));
   BOOST_TEST(this->limits.Blocked().empty());
-  BOOST_TEST(!this->limits.UntilNextUnblocked().has_value());
+  BOOST_TEST(!this->limits.UntilNextUnblocked(both).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(AKeeperThatKnowsOfNoLimitEndsIt)
