--- a/Fuzz/Decoders/LoadFuzzer.cpp
+++ b/Fuzz/Decoders/LoadFuzzer.cpp
@@ -1,3 +1,4 @@
+#include "Lagoonward/Admission/PermitBook.h"
 #include "Lagoonward/Core/VirtualClock.h"
 #include "Lagoonward/Daemon/LoadBook.h"
 
@@ -33,6 +34,32 @@
 
 } // namespace
 
+/// Whatever daemons tell each other of crashes and permits, what follows from it stays within its bounds.
+void
+CheckShared(std::string_view aBytes, const Clock& aClock)
+{
+  PoisonGuard guard({}, aClock);
+  if (const auto report = DecodeMessage<CrashReport>(aBytes)) {
+    guard.OnToldCrash(report.value());
+  }
+  if (const auto sum = DecodeMessage<LoadSum>(aBytes)) {
+    guard.OnNotes(sum.value().poison);
+  }
+  for (const PoisonNote& note : guard.Notes()) {
+    if (Milliseconds(note.expiresIn) > PoisonSettings{}.poisonMemory) {
+      std::abort();
+    }
+  }
+  PermitBook book({}, aClock);
+  if (const auto request = DecodeMessage<PermitRequest>(aBytes)) {
+    const PermitReply reply = book.Serve(request.value(), ReserveRole::Primary, true);
+    if (Milliseconds(reply.wait) > PermitSettings{}.longestWait) {
+      std::abort();
+    }
+  }
+  static_cast<void>(DecodeMessage<PermitReply>(aBytes));
+}
+
 /// Reports of load as other daemons send them.
 extern "C" int
 LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
@@ -49,5 +76,6 @@
   }
   static_cast<void>(DecodeMessage<LoadSum>(bytes));
   CheckSums(book);
+  CheckShared(bytes, clock);
   return 0;
 }
