--- a/UnitTests/Daemon/CrashExchangeTests.cpp
+++ b/UnitTests/Daemon/CrashExchangeTests.cpp
@@ -33,42 +33,13 @@
   CrashExchange crashes;
 };
 
-/// Daemons on loopback that know each other.
-struct Fleet
+struct Fleet : LoopbackFleet<Daemon, 4>
 {
-  static constexpr int kDaemons = 4;
-
-  Fleet()
-  {
-    std::vector<MembershipService*> memberships;
-    for (int index = 0; index < kDaemons; ++index) {
-      this->daemons.push_back(std::make_unique<Daemon>(this->clock, index));
-      memberships.push_back(&this->daemons.back()->membership);
-    }
-    Introduce(memberships);
-  }
-
-  ~Fleet()
-  {
-    for (const auto& daemon : this->daemons) {
-      daemon->membership.Stop();
-    }
-  }
-
   /// An endpoint crashes at a daemon, in a failure domain of its own.
   void Crash(std::size_t aDaemon, std::uint64_t aEndpoint)
   {
     this->daemons[aDaemon]->guard.OnCrash({ kRequest, aEndpoint, aEndpoint, 0, 0 });
   }
-
-  [[nodiscard]] Keepers KeepersOfRequest() const
-  {
-    KeeperPlan plan(LoopbackIdentity(0).self, true, *this->daemons[0]->membership.Peers());
-    return plan.KeepersOf(kRequest);
-  }
-
-  SystemClock clock;
-  std::vector<std::unique_ptr<Daemon>> daemons;
 };
 
 } // namespace
@@ -81,7 +52,7 @@
   for (std::size_t daemon = 0; daemon < 3; ++daemon) {
     this->Crash(daemon, daemon + 1);
   }
-  const Keepers keepers = this->KeepersOfRequest();
+  const Keepers keepers = this->KeepersOf(kRequest);
   for (const auto& keeper : { keepers.primary, keepers.backup }) {
     Await([&] { return this->daemons[LoopbackIndexOf(keeper->key)]->guard.IsPoisoned(kRequest); });
   }
@@ -90,7 +61,7 @@
 /// The keepers' memory goes with them; those who saw the crashes tell them anew.
 BOOST_AUTO_TEST_CASE(WhoKeepsTheRequestNextIsToldWhatWasSeen)
 {
-  const Keepers keepers = this->KeepersOfRequest();
+  const Keepers keepers = this->KeepersOf(kRequest);
   const std::size_t primary = LoopbackIndexOf(keepers.primary->key);
   const std::size_t backup = LoopbackIndexOf(keepers.backup->key);
   std::vector<std::size_t> others;
--- a/UnitTests/Daemon/LimitLoansTests.cpp
+++ b/UnitTests/Daemon/LimitLoansTests.cpp
@@ -14,10 +14,12 @@
 
 constexpr std::string_view kAccount = "account";
 
+constexpr int kDaemons = 3;
+
 /// One daemon that takes part in the loans of one account's limit.
 struct Daemon
 {
-  Daemon(const Clock& aClock, int aIndex, int aDaemons)
+  Daemon(const Clock& aClock, int aIndex)
     : membership(aClock, LoopbackIdentity(aIndex), LoopbackKeys(), {}, PollNothing)
     , admission(Pooled(), aClock, static_cast<std::uint64_t>(aIndex))
     , keepers(LoopbackIdentity(aIndex).self, aClock)
@@ -27,7 +29,7 @@
       this->keepers.OnPeers(*aView);
       this->loans.OnKeepers();
     });
-    this->admission.SetDaemons(aDaemons);
+    this->admission.SetDaemons(kDaemons);
     Manifest manifest;
     ManifestClient client;
     client.name = kAccount;
@@ -63,21 +65,11 @@
   LimitLoans loans;
 };
 
-/// Daemons on loopback, each in a failure domain of its own, that know each other and have full reserves.
-struct Fleet
+/// Daemons that have full reserves.
+struct Fleet : LoopbackFleet<Daemon, kDaemons>
 {
-  static constexpr int kDaemons = 3;
-
   Fleet()
   {
-    for (int index = 0; index < kDaemons; ++index) {
-      this->daemons.push_back(std::make_unique<Daemon>(this->clock, index, kDaemons));
-    }
-    std::vector<MembershipService*> memberships;
-    for (const auto& daemon : this->daemons) {
-      memberships.push_back(&daemon->membership);
-    }
-    Introduce(memberships);
     // A reserve fills while the daemons hear of each other
     for (int interval = 0; interval < 12; ++interval) {
       for (const auto& daemon : this->daemons) {
@@ -88,21 +80,7 @@
     }
   }
 
-  ~Fleet()
-  {
-    for (const auto& daemon : this->daemons) {
-      daemon->membership.Stop();
-    }
-  }
-
-  [[nodiscard]] Keepers Holders() const
-  {
-    KeeperPlan plan(LoopbackIdentity(0).self, true, *this->daemons[0]->membership.Peers());
-    return plan.KeepersOf(HashBytes(kAccount));
-  }
-
-  SystemClock clock;
-  std::vector<std::unique_ptr<Daemon>> daemons;
+  [[nodiscard]] Keepers Holders() const { return this->KeepersOf(HashBytes(kAccount)); }
 };
 
 } // namespace
--- a/UnitTests/Daemon/PermitExchangeTests.cpp
+++ b/UnitTests/Daemon/PermitExchangeTests.cpp
@@ -42,33 +42,15 @@
   PermitExchange permits;
 };
 
-/// Daemons on loopback that know each other, and an endpoint that takes very little.
-struct Fleet
+/// Daemons that know of an endpoint that takes very little.
+struct Fleet : LoopbackFleet<Daemon, 4>
 {
-  static constexpr int kDaemons = 4;
-
   Fleet()
   {
-    std::vector<MembershipService*> memberships;
-    for (int index = 0; index < kDaemons; ++index) {
-      this->daemons.push_back(std::make_unique<Daemon>(this->clock, index));
-      memberships.push_back(&this->daemons.back()->membership);
-    }
-    Introduce(memberships);
     for (const auto& daemon : this->daemons) {
       daemon->limits.OnNamed(kEndpoint, 0.5);
     }
   }
-
-  ~Fleet()
-  {
-    for (const auto& daemon : this->daemons) {
-      daemon->membership.Stop();
-    }
-  }
-
-  SystemClock clock;
-  std::vector<std::unique_ptr<Daemon>> daemons;
 };
 
 } // namespace
@@ -99,8 +81,7 @@
 
 BOOST_AUTO_TEST_CASE(WhereThePrimaryIsGoneTheBackupAnswers)
 {
-  KeeperPlan plan(LoopbackIdentity(0).self, true, *this->daemons[0]->membership.Peers());
-  const Keepers keepers = plan.KeepersOf(HashBytes(kEndpoint));
+  const Keepers keepers = this->KeepersOf(HashBytes(kEndpoint));
   const std::size_t primary = LoopbackIndexOf(keepers.primary->key);
   std::size_t asker = 0;
   while (asker == primary || asker == LoopbackIndexOf(keepers.backup->key)) {
--- a/UnitTests/Support/LoopbackPeers.h
+++ b/UnitTests/Support/LoopbackPeers.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "Lagoonward/Core/SystemClock.h"
+#include "Lagoonward/Membership/KeeperPlan.h"
 #include "Lagoonward/Membership/MembershipService.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -81,4 +84,41 @@
   return static_cast<std::size_t>(index);
 }
 
+/// Daemons on loopback that know each other. Each is made of a clock and its index, and has a `membership`.
+template<typename Daemon, int Count>
+struct LoopbackFleet
+{
+  static constexpr int kDaemons = Count;
+
+  LoopbackFleet()
+  {
+    std::vector<MembershipService*> memberships;
+    for (int index = 0; index < kDaemons; ++index) {
+      this->daemons.push_back(std::make_unique<Daemon>(this->clock, index));
+      memberships.push_back(&this->daemons.back()->membership);
+    }
+    Introduce(memberships);
+  }
+
+  ~LoopbackFleet()
+  {
+    for (const auto& daemon : this->daemons) {
+      daemon->membership.Stop();
+    }
+  }
+
+  LoopbackFleet(const LoopbackFleet&) = delete;
+  LoopbackFleet& operator=(const LoopbackFleet&) = delete;
+
+  /// The keepers of a key, as the first daemon sees them.
+  [[nodiscard]] Keepers KeepersOf(std::uint64_t aKey) const
+  {
+    KeeperPlan plan(LoopbackIdentity(0).self, true, *this->daemons[0]->membership.Peers());
+    return plan.KeepersOf(aKey);
+  }
+
+  SystemClock clock;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+};
+
 } // namespace lagoonward::testing
