--- a/UnitTests/Attempts/RunServicePoisonTests.cpp
+++ b/UnitTests/Attempts/RunServicePoisonTests.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Attempts/RunService.h"
 #include "Lagoonward/Core/SystemClock.h"
+#include "UnitTests/Support/FakeLogService.h"
 #include "UnitTests/Support/ScriptedServer.h"
 
 #include <boost/test/unit_test.hpp>
@@ -64,6 +65,7 @@
     }
     this->fleet.Publish(snapshot);
     this->market->ApplyFleet(*snapshot);
+    this->service.SetClaims(this->claims);
     BOOST_TEST_REQUIRE(this->service.Start().has_value());
   }
 
@@ -106,6 +108,8 @@
   MarketPtr market = std::make_shared<Market>("m", MarketSettings{}, this->clock, 1);
   FleetStore fleet;
   std::vector<std::unique_ptr<ScriptedServer>> servers;
+  FakeLogService log;
+  ClaimService claims{ {}, { .region = "r", .daemonId = "d" }, this->log, this->clock };
   RunService service{ {}, this->clock, this->fleet };
   int asked = 0;
 };
