Limits: charge each run of a request, not only the first

Cause: admission charged a request once, however many endpoints ran it. Change: a send after one that may have run is charged, too. It can no longer be refused, so the shares may be overdrawn; what the daemon doesn't hold is reported to a reserve, which becomes negative and repays ahead of new requests.

--- a/Lagoonward/Admission/Admission.cpp
+++ b/Lagoonward/Admission/Admission.cpp
@@ -163,12 +163,28 @@
   if (client == nullptr || !client->pool || client->limits.tokensPerSecond <= 0) {
     return std::nullopt;
   }
-  auto wanted = client->pool->MakeTokenRequest(aRequest.tokens, this->clock.Now());
-  if (wanted) {
-    wanted->client = client->key;
-    wanted->account = client->limits.name;
+  return Identified(client->pool->MakeTokenRequest(aRequest.tokens, this->clock.Now()), *client);
+}
+
+std::optional<LimitTokenRequest>
+Admission::Identified(std::optional<LimitTokenRequest> aRequest, const Client& aClient)
+{
+  if (aRequest) {
+    aRequest->client = aClient.key;
+    aRequest->account = aClient.limits.name;
+  }
+  return aRequest;
+}
+
+std::optional<LimitTokenRequest>
+Admission::ChargeRepeat(const AdmissionRequest& aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  Client* client = this->FindClient(HashBytes(aRequest.client));
+  if (client == nullptr || !client->pool || client->limits.tokensPerSecond <= 0) {
+    return std::nullopt;
   }
-  return wanted;
+  return Identified(client->pool->ChargeRepeat(aRequest.tokens, this->clock.Now()), *client);
 }
 
 LimitTokenGrant
--- a/Lagoonward/Admission/Admission.h
+++ b/Lagoonward/Admission/Admission.h
@@ -85,6 +85,10 @@
   /// Returns the tokens to request from a reserve before Admit() is called, or nothing if none are needed.
   [[nodiscard]] std::optional<LimitTokenRequest> MakeTokenRequest(const AdmissionRequest& aRequest);
 
+  /// Charges an admitted request that an endpoint runs once more to its client's limit.
+  /// @return the tokens to charge to a reserve, or nothing
+  [[nodiscard]] std::optional<LimitTokenRequest> ChargeRepeat(const AdmissionRequest& aRequest);
+
   /// Handles another daemon's request for tokens of a reserve that this daemon owns.
   [[nodiscard]] LimitTokenGrant GrantTokens(const LimitTokenRequest& aRequest);
 
@@ -127,6 +131,9 @@
     std::optional<SharedTokenBucket> pool; ///< Replaces the bucket above if limits are pooled.
   };
 
+  /// Adds the client's identity to a request for its tokens.
+  [[nodiscard]] static std::optional<LimitTokenRequest> Identified(
+    std::optional<LimitTokenRequest> aRequest, const Client& aClient);
   void ApplyPeerDemand(std::uint64_t aPeer, std::span<const ClientDemand> aDemand, int aDaemons,
                        std::uint64_t aSeries);
   void Finish(std::uint64_t aClient, double aEstimated, double aUsed, TimePoint aAdmittedAt);
--- a/Lagoonward/Admission/SharedTokenBucket.cpp
+++ b/Lagoonward/Admission/SharedTokenBucket.cpp
@@ -235,6 +235,24 @@
   return LimitTokenRequest{ 0, need, need + prefetchTokens, {} };
 }
 
+std::optional<LimitTokenRequest>
+SharedTokenBucket::ChargeRepeat(double aTokens, TimePoint aNow)
+{
+  this->Advance(aNow);
+  this->localTokens -= aTokens;
+  this->admittedTotal += aTokens;
+  const double missing = std::min(aTokens, -this->localTokens);
+  if (missing <= 0 || !this->daemonCount || this->IsOnlyDaemon()) {
+    return std::nullopt;
+  }
+  if (this->role != ReserveRole::None) {
+    this->localTokens += missing;
+    this->reserveTokens -= missing;
+    return std::nullopt;
+  }
+  return LimitTokenRequest{ 0, missing, missing, {}, true };
+}
+
 void
 SharedTokenBucket::OnTokenGrant(const LimitTokenGrant& aGrant, double aNeed, TimePoint aNow)
 {
@@ -272,6 +290,12 @@
     return {};
   }
   this->Advance(aNow);
+  if (aRequest.isOverdraft) {
+    this->reserveTokens =
+      std::max(this->reserveTokens - aRequest.neededTokens, -this->ReserveCapacity());
+    this->currentGrants += aRequest.neededTokens;
+    return { aRequest.neededTokens, 0 };
+  }
   const bool isAmple = this->reserveTokens >= this->ReserveCapacity() * kAmpleFraction;
   const double preferred =
     isAmple ? std::max(aRequest.preferredTokens, aRequest.neededTokens) : aRequest.neededTokens;
--- a/Lagoonward/Admission/SharedTokenBucket.h
+++ b/Lagoonward/Admission/SharedTokenBucket.h
@@ -75,6 +75,8 @@
   double neededTokens = 0;    ///< Smallest useful number of tokens.
   double preferredTokens = 0; ///< Preferred number of tokens, at least `neededTokens`.
   std::string account;        ///< The account's name, for logs.
+  /// Whether the tokens have been used already. A reserve then always grants them and may become negative.
+  bool isOverdraft = false;
 };
 
 /// One client's token bucket, shared by all daemons of the deployment. It is divided into shares, so that the number of
@@ -92,7 +94,10 @@
 ///
 /// Error bound: while one daemon at a time is the primary reserve and one the backup, all daemons together admit at
 /// most capacity + slack + rate * time, for any number of daemons and any message delay up to `silenceTimeout`. A
-/// daemon that starts adds initialFillRatio of its local share. While daemons disagree about the roles, each role held
+/// daemon that starts adds initialFillRatio of its local share; until it knows the number of daemons it holds nothing.
+/// A request that endpoints run again is charged again (ChargeRepeat): as it can no longer be refused, the tokens may be
+/// missing, and all shares together exceed the bound by the overdraft until it is refilled at the rate, ahead of new
+/// requests. While daemons disagree about the roles, each role held
 /// twice adds its share of the rate for that time. A reserve refills only for the fraction of daemons that it receives
 /// messages from; a daemon that no reserve has answered for `silenceTimeout` holds and refills an equal share of the
 /// whole limit. The sides of a network partition thus stay within the limit together, except for the time until the
@@ -119,6 +124,10 @@
   /// enough, if it is the only daemon, or if the reserves have refused as many tokens a short time ago.
   [[nodiscard]] std::optional<LimitTokenRequest> MakeTokenRequest(double aTokens, TimePoint aNow);
 
+  /// Consumes the tokens of an admitted request that is run once more, whether this daemon holds them or not.
+  /// @return the request with which to charge the missing tokens to a reserve; nothing if none are missing
+  [[nodiscard]] std::optional<LimitTokenRequest> ChargeRepeat(double aTokens, TimePoint aNow);
+
   /// Handles the reply of a reserve.
   /// @param aNeed  tokens that were needed in the request
   void OnTokenGrant(const LimitTokenGrant& aGrant, double aNeed, TimePoint aNow);
@@ -150,6 +159,9 @@
   }
 
 private:
+  /// Sets the level with which a daemon starts, once limit and number of daemons are known.
+  void FillInitially(TimePoint aNow);
+
   struct Peer
   {
     TimePoint receivedAt;
@@ -159,9 +171,6 @@
   };
 
   void Advance(TimePoint aNow);
-  /// Sets the level with which a daemon starts, once limit and number of daemons are known.
-  void FillInitially(TimePoint aNow);
-
   void RotateGenerations(TimePoint aNow);
   /// Charges tokens that other daemons have used, from their local shares or from grants.
   void ChargeRemote(double aTokens);
@@ -182,17 +191,18 @@
   PooledLimit limit;
   bool isConfigured = false;
   std::optional<int> daemonCount; ///< Daemons that share the limit; empty until known.
+  TimePoint
+    settledAt; ///< Until then the reserves may be empty because all daemons have just started.
   ReserveRole role = ReserveRole::None;
   TimePoint startedAt;
   TimePoint advancedAt;
   double admittedTotal = 0; ///< By this daemon since its start.
-  double localTokens = 0;   ///< Left of this daemon's local share, and granted by reserves.
-  double reserveTokens = 0; ///< Left of the reserve of this daemon.
+  /// Left of this daemon's local share, and granted by reserves. Negative for an overdraft.
+  double localTokens = 0;
+  double reserveTokens = 0; ///< Left of the reserve of this daemon. Negative for an overdraft.
   double remoteTokens = 0;  ///< Estimate of what is left of all other shares.
 
   // Kept in two generations of `silenceTimeout` each: a total received from a peer may be as old as one generation
-  TimePoint
-    settledAt; ///< Until then the reserves may be empty because all daemons have just started.
   TimePoint rotatedAt;
   double currentSurplus =
     0; ///< Tokens that did not fit into the other shares, unless peers report that they used them.
--- a/Lagoonward/Daemon/LimitTokenExchange.cpp
+++ b/Lagoonward/Daemon/LimitTokenExchange.cpp
@@ -16,6 +16,10 @@
 constexpr auto kTokenRequest =
   static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 6);
 
+/// The same for tokens that have been used already.
+constexpr auto kOverdraft =
+  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 9);
+
 struct TokenRequestMessage
 {
   LimitTokenRequest request;
@@ -67,12 +71,15 @@
   : owners(aOwners)
   , admission(aAdmission)
   , query(aSettings, kTokenRequest, aOwners, aMembership, aClock)
+  , overdraftQuery(aSettings, kOverdraft, aOwners, aMembership, aClock)
 {
-  aMembership.Transport().OnRequest(
-    kTokenRequest,
-    [this](PeerKey, std::string_view aBytes, const PeerTransport::Responder& aRespond) {
-      aRespond(this->HandleRequest(aBytes));
-    });
+  for (const RequestType type : { kTokenRequest, kOverdraft }) {
+    aMembership.Transport().OnRequest(
+      type, [this, isOverdraft = type == kOverdraft](PeerKey, std::string_view aBytes,
+                                                     const PeerTransport::Responder& aRespond) {
+        aRespond(this->HandleRequest(aBytes, isOverdraft));
+      });
+  }
 }
 
 void
@@ -83,20 +90,34 @@
 }
 
 std::string
-LimitTokenExchange::HandleRequest(std::string_view aBytes)
+LimitTokenExchange::HandleRequest(std::string_view aBytes, bool aIsOverdraft)
 {
-  const auto message = DecodeMessage<TokenRequestMessage>(aBytes);
+  auto message = DecodeMessage<TokenRequestMessage>(aBytes);
   const bool isValid = message.has_value() && IsPlausible(message.value().request.neededTokens) &&
                        IsPlausible(message.value().request.preferredTokens);
   if (!isValid) {
     kLog.Warning("Received a malformed token request from a peer; answers without a grant.");
     return EncodeMessage(TokenGrantReply{});
   }
+  message.value().request.isOverdraft = aIsOverdraft;
   return EncodeMessage(TokenGrantReply{ this->admission.GrantTokens(message.value().request) });
 }
 
 void
 LimitTokenExchange::RequestTokens(const LimitTokenRequest& aRequest, std::function<void()> aSettled)
+{
+  this->Send(this->query, aRequest, std::move(aSettled));
+}
+
+void
+LimitTokenExchange::ReportOverdraft(const LimitTokenRequest& aRequest)
+{
+  this->Send(this->overdraftQuery, aRequest, [] {});
+}
+
+void
+LimitTokenExchange::Send(KeyOwnerQuery& aQuery, const LimitTokenRequest& aRequest,
+                         std::function<void()> aSettled)
 {
   const auto progress = std::make_shared<Progress>();
   KeyOwnerRequest ownerRequest;
@@ -114,7 +135,7 @@
     }
     settled();
   };
-  this->query.Start(std::move(ownerRequest));
+  aQuery.Start(std::move(ownerRequest));
 }
 
 KeyOwnerResponseStatus
--- a/Lagoonward/Daemon/LimitTokenExchange.h
+++ b/Lagoonward/Daemon/LimitTokenExchange.h
@@ -24,6 +24,7 @@
   void OnKeyOwnersChanged();
 
   void RequestTokens(const LimitTokenRequest& aRequest, std::function<void()> aSettled) override;
+  void ReportOverdraft(const LimitTokenRequest& aRequest) override;
 
 private:
   /// Responses to one token request so far.
@@ -33,7 +34,11 @@
     bool isRefused = false;
   };
 
-  [[nodiscard]] std::string HandleRequest(std::string_view aBytes);
+  /// Responds to a request of another daemon.
+  [[nodiscard]] std::string HandleRequest(std::string_view aBytes, bool aIsOverdraft);
+  /// Sends a request to the owners of the reserves, the primary first.
+  void Send(KeyOwnerQuery& aQuery, const LimitTokenRequest& aRequest,
+            std::function<void()> aSettled);
   [[nodiscard]] KeyOwnerResponseStatus HandleReply(const LimitTokenRequest& aRequest,
                                                    Progress& aProgress, std::string_view aResponse,
                                                    bool aIsLate);
@@ -41,6 +46,7 @@
   KeyOwnerDirectory& owners;
   Admission& admission;
   KeyOwnerQuery query;
+  KeyOwnerQuery overdraftQuery;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -17,11 +17,11 @@
 } // namespace
 
 RelayRun::RelayRun(const RelayContext& aContext, RelayCall aCall,
-                   std::unique_ptr<RelayCaller> aCaller, std::function<void()> aOnEnded)
+                   std::unique_ptr<RelayCaller> aCaller, RelayRunHandlers aHandlers)
   : context(aContext)
   , call(std::move(aCall))
   , caller(std::move(aCaller))
-  , onEnded(std::move(aOnEnded))
+  , handlers(std::move(aHandlers))
   , promptBlocks(PromptBlocks(this->call.promptParts, aContext.settings.blockTokens))
   , crashTracker(this->call.fingerprint, aContext.poisonFilter, aContext.crashProbe, aContext.fleet,
                  aContext.loop.GetClock())
@@ -330,7 +330,7 @@
   assert(!this->ended);
   this->ended = true;
   this->context.observer.OnEnded(this->call, aEnd);
-  this->context.loop.Post(std::move(this->onEnded));
+  this->context.loop.Post(std::move(this->handlers.onEnded));
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -58,15 +58,22 @@
   RelayObserver& observer;
 };
 
+/// Handlers of a run's owner.
+struct RelayRunHandlers
+{
+  std::function<void()> onEnded; ///< Called once, posted to the loop, after the response has ended.
+  /// Called before the request is sent to an endpoint once more although an earlier one may have run it.
+  std::function<void()> onRepeat;
+};
+
 /// Executes one relayed request until its final response. The request is sent to another endpoint only if the last one
 /// provably did not run it or the route allows running it again, within the attempts of the route and the retry budget.
 /// Not thread-safe: used on one TrafficLoop.
 class RelayRun final : private AttemptListener
 {
 public:
-  /// @param aOnEnded  called once, posted to the loop, after the response has ended
   RelayRun(const RelayContext& aContext, RelayCall aCall, std::unique_ptr<RelayCaller> aCaller,
-           std::function<void()> aOnEnded);
+           RelayRunHandlers aHandlers);
   ~RelayRun() override;
   RelayRun(const RelayRun&) = delete;
   RelayRun& operator=(const RelayRun&) = delete;
@@ -135,7 +142,7 @@
   RelayContext context;
   RelayCall call;
   std::unique_ptr<RelayCaller> caller;
-  std::function<void()> onEnded;
+  RelayRunHandlers handlers;
   std::vector<std::uint64_t> promptBlocks; ///< Block hashes of the prompt; see PromptBlocks().
   RunCrashTracker crashTracker;
 
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -158,6 +158,9 @@
       Error(ErrorKind::NoEndpoint, "The selected endpoint is no longer in the endpoint list."));
     return;
   }
+  if (this->mayHaveRun) {
+    this->handlers.onRepeat();
+  }
   ++this->sends;
   this->endpointId = endpoint->id;
   this->endpointIncarnation = endpoint->incarnation;
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -111,16 +111,31 @@
   }
   const std::uint64_t id = this->nextRunId++;
   ++this->activeRuns;
-  active.run =
-    std::make_unique<RelayRun>(this->context, std::move(aCall), std::move(aCaller), [this, id] {
-      this->runs.erase(id);
-      --this->activeRuns;
-    });
+  RelayRunHandlers handlers;
+  handlers.onEnded = [this, id] {
+    this->runs.erase(id);
+    --this->activeRuns;
+  };
+  handlers.onRepeat = [this, id] { this->ChargeRepeat(this->runs.at(id).run->Call()); };
+  active.run = std::make_unique<RelayRun>(this->context, std::move(aCall), std::move(aCaller),
+                                          std::move(handlers));
   RelayRun& run = *active.run;
   this->runs.emplace(id, std::move(active));
   run.Start();
 }
 
+void
+RelayService::ChargeRepeat(const RelayCall& aCall)
+{
+  if (aCall.account.empty()) {
+    return;
+  }
+  const auto overdraft = this->market.admission.ChargeRepeat(this->MakeAdmissionRequest(aCall));
+  if (overdraft && this->tokenSource != nullptr) {
+    this->tokenSource->ReportOverdraft(*overdraft);
+  }
+}
+
 void
 RelayService::UpdatePressure(const RelayCall& aCall)
 {
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -71,6 +71,8 @@
   /// Whether the request should wait until this daemon knows how many daemons share limits.
   [[nodiscard]] bool ShouldAwaitDaemonCount(const RelayCall& aCall) const;
   [[nodiscard]] AdmissionRequest MakeAdmissionRequest(const RelayCall& aCall) const;
+  /// Charges a request that is run once more to its account's limit.
+  void ChargeRepeat(const RelayCall& aCall);
   void CheckCallers();
   void UpdatePressure(const RelayCall& aCall);
 
--- a/UnitTests/Admission/SharedTokenBucketRestartTests.cpp
+++ b/UnitTests/Admission/SharedTokenBucketRestartTests.cpp
@@ -53,7 +53,7 @@
   return view;
 }
 
-/// Daemons that share one client's limit.
+/// Daemons that share one client's limit. Counts what endpoints run, as the platform does: each run of a request.
 class Fleet
 {
 public:
@@ -93,11 +93,22 @@
       this->demanded -= kRequestTokens;
       this->next = (this->next + 1) % this->daemons;
       if (this->limit.TryConsume(this->next, kRequestTokens, this->clock.Now()) == 0) {
+        this->running.push_back({ this->next, this->clock.Now() });
         this->Run(kRequestTokens);
       }
     }
   }
 
+  /// A fraction of the endpoints crash: of the requests of the last two seconds as many are run again.
+  void CrashEndpoints(double aFraction)
+  {
+    const std::size_t repeats = static_cast<std::size_t>(aFraction * this->running.size());
+    for (std::size_t index = 0; index < repeats; ++index) {
+      this->limit.ChargeRepeat(this->running[index].daemon, kRequestTokens, this->clock.Now());
+      this->Run(kRequestTokens);
+    }
+  }
+
   void Step()
   {
     this->clock.Advance(kStep);
@@ -110,6 +121,9 @@
     if (age.count() % kReportInterval.count() == 0) {
       this->Report(age);
     }
+    while (!this->running.empty() && now - this->running.front().at > Seconds(2)) {
+      this->running.pop_front();
+    }
     this->ran.push_back(0);
     if (this->ran.size() > static_cast<std::size_t>(kWindow / kStep)) {
       this->inWindow -= this->ran.front();
@@ -121,6 +135,12 @@
   [[nodiscard]] double Total() const { return this->total; }
 
 private:
+  struct Running
+  {
+    std::size_t daemon;
+    TimePoint at;
+  };
+
   void Run(double aTokens)
   {
     if (this->ran.empty()) {
@@ -185,7 +205,8 @@
   bool hasRoles = false;
   double demanded = 0;
   std::size_t next = 0;
-  std::deque<double> ran; ///< Tokens run by step, the last window.
+  std::deque<Running> running; ///< Requests of the last two seconds.
+  std::deque<double> ran;      ///< Tokens run by step, the last window.
   double inWindow = 0;
   double worstWindow = 0;
   double total = 0;
@@ -238,4 +259,22 @@
   BOOST_TEST(fleet.Total() - before >= 4 * 0.5 * kRate * 0.98);
 }
 
+/// Load pattern: one client sends several times its limit, and a fifth of the endpoints crash again and again, so that
+/// its requests run twice. Guards against a limit that counts a request once however often it is run.
+BOOST_DATA_TEST_CASE(LimitHoldsIfEndpointsCrashUnderAHotClient,
+                     boost::unit_test::data::make({ 6, 81, 600 }) *
+                       boost::unit_test::data::make({ 1, 3, 6 }),
+                     daemons, secondsBefore)
+{
+  constexpr double kCrashing = 0.21;
+  Fleet fleet(daemons);
+  Play(fleet, secondsBefore, 5 * kRate);
+  for (int crash = 0; crash < 5; ++crash) {
+    fleet.CrashEndpoints(kCrashing);
+    Play(fleet, 1, 5 * kRate);
+  }
+  Play(fleet, 4, 5 * kRate);
+  BOOST_TEST(fleet.WorstWindow() <= kAllowed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -311,6 +311,18 @@
       this->requestArrived.notify_all();
     }
 
+    void ReportOverdraft(const LimitTokenRequest& aRequest) override
+    {
+      const std::lock_guard lock(this->mutex);
+      this->overdraft += aRequest.neededTokens;
+    }
+
+    [[nodiscard]] double Overdraft()
+    {
+      const std::lock_guard lock(this->mutex);
+      return this->overdraft;
+    }
+
     /// Waits for a request for tokens and replies to it.
     void Reply(const std::function<LimitTokenGrant(const LimitTokenRequest&)>& aMakeGrant)
     {
@@ -326,10 +338,12 @@
     std::mutex mutex;
     std::condition_variable requestArrived;
     LimitTokenRequest request;
+    double overdraft = 0;
     std::function<void()> onSettled;
   };
 
-  LimitedRelayFixture()
+  explicit LimitedRelayFixture(const ScriptedServer::Handler& aHandler = RespondAlike)
+    : server(aHandler)
   {
     this->relay.market.admission.SetReserveRoles([](std::uint64_t) { return ReserveRole::None; });
     this->relay.market.admission.SetDaemonCount(10);
@@ -352,10 +366,13 @@
     return { client };
   }
 
-  const ScriptedServer server{ [](const std::string&) {
-    return Script{ { Kind::Send,
-                     "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nContent-Length: 2\r\n\r\nhi" } };
-  } };
+  static Script RespondAlike(const std::string& /*aRequest*/)
+  {
+    return { { Kind::Send,
+               "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nContent-Length: 2\r\n\r\nhi" } };
+  }
+
+  const ScriptedServer server;
   RelayFixture relay{ { &server }, PooledSettings(), Clients() };
   FakeTokenSource tokenSource{ *this };
 };
@@ -807,6 +824,42 @@
   BOOST_TEST(received.reply->body == "why");
 }
 
+/// Load pattern: endpoints crash under a client at its limit. Guards against a limit that counts a request once although
+/// two endpoints have run it.
+BOOST_AUTO_TEST_CASE(EachRunOfARequestIsChargedToItsAccountsLimit)
+{
+  const std::string answer = kStreamHead + Chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n";
+  LimitedRelayFixture limited(
+    RespondFirstThen({ { Kind::Send, kStreamHead }, { Kind::Reset } }, { { Kind::Send, answer } }));
+  constexpr double kTokens = 200;
+  TestCaller caller;
+  limited.relay.Submit(caller, RelayKind::Stream, true, Seconds(5), std::string(kAccount), kTokens);
+  limited.tokenSource.Reply([](const LimitTokenRequest& aRequest) {
+    return LimitTokenGrant{ aRequest.neededTokens, 0 };
+  });
+  BOOST_TEST(caller.Wait().streamed);
+  BOOST_TEST(limited.relay.observer.sent == 2);
+  // Nothing was left of the local share
+  BOOST_TEST(limited.tokenSource.Overdraft() == kTokens, boost::test_tools::tolerance(1e-3));
+}
+
+/// An endpoint that proves that it did not run a request leaves the first charge for the endpoint that does.
+BOOST_AUTO_TEST_CASE(RefusalOfAnEndpointIsNotCharged)
+{
+  LimitedRelayFixture limited(
+    RespondFirstThen(Send(MakeResponse("", "503 Service Unavailable", "Id: r1\r\nNot-Run: 1\r\n")),
+                     Send(MakeResponse("ran"))));
+  TestCaller caller;
+  limited.relay.Submit(caller, RelayKind::NonIdempotent, false, Seconds(5), std::string(kAccount),
+                       200);
+  limited.tokenSource.Reply([](const LimitTokenRequest& aRequest) {
+    return LimitTokenGrant{ aRequest.neededTokens, 0 };
+  });
+  BOOST_TEST(caller.Wait().reply.has_value());
+  BOOST_TEST(limited.relay.observer.sent == 2);
+  BOOST_TEST(limited.tokenSource.Overdraft() == 0);
+}
+
 /// Guards against one request that crashes every endpoint it runs on: sent again and again, it took down eighteen.
 BOOST_DATA_TEST_CASE(RequestThatCrashedThreeEndpointsIsNotSentAgain,
                      boost::unit_test::data::make({ RelayKind::Stream, RelayKind::Idempotent }),
--- a/UnitTests/Support/SharedLimit.h
+++ b/UnitTests/Support/SharedLimit.h
@@ -41,6 +41,14 @@
     return bucket.TryConsume(aTokens, aNow);
   }
 
+  /// Charges the tokens of a request that one daemon runs once more.
+  void ChargeRepeat(std::size_t aDaemon, double aTokens, TimePoint aNow)
+  {
+    if (const auto overdraft = this->buckets[aDaemon].ChargeRepeat(aTokens, aNow)) {
+      this->RequestTokens(aDaemon, *overdraft, aNow);
+    }
+  }
+
   std::vector<SharedTokenBucket> buckets;
   std::vector<std::size_t>
     reserveDaemons; ///< Indices of the daemons that hold a reserve, the primary first.
