Runs of model requests say at which endpoint they are, so that a crash there counts

Callers saw: a model request that crashes the engine that runs it took down every engine, in lagoonward serve. Cause: CompletionRun::BeginAttempt did not call RunCrashTracker::OnSent, only a run taken over from a lost daemon did; the tracker named no endpoint and kept none from the request.

--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -316,6 +316,7 @@
     this->context.counters.tokensResent += static_cast<std::uint64_t>(aRequest.promptTokens);
   }
   this->endpointId = endpoint->id;
+  this->crashTracker.OnSent(*endpoint);
   this->baseUrl = fmt::format("http://{}:{}", endpoint->address, endpoint->port);
   this->streamId.clear();
   this->call.engine.priority = aChoice.priority;
--- a/UnitTests/Attempts/RunServicePoisonTests.cpp
+++ b/UnitTests/Attempts/RunServicePoisonTests.cpp
@@ -41,6 +41,7 @@
     configuration->offset = 1;
     configuration->manifest.failureDomains = { "d" };
     configuration->manifest.services = { { "s", true } };
+    configuration->manifest.models = { { "permit", "1", {}, 1 } };
     ManifestClient client;
     client.name = "client";
     client.tokensPerSecond = 1e6;
@@ -49,7 +50,7 @@
     auto snapshot = std::make_shared<FleetSnapshot>();
     for (std::size_t index = 0; index < kEndpoints; ++index) {
       this->servers.push_back(std::make_unique<ScriptedServer>([](const std::string& aRequest) {
-        return aRequest.ends_with("crash")
+        return IsCrashing(aRequest)
                  ? Script{ { ScriptStep::Kind::ResetAndStopListening } }
                  : Script{ { ScriptStep::Kind::Send,
                              "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi" } };
@@ -61,6 +62,14 @@
       endpoint.address = "127.0.0.1";
       endpoint.port = this->servers.back()->Port();
       endpoint.failureDomain = "d";
+      snapshot->endpoints.push_back(endpoint);
+      // The same server also stands for an engine
+      endpoint.id = "m" + std::to_string(index);
+      endpoint.kind = EndpointKind::Engine;
+      endpoint.name.clear();
+      endpoint.load.emplace();
+      endpoint.load->asOf = this->clock.WallNow();
+      endpoint.load->models = { { "permit", "1", {} } };
       snapshot->endpoints.push_back(std::move(endpoint));
     }
     this->fleet.Publish(snapshot);
@@ -76,21 +85,34 @@
   std::optional<Error> Call(const std::string& aBody)
   {
     ServiceCall call;
-    call.terms.requestId = "r" + std::to_string(++this->callCount);
-    call.terms.market = "m";
-    call.terms.client = "client";
-    call.terms.bodyHash = HashBytes(aBody);
-    call.terms.accepted = this->clock.Now();
-    call.terms.deadline = call.terms.accepted + Seconds(10);
+    call.terms = this->TermsOf(aBody);
     call.service = "s";
     call.path = "/p";
     call.contentType = "text/plain";
     call.body = aBody;
-    const auto caller = std::make_shared<Caller>();
-    this->service.Submit(std::move(call), this->market, caller);
-    auto end = caller->end.get_future();
-    BOOST_TEST_REQUIRE((end.wait_for(Seconds(20)) == std::future_status::ready));
-    return end.get();
+    return this->SubmitAndWait(std::move(call));
+  }
+
+  /// The same for a request to a model.
+  std::optional<Error> Complete(const std::string& aPrompt)
+  {
+    CompletionCall call;
+    call.terms = this->TermsOf(aPrompt);
+    call.terms.callClass = { "draft", Milliseconds(8000), Milliseconds(120), {}, 1 };
+    call.engine.requestId = call.terms.requestId;
+    call.engine.model = "permit";
+    call.engine.version = "1";
+    call.engine.prompt = aPrompt;
+    call.engine.maxTokens = 10;
+    call.promptTokens = 10;
+    return this->SubmitAndWait(std::move(call));
+  }
+
+  /// Whether a request, for a service or a model, crashes the endpoint that runs it.
+  static bool IsCrashing(const std::string& aRequest)
+  {
+    return aRequest.ends_with("crash") ||
+           aRequest.find("\"prompt\":\"crash\"") != std::string::npos;
   }
 
   /// Number of endpoints that received the call that crashes them.
@@ -99,12 +121,33 @@
     int crashed = 0;
     for (const auto& server : this->servers) {
       const auto requests = server->Requests();
-      crashed += std::any_of(requests.begin(), requests.end(),
-                             [](const std::string& aEach) { return aEach.ends_with("crash"); });
+      crashed += std::any_of(requests.begin(), requests.end(), &IsCrashing);
     }
     return crashed;
   }
 
+  CallTerms TermsOf(const std::string& aBody)
+  {
+    CallTerms terms;
+    terms.requestId = "r" + std::to_string(++this->callCount);
+    terms.market = "m";
+    terms.client = "client";
+    terms.bodyHash = HashBytes(aBody);
+    terms.accepted = this->clock.Now();
+    terms.deadline = terms.accepted + Seconds(10);
+    return terms;
+  }
+
+  template<typename Call>
+  std::optional<Error> SubmitAndWait(Call aCall)
+  {
+    const auto caller = std::make_shared<Caller>();
+    this->service.Submit(std::move(aCall), this->market, caller);
+    auto end = caller->end.get_future();
+    BOOST_TEST_REQUIRE((end.wait_for(Seconds(20)) == std::future_status::ready));
+    return end.get();
+  }
+
   SystemClock clock;
   MarketPtr market = std::make_shared<Market>("m", MarketSettings{}, this->clock, 1);
   FleetStore fleet;
@@ -136,4 +179,18 @@
   BOOST_TEST(!this->Call("another").has_value());
 }
 
+/// Guards against engines that are lost to one request: the runs of model requests did not say at which endpoint they
+/// were when it crashed, so that no endpoint was kept from them.
+BOOST_AUTO_TEST_CASE(ModelRequestThatCrashedThreeEndpointsIsNotSentAgain)
+{
+  const auto first = this->Complete("crash");
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST(this->CrashedCount() == 3);
+  const auto second = this->Complete("crash");
+  BOOST_REQUIRE(second.has_value());
+  BOOST_TEST((second->kind == ErrorKind::PoisonRequest));
+  BOOST_TEST((second->ran == Ran::No));
+  BOOST_TEST(this->CrashedCount() == 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
