--- a/UnitTests/Routing/RouterTests.cpp
+++ b/UnitTests/Routing/RouterTests.cpp
@@ -85,6 +85,20 @@
   BOOST_TEST(choice.value().Describe().find("endpoint a in north") == 0U);
 }
 
+/// Guards against a term that is missing: the terms printed did not add up to the cost printed.
+BOOST_AUTO_TEST_CASE(DescriptionListsEveryTermOfTheCost)
+{
+  const auto choice = this->router.Choose(this->Request());
+  BOOST_REQUIRE(choice.has_value());
+  RouteChoice described = choice.value();
+  described.cost = { 1, 2, 4, 8, 16, 32, 64, 128 };
+  const std::string text = described.Describe();
+  BOOST_TEST(text.find("cost 255 = ") != std::string::npos, text);
+  for (const char* term : { " 1 ", " 2 ", " 4 ", " 8 ", " 16 ", " 32 ", " 64 ", " 128" }) {
+    BOOST_TEST(text.find(term) != std::string::npos, text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MatchesModelAdapterAndVersionExactly)
 {
   RouteRequest request = this->Request();
