The prefix index forgets endpoints that were reset long ago

Memory grew with the endpoints ever seen: an entry per endpoint stayed for good after a reset or a gap. Marks older than the longest age of an entry concern none.

--- a/Lagoonward/Routing/PrefixIndex.cpp
+++ b/Lagoonward/Routing/PrefixIndex.cpp
@@ -62,15 +62,26 @@
   }
 }
 
+void
+PrefixIndex::RemoveExpired(TicksByTag& aTicks) const
+{
+  const Tick now = this->CurrentTick();
+  std::erase_if(aTicks, [&](const auto& aEach) {
+    return now > aEach.second && (now - aEach.second) * kTick > this->settings.maxAge;
+  });
+}
+
 void
 PrefixIndex::OnGap(std::uint64_t aEndpointKey)
 {
+  this->RemoveExpired(this->gapTicks);
   this->gapTicks[TagOf(aEndpointKey)] = this->CurrentTick();
 }
 
 void
 PrefixIndex::OnReset(std::uint64_t aEndpointKey)
 {
+  this->RemoveExpired(this->resetTicks);
   // The entries are not removed but left to expire; a tick later than all of theirs invalidates them
   this->resetTicks[TagOf(aEndpointKey)] = this->CurrentTick() + 1;
   this->gapTicks.erase(TagOf(aEndpointKey));
--- a/Lagoonward/Routing/PrefixIndex.h
+++ b/Lagoonward/Routing/PrefixIndex.h
@@ -56,6 +56,12 @@
   /// The endpoint has terminated or restarted with an empty cache: all its entries become invalid.
   void OnReset(std::uint64_t aEndpointKey);
 
+  /// Endpoints whose gap or reset is remembered.
+  [[nodiscard]] std::size_t RememberedEndpoints() const
+  {
+    return this->gapTicks.size() + this->resetTicks.size();
+  }
+
   /// Fills aHolders with the endpoints that hold the longest known prefixes of a prompt, longest prefix first. The
   /// number of blocks examined grows with the logarithm of the prompt length; a match may be understated by an eighth.
   [[nodiscard]] PrefixMatch Find(std::span<const std::uint64_t> aBlocks,
@@ -83,7 +89,11 @@
     std::array<Holder, kHoldersPerBlock> holders;
   };
 
+  using TicksByTag = std::unordered_map<std::uint32_t, Tick>;
+
   [[nodiscard]] Tick CurrentTick() const;
+  /// Removes ticks so old that every entry they concern has expired.
+  void RemoveExpired(TicksByTag& aTicks) const;
   [[nodiscard]] const Entry* FindEntry(std::uint64_t aBlock) const;
   [[nodiscard]] Entry& FindOrReplace(std::uint64_t aBlock);
   [[nodiscard]] double ConfidenceIn(const Holder& aHolder, Tick aNow) const;
@@ -97,9 +107,9 @@
   TimePoint start;
   /// Block hash of each entry, zero when unused; a separate array so that lookups stay in the CPU cache.
   std::vector<std::uint64_t> keys;
-  std::vector<Entry> entries;                       ///< Parallel to `keys`; sets of kWays entries.
-  std::unordered_map<std::uint32_t, Tick> gapTicks; ///< By tag: older entries have less confidence.
-  std::unordered_map<std::uint32_t, Tick> resetTicks; ///< By tag: older entries are invalid.
+  std::vector<Entry> entries; ///< Parallel to `keys`; sets of kWays entries.
+  TicksByTag gapTicks;        ///< By tag: older entries have less confidence.
+  TicksByTag resetTicks;      ///< By tag: older entries are invalid.
 };
 
 } // namespace lagoonward
--- a/UnitTests/Routing/PrefixIndexTests.cpp
+++ b/UnitTests/Routing/PrefixIndexTests.cpp
@@ -42,6 +42,20 @@
 
 BOOST_FIXTURE_TEST_SUITE(PrefixIndexTests, Fixture)
 
+/// Guards against memory that grows with the endpoints ever seen: an entry per endpoint stayed for good.
+BOOST_AUTO_TEST_CASE(EndpointsThatWereResetLongAgoAreForgotten)
+{
+  constexpr std::uint64_t kEndpoints = 100;
+  for (std::uint64_t key = 0; key < kEndpoints; ++key) {
+    this->index.OnGap(2 * key + 1);
+    this->index.OnReset(2 * key + 1);
+    this->index.OnGap(2 * (key + kEndpoints) + 1);
+    this->clock.Advance(this->settings.maxAge / 10);
+  }
+  // Those of the last ten steps, and of the step before
+  BOOST_TEST(this->index.RememberedEndpoints() <= 2 * 12U);
+}
+
 BOOST_AUTO_TEST_CASE(FindReturnsCachedPrefixLengthPerEndpoint)
 {
   const std::span all(this->blocks);
