--- a/UnitTests/Admission/SharedTokenBucketRestartTests.cpp
+++ b/UnitTests/Admission/SharedTokenBucketRestartTests.cpp
@@ -119,7 +119,8 @@
   /// A fraction of the endpoints crash: of the requests of the last two seconds as many are run again.
   void CrashEndpoints(double aFraction)
   {
-    const std::size_t repeats = static_cast<std::size_t>(aFraction * this->running.size());
+    const auto repeats =
+      static_cast<std::size_t>(aFraction * static_cast<double>(this->running.size()));
     for (std::size_t index = 0; index < repeats; ++index) {
       this->limit.ChargeRepeat(this->running[index].daemon, kRequestTokens, this->clock.Now());
       this->Run(kRequestTokens);
@@ -243,8 +244,8 @@
 BOOST_AUTO_TEST_SUITE(SharedTokenBucketRestartTests)
 
 /// Load pattern: one client sends several times its limit, and all daemons are killed while it does. Guards against
-/// daemons that divide the limit by the few daemons that they know at first: 81 of them gave a client 1.7 times its rate
-/// for a second after the restart, on top of a burst taken before it.
+/// daemons that divide the limit by the few daemons that they know at first: 81 of them gave a client almost three times
+/// its rate in the second after the restart.
 BOOST_DATA_TEST_CASE(LimitHoldsIfAllDaemonsRestartUnderAHotClient,
                      boost::unit_test::data::make({ 6, 81, 600 }) *
                        boost::unit_test::data::make({ 1, 4, 7 }),
