--- a/Lagoonward/Admission/Admission.h
+++ b/Lagoonward/Admission/Admission.h
@@ -74,7 +74,7 @@
   /// them. Until the first call, pooled limits admit nothing, for up to `daemonCountTimeout`.
   void SetDaemonCount(int aCount);
 
-  /// Whether the number of daemons is known. Until then a request of a limited client had better wait.
+  /// Whether the number of daemons is known. Until then a request of a limited client should wait.
   [[nodiscard]] bool KnowsDaemonCount();
 
   /// Sets the function that returns the reserve role of this daemon for each pooled limit. Its argument is the hash of
--- a/Lagoonward/Admission/SharedTokenBucket.h
+++ b/Lagoonward/Admission/SharedTokenBucket.h
@@ -164,9 +164,6 @@
   }
 
 private:
-  /// Sets the level with which a daemon starts, once limit and number of daemons are known.
-  void FillInitially(TimePoint aNow);
-
   struct Peer
   {
     TimePoint receivedAt;
@@ -175,6 +172,8 @@
     std::uint64_t series = 0;
   };
 
+  /// Sets the level with which a daemon starts, once limit and number of daemons are known.
+  void FillInitially(TimePoint aNow);
   void Advance(TimePoint aNow);
   void RotateGenerations(TimePoint aNow);
   /// Charges tokens that other daemons have used, from their local shares or from grants.
