Endpoints: log held removals, the end of a hold, and entries that come back

The hypotheses of the incident could not be told apart: a removal that had no effect yet looked like one of an unknown endpoint, the end of a hold left no line, and an entry that came back looked like a new one. Now endpoint_removed says held, endpoint_hold_ended says for how long, and endpoint says returned.

EndpointDirectory::Tick is split into what takes effect and what is evicted, so that the first can be logged. No change of behaviour.

--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -77,12 +77,13 @@
 EndpointReplicator::ApplyToDirectory(const EndpointRecord& aRecord, bool aFromPeer)
 {
   if (aRecord.removed) {
-    const bool isChange = this->directory.OnRemoved(aRecord.id);
+    const RemovalOutcome outcome = this->directory.OnRemoved(aRecord.id);
     kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
                                      { "version", aRecord.version },
                                      { "from_peer", aFromPeer },
-                                     { "in_force", isChange } });
-    return isChange;
+                                     { "in_force", outcome == RemovalOutcome::InForce },
+                                     { "held", outcome == RemovalOutcome::Held } });
+    return outcome == RemovalOutcome::InForce;
   }
   auto endpoint = this->hooks.decode(aRecord);
   if (!endpoint) {
@@ -92,6 +93,7 @@
   const std::string service = endpoint.value().name;
   const std::int64_t incarnation = endpoint.value().incarnation;
   const bool isReclaimable = endpoint.value().reclaimable;
+  const bool wasRemoved = this->directory.IsRemoved(aRecord.id);
   if (!this->directory.OnEntry(std::move(endpoint.value()))) {
     return false;
   }
@@ -101,6 +103,7 @@
                            { "service", service },
                            { "born", incarnation },
                            { "leaving", isLeaving },
+                           { "returned", wasRemoved },
                            { "reclaimable", isReclaimable } });
   return true;
 }
@@ -389,7 +392,13 @@
   this->UpdatePlan();
   this->PruneRetainedState();
   this->LogStaleness();
-  if (this->directory.Tick()) {
+  const std::vector<EndedHold> ended = this->directory.ApplyHeldRemovals();
+  for (const EndedHold& hold : ended) {
+    kLog.Event("endpoint_hold_ended",
+               { { "endpoint", hold.id }, { "held_ms", hold.heldFor.count() } });
+  }
+  const bool hasEvicted = this->directory.EvictRemoved();
+  if (hasEvicted || !ended.empty()) {
     this->OnSnapshotChanged();
   }
 }
--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -73,20 +73,20 @@
   this->availability.Add(aSpan, this->settings.shortestOutage);
 }
 
-bool
+RemovalOutcome
 EndpointDirectory::OnRemoved(const std::string& aId)
 {
   const auto found = this->entries.find(aId);
   if (found == this->entries.end() || found->second.removedAt) {
-    return false;
+    return RemovalOutcome::Ignored;
   }
   if (this->IsNearOutage() && found->second.endpoint.state == EndpointState::Live) {
     found->second.missingSince = this->clock.Now();
-    return false;
+    return RemovalOutcome::Held;
   }
   found->second.missingSince.reset();
   found->second.removedAt = this->clock.Now();
-  return true;
+  return RemovalOutcome::InForce;
 }
 
 bool
@@ -100,7 +100,7 @@
   }
   bool changed = false;
   for (const std::string& id : missing) {
-    changed = this->OnRemoved(id) || changed;
+    changed = this->OnRemoved(id) == RemovalOutcome::InForce || changed;
   }
   return changed;
 }
@@ -117,26 +117,40 @@
   this->sourceAvailable = aAvailable;
 }
 
-bool
-EndpointDirectory::Tick()
+std::vector<EndedHold>
+EndpointDirectory::ApplyHeldRemovals()
 {
-  const TimePoint now = this->clock.Now();
-  const auto evicted = std::erase_if(this->entries, [&](const auto& aEntry) {
-    const auto& removedAt = aEntry.second.removedAt;
-    return removedAt && now >= *removedAt + this->settings.removedRetention;
-  });
+  std::vector<EndedHold> ended;
   if (this->IsNearOutage()) {
-    return evicted > 0;
+    return ended;
   }
-  bool changed = evicted > 0;
+  const TimePoint now = this->clock.Now();
   for (auto& [id, entry] : this->entries) {
     if (entry.missingSince) {
+      ended.push_back({ id, std::chrono::floor<Milliseconds>(now - *entry.missingSince) });
       entry.missingSince.reset();
       entry.removedAt = now;
-      changed = true;
     }
   }
-  return changed;
+  return ended;
+}
+
+bool
+EndpointDirectory::EvictRemoved()
+{
+  const TimePoint now = this->clock.Now();
+  const auto evicted = std::erase_if(this->entries, [&](const auto& aEntry) {
+    const auto& removedAt = aEntry.second.removedAt;
+    return removedAt && now >= *removedAt + this->settings.removedRetention;
+  });
+  return evicted > 0;
+}
+
+bool
+EndpointDirectory::IsRemoved(const std::string& aId) const
+{
+  const auto found = this->entries.find(aId);
+  return found != this->entries.end() && found->second.removedAt.has_value();
 }
 
 FleetSnapshotPtr
--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lagoonward {
 
@@ -25,6 +26,21 @@
   Milliseconds removedRetention{ 10'000 };
 };
 
+/// Effect of the removal of an entry.
+enum class RemovalOutcome
+{
+  Ignored, ///< There is no such entry, or it had been removed before.
+  InForce, ///< The endpoint is leaving from now on.
+  Held,    ///< The entry may come back, so the endpoint stays live for now.
+};
+
+/// A removal that was held and has taken effect.
+struct EndedHold
+{
+  std::string id;
+  Milliseconds heldFor{ 0 };
+};
+
 /// Endpoints according to the entries that they write to the platform's store. An entry with state "leaving" takes
 /// effect immediately and is final for that instance. An endpoint whose entry is removed while the store responds is
 /// leaving until the entry reappears. An entry that disappears around an outage of the store is kept for `returnGrace`,
@@ -43,9 +59,8 @@
   /// @return whether the snapshot has changed
   bool OnUnreadable(const std::string& aId);
 
-  /// Handles the removal of an entry.
-  /// @return whether the snapshot has changed
-  bool OnRemoved(const std::string& aId);
+  /// Handles the removal of an entry. The snapshot has changed if the outcome is InForce.
+  RemovalOutcome OnRemoved(const std::string& aId);
 
   /// Handles a full read of the source: entries that are not among aIds are removed.
   /// @return whether the snapshot has changed
@@ -57,10 +72,16 @@
   /// Adds an interval during which this host or another one observed that the source responded.
   void AddSourceAvailability(const AvailabilityInterval& aSpan);
 
-  /// Removes missing entries whose grace period has ended, and evicts old removed ones. To be called every few hundred
-  /// milliseconds.
+  /// Applies held removals whose time has come. To be called every few hundred milliseconds.
+  /// @return what has taken effect; the snapshot has changed unless it is empty
+  [[nodiscard]] std::vector<EndedHold> ApplyHeldRemovals();
+
+  /// Evicts entries that were removed long ago. To be called every few hundred milliseconds.
   /// @return whether the snapshot has changed
-  bool Tick();
+  bool EvictRemoved();
+
+  /// Whether the entry of an endpoint was removed, and the removal has taken effect.
+  [[nodiscard]] bool IsRemoved(const std::string& aId) const;
 
   /// The endpoints, in the order of their ids.
   [[nodiscard]] FleetSnapshotPtr Snapshot();
--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -18,6 +18,23 @@
   return endpoint;
 }
 
+/// Applies everything that is due.
+/// @return whether the snapshot has changed
+bool
+Tick(EndpointDirectory& aDirectory)
+{
+  const bool hasApplied = !aDirectory.ApplyHeldRemovals().empty();
+  return aDirectory.EvictRemoved() || hasApplied;
+}
+
+/// Removes an entry.
+/// @return whether the removal takes effect at once
+bool
+Remove(EndpointDirectory& aDirectory, const std::string& aId)
+{
+  return aDirectory.OnRemoved(aId) == RemovalOutcome::InForce;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EndpointDirectoryTests)
@@ -28,14 +45,14 @@
   EndpointDirectory directory({}, clock);
   BOOST_TEST(directory.OnEntry(MakeEndpoint("a")));
   BOOST_TEST(!directory.OnEntry(MakeEndpoint("a")));
-  BOOST_TEST(directory.OnRemoved("a"));
-  BOOST_TEST(!directory.OnRemoved("a"));
+  BOOST_TEST(Remove(directory, "a"));
+  BOOST_TEST(!Remove(directory, "a"));
   // It is kept as leaving so that its streams can still be moved
   BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Leaving));
   clock.Advance(Seconds(9));
-  BOOST_TEST(!directory.Tick());
+  BOOST_TEST(!Tick(directory));
   clock.Advance(Seconds(2));
-  BOOST_TEST(directory.Tick());
+  BOOST_TEST(Tick(directory));
   BOOST_TEST(directory.Snapshot()->endpoints.empty());
 }
 
@@ -54,15 +71,15 @@
 
   // Observed before this host's outage and in its last second only: the source may have been unavailable to all
   directory.AddSourceAvailability({ testStart, testStart + Seconds(10) });
-  BOOST_TEST(!directory.OnRemoved("a"));
+  BOOST_TEST(!Remove(directory, "a"));
   directory.AddSourceAvailability({ testStart + Seconds(14), testStart + Seconds(15) });
-  BOOST_TEST(!directory.OnRemoved("a"));
-  BOOST_TEST(!directory.Tick());
+  BOOST_TEST(!Remove(directory, "a"));
+  BOOST_TEST(!Tick(directory));
 
   // Observed during the whole outage: the delayed removal takes effect as well
   directory.AddSourceAvailability({ testStart, testStart + Seconds(15) });
-  BOOST_TEST(directory.OnRemoved("b"));
-  BOOST_TEST(directory.Tick());
+  BOOST_TEST(Remove(directory, "b"));
+  BOOST_TEST(Tick(directory));
   BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Leaving));
 }
 
@@ -78,10 +95,10 @@
   directory.SetSourceAvailable(false);
   clock.Advance(Seconds(3));
   directory.AddSourceAvailability({ testStart, clock.Now() });
-  BOOST_TEST(directory.OnRemoved("a"));
+  BOOST_TEST(Remove(directory, "a"));
   // No recent observation by other hosts either
   clock.Advance(Seconds(3));
-  BOOST_TEST(!directory.OnRemoved("b"));
+  BOOST_TEST(!Remove(directory, "b"));
 }
 
 BOOST_AUTO_TEST_CASE(RemovedEndpointIsLiveAgainOnNewEntry)
@@ -126,7 +143,7 @@
   BOOST_TEST(directory.OnEntry(endpoint));
   directory.SetSourceAvailable(true);
   clock.Advance(Seconds(3));
-  BOOST_TEST(!directory.Tick());
+  BOOST_TEST(!Tick(directory));
 }
 
 BOOST_AUTO_TEST_CASE(EndpointIsEjectedWhileItsEntryIsUnreadable)
@@ -168,16 +185,16 @@
   directory.OnFullRead({});
   BOOST_TEST(directory.Snapshot()->endpoints.size() == 2U);
   clock.Advance(Milliseconds(1500));
-  BOOST_TEST(!directory.Tick());
+  BOOST_TEST(!Tick(directory));
   directory.OnEntry(MakeEndpoint("stays"));
   clock.Advance(Milliseconds(1500));
-  BOOST_TEST(directory.Tick());
+  BOOST_TEST(Tick(directory));
   const FleetSnapshotPtr snapshot = directory.Snapshot();
   for (const Endpoint& endpoint : snapshot->endpoints) {
     BOOST_TEST((endpoint.state == EndpointState::Live) == (endpoint.id == "stays"));
   }
   clock.Advance(Seconds(11));
-  BOOST_TEST(directory.Tick());
+  BOOST_TEST(Tick(directory));
   BOOST_REQUIRE_EQUAL(directory.Snapshot()->endpoints.size(), 1U);
   BOOST_TEST(directory.Snapshot()->endpoints.front().id == "stays");
 }
@@ -191,7 +208,7 @@
   directory.SetSourceAvailable(true);
   BOOST_TEST(directory.OnFullRead({}));
   clock.Advance(Seconds(11));
-  BOOST_TEST(directory.Tick());
+  BOOST_TEST(Tick(directory));
   BOOST_TEST(directory.Snapshot()->endpoints.empty());
 }
 
