An endpoint that removed its entry stays leaving when a late heartbeat brings the entry back

Callers' requests reached endpoints for seconds after these had left, from all daemons at once. A heartbeat that is on its way when an endpoint removes its entry is written after the removal; every daemon took the entry for a return, and sent to the endpoint until the entry lapsed 3.6 s later.

Returns must be possible, as entries of live endpoints lapse. What tells the two apart: a lapse takes three heartbeats that did not come. The daemon that reads the source has seen the last heartbeat; if it can't be that old (LapseDetector, from the earliest time at which a record can have been written) the endpoint removed its entry, and that travels with the removal. Such an endpoint counts as live again only after three records, found by the reader and sent on. After an outage of the store all entries may have lapsed. endpoint-heartbeat-ms is new.

--- a/Lagoonward/Daemon/EndpointChangeLog.h
+++ b/Lagoonward/Daemon/EndpointChangeLog.h
@@ -9,6 +9,14 @@
 
 namespace lagoonward {
 
+/// What a daemon that reads the source regularly knows of a record beyond its text.
+enum class RecordEvidence : std::uint8_t
+{
+  None,
+  Left,     ///< The endpoint itself removed its entry; the entry did not lapse.
+  Returned, ///< The endpoint had left, and has written enough records since to count as live again.
+};
+
 /// An endpoint's own record, as its source stores it.
 struct EndpointRecord
 {
@@ -16,11 +24,12 @@
   std::string text;         ///< Empty for a removed record.
   std::int64_t version = 0; ///< Increases with each record of the source.
   bool removed = false;
+  RecordEvidence evidence = RecordEvidence::None;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->id, this->text, this->version, this->removed);
+    aArchive(this->id, this->text, this->version, this->removed, this->evidence);
   }
 };
 
--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -37,7 +37,8 @@
   , self(std::move(aSelf))
   , hooks(std::move(aHooks))
   , clock(aClock)
-  , directory({}, aClock)
+  , directory(aSettings.directory, aClock)
+  , lapses(aSettings.lapseTime)
   , changeLog(aSettings.changeRetention)
 {
   this->membership.Transport().OnRequest(
@@ -55,15 +56,19 @@
 }
 
 bool
-EndpointReplicator::HandleRecord(const EndpointRecord& aRecord, bool aFromPeer)
+EndpointReplicator::HandleRecord(EndpointRecord aRecord, bool aFromPeer)
 {
   // The same record may arrive from the source and from several daemons, in any order
   const auto [known, isNew] = this->versions.try_emplace(aRecord.id, aRecord.version);
   if (!isNew && aRecord.version <= known->second) {
-    return false;
+    // The other daemon may know more about the same removal
+    const bool isKnownRemoval = aRecord.version == known->second && aRecord.removed;
+    return isKnownRemoval && aRecord.evidence == RecordEvidence::Left &&
+           this->ApplyRemoval(aRecord, aFromPeer);
   }
   known->second = aRecord.version;
-  const bool isChange = this->ApplyToDirectory(aRecord, aFromPeer);
+  const bool isChange =
+    aRecord.removed ? this->ApplyRemoval(aRecord, aFromPeer) : this->ApplyEntry(aRecord, aFromPeer);
   // Each aggregator forwards records that another has read first, as one of them may not reach all daemons. Whether a
   // removal takes effect at once depends on which daemons saw an outage of the source, so each daemon decides for
   // itself
@@ -73,17 +78,45 @@
   return isChange;
 }
 
+TimePoint
+EndpointReplicator::EarliestWriteOf(std::int64_t aVersion) const
+{
+  return this->endVersion && aVersion >= *this->endVersion ? this->asOf.load() : TimePoint::min();
+}
+
+TimePoint
+EndpointReplicator::ToSteadyTime(TimePoint aBootTime) const
+{
+  return aBootTime == TimePoint::min() ? aBootTime
+                                       : aBootTime - (this->clock.BootNow().time_since_epoch() -
+                                                      this->clock.Now().time_since_epoch());
+}
+
 bool
-EndpointReplicator::ApplyToDirectory(const EndpointRecord& aRecord, bool aFromPeer)
+EndpointReplicator::ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer)
 {
-  if (aRecord.removed) {
-    const RemovalOutcome outcome = this->directory.OnRemoved(aRecord.id);
+  EntryRemoval removal;
+  removal.mayHaveLapsed = aRecord.evidence != RecordEvidence::Left &&
+                          this->lapses.MayHaveLapsed(aRecord.id, this->clock.BootNow());
+  aRecord.evidence = removal.mayHaveLapsed ? RecordEvidence::None : RecordEvidence::Left;
+  const RemovalOutcome outcome = this->directory.OnRemoved(aRecord.id, removal);
+  if (outcome != RemovalOutcome::Ignored) {
     kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
                                      { "version", aRecord.version },
                                      { "from_peer", aFromPeer },
-                                     { "in_force", outcome == RemovalOutcome::InForce },
+                                     { "may_have_lapsed", removal.mayHaveLapsed },
                                      { "held", outcome == RemovalOutcome::Held } });
-    return outcome == RemovalOutcome::InForce;
+  }
+  return outcome == RemovalOutcome::InForce;
+}
+
+bool
+EndpointReplicator::ApplyEntry(EndpointRecord& aRecord, bool aFromPeer)
+{
+  const TimePoint notBefore = this->EarliestWriteOf(aRecord.version);
+  // In an outage entries may lapse before their time
+  if (notBefore > this->sourceLostUntil) {
+    this->lapses.OnRenewed(aRecord.id, notBefore);
   }
   auto endpoint = this->hooks.decode(aRecord);
   if (!endpoint) {
@@ -94,9 +127,17 @@
   const std::int64_t incarnation = endpoint.value().incarnation;
   const bool isReclaimable = endpoint.value().reclaimable;
   const bool wasRemoved = this->directory.IsRemoved(aRecord.id);
-  if (!this->directory.OnEntry(std::move(endpoint.value()))) {
+  const EntryOutcome outcome = this->directory.OnEntry(
+    std::move(endpoint.value()), aRecord.evidence == RecordEvidence::Returned);
+  if (outcome == EntryOutcome::Unchanged) {
+    if (wasRemoved) {
+      kLog.Event("endpoint_not_returned",
+                 { { "endpoint", aRecord.id }, { "version", aRecord.version } });
+    }
     return false;
   }
+  aRecord.evidence =
+    outcome == EntryOutcome::Returned ? RecordEvidence::Returned : RecordEvidence::None;
   kLog.Event("endpoint", { { "endpoint", aRecord.id },
                            { "version", aRecord.version },
                            { "from_peer", aFromPeer },
@@ -144,12 +185,15 @@
     }
   }
   for (const Endpoint& endpoint : before->endpoints) {
-    const bool isListed = std::find(ids.begin(), ids.end(), endpoint.id) != ids.end();
-    if (!isListed && endpoint.state != EndpointState::Leaving) {
-      this->changeLog.Add({ endpoint.id, {}, aEndVersion - 1, true }, true, this->clock.BootNow());
+    if (std::find(ids.begin(), ids.end(), endpoint.id) != ids.end()) {
+      continue;
+    }
+    EndpointRecord missing{ endpoint.id, {}, aEndVersion - 1, true };
+    this->hasUnpublishedChanges = this->ApplyRemoval(missing, false) || this->hasUnpublishedChanges;
+    if (endpoint.state != EndpointState::Leaving) {
+      this->changeLog.Add(missing, true, this->clock.BootNow());
     }
   }
-  this->hasUnpublishedChanges = this->directory.OnFullRead(ids) || this->hasUnpublishedChanges;
   if (!this->endVersion) {
     // Records received before the first full read were not added to the change log
     std::int64_t firstVersion = aEndVersion;
@@ -188,10 +232,8 @@
   this->endVersion = std::max(this->endVersion.value_or(aEndVersion), aEndVersion);
   this->asOf = std::max(this->asOf.load(), aAnswered.until);
   this->answeredSpan.Add(aAnswered, this->settings.staleAfter);
-  const auto suspended =
-    this->clock.BootNow().time_since_epoch() - this->clock.Now().time_since_epoch();
   this->directory.AddSourceAvailability(
-    { this->answeredSpan.since - suspended, this->answeredSpan.until - suspended });
+    { this->ToSteadyTime(this->answeredSpan.since), this->ToSteadyTime(this->answeredSpan.until) });
 }
 
 Milliseconds
@@ -350,6 +392,8 @@
   if (!aAnswers) {
     this->ownReadsAnsweredSince.reset();
   }
+  this->lapses.Clear();
+  this->sourceLostUntil = this->clock.BootNow();
   this->directory.SetSourceAvailable(aAnswers);
 }
 
@@ -451,6 +495,7 @@
 void
 EndpointReplicator::PruneRetainedState()
 {
+  this->lapses.Prune(this->clock.BootNow());
   if (this->refusalReasons.size() > this->settings.maximumRetainedIds) {
     this->refusalReasons.clear();
   }
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -4,6 +4,7 @@
 #include "Lagoonward/Daemon/EndpointChangeLog.h"
 #include "Lagoonward/Daemon/EndpointReplicatorSettings.h"
 #include "Lagoonward/Fleet/EndpointDirectory.h"
+#include "Lagoonward/Fleet/LapseDetector.h"
 #include "Lagoonward/Membership/AggregationPlan.h"
 #include "Lagoonward/Membership/DelayEstimator.h"
 #include "Lagoonward/Membership/MembershipService.h"
@@ -97,8 +98,14 @@
 
 private:
   /// @return whether the snapshot has changed
-  bool HandleRecord(const EndpointRecord& aRecord, bool aFromPeer);
-  [[nodiscard]] bool ApplyToDirectory(const EndpointRecord& aRecord, bool aFromPeer);
+  bool HandleRecord(EndpointRecord aRecord, bool aFromPeer);
+  /// Both set the evidence of the record to what this daemon knows.
+  [[nodiscard]] bool ApplyEntry(EndpointRecord& aRecord, bool aFromPeer);
+  [[nodiscard]] bool ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer);
+  /// Earliest BootNow() time at which a record of this version can have been written; TimePoint::min() if unknown.
+  [[nodiscard]] TimePoint EarliestWriteOf(std::int64_t aVersion) const;
+  /// The same time by Clock::Now(), which EndpointDirectory uses.
+  [[nodiscard]] TimePoint ToSteadyTime(TimePoint aBootTime) const;
   [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason);
   /// @return the encoded reply
   [[nodiscard]] std::string HandleUpdate(PeerKey aSender, std::string_view aBytes);
@@ -124,6 +131,9 @@
   EndpointReplicatorHooks hooks;
   const Clock& clock;
   EndpointDirectory directory;
+  LapseDetector lapses;
+  TimePoint sourceLostUntil =
+    TimePoint::min(); ///< BootNow() at the end of the last outage seen here.
   std::unordered_map<std::string, std::int64_t> versions; ///< Newest known version by endpoint id.
   EndpointChangeLog changeLog;                            ///< Recent changes to send.
   std::optional<std::int64_t>
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
@@ -9,10 +9,13 @@
 /// Time for an update to pass through two daemons: some milliseconds each, while a small host does other work.
 constexpr Milliseconds kDisseminationDelay{ 100 };
 
+/// An entry lapses after three heartbeats that did not come; the rest allows for heartbeats that come early.
+constexpr double kHeartbeatsWithoutLapse = 2.7;
+
 } // namespace
 
 EndpointReplicatorSettings
-EndpointReplicatorSettingsFor(Milliseconds aLeavingNotice)
+EndpointReplicatorSettingsFor(Milliseconds aLeavingNotice, Milliseconds aHeartbeat)
 {
   EndpointReplicatorSettings settings;
   settings.readerInterval = std::clamp(aLeavingNotice / 5, Milliseconds(50), Milliseconds(1000));
@@ -22,6 +25,7 @@
   settings.staleAfter = aLeavingNotice * 3 / 4;
   settings.changeRetention =
     settings.readerStalenessLimit + 2 * settings.stalenessLimitStep + 2 * settings.readerInterval;
+  settings.lapseTime = Scale(aHeartbeat, kHeartbeatsWithoutLapse);
   return settings;
 }
 
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.h
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Fleet/EndpointDirectory.h"
 
 #include <cstddef>
 
@@ -44,6 +45,11 @@
     30'000
   }; ///< Between two reads that a digest mismatch causes.
 
+  /// An entry that was renewed a shorter time ago than this has not lapsed.
+  Milliseconds lapseTime{ 2'700 };
+
+  EndpointDirectorySettings directory;
+
   Milliseconds timeout{ 800 };      ///< For one message.
   Milliseconds tickInterval{ 200 }; ///< Between two checks of the plan, the age and the directory.
   std::size_t maximumRetainedIds =
@@ -53,7 +59,8 @@
 /// Intervals and staleness limits for endpoints whose leaving must be known on all daemons within a time. In the worst
 /// case the primary reader dies right after a record was written; then a daemon that receives no updates finds it after
 /// readerStalenessLimit + 2 stalenessLimitStep: a little over half of that time, and a tenth of a second.
+/// @param aHeartbeat  interval at which endpoints renew their entries
 [[nodiscard]] EndpointReplicatorSettings
-EndpointReplicatorSettingsFor(Milliseconds aLeavingNotice);
+EndpointReplicatorSettingsFor(Milliseconds aLeavingNotice, Milliseconds aHeartbeat);
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -163,8 +163,8 @@
   hooks.onChanged = [this] { this->PublishFleet(); };
   hooks.configurationVersion = [this] { return this->ConfigurationVersion(); };
   this->endpointReplicator = std::make_unique<EndpointReplicator>(
-    EndpointReplicatorSettingsFor(this->settings.leavingNotice), *this->membership, self,
-    std::move(hooks), this->clock);
+    EndpointReplicatorSettingsFor(this->settings.leavingNotice, this->settings.endpointHeartbeat),
+    *this->membership, self, std::move(hooks), this->clock);
   this->reporter.SetEndpointsAge([this] { return this->endpointReplicator->Age(); });
   return boost::outcome_v2::success();
 }
--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -12,30 +12,35 @@
 {
 }
 
-bool
-EndpointDirectory::OnEntry(Endpoint aEndpoint)
+EntryOutcome
+EndpointDirectory::OnEntry(Endpoint aEndpoint, bool aIsConfirmed)
 {
   Entry& entry = this->entries[aEndpoint.id];
   if (aEndpoint.incarnation < entry.endpoint.incarnation) {
-    return false;
+    return EntryOutcome::Unchanged;
   }
   if (aEndpoint.incarnation > entry.endpoint.incarnation) {
     entry = {};
   }
+  const bool hadLeft = entry.hasLeft;
+  if (hadLeft && !aIsConfirmed && ++entry.recordsSinceRemoval < this->settings.recordsOfReturn) {
+    return EntryOutcome::Unchanged;
+  }
   const Endpoint& known = entry.endpoint;
   // Leaving is final for an instance; an older entry may still arrive late
   if (known.state == EndpointState::Leaving) {
     aEndpoint.state = EndpointState::Leaving;
   }
-  const bool changed = entry.missingSince.has_value() || entry.removedAt.has_value() ||
+  const bool changed = entry.heldSince.has_value() || entry.removedAt.has_value() ||
                        entry.unreadable || known.id != aEndpoint.id ||
                        known.address != aEndpoint.address || known.port != aEndpoint.port ||
                        known.state != aEndpoint.state || known.name != aEndpoint.name;
-  entry.missingSince.reset();
-  entry.removedAt.reset();
-  entry.unreadable = false;
+  entry = {};
   entry.endpoint = std::move(aEndpoint);
-  return changed;
+  if (!changed) {
+    return EntryOutcome::Unchanged;
+  }
+  return hadLeft ? EntryOutcome::Returned : EntryOutcome::Changed;
 }
 
 bool
@@ -74,37 +79,27 @@
 }
 
 RemovalOutcome
-EndpointDirectory::OnRemoved(const std::string& aId)
+EndpointDirectory::OnRemoved(const std::string& aId, const EntryRemoval& aRemoval)
 {
   const auto found = this->entries.find(aId);
-  if (found == this->entries.end() || found->second.removedAt) {
+  if (found == this->entries.end()) {
     return RemovalOutcome::Ignored;
   }
-  if (this->IsNearOutage() && found->second.endpoint.state == EndpointState::Live) {
-    found->second.missingSince = this->clock.Now();
+  Entry& entry = found->second;
+  entry.hasLeft = entry.hasLeft || !aRemoval.mayHaveLapsed;
+  if (entry.removedAt) {
+    return RemovalOutcome::Ignored;
+  }
+  const TimePoint now = this->clock.Now();
+  if (this->IsNearOutage() && entry.endpoint.state == EndpointState::Live) {
+    entry.heldSince = entry.heldSince.value_or(now);
     return RemovalOutcome::Held;
   }
-  found->second.missingSince.reset();
-  found->second.removedAt = this->clock.Now();
+  entry.heldSince.reset();
+  entry.removedAt = now;
   return RemovalOutcome::InForce;
 }
 
-bool
-EndpointDirectory::OnFullRead(const std::vector<std::string>& aIds)
-{
-  std::vector<std::string> missing;
-  for (const auto& [id, entry] : this->entries) {
-    if (std::find(aIds.begin(), aIds.end(), id) == aIds.end()) {
-      missing.push_back(id);
-    }
-  }
-  bool changed = false;
-  for (const std::string& id : missing) {
-    changed = this->OnRemoved(id) == RemovalOutcome::InForce || changed;
-  }
-  return changed;
-}
-
 void
 EndpointDirectory::SetSourceAvailable(bool aAvailable)
 {
@@ -126,9 +121,9 @@
   }
   const TimePoint now = this->clock.Now();
   for (auto& [id, entry] : this->entries) {
-    if (entry.missingSince) {
-      ended.push_back({ id, std::chrono::floor<Milliseconds>(now - *entry.missingSince) });
-      entry.missingSince.reset();
+    if (entry.heldSince) {
+      ended.push_back({ id, std::chrono::floor<Milliseconds>(now - *entry.heldSince) });
+      entry.heldSince.reset();
       entry.removedAt = now;
     }
   }
--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -18,6 +18,10 @@
   /// of live endpoints expire with the source and are written again within about two seconds.
   Milliseconds returnGrace{ 2200 };
 
+  /// Records that an endpoint must write after it has removed its entry before it counts as live again. A record or two
+  /// may have been on their way when the entry was removed.
+  int recordsOfReturn = 3;
+
   /// Entries do not expire in outages up to this length, and outages are detected within it.
   Milliseconds shortestOutage{ 1500 };
 
@@ -26,6 +30,20 @@
   Milliseconds removedRetention{ 10'000 };
 };
 
+/// What is known of the removal of an entry.
+struct EntryRemoval
+{
+  bool mayHaveLapsed = true; ///< Whether the source may have removed it because it was not renewed.
+};
+
+/// Effect of an entry that was read.
+enum class EntryOutcome
+{
+  Unchanged, ///< Nothing new.
+  Changed,   ///< The snapshot has changed.
+  Returned, ///< The same: the endpoint had left, and has written enough records since to count as live again.
+};
+
 /// Effect of the removal of an entry.
 enum class RemovalOutcome
 {
@@ -43,28 +61,25 @@
 
 /// Endpoints according to the entries that they write to the platform's store. An entry with state "leaving" takes
 /// effect immediately and is final for that instance. An endpoint whose entry is removed while the store responds is
-/// leaving until the entry reappears. An entry that disappears around an outage of the store is kept for `returnGrace`,
-/// unless other hosts observed that the store responded the whole time. An endpoint whose entry cannot be read gets no
-/// new requests until it can be read again. Not thread-safe.
+/// leaving until the entry reappears; if the endpoint itself removed it, until it was written several times again. An
+/// entry that may have lapsed in an outage of the store is kept for a while after it, unless other hosts observed that
+/// the store responded the whole time. An endpoint whose entry cannot be read gets no new requests until it can be read
+/// again. Not thread-safe.
 class EndpointDirectory
 {
 public:
   EndpointDirectory(const EndpointDirectorySettings& aSettings, const Clock& aClock);
 
   /// Handles an entry. A later instance of an id replaces the state of the earlier one; an earlier instance is ignored.
-  /// @return whether the snapshot has changed
-  bool OnEntry(Endpoint aEndpoint);
+  /// @param aIsConfirmed  whether another host has found that the endpoint counts as live again after it had left
+  EntryOutcome OnEntry(Endpoint aEndpoint, bool aIsConfirmed = false);
 
   /// Handles an entry that cannot be read: its endpoint is ejected until the entry can be read again.
   /// @return whether the snapshot has changed
   bool OnUnreadable(const std::string& aId);
 
   /// Handles the removal of an entry. The snapshot has changed if the outcome is InForce.
-  RemovalOutcome OnRemoved(const std::string& aId);
-
-  /// Handles a full read of the source: entries that are not among aIds are removed.
-  /// @return whether the snapshot has changed
-  bool OnFullRead(const std::vector<std::string>& aIds);
+  RemovalOutcome OnRemoved(const std::string& aId, const EntryRemoval& aRemoval = {});
 
   /// Sets whether the source responds.
   void SetSourceAvailable(bool aAvailable);
@@ -90,8 +105,10 @@
   struct Entry
   {
     Endpoint endpoint;
-    std::optional<TimePoint> missingSince; ///< When its entry disappeared around an outage.
-    std::optional<TimePoint> removedAt;    ///< When its entry was removed.
+    std::optional<TimePoint> heldSince; ///< While its removal is held.
+    std::optional<TimePoint> removedAt; ///< When its removal took effect.
+    bool hasLeft = false;               ///< Its endpoint removed the entry; it did not lapse.
+    int recordsSinceRemoval = 0;        ///< Only if hasLeft.
     bool unreadable = false;
   };
 
--- a/Lagoonward/Settings/RelayDaemonSettings.h
+++ b/Lagoonward/Settings/RelayDaemonSettings.h
@@ -27,8 +27,9 @@
   std::string peerKeys; ///< `ID:HEX[,ID:HEX…]`; the first key signs, all are accepted.
   LogLevel logLevel = LogLevel::Info;
 
-  Milliseconds grace{ 8000 };         ///< From the termination signal to the forced exit.
-  Milliseconds leavingNotice{ 2000 }; ///< How long new work may still reach a leaving endpoint.
+  Milliseconds grace{ 8000 };             ///< From the termination signal to the forced exit.
+  Milliseconds leavingNotice{ 2000 };     ///< How long new work may still reach a leaving endpoint.
+  Milliseconds endpointHeartbeat{ 1000 }; ///< Interval at which endpoints renew their entries.
   Milliseconds configurationNotice{ 2000 }; ///< Time within which a configuration must be in force.
   Milliseconds leaseQuiet{
     3000
--- a/Lagoonward/Settings/RelaySettingsReader.cpp
+++ b/Lagoonward/Settings/RelaySettingsReader.cpp
@@ -36,6 +36,7 @@
   std::string logLevel;
   int graceMilliseconds = 0;
   int leavingNoticeMilliseconds = 0;
+  int endpointHeartbeatMilliseconds = 0;
   int configurationNoticeMilliseconds = 0;
   int leaseQuietMilliseconds = 0;
   int usageWindowSeconds = 0;
@@ -68,6 +69,8 @@
       "from SIGTERM to the end by force");
   add("leaving-notice-ms", po::value(&aRaw.leavingNoticeMilliseconds)->default_value(2000),
       "new work may reach a leaving endpoint for so long");
+  add("endpoint-heartbeat-ms", po::value(&aRaw.endpointHeartbeatMilliseconds)->default_value(1000),
+      "endpoints renew their entries at this interval");
   add("configuration-notice-ms",
       po::value(&aRaw.configurationNoticeMilliseconds)->default_value(2000),
       "a configuration must be in force at all daemons after so long");
@@ -136,6 +139,8 @@
                   "daemons can learn that an endpoint leaves",
                   settings.leavingNotice.count(), kMinimumLeavingNotice.count()));
   }
+  ParsePositive("endpoint-heartbeat-ms", aRaw.endpointHeartbeatMilliseconds,
+                settings.endpointHeartbeat, faults);
   ParsePositive("configuration-notice-ms", aRaw.configurationNoticeMilliseconds,
                 settings.configurationNotice, faults);
   ParsePositive("lease-quiet-ms", aRaw.leaseQuietMilliseconds, settings.leaseQuiet, faults);
--- a/UnitTests/Daemon/EndpointReplicatorTests.cpp
+++ b/UnitTests/Daemon/EndpointReplicatorTests.cpp
@@ -207,6 +207,16 @@
   });
 }
 
+/// A daemon reads one more record.
+void
+ReadNextRecord(Daemon& aDaemon, const EndpointRecord& aRecord)
+{
+  aDaemon.RunOnControlThread([&] {
+    aDaemon.replicator.OnRecord(aRecord);
+    aDaemon.replicator.OnReadCompleted(aDaemon.clock.BootNow(), aRecord.version + 1);
+  });
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(EndpointReplicatorTests, Fleet)
@@ -413,6 +423,68 @@
   BOOST_TEST((this->clock.Now() - removed < Seconds(1)));
 }
 
+// Guards against requests that reach an endpoint for seconds after it left: a heartbeat that was on its way when the
+// endpoint removed its entry was written after the removal, and all daemons took the endpoint for live again.
+BOOST_AUTO_TEST_CASE(EndpointThatLeftStaysLeavingWhenALateHeartbeatIsWritten)
+{
+  Daemon& reader = this->PrimaryReader();
+  for (const auto& daemon : this->daemons) {
+    daemon->CompleteFullRead({ { "e1", "live", 5, false } }, 6);
+  }
+  ReadNextRecord(reader, { "e1", "live", 6, false });
+  ReadNextRecord(reader, { "e1", "", 7, true });
+  for (const auto& daemon : this->daemons) {
+    BOOST_TEST(this->Eventually([&] { return daemon->StateOf("e1") == EndpointState::Leaving; }));
+  }
+  ReadNextRecord(reader, { "e1", "live", 8, false });
+  // A daemon that reads the source directly finds the entry as well
+  Daemon& listener = *this->FirstDomainDaemons(false).front();
+  listener.CompleteFullRead({ { "e1", "live", 8, false } }, 9);
+  for (int read = 0; read < 10; ++read) {
+    reader.CompleteRead(9);
+    std::this_thread::sleep_for(Milliseconds(20));
+    for (const auto& daemon : this->daemons) {
+      BOOST_TEST((daemon->StateOf("e1") == EndpointState::Leaving));
+    }
+  }
+
+  // An endpoint that keeps writing serves again, and all daemons learn it from the one that reads for them
+  ReadNextRecord(reader, { "e1", "live", 9, false });
+  ReadNextRecord(reader, { "e1", "live", 10, false });
+  for (const auto& daemon : this->daemons) {
+    BOOST_TEST(this->Eventually([&] { return daemon->StateOf("e1") == EndpointState::Live; }));
+  }
+}
+
+/// The entry of an endpoint that serves may lapse while it cannot write; its next record makes it live again.
+BOOST_AUTO_TEST_CASE(EndpointWhoseEntryLapsedIsLiveAgainWithItsNextRecord)
+{
+  Daemon& reader = this->PrimaryReader();
+  reader.CompleteFullRead({ { "e1", "live", 5, false } }, 6);
+  ReadNextRecord(reader, { "e1", "live", 6, false });
+  std::this_thread::sleep_for(this->settings.lapseTime);
+  ReadNextRecord(reader, { "e1", "", 7, true });
+  BOOST_TEST((reader.StateOf("e1") == EndpointState::Leaving));
+  ReadNextRecord(reader, { "e1", "live", 8, false });
+  BOOST_TEST((reader.StateOf("e1") == EndpointState::Live));
+}
+
+/// In an outage the source may drop entries before they would have lapsed.
+BOOST_AUTO_TEST_CASE(EntriesThatVanishInAnOutageMayHaveLapsed)
+{
+  Daemon& reader = this->PrimaryReader();
+  reader.CompleteFullRead({ { "e1", "live", 5, false } }, 6);
+  ReadNextRecord(reader, { "e1", "live", 6, false });
+  reader.RunOnControlThread([&] {
+    reader.replicator.OnSourceReachability(false);
+    reader.replicator.OnSourceReachability(true);
+  });
+  reader.CompleteFullRead({}, 8);
+  BOOST_TEST((reader.StateOf("e1") == EndpointState::Live));
+  ReadNextRecord(reader, { "e1", "live", 8, false });
+  BOOST_TEST((reader.StateOf("e1") == EndpointState::Live));
+}
+
 // Found by a soak run: one aggregator did not reach a daemon, and the other had received the record from the first and
 // did not forward it.
 BOOST_AUTO_TEST_CASE(AnAggregatorForwardsRecordsThatAnotherHasRead)
@@ -563,7 +635,8 @@
                      boost::unit_test::data::make({ 700, 1000, 2000, 3000, 4000, 10000 }), notice)
 {
   const Milliseconds leavingNotice(notice);
-  const EndpointReplicatorSettings settings = EndpointReplicatorSettingsFor(leavingNotice);
+  const EndpointReplicatorSettings settings =
+    EndpointReplicatorSettingsFor(leavingNotice, Seconds(1));
   const Milliseconds longestStalenessLimit =
     settings.readerStalenessLimit + 2 * settings.stalenessLimitStep;
   BOOST_TEST((longestStalenessLimit <= leavingNotice));
@@ -574,13 +647,14 @@
 BOOST_AUTO_TEST_CASE(DefaultsEqualTheSettingsForTwoSeconds)
 {
   const EndpointReplicatorSettings defaults;
-  const EndpointReplicatorSettings derived = EndpointReplicatorSettingsFor(Seconds(2));
+  const EndpointReplicatorSettings derived = EndpointReplicatorSettingsFor(Seconds(2), Seconds(1));
   BOOST_TEST((defaults.readerInterval == derived.readerInterval));
   BOOST_TEST((defaults.readerStalenessLimit == derived.readerStalenessLimit));
   BOOST_TEST((defaults.stalenessLimitStep == derived.stalenessLimitStep));
   BOOST_TEST((defaults.maximumDirectReadInterval == derived.maximumDirectReadInterval));
   BOOST_TEST((defaults.staleAfter == derived.staleAfter));
   BOOST_TEST((defaults.changeRetention == derived.changeRetention));
+  BOOST_TEST((defaults.lapseTime == derived.lapseTime));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -35,6 +35,27 @@
   return aDirectory.OnRemoved(aId) == RemovalOutcome::InForce;
 }
 
+/// Handles an entry.
+/// @return whether the snapshot has changed
+bool
+Enter(EndpointDirectory& aDirectory, const Endpoint& aEndpoint)
+{
+  return aDirectory.OnEntry(aEndpoint) != EntryOutcome::Unchanged;
+}
+
+/// Removes all entries, as a full read without any entry does.
+/// @return whether the snapshot has changed
+bool
+RemoveAll(EndpointDirectory& aDirectory)
+{
+  bool changed = false;
+  const FleetSnapshotPtr before = aDirectory.Snapshot();
+  for (const Endpoint& endpoint : before->endpoints) {
+    changed = Remove(aDirectory, endpoint.id) || changed;
+  }
+  return changed;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(EndpointDirectoryTests)
@@ -43,8 +64,8 @@
 {
   VirtualClock clock;
   EndpointDirectory directory({}, clock);
-  BOOST_TEST(directory.OnEntry(MakeEndpoint("a")));
-  BOOST_TEST(!directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST(Enter(directory, MakeEndpoint("a")));
+  BOOST_TEST(!Enter(directory, MakeEndpoint("a")));
   BOOST_TEST(Remove(directory, "a"));
   BOOST_TEST(!Remove(directory, "a"));
   // It is kept as leaving so that its streams can still be moved
@@ -108,7 +129,7 @@
   EndpointDirectory directory({}, clock);
   directory.OnEntry(MakeEndpoint("a"));
   directory.OnRemoved("a");
-  BOOST_TEST(directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST(Enter(directory, MakeEndpoint("a")));
   BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
 }
 
@@ -121,11 +142,11 @@
   directory.OnEntry(first);
   Endpoint second = MakeEndpoint("a");
   second.incarnation = 2000;
-  BOOST_TEST(directory.OnEntry(second));
+  BOOST_TEST(Enter(directory, second));
   BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
 
   // Delayed entries of the earlier instance are ignored, also if they say that it is leaving
-  BOOST_TEST(!directory.OnEntry(first));
+  BOOST_TEST(!Enter(directory, first));
   BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
   BOOST_TEST(directory.Snapshot()->endpoints.at(0).incarnation == 2000);
 }
@@ -140,7 +161,7 @@
   directory.SetSourceAvailable(false);
   directory.OnRemoved("a");
   endpoint.incarnation = 2000;
-  BOOST_TEST(directory.OnEntry(endpoint));
+  BOOST_TEST(Enter(directory, endpoint));
   directory.SetSourceAvailable(true);
   clock.Advance(Seconds(3));
   BOOST_TEST(!Tick(directory));
@@ -158,7 +179,7 @@
   directory.OnUnreadable("b");
   BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Ejected));
   BOOST_TEST((directory.Snapshot()->endpoints.at(1).state == EndpointState::Leaving));
-  BOOST_TEST(directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST(Enter(directory, MakeEndpoint("a")));
   BOOST_TEST((directory.Snapshot()->endpoints.at(0).state == EndpointState::Live));
 }
 
@@ -167,9 +188,9 @@
   VirtualClock clock;
   EndpointDirectory directory({}, clock);
   directory.OnEntry(MakeEndpoint("a"));
-  BOOST_TEST(directory.OnEntry(MakeEndpoint("a", EndpointState::Leaving)));
+  BOOST_TEST(Enter(directory, MakeEndpoint("a", EndpointState::Leaving)));
   // An older entry that arrives late
-  BOOST_TEST(!directory.OnEntry(MakeEndpoint("a")));
+  BOOST_TEST(!Enter(directory, MakeEndpoint("a")));
   BOOST_TEST((directory.Snapshot()->endpoints.front().state == EndpointState::Leaving));
 }
 
@@ -182,7 +203,7 @@
   directory.SetSourceAvailable(false);
   clock.Advance(Seconds(5));
   directory.SetSourceAvailable(true);
-  directory.OnFullRead({});
+  RemoveAll(directory);
   BOOST_TEST(directory.Snapshot()->endpoints.size() == 2U);
   clock.Advance(Milliseconds(1500));
   BOOST_TEST(!Tick(directory));
@@ -206,10 +227,30 @@
   directory.OnEntry(MakeEndpoint("a", EndpointState::Leaving));
   directory.SetSourceAvailable(false);
   directory.SetSourceAvailable(true);
-  BOOST_TEST(directory.OnFullRead({}));
+  BOOST_TEST(RemoveAll(directory));
   clock.Advance(Seconds(11));
   BOOST_TEST(Tick(directory));
   BOOST_TEST(directory.Snapshot()->endpoints.empty());
 }
 
+BOOST_AUTO_TEST_CASE(EndpointThatLeftIsLiveAfterSeveralRecordsOrOfAnotherHostsEvidence)
+{
+  VirtualClock clock;
+  EndpointDirectorySettings settings;
+  EndpointDirectory directory(settings, clock);
+  directory.OnEntry(MakeEndpoint("a"));
+  directory.OnEntry(MakeEndpoint("b"));
+  for (const char* id : { "a", "b" }) {
+    BOOST_TEST((directory.OnRemoved(id, { false }) == RemovalOutcome::InForce));
+  }
+  for (int record = 1; record < settings.recordsOfReturn; ++record) {
+    BOOST_TEST(!Enter(directory, MakeEndpoint("a")));
+  }
+  BOOST_TEST((directory.OnEntry(MakeEndpoint("a")) == EntryOutcome::Returned));
+  BOOST_TEST((directory.OnEntry(MakeEndpoint("b"), true) == EntryOutcome::Returned));
+  // Its next removal counts anew
+  BOOST_TEST(Remove(directory, "a"));
+  BOOST_TEST(Enter(directory, MakeEndpoint("a")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
