Removals around an outage of the store are held for less than the time allowed, and not at all if they can't be lapses

Callers' requests reached endpoints up to 4 s after these had left, 2 s allowed, from several hosts at once, around outages of the store. Each daemon held every removal for 2.2 s after the outage as it saw it: a constant, longer than the bound it spends from, and counted from when its own retries, up to a second apart, found the store again.

Now a removal of an endpoint that has renewed its entry since is no lapse, and takes effect at once. One that vanished after the outage is held for three quarters of the time allowed, from the earliest time at which it can have vanished. The outage ends when the first daemon's read was answered. Ticks are a tenth of the time allowed at most; HeldRemovalsTakeEffectInTime adds the path up for 0.7 to 10 s.

Without each of the three, RemovalAfterAnOutageIsHeldForLessThanTheTimeAllowed, OutageEndsWhenTheFirstHostSeesTheSourceAgain and EndpointThatWroteAfterAnOutageLeavesAtOnce fail.

--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -96,6 +96,7 @@
 EndpointReplicator::ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer)
 {
   EntryRemoval removal;
+  removal.notBefore = this->ToSteadyTime(this->EarliestWriteOf(aRecord.version));
   removal.mayHaveLapsed = aRecord.evidence != RecordEvidence::Left &&
                           this->lapses.MayHaveLapsed(aRecord.id, this->clock.BootNow());
   aRecord.evidence = removal.mayHaveLapsed ? RecordEvidence::None : RecordEvidence::Left;
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
@@ -12,6 +12,9 @@
 /// An entry lapses after three heartbeats that did not come; the rest allows for heartbeats that come early.
 constexpr double kHeartbeatsWithoutLapse = 2.7;
 
+/// Checks within the time in which a leaving endpoint must be known, at least.
+constexpr int kMinimumTicks = 10;
+
 } // namespace
 
 EndpointReplicatorSettings
@@ -26,6 +29,8 @@
   settings.changeRetention =
     settings.readerStalenessLimit + 2 * settings.stalenessLimitStep + 2 * settings.readerInterval;
   settings.lapseTime = Scale(aHeartbeat, kHeartbeatsWithoutLapse);
+  settings.directory.maximumHold = settings.staleAfter;
+  settings.tickInterval = std::min(settings.tickInterval, aLeavingNotice / kMinimumTicks);
   return settings;
 }
 
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.h
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.h
@@ -58,7 +58,9 @@
 
 /// Intervals and staleness limits for endpoints whose leaving must be known on all daemons within a time. In the worst
 /// case the primary reader dies right after a record was written; then a daemon that receives no updates finds it after
-/// readerStalenessLimit + 2 stalenessLimitStep: a little over half of that time, and a tenth of a second.
+/// readerStalenessLimit + 2 stalenessLimitStep: a little over half of that time, and a tenth of a second. A removal that
+/// is held takes effect after three quarters of that time and one tick, from the earliest time at which it can have been
+/// written.
 /// @param aHeartbeat  interval at which endpoints renew their entries
 [[nodiscard]] EndpointReplicatorSettings
 EndpointReplicatorSettingsFor(Milliseconds aLeavingNotice, Milliseconds aHeartbeat);
--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -31,10 +31,10 @@
   if (known.state == EndpointState::Leaving) {
     aEndpoint.state = EndpointState::Leaving;
   }
-  const bool changed = entry.heldSince.has_value() || entry.removedAt.has_value() ||
-                       entry.unreadable || known.id != aEndpoint.id ||
-                       known.address != aEndpoint.address || known.port != aEndpoint.port ||
-                       known.state != aEndpoint.state || known.name != aEndpoint.name;
+  const bool changed = entry.hold.has_value() || entry.removedAt.has_value() || entry.unreadable ||
+                       known.id != aEndpoint.id || known.address != aEndpoint.address ||
+                       known.port != aEndpoint.port || known.state != aEndpoint.state ||
+                       known.name != aEndpoint.name;
   entry = {};
   entry.endpoint = std::move(aEndpoint);
   if (!changed) {
@@ -50,12 +50,33 @@
   return found != this->entries.end() && !std::exchange(found->second.unreadable, true);
 }
 
+TimePoint
+EndpointDirectory::OutageEnd() const
+{
+  const TimePoint end = this->sourceAvailable ? *this->outageEnd : TimePoint::max();
+  // Other hosts may have found earlier that the source responds again
+  const bool endedForOthers = this->availability.since > *this->outageStart;
+  return endedForOthers ? std::min(end, this->availability.since) : end;
+}
+
 bool
 EndpointDirectory::IsNearOutage() const
 {
-  const bool isRecent =
-    this->outageEnd && this->clock.Now() < *this->outageEnd + this->settings.returnGrace;
-  return (!this->sourceAvailable || isRecent) && !this->WasAvailableToOthers();
+  if (!this->outageStart || this->WasAvailableToOthers()) {
+    return false;
+  }
+  const TimePoint end = this->OutageEnd();
+  return end == TimePoint::max() || this->clock.Now() < end + this->settings.returnGrace;
+}
+
+bool
+EndpointDirectory::MustHold(const Hold& aHold) const
+{
+  if (!this->IsNearOutage()) {
+    return false;
+  }
+  const bool isAfterOutage = aHold.notBefore >= this->OutageEnd();
+  return !isAfterOutage || this->clock.Now() < aHold.notBefore + this->settings.maximumHold;
 }
 
 bool
@@ -91,11 +112,13 @@
     return RemovalOutcome::Ignored;
   }
   const TimePoint now = this->clock.Now();
-  if (this->IsNearOutage() && entry.endpoint.state == EndpointState::Live) {
-    entry.heldSince = entry.heldSince.value_or(now);
+  const Hold hold = entry.hold.value_or(Hold{ now, aRemoval.notBefore });
+  const bool canBeHeld = aRemoval.mayHaveLapsed && entry.endpoint.state == EndpointState::Live;
+  if (canBeHeld && this->MustHold(hold)) {
+    entry.hold = hold;
     return RemovalOutcome::Held;
   }
-  entry.heldSince.reset();
+  entry.hold.reset();
   entry.removedAt = now;
   return RemovalOutcome::InForce;
 }
@@ -116,14 +139,11 @@
 EndpointDirectory::ApplyHeldRemovals()
 {
   std::vector<EndedHold> ended;
-  if (this->IsNearOutage()) {
-    return ended;
-  }
   const TimePoint now = this->clock.Now();
   for (auto& [id, entry] : this->entries) {
-    if (entry.heldSince) {
-      ended.push_back({ id, std::chrono::floor<Milliseconds>(now - *entry.heldSince) });
-      entry.heldSince.reset();
+    if (entry.hold && !this->MustHold(*entry.hold)) {
+      ended.push_back({ id, std::chrono::floor<Milliseconds>(now - entry.hold->since) });
+      entry.hold.reset();
       entry.removedAt = now;
     }
   }
--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -11,13 +11,18 @@
 
 namespace lagoonward {
 
-/// Settings of EndpointDirectory.
+/// Settings of EndpointDirectory. The defaults are for a leaving endpoint that must be known within two seconds.
 struct EndpointDirectorySettings
 {
   /// How long entries that disappear around an outage of their source are kept after the outage ends. Entries
   /// of live endpoints expire with the source and are written again within about two seconds.
   Milliseconds returnGrace{ 2200 };
 
+  /// Longest time that a removal is held which the source certainly accepted after the outage, from the earliest time at
+  /// which it can have done so. The rest of the time in which a leaving endpoint must be known is for the next check and
+  /// for requests on their way.
+  Milliseconds maximumHold{ 1500 };
+
   /// Records that an endpoint must write after it has removed its entry before it counts as live again. A record or two
   /// may have been on their way when the entry was removed.
   int recordsOfReturn = 3;
@@ -33,6 +38,8 @@
 /// What is known of the removal of an entry.
 struct EntryRemoval
 {
+  /// Earliest time at which the source can have accepted it; TimePoint::min() if unknown.
+  TimePoint notBefore = TimePoint::min();
   bool mayHaveLapsed = true; ///< Whether the source may have removed it because it was not renewed.
 };
 
@@ -102,10 +109,17 @@
   [[nodiscard]] FleetSnapshotPtr Snapshot();
 
 private:
+  /// A removal that is held.
+  struct Hold
+  {
+    TimePoint since;
+    TimePoint notBefore; ///< See EntryRemoval.
+  };
+
   struct Entry
   {
     Endpoint endpoint;
-    std::optional<TimePoint> heldSince; ///< While its removal is held.
+    std::optional<Hold> hold;           ///< While its removal is held.
     std::optional<TimePoint> removedAt; ///< When its removal took effect.
     bool hasLeft = false;               ///< Its endpoint removed the entry; it did not lapse.
     int recordsSinceRemoval = 0;        ///< Only if hasLeft.
@@ -113,6 +127,9 @@
   };
 
   [[nodiscard]] bool IsNearOutage() const;
+  /// End of the last outage as far as any host knows; TimePoint::max() while it lasts. Only after an outage.
+  [[nodiscard]] TimePoint OutageEnd() const;
+  [[nodiscard]] bool MustHold(const Hold& aHold) const;
   /// Whether the source responded to other hosts during this host's last outage.
   [[nodiscard]] bool WasAvailableToOthers() const;
 
--- a/UnitTests/Daemon/EndpointReplicatorTests.cpp
+++ b/UnitTests/Daemon/EndpointReplicatorTests.cpp
@@ -485,6 +485,22 @@
   BOOST_TEST((reader.StateOf("e1") == EndpointState::Live));
 }
 
+// Guards against requests that reach an endpoint later than allowed after it left: a daemon that had just found the
+// source again held all removals for longer than a leaving may take to be known, also those that cannot be lapses.
+BOOST_AUTO_TEST_CASE(EndpointThatWroteAfterAnOutageLeavesAtOnce)
+{
+  Daemon& reader = this->PrimaryReader();
+  reader.CompleteFullRead({ { "e1", "live", 5, false } }, 6);
+  reader.RunOnControlThread([&] {
+    reader.replicator.OnSourceReachability(false);
+    reader.replicator.OnSourceReachability(true);
+  });
+  reader.CompleteFullRead({ { "e1", "live", 5, false } }, 6);
+  ReadNextRecord(reader, { "e1", "live", 6, false });
+  ReadNextRecord(reader, { "e1", "", 7, true });
+  BOOST_TEST((reader.StateOf("e1") == EndpointState::Leaving));
+}
+
 // Found by a soak run: one aggregator did not reach a daemon, and the other had received the record from the first and
 // did not forward it.
 BOOST_AUTO_TEST_CASE(AnAggregatorForwardsRecordsThatAnotherHasRead)
@@ -644,6 +660,18 @@
   BOOST_TEST((settings.changeRetention > longestStalenessLimit));
 }
 
+/// The hold begins at the earliest time at which the removal can have been written, and a request needs time to arrive.
+BOOST_DATA_TEST_CASE(HeldRemovalsTakeEffectInTime,
+                     boost::unit_test::data::make({ 700, 1000, 2000, 3000, 4000, 10000 }), notice)
+{
+  const Milliseconds leavingNotice(notice);
+  const EndpointReplicatorSettings settings =
+    EndpointReplicatorSettingsFor(leavingNotice, Seconds(1));
+  const Milliseconds longestHold = settings.directory.maximumHold + settings.tickInterval;
+  BOOST_TEST((longestHold <= leavingNotice - leavingNotice / 10));
+  BOOST_TEST((settings.directory.maximumHold > settings.readerInterval));
+}
+
 BOOST_AUTO_TEST_CASE(DefaultsEqualTheSettingsForTwoSeconds)
 {
   const EndpointReplicatorSettings defaults;
@@ -655,6 +683,8 @@
   BOOST_TEST((defaults.staleAfter == derived.staleAfter));
   BOOST_TEST((defaults.changeRetention == derived.changeRetention));
   BOOST_TEST((defaults.lapseTime == derived.lapseTime));
+  BOOST_TEST((defaults.tickInterval == derived.tickInterval));
+  BOOST_TEST((defaults.directory.maximumHold == derived.directory.maximumHold));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -233,6 +233,51 @@
   BOOST_TEST(directory.Snapshot()->endpoints.empty());
 }
 
+// Guards against requests that reach an endpoint later than allowed after it left: the hold after an outage was longer
+// than a leaving may take to be known.
+BOOST_AUTO_TEST_CASE(RemovalAfterAnOutageIsHeldForLessThanTheTimeAllowed)
+{
+  VirtualClock clock;
+  clock.Advance(Seconds(60));
+  EndpointDirectorySettings settings;
+  EndpointDirectory directory(settings, clock);
+  directory.OnEntry(MakeEndpoint("before"));
+  directory.OnEntry(MakeEndpoint("after"));
+  directory.SetSourceAvailable(false);
+  clock.Advance(Seconds(5));
+  directory.SetSourceAvailable(true);
+  clock.Advance(Milliseconds(100));
+  const TimePoint beforeOutage = clock.Now() - Seconds(10);
+  BOOST_TEST((directory.OnRemoved("before", { beforeOutage }) == RemovalOutcome::Held));
+  BOOST_TEST((directory.OnRemoved("after", { clock.Now() }) == RemovalOutcome::Held));
+  clock.Advance(settings.maximumHold);
+  const std::vector<EndedHold> ended = directory.ApplyHeldRemovals();
+  BOOST_TEST_REQUIRE(ended.size() == 1U);
+  BOOST_TEST(ended.front().id == "after");
+  BOOST_TEST((ended.front().heldFor == settings.maximumHold));
+  clock.Advance(settings.returnGrace);
+  BOOST_TEST(directory.ApplyHeldRemovals().size() == 1U);
+}
+
+/// A host that retries at long intervals notices the end of an outage later than others.
+BOOST_AUTO_TEST_CASE(OutageEndsWhenTheFirstHostSeesTheSourceAgain)
+{
+  VirtualClock clock;
+  clock.Advance(Seconds(60));
+  EndpointDirectorySettings settings;
+  EndpointDirectory directory(settings, clock);
+  directory.OnEntry(MakeEndpoint("a"));
+  directory.SetSourceAvailable(false);
+  clock.Advance(Seconds(5));
+  const TimePoint returned = clock.Now();
+  clock.Advance(Seconds(1));
+  directory.AddSourceAvailability({ returned, clock.Now() });
+  directory.SetSourceAvailable(true);
+  BOOST_TEST(!Remove(directory, "a"));
+  clock.Advance(settings.returnGrace - Seconds(1));
+  BOOST_TEST(Tick(directory));
+}
+
 BOOST_AUTO_TEST_CASE(EndpointThatLeftIsLiveAfterSeveralRecordsOrOfAnotherHostsEvidence)
 {
   VirtualClock clock;
@@ -241,7 +286,7 @@
   directory.OnEntry(MakeEndpoint("a"));
   directory.OnEntry(MakeEndpoint("b"));
   for (const char* id : { "a", "b" }) {
-    BOOST_TEST((directory.OnRemoved(id, { false }) == RemovalOutcome::InForce));
+    BOOST_TEST((directory.OnRemoved(id, { TimePoint::min(), false }) == RemovalOutcome::InForce));
   }
   for (int record = 1; record < settings.recordsOfReturn; ++record) {
     BOOST_TEST(!Enter(directory, MakeEndpoint("a")));
