--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -39,6 +39,7 @@
   , clock(aClock)
   , directory(aSettings.directory, aClock)
   , lapses(aSettings.lapseTime)
+  , guard(aSettings.guard, aClock)
   , changeLog(aSettings.changeRetention)
 {
   this->membership.Transport().OnRequest(
@@ -222,6 +223,7 @@
   if (std::exchange(this->hasUnpublishedChanges, false)) {
     this->OnSnapshotChanged();
   }
+  this->UpdateGuard();
   if (this->isAggregator) {
     this->SendUpdates(this->rank < kReaderRanks);
   }
@@ -237,6 +239,15 @@
     { this->ToSteadyTime(this->answeredSpan.since), this->ToSteadyTime(this->answeredSpan.until) });
 }
 
+void
+EndpointReplicator::UpdateGuard()
+{
+  // Only after the snapshot has been published, as requests are sent on the published one
+  if (this->asOf.load() != TimePoint::min()) {
+    this->guard.SetAsOf(this->asOf);
+  }
+}
+
 Milliseconds
 EndpointReplicator::Age() const
 {
@@ -335,6 +346,7 @@
   if (isChange) {
     this->OnSnapshotChanged();
   }
+  this->UpdateGuard();
   this->newestPeerConfiguration =
     std::max(this->newestPeerConfiguration.load(), message->configurationVersion);
   this->CompareDigest(message->digest);
@@ -393,6 +405,7 @@
   if (!aAnswers) {
     this->ownReadsAnsweredSince.reset();
   }
+  this->guard.OnSourceReachability(aAnswers);
   this->lapses.Clear();
   this->sourceLostUntil = this->clock.BootNow();
   this->directory.SetSourceAvailable(aAnswers);
@@ -434,6 +447,7 @@
 void
 EndpointReplicator::Tick()
 {
+  this->guard.OnTick();
   this->UpdatePlan();
   this->PruneRetainedState();
   this->LogStaleness();
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -96,6 +96,9 @@
 
   [[nodiscard]] FleetSnapshotPtr Snapshot() { return this->directory.Snapshot(); }
 
+  /// Decides whether requests may be sent on the snapshot that was published last. Any thread.
+  [[nodiscard]] SnapshotGuard& Guard() { return this->guard; }
+
 private:
   /// @return whether the snapshot has changed
   bool HandleRecord(EndpointRecord aRecord, bool aFromPeer);
@@ -111,6 +114,7 @@
   [[nodiscard]] std::string HandleUpdate(PeerKey aSender, std::string_view aBytes);
   /// The snapshot contains all records below a version, as of the end of a span.
   void AdvanceTo(const AvailabilityInterval& aAnswered, std::int64_t aEndVersion);
+  void UpdateGuard();
   void SendUpdates(bool aToOtherGroups);
   void SendUpdatesTo(std::span<const PeerAddress> aReceivers, bool aForwardToGroup);
   void OnReply(PeerKey aReceiver, std::string_view aReply);
@@ -132,6 +136,7 @@
   const Clock& clock;
   EndpointDirectory directory;
   LapseDetector lapses;
+  SnapshotGuard guard;
   TimePoint sourceLostUntil =
     TimePoint::min(); ///< BootNow() at the end of the last outage seen here.
   std::unordered_map<std::string, std::int64_t> versions; ///< Newest known version by endpoint id.
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
@@ -31,6 +31,8 @@
   settings.lapseTime = Scale(aHeartbeat, kHeartbeatsWithoutLapse);
   settings.directory.maximumHold = settings.staleAfter;
   settings.tickInterval = std::min(settings.tickInterval, aLeavingNotice / kMinimumTicks);
+  settings.guard.maximumAge = settings.staleAfter;
+  settings.guard.refreshTimeout = std::min(settings.guard.refreshTimeout, aLeavingNotice / 8);
   return settings;
 }
 
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.h
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Core/Clock.h"
 #include "Lagoonward/Fleet/EndpointDirectory.h"
+#include "Lagoonward/Fleet/SnapshotGuard.h"
 
 #include <cstddef>
 
@@ -49,6 +50,7 @@
   Milliseconds lapseTime{ 2'700 };
 
   EndpointDirectorySettings directory;
+  SnapshotGuardSettings guard;
 
   Milliseconds timeout{ 800 };      ///< For one message.
   Milliseconds tickInterval{ 200 }; ///< Between two checks of the plan, the age and the directory.
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -80,6 +80,7 @@
                                    this->fleet, this->reporter, this->clock));
   this->relay->SetTokenSource(*this->limitTokenExchange);
   this->relay->SetPermitSource(*this->permitExchange);
+  this->relay->SetSnapshotGuard(this->endpointReplicator->Guard());
   this->BuildLeaderTasks();
   this->BuildServers();
   if (auto started = this->kernel.StartAll(); !started) {
--- a/Lagoonward/Relay/AttemptResult.cpp
+++ b/Lagoonward/Relay/AttemptResult.cpp
@@ -10,6 +10,8 @@
       return "none";
     case AttemptCause::NoConnection:
       return "no_connection";
+    case AttemptCause::Withheld:
+      return "withheld";
     case AttemptCause::Refused:
       return "refused";
     case AttemptCause::Failed:
--- a/Lagoonward/Relay/AttemptResult.h
+++ b/Lagoonward/Relay/AttemptResult.h
@@ -29,10 +29,11 @@
 /// Why an attempt ended without a complete success response.
 enum class AttemptCause
 {
-  None,         ///< The attempt succeeded.
-  NoConnection, ///< No connection was established, or the request was withdrawn before it was sent.
-  Refused,      ///< The endpoint stated that it did not run the request.
-  Failed,       ///< The endpoint answered with a failure of its own.
+  None,            ///< The attempt succeeded.
+  NoConnection,    ///< No connection was established.
+  Withheld,        ///< The request was withheld right before it was sent.
+  Refused,         ///< The endpoint stated that it did not run the request.
+  Failed,          ///< The endpoint answered with a failure of its own.
   InvalidResponse, ///< The response is incomplete, malformed or belongs to another request.
   ConnectionLost,  ///< The connection broke after the request may have been sent.
   Restarted,       ///< The endpoint has restarted since the request was sent.
--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -131,7 +131,7 @@
   end.reason = aEnd.message;
   if (aEnd.outcome == TransferOutcome::NotSent) {
     end.outcome = AttemptOutcome::NotSent;
-    end.cause = AttemptCause::NoConnection;
+    end.cause = aEnd.isWithheld ? AttemptCause::Withheld : AttemptCause::NoConnection;
     return end;
   }
   if (aEnd.outcome != TransferOutcome::Complete) {
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -190,10 +190,11 @@
 void
 RelayRun::OnAttemptFailed(const AttemptResult& aEnd)
 {
-  // A refusal of an overloaded endpoint does not count as a failure of the endpoint
+  // Neither a refusal of an overloaded endpoint nor a request that was not sent to it counts as its failure
   const bool isRefusal = aEnd.outcome == AttemptOutcome::NotRun && !aEnd.addressReassigned;
-  this->context.router.OnFinished(this->dispatch,
-                                  isRefusal ? DispatchOutcome::Cancelled : DispatchOutcome::Failed);
+  const bool isWithheld = aEnd.cause == AttemptCause::Withheld;
+  this->context.router.OnFinished(
+    this->dispatch, isRefusal || isWithheld ? DispatchOutcome::Cancelled : DispatchOutcome::Failed);
   const bool isProvenNotRun =
     aEnd.outcome == AttemptOutcome::NotSent || aEnd.outcome == AttemptOutcome::NotRun;
   this->sends -= aEnd.outcome == AttemptOutcome::NotSent ? 1 : 0;
@@ -203,7 +204,9 @@
     this->RecordStarted();
     this->failureReply = aEnd.reply;
   }
-  this->failedEndpoints.push_back(this->endpointId);
+  if (!isWithheld) {
+    this->failedEndpoints.push_back(this->endpointId);
+  }
 
   const bool isClientError =
     aEnd.outcome == AttemptOutcome::Failure && aEnd.reply.status < kServerError;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -7,6 +7,7 @@
 #include "Lagoonward/Attempts/RunCrashTracker.h"
 #include "Lagoonward/Core/Error.h"
 #include "Lagoonward/Fleet/FleetStore.h"
+#include "Lagoonward/Fleet/SnapshotGuard.h"
 #include "Lagoonward/Relay/RelayAttempt.h"
 #include "Lagoonward/Relay/RelayMove.h"
 #include "Lagoonward/Relay/RelayObserver.h"
@@ -53,6 +54,7 @@
   EndpointLimits& endpointLimits;
   PermitSource* permitSource; ///< Never null.
   const FleetStore& fleet;
+  SnapshotGuard* snapshotGuard; ///< Null if the snapshot of the endpoints has no age.
   const RelaySettings& settings;
   const AnyEndpointDialect& dialect;
   RelayObserver& observer;
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -9,6 +9,17 @@
 
 namespace lagoonward {
 
+namespace {
+
+/// Whether the snapshot of the endpoints is recent enough to send a request on it.
+bool
+IsSnapshotUsable(SnapshotGuard* aGuard)
+{
+  return aGuard == nullptr || aGuard->MaySend();
+}
+
+} // namespace
+
 RouteRequest
 RelayRun::MakeRouteRequest() const
 {
@@ -35,6 +46,11 @@
     this->Fail(RunCrashTracker::PoisonError(this->mayHaveRun ? Ran::Unknown : Ran::No));
     return;
   }
+  if (!IsSnapshotUsable(this->context.snapshotGuard)) {
+    this->endpointWaitTimer = this->context.loop.RunAfter(
+      this->context.settings.snapshotRecheckInterval, [this] { this->Dispatch(); });
+    return;
+  }
   auto choice = this->Choose();
   if (!choice) {
     this->WaitForEndpoint(choice.error());
@@ -185,12 +201,13 @@
   this->attempt = std::make_unique<RelayAttempt>(this->context.loop, this->context.settings,
                                                  this->context.dialect, this->call, listener);
   // Opening a connection on a busy host can take a second, so the state is checked again right before the first byte
-  const auto mayBeSent = [&current = this->context.fleet,
+  // May be called after this run has ended, until its transfer is cancelled
+  const auto mayBeSent = [&current = this->context.fleet, guard = this->context.snapshotGuard,
                           &poisonFilter = this->context.poisonFilter, id = this->endpointId,
                           fingerprint = this->call.fingerprint] {
     const FleetSnapshotPtr newest = current.Get();
     const Endpoint* target = newest->Find(id);
-    return target != nullptr && target->state == EndpointState::Live &&
+    return target != nullptr && target->state == EndpointState::Live && IsSnapshotUsable(guard) &&
            !poisonFilter.IsPoisoned(fingerprint);
   };
   this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms, mayBeSent);
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -12,10 +12,9 @@
   , loop(aClock, aSettings.client)
   , crashProbe(this->loop)
   , localPermits(aClock)
-  , context{ this->loop,          aMarket.router,   aMarket.retryBudget,
-             aMarket.poison,      this->crashProbe, aMarket.endpointLimits,
-             &this->localPermits, aFleet,           this->settings,
-             this->dialect,       aObserver }
+  , context{ this->loop,       aMarket.router,         aMarket.retryBudget, aMarket.poison,
+             this->crashProbe, aMarket.endpointLimits, &this->localPermits, aFleet,
+             nullptr,          this->settings,         this->dialect,       aObserver }
 {
 }
 
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -36,6 +36,10 @@
   /// itself. To be called before Start(); must outlive the service.
   void SetPermitSource(PermitSource& aPermitSource) { this->context.permitSource = &aPermitSource; }
 
+  /// Sets what decides whether requests may be sent on the snapshot of the endpoints; without it they always may. To be
+  /// called before Start(); must outlive the service.
+  void SetSnapshotGuard(SnapshotGuard& aGuard) { this->context.snapshotGuard = &aGuard; }
+
   /// Runs a request or refuses it. If tokens of the client's limit are missing locally, the decision waits for the
   /// reply of the token source. Safe from any thread.
   void Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller);
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -37,6 +37,8 @@
   /// How long a request waits for a daemon that has just started to learn how many daemons share its client's limit, as
   /// a fraction of its latency target.
   double limitWaitFactor = 0.25;
+  /// Interval of the check whether a snapshot of the endpoints that was too old has been refreshed.
+  Milliseconds snapshotRecheckInterval{ 5 };
   /// Interval between two attempts to select an endpoint.
   Milliseconds endpointRetryInterval{ 20 };
 
--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -160,6 +160,7 @@
   }
   long requestBytes = 0;
   curl_easy_getinfo(this->easy.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
+  end.isWithheld = this->isCancelled;
   end.isConnectionRefused = aResult == CURLE_COULDNT_CONNECT;
   if (aResult == CURLE_OK) {
     end.outcome = TransferOutcome::Complete;
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -60,7 +60,8 @@
 struct TransferEnd
 {
   TransferOutcome outcome = TransferOutcome::Broken;
-  int status = 0; ///< HTTP status; zero if no response was received.
+  int status = 0;          ///< HTTP status; zero if no response was received.
+  bool isWithheld = false; ///< HttpTransferRequest::mayBeSent returned false.
   bool isConnectionRefused =
     false;             ///< The connection attempt failed immediately: nothing listens there.
   std::string message; ///< Error text for logs.
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -186,7 +186,8 @@
 public:
   explicit RelayFixture(const std::vector<const ScriptedServer*>& aEndpoints,
                         const MarketSettings& aMarket = {},
-                        const std::vector<ManifestClient>& aClients = {})
+                        const std::vector<ManifestClient>& aClients = {},
+                        SnapshotGuard* aGuard = nullptr)
     : market("m", aMarket, clock, 1)
   {
     auto configuration = std::make_shared<Configuration>();
@@ -209,6 +210,9 @@
     }
     this->fleet.Publish(snapshot);
     this->market.ApplyFleet(*snapshot);
+    if (aGuard != nullptr) {
+      this->service.SetSnapshotGuard(*aGuard);
+    }
     BOOST_TEST(this->service.Start().has_value());
   }
 
@@ -706,6 +710,58 @@
   BOOST_TEST((leaving == "e0" ? left : right).Requests().empty());
 }
 
+// Guards against requests that reach endpoints that have left: a daemon that had stood still sent on its old snapshot.
+BOOST_AUTO_TEST_CASE(RequestWaitsForACurrentSnapshot)
+{
+  const ScriptedServer left([](const std::string&) { return Send(MakeResponse("left")); });
+  const ScriptedServer right([](const std::string&) { return Send(MakeResponse("right")); });
+  SystemClock clock;
+  SnapshotGuardSettings settings;
+  settings.refreshTimeout = Seconds(5);
+  SnapshotGuard guard(settings, clock);
+  guard.SetAsOf(clock.BootNow() - Seconds(3));
+  RelayFixture relay({ &left, &right }, {}, {}, &guard);
+  TestCaller caller;
+  relay.Submit(caller, RelayKind::NonIdempotent, false, Seconds(5));
+  std::this_thread::sleep_for(Milliseconds(50));
+  BOOST_TEST(relay.observer.sent == 0);
+  relay.MarkLeaving(left.Port());
+  guard.SetAsOf(clock.BootNow());
+  const Received received = caller.Wait();
+  BOOST_REQUIRE(received.reply.has_value());
+  BOOST_TEST(received.reply->body == "right");
+}
+
+/// A connection that is opened while the process stands still.
+BOOST_AUTO_TEST_CASE(RequestIsSelectedAnewIfTheSnapshotGrowsOldBeforeItIsSent)
+{
+  const ScriptedServer left([](const std::string&) { return Send(MakeResponse("left")); });
+  const ScriptedServer right([](const std::string&) { return Send(MakeResponse("right")); });
+  SystemClock clock;
+  SnapshotGuardSettings settings;
+  settings.refreshTimeout = Seconds(5);
+  SnapshotGuard guard(settings, clock);
+  guard.SetAsOf(clock.BootNow() - settings.maximumAge + Milliseconds(100));
+  RelayFixture relay({ &left, &right }, {}, {}, &guard);
+  std::string selected;
+  relay.observer.onSent = [&](std::string_view aEndpoint, int) {
+    if (selected.empty()) {
+      selected = aEndpoint;
+      std::this_thread::sleep_for(Milliseconds(150));
+    }
+  };
+  TestCaller caller;
+  relay.Submit(caller, RelayKind::NonIdempotent, false, Seconds(5));
+  std::this_thread::sleep_for(Milliseconds(250));
+  BOOST_TEST(!selected.empty());
+  BOOST_TEST(left.Requests().size() + right.Requests().size() == 0U);
+  relay.MarkLeaving(selected == "e0" ? left.Port() : right.Port());
+  guard.SetAsOf(clock.BootNow());
+  const Received received = caller.Wait();
+  BOOST_REQUIRE(received.reply.has_value());
+  BOOST_TEST(received.reply->body == (selected == "e0" ? "right" : "left"));
+}
+
 BOOST_AUTO_TEST_CASE(RequestIsRetriedOrFailedAtOnceWhenItsEndpointRestarts)
 {
   for (const bool resumable : { true, false }) {
