Only the daemon that reads a removal tells whether its endpoint left, and only while it has read the source without a pause

A daemon that receives the records from others may miss an outage of the store in which entries lapse before their time; it took its own old renewals for proof that an endpoint had left, and the next record of that endpoint, the only one that the reader forwards, did not make it live again there: a live endpoint without requests from some daemons for half a minute or more. LapseDetector now follows the reads, and forgets what was renewed before an outage or a pause. EntryThatLapsedInAnOutageReturnsAtOnceOnDaemonsThatMissedIt and RenewalsBeforeAnOutageOrAPauseProveNothing. A standstill is only found once the control thread has made its first step.

--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -38,7 +38,7 @@
   , hooks(std::move(aHooks))
   , clock(aClock)
   , directory(aSettings.directory, aClock)
-  , lapses(aSettings.lapseTime)
+  , lapses(aSettings.lapseTime, aSettings.directory.shortestOutage)
   , guard(aSettings.guard, aClock)
   , changeLog(aSettings.changeRetention)
 {
@@ -98,9 +98,11 @@
 {
   EntryRemoval removal;
   removal.notBefore = this->ToSteadyTime(this->EarliestWriteOf(aRecord.version));
-  removal.mayHaveLapsed = aRecord.evidence != RecordEvidence::Left &&
-                          this->lapses.MayHaveLapsed(aRecord.id, this->clock.BootNow());
-  aRecord.evidence = removal.mayHaveLapsed ? RecordEvidence::None : RecordEvidence::Left;
+  // Only the daemon that has read the removal can tell, as the others may have missed an outage of the source
+  const bool hasLeft = aFromPeer ? aRecord.evidence == RecordEvidence::Left
+                                 : !this->lapses.MayHaveLapsed(aRecord.id, this->clock.BootNow());
+  removal.mayHaveLapsed = !hasLeft;
+  aRecord.evidence = hasLeft ? RecordEvidence::Left : RecordEvidence::None;
   const RemovalOutcome outcome = this->directory.OnRemoved(aRecord.id, removal);
   if (outcome != RemovalOutcome::Ignored) {
     kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
@@ -115,10 +117,8 @@
 bool
 EndpointReplicator::ApplyEntry(EndpointRecord& aRecord, bool aFromPeer)
 {
-  const TimePoint notBefore = this->EarliestWriteOf(aRecord.version);
-  // In an outage entries may lapse before their time
-  if (notBefore > this->sourceLostUntil) {
-    this->lapses.OnRenewed(aRecord.id, notBefore);
+  if (!aFromPeer) {
+    this->lapses.OnRenewed(aRecord.id, this->clock.BootNow());
   }
   auto endpoint = this->hooks.decode(aRecord);
   if (!endpoint) {
@@ -213,6 +213,7 @@
 EndpointReplicator::OnReadCompleted(TimePoint aAsOf, std::int64_t aEndVersion)
 {
   this->needsRepair = false;
+  this->lapses.OnRead(aAsOf);
   if (!this->ownReadsAnsweredSince) {
     this->ownReadsAnsweredSince = aAsOf;
   }
@@ -406,8 +407,7 @@
     this->ownReadsAnsweredSince.reset();
   }
   this->guard.OnSourceReachability(aAnswers);
-  this->lapses.Clear();
-  this->sourceLostUntil = this->clock.BootNow();
+  this->lapses.OnOutage();
   this->directory.SetSourceAvailable(aAnswers);
 }
 
--- a/Lagoonward/Fleet/LapseDetector.cpp
+++ b/Lagoonward/Fleet/LapseDetector.cpp
@@ -4,26 +4,48 @@
 
 namespace lagoonward {
 
-LapseDetector::LapseDetector(Milliseconds aLapseTime)
+LapseDetector::LapseDetector(Milliseconds aLapseTime, Milliseconds aLongestPause)
   : lapseTime(aLapseTime)
+  , longestPause(aLongestPause)
 {
 }
 
 void
-LapseDetector::OnRenewed(const std::string& aId, TimePoint aNotBefore)
+LapseDetector::OnRead(TimePoint aAsOf)
 {
-  if (aNotBefore == TimePoint::min()) {
-    return;
+  if (this->IsPaused(aAsOf)) {
+    this->renewedAt.clear();
+  }
+  this->previousRead = std::max(this->previousRead.value_or(aAsOf), aAsOf);
+}
+
+void
+LapseDetector::OnOutage()
+{
+  this->previousRead.reset();
+  this->renewedAt.clear();
+}
+
+void
+LapseDetector::OnRenewed(const std::string& aId, TimePoint aNow)
+{
+  if (!this->IsPaused(aNow)) {
+    this->renewedAt[aId] = *this->previousRead;
   }
-  TimePoint& known = this->renewedAt.try_emplace(aId, aNotBefore).first->second;
-  known = std::max(known, aNotBefore);
 }
 
 bool
 LapseDetector::MayHaveLapsed(const std::string& aId, TimePoint aNow) const
 {
   const auto found = this->renewedAt.find(aId);
-  return found == this->renewedAt.end() || this->IsPastLapse(found->second, aNow);
+  return found == this->renewedAt.end() || this->IsPaused(aNow) ||
+         this->IsPastLapse(found->second, aNow);
+}
+
+bool
+LapseDetector::IsPaused(TimePoint aNow) const
+{
+  return !this->previousRead || aNow - *this->previousRead > this->longestPause;
 }
 
 void
--- a/Lagoonward/Fleet/SnapshotGuard.cpp
+++ b/Lagoonward/Fleet/SnapshotGuard.cpp
@@ -22,7 +22,6 @@
 SnapshotGuard::SnapshotGuard(const SnapshotGuardSettings& aSettings, const Clock& aClock)
   : settings(aSettings)
   , clock(aClock)
-  , lastTick(aClock.BootNow())
 {
 }
 
@@ -52,11 +51,11 @@
 void
 SnapshotGuard::DetectStandstill(TimePoint aNow)
 {
-  if (aNow - this->lastTick < this->settings.standstill) {
+  if (!this->lastTick || aNow - *this->lastTick < this->settings.standstill) {
     return;
   }
   kLog.Event(LogLevel::Warning, "standstill",
-             { { "paused_ms", MillisecondsBetween(this->lastTick, aNow) } });
+             { { "paused_ms", MillisecondsBetween(*this->lastTick, aNow) } });
   this->lastTick = aNow;
   this->isSourceLost = false;
   this->staleSince.reset();
--- a/Lagoonward/Fleet/SnapshotGuard.h
+++ b/Lagoonward/Fleet/SnapshotGuard.h
@@ -52,7 +52,7 @@
   const Clock& clock;
   std::mutex mutex; ///< Guards what follows.
   std::optional<TimePoint> asOf;
-  TimePoint lastTick;
+  std::optional<TimePoint> lastTick;
   bool isSourceLost = false;
   std::optional<TimePoint> staleSince; ///< When a request was first found to need a newer snapshot.
   bool hasLoggedOldSend = false;       ///< Since then.
--- a/UnitTests/Daemon/EndpointReplicatorTests.cpp
+++ b/UnitTests/Daemon/EndpointReplicatorTests.cpp
@@ -462,7 +462,11 @@
   Daemon& reader = this->PrimaryReader();
   reader.CompleteFullRead({ { "e1", "live", 5, false } }, 6);
   ReadNextRecord(reader, { "e1", "live", 6, false });
-  std::this_thread::sleep_for(this->settings.lapseTime);
+  const TimePoint renewed = this->clock.Now();
+  while (this->clock.Now() - renewed < this->settings.lapseTime) {
+    std::this_thread::sleep_for(this->settings.readerInterval);
+    reader.CompleteRead(7);
+  }
   ReadNextRecord(reader, { "e1", "", 7, true });
   BOOST_TEST((reader.StateOf("e1") == EndpointState::Leaving));
   ReadNextRecord(reader, { "e1", "live", 8, false });
@@ -485,6 +489,30 @@
   BOOST_TEST((reader.StateOf("e1") == EndpointState::Live));
 }
 
+// Guards against live endpoints that get no requests from daemons that saw no outage, although their entries only lapsed.
+BOOST_AUTO_TEST_CASE(EntryThatLapsedInAnOutageReturnsAtOnceOnDaemonsThatMissedIt)
+{
+  Daemon& reader = this->PrimaryReader();
+  for (const auto& daemon : this->daemons) {
+    daemon->CompleteFullRead({}, 0);
+  }
+  ReadNextRecord(reader, { "e1", "live", 0, false });
+  for (const auto& daemon : this->daemons) {
+    BOOST_TEST(this->Eventually([&] { return daemon->StateOf("e1") == EndpointState::Live; }));
+  }
+  reader.RunOnControlThread([&] {
+    reader.replicator.OnSourceReachability(false);
+    reader.replicator.OnSourceReachability(true);
+  });
+  ReadNextRecord(reader, { "e1", "", 1, true });
+  Daemon& listener = *this->FirstDomainDaemons(false).front();
+  BOOST_TEST(this->Eventually([&] { return listener.StateOf("e1") == EndpointState::Leaving; }));
+  ReadNextRecord(reader, { "e1", "live", 2, false });
+  for (const auto& daemon : this->daemons) {
+    BOOST_TEST(this->Eventually([&] { return daemon->StateOf("e1") == EndpointState::Live; }));
+  }
+}
+
 // Guards against requests that reach an endpoint later than allowed after it left: a daemon that had just found the
 // source again held all removals for longer than a leaving may take to be known, also those that cannot be lapses.
 BOOST_AUTO_TEST_CASE(EndpointThatWroteAfterAnOutageLeavesAtOnce)
--- a/UnitTests/Fleet/LapseDetectorTests.cpp
+++ b/UnitTests/Fleet/LapseDetectorTests.cpp
@@ -4,42 +4,83 @@
 
 using namespace lagoonward;
 
-BOOST_AUTO_TEST_SUITE(LapseDetectorTests)
+namespace {
 
-BOOST_AUTO_TEST_CASE(EntryLapsesAfterItWasNotRenewedForTheLapseTime)
+constexpr Milliseconds kReadInterval{ 400 };
+
+/// A detector whose host reads the source.
+struct DetectorFixture
+{
+  DetectorFixture() { this->Read(Milliseconds(0)); }
+
+  /// Reads the source without a pause until the end of a span.
+  void Read(Milliseconds aSpan)
+  {
+    const TimePoint end = this->now + aSpan;
+    this->detector.OnRead(this->now);
+    while (this->now < end) {
+      this->now = std::min(this->now + kReadInterval, end);
+      this->detector.OnRead(this->now);
+    }
+  }
+
+  [[nodiscard]] bool MayHaveLapsed() const { return this->detector.MayHaveLapsed("a", this->now); }
+
+  TimePoint now{ Seconds(100) };
+  LapseDetector detector{ Seconds(3), Milliseconds(1500) };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LapseDetectorTests, DetectorFixture)
+
+BOOST_AUTO_TEST_CASE(EntryCanHaveLapsedAfterItWasNotRenewedForTheLapseTime)
+{
+  BOOST_TEST(this->MayHaveLapsed());
+  this->detector.OnRenewed("a", this->now);
+  this->Read(Milliseconds(2999));
+  BOOST_TEST(!this->MayHaveLapsed());
+  this->Read(Milliseconds(1));
+  BOOST_TEST(this->MayHaveLapsed());
+  this->detector.OnRenewed("a", this->now);
+  BOOST_TEST(!this->MayHaveLapsed());
+}
+
+/// The record may have been written right after the previous read.
+BOOST_AUTO_TEST_CASE(RenewalCountsFromThePreviousRead)
 {
-  LapseDetector detector(Seconds(3));
-  const TimePoint start{ Seconds(100) };
-  BOOST_TEST(detector.MayHaveLapsed("a", start));
-  detector.OnRenewed("a", start);
-  BOOST_TEST(!detector.MayHaveLapsed("a", start + Milliseconds(2999)));
-  BOOST_TEST(detector.MayHaveLapsed("a", start + Seconds(3)));
-  detector.OnRenewed("a", start + Seconds(1));
-  BOOST_TEST(!detector.MayHaveLapsed("a", start + Seconds(3)));
-  // An older record that arrives late
-  detector.OnRenewed("a", start);
-  BOOST_TEST(!detector.MayHaveLapsed("a", start + Seconds(3)));
+  this->detector.OnRenewed("a", this->now + Milliseconds(300));
+  this->Read(Milliseconds(3100));
+  BOOST_TEST(this->MayHaveLapsed());
 }
 
-BOOST_AUTO_TEST_CASE(RecordOfUnknownTimeProvesNothing)
+// Guards against live endpoints that are taken for ones that have left: a host that does not read the source may miss an
+// outage in which entries lapse before their time.
+BOOST_AUTO_TEST_CASE(RenewalsBeforeAnOutageOrAPauseProveNothing)
 {
-  LapseDetector detector(Seconds(3));
-  detector.OnRenewed("a", TimePoint::min());
-  BOOST_TEST(detector.MayHaveLapsed("a", TimePoint{ Seconds(1) }));
-  BOOST_TEST(detector.Size() == 0U);
+  this->detector.OnRenewed("a", this->now);
+  this->detector.OnOutage();
+  this->Read(Milliseconds(400));
+  BOOST_TEST(this->MayHaveLapsed());
+  this->detector.OnRenewed("a", this->now);
+  BOOST_TEST(!this->MayHaveLapsed());
+
+  this->now += Milliseconds(1600);
+  BOOST_TEST(this->MayHaveLapsed());
+  this->detector.OnRenewed("a", this->now);
+  this->Read(Milliseconds(400));
+  BOOST_TEST(this->MayHaveLapsed());
 }
 
-BOOST_AUTO_TEST_CASE(PruneDropsOnlyWhatHasLapsed)
+BOOST_AUTO_TEST_CASE(PruneDropsOnlyWhatCanHaveLapsed)
 {
-  LapseDetector detector(Seconds(3));
-  const TimePoint start{ Seconds(100) };
-  detector.OnRenewed("old", start);
-  detector.OnRenewed("new", start + Seconds(1));
-  detector.Prune(start + Seconds(3));
-  BOOST_TEST(detector.Size() == 1U);
-  BOOST_TEST(!detector.MayHaveLapsed("new", start + Seconds(3)));
-  detector.Clear();
-  BOOST_TEST(detector.MayHaveLapsed("new", start + Seconds(3)));
+  this->detector.OnRenewed("old", this->now);
+  this->Read(Seconds(1));
+  this->detector.OnRenewed("a", this->now);
+  this->Read(Seconds(2));
+  this->detector.Prune(this->now);
+  BOOST_TEST(this->detector.Size() == 1U);
+  BOOST_TEST(!this->MayHaveLapsed());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
