--- a/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
@@ -32,7 +32,7 @@
   settings.directory.maximumHold = settings.staleAfter;
   settings.tickInterval = std::min(settings.tickInterval, aLeavingNotice / kMinimumTicks);
   settings.guard.maximumAge = settings.staleAfter;
-  settings.guard.refreshTimeout = std::min(settings.guard.refreshTimeout, aLeavingNotice / 8);
+  settings.guard.refreshTimeout = std::min(settings.guard.refreshTimeout, aLeavingNotice / 2);
   return settings;
 }
 
--- a/Lagoonward/Fleet/SnapshotGuard.h
+++ b/Lagoonward/Fleet/SnapshotGuard.h
@@ -13,8 +13,9 @@
   /// Greatest age of a snapshot on which requests are sent without a wait.
   Milliseconds maximumAge{ 1500 };
 
-  /// How long requests wait for a newer snapshot. Reading the source takes some milliseconds, more on a busy host.
-  Milliseconds refreshTimeout{ 250 };
+  /// How long requests wait for a newer snapshot. Reading the source takes some milliseconds; a read that gets no answer
+  /// fails within this time, and then the source is known to be lost.
+  Milliseconds refreshTimeout{ 1000 };
 
   /// A pause between two calls of OnTick() of this length means that the process stood still.
   Milliseconds standstill{ 600 };
