--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -109,6 +109,10 @@
   [[nodiscard]] TimePoint EarliestWriteOf(std::int64_t aVersion) const;
   /// The same time by Clock::Now(), which EndpointDirectory uses.
   [[nodiscard]] TimePoint ToSteadyTime(TimePoint aBootTime) const;
+  /// Removes an endpoint that is not part of a full read.
+  void RemoveMissing(const Endpoint& aEndpoint, std::int64_t aEndVersion);
+  /// Starts the change log after the first full read.
+  void StartChangeLog(std::int64_t aEndVersion);
   [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason);
   /// @return the encoded reply
   [[nodiscard]] std::string HandleUpdate(PeerKey aSender, std::string_view aBytes);
--- /dev/null
+++ b/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
@@ -0,0 +1,181 @@
+#include "Lagoonward/Daemon/EndpointReplicator.h"
+
+#include "Lagoonward/Core/Log.h"
+
+#include <algorithm>
+#include <string_view>
+#include <unordered_set>
+#include <utility>
+
+// Part of EndpointReplicator: applies records of the source and of other daemons to the directory of endpoints.
+
+namespace lagoonward {
+
+namespace {
+
+const Log kLog("endpoints");
+
+} // namespace
+
+bool
+EndpointReplicator::HandleRecord(EndpointRecord aRecord, bool aFromPeer)
+{
+  // The same record may arrive from the source and from several daemons, in any order
+  const auto [known, isNew] = this->versions.try_emplace(aRecord.id, aRecord.version);
+  if (!isNew && aRecord.version <= known->second) {
+    // The other daemon may know more about the same removal
+    const bool isKnownRemoval = aRecord.version == known->second && aRecord.removed;
+    return isKnownRemoval && aRecord.evidence == RecordEvidence::Left &&
+           this->ApplyRemoval(aRecord, aFromPeer);
+  }
+  known->second = aRecord.version;
+  const bool isChange =
+    aRecord.removed ? this->ApplyRemoval(aRecord, aFromPeer) : this->ApplyEntry(aRecord, aFromPeer);
+  // Each aggregator forwards records that another has read first, as one of them may not reach all daemons. Whether a
+  // removal takes effect at once depends on which daemons saw an outage of the source, so each daemon decides for
+  // itself
+  if (isChange || aRecord.removed) {
+    this->changeLog.Add(aRecord, false, this->clock.BootNow());
+  }
+  return isChange;
+}
+
+TimePoint
+EndpointReplicator::EarliestWriteOf(std::int64_t aVersion) const
+{
+  return this->endVersion && aVersion >= *this->endVersion ? this->asOf.load() : TimePoint::min();
+}
+
+TimePoint
+EndpointReplicator::ToSteadyTime(TimePoint aBootTime) const
+{
+  return aBootTime == TimePoint::min() ? aBootTime
+                                       : aBootTime - (this->clock.BootNow().time_since_epoch() -
+                                                      this->clock.Now().time_since_epoch());
+}
+
+bool
+EndpointReplicator::ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer)
+{
+  EntryRemoval removal;
+  removal.notBefore = this->ToSteadyTime(this->EarliestWriteOf(aRecord.version));
+  // Only the daemon that has read the removal can tell, as the others may have missed an outage of the source
+  const bool hasLeft = aFromPeer ? aRecord.evidence == RecordEvidence::Left
+                                 : !this->lapses.MayHaveLapsed(aRecord.id, this->clock.BootNow());
+  removal.mayHaveLapsed = !hasLeft;
+  aRecord.evidence = hasLeft ? RecordEvidence::Left : RecordEvidence::None;
+  const RemovalOutcome outcome = this->directory.OnRemoved(aRecord.id, removal);
+  if (outcome != RemovalOutcome::Ignored) {
+    kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
+                                     { "version", aRecord.version },
+                                     { "from_peer", aFromPeer },
+                                     { "may_have_lapsed", removal.mayHaveLapsed },
+                                     { "held", outcome == RemovalOutcome::Held } });
+  }
+  return outcome == RemovalOutcome::InForce;
+}
+
+bool
+EndpointReplicator::ApplyEntry(EndpointRecord& aRecord, bool aFromPeer)
+{
+  if (!aFromPeer) {
+    this->lapses.OnRenewed(aRecord.id, this->clock.BootNow());
+  }
+  auto endpoint = this->hooks.decode(aRecord);
+  if (!endpoint) {
+    return this->RefuseRecord(aRecord, endpoint.error().message);
+  }
+  const bool isLeaving = endpoint.value().state == EndpointState::Leaving;
+  const std::string service = endpoint.value().name;
+  const std::int64_t incarnation = endpoint.value().incarnation;
+  const bool isReclaimable = endpoint.value().reclaimable;
+  const bool wasRemoved = this->directory.IsRemoved(aRecord.id);
+  const EntryOutcome outcome = this->directory.OnEntry(
+    std::move(endpoint.value()), aRecord.evidence == RecordEvidence::Returned);
+  if (outcome == EntryOutcome::Unchanged) {
+    if (wasRemoved) {
+      kLog.Event("endpoint_not_returned",
+                 { { "endpoint", aRecord.id }, { "version", aRecord.version } });
+    }
+    return false;
+  }
+  aRecord.evidence =
+    outcome == EntryOutcome::Returned ? RecordEvidence::Returned : RecordEvidence::None;
+  kLog.Event("endpoint", { { "endpoint", aRecord.id },
+                           { "version", aRecord.version },
+                           { "from_peer", aFromPeer },
+                           { "service", service },
+                           { "born", incarnation },
+                           { "leaving", isLeaving },
+                           { "returned", wasRemoved },
+                           { "reclaimable", isReclaimable } });
+  return true;
+}
+
+bool
+EndpointReplicator::RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason)
+{
+  ++this->refusedRecords;
+  std::string& last = this->refusalReasons[aRecord.id];
+  if (last != aReason) {
+    kLog.Event(LogLevel::Warning, "endpoint_refused",
+               { { "endpoint", aRecord.id }, { "reason", aReason } });
+    last = aReason;
+  }
+  return this->directory.OnUnreadable(aRecord.id);
+}
+
+void
+EndpointReplicator::OnRecord(const EndpointRecord& aRecord)
+{
+  this->hasUnpublishedChanges = this->HandleRecord(aRecord, false) || this->hasUnpublishedChanges;
+}
+
+void
+EndpointReplicator::OnFullRead(const std::vector<EndpointRecord>& aRecords,
+                               std::int64_t aEndVersion)
+{
+  const FleetSnapshotPtr before = this->directory.Snapshot();
+  std::unordered_set<std::string_view> present;
+  for (const EndpointRecord& record : aRecords) {
+    present.insert(record.id);
+    this->hasUnpublishedChanges = this->HandleRecord(record, false) || this->hasUnpublishedChanges;
+  }
+  for (const Endpoint& endpoint : before->endpoints) {
+    // Records of newer versions, received since the read, are not part of it
+    const auto version = this->versions.find(endpoint.id);
+    const bool isNewer = version != this->versions.end() && version->second >= aEndVersion;
+    if (!isNewer && !present.contains(endpoint.id)) {
+      this->RemoveMissing(endpoint, aEndVersion);
+    }
+  }
+  if (!this->endVersion) {
+    this->StartChangeLog(aEndVersion);
+  }
+  kLog.Event("endpoints",
+             { { "count", aRecords.size() }, { "changed", this->hasUnpublishedChanges } });
+}
+
+void
+EndpointReplicator::RemoveMissing(const Endpoint& aEndpoint, std::int64_t aEndVersion)
+{
+  EndpointRecord removal{ aEndpoint.id, {}, aEndVersion - 1, true };
+  this->hasUnpublishedChanges = this->ApplyRemoval(removal, false) || this->hasUnpublishedChanges;
+  if (aEndpoint.state != EndpointState::Leaving) {
+    this->changeLog.Add(removal, true, this->clock.BootNow());
+  }
+}
+
+void
+EndpointReplicator::StartChangeLog(std::int64_t aEndVersion)
+{
+  // Records received before the first full read were not added to the change log
+  std::int64_t firstVersion = aEndVersion;
+  for (const auto& [id, version] : this->versions) {
+    firstVersion = std::max(firstVersion, version + 1);
+  }
+  this->changeLog.StartAt(firstVersion);
+  this->endVersion = aEndVersion;
+}
+
+} // namespace lagoonward
