Two help texts of metrics and a comment in today's words

A reply is set for Success and Failure; there is no outcome Whole. No change of behaviour; release build, RelayReporterTests and the linter on the changed source pass.

--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -89,12 +89,12 @@
                  "Records of endpoints so far that could not be read.",
                  static_cast<double>(aState.refusedRecords));
   this->SetGauge("lagoonward_relay_endpoints_age_seconds",
-                 "Age of the picture of the endpoints: what was acknowledged before is in it.",
+                 "Age of the snapshot of the endpoints: it contains what was acknowledged before.",
                  std::chrono::duration<double>(aState.endpointsAge).count());
   this->SetGauge("lagoonward_relay_poisoned_requests",
                  "Requests that crash endpoints and are sent to none.", aState.poisonedRequests);
   this->SetGauge("lagoonward_relay_limited_endpoints",
-                 "Endpoints that say how many requests they take from all daemons.",
+                 "Endpoints that advertise how many requests they accept from all daemons.",
                  aState.limitedEndpoints);
   this->SetEndpointGauges(aState);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
--- a/Lagoonward/Relay/AttemptResult.h
+++ b/Lagoonward/Relay/AttemptResult.h
@@ -55,7 +55,7 @@
   AttemptOutcome outcome = AttemptOutcome::Unknown;
   AttemptCause cause = AttemptCause::None;
   bool addressReassigned = false; ///< The address is now used by a different endpoint.
-  RelayReply reply;               ///< Set for Whole and Failure; has no body for an event stream.
+  RelayReply reply;               ///< Set for Success and Failure; has no body for an event stream.
   std::string reason;             ///< For logs.
 };
 
