--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -306,7 +306,9 @@
   if (aText == this->configurationTextInForce) {
     return false;
   }
+  const TimePoint decodedFrom = this->clock.Now();
   auto decoded = this->ports.decodeConfiguration(aText);
+  const auto decodeTime = std::chrono::floor<Milliseconds>(this->clock.Now() - decodedFrom);
   if (!decoded) {
     kLog.Event(LogLevel::Warning, "configuration_refused",
                { { "reason", decoded.error().message }, { "from_peer", aFromPeer } });
@@ -329,7 +331,9 @@
   this->PublishFleet();
   kLog.Event("configuration", { { "version", version },
                                 { "from_peer", aFromPeer },
-                                { "before", current ? current->routes->Version() : -1 } });
+                                { "before", current ? current->routes->Version() : -1 },
+                                { "bytes", aText.size() },
+                                { "decode_ms", decodeTime.count() } });
   for (const ManifestClient& client : next->manifest.clients) {
     kLog.Event("limit", { { "configuration", version },
                           { "account", client.name },
--- a/Lagoonward/Membership/PeerExchange.cpp
+++ b/Lagoonward/Membership/PeerExchange.cpp
@@ -114,14 +114,24 @@
   if (!this->components.states.IsNewer(aAnnouncement) || !this->BeginFetch(fetchKey)) {
     return;
   }
-  this->SendRequest(aPeer, RequestType::SharedState,
-                    EncodeMessage(LookupRequest{ aAnnouncement.topic }),
-                    [this, fetchKey](const Result<std::string>& aResponse) {
-                      this->pendingFetches.erase(fetchKey);
-                      if (aResponse) {
-                        this->ApplySharedState(aResponse.value());
-                      }
-                    });
+  this->SendRequest(
+    aPeer, RequestType::SharedState, EncodeMessage(LookupRequest{ aAnnouncement.topic }),
+    [this, fetchKey, version = aAnnouncement.version,
+     startedAt = this->clock.Now()](const Result<std::string>& aResponse) {
+      this->pendingFetches.erase(fetchKey);
+      const auto took = std::chrono::floor<Milliseconds>(this->clock.Now() - startedAt);
+      if (aResponse) {
+        this->log.Event("state_received", { { "version", version },
+                                            { "bytes", aResponse.value().size() },
+                                            { "took_ms", took.count() } });
+        this->ApplySharedState(aResponse.value());
+      } else {
+        this->log.Event(LogLevel::Warning, "state_fetch_failed",
+                        { { "version", version },
+                          { "reason", aResponse.error().message },
+                          { "took_ms", took.count() } });
+      }
+    });
 }
 
 PeerExchange::Announcements
