--- a/UnitTests/Membership/MembershipServiceTests.cpp
+++ b/UnitTests/Membership/MembershipServiceTests.cpp
@@ -78,6 +78,21 @@
   std::vector<std::unique_ptr<MembershipService>> daemons;
 };
 
+/// Text of the size and shape of a configuration with many routes; only its first line depends on the version.
+std::string
+LargeState(int aRoutes, int aVersion)
+{
+  std::string text = "{\"version\":" + std::to_string(aVersion) + ",\"routes\":[\n";
+  for (int index = 0; index < aRoutes; ++index) {
+    const std::uint64_t random = HashBytes(std::to_string(index));
+    text += "{\"name\":\"r-" + std::to_string(random % 10'000'000) +
+            "\",\"host\":\"service.example\",\"path_prefix\":\"/" + std::to_string(random) +
+            "/\",\"kind\":\"idempotent\",\"timeout_ms\":1500,\"goal_ms\":300,\"priority\":2,"
+            "\"service\":\"portal\",\"attempts\":2,\"resumable\":false,\"anonymous\":true},\n";
+  }
+  return text + "]}";
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(MembershipServiceTests, Fleet)
@@ -135,6 +150,46 @@
   BOOST_TEST(fetched == 1);
 }
 
+// Guards against versions of a large state that each cost every daemon the whole state on its link
+BOOST_AUTO_TEST_CASE(VersionOfALargeStateCostsALinkWhatItChanges, *boost::unit_test::disabled())
+{
+  constexpr std::uint64_t kMaximumBytes = 15'000;
+  const auto hasVersion = [](MembershipService& aDaemon, std::atomic<std::int64_t>& aVersion) {
+    aDaemon.OnState([&aVersion](const SharedState& aState) {
+      aVersion = aState.version;
+      return true;
+    });
+  };
+  std::atomic<std::int64_t> received{ -1 };
+  this->daemons[3]->Loop().Run([&] { hasVersion(*this->daemons[3], received); });
+  const auto receivedBytes = [&] {
+    std::uint64_t bytes = 0;
+    this->daemons[3]->Loop().Run([&] { bytes = this->daemons[3]->Counters().streamBytesReceived; });
+    return bytes;
+  };
+  this->daemons[0]->PublishState({ "config/market", 1, LargeState(1'400, 1) });
+  BOOST_TEST(this->AllEventually([&](const MembershipService&) { return received == 1; }));
+  const std::uint64_t before = receivedBytes();
+  this->daemons[0]->PublishState({ "config/market", 2, LargeState(1'400, 2) });
+  BOOST_TEST(this->AllEventually([&](const MembershipService&) { return received == 2; }));
+  BOOST_TEST(receivedBytes() - before <= kMaximumBytes);
+}
+
+// Guards against states that never arrive, as they exceed the largest message between daemons
+BOOST_AUTO_TEST_CASE(StateLargerThanAMessageArrives, *boost::unit_test::disabled())
+{
+  std::atomic<std::int64_t> received{ -1 };
+  this->daemons[3]->Loop().Run([&] {
+    this->daemons[3]->OnState([&](const SharedState& aState) {
+      BOOST_TEST(aState.bytes == LargeState(12'000, 1));
+      received = aState.version;
+      return true;
+    });
+  });
+  this->daemons[0]->PublishState({ "config/market", 1, LargeState(12'000, 1) });
+  BOOST_TEST(this->AllEventually([&](const MembershipService&) { return received == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(SoftRecordIsFoundThroughAnyDaemonAfterItsServerStopped)
 {
   BOOST_TEST(this->AllEventually(
