--- a/Lagoonward/Membership/MembershipService.cpp
+++ b/Lagoonward/Membership/MembershipService.cpp
@@ -229,7 +229,7 @@
 {
   this->SendProbes();
   this->PublishPeers();
-  this->exchange.JoinIfNeeded();
+  this->exchange.OnTick();
   this->StartPolls();
   if (this->clock.Now() - this->lastLoadSend >= this->settings.loads.loadSendInterval) {
     this->lastLoadSend = this->clock.Now();
--- a/Lagoonward/Membership/MembershipService.h
+++ b/Lagoonward/Membership/MembershipService.h
@@ -87,6 +87,9 @@
   /// (malformed), the state is neither stored nor forwarded.
   void OnState(SharedStates::Validator aHandler);
 
+  /// Last time at which a part of a shared state arrived from a peer; TimePoint::min() before the first. Any thread.
+  [[nodiscard]] TimePoint LastStateProgress() const { return this->exchange.LastStateProgress(); }
+
   /// Sets the handler for changed endpoint facts, called on the control thread: immediately for states, at most once
   /// per tick for loads.
   void OnEndpoints(std::function<void()> aHandler);
--- a/Lagoonward/Membership/MembershipSettings.h
+++ b/Lagoonward/Membership/MembershipSettings.h
@@ -92,6 +92,9 @@
   Milliseconds tick{ 100 };            ///< Resolution of the control thread's periodic work.
   Milliseconds requestTimeout{ 2000 }; ///< For a request between daemons.
 
+  /// A transfer of a shared state that has not progressed for this long is started from another daemon as well.
+  Milliseconds stateHedgeDelay{ 400 };
+
   /// A digest mismatch is repaired only after the local digest was unchanged this long, because updates in flight
   /// resolve most differences.
   Milliseconds repairDelay{ 500 };
--- a/Lagoonward/Membership/Messages.h
+++ b/Lagoonward/Membership/Messages.h
@@ -12,7 +12,7 @@
 namespace lagoonward {
 
 /// Version of the protocol between daemons. Messages of any other version are rejected.
-inline constexpr std::uint16_t kProtocolVersion = 1;
+inline constexpr std::uint16_t kProtocolVersion = 2;
 
 template<class Archive>
 void
@@ -253,7 +253,7 @@
   }
 };
 
-/// Requests one item by its 64-bit hash: a shared state by its topic, or a profile.
+/// Requests a profile by its hash.
 struct LookupRequest
 {
   std::uint64_t key = 0;
@@ -278,12 +278,56 @@
 
   [[nodiscard]] std::uint64_t Topic() const { return HashBytes(this->name); }
   [[nodiscard]] bool IsRegional() const { return this->name.starts_with(kRegionalPrefix); }
+};
+
+/// Identifies the content of a shared state. The digest distinguishes contents under the same version number.
+struct StateVersion
+{
+  std::int64_t version = -1;
+  std::uint64_t digest = 0; ///< HashBytes() of the content.
+
+  /// Whether it identifies no content.
+  [[nodiscard]] bool IsEmpty() const { return this->version < 0; }
+
+  bool operator==(const StateVersion& aOther) const = default;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->version, this->digest);
+  }
+};
+
+/// Requests a piece of a shared state.
+struct StateRequest
+{
+  std::uint64_t topic = 0;
+  StateVersion base;    ///< Version that the requester has; empty for none.
+  StateVersion version; ///< Version of the earlier pieces; empty to request the newest.
+  std::uint64_t offset = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->topic, this->base, this->version, this->offset);
+  }
+};
+
+/// A piece of the newest version of a shared state, encoded relative to its base (EncodeDelta()).
+struct StatePiece
+{
+  std::string name;
+  StateVersion version;
+  StateVersion base; ///< Empty if the state is sent as a whole.
+  std::uint64_t offset = 0;
+  std::uint64_t totalBytes = 0; ///< Of the encoded state.
+  std::string bytes;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     SerializeBytes<std::uint8_t>(aArchive, this->name);
-    aArchive(this->version);
+    aArchive(this->version, this->base, this->offset, this->totalBytes);
     SerializeBytes<std::uint32_t>(aArchive, this->bytes);
   }
 };
--- a/Lagoonward/Membership/PeerExchange.cpp
+++ b/Lagoonward/Membership/PeerExchange.cpp
@@ -21,7 +21,12 @@
   , components(aComponents)
   , settings(aSettings)
   , onUpdate(std::move(aOnUpdate))
-  , log("membership")
+  , stateTransfer(aClock, { aComponents.transport, aComponents.peers, aComponents.states },
+                  aSettings,
+                  [this](const SharedState& aState) {
+                    this->QueueAnnouncement(aState);
+                    this->onUpdate();
+                  })
   , digestSince(aClock.Now())
   , lastRepair(aClock.Now())
 {
@@ -40,10 +45,7 @@
                       [this](PeerKey aSender, std::string_view aBytes, const Respond& aRespond) {
                         this->HandleStates(aSender, aBytes, aRespond);
                       });
-  transport.OnRequest(RequestType::SharedState,
-                      [this](PeerKey, std::string_view aBytes, const Respond& aRespond) {
-                        this->HandleSharedState(aBytes, aRespond);
-                      });
+  this->stateTransfer.Register();
   transport.OnRequest(RequestType::Models,
                       [this](PeerKey, std::string_view aBytes, const Respond& aRespond) {
                         this->HandleProfile(aBytes, aRespond);
@@ -109,29 +111,14 @@
 void
 PeerExchange::HandleAnnouncement(PeerKey aPeer, const VersionAnnouncement& aAnnouncement)
 {
-  const std::uint64_t fetchKey =
-    CombineHashes(aAnnouncement.topic, static_cast<std::uint64_t>(aAnnouncement.version));
-  if (!this->components.states.IsNewer(aAnnouncement) || !this->BeginFetch(fetchKey)) {
-    return;
-  }
-  this->SendRequest(
-    aPeer, RequestType::SharedState, EncodeMessage(LookupRequest{ aAnnouncement.topic }),
-    [this, fetchKey, version = aAnnouncement.version,
-     startedAt = this->clock.Now()](const Result<std::string>& aResponse) {
-      this->pendingFetches.erase(fetchKey);
-      const auto took = std::chrono::floor<Milliseconds>(this->clock.Now() - startedAt);
-      if (aResponse) {
-        this->log.Event("state_received", { { "version", version },
-                                            { "bytes", aResponse.value().size() },
-                                            { "took_ms", took.count() } });
-        this->ApplySharedState(aResponse.value());
-      } else {
-        this->log.Event(LogLevel::Warning, "state_fetch_failed",
-                        { { "version", version },
-                          { "reason", aResponse.error().message },
-                          { "took_ms", took.count() } });
-      }
-    });
+  this->stateTransfer.OnAnnouncement(aPeer, aAnnouncement);
+}
+
+void
+PeerExchange::OnTick()
+{
+  this->JoinIfNeeded();
+  this->stateTransfer.OnTick();
 }
 
 PeerExchange::Announcements
@@ -244,20 +231,6 @@
   aRespond(EncodeMessage(this->CollectStates(this->components.peers.IsRegional(aSender))));
 }
 
-void
-PeerExchange::HandleSharedState(std::string_view aBytes, const PeerTransport::Responder& aRespond)
-{
-  const auto lookup = DecodeMessage<LookupRequest>(aBytes);
-  const SharedState* const state =
-    lookup ? this->components.states.Find(lookup.value().key) : nullptr;
-  if (state == nullptr) {
-    aRespond(
-      Error(ErrorKind::InvalidRequest, "no shared state with the requested topic is known here"));
-    return;
-  }
-  aRespond(EncodeMessage(*state));
-}
-
 void
 PeerExchange::HandleProfile(std::string_view aBytes, const PeerTransport::Responder& aRespond)
 {
@@ -330,19 +303,6 @@
   this->onUpdate();
 }
 
-void
-PeerExchange::ApplySharedState(std::string_view aBytes)
-{
-  auto state = DecodeMessage<SharedState>(aBytes);
-  if (!state) {
-    return;
-  }
-  if (this->components.states.Adopt(state.value())) {
-    this->QueueAnnouncement(state.value());
-    this->onUpdate();
-  }
-}
-
 void
 PeerExchange::SendRequest(PeerKey aPeer, RequestType aType, std::string aBytes,
                           PeerTransport::ResponseHandler aHandler)
--- a/Lagoonward/Membership/PeerExchange.h
+++ b/Lagoonward/Membership/PeerExchange.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "Lagoonward/Core/Log.h"
 #include "Lagoonward/Membership/EndpointMonitor.h"
 #include "Lagoonward/Membership/MembershipSettings.h"
 #include "Lagoonward/Membership/PeerTable.h"
 #include "Lagoonward/Membership/PeerTransport.h"
 #include "Lagoonward/Membership/SharedStates.h"
 #include "Lagoonward/Membership/SoftRecords.h"
+#include "Lagoonward/Membership/StateTransfer.h"
 
 #include <functional>
 #include <optional>
@@ -40,15 +40,14 @@
   /// Registers the request handlers with the transport.
   void Register();
 
-  /// Requests the full state from one daemon. Stops after one success; after a failure, a later call
-  /// tries the next daemon.
-  void JoinIfNeeded();
+  /// Joins if that is still due, and continues transfers of states. Must be called every tick.
+  void OnTick();
 
   /// Compares a peer's digest with the local one. If they still differ after the local digest has been
   /// unchanged for a while, both sides exchange their states and versions.
   void CompareDigest(PeerKey aPeer, std::uint64_t aDigest);
 
-  /// Handles the announcement of a version that a peer has; fetches the state if it is newer.
+  /// Handles the announcement of a version that a peer has; requests the state if it is newer.
   void HandleAnnouncement(PeerKey aPeer, const VersionAnnouncement& aAnnouncement);
 
   /// Versions to announce with the next updates.
@@ -75,16 +74,20 @@
   /// only for daemons of this region.
   [[nodiscard]] std::uint64_t DigestFor(PeerKey aPeer) const;
 
+  /// See StateTransfer::LastProgress(). Any thread.
+  [[nodiscard]] TimePoint LastStateProgress() const { return this->stateTransfer.LastProgress(); }
+
 private:
+  /// Requests the full state from one daemon. Stops after one success; after a failure, a later call
+  /// tries the next daemon.
+  void JoinIfNeeded();
   void HandleJoin(std::string_view aBytes, const PeerTransport::Responder& aRespond);
   void HandleStates(PeerKey aSender, std::string_view aBytes,
                     const PeerTransport::Responder& aRespond);
-  void HandleSharedState(std::string_view aBytes, const PeerTransport::Responder& aRespond);
   void HandleProfile(std::string_view aBytes, const PeerTransport::Responder& aRespond);
   void HandleRecord(std::string_view aBytes, const PeerTransport::Responder& aRespond);
   void Repair(PeerKey aPeer);
   void ApplyExchange(PeerKey aPeer, const StateExchange& aExchange);
-  void ApplySharedState(std::string_view aBytes);
   void SendRequest(PeerKey aPeer, RequestType aType, std::string aBytes,
                    PeerTransport::ResponseHandler aHandler);
   [[nodiscard]] bool BeginFetch(std::uint64_t aKey);
@@ -94,12 +97,11 @@
   Components components;
   const MembershipSettings& settings;
   std::function<void()> onUpdate;
-  Log log;
-  Announcements announcements; ///< Announcements to disseminate.
-  std::unordered_map<std::uint64_t, TimePoint>
-    pendingFetches;             ///< States and profiles requested, by key.
-  std::uint64_t lastDigest = 0; ///< Of all states and versions.
-  TimePoint digestSince;        ///< When the local digest became lastDigest.
+  StateTransfer stateTransfer;
+  Announcements announcements;                                 ///< Announcements to disseminate.
+  std::unordered_map<std::uint64_t, TimePoint> pendingFetches; ///< Profiles requested, by key.
+  std::uint64_t lastDigest = 0;                                ///< Of all states and versions.
+  TimePoint digestSince; ///< When the local digest became lastDigest.
   TimePoint lastRepair;
   std::optional<TimePoint> lastJoin;
   std::size_t joinAttempts = 0;
--- a/Lagoonward/Membership/SharedStates.cpp
+++ b/Lagoonward/Membership/SharedStates.cpp
@@ -1,9 +1,14 @@
 #include "Lagoonward/Membership/SharedStates.h"
 
+#include <algorithm>
+
 namespace lagoonward {
 
 namespace {
 
+/// Versions before the latest whose content is retained: peers that request the latest are rarely further behind.
+constexpr std::size_t kRetainedVersions = 3;
+
 std::uint64_t
 VersionHash(std::uint64_t aTopic, std::int64_t aVersion)
 {
@@ -47,7 +52,31 @@
 SharedStates::Find(std::uint64_t aTopic) const
 {
   const auto found = this->states.find(aTopic);
-  return found == this->states.end() ? nullptr : &found->second;
+  return found == this->states.end() ? nullptr : &found->second.latest;
+}
+
+StateVersion
+SharedStates::VersionOf(std::uint64_t aTopic) const
+{
+  const auto found = this->states.find(aTopic);
+  return found == this->states.end() ? StateVersion{} : found->second.version;
+}
+
+const std::string*
+SharedStates::FindBytes(std::uint64_t aTopic, const StateVersion& aVersion) const
+{
+  const auto found = this->states.find(aTopic);
+  if (found == this->states.end()) {
+    return nullptr;
+  }
+  if (found->second.version == aVersion) {
+    return &found->second.latest.bytes;
+  }
+  const auto& retained = found->second.retained;
+  const auto earlier =
+    std::find_if(retained.begin(), retained.end(),
+                 [&](const RetainedVersion& aEach) { return aEach.version == aVersion; });
+  return earlier == retained.end() ? nullptr : &earlier->bytes;
 }
 
 std::vector<VersionAnnouncement>
@@ -55,8 +84,8 @@
 {
   std::vector<VersionAnnouncement> announcements;
   for (const auto& [topic, state] : this->states) {
-    if (aWithRegional || !state.IsRegional()) {
-      announcements.push_back({ topic, state.version });
+    if (aWithRegional || !state.latest.IsRegional()) {
+      announcements.push_back({ topic, state.latest.version });
     }
   }
   return announcements;
@@ -75,14 +104,19 @@
   if (!this->IsNewer({ topic, aState.version })) {
     return false;
   }
-  SharedState& slot = this->states[topic];
+  StoredState& slot = this->states[topic];
   std::uint64_t& digest = aState.IsRegional() ? this->regionalDigest : this->globalDigest;
   // Exclusive or removes the old version and adds the new one, independent of the order of topics
-  if (!slot.name.empty()) {
-    digest ^= VersionHash(topic, slot.version);
+  if (!slot.latest.name.empty()) {
+    digest ^= VersionHash(topic, slot.latest.version);
+    slot.retained.push_back({ slot.version, std::move(slot.latest.bytes) });
+    if (slot.retained.size() > kRetainedVersions) {
+      slot.retained.erase(slot.retained.begin());
+    }
   }
   digest ^= VersionHash(topic, aState.version);
-  slot = std::move(aState);
+  slot.version = { aState.version, HashBytes(aState.bytes) };
+  slot.latest = std::move(aState);
   return true;
 }
 
--- a/Lagoonward/Membership/SharedStates.h
+++ b/Lagoonward/Membership/SharedStates.h
@@ -3,11 +3,14 @@
 #include "Lagoonward/Membership/Messages.h"
 
 #include <functional>
+#include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace lagoonward {
 
-/// Latest version of each shared state, by topic. Versions only increase. Performs no I/O. Not thread-safe.
+/// Latest version of each shared state, by topic, and the content of a few versions before. Versions only increase.
+/// Performs no I/O. Not thread-safe.
 class SharedStates
 {
 public:
@@ -29,6 +32,13 @@
   /// The state of a topic, or nullptr.
   [[nodiscard]] const SharedState* Find(std::uint64_t aTopic) const;
 
+  /// Identifies the stored content of a topic; empty if there is none.
+  [[nodiscard]] StateVersion VersionOf(std::uint64_t aTopic) const;
+
+  /// The content of a topic's stored or retained version, or nullptr.
+  [[nodiscard]] const std::string* FindBytes(std::uint64_t aTopic,
+                                             const StateVersion& aVersion) const;
+
   /// The versions of all topics.
   /// @param aWithRegional  whether to include topics that are not sent to other regions
   [[nodiscard]] std::vector<VersionAnnouncement> VersionAnnouncements(bool aWithRegional) const;
@@ -37,10 +47,24 @@
   [[nodiscard]] std::uint64_t Digest(bool aWithRegional) const;
 
 private:
+  /// Content of a version before the latest.
+  struct RetainedVersion
+  {
+    StateVersion version;
+    std::string bytes;
+  };
+
+  struct StoredState
+  {
+    SharedState latest;
+    StateVersion version;                  ///< Of the latest.
+    std::vector<RetainedVersion> retained; ///< Oldest first.
+  };
+
   [[nodiscard]] bool Store(SharedState aState);
 
   Validator validator;
-  std::unordered_map<std::uint64_t, SharedState> states; ///< By topic.
+  std::unordered_map<std::uint64_t, StoredState> states; ///< By topic.
   std::uint64_t globalDigest = 0;
   std::uint64_t regionalDigest = 0;
 };
--- a/UnitTests/Membership/MembershipServiceTests.cpp
+++ b/UnitTests/Membership/MembershipServiceTests.cpp
@@ -151,7 +151,7 @@
 }
 
 // Guards against versions of a large state that each cost every daemon the whole state on its link
-BOOST_AUTO_TEST_CASE(VersionOfALargeStateCostsALinkWhatItChanges, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(VersionOfALargeStateCostsALinkWhatItChanges)
 {
   constexpr std::uint64_t kMaximumBytes = 15'000;
   const auto hasVersion = [](MembershipService& aDaemon, std::atomic<std::int64_t>& aVersion) {
@@ -176,7 +176,7 @@
 }
 
 // Guards against states that never arrive, as they exceed the largest message between daemons
-BOOST_AUTO_TEST_CASE(StateLargerThanAMessageArrives, *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(StateLargerThanAMessageArrives)
 {
   std::atomic<std::int64_t> received{ -1 };
   this->daemons[3]->Loop().Run([&] {
@@ -190,6 +190,22 @@
   BOOST_TEST(this->AllEventually([&](const MembershipService&) { return received == 1; }));
 }
 
+// Guards against a daemon that has another content under an earlier version number and would apply a difference to it
+BOOST_AUTO_TEST_CASE(DaemonWithAnotherContentUnderTheSameVersionReceivesTheWholeState)
+{
+  std::atomic<bool> hasLatest{ false };
+  this->daemons[3]->PublishState({ "config/market", 1, "another content" });
+  this->daemons[3]->Loop().Run([&] {
+    this->daemons[3]->OnState([&](const SharedState& aState) {
+      hasLatest = aState.version == 2 && aState.bytes == LargeState(100, 2);
+      return true;
+    });
+  });
+  this->daemons[0]->PublishState({ "config/market", 1, LargeState(100, 1) });
+  this->daemons[0]->PublishState({ "config/market", 2, LargeState(100, 2) });
+  BOOST_TEST(this->AllEventually([&](const MembershipService&) { return hasLatest.load(); }));
+}
+
 BOOST_AUTO_TEST_CASE(SoftRecordIsFoundThroughAnyDaemonAfterItsServerStopped)
 {
   BOOST_TEST(this->AllEventually(
--- a/UnitTests/Membership/SharedStatesTests.cpp
+++ b/UnitTests/Membership/SharedStatesTests.cpp
@@ -16,6 +16,24 @@
   BOOST_TEST(states.Find(SharedState{ "config/a", 0, "" }.Topic())->bytes == "six");
 }
 
+BOOST_AUTO_TEST_CASE(FewEarlierVersionsAreRetainedByContent)
+{
+  SharedStates states;
+  std::vector<StateVersion> versions;
+  const std::uint64_t topic = SharedState{ "a", 0, "" }.Topic();
+  for (int version = 1; version <= 6; ++version) {
+    std::ignore = states.Publish({ "a", version, "content " + std::to_string(version) });
+    versions.push_back(states.VersionOf(topic));
+  }
+  BOOST_TEST(*states.FindBytes(topic, versions[5]) == "content 6");
+  BOOST_TEST(*states.FindBytes(topic, versions[2]) == "content 3");
+  BOOST_TEST((states.FindBytes(topic, versions[1]) == nullptr));
+  // Another content under the same version number
+  BOOST_TEST((states.FindBytes(topic, { 6, versions[5].digest + 1 }) == nullptr));
+  BOOST_TEST((states.FindBytes(topic, {}) == nullptr));
+  BOOST_TEST(states.VersionOf(topic + 1).IsEmpty());
+}
+
 BOOST_AUTO_TEST_CASE(RejectedStateIsNeitherStoredNorInTheDigest)
 {
   SharedStates states;
