Configurations are decoded beside the control thread, and only their changed routes

The route of a request was searched among all routes of its host. Now routes whose text is unchanged are taken over from the record before, the rest is decoded on a thread of its own, and a route is found by its prefix's length. A daemon does not read the store while a version arrives from a peer.

--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -27,11 +27,13 @@
 /// Time left between the last response and the forced termination, for the responses to reach their callers.
 constexpr Milliseconds kResponseFlushMargin{ 900 };
 
-/// The time in which a configuration must be in force, divided by this, is the time that peers have to deliver a
-/// configuration whose version they have announced; afterwards it is read from the source. A configuration of a
-/// thousand routes has 250 KB, which take 0.2 s of a small host's link, and it passes through several hosts.
+/// The time in which a configuration must be in force, divided by this, is the time that peers have to begin to deliver a
+/// configuration whose version they have announced; afterwards it is read from the source.
 constexpr int kConfigurationWaitDivisor = 4;
 
+/// A transfer of a configuration whose last piece arrived a shorter time ago is still in progress.
+constexpr Milliseconds kTransferPause{ 300 };
+
 /// The number of daemons changes with the time as well, without any event.
 constexpr Milliseconds kDaemonCountInterval{ 500 };
 
@@ -83,6 +85,14 @@
   this->relay->SetSnapshotGuard(this->endpointReplicator->Guard());
   this->BuildLeaderTasks();
   this->BuildServers();
+  this->configurationLoader = std::make_unique<ConfigurationLoader>(
+    this->ports.decodeConfiguration,
+    [this](LoadedConfiguration aLoaded) {
+      this->membership->Loop().Run(
+        [this, &aLoaded] { this->ApplyConfiguration(std::move(aLoaded)); });
+    },
+    this->clock);
+  this->configurationLoader->Start();
   if (auto started = this->kernel.StartAll(); !started) {
     return started;
   }
@@ -131,7 +141,11 @@
   this->membership = &this->kernel.Add(std::make_unique<MembershipService>(
     this->clock, std::move(identity), std::move(keys.value()), MembershipSettings{}, poll));
   this->membership->OnState([this](const SharedState& aState) {
-    return aState.name == kConfigurationState && this->ApplyConfiguration(aState.bytes, true);
+    if (aState.name != kConfigurationState) {
+      return false;
+    }
+    this->OnPeerConfiguration(aState);
+    return true;
   });
   this->membership->OnPeers([this](const PeerViewPtr& aView) {
     this->market->SetLiveDaemons(static_cast<int>(aView->peers.size()) + 1);
@@ -295,30 +309,34 @@
 void
 RelayDaemon::OnConfiguration(const std::string& aText)
 {
-  this->membership->Loop().Run(
-    [this, &aText] { static_cast<void>(this->ApplyConfiguration(aText, false)); });
+  this->configurationLoader->Submit(aText, false);
 }
 
-bool
-RelayDaemon::ApplyConfiguration(const std::string& aText, bool aFromPeer)
+void
+RelayDaemon::OnPeerConfiguration(const SharedState& aState)
 {
-  // The same text arrives several times, from the source and from peers; decoding a large one stalls a small host
-  if (aText == this->configurationTextInForce) {
-    return false;
-  }
-  const TimePoint decodedFrom = this->clock.Now();
-  auto decoded = this->ports.decodeConfiguration(aText);
-  const auto decodeTime = std::chrono::floor<Milliseconds>(this->clock.Now() - decodedFrom);
-  if (!decoded) {
-    kLog.Event(LogLevel::Warning, "configuration_refused",
-               { { "reason", decoded.error().message }, { "from_peer", aFromPeer } });
-    return false;
+  this->receivedConfiguration = aState.version;
+  this->configurationLoader->Submit(aState.bytes, true);
+}
+
+void
+RelayDaemon::ApplyConfiguration(LoadedConfiguration aLoaded)
+{
+  if (!aLoaded.configuration) {
+    kLog.Event(
+      LogLevel::Warning, "configuration_refused",
+      { { "reason", aLoaded.configuration.error().message }, { "from_peer", aLoaded.fromPeer } });
+    if (aLoaded.fromPeer) {
+      this->receivedConfiguration = -1;
+    }
+    return;
   }
-  const auto next = std::make_shared<const RelayConfiguration>(std::move(decoded.value()));
+  const auto next =
+    std::make_shared<const RelayConfiguration>(std::move(aLoaded.configuration.value()));
   const std::int64_t version = next->routes->Version();
   const RelayConfigurationPtr current = this->ConfigurationInForce();
   if (current != nullptr && version <= current->routes->Version()) {
-    return false;
+    return;
   }
   // Accounts first, as a request under the new routes needs its account
   auto configuration = std::make_shared<Configuration>();
@@ -327,23 +345,22 @@
   configuration->manifest = next->manifest;
   this->market->ApplyConfiguration(configuration);
   std::atomic_store(&this->configurationInForce, next);
-  this->configurationTextInForce = aText;
   this->PublishFleet();
   kLog.Event("configuration", { { "version", version },
-                                { "from_peer", aFromPeer },
+                                { "from_peer", aLoaded.fromPeer },
                                 { "before", current ? current->routes->Version() : -1 },
-                                { "bytes", aText.size() },
-                                { "decode_ms", decodeTime.count() } });
+                                { "bytes", aLoaded.text.size() },
+                                { "decode_ms", aLoaded.decodeTime.count() } });
   for (const ManifestClient& client : next->manifest.clients) {
     kLog.Event("limit", { { "configuration", version },
                           { "account", client.name },
                           { "tokens_per_second", client.tokensPerSecond },
                           { "burst", client.burstTokens } });
   }
-  if (!aFromPeer) {
-    this->membership->PublishState({ std::string(kConfigurationState), version, aText });
+  if (!aLoaded.fromPeer) {
+    this->membership->PublishState(
+      { std::string(kConfigurationState), version, std::move(aLoaded.text) });
   }
-  return true;
 }
 
 void
@@ -408,7 +425,10 @@
     return false;
   }
   const TimePoint now = this->clock.Now();
-  if (this->endpointReplicator->NewestPeerConfiguration() <= this->ConfigurationVersion()) {
+  const std::int64_t known =
+    std::max(this->ConfigurationVersion(), this->receivedConfiguration.load());
+  const bool isArriving = now - this->membership->LastStateProgress() <= kTransferPause;
+  if (this->endpointReplicator->NewestPeerConfiguration() <= known || isArriving) {
     this->upToDateAt = now;
   }
   return now - this->upToDateAt <= this->settings.configurationNotice / kConfigurationWaitDivisor;
@@ -545,6 +565,9 @@
       (*server)->Stop();
     }
   }
+  if (this->configurationLoader != nullptr) {
+    this->configurationLoader->Stop();
+  }
   this->kernel.StopAll();
 }
 
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Core/Kernel.h"
+#include "Lagoonward/Daemon/ConfigurationLoader.h"
 #include "Lagoonward/Daemon/CrashExchange.h"
 #include "Lagoonward/Daemon/EndpointReplicator.h"
 #include "Lagoonward/Daemon/LimitTokenExchange.h"
@@ -39,8 +40,8 @@
   void Drain();
   void Stop();
 
-  /// A configuration was read, with its text as it was published. One older than the configuration in force has no
-  /// effect.
+  /// A configuration was read, with its text as it was published. It is decoded in the background; one older than the
+  /// configuration in force has no effect.
   void OnConfiguration(const std::string& aText);
 
   /// A record of an endpoint was read. See EndpointReplicator for this and the next three.
@@ -95,7 +96,9 @@
   void BuildLeaderTasks();
   void BuildServers();
   void HandleCall(HttpRequest aRequest, const HttpExchangePtr& aExchange);
-  [[nodiscard]] bool ApplyConfiguration(const std::string& aText, bool aFromPeer);
+  /// Queues the text of a configuration that another daemon sent.
+  void OnPeerConfiguration(const SharedState& aState);
+  void ApplyConfiguration(LoadedConfiguration aLoaded);
   void PublishFleet();
   void ApplyDaemonList();
   /// Passes the number of daemons that may share clients' limits to the admission.
@@ -132,10 +135,12 @@
   std::atomic<bool> knowsEndpoints{ false };
   std::atomic<bool> draining{ false };
   std::atomic<bool> rejectsRequests{ false }; ///< The drain has no time left for new requests.
-  std::string configurationTextInForce;       ///< As published. Control thread only.
-  std::vector<HostEntry> listedDaemons;       ///< From OnDaemonList(). Control thread only.
-  std::string incarnation;                    ///< Identifies this run of this daemon.
-  DaemonCountEstimator daemonCount;           ///< Control thread only.
+  std::unique_ptr<ConfigurationLoader> configurationLoader;
+  /// Newest version that was received from another daemon, decoded or not; -1 if it could not be decoded.
+  std::atomic<std::int64_t> receivedConfiguration{ -1 };
+  std::vector<HostEntry> listedDaemons; ///< From OnDaemonList(). Control thread only.
+  std::string incarnation;              ///< Identifies this run of this daemon.
+  DaemonCountEstimator daemonCount;     ///< Control thread only.
   TimePoint
     upToDateAt; ///< Last time without a newer configuration at a peer. ReceivesConfigurationsFromPeers() only.
   std::vector<SocketAddress> seeds; ///< As in the newest settings. Control thread only.
--- a/Lagoonward/Daemon/RelayPorts.h
+++ b/Lagoonward/Daemon/RelayPorts.h
@@ -33,6 +33,7 @@
 {
   AnyCallerDialect callers;
   AnyEndpointDialect endpoints;
+  /// Called by one thread at a time.
   std::function<Result<RelayConfiguration>(std::string_view aText)> decodeConfiguration;
   std::function<Result<Endpoint>(const EndpointRecord&)> decodeEndpoint;
   LeaderTaskPorts leaderTasks;
--- a/Lagoonward/Relay/RelayRoutes.cpp
+++ b/Lagoonward/Relay/RelayRoutes.cpp
@@ -1,6 +1,5 @@
 #include "Lagoonward/Relay/RelayRoutes.h"
 
-#include <algorithm>
 #include <cassert>
 #include <cmath>
 
@@ -30,14 +29,12 @@
 }
 
 void
-RelayRoutes::AddRoute(RelayRoute aRoute)
+RelayRoutes::AddRoute(RelayRoutePtr aRoute)
 {
-  auto& hostRoutes = this->routes[aRoute.host];
-  const auto place =
-    std::find_if(hostRoutes.begin(), hostRoutes.end(), [&](const RelayRoutePtr& aOther) {
-      return aOther->prefix.size() < aRoute.prefix.size();
-    });
-  hostRoutes.insert(place, std::make_shared<const RelayRoute>(std::move(aRoute)));
+  HostRoutes& hostRoutes = this->routes[aRoute->host];
+  const std::string_view prefix = aRoute->prefix;
+  hostRoutes.prefixLengths.insert(prefix.size());
+  hostRoutes.byPrefix.emplace(prefix, std::move(aRoute));
 }
 
 void
@@ -56,10 +53,15 @@
   if (hostRoutes == this->routes.end()) {
     return nullptr;
   }
-  const auto found =
-    std::find_if(hostRoutes->second.begin(), hostRoutes->second.end(),
-                 [&](const RelayRoutePtr& aRoute) { return aPath.starts_with(aRoute->prefix); });
-  return found == hostRoutes->second.end() ? nullptr : *found;
+  for (const std::size_t length : hostRoutes->second.prefixLengths) {
+    const auto found = length > aPath.size()
+                         ? hostRoutes->second.byPrefix.end()
+                         : hostRoutes->second.byPrefix.find(aPath.substr(0, length));
+    if (found != hostRoutes->second.byPrefix.end()) {
+      return found->second;
+    }
+  }
+  return nullptr;
 }
 
 const RelayAccount*
--- a/Lagoonward/Relay/RelayRoutes.h
+++ b/Lagoonward/Relay/RelayRoutes.h
@@ -3,10 +3,13 @@
 #include "Lagoonward/Core/Clock.h"
 #include "Lagoonward/Core/Result.h"
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -78,7 +81,8 @@
   /// @param aVersion  configuration version; higher is newer
   explicit RelayRoutes(std::int64_t aVersion);
 
-  void AddRoute(RelayRoute aRoute);
+  /// Of two routes with the same host and prefix the first counts.
+  void AddRoute(RelayRoutePtr aRoute);
   void AddAccount(RelayAccount aAccount, const std::vector<std::string>& aKeys);
 
   [[nodiscard]] std::int64_t Version() const { return this->version; }
@@ -94,9 +98,15 @@
   [[nodiscard]] bool HasAccounts() const { return !this->accounts.empty(); }
 
 private:
+  /// Routes of one host. A lookup takes one step for each length of a prefix, whatever the number of routes.
+  struct HostRoutes
+  {
+    std::set<std::size_t, std::greater<>> prefixLengths;
+    std::unordered_map<std::string_view, RelayRoutePtr> byPrefix; ///< Keys refer to the routes.
+  };
+
   std::int64_t version;
-  /// Routes of each host, longest prefix first.
-  std::map<std::string, std::vector<RelayRoutePtr>, std::less<>> routes;
+  std::map<std::string, HostRoutes, std::less<>> routes; ///< By host.
   std::vector<RelayAccount> accounts;
   std::unordered_map<std::string, std::size_t> accountByKey; ///< Index into `accounts`.
 };
--- a/UnitTests/Relay/RelayRoutesTests.cpp
+++ b/UnitTests/Relay/RelayRoutesTests.cpp
@@ -6,6 +6,12 @@
 
 namespace {
 
+RelayRoutePtr
+ShareRoute(RelayRoute aRoute)
+{
+  return std::make_shared<const RelayRoute>(std::move(aRoute));
+}
+
 RelayRoute
 MakeRoute(std::string aName, std::string aPrefix)
 {
@@ -24,9 +30,9 @@
 BOOST_AUTO_TEST_CASE(FindRouteSelectsTheLongestPrefixOfTheHost)
 {
   RelayRoutes routes(7);
-  routes.AddRoute(MakeRoute("short", "/a/"));
-  routes.AddRoute(MakeRoute("long", "/a/b/"));
-  routes.AddRoute(MakeRoute("middle", "/a/bc/"));
+  routes.AddRoute(ShareRoute(MakeRoute("short", "/a/")));
+  routes.AddRoute(ShareRoute(MakeRoute("long", "/a/b/")));
+  routes.AddRoute(ShareRoute(MakeRoute("middle", "/a/bc/")));
   BOOST_TEST(routes.FindRoute("a.example", "/a/b/c")->name == "long");
   BOOST_TEST(routes.FindRoute("a.example", "/a/bc/")->name == "middle");
   BOOST_TEST(routes.FindRoute("a.example", "/a/b")->name == "short");
