A response of the platform that keeps arriving is not cut off by the timeout of a call

Cause: a call to the store was given up 0.7 s after it was made; 0.5 MB and more on a 10 Mbit/s link beside other traffic never arrived in that time. Now the timeout counts from the last part that arrived, up to 20 timeouts in all. Both tests failed before.

--- a/Lagoonward/Providers/PlatformHttpClient.cpp
+++ b/Lagoonward/Providers/PlatformHttpClient.cpp
@@ -6,7 +6,9 @@
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cctype>
+#include <chrono>
 
 namespace lagoonward {
 
@@ -23,6 +25,12 @@
 /// A connection without acknowledgements for this long is treated as lost. Covers two probes.
 constexpr unsigned kUnacknowledgedTimeoutMilliseconds = 2000;
 
+/// A response that arrives part by part must be complete within this many call timeouts.
+constexpr int kSlowestResponse = 20;
+
+/// Interval at which a transfer checks whether it was interrupted.
+constexpr Milliseconds kInterruptCheckInterval{ 1000 };
+
 /// State of one call that libcurl's callbacks use.
 struct Transfer
 {
@@ -30,7 +38,6 @@
   std::size_t maxBytes = 0;
   bool discardsBody = false;
   bool tooLong = false;
-  const std::atomic<bool>* interrupted = nullptr;
 };
 
 std::size_t
@@ -49,13 +56,6 @@
   return bytes;
 }
 
-int
-CheckInterrupted(void* aTransfer, curl_off_t /*aDownTotal*/, curl_off_t /*aDown*/,
-                 curl_off_t /*aUpTotal*/, curl_off_t /*aUp*/)
-{
-  return static_cast<Transfer*>(aTransfer)->interrupted->load() ? 1 : 0;
-}
-
 /// Returns whether a body is `{"error":{"kind":…}}` with the given kind.
 bool
 HasErrorKind(const std::string& aBody, const std::string& aKind)
@@ -89,7 +89,7 @@
 void
 SetOptions(CURL* aHandle, const PlatformCall& aCall, const PlatformSettings& aSettings)
 {
-  const auto timeout = aSettings.callTimeout + aCall.wait;
+  const auto timeout = kSlowestResponse * aSettings.callTimeout + aCall.wait;
   curl_easy_setopt(aHandle, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(aHandle, CURLOPT_PROXY, "");
   curl_easy_setopt(aHandle, CURLOPT_PROTOCOLS_STR, "http,https");
@@ -116,9 +116,6 @@
 {
   curl_easy_setopt(aHandle, CURLOPT_WRITEFUNCTION, &ReceiveBody);
   curl_easy_setopt(aHandle, CURLOPT_WRITEDATA, &aTransfer);
-  curl_easy_setopt(aHandle, CURLOPT_NOPROGRESS, 0L);
-  curl_easy_setopt(aHandle, CURLOPT_XFERINFOFUNCTION, &CheckInterrupted);
-  curl_easy_setopt(aHandle, CURLOPT_XFERINFODATA, &aTransfer);
 }
 
 struct HeaderListDeleter
@@ -160,7 +157,7 @@
     return Error(ErrorKind::PlatformUnavailable, "stopping");
   }
   Handle handle = this->AcquireHandle();
-  if (handle == nullptr) {
+  if (handle.easy == nullptr || handle.multi == nullptr) {
     return Error(ErrorKind::PlatformUnavailable, "failed to create a libcurl handle");
   }
 
@@ -170,17 +167,17 @@
   Transfer transfer;
   transfer.maxBytes = this->settings.maxBodyBytes;
   transfer.discardsBody = aCall.discardsBody;
-  transfer.interrupted = &this->interrupted;
-  curl_easy_reset(handle.get());
-  SetOptions(handle.get(), aCall, this->settings);
-  SetCallbacks(handle.get(), transfer);
-  curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
-  curl_easy_setopt(handle.get(), CURLOPT_HTTPHEADER, headers.get());
-  const CURLcode code = curl_easy_perform(handle.get());
+  CURL* const easy = handle.easy.get();
+  curl_easy_reset(easy);
+  SetOptions(easy, aCall, this->settings);
+  SetCallbacks(easy, transfer);
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers.get());
+  const CURLcode code = this->Perform(handle, aCall, transfer.body);
 
   // Evaluate the result
   long status = 0;
-  curl_easy_getinfo(handle.get(), CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
   const bool isIntendedAbort = transfer.discardsBody && code == CURLE_WRITE_ERROR;
   if (code != CURLE_OK && !isIntendedAbort) {
     this->CloseIdleHandles();
@@ -191,7 +188,7 @@
     status == kTooManyRequests || status == kRequestTimeout || status >= kFirstServerError;
   if (isUnavailable &&
       !(status == kUnavailable && HasErrorKind(transfer.body, aCall.expectedErrorKind))) {
-    const Error error = this->MakeUnavailableError(fmt::format("status {}", status), handle.get());
+    const Error error = this->MakeUnavailableError(fmt::format("status {}", status), easy);
     this->ReleaseHandle(std::move(handle));
     return error;
   }
@@ -199,6 +196,45 @@
   return PlatformResponse{ static_cast<int>(status), std::move(transfer.body) };
 }
 
+CURLcode
+PlatformHttpClient::Perform(const Handle& aHandle, const PlatformCall& aCall,
+                            const std::string& aBody) const
+{
+  CURLM* const multi = aHandle.multi.get();
+  curl_multi_add_handle(multi, aHandle.easy.get());
+  CURLcode code = CURLE_OPERATION_TIMEDOUT;
+  std::size_t received = 0;
+  auto silentSince = std::chrono::steady_clock::now();
+  auto timeout = this->settings.callTimeout + aCall.wait;
+  for (;;) {
+    int running = 0;
+    curl_multi_perform(multi, &running);
+    int remainingMessages = 0;
+    if (const CURLMsg* message = curl_multi_info_read(multi, &remainingMessages)) {
+      code = message->data.result;
+      break;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (aBody.size() != received) {
+      received = aBody.size();
+      silentSince = now;
+      timeout = this->settings.callTimeout;
+    }
+    const auto remaining = std::chrono::ceil<Milliseconds>(silentSince + timeout - now);
+    if (remaining <= Milliseconds(0)) {
+      break;
+    }
+    if (this->interrupted) {
+      code = CURLE_ABORTED_BY_CALLBACK;
+      break;
+    }
+    const auto wait = std::min(remaining, kInterruptCheckInterval);
+    curl_multi_poll(multi, nullptr, 0, static_cast<int>(wait.count()), nullptr);
+  }
+  curl_multi_remove_handle(multi, aHandle.easy.get());
+  return code;
+}
+
 void
 PlatformHttpClient::Interrupt()
 {
@@ -210,7 +246,10 @@
 {
   const std::lock_guard lock(this->mutex);
   if (this->idle.empty()) {
-    return Handle(curl_easy_init());
+    Handle handle;
+    handle.multi.reset(curl_multi_init());
+    handle.easy.reset(curl_easy_init());
+    return handle;
   }
   Handle handle = std::move(this->idle.back());
   this->idle.pop_back();
--- a/Lagoonward/Providers/PlatformHttpClient.h
+++ b/Lagoonward/Providers/PlatformHttpClient.h
@@ -47,19 +47,33 @@
 
   /// @return the response with any status, except that 408, 429, 5xx (unless the call expects its error
   ///         kind), timeouts and responses that are too long give PlatformUnavailable with `retryAfter`.
-  ///         Such a call may still have taken effect.
+  ///         Such a call may still have taken effect. A response that keeps arriving is not cut off by
+  ///         `callTimeout`, whatever its size.
   [[nodiscard]] Result<PlatformResponse> Call(const PlatformCall& aCall);
 
   /// Makes calls in progress and all later calls fail within about a second.
   void Interrupt();
 
 private:
-  struct HandleDeleter
+  struct EasyDeleter
   {
     void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
   };
-  using Handle = std::unique_ptr<CURL, HandleDeleter>;
+  struct MultiDeleter
+  {
+    void operator()(CURLM* aHandle) const { curl_multi_cleanup(aHandle); }
+  };
+
+  /// One libcurl transfer at a time, with the connections that it has opened.
+  struct Handle
+  {
+    std::unique_ptr<CURLM, MultiDeleter> multi;
+    std::unique_ptr<CURL, EasyDeleter> easy;
+  };
 
+  /// Runs a transfer that is set up, until it ends or no more of the response arrives in time.
+  [[nodiscard]] CURLcode Perform(const Handle& aHandle, const PlatformCall& aCall,
+                                 const std::string& aBody) const;
   [[nodiscard]] Handle AcquireHandle();
   void ReleaseHandle(Handle aHandle);
   void CloseIdleHandles();
--- a/UnitTests/Providers/HttpServicesTests.cpp
+++ b/UnitTests/Providers/HttpServicesTests.cpp
@@ -3,6 +3,7 @@
 #include "Lagoonward/Providers/HttpLogService.h"
 #include "Lagoonward/Providers/HttpWeightStore.h"
 #include "UnitTests/Support/FakeHttpServer.h"
+#include "UnitTests/Support/ScriptedServer.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -52,6 +53,47 @@
 
 BOOST_AUTO_TEST_SUITE(HttpServicesTests)
 
+// Guards against a large response that is cut off and requested anew again and again, as it takes a small link longer
+// than the timeout of a call
+BOOST_AUTO_TEST_CASE(ResponseThatKeepsArrivingIsNotCutOffByTheTimeout)
+{
+  ScriptedServer server([](const std::string&) {
+    Script script{
+      { ScriptStep::Kind::Send, "HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\n", {} }
+    };
+    for (int part = 0; part < 6; ++part) {
+      script.push_back({ ScriptStep::Kind::Wait, {}, Milliseconds(100) });
+      script.push_back({ ScriptStep::Kind::Send, "0123456789", {} });
+    }
+    return script;
+  });
+  PlatformHttpClient client("http://127.0.0.1:" + std::to_string(server.Port()),
+                            ShortTimeoutSettings());
+  PlatformCall call;
+  call.path = "/large";
+  const auto answer = client.Call(call);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer.value().body.size() == 60U);
+}
+
+BOOST_AUTO_TEST_CASE(ResponseThatStopsArrivingFailsAfterTheTimeout)
+{
+  ScriptedServer server([](const std::string&) {
+    return Script{
+      { ScriptStep::Kind::Send, "HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\n0123456789", {} },
+      { ScriptStep::Kind::Wait, {}, Seconds(5) }
+    };
+  });
+  PlatformHttpClient client("http://127.0.0.1:" + std::to_string(server.Port()),
+                            ShortTimeoutSettings());
+  PlatformCall call;
+  call.path = "/large";
+  call.wait = Milliseconds(3000);
+  const auto startedAt = std::chrono::steady_clock::now();
+  BOOST_TEST(!client.Call(call).has_value());
+  BOOST_TEST((std::chrono::steady_clock::now() - startedAt < Milliseconds(2000)));
+}
+
 BOOST_AUTO_TEST_CASE(LogAppendsAndReadsRecords)
 {
   FixedServer fixed({ 200, R"({"offset":7})", {} });
