--- a/Lagoonward/Daemon/ForwardExchange.cpp
+++ b/Lagoonward/Daemon/ForwardExchange.cpp
@@ -69,6 +69,7 @@
 {
   const std::scoped_lock lock(this->mutex);
   std::vector<std::pair<TimePoint, PeerKey>> byAge;
+  byAge.reserve(this->candidates.size());
   for (const auto& [key, candidate] : this->candidates) {
     byAge.emplace_back(candidate.answeredAt, key);
   }
@@ -107,6 +108,7 @@
     return aEach.isLocal ? open : open * this->settings.localPreference;
   };
   std::vector<Candidate*> ranked;
+  ranked.reserve(this->candidates.size());
   for (auto& [key, candidate] : this->candidates) {
     ranked.push_back(&candidate);
   }
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <thread>
 
 namespace lagoonward {
@@ -23,9 +22,6 @@
 /// these.
 constexpr Milliseconds kBalancerDetectionTime{ 2500 };
 
-/// Retry-after for a caller that a draining daemon rejects; another daemon can serve it at once.
-constexpr Milliseconds kDrainRetryAfter{ 50 };
-
 /// Time left between the last response and the forced termination, for the responses to reach their callers.
 constexpr Milliseconds kResponseFlushMargin{ 900 };
 
@@ -49,6 +45,17 @@
 /// Memory of a connection: the largest header block, and what the HTTP library needs in addition.
 constexpr std::size_t kConnectionMemory = 48U << 10U;
 
+/// A server for requests of callers.
+std::unique_ptr<HttpServer>
+MakeCallServer(const SocketAddress& aAddress, HttpServer::Handler aHandler)
+{
+  HttpServerSettings settings;
+  settings.address = aAddress.address;
+  settings.port = aAddress.port;
+  settings.connectionMemoryBytes = kConnectionMemory;
+  return std::make_unique<HttpServer>(std::move(settings), std::move(aHandler));
+}
+
 } // namespace
 
 RelayDaemon::RelayDaemon(RelayDaemonSettings aSettings, const Clock& aClock)
@@ -221,12 +228,8 @@
 void
 RelayDaemon::BuildServers()
 {
-  HttpServerSettings callerSettings;
-  callerSettings.address = this->settings.listen.address;
-  callerSettings.port = this->settings.listen.port;
-  callerSettings.connectionMemoryBytes = kConnectionMemory;
-  this->callerServer = std::make_unique<HttpServer>(
-    callerSettings, [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
+  this->callerServer = MakeCallServer(
+    this->settings.listen, [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
       this->HandleCall(std::move(aRequest), aExchange);
     });
 
@@ -259,55 +262,12 @@
   if (this->settings.forward.address.empty()) {
     return;
   }
-  HttpServerSettings forwardSettings;
-  forwardSettings.address = this->settings.forward.address;
-  forwardSettings.port = this->settings.forward.port;
-  forwardSettings.connectionMemoryBytes = kConnectionMemory;
-  this->forwardServer = std::make_unique<HttpServer>(
-    forwardSettings, [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
+  this->forwardServer = MakeCallServer(
+    this->settings.forward, [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
       this->HandleForwardedCall(std::move(aRequest), aExchange);
     });
 }
 
-ForwardState
-RelayDaemon::OwnForwardState() const
-{
-  ForwardState state;
-  state.accepts = this->forwardServer != nullptr && this->IsReady() && !this->relay->HasLostPath();
-  if (this->forwardServer != nullptr) {
-    state.address =
-      fmt::format("{}:{}", this->settings.forward.address, this->forwardServer->Port());
-  }
-  state.token = this->forwardToken;
-  state.openRequests = static_cast<std::uint32_t>(std::max(this->OpenExchanges(), 0));
-  return state;
-}
-
-std::vector<ForwardTarget>
-RelayDaemon::TargetsIfPathIsLost()
-{
-  return this->relay->HasLostPath() ? this->forwardExchange->Targets()
-                                    : std::vector<ForwardTarget>();
-}
-
-void
-RelayDaemon::HandleForwardedCall(HttpRequest aRequest, const HttpExchangePtr& aExchange)
-{
-  auto caller = std::make_unique<HttpRelayCaller>(aExchange, this->ports.callers.writeError);
-  const std::string_view forwarded = aRequest.Header(kForwardedHeader);
-  const std::size_t space = forwarded.find(' ');
-  if (space == std::string_view::npos || forwarded.substr(0, space) != this->forwardToken) {
-    caller->SendError(Error(ErrorKind::Unauthorized,
-                            "The request does not come from a daemon that knows this one."));
-    return;
-  }
-  std::int64_t age = 0;
-  std::from_chars(forwarded.data() + space + 1, forwarded.data() + forwarded.size(), age);
-  aRequest.age = Milliseconds(std::max<std::int64_t>(age, 0));
-  // Never forwarded again, so that requests cannot circulate
-  this->Serve(std::move(aRequest), std::move(caller), {});
-}
-
 int
 RelayDaemon::OpenExchanges() const
 {
@@ -315,46 +275,6 @@
          (this->forwardServer == nullptr ? 0 : this->forwardServer->OpenExchanges());
 }
 
-void
-RelayDaemon::HandleCall(HttpRequest aRequest, const HttpExchangePtr& aExchange)
-{
-  auto caller = std::make_unique<HttpRelayCaller>(aExchange, this->ports.callers.writeError);
-  if (this->rejectsRequests) {
-    // The end of the grace period could cut off a request that is accepted now
-    caller->SendError(Error(ErrorKind::Draining, "This daemon is draining; retry at another one.")
-                        .WithRetryAfter(kDrainRetryAfter));
-    return;
-  }
-  this->Serve(std::move(aRequest), std::move(caller), this->TargetsIfPathIsLost());
-}
-
-void
-RelayDaemon::Serve(HttpRequest aRequest, std::unique_ptr<RelayCaller> aCaller,
-                   std::vector<ForwardTarget> aTargets)
-{
-  ForwardRequest forward;
-  forward.targets = std::move(aTargets);
-  if (!forward.targets.empty()) {
-    forward.request = aRequest;
-  }
-  auto call = this->ports.callers.read(std::move(aRequest));
-  if (!call) {
-    kLog.Event("refused", { { "kind", GetErrorRule(call.error().kind).name },
-                            { "reason", call.error().message } });
-    aCaller->SendError(call.error());
-    return;
-  }
-  if (forward.targets.empty()) {
-    this->relay->Submit(std::move(call.value()), std::move(aCaller));
-    return;
-  }
-  forward.id = call.value().id;
-  forward.route = call.value().route;
-  forward.receivedAt = call.value().receivedAt;
-  forward.deadline = call.value().EffectiveDeadline();
-  this->relay->Forward(std::move(forward), std::move(aCaller));
-}
-
 RelayConfigurationPtr
 RelayDaemon::ConfigurationInForce() const
 {
--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -1,12 +1,13 @@
 #include "Lagoonward/Relay/RelayAttempt.h"
 
+#include "Lagoonward/Wire/HttpHeaderLine.h"
+
 #include <fmt/format.h>
 
 namespace lagoonward {
 
 namespace {
 
-constexpr std::string_view kStatusLinePrefix = "HTTP/";
 constexpr int kFirstNonSuccessStatus = 300;
 constexpr int kMisdirectedRequest = 421;
 
@@ -63,18 +64,15 @@
 RelayAttempt::OnHeaderLine(std::string_view aLine)
 {
   this->path.OnBytes();
-  // Interim (1xx) responses have heads of their own; only the last head counts
-  if (aLine.starts_with(kStatusLinePrefix)) {
+  // Only the last head counts
+  if (IsStatusLine(aLine)) {
     this->headers.clear();
     return;
   }
-  const std::size_t colon = aLine.find(':');
-  if (colon == std::string_view::npos || this->headRead) {
-    return;
+  auto header = ParseHeaderLine(aLine);
+  if (header && !this->headRead) {
+    this->headers.push_back(std::move(*header));
   }
-  std::string_view value = aLine.substr(colon + 1);
-  value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-  this->headers.emplace_back(aLine.substr(0, colon), value);
 }
 
 void
--- a/Lagoonward/Relay/RequestForwarder.cpp
+++ b/Lagoonward/Relay/RequestForwarder.cpp
@@ -1,7 +1,7 @@
 #include "Lagoonward/Relay/RequestForwarder.h"
 
 #include "Lagoonward/Core/Log.h"
-#include "Lagoonward/Wire/HopByHopHeaders.h"
+#include "Lagoonward/Wire/HttpHeaderLine.h"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <fmt/format.h>
@@ -15,7 +15,6 @@
 
 const Log kLog("relay");
 
-constexpr std::string_view kStatusLinePrefix = "HTTP/";
 constexpr std::string_view kEventStream = "text/event-stream";
 constexpr int kOk = 200;
 
@@ -103,12 +102,13 @@
   [[nodiscard]] std::vector<std::string> Headers(const ForwardTarget& aTarget,
                                                  Milliseconds aAge) const
   {
-    const std::vector<HttpHeader>& received = this->request.request.headers;
+    const std::vector<HttpHeader> received = EndToEndHeaders(this->request.request.headers);
     std::vector<std::string> lines;
     for (const auto& [name, value] : received) {
-      if (!IsHopByHopHeader(name) && !boost::algorithm::iequals(name, kForwardedHeader)) {
+      if (!boost::algorithm::iequals(name, kForwardedHeader)) {
         // libcurl omits a header whose value is empty unless its line ends with a semicolon
-        lines.push_back(value.empty() ? name + ";" : name + ": " + value);
+        lines.push_back(value.empty() ? fmt::format("{};", name)
+                                      : fmt::format("{}: {}", name, value));
       }
     }
     // Headers that libcurl would add
@@ -124,19 +124,14 @@
 
   void OnHeaderLine(std::string_view aLine) override
   {
-    if (aLine.starts_with(kStatusLinePrefix)) {
+    if (IsStatusLine(aLine)) {
       this->headers.clear();
       return;
     }
-    const std::size_t colon = aLine.find(':');
-    if (colon == std::string_view::npos || this->hasHead) {
-      return;
-    }
-    const std::string_view name = aLine.substr(0, colon);
-    std::string_view value = aLine.substr(colon + 1);
-    value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-    if (!IsHopByHopHeader(name) && !boost::algorithm::iequals(name, kDate)) {
-      this->headers.emplace_back(name, value);
+    auto header = ParseHeaderLine(aLine);
+    if (header && !this->hasHead && !IsHopByHopHeader(header->first) &&
+        !boost::algorithm::iequals(header->first, kDate)) {
+      this->headers.push_back(std::move(*header));
     }
   }
 
--- a/UnitTests/Membership/MembershipServiceTests.cpp
+++ b/UnitTests/Membership/MembershipServiceTests.cpp
@@ -86,7 +86,7 @@
   for (int index = 0; index < aRoutes; ++index) {
     const std::uint64_t random = HashBytes(std::to_string(index));
     text += "{\"name\":\"r-" + std::to_string(random % 10'000'000) +
-            "\",\"host\":\"service.example\",\"path_prefix\":\"/" + std::to_string(random) +
+            "\",\"host\":\"service.example\",\"prefix\":\"/" + std::to_string(random) +
             "/\",\"kind\":\"idempotent\",\"timeout_ms\":1500,\"goal_ms\":300,\"priority\":2,"
             "\"service\":\"portal\",\"attempts\":2,\"resumable\":false,\"anonymous\":true},\n";
   }
