--- a/Lagoonward/Daemon/ForwardExchange.cpp
+++ b/Lagoonward/Daemon/ForwardExchange.cpp
@@ -117,6 +117,7 @@
   });
   ranked.resize(std::min(ranked.size(), this->settings.targets));
   std::vector<ForwardTarget> targets;
+  targets.reserve(ranked.size());
   for (const Candidate* candidate : ranked) {
     targets.push_back({ candidate->state.address, candidate->state.token });
   }
