--- a/Lagoonward/Daemon/ForwardExchange.cpp
+++ b/Lagoonward/Daemon/ForwardExchange.cpp
@@ -76,6 +76,7 @@
   std::sort(byAge.begin(), byAge.end());
   byAge.resize(std::min(byAge.size(), aCount));
   std::vector<PeerKey> keys;
+  keys.reserve(byAge.size());
   for (const auto& [answeredAt, key] : byAge) {
     keys.push_back(key);
   }
