--- a/Fuzz/Decoders/DatagramFuzzer.cpp
+++ b/Fuzz/Decoders/DatagramFuzzer.cpp
@@ -1,14 +1,18 @@
+#include "Lagoonward/Membership/DeltaCodec.h"
 #include "Lagoonward/Membership/FrameCodec.h"
 #include "Lagoonward/Membership/SoftRecords.h"
 
 #include <cstdint>
 #include <cstdlib>
 #include <string>
+#include <tuple>
 
 using namespace lagoonward;
 
 namespace {
 
+constexpr std::size_t kMaximumStateBytes = 1U << 20U;
+
 const KeyRing&
 Keys()
 {
@@ -51,7 +55,9 @@
   CheckRoundTrip<Datagram>(bytes);
   CheckRoundTrip<Frame>(bytes);
   CheckRoundTrip<StateExchange>(bytes);
-  CheckRoundTrip<SharedState>(bytes);
+  CheckRoundTrip<StateRequest>(bytes);
+  CheckRoundTrip<StatePiece>(bytes);
+  std::ignore = DecodeDelta("a base", bytes, kMaximumStateBytes);
   CheckRoundTrip<EndpointProfile>(bytes);
   CheckRoundTrip<RecordRequest>(bytes);
   return 0;
