Software versions of endpoints and the streams that requests continue, in the log

No line told at which software version a request ran, or which earlier request it continues. The version is decoded and kept with the endpoint; nothing decides by it yet.

--- a/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
@@ -87,6 +87,7 @@
   }
   const bool isLeaving = endpoint.value().state == EndpointState::Leaving;
   const std::string service = endpoint.value().name;
+  const std::string software = endpoint.value().softwareVersion;
   const std::int64_t incarnation = endpoint.value().incarnation;
   const bool isReclaimable = endpoint.value().reclaimable;
   const bool wasRemoved = this->directory.IsRemoved(aRecord.id);
@@ -105,6 +106,7 @@
                            { "version", aRecord.version },
                            { "from_peer", aFromPeer },
                            { "service", service },
+                           { "software", software },
                            { "born", incarnation },
                            { "leaving", isLeaving },
                            { "returned", wasRemoved },
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -114,12 +114,14 @@
                            { "configuration", aCall.configurationVersion },
                            { "service", aCall.service },
                            { "account", aCall.account },
+                           { "resumes", aCall.resumedId },
+                           { "last_event", aCall.lastEventId },
                            { "prompt_tokens", aCall.promptTokens },
                            { "output_tokens", aCall.outputTokens } });
 }
 
 void
-RelayReporter::OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
+RelayReporter::OnSent(const RelayCall& aCall, const Endpoint& aEndpoint, int aSend,
                       const EngineWork& aWork)
 {
   if (this->onSent) {
@@ -127,7 +129,8 @@
   }
   this->attempts.Add({ { "service", aCall.service }, { "outcome", "sent" } }).Increment();
   kLog.Event("sent", { { "request", aCall.id },
-                       { "endpoint", aEndpoint },
+                       { "endpoint", aEndpoint.id },
+                       { "software", aEndpoint.softwareVersion },
                        { "send", aSend },
                        { "endpoints_age_ms", this->endpointsAge().count() },
                        { "age_ms", this->AgeOf(aCall) } });
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -60,7 +60,7 @@
   [[nodiscard]] std::string MetricsText(const RelayState& aState);
 
   void OnAccepted(const RelayCall& aCall) override;
-  void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
+  void OnSent(const RelayCall& aCall, const Endpoint& aEndpoint, int aSend,
               const EngineWork& aWork) override;
   void OnStarted(const RelayCall& aCall) override;
   void OnAttemptFailed(const RelayCall& aCall, const FailedAttempt& aFailed) override;
--- a/Lagoonward/Fleet/Endpoint.h
+++ b/Lagoonward/Fleet/Endpoint.h
@@ -65,6 +65,9 @@
   std::string region;
   std::string machineClass;
   std::string name; ///< A plain service's name; empty for engines.
+  /// Version of the software that it runs, not of the weights; without an order. Streams of two versions do not fit
+  /// together.
+  std::string softwareVersion;
   EndpointState state = EndpointState::Live;
   bool reclaimable = true;
   bool movesStreams = false; ///< Can copy the KV cache of a run to another endpoint on request.
--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -34,7 +34,8 @@
   const bool changed = entry.hold.has_value() || entry.removedAt.has_value() || entry.unreadable ||
                        known.id != aEndpoint.id || known.address != aEndpoint.address ||
                        known.port != aEndpoint.port || known.state != aEndpoint.state ||
-                       known.name != aEndpoint.name;
+                       known.name != aEndpoint.name ||
+                       known.softwareVersion != aEndpoint.softwareVersion;
   entry = {};
   entry.endpoint = std::move(aEndpoint);
   if (!changed) {
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -42,6 +42,8 @@
   int tokensPerEvent = 1; ///< Tokens per event of the stream.
   std::vector<PromptPart> promptParts;
   std::string lastEventId; ///< Last event that the caller of a stream already has; empty for none.
+  /// Id of the caller's request that brought the first event of the stream that this one continues; empty for none.
+  std::string resumedId;
   std::uint64_t fingerprint = 0; ///< See ComputeFingerprint().
 
   /// When the response must be complete: the route's timeout or the deadline, whichever is earlier.
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Error.h"
+#include "Lagoonward/Fleet/Endpoint.h"
 #include "Lagoonward/Relay/AttemptResult.h"
 #include "Lagoonward/Relay/RelayCall.h"
 #include "Lagoonward/Routing/EngineWork.h"
@@ -38,7 +39,7 @@
 
   virtual void OnAccepted(const RelayCall& aCall) = 0;
   /// @param aWork  work for the endpoint; zero if an earlier send of the request has reported it
-  virtual void OnSent(const RelayCall& aCall, std::string_view aEndpoint, int aSend,
+  virtual void OnSent(const RelayCall& aCall, const Endpoint& aEndpoint, int aSend,
                       const EngineWork& aWork) = 0;
   /// An endpoint has begun to respond for the first time, so the request is running.
   virtual void OnStarted(const RelayCall& aCall) = 0;
