Requests between daemons are numbered in one list: overdrafts of limits reached the handler of forward queries

Found by reading. Registering a number twice fails an assertion, which the sanitizer builds of the tests of relay daemons run into on the code before (by reading; not run).

--- a/Lagoonward/Daemon/CrashExchange.cpp
+++ b/Lagoonward/Daemon/CrashExchange.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/CrashExchange.h"
 
 #include "Lagoonward/Core/Log.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 #include "Lagoonward/Membership/WireCodec.h"
 
 #include <algorithm>
@@ -11,9 +12,8 @@
 
 const Log kLog("poison");
 
-/// Type of the message, a CrashReport; request types above RequestType::FirstExternal belong to this folder.
-constexpr auto kCrash =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 7);
+/// Type of the message, a CrashReport; see PeerRequest.
+constexpr auto kCrash = ToRequestType(PeerRequest::CrashReport);
 
 } // namespace
 
--- a/Lagoonward/Daemon/DemandExchange.cpp
+++ b/Lagoonward/Daemon/DemandExchange.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/DemandExchange.h"
 
 #include "Lagoonward/Daemon/PeerMessages.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,9 +10,8 @@
 
 namespace {
 
-/// Type of the message; request types above RequestType::FirstExternal belong to this folder.
-constexpr auto kDemand =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 1);
+/// Type of the message; see PeerRequest.
+constexpr auto kDemand = ToRequestType(PeerRequest::Demand);
 
 struct ClientEntry
 {
--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -4,6 +4,7 @@
 #include "Lagoonward/Core/Log.h"
 #include "Lagoonward/Daemon/EndpointUpdateMessages.h"
 #include "Lagoonward/Daemon/PeerMessages.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 
 #include <algorithm>
 #include <map>
@@ -15,10 +16,8 @@
 
 const Log kLog("endpoints");
 
-/// Request type of an EndpointUpdateMessage, which is answered by an EndpointUpdateReply. Numbers above
-/// RequestType::FirstExternal belong to this folder.
-constexpr auto kEndpointUpdate =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 4);
+/// Request type of an EndpointUpdateMessage, which is answered by an EndpointUpdateReply.
+constexpr auto kEndpointUpdate = ToRequestType(PeerRequest::EndpointUpdate);
 
 /// Ranks that read the source for all daemons: the primary reader, and the standby reader while the primary sends
 /// nothing.
--- a/Lagoonward/Daemon/ForwardExchange.cpp
+++ b/Lagoonward/Daemon/ForwardExchange.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/ForwardExchange.h"
 
 #include "Lagoonward/Daemon/PeerMessages.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 
 #include <algorithm>
 
@@ -8,10 +9,8 @@
 
 namespace {
 
-/// Request type of an empty message, which is answered by a ForwardState. Numbers above RequestType::FirstExternal belong
-/// to this folder.
-constexpr auto kForwardQuery =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 9);
+/// Request type of an empty message, which is answered by a ForwardState.
+constexpr auto kForwardQuery = ToRequestType(PeerRequest::ForwardQuery);
 
 } // namespace
 
--- a/Lagoonward/Daemon/LimitTokenExchange.cpp
+++ b/Lagoonward/Daemon/LimitTokenExchange.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/LimitTokenExchange.h"
 
 #include "Lagoonward/Core/Log.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 #include "Lagoonward/Membership/WireCodec.h"
 
 #include <cmath>
@@ -11,14 +12,11 @@
 
 const Log kLog("limits");
 
-/// Type of the message, a TokenRequestMessage whose response is a TokenGrantReply; request types above
-/// RequestType::FirstExternal belong to this folder.
-constexpr auto kTokenRequest =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 6);
+/// Type of the message, a TokenRequestMessage whose response is a TokenGrantReply; see PeerRequest.
+constexpr auto kTokenRequest = ToRequestType(PeerRequest::LimitTokens);
 
 /// The same for tokens that have been used already.
-constexpr auto kOverdraft =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 9);
+constexpr auto kOverdraft = ToRequestType(PeerRequest::LimitOverdraft);
 
 struct TokenRequestMessage
 {
--- a/Lagoonward/Daemon/LoadExchange.cpp
+++ b/Lagoonward/Daemon/LoadExchange.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/LoadExchange.h"
 
 #include "Lagoonward/Core/Log.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 
 #include <algorithm>
 
@@ -10,11 +11,9 @@
 
 const Log kLog("load");
 
-/// Types of the messages; request types above RequestType::FirstExternal belong to this folder.
-constexpr auto kMemberReport =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 3);
-constexpr auto kGroupReport =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 5);
+/// Types of the messages; see PeerRequest.
+constexpr auto kMemberReport = ToRequestType(PeerRequest::LoadOfMember);
+constexpr auto kGroupReport = ToRequestType(PeerRequest::LoadOfGroup);
 
 } // namespace
 
--- a/Lagoonward/Daemon/PeerRequestDirectory.cpp
+++ b/Lagoonward/Daemon/PeerRequestDirectory.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/PeerRequestDirectory.h"
 
 #include "Lagoonward/Daemon/PeerMessages.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 
 #include <algorithm>
 
@@ -8,8 +9,8 @@
 
 namespace {
 
-/// Type of the request to read an answer; see RequestType.
-constexpr auto kReadAnswer = RequestType::FirstExternal;
+/// Type of the request to read an answer.
+constexpr auto kReadAnswer = ToRequestType(PeerRequest::ReadAnswer);
 
 struct QueryMessage
 {
--- a/Lagoonward/Daemon/PermitExchange.cpp
+++ b/Lagoonward/Daemon/PermitExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Core/Log.h"
 #include "Lagoonward/Daemon/LimitTokenExchange.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 #include "Lagoonward/Membership/WireCodec.h"
 
 #include <algorithm>
@@ -12,10 +13,8 @@
 
 const Log kLog("limits");
 
-/// Type of the message, a PermitRequest whose response is a PermitReply; request types above RequestType::FirstExternal
-/// belong to this folder.
-constexpr auto kPermit =
-  static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 8);
+/// Type of the message, a PermitRequest whose response is a PermitReply; see PeerRequest.
+constexpr auto kPermit = ToRequestType(PeerRequest::EndpointPermit);
 
 /// Whether the reply allows the request to be sent now.
 bool
--- a/Lagoonward/Membership/PeerTransport.cpp
+++ b/Lagoonward/Membership/PeerTransport.cpp
@@ -89,7 +89,11 @@
 void
 PeerTransport::OnRequest(RequestType aType, RequestHandler aHandler)
 {
-  this->requestHandlers[static_cast<std::uint16_t>(aType)] = std::move(aHandler);
+  const bool isNew =
+    this->requestHandlers.emplace(static_cast<std::uint16_t>(aType), std::move(aHandler)).second;
+  // Two types with one number would share a handler
+  assert(isNew);
+  static_cast<void>(isNew);
 }
 
 void
--- a/UnitTests/Daemon/EndpointReplicatorTests.cpp
+++ b/UnitTests/Daemon/EndpointReplicatorTests.cpp
@@ -2,6 +2,7 @@
 #include "Lagoonward/Daemon/EndpointReplicator.h"
 #include "Lagoonward/Daemon/EndpointUpdateMessages.h"
 #include "Lagoonward/Daemon/PeerMessages.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -332,8 +333,7 @@
 /// the completion of that read, has a snapshot without an age.
 BOOST_AUTO_TEST_CASE(AnImplausibleAgeIsIgnored)
 {
-  constexpr auto kEndpointUpdate =
-    static_cast<RequestType>(static_cast<std::uint16_t>(RequestType::FirstExternal) + 4);
+  constexpr auto kEndpointUpdate = ToRequestType(PeerRequest::EndpointUpdate);
   Daemon& sender = *this->daemons[0];
   Daemon& listener = *this->daemons[1];
   const PeerAddress receiver{ Daemon::Identity(1, "a").self.Key(), "127.0.0.1",
