--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -92,6 +92,7 @@
   // Only after the snapshot has been published, as requests are sent on the published one
   if (this->asOf.load() != TimePoint::min()) {
     this->guard.SetAsOf(this->asOf);
+    this->hooks.onCurrent(this->asOf);
   }
 }
 
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -21,6 +21,8 @@
 {
   std::function<Result<Endpoint>(const EndpointRecord&)> decode;
   std::function<void()> onChanged; ///< The snapshot of the endpoints has changed.
+  /// The snapshot, after onChanged(), contains everything that was acknowledged before that BootNow() time.
+  std::function<void(TimePoint aAsOf)> onCurrent = [](TimePoint) {};
   /// Version of the configuration in force here.
   std::function<std::int64_t()> configurationVersion = [] { return std::int64_t{ -1 }; };
 };
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -64,6 +64,7 @@
   , markets(MarketSettingsOf(this->settings), aClock, HashBytes(this->settings.peer.address))
   , market(this->markets.FindOrAdd(std::string(kRelayMarket)))
   , reporter(aClock)
+  , versions(aClock)
   , usage(this->settings.usageWindow, aClock)
   , incarnation(
       fmt::format("{}@{}", this->settings.peer.address, ToUnixMilliseconds(aClock.WallNow())))
@@ -93,7 +94,7 @@
                                    this->fleet, this->reporter, this->clock));
   this->relay->SetTokenSource(*this->limitTokenExchange);
   this->relay->SetPermitSource(*this->permitExchange);
-  this->relay->SetStreamOrigins(*this->streamOrigins);
+  this->relay->SetStreamOrigins(*this->streamOrigins, &this->versions);
   this->relay->SetSnapshotGuard(this->endpointReplicator->Guard());
   this->BuildLeaderTasks();
   this->BuildServers();
@@ -188,11 +189,13 @@
   this->permitExchange =
     std::make_unique<PermitExchange>(KeyOwnerQuerySettings{}, *this->keyOwners, *this->membership,
                                      this->market->endpointLimits, this->clock);
-  this->streamOrigins = std::make_unique<StreamOriginExchange>(
-    StreamOriginExchangeSettings{}, *this->keyOwners, *this->membership, this->clock);
+  this->streamOrigins =
+    std::make_unique<StreamOriginExchange>(StreamOriginExchangeSettings{}, *this->keyOwners,
+                                           *this->membership, this->versions, this->clock);
   EndpointReplicatorHooks hooks;
   hooks.decode = this->ports.decodeEndpoint;
   hooks.onChanged = [this] { this->PublishFleet(); };
+  hooks.onCurrent = [this](TimePoint aAsOf) { this->versions.OnCurrent(aAsOf); };
   hooks.configurationVersion = [this] { return this->ConfigurationVersion(); };
   this->forwardExchange = std::make_unique<ForwardExchange>(
     ForwardExchangeSettings{}, *this->membership, self,
@@ -536,6 +539,7 @@
     }
   }
   this->fleet.Publish(snapshot);
+  this->versions.OnSnapshot(*snapshot);
   this->market->ApplyFleet(*snapshot);
   this->relay->OnFleet(snapshot);
 }
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -135,6 +135,7 @@
   Kernel kernel;
   MembershipService* membership = nullptr;
   RelayService* relay = nullptr;
+  SoftwareVersionHistory versions; ///< Of the services, as the published snapshots show.
   UsageCounter usage;
   LeaderTaskService* leaderTasks = nullptr;
   std::unique_ptr<LoadExchange> loadExchange;
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -20,6 +20,8 @@
   switch (aOutcome) {
     case ResumptionOutcome::Continued:
       return "continued";
+    case ResumptionOutcome::SoleVersion:
+      return "sole_version";
     case ResumptionOutcome::VersionGone:
       return "version_gone";
     case ResumptionOutcome::UnknownOrigin:
--- a/Lagoonward/Daemon/StreamOriginExchange.cpp
+++ b/Lagoonward/Daemon/StreamOriginExchange.cpp
@@ -44,26 +44,84 @@
   }
 };
 
-/// Asks an owner for the origin of a stream. Answered by a StreamOriginsMessage with one entry, or none if it is unknown.
+/// Asks an owner for the origin of a stream. Answered by a StreamOriginAnswer.
 struct StreamOriginQuery
 {
   std::uint64_t stream = 0;
+  std::string service;
+  std::int64_t maximumAge = 0; ///< Milliseconds.
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->stream);
+    aArchive(this->stream, this->maximumAge);
+    SerializeBytes<std::uint16_t>(aArchive, this->service);
   }
 };
 
+/// What an owner knows of a stream.
+struct StreamOriginAnswer
+{
+  bool hasOrigin = false;
+  std::string service; ///< Of the origin, as is the version.
+  std::string softwareVersion;
+  bool isComplete = false; ///< See ServiceVersions, as for the next two.
+  std::int32_t versionCount = 0;
+  std::string version;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->hasOrigin, this->isComplete, this->versionCount);
+    SerializeBytes<std::uint16_t>(aArchive, this->service);
+    SerializeBytes<std::uint16_t>(aArchive, this->softwareVersion);
+    SerializeBytes<std::uint16_t>(aArchive, this->version);
+  }
+};
+
+/// What the daemons that were asked know together of a service's versions.
+class VersionSurvey
+{
+public:
+  void Add(const ServiceVersions& aVersions)
+  {
+    const bool differs =
+      this->version && aVersions.count > 0 && *this->version != aVersions.version;
+    this->hasSeveral = this->hasSeveral || aVersions.count > 1 || differs;
+    this->isComplete = this->isComplete || aVersions.isComplete;
+    if (aVersions.count > 0) {
+      this->version = aVersions.version;
+    }
+  }
+
+  [[nodiscard]] std::optional<std::string> Sole() const
+  {
+    return this->isComplete && !this->hasSeveral ? this->version : std::nullopt;
+  }
+
+private:
+  bool hasSeveral = false;
+  bool isComplete = false; ///< One of them knew the endpoints throughout.
+  std::optional<std::string> version;
+};
+
+/// State of one search.
+struct Search
+{
+  StreamOriginReply reply;
+  VersionSurvey survey;
+};
+
 } // namespace
 
 StreamOriginExchange::StreamOriginExchange(const StreamOriginExchangeSettings& aSettings,
                                            KeyOwnerDirectory& aOwners,
-                                           MembershipService& aMembership, const Clock& aClock)
+                                           MembershipService& aMembership,
+                                           SoftwareVersionHistory& aVersions, const Clock& aClock)
   : settings(aSettings)
   , owners(aOwners)
   , membership(aMembership)
+  , versions(aVersions)
   , table(aSettings.table, aClock)
   , query(aSettings.query, ToRequestType(PeerRequest::StreamOriginQuery), aOwners, aMembership,
           aClock)
@@ -217,48 +275,60 @@
 std::string
 StreamOriginExchange::HandleQuery(std::string_view aBytes)
 {
-  StreamOriginsMessage reply;
+  StreamOriginAnswer answer;
   const auto request = DecodeMessage<StreamOriginQuery>(aBytes);
   if (!request) {
     kLog.Warning("Received a malformed query for a stream origin; answers as if it were unknown.");
-    return EncodeMessage(reply);
+    return EncodeMessage(answer);
   }
-  if (const auto origin = this->table.Get(request.value().stream)) {
-    reply.entries.push_back({ request.value().stream, origin->service, origin->softwareVersion });
+  const StreamOriginQuery& asked = request.value();
+  if (const auto origin = this->table.Get(asked.stream)) {
+    answer.hasOrigin = true;
+    answer.service = origin->service;
+    answer.softwareVersion = origin->softwareVersion;
   }
-  return EncodeMessage(reply);
+  const ServiceVersions known =
+    this->versions.VersionsOf(asked.service, Milliseconds(asked.maximumAge));
+  answer.isComplete = known.isComplete;
+  answer.versionCount = known.count;
+  answer.version = known.version;
+  return EncodeMessage(answer);
 }
 
 void
-StreamOriginExchange::Find(std::uint64_t aStream,
-                           std::function<void(const std::optional<StreamOrigin>& aOrigin)> aFound)
+StreamOriginExchange::Find(const StreamOriginRequest& aRequest, StreamOriginHandler aFound)
 {
-  if (const auto origin = this->table.Get(aStream)) {
-    aFound(origin);
+  const auto search = std::make_shared<Search>();
+  search->reply.origin = this->table.Get(aRequest.stream);
+  if (search->reply.origin) {
+    aFound(search->reply);
     return;
   }
-  const auto found = std::make_shared<std::optional<StreamOrigin>>();
+  search->survey.Add(this->versions.VersionsOf(aRequest.service, aRequest.maximumAge));
   KeyOwnerRequest request;
-  request.key = OwnerKeyOf(ShardOf(aStream));
-  request.message = EncodeMessage(StreamOriginQuery{ aStream });
-  request.onResponse = [found, aStream](std::string_view aResponse, bool /*aIsLate*/) {
-    const auto reply = DecodeMessage<StreamOriginsMessage>(aResponse);
-    if (!reply) {
+  request.key = OwnerKeyOf(ShardOf(aRequest.stream));
+  request.message = EncodeMessage(
+    StreamOriginQuery{ aRequest.stream, aRequest.service, aRequest.maximumAge.count() });
+  request.onResponse = [search](std::string_view aResponse, bool /*aIsLate*/) {
+    const auto answer = DecodeMessage<StreamOriginAnswer>(aResponse);
+    if (!answer) {
       return KeyOwnerResponseStatus::Malformed;
     }
-    for (const StreamOriginsMessage::Entry& entry : reply.value().entries) {
-      if (entry.stream == aStream) {
-        *found = StreamOrigin{ entry.service, entry.softwareVersion };
-        return KeyOwnerResponseStatus::Completed;
-      }
+    const StreamOriginAnswer& known = answer.value();
+    search->survey.Add({ known.isComplete, known.versionCount, known.version });
+    if (!known.hasOrigin) {
+      return KeyOwnerResponseStatus::AskNext;
     }
-    return KeyOwnerResponseStatus::AskNext;
+    search->reply.origin = StreamOrigin{ known.service, known.softwareVersion };
+    return KeyOwnerResponseStatus::Completed;
   };
-  request.onCompleted = [this, found, aStream, done = std::move(aFound)] {
-    if (*found) {
-      this->table.Record(aStream, **found);
+  request.onCompleted = [this, search, stream = aRequest.stream, found = std::move(aFound)] {
+    if (search->reply.origin) {
+      this->table.Record(stream, *search->reply.origin);
+    } else {
+      search->reply.soleVersion = search->survey.Sole();
     }
-    done(*found);
+    found(search->reply);
   };
   this->query.Start(std::move(request));
 }
--- a/Lagoonward/Daemon/StreamOriginExchange.h
+++ b/Lagoonward/Daemon/StreamOriginExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Daemon/KeyOwnerQuery.h"
+#include "Lagoonward/Fleet/SoftwareVersionHistory.h"
 #include "Lagoonward/Relay/StreamOriginTable.h"
 
 #include <array>
@@ -32,18 +33,19 @@
 /// elsewhere. An origin is thus on up to three daemons, and is found from the id of the stream alone by asking two, whatever
 /// the number of daemons. When the owners change, each daemon sends what it holds to the new ones.
 ///
-/// An origin never changes while its service serves the stream's route, so a copy cannot be wrong, only missing. A stream
-/// whose origin is on none of the daemons asked has no known origin, also if it had one.
+/// An origin never changes while its service serves the stream's route, so a copy cannot be wrong, only missing. Where
+/// none of the daemons asked has one, they tell whether the service has run only one software version for so long that the
+/// stream must be of it.
 class StreamOriginExchange final : public StreamOriginStore
 {
 public:
   /// Must be constructed before the membership starts; references must outlive it.
   StreamOriginExchange(const StreamOriginExchangeSettings& aSettings, KeyOwnerDirectory& aOwners,
-                       MembershipService& aMembership, const Clock& aClock);
+                       MembershipService& aMembership, SoftwareVersionHistory& aVersions,
+                       const Clock& aClock);
 
   void Record(std::uint64_t aStream, const StreamOrigin& aOrigin) override;
-  void Find(std::uint64_t aStream,
-            std::function<void(const std::optional<StreamOrigin>& aOrigin)> aFound) override;
+  void Find(const StreamOriginRequest& aRequest, StreamOriginHandler aFound) override;
 
   /// Key ownership may have changed: sends the origins held here to owners that did not own their keys before. On the
   /// control thread.
@@ -80,6 +82,7 @@
   const StreamOriginExchangeSettings settings;
   KeyOwnerDirectory& owners;
   MembershipService& membership;
+  SoftwareVersionHistory& versions;
   StreamOriginTable table;
   KeyOwnerQuery query;
   std::mutex pendingMutex; ///< Guards `pending`.
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -34,7 +34,8 @@
 /// What becomes of a stream that its caller takes up.
 enum class ResumptionOutcome
 {
-  Continued,      ///< It goes on at the software version that began it.
+  Continued, ///< It goes on at the software version that began it.
+  SoleVersion, ///< It goes on at the only version that can have begun it, though its origin is not recorded.
   VersionGone,    ///< Refused: no live endpoint runs that version.
   UnknownOrigin,  ///< Refused: nothing is known of the stream.
   ServiceChanged, ///< It goes on at the service that its route has now.
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -8,6 +8,7 @@
 #include "Lagoonward/Core/Error.h"
 #include "Lagoonward/Fleet/FleetStore.h"
 #include "Lagoonward/Fleet/SnapshotGuard.h"
+#include "Lagoonward/Fleet/SoftwareVersionHistory.h"
 #include "Lagoonward/Relay/RelayAttempt.h"
 #include "Lagoonward/Relay/RelayMove.h"
 #include "Lagoonward/Relay/RelayObserver.h"
@@ -55,6 +56,7 @@
   EndpointLimits& endpointLimits;
   PermitSource* permitSource;       ///< Never null.
   StreamOriginStore* streamOrigins; ///< Never null.
+  SoftwareVersionHistory* versions; ///< Null if they are not known.
   PathMonitor& pathMonitor;
   const FleetStore& fleet;
   SnapshotGuard* snapshotGuard; ///< Null if the snapshot of the endpoints has no age.
@@ -108,7 +110,13 @@
   /// Whether the caller has events of the stream already, so that only its origin can continue it.
   [[nodiscard]] bool IsTakenUp() const;
   void FindOrigin();
-  void OnOrigin(const std::optional<StreamOrigin>& aOrigin);
+  void OnOriginReply(const StreamOriginReply& aReply);
+  /// Continues a stream whose origin is not recorded if a current snapshot shows that only this version can have begun it.
+  void ContinueAtSoleVersion(const std::string& aVersion, TimePoint aAskedAt);
+  /// Bounds the age of a stream whose origin is not recorded.
+  [[nodiscard]] Milliseconds MaximumStreamAge() const;
+  void ContinueFrom(const StreamOrigin& aOrigin, ResumptionOutcome aOutcome);
+  void RefuseUnknownOrigin();
   /// Records what wrote the stream's events, from the first one on and from time to time.
   void RecordOrigin();
   /// Whether no live endpoint runs the software version that the stream needs.
--- a/Lagoonward/Relay/RelayRunOrigin.cpp
+++ b/Lagoonward/Relay/RelayRunOrigin.cpp
@@ -16,49 +16,99 @@
 void
 RelayRun::FindOrigin()
 {
-  if (this->call.resumedId.empty()) {
-    this->OnOrigin(std::nullopt);
-    return;
-  }
+  // A caller that names no request may be asking for any stream: only its version may be known
+  const std::string& id = this->call.resumedId.empty() ? this->call.id : this->call.resumedId;
   const auto onFound = [this, aliveToken = std::weak_ptr(this->aliveToken),
-                        &loop = this->context.loop](const std::optional<StreamOrigin>& aOrigin) {
-    loop.Post([this, aliveToken, aOrigin] {
+                        &loop = this->context.loop](const StreamOriginReply& aReply) {
+    loop.Post([this, aliveToken, aReply] {
       if (!aliveToken.expired() && !this->ended) {
-        this->OnOrigin(aOrigin);
+        this->OnOriginReply(aReply);
       }
     });
   };
-  this->context.streamOrigins->Find(StreamKeyOf(this->call.account, this->call.resumedId), onFound);
+  this->context.streamOrigins->Find(
+    { StreamKeyOf(this->call.account, id), this->call.service, this->MaximumStreamAge() }, onFound);
+}
+
+Milliseconds
+RelayRun::MaximumStreamAge() const
+{
+  const Milliseconds timeout = this->call.route->timeout;
+  return timeout > Milliseconds::zero() ? timeout
+                                        : this->context.settings.maximumUnrecordedStreamAge;
 }
 
 void
-RelayRun::OnOrigin(const std::optional<StreamOrigin>& aOrigin)
+RelayRun::OnOriginReply(const StreamOriginReply& aReply)
 {
-  if (!aOrigin) {
-    this->context.observer.OnResumption(this->call, ResumptionOutcome::UnknownOrigin, {});
-    this->Fail(
-      Error(ErrorKind::UnknownOrigin,
-            "What began this stream is not known here, so it cannot be continued; it can be "
-            "started again without Last-Event-Id."));
+  if (aReply.origin) {
+    this->ContinueFrom(*aReply.origin, ResumptionOutcome::Continued);
     return;
   }
+  const bool hasOneService = this->call.route->services.size() == 1;
+  if (!aReply.soleVersion || !hasOneService || this->context.versions == nullptr) {
+    this->RefuseUnknownOrigin();
+    return;
+  }
+  this->ContinueAtSoleVersion(*aReply.soleVersion, this->context.loop.GetClock().BootNow());
+}
+
+void
+RelayRun::ContinueAtSoleVersion(const std::string& aVersion, TimePoint aAskedAt)
+{
+  this->endpointWaitTimer.reset();
+  if (this->ended) {
+    return;
+  }
+  // Whatever began the stream was in the source before its caller asked, so a snapshot of then shows all versions
+  if (this->context.versions->IsCurrentAsOf(aAskedAt)) {
+    const ServiceVersions now =
+      this->context.versions->VersionsOf(this->call.service, this->MaximumStreamAge());
+    if (now.count == 1 && now.version == aVersion) {
+      this->ContinueFrom({ this->call.service, aVersion }, ResumptionOutcome::SoleVersion);
+    } else {
+      this->RefuseUnknownOrigin();
+    }
+    return;
+  }
+  if (this->context.loop.GetClock().BootNow() - aAskedAt >
+      this->context.settings.currentSnapshotWait) {
+    this->RefuseUnknownOrigin();
+    return;
+  }
+  this->endpointWaitTimer = this->context.loop.RunAfter(
+    this->context.settings.endpointRetryInterval,
+    [this, aVersion, aAskedAt] { this->ContinueAtSoleVersion(aVersion, aAskedAt); });
+}
+
+void
+RelayRun::RefuseUnknownOrigin()
+{
+  this->context.observer.OnResumption(this->call, ResumptionOutcome::UnknownOrigin, {});
+  this->Fail(Error(ErrorKind::UnknownOrigin,
+                   "What began this stream is not known here, so it cannot be continued; it can be "
+                   "started again without Last-Event-Id."));
+}
+
+void
+RelayRun::ContinueFrom(const StreamOrigin& aOrigin, ResumptionOutcome aOutcome)
+{
   const auto& services = this->call.route->services;
   const bool isRouted = std::any_of(services.begin(), services.end(), [&](const auto& aService) {
-    return aService.name == aOrigin->service;
+    return aService.name == aOrigin.service;
   });
   if (!isRouted) {
     // The operator has moved the route, and lets the new service continue what the old one began
     this->context.observer.OnResumption(this->call, ResumptionOutcome::ServiceChanged,
-                                        aOrigin->softwareVersion);
+                                        aOrigin.softwareVersion);
     this->Dispatch();
     return;
   }
-  this->call.service = aOrigin->service;
+  this->call.service = aOrigin.service;
   this->origin = aOrigin;
-  this->context.observer.OnResumption(this->call,
-                                      this->IsVersionGone() ? ResumptionOutcome::VersionGone
-                                                            : ResumptionOutcome::Continued,
-                                      aOrigin->softwareVersion);
+  this->context.observer.OnResumption(
+    this->call, this->IsVersionGone() ? ResumptionOutcome::VersionGone : aOutcome,
+    aOrigin.softwareVersion);
   this->endpointWaitSince = this->context.loop.GetClock().Now();
   this->Dispatch();
 }
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -24,6 +24,7 @@
              aMarket.endpointLimits,
              &this->localPermits,
              &this->localStreamOrigins,
+             nullptr,
              this->pathMonitor,
              aFleet,
              nullptr,
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -39,9 +39,13 @@
   /// itself. To be called before Start(); must outlive the service.
   void SetPermitSource(PermitSource& aPermitSource) { this->context.permitSource = &aPermitSource; }
 
-  /// Sets where the origins of streams are kept; without it they are kept in this process. To be called before Start();
-  /// must outlive the service.
-  void SetStreamOrigins(StreamOriginStore& aOrigins) { this->context.streamOrigins = &aOrigins; }
+  /// Sets where the origins of streams are kept, and the software versions of the services; without it origins are kept in
+  /// this process, and versions are not known. To be called before Start(); must outlive the service.
+  void SetStreamOrigins(StreamOriginStore& aOrigins, SoftwareVersionHistory* aVersions)
+  {
+    this->context.streamOrigins = &aOrigins;
+    this->context.versions = aVersions;
+  }
 
   /// Sets what decides whether requests may be sent on the snapshot of the endpoints; without it they always may. To be
   /// called before Start(); must outlive the service.
--- a/Lagoonward/Relay/StreamOrigin.h
+++ b/Lagoonward/Relay/StreamOrigin.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Lagoonward/Core/Clock.h"
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -18,6 +20,28 @@
   bool operator==(const StreamOrigin& aOther) const = default;
 };
 
+/// A stream that a caller takes up.
+struct StreamOriginRequest
+{
+  std::uint64_t stream = 0; ///< See StreamKeyOf().
+  std::string service;      ///< That its route selects now.
+
+  /// A stream whose origin is not recorded began at most this long ago.
+  Milliseconds maximumAge{ 0 };
+};
+
+/// What is known of a stream that a caller takes up.
+struct StreamOriginReply
+{
+  std::optional<StreamOrigin> origin; ///< As it was recorded.
+
+  /// If no origin is recorded: the only software version that the service has run within the maximum age, as one of the
+  /// daemons that were asked knows; nothing if none of them knows, or if one has seen another version.
+  std::optional<std::string> soleVersion;
+};
+
+using StreamOriginHandler = std::function<void(const StreamOriginReply& aReply)>;
+
 /// Key of a stream: the request of a caller that brought its first event.
 /// @param aAccount  the caller's client account, so that no caller can continue another account's stream
 [[nodiscard]] std::uint64_t
@@ -33,9 +57,8 @@
   virtual void Record(std::uint64_t aStream, const StreamOrigin& aOrigin) = 0;
 
   /// Finds the origin of a stream.
-  /// @param aFound  called once, from any thread; with nothing if no daemon that answered in time knows the stream
-  virtual void Find(std::uint64_t aStream,
-                    std::function<void(const std::optional<StreamOrigin>& aOrigin)> aFound) = 0;
+  /// @param aFound  called once, from any thread
+  virtual void Find(const StreamOriginRequest& aRequest, StreamOriginHandler aFound) = 0;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/StreamOriginTable.cpp
+++ b/Lagoonward/Relay/StreamOriginTable.cpp
@@ -58,10 +58,9 @@
 }
 
 void
-StreamOriginTable::Find(std::uint64_t aStream,
-                        std::function<void(const std::optional<StreamOrigin>& aOrigin)> aFound)
+StreamOriginTable::Find(const StreamOriginRequest& aRequest, StreamOriginHandler aFound)
 {
-  aFound(this->Get(aStream));
+  aFound({ this->Get(aRequest.stream), std::nullopt });
 }
 
 std::vector<StreamOriginTable::Entry>
--- a/Lagoonward/Relay/StreamOriginTable.h
+++ b/Lagoonward/Relay/StreamOriginTable.h
@@ -35,8 +35,7 @@
   void Record(std::uint64_t aStream, const StreamOrigin& aOrigin) override;
 
   /// Calls `aFound` before it returns.
-  void Find(std::uint64_t aStream,
-            std::function<void(const std::optional<StreamOrigin>& aOrigin)> aFound) override;
+  void Find(const StreamOriginRequest& aRequest, StreamOriginHandler aFound) override;
 
   [[nodiscard]] std::optional<StreamOrigin> Get(std::uint64_t aStream);
 
--- a/UnitTests/Daemon/StreamOriginExchangeTests.cpp
+++ b/UnitTests/Daemon/StreamOriginExchangeTests.cpp
@@ -18,9 +18,11 @@
 struct Daemon
 {
   Daemon(const Clock& aClock, int aIndex)
-    : membership(aClock, LoopbackIdentity(aIndex), LoopbackKeys(), {}, IgnorePoll)
+    : clock(aClock)
+    , membership(aClock, LoopbackIdentity(aIndex), LoopbackKeys(), {}, IgnorePoll)
     , keyOwners(LoopbackIdentity(aIndex).self, aClock)
-    , origins({}, keyOwners, membership, aClock)
+    , versions(aClock)
+    , origins({}, keyOwners, membership, versions, aClock)
   {
     this->membership.OnPeers([this](const PeerViewPtr& aView) {
       this->keyOwners.OnPeers(*aView);
@@ -29,17 +31,36 @@
     BOOST_TEST_REQUIRE(this->membership.Start().has_value());
   }
 
-  std::optional<StreamOrigin> Find(std::uint64_t aStream)
+  StreamOriginReply Ask(std::uint64_t aStream, Milliseconds aMaximumAge = Milliseconds(0))
   {
-    std::promise<std::optional<StreamOrigin>> found;
-    this->origins.Find(aStream, [&](const auto& aOrigin) { found.set_value(aOrigin); });
+    std::promise<StreamOriginReply> found;
+    this->origins.Find({ aStream, "s", aMaximumAge },
+                       [&](const StreamOriginReply& aReply) { found.set_value(aReply); });
     auto answer = found.get_future();
     BOOST_TEST_REQUIRE((answer.wait_for(kAwaitTimeout) == std::future_status::ready));
     return answer.get();
   }
 
+  std::optional<StreamOrigin> Find(std::uint64_t aStream) { return this->Ask(aStream).origin; }
+
+  /// The daemon's snapshot shows that the service runs these versions, and is current.
+  void SetVersions(const std::vector<std::string>& aVersions)
+  {
+    FleetSnapshot fleet;
+    for (const std::string& version : aVersions) {
+      Endpoint endpoint;
+      endpoint.name = "s";
+      endpoint.softwareVersion = version;
+      fleet.endpoints.push_back(endpoint);
+    }
+    this->versions.OnSnapshot(fleet);
+    this->versions.OnCurrent(this->clock.BootNow());
+  }
+
+  const Clock& clock;
   MembershipService membership;
   KeyOwnerDirectory keyOwners;
+  SoftwareVersionHistory versions;
   StreamOriginExchange origins;
 };
 
@@ -132,4 +153,22 @@
   Await([&] { return this->FoundAt(3) == static_cast<int>(kStreams); });
 }
 
+// Guards against refusing all streams without a recorded origin at a daemon that has just started, and against taking one
+// version for the only one that a daemon which knows more has seen beside others
+BOOST_AUTO_TEST_CASE(OnlyVersionOfAServiceIsToldByDaemonsThatHaveKnownItLongEnough)
+{
+  constexpr Milliseconds kAge{ 300 };
+  for (std::size_t index = 1; index < this->daemons.size(); ++index) {
+    this->daemons[index]->SetVersions({ "v1" });
+  }
+  std::this_thread::sleep_for(2 * kAge);
+  this->daemons[0]->SetVersions({ "v1" });
+  BOOST_TEST((this->daemons[0]->Ask(1, kAge).soleVersion == "v1"));
+  BOOST_TEST(!this->daemons[0]->Ask(1, Seconds(100)).soleVersion.has_value());
+  for (std::size_t index = 1; index < this->daemons.size(); ++index) {
+    this->daemons[index]->SetVersions({ "v1", "v2" });
+  }
+  BOOST_TEST(!this->daemons[0]->Ask(1, kAge).soleVersion.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
