--- a/Lagoonward/Fleet/SoftwareVersionHistory.cpp
+++ b/Lagoonward/Fleet/SoftwareVersionHistory.cpp
@@ -62,10 +62,11 @@
 ServiceVersions
 SoftwareVersionHistory::VersionsOf(std::string_view aService, Milliseconds aDuring)
 {
-  const TimePoint begin = this->clock.BootNow() - aDuring;
+  const TimePoint now = this->clock.BootNow();
+  const TimePoint begin = now - aDuring;
   const std::lock_guard lock(this->mutex);
   ServiceVersions result;
-  result.isComplete = this->asOf && this->knownSince <= begin;
+  result.isComplete = this->asOf && this->knownSince <= begin && now - *this->asOf <= kLongestPause;
   const auto found = this->lastSeen.find(aService);
   if (found == this->lastSeen.end()) {
     return result;
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -100,7 +100,7 @@
   this->failedEndpoints.push_back(this->endpointId);
   this->context.pathMonitor.OnUnreachable(this->endpointId);
   this->CancelAttempt(DispatchOutcome::Failed);
-  this->endpointWaitSince = this->context.loop.GetClock().Now();
+  this->RestartEndpointWait();
   this->Dispatch();
 }
 
@@ -208,7 +208,7 @@
   this->sends -= aEnd.outcome == AttemptOutcome::NotSent ? 1 : 0;
   this->mayHaveRun = this->mayHaveRun || !isProvenNotRun;
   this->lastReason = fmt::format("endpoint {}: {}", this->endpointId, aEnd.reason);
-  this->endpointWaitSince = this->context.loop.GetClock().Now();
+  this->RestartEndpointWait();
   if (aEnd.outcome == AttemptOutcome::Failure) {
     this->RecordStarted();
     this->failureReply = aEnd.reply;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -121,7 +121,10 @@
   void RecordOrigin();
   /// Whether no live endpoint runs the software version that the stream needs.
   [[nodiscard]] bool IsVersionGone() const;
+  /// How long to wait for an endpoint since `endpointWaitSince`.
   [[nodiscard]] Milliseconds EndpointWaitLimit() const;
+  /// After a failed attempt, a stream that was begun may wait for an endpoint anew; any other request may not.
+  void RestartEndpointWait();
 
   void Dispatch();
   [[nodiscard]] RouteRequest MakeRouteRequest() const;
@@ -188,7 +191,7 @@
   /// What wrote the events that the caller has; empty until the first one.
   std::optional<StreamOrigin> origin;
   std::optional<TimePoint> originRecordedAt; ///< By this run.
-  TimePoint endpointWaitSince;               ///< When the choice of the next endpoint began.
+  TimePoint endpointWaitSince; ///< Since when the request may have waited for an endpoint.
   bool ended = false;
 
   std::unique_ptr<RelayMove> move;            ///< Null while no move is in progress.
--- a/Lagoonward/Relay/RelayRunOrigin.cpp
+++ b/Lagoonward/Relay/RelayRunOrigin.cpp
@@ -16,7 +16,7 @@
 void
 RelayRun::FindOrigin()
 {
-  // A caller that names no request may be asking for any stream: only its version may be known
+  // If the caller names no request, no origin is found, but the service may have run one version only
   const std::string& id = this->call.resumedId.empty() ? this->call.id : this->call.resumedId;
   const auto onFound = [this, aliveToken = std::weak_ptr(this->aliveToken),
                         &loop = this->context.loop](const StreamOriginReply& aReply) {
@@ -62,9 +62,9 @@
   }
   // Whatever began the stream was in the source before its caller asked, so a snapshot of then shows all versions
   if (this->context.versions->IsCurrentAsOf(aAskedAt)) {
-    const ServiceVersions now =
+    const ServiceVersions seen =
       this->context.versions->VersionsOf(this->call.service, this->MaximumStreamAge());
-    if (now.count == 1 && now.version == aVersion) {
+    if (seen.count == 1 && seen.version == aVersion) {
       this->ContinueFrom({ this->call.service, aVersion }, ResumptionOutcome::SoleVersion);
     } else {
       this->RefuseUnknownOrigin();
@@ -109,7 +109,7 @@
   this->context.observer.OnResumption(
     this->call, this->IsVersionGone() ? ResumptionOutcome::VersionGone : aOutcome,
     aOrigin.softwareVersion);
-  this->endpointWaitSince = this->context.loop.GetClock().Now();
+  this->RestartEndpointWait();
   this->Dispatch();
 }
 
@@ -144,6 +144,14 @@
   });
 }
 
+void
+RelayRun::RestartEndpointWait()
+{
+  if (this->origin) {
+    this->endpointWaitSince = this->context.loop.GetClock().Now();
+  }
+}
+
 Milliseconds
 RelayRun::EndpointWaitLimit() const
 {
--- a/UnitTests/Fleet/SoftwareVersionHistoryTests.cpp
+++ b/UnitTests/Fleet/SoftwareVersionHistoryTests.cpp
@@ -66,6 +66,7 @@
 {
   this->Run({ "v1" }, Seconds(20));
   this->clock.Advance(Seconds(8));
+  BOOST_TEST(!this->Sole(Seconds(10)).has_value());
   BOOST_TEST(!this->history.IsCurrentAsOf(this->clock.BootNow() - Seconds(1)));
   this->Run({ "v1" }, Seconds(5));
   BOOST_TEST(!this->Sole(Seconds(10)).has_value());
