What brittle endpoints say, and what a sender knew of an endpoint, in logs and metrics

Answers with Server-Brittle are read (log line endpoint_brittle, gauge lagoonward_relay_brittle_services); the lines 'sent' name the requests known to be in flight at the endpoint, own and of others; rejections are counted apart from failures (outcome rejected of lagoonward_relay_attempts_total). No decision uses them yet.

--- a/Lagoonward/Attempts/Market.cpp
+++ b/Lagoonward/Attempts/Market.cpp
@@ -11,6 +11,7 @@
   , retryBudget(aSettings.retries, aClock)
   , poison(aSettings.poison, aClock)
   , endpointLimits(aSettings.endpointLimits, aClock)
+  , brittle(aSettings.brittle, aClock)
   , name(std::move(aName))
   , settings(aSettings)
   , clock(aClock)
--- a/Lagoonward/Attempts/Market.h
+++ b/Lagoonward/Attempts/Market.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Admission/Admission.h"
+#include "Lagoonward/Admission/BrittleServices.h"
 #include "Lagoonward/Admission/EndpointLimits.h"
 #include "Lagoonward/Admission/PoisonRequestFilter.h"
 #include "Lagoonward/Admission/RetryBudget.h"
@@ -27,6 +28,7 @@
   RetryBudgetSettings retries;
   PoisonFilterSettings poison;
   EndpointLimitSettings endpointLimits;
+  BrittleServiceSettings brittle;
 };
 
 /// One market for the traffic threads: its configuration in force and the modules that route and admit its requests.
@@ -63,6 +65,7 @@
   RetryBudget retryBudget;
   PoisonRequestFilter poison;
   EndpointLimits endpointLimits;
+  BrittleServices brittle;
 
 private:
   const std::string name;
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -313,6 +313,7 @@
   state.endpointsAge = this->endpointReplicator->Age();
   state.poisonedRequests = this->market->poison.PoisonedCount();
   state.limitedEndpoints = static_cast<int>(this->market->endpointLimits.LimitedEndpoints().size());
+  state.brittleServices = this->market->brittle.Count();
   return state;
 }
 
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -118,6 +118,9 @@
   this->SetGauge("lagoonward_relay_limited_endpoints",
                  "Endpoints that advertise how many requests they accept from all daemons.",
                  aState.limitedEndpoints);
+  this->SetGauge("lagoonward_relay_brittle_services",
+                 "Services whose endpoints crash when they have to reject too many requests.",
+                 aState.brittleServices);
   this->SetEndpointGauges(aState);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
@@ -143,17 +146,18 @@
 }
 
 void
-RelayReporter::OnSent(const RelayCall& aCall, const Endpoint& aEndpoint, int aSend,
-                      const EngineWork& aWork)
+RelayReporter::OnSent(const RelayCall& aCall, const Endpoint& aEndpoint, const SendRecord& aSend)
 {
   if (this->onSent) {
-    this->onSent(aCall, aWork);
+    this->onSent(aCall, aSend.work);
   }
   this->attempts.Add({ { "service", aCall.service }, { "outcome", "sent" } }).Increment();
   kLog.Event("sent", { { "request", aCall.id },
                        { "endpoint", aEndpoint.id },
                        { "software", aEndpoint.softwareVersion },
-                       { "send", aSend },
+                       { "send", aSend.send },
+                       { "own", aSend.ownInFlight },
+                       { "others", aSend.peersInFlight },
                        { "endpoints_age_ms", this->endpointsAge().count() },
                        { "age_ms", this->AgeOf(aCall) } });
 }
@@ -187,7 +191,10 @@
 void
 RelayReporter::OnAttemptFailed(const RelayCall& aCall, const FailedAttempt& aFailed)
 {
-  this->attempts.Add({ { "service", aCall.service }, { "outcome", "failed" } }).Increment();
+  const bool isRejection = aFailed.cause == AttemptCause::Refused;
+  this->attempts
+    .Add({ { "service", aCall.service }, { "outcome", isRejection ? "rejected" : "failed" } })
+    .Increment();
   kLog.Event("attempt_failed", { { "request", aCall.id },
                                  { "print", aCall.fingerprint },
                                  { "endpoint", aFailed.endpoint },
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -36,6 +36,7 @@
   Milliseconds endpointsAge{ 0 };  ///< Age of the snapshot of the endpoints.
   int poisonedRequests = 0;        ///< Requests that are sent to no endpoint, as they crash them.
   int limitedEndpoints = 0;        ///< Endpoints that have reported a limit of requests.
+  int brittleServices = 0; ///< Services whose endpoints crash when they reject too many requests.
 };
 
 /// Reports what happens to relayed requests: a log event for each decision, and metrics of counts and latencies.
@@ -60,8 +61,7 @@
   [[nodiscard]] std::string MetricsText(const RelayState& aState);
 
   void OnAccepted(const RelayCall& aCall) override;
-  void OnSent(const RelayCall& aCall, const Endpoint& aEndpoint, int aSend,
-              const EngineWork& aWork) override;
+  void OnSent(const RelayCall& aCall, const Endpoint& aEndpoint, const SendRecord& aSend) override;
   void OnResumption(const RelayCall& aCall, ResumptionOutcome aOutcome,
                     std::string_view aSoftwareVersion) override;
   void OnStarted(const RelayCall& aCall) override;
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -99,6 +99,20 @@
   double perSecond = 0; ///< For Limited only; finite and not negative.
 };
 
+/// What an endpoint says in a response about the rejections that it survives.
+struct AdvertisedBrittleness
+{
+  enum class Kind
+  {
+    None,      ///< The response says nothing.
+    Brittle,   ///< The endpoint crashes when it rejects more than `tolerated` requests in a second.
+    Malformed, ///< Cannot be parsed; what was said before stays in force.
+  };
+
+  Kind kind = Kind::None;
+  double tolerated = 0; ///< For Brittle only; finite and not negative.
+};
+
 /// Parsed head of an endpoint's response.
 struct EndpointHead
 {
@@ -109,7 +123,8 @@
   bool addressReassigned = false; ///< The address is now used by a different endpoint.
   bool bodyEncoded = false; ///< The body was encoded on the way, so it is not the original one.
   bool streamsEvents = false;
-  AdvertisedLimit limit;           ///< Limit on the requests of all daemons together.
+  AdvertisedLimit limit; ///< Limit on the requests of all daemons together.
+  AdvertisedBrittleness brittleness;
   std::vector<HttpHeader> headers; ///< The headers to pass to the caller.
 };
 
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -22,6 +22,16 @@
   std::string endpoint;   ///< Id of the last endpoint used; empty for none.
 };
 
+/// Description of a send to an endpoint.
+struct SendRecord
+{
+  int send = 0;    ///< The first of a request has 1.
+  EngineWork work; ///< For the endpoint; zero if an earlier send of the request has reported it.
+  /// Other requests known to be in flight at the endpoint: of this daemon, and as the other daemons have reported.
+  int ownInFlight = 0;
+  int peersInFlight = 0;
+};
+
 /// Description of a failed attempt.
 struct FailedAttempt
 {
@@ -48,9 +58,8 @@
   virtual ~RelayObserver() = default;
 
   virtual void OnAccepted(const RelayCall& aCall) = 0;
-  /// @param aWork  work for the endpoint; zero if an earlier send of the request has reported it
-  virtual void OnSent(const RelayCall& aCall, const Endpoint& aEndpoint, int aSend,
-                      const EngineWork& aWork) = 0;
+  virtual void OnSent(const RelayCall& aCall, const Endpoint& aEndpoint,
+                      const SendRecord& aSend) = 0;
   /// A caller takes up a stream of which it has events.
   /// @param aSoftwareVersion  what began it; empty if unknown
   virtual void OnResumption(const RelayCall& aCall, ResumptionOutcome aOutcome,
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -140,6 +140,18 @@
       this->context.endpointLimits.OnMalformedLimit(this->endpointId);
       break;
   }
+  BrittleServices& brittle = this->context.brittleServices;
+  switch (aHead.brittleness.kind) {
+    case AdvertisedBrittleness::Kind::Brittle:
+      brittle.OnBrittleAnswer(this->call.service, this->endpointId, aHead.brittleness.tolerated);
+      break;
+    case AdvertisedBrittleness::Kind::None:
+      brittle.OnSoundAnswer(this->call.service, this->endpointId, this->dispatch.dispatchedAt);
+      break;
+    case AdvertisedBrittleness::Kind::Malformed:
+      brittle.OnMalformedAnswer(this->endpointId);
+      break;
+  }
 }
 
 void
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Admission/BrittleServices.h"
 #include "Lagoonward/Admission/EndpointLimits.h"
 #include "Lagoonward/Admission/PermitSource.h"
 #include "Lagoonward/Admission/PoisonRequestFilter.h"
@@ -54,6 +55,7 @@
   PoisonRequestFilter& poisonFilter;
   CrashProbe& crashProbe;
   EndpointLimits& endpointLimits;
+  BrittleServices& brittleServices;
   PermitSource* permitSource;       ///< Never null.
   StreamOriginStore* streamOrigins; ///< Never null.
   SoftwareVersionHistory* versions; ///< Null if they are not known.
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -16,20 +16,11 @@
   , forwarder(this->loop, this->settings)
   , localPermits(aClock)
   , localStreamOrigins({}, aClock)
-  , context{ this->loop,
-             aMarket.router,
-             aMarket.retryBudget,
-             aMarket.poison,
-             this->crashProbe,
-             aMarket.endpointLimits,
-             &this->localPermits,
-             &this->localStreamOrigins,
-             nullptr,
-             this->pathMonitor,
-             aFleet,
-             nullptr,
-             this->settings,
-             this->dialect,
+  , context{ this->loop,      aMarket.router,      aMarket.retryBudget,
+             aMarket.poison,  this->crashProbe,    aMarket.endpointLimits,
+             aMarket.brittle, &this->localPermits, &this->localStreamOrigins,
+             nullptr,         this->pathMonitor,   aFleet,
+             nullptr,         this->settings,      this->dialect,
              aObserver }
 {
 }
--- a/Lagoonward/Routing/Router.h
+++ b/Lagoonward/Routing/Router.h
@@ -41,8 +41,11 @@
   std::uint64_t endpointKey = 0;
   std::size_t speedIndex = 0;
   int uncachedTokens = 0;
-  int freshTokens = 0;  ///< See RouteRequest::freshTokens; zero if the prefix is fetched.
-  int priority = 0;     ///< Priority sent to the engine.
+  int freshTokens = 0; ///< See RouteRequest::freshTokens; zero if the prefix is fetched.
+  int priority = 0;    ///< Priority sent to the engine.
+  /// Other requests at the endpoint at the time of dispatch: of this daemon, and as the others have reported.
+  int ownInFlight = 0;
+  int peersInFlight = 0;
   double sequences = 0; ///< Estimated batch size at the endpoint at the time of dispatch.
   bool isPlainCall = false;
   /// Little was queued ahead, so the time to first token shows the prefill speed.
--- a/Lagoonward/Routing/RouterLearning.cpp
+++ b/Lagoonward/Routing/RouterLearning.cpp
@@ -42,6 +42,8 @@
     dispatch.sequences = this->EstimatedSequences(index, this->PeerFactor(target)) + 1;
     dispatch.endpointWasIdle = activity->PrefillPending(0) <= kIdlePrefillTokens &&
                                this->table->Targets()[index].waiting == 0;
+    dispatch.ownInFlight = activity->InFlight();
+    dispatch.peersInFlight = activity->PeersInFlight();
     activity->breaker.OnDispatched(this->settings.breaker, dispatch.dispatchedAt);
     activity->OnDispatched(dispatch.dispatchedAt, dispatch.uncachedTokens, dispatch.priority);
     ++this->ownInFlight;
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -35,6 +35,9 @@
       head.isMarked = head.isMarked || name == "Mark";
       head.notRun = head.notRun || name == "Not-Run";
       head.streamsEvents = head.streamsEvents || value == "text/event-stream";
+      if (name == "Brittle") {
+        head.brittleness = { AdvertisedBrittleness::Kind::Brittle, std::stod(value) };
+      }
       if (name == "Limit") {
         head.limit = { AdvertisedLimit::Kind::Limited, std::stod(value) };
       }
@@ -145,14 +148,13 @@
 {
 public:
   void OnAccepted(const RelayCall&) override {}
-  void OnSent(const RelayCall&, const Endpoint& aEndpoint, int aSend,
-              const EngineWork& aWork) override
+  void OnSent(const RelayCall&, const Endpoint& aEndpoint, const SendRecord& aSend) override
   {
     ++this->sent;
     if (this->onSent) {
-      this->onSent(aEndpoint.id, aSend);
+      this->onSent(aEndpoint.id, aSend.send);
     }
-    this->sendsWithDemand += aWork.calls + aWork.outputTokens > 0 ? 1 : 0;
+    this->sendsWithDemand += aSend.work.calls + aSend.work.outputTokens > 0 ? 1 : 0;
   }
   void OnResumption(const RelayCall&, ResumptionOutcome, std::string_view) override {}
   void OnStarted(const RelayCall&) override { ++this->started; }
