--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Core/Log.h"
 
+#include <fmt/format.h>
 #include <prometheus/text_serializer.h>
 
 namespace lagoonward {
@@ -195,8 +196,12 @@
   this->attempts
     .Add({ { "service", aCall.service }, { "outcome", isRejection ? "rejected" : "failed" } })
     .Increment();
+  const std::string parts = IsPossibleCrash(aFailed.cause)
+                              ? fmt::format("{:x}", fmt::join(aCall.sharedPartKeys, " "))
+                              : std::string();
   kLog.Event("attempt_failed", { { "request", aCall.id },
                                  { "print", aCall.fingerprint },
+                                 { "parts", parts },
                                  { "endpoint", aFailed.endpoint },
                                  { "cause", ToString(aFailed.cause) },
                                  { "reason", aFailed.reason },
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -44,7 +44,8 @@
   std::string lastEventId; ///< Last event that the caller of a stream already has; empty for none.
   /// Id of the caller's request that brought the first event of the stream that this one continues; empty for none.
   std::string resumedId;
-  std::uint64_t fingerprint = 0; ///< See ComputeFingerprint().
+  std::uint64_t fingerprint = 0;             ///< See ComputeFingerprint().
+  std::vector<std::uint64_t> sharedPartKeys; ///< See ComputeSharedPartKeys().
 
   /// When the response must be complete: the route's timeout or the deadline, whichever is earlier.
   [[nodiscard]] TimePoint EffectiveDeadline() const;
@@ -55,6 +56,11 @@
 [[nodiscard]] std::uint64_t
 ComputeFingerprint(const RelayCall& aCall);
 
+/// Keys of the prompt parts that other requests may share: all but the last, which belongs to the request or its session.
+/// Each part has one key for each service, whatever the account.
+[[nodiscard]] std::vector<std::uint64_t>
+ComputeSharedPartKeys(const RelayCall& aCall);
+
 /// Metadata that is sent to an endpoint together with a request.
 struct SendOptions
 {
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -72,6 +72,7 @@
 RelayService::Submit(RelayCall aCall, std::unique_ptr<RelayCaller> aCaller)
 {
   aCall.fingerprint = ComputeFingerprint(aCall);
+  aCall.sharedPartKeys = ComputeSharedPartKeys(aCall);
   const auto request =
     std::make_shared<PendingRequest>(PendingRequest{ std::move(aCall), std::move(aCaller) });
   this->loop.Post([this, request] { this->AcquireTokens(request); });
