--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -285,6 +285,7 @@
     call.outputTokens = 100;
     call.lastEventId = this->lastEventId;
     call.resumedId = this->resumedId;
+    call.promptParts = this->promptParts;
     call.route = std::make_shared<const RelayRoute>(route);
     call.service = "s";
     call.account = aAccount;
@@ -298,6 +299,7 @@
   std::string body = "body";
   std::string lastEventId; ///< Of the requests sent from now on, as is the next.
   std::string resumedId;
+  std::vector<PromptPart> promptParts;
   Milliseconds firstEventTarget{ 1000 };
   Market market;
   FleetStore fleet;
