A prompt part that crashes endpoints is recognized, and requests with it are refused

Callers saw one endpoint after the other crash under requests that share one part of their prompts, with all that ran there. Cause: crashes were counted for whole requests (method, target, account, body), and these are all different. Now the same filter weighs the parts that requests share, per service; a part is harmless as soon as an endpoint has answered with it, and parts that only ever came together are told apart by requests that have one of them.

--- a/Lagoonward/Admission/PoisonRequestFilter.cpp
+++ b/Lagoonward/Admission/PoisonRequestFilter.cpp
@@ -47,6 +47,28 @@
   return known != nullptr && known->status == PoisonStatus::Poisoned;
 }
 
+bool
+PoisonRequestFilter::IsAnyPoisoned(std::span<const std::uint64_t> aKeys)
+{
+  const std::lock_guard lock(this->mutex);
+  if (this->statuses.empty()) {
+    return false;
+  }
+  const TimePoint now = this->clock.Now();
+  return std::any_of(aKeys.begin(), aKeys.end(), [&](std::uint64_t aKey) {
+    const StatusEntry* known = this->FindStatus(aKey, now);
+    return known != nullptr && known->status == PoisonStatus::Poisoned &&
+           known->companions.AreWithin(aKeys);
+  });
+}
+
+bool
+PoisonRequestFilter::HasCompletedRecently(std::uint64_t aRequest)
+{
+  const std::lock_guard lock(this->mutex);
+  return this->CompletedRecently(aRequest, this->clock.Now());
+}
+
 bool
 PoisonRequestFilter::IsSuspect(std::uint64_t aRequest)
 {
@@ -89,7 +111,14 @@
   if (!this->crashes.contains(aReport.request)) {
     this->EvictCrashes(now);
   }
-  std::vector<Crash>& known = this->crashes[aReport.request];
+  const auto [record, isNew] = this->crashes.try_emplace(aReport.request);
+  CompanionKeys& companions = record->second.companions;
+  if (isNew) {
+    companions = aReport.companions;
+  } else {
+    companions.IntersectWith(aReport.companions);
+  }
+  std::vector<Crash>& known = record->second.crashes;
   std::erase_if(known,
                 [&](const Crash& aEach) { return now - aEach.at > this->settings.crashRetention; });
   const double weight = aReport.hadPartialAnswer ? this->settings.partialAnswerWeight : 1;
@@ -98,10 +127,11 @@
     std::accumulate(known.begin(), known.end(), 0.0,
                     [](double aSum, const Crash& aEach) { return aSum + aEach.weight; });
   if (sum >= this->settings.crashesToPoison) {
-    this->RaiseStatus(aReport.request, PoisonStatus::Poisoned,
-                      now + this->settings.poisonRetention);
+    this->RaiseStatus(aReport.request,
+                      { PoisonStatus::Poisoned, now + this->settings.poisonRetention, companions });
   } else if (static_cast<int>(known.size()) >= this->settings.crashesToSuspect) {
-    this->RaiseStatus(aReport.request, PoisonStatus::Suspect, now + this->settings.poisonRetention);
+    this->RaiseStatus(aReport.request,
+                      { PoisonStatus::Suspect, now + this->settings.poisonRetention, companions });
   }
   return true;
 }
@@ -162,7 +192,8 @@
   const bool hadCrashes = this->crashes.erase(aRequest) > 0;
   const StatusEntry* known = this->FindStatus(aRequest, now);
   if (hadCrashes || (known != nullptr && known->status != PoisonStatus::Cleared)) {
-    this->RaiseStatus(aRequest, PoisonStatus::Cleared, now + this->settings.completionRetention);
+    this->RaiseStatus(aRequest,
+                      { PoisonStatus::Cleared, now + this->settings.completionRetention, {} });
   }
 }
 
@@ -181,11 +212,15 @@
 }
 
 void
-PoisonRequestFilter::RaiseStatus(std::uint64_t aRequest, PoisonStatus aStatus, TimePoint aExpiresAt)
+PoisonRequestFilter::RaiseStatus(std::uint64_t aRequest, const StatusEntry& aStatus)
 {
   const TimePoint now = this->clock.Now();
   const StatusEntry* known = this->FindStatus(aRequest, now);
-  if (known != nullptr && known->status >= aStatus) {
+  if (known != nullptr && known->status == aStatus.status) {
+    this->statuses[aRequest].companions.IntersectWith(aStatus.companions);
+    return;
+  }
+  if (known != nullptr && known->status > aStatus.status) {
     return;
   }
   if (known == nullptr && this->statuses.size() >= this->settings.maximumRequests) {
@@ -196,14 +231,17 @@
       });
     this->statuses.erase(first);
   }
-  this->statuses[aRequest] = { aStatus, aExpiresAt };
-  if (aStatus == PoisonStatus::Cleared) {
+  this->statuses[aRequest] = aStatus;
+  if (aStatus.status == PoisonStatus::Cleared) {
     this->crashes.erase(aRequest);
   }
-  kLog.Event(aStatus == PoisonStatus::Poisoned ? LogLevel::Warning : LogLevel::Info,
-             NameOf(aStatus),
-             { { "print", aRequest },
-               { "for_ms", std::chrono::floor<Milliseconds>(aExpiresAt - now).count() } });
+  const auto lifetime = std::chrono::floor<Milliseconds>(aStatus.expiresAt - now);
+  kLog.Event(aStatus.status == PoisonStatus::Poisoned ? LogLevel::Warning : LogLevel::Info,
+             NameOf(aStatus.status),
+             { { "subject", this->settings.subject },
+               { "print", aRequest },
+               { "companions", aStatus.companions.Keys().size() },
+               { "for_ms", lifetime.count() } });
 }
 
 void
@@ -213,15 +251,17 @@
     return;
   }
   std::erase_if(this->crashes, [&](const auto& aEach) {
-    return aNow - aEach.second.back().at > this->settings.crashRetention;
+    const std::vector<Crash>& known = aEach.second.crashes;
+    return known.empty() || aNow - known.back().at > this->settings.crashRetention;
   });
   if (this->crashes.size() < this->settings.maximumRequests) {
     return;
   }
   const auto least = std::min_element(
     this->crashes.begin(), this->crashes.end(), [](const auto& aLeft, const auto& aRight) {
-      return std::pair(aLeft.second.size(), aLeft.second.back().at) <
-             std::pair(aRight.second.size(), aRight.second.back().at);
+      const std::vector<Crash>& left = aLeft.second.crashes;
+      const std::vector<Crash>& right = aRight.second.crashes;
+      return std::pair(left.size(), left.back().at) < std::pair(right.size(), right.back().at);
     });
   this->crashes.erase(least);
 }
@@ -236,7 +276,8 @@
   for (const auto& [request, each] : this->statuses) {
     const auto remaining = std::chrono::floor<Milliseconds>(each.expiresAt - now);
     if (remaining > this->settings.minimumVerdictLifetime) {
-      verdicts.push_back({ request, each.status, static_cast<std::uint32_t>(remaining.count()) });
+      verdicts.push_back(
+        { request, each.status, static_cast<std::uint32_t>(remaining.count()), each.companions });
     }
   }
   if (verdicts.size() > this->settings.maximumVerdicts) {
@@ -271,10 +312,11 @@
                              completion != this->completions.end() &&
                              now - completion->second <= this->settings.completionRetention;
     if (isDisproved) {
-      this->RaiseStatus(verdict.request, PoisonStatus::Cleared,
-                        completion->second + this->settings.completionRetention);
+      this->RaiseStatus(
+        verdict.request,
+        { PoisonStatus::Cleared, completion->second + this->settings.completionRetention, {} });
     } else {
-      this->RaiseStatus(verdict.request, verdict.status, now + remaining);
+      this->RaiseStatus(verdict.request, { verdict.status, now + remaining, verdict.companions });
     }
   }
 }
--- a/Lagoonward/Admission/PoisonRequestFilter.h
+++ b/Lagoonward/Admission/PoisonRequestFilter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Admission/CompanionKeys.h"
 #include "Lagoonward/Core/Clock.h"
 
 #include <cstdint>
@@ -7,6 +8,7 @@
 #include <functional>
 #include <mutex>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -16,6 +18,8 @@
 /// Settings of the filter of requests that crash endpoints.
 struct PoisonFilterSettings
 {
+  std::string_view subject = "request"; ///< What the keys stand for, in logs.
+
   /// Number of crashes from which all daemons are notified, so that a daemon on which the request completed
   /// successfully can report it.
   int crashesToSuspect = 2;
@@ -60,12 +64,14 @@
   std::int64_t age = 0;          ///< Milliseconds since the loss.
   std::int64_t sentAge = 0;      ///< Milliseconds since the request was sent there.
   bool hadPartialAnswer = false; ///< Part of its answer had been received.
+  /// Other keys of the same request of which the reporting daemon does not know that they are harmless.
+  CompanionKeys companions;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(this->request, this->endpoint, this->domain, this->age, this->sentAge,
-             this->hadPartialAnswer);
+             this->hadPartialAnswer, this->companions);
   }
 };
 
@@ -83,11 +89,12 @@
   std::uint64_t request = 0;
   PoisonStatus status = PoisonStatus::Suspect;
   std::uint32_t expiresIn = 0; ///< Milliseconds.
+  CompanionKeys companions;    ///< Present at each of the crashes.
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->request, this->status, this->expiresIn);
+    aArchive(this->request, this->status, this->expiresIn, this->companions);
   }
 };
 
@@ -113,6 +120,13 @@
   /// Whether the request must not be sent to any endpoint.
   [[nodiscard]] bool IsPoisoned(std::uint64_t aRequest);
 
+  /// Whether a request with these keys must not be sent to any endpoint: one of them is poisoned, and all that were always
+  /// present at its crashes are among the keys. A request without these is sent, as they may be the cause.
+  [[nodiscard]] bool IsAnyPoisoned(std::span<const std::uint64_t> aKeys);
+
+  /// Whether an endpoint has recently completed a request with that key successfully.
+  [[nodiscard]] bool HasCompletedRecently(std::uint64_t aRequest);
+
   /// Whether the request is suspect or poisoned, so that one further send could cause one crash more than allowed.
   [[nodiscard]] bool IsSuspect(std::uint64_t aRequest);
 
@@ -144,10 +158,18 @@
     double weight = 1; ///< Contribution to the sum that is compared with `crashesToPoison`.
   };
 
+  /// All crashes of one key.
+  struct CrashRecord
+  {
+    std::vector<Crash> crashes; ///< The oldest first.
+    CompanionKeys companions;   ///< Present at each of them.
+  };
+
   struct StatusEntry
   {
     PoisonStatus status = PoisonStatus::Suspect;
     TimePoint expiresAt;
+    CompanionKeys companions;
   };
 
   /// @return whether the report was counted
@@ -156,15 +178,16 @@
   void AddCrash(std::vector<Crash>& aKnown, const Crash& aCrash, TimePoint aSentAt) const;
   [[nodiscard]] bool CompletedRecently(std::uint64_t aRequest, TimePoint aNow);
   [[nodiscard]] const StatusEntry* FindStatus(std::uint64_t aRequest, TimePoint aNow);
-  void RaiseStatus(std::uint64_t aRequest, PoisonStatus aStatus, TimePoint aExpiresAt);
+  /// Replaces a lower status; of the same status, only companions that both have remain.
+  void RaiseStatus(std::uint64_t aRequest, const StatusEntry& aStatus);
   void EvictCrashes(TimePoint aNow);
 
   PoisonFilterSettings settings;
   const Clock& clock;
   Listener listener;
-  std::mutex mutex;                                              ///< Guards all below.
-  std::unordered_map<std::uint64_t, std::vector<Crash>> crashes; ///< By request, the oldest first.
-  std::unordered_map<std::uint64_t, StatusEntry> statuses;       ///< By request.
+  std::mutex mutex;                                        ///< Guards all below.
+  std::unordered_map<std::uint64_t, CrashRecord> crashes;  ///< By request.
+  std::unordered_map<std::uint64_t, StatusEntry> statuses; ///< By request.
   std::unordered_map<std::uint64_t, TimePoint>
     completions; ///< Time of the last successful completion, by request.
   std::deque<std::pair<TimePoint, std::uint64_t>> completionOrder;
--- a/Lagoonward/Attempts/CrashProbe.cpp
+++ b/Lagoonward/Attempts/CrashProbe.cpp
@@ -45,9 +45,9 @@
   ConnectionAttempt(const ConnectionAttempt&) = delete;
   ConnectionAttempt& operator=(const ConnectionAttempt&) = delete;
 
-  void Add(PoisonRequestFilter& aFilter, const CrashReport& aReport, std::function<void()> aOnKnown)
+  void Add(std::vector<CrashEvidence> aEvidence, std::function<void()> aOnKnown)
   {
-    this->lostConnections.push_back({ &aFilter, aReport, this->owner.loop.GetClock().Now() });
+    this->lostConnections.push_back({ std::move(aEvidence), this->owner.loop.GetClock().Now() });
     this->waitingCallbacks.push_back(std::move(aOnKnown));
     if (!this->timer) {
       this->NotifyWaiting();
@@ -61,9 +61,11 @@
     for (LostConnection& each : this->lostConnections) {
       if (aIsDead) {
         const auto since = std::chrono::floor<Milliseconds>(now - each.at).count();
-        each.report.age += since;
-        each.report.sentAge += since;
-        each.filter->OnCrash(each.report);
+        for (CrashEvidence& evidence : each.evidence) {
+          evidence.report.age += since;
+          evidence.report.sentAge += since;
+          evidence.filter->OnCrash(evidence.report);
+        }
       }
     }
     this->NotifyWaiting();
@@ -72,8 +74,7 @@
 private:
   struct LostConnection
   {
-    PoisonRequestFilter* filter = nullptr;
-    CrashReport report;
+    std::vector<CrashEvidence> evidence;
     TimePoint at;
   };
 
@@ -109,14 +110,14 @@
 CrashProbe::~CrashProbe() = default;
 
 void
-CrashProbe::OnConnectionLost(PoisonRequestFilter& aFilter, const std::string& aAddress,
-                             const CrashReport& aReport, std::function<void()> aOnKnown)
+CrashProbe::OnConnectionLost(const std::string& aAddress, std::vector<CrashEvidence> aEvidence,
+                             std::function<void()> aOnKnown)
 {
   std::unique_ptr<ConnectionAttempt>& attempt = this->attempts[aAddress];
   if (attempt == nullptr) {
     attempt = std::make_unique<ConnectionAttempt>(*this, aAddress);
   }
-  attempt->Add(aFilter, aReport, std::move(aOnKnown));
+  attempt->Add(std::move(aEvidence), std::move(aOnKnown));
 }
 
 void
--- a/Lagoonward/Attempts/CrashProbe.h
+++ b/Lagoonward/Attempts/CrashProbe.h
@@ -11,6 +11,13 @@
 
 namespace lagoonward {
 
+/// A crash report and the filter that counts it.
+struct CrashEvidence
+{
+  PoisonRequestFilter* filter = nullptr;
+  CrashReport report;
+};
+
 /// Determines whether an endpoint has crashed after a connection to it broke. Connections break for many reasons;
 /// an endpoint that still accepts new connections has not crashed. All broken connections to an endpoint on
 /// this loop share one connection attempt, on which no data is sent. Used on one TrafficLoop only.
@@ -24,12 +31,12 @@
   CrashProbe& operator=(const CrashProbe&) = delete;
 
   /// Handles a connection that broke while a request used it.
-  /// @param aFilter   receives the report if the endpoint has crashed; must outlive this object
+  /// @param aEvidence  reported if the endpoint has crashed; the filters must outlive this object
   /// @param aAddress  address of the endpoint, `IP:PORT`
-  /// @param aOnKnown  called once: when the result is known and a crash has been reported to aFilter, or when the
+  /// @param aOnKnown  called once: when the result is known and a crash has been reported, or when the
   ///                  result does not arrive in time, because a connection attempt may hang without being refused
-  void OnConnectionLost(PoisonRequestFilter& aFilter, const std::string& aAddress,
-                        const CrashReport& aReport, std::function<void()> aOnKnown);
+  void OnConnectionLost(const std::string& aAddress, std::vector<CrashEvidence> aEvidence,
+                        std::function<void()> aOnKnown);
 
 private:
   class ConnectionAttempt;
--- a/Lagoonward/Attempts/Market.cpp
+++ b/Lagoonward/Attempts/Market.cpp
@@ -10,6 +10,7 @@
   , admission(aSettings.admission, aClock, aSeed)
   , retryBudget(aSettings.retries, aClock)
   , poison(aSettings.poison, aClock)
+  , poisonParts(aSettings.poisonParts, aClock)
   , endpointLimits(aSettings.endpointLimits, aClock)
   , brittle(aSettings.brittle, aClock)
   , places(aClock)
--- a/Lagoonward/Attempts/Market.h
+++ b/Lagoonward/Attempts/Market.h
@@ -28,6 +28,12 @@
   AdmissionSettings admission;
   RetryBudgetSettings retries;
   PoisonFilterSettings poison;
+  /// A part is shared by many requests, so it takes more crashes to blame it: one below the number after which it must
+  /// be known, as one may go unnoticed.
+  PoisonFilterSettings poisonParts{ .subject = "part",
+                                    .crashesToPoison = 4,
+                                    .maximumCompletions = 16384,
+                                    .maximumVerdicts = 128 };
   EndpointLimitSettings endpointLimits;
   BrittleServiceSettings brittle;
 };
@@ -65,6 +71,7 @@
   Admission admission;
   RetryBudget retryBudget;
   PoisonRequestFilter poison;
+  PoisonRequestFilter poisonParts; ///< The same for parts of prompts.
   EndpointLimits endpointLimits;
   BrittleServices brittle;
   PlaceRegistry places; ///< Requests in flight, for the owners of brittle endpoints.
--- a/Lagoonward/Daemon/CrashExchange.cpp
+++ b/Lagoonward/Daemon/CrashExchange.cpp
@@ -1,7 +1,6 @@
 #include "Lagoonward/Daemon/CrashExchange.h"
 
 #include "Lagoonward/Core/Log.h"
-#include "Lagoonward/Daemon/PeerRequestTypes.h"
 #include "Lagoonward/Membership/WireCodec.h"
 
 #include <algorithm>
@@ -12,9 +11,6 @@
 
 const Log kLog("poison");
 
-/// Type of the message, a CrashReport; see PeerRequest.
-constexpr auto kCrash = ToRequestType(PeerRequest::CrashReport);
-
 } // namespace
 
 CrashExchange::CrashExchange(const CrashExchangeSettings& aSettings, KeyOwnerDirectory& aOwners,
@@ -27,7 +23,8 @@
   , clock(aClock)
 {
   this->membership.Transport().OnRequest(
-    kCrash, [this](PeerKey, std::string_view aBytes, const PeerTransport::Responder& aRespond) {
+    ToRequestType(this->settings.message),
+    [this](PeerKey, std::string_view aBytes, const PeerTransport::Responder& aRespond) {
       const auto report = DecodeMessage<CrashReport>(aBytes);
       if (report) {
         this->poisonFilter.OnRemoteCrash(report.value());
@@ -82,7 +79,7 @@
   report.sentAge += age - report.age;
   report.age = age;
   this->membership.Transport().Request(
-    aOwner, kCrash, EncodeMessage(report), this->settings.timeout,
+    aOwner, ToRequestType(this->settings.message), EncodeMessage(report), this->settings.timeout,
     [this, aOwner, aReport, aObservedAt, aAttemptsLeft](const Result<std::string>& aResponse) {
       if (!aResponse && aAttemptsLeft > 1) {
         this->membership.Loop().After(
--- a/Lagoonward/Daemon/CrashExchange.h
+++ b/Lagoonward/Daemon/CrashExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Admission/PoisonRequestFilter.h"
+#include "Lagoonward/Daemon/PeerRequestTypes.h"
 #include "Lagoonward/Membership/KeyOwnerDirectory.h"
 #include "Lagoonward/Membership/MembershipService.h"
 
@@ -12,9 +13,10 @@
 /// Tunables of the exchange of crash reports.
 struct CrashExchangeSettings
 {
-  Milliseconds timeout{ 800 };    ///< For one message.
-  Milliseconds retryDelay{ 300 }; ///< Before an unanswered message is sent again.
-  int maximumAttempts = 5;        ///< Messages to one key owner.
+  PeerRequest message = PeerRequest::CrashReport; ///< Type of the messages.
+  Milliseconds timeout{ 800 };                    ///< For one message.
+  Milliseconds retryDelay{ 300 };                 ///< Before an unanswered message is sent again.
+  int maximumAttempts = 5;                        ///< Messages to one key owner.
 
   /// Crashes observed by this daemon that are retained, so that they can be sent to new key owners. The oldest is
   /// evicted first.
--- a/Lagoonward/Daemon/LoadExchange.cpp
+++ b/Lagoonward/Daemon/LoadExchange.cpp
@@ -172,6 +172,7 @@
   report.speeds = this->inputs.market->router.LearnedSpeeds();
   report.leader = this->inputs.leader();
   report.poison = this->inputs.market->poison.Verdicts();
+  report.poisonParts = this->inputs.market->poisonParts.Verdicts();
   report.brittle = this->inputs.market->brittle.Reports();
   const std::lock_guard lock(this->mutex);
   report.work = this->sentWork;
@@ -240,6 +241,7 @@
     report = this->loadTable.MakeGroupReport(this->reportsUsage);
   }
   report.poison = this->inputs.market->poison.Verdicts();
+  report.poisonParts = this->inputs.market->poisonParts.Verdicts();
   report.brittle = this->inputs.market->brittle.Reports();
   const std::string bytes = EncodeMessage(report);
   std::vector<PeerAddress> receivers = this->plan.otherAggregators;
@@ -264,6 +266,7 @@
   const MemberReport& report = decoded.value();
   this->inputs.market->router.OnPeerSpeeds(report.run, report.speeds);
   this->inputs.market->poison.OnVerdicts(report.poison);
+  this->inputs.market->poisonParts.OnVerdicts(report.poisonParts);
   this->inputs.market->brittle.OnReports(report.brittle);
   {
     const std::lock_guard lock(this->mutex);
@@ -283,6 +286,7 @@
   }
   const GroupReport& report = decoded.value();
   this->inputs.market->poison.OnVerdicts(report.poison);
+  this->inputs.market->poisonParts.OnVerdicts(report.poisonParts);
   this->inputs.market->brittle.OnReports(report.brittle);
   const std::lock_guard lock(this->mutex);
   if (this->loadTable.OnGroupReport(report)) {
@@ -300,6 +304,7 @@
   }
   sum.speeds = this->inputs.market->router.SpeedsInUse();
   sum.poison = this->inputs.market->poison.Verdicts();
+  sum.poisonParts = this->inputs.market->poisonParts.Verdicts();
   sum.brittle = this->inputs.market->brittle.Reports();
   return sum;
 }
@@ -334,6 +339,7 @@
   this->inputs.market->router.OnPeersInFlight(counts);
   this->inputs.market->admission.OnAggregatedDemand(aSum.demand);
   this->inputs.market->poison.OnVerdicts(aSum.poison);
+  this->inputs.market->poisonParts.OnVerdicts(aSum.poisonParts);
   this->inputs.market->brittle.OnReports(aSum.brittle);
   if (aSum.run != this->inputs.run) {
     this->inputs.market->router.OnPeerSpeeds(aSum.run, aSum.speeds);
--- a/Lagoonward/Daemon/LoadMessages.h
+++ b/Lagoonward/Daemon/LoadMessages.h
@@ -92,11 +92,12 @@
   UsageByWindow usage;
   InFlightCounts inFlight;
   std::vector<ClientDemand> demand;
-  WorkByService work;                 ///< Total sent to endpoints since the daemon's start.
-  std::vector<SpeedReport> speeds;    ///< As the daemon has measured them.
-  LeaderAnnouncement leader;          ///< The daemon itself, while it leads.
-  std::vector<PoisonVerdict> poison;  ///< All verdicts that the daemon knows.
-  std::vector<BrittleReport> brittle; ///< All brittle services that the daemon knows.
+  WorkByService work;                     ///< Total sent to endpoints since the daemon's start.
+  std::vector<SpeedReport> speeds;        ///< As the daemon has measured them.
+  LeaderAnnouncement leader;              ///< The daemon itself, while it leads.
+  std::vector<PoisonVerdict> poison;      ///< All verdicts that the daemon knows.
+  std::vector<PoisonVerdict> poisonParts; ///< The same for parts of prompts.
+  std::vector<BrittleReport> brittle;     ///< All brittle services that the daemon knows.
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -109,6 +110,7 @@
     SerializeList<std::uint8_t>(aArchive, this->speeds);
     aArchive(this->leader);
     SerializeList<std::uint8_t>(aArchive, this->poison);
+    SerializeList<std::uint8_t>(aArchive, this->poisonParts);
     SerializeList<std::uint16_t>(aArchive, this->brittle);
   }
 };
@@ -122,8 +124,9 @@
   AggregatedDemand demand;
   std::vector<SpeedReport> speeds;
   LeaderAnnouncement leader;
-  std::vector<PoisonVerdict> poison;  ///< All verdicts that the aggregator knows.
-  std::vector<BrittleReport> brittle; ///< All brittle services that the aggregator knows.
+  std::vector<PoisonVerdict> poison;      ///< All verdicts that the aggregator knows.
+  std::vector<PoisonVerdict> poisonParts; ///< The same for parts of prompts.
+  std::vector<BrittleReport> brittle;     ///< All brittle services that the aggregator knows.
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -134,6 +137,7 @@
     SerializeList<std::uint8_t>(aArchive, this->speeds);
     aArchive(this->leader);
     SerializeList<std::uint8_t>(aArchive, this->poison);
+    SerializeList<std::uint8_t>(aArchive, this->poisonParts);
     SerializeList<std::uint16_t>(aArchive, this->brittle);
   }
 };
@@ -147,12 +151,13 @@
   std::int64_t usageAge = 0; ///< Age of the oldest usage report among the members, in milliseconds.
   UsageByWindow usage;
   InFlightCounts inFlight;
-  AggregatedDemand demand;            ///< Of the whole group.
-  WorkByService workRate;             ///< Per second.
-  std::vector<SpeedReport> speeds;    ///< Medians of what its members have measured.
-  LeaderAnnouncement leader;          ///< As one of the members has announced it.
-  std::vector<PoisonVerdict> poison;  ///< All verdicts that the aggregator knows.
-  std::vector<BrittleReport> brittle; ///< All brittle services that the aggregator knows.
+  AggregatedDemand demand;                ///< Of the whole group.
+  WorkByService workRate;                 ///< Per second.
+  std::vector<SpeedReport> speeds;        ///< Medians of what its members have measured.
+  LeaderAnnouncement leader;              ///< As one of the members has announced it.
+  std::vector<PoisonVerdict> poison;      ///< All verdicts that the aggregator knows.
+  std::vector<PoisonVerdict> poisonParts; ///< The same for parts of prompts.
+  std::vector<BrittleReport> brittle;     ///< All brittle services that the aggregator knows.
 
   template<class Archive>
   void serialize(Archive& aArchive)
@@ -165,6 +170,7 @@
     SerializeList<std::uint8_t>(aArchive, this->speeds);
     aArchive(this->leader);
     SerializeList<std::uint8_t>(aArchive, this->poison);
+    SerializeList<std::uint8_t>(aArchive, this->poisonParts);
     SerializeList<std::uint16_t>(aArchive, this->brittle);
   }
 };
--- a/Lagoonward/Daemon/PeerRequestTypes.h
+++ b/Lagoonward/Daemon/PeerRequestTypes.h
@@ -23,6 +23,7 @@
   StreamOrigins = 11,
   StreamOriginQuery = 12,
   EndpointPlace = 13,
+  PartCrashReport = 14,
 };
 
 /// The number of the request on the wire.
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -39,6 +39,9 @@
 
 constexpr std::size_t kForwardTokenBytes = 16;
 
+/// A crash concerns several parts of each request that ran there.
+constexpr std::size_t kRetainedPartCrashes = 1024;
+
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
@@ -171,6 +174,7 @@
     this->keyOwners->OnPeers(*aView);
     this->limitTokenExchange->OnKeyOwnersChanged();
     this->crashExchange->OnKeyOwnersChanged();
+    this->partCrashExchange->OnKeyOwnersChanged();
     this->placeExchange->OnPeers(*aView);
     this->streamOrigins->OnKeyOwnersChanged();
   });
@@ -189,6 +193,11 @@
   this->crashExchange =
     std::make_unique<CrashExchange>(CrashExchangeSettings{}, *this->keyOwners, *this->membership,
                                     this->market->poison, this->clock);
+  CrashExchangeSettings partSettings;
+  partSettings.message = PeerRequest::PartCrashReport;
+  partSettings.maximumRetained = kRetainedPartCrashes;
+  this->partCrashExchange = std::make_unique<CrashExchange>(
+    partSettings, *this->keyOwners, *this->membership, this->market->poisonParts, this->clock);
   this->permitExchange =
     std::make_unique<PermitExchange>(KeyOwnerQuerySettings{}, *this->keyOwners, *this->membership,
                                      this->market->endpointLimits, this->clock);
@@ -320,6 +329,7 @@
   state.endpointsAge = this->endpointReplicator->Age();
   state.poisonedRequests = this->market->poison.PoisonedCount();
   state.limitedEndpoints = static_cast<int>(this->market->endpointLimits.LimitedEndpoints().size());
+  state.poisonedParts = this->market->poisonParts.PoisonedCount();
   state.brittleServices = this->market->brittle.Count();
   return state;
 }
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -143,6 +143,7 @@
   std::unique_ptr<KeyOwnerDirectory> keyOwners;
   std::unique_ptr<LimitTokenExchange> limitTokenExchange;
   std::unique_ptr<CrashExchange> crashExchange;
+  std::unique_ptr<CrashExchange> partCrashExchange; ///< The same for parts of prompts.
   std::unique_ptr<PermitExchange> permitExchange;
   std::unique_ptr<PlaceExchange> placeExchange;
   std::unique_ptr<StreamOriginExchange> streamOrigins;
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -116,6 +116,9 @@
                  std::chrono::duration<double>(aState.endpointsAge).count());
   this->SetGauge("lagoonward_relay_poisoned_requests",
                  "Requests that crash endpoints and are sent to none.", aState.poisonedRequests);
+  this->SetGauge("lagoonward_relay_poisoned_prompt_parts",
+                 "Parts of prompts that crash endpoints; requests with them are sent to none.",
+                 aState.poisonedParts);
   this->SetGauge("lagoonward_relay_limited_endpoints",
                  "Endpoints that advertise how many requests they accept from all daemons.",
                  aState.limitedEndpoints);
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -35,6 +35,7 @@
   bool isEndpointReader = false;   ///< Whether it reads the endpoint records for all daemons.
   Milliseconds endpointsAge{ 0 };  ///< Age of the snapshot of the endpoints.
   int poisonedRequests = 0;        ///< Requests that are sent to no endpoint, as they crash them.
+  int poisonedParts = 0;           ///< Parts of prompts for which the same holds.
   int limitedEndpoints = 0;        ///< Endpoints that have reported a limit of requests.
   int brittleServices = 0; ///< Services whose endpoints crash when they reject too many requests.
 };
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -34,7 +34,8 @@
   , handlers(std::move(aHandlers))
   , promptBlocks(PromptBlocks(this->call.promptParts, aContext.settings.blockTokens))
   , crashTracker(this->call.fingerprint, aContext.poisonFilter, aContext.crashProbe, aContext.fleet,
-                 aContext.loop.GetClock())
+                 aContext.loop.GetClock(),
+                 { &aContext.poisonPartFilter, this->call.sharedPartKeys })
   , lastEventId(this->call.lastEventId)
 {
 }
@@ -210,7 +211,7 @@
     this->RecordFirstByte();
     this->RecordStarted();
     this->context.router.OnFinished(this->dispatch, DispatchOutcome::Completed);
-    this->crashTracker.OnRequestCompleted();
+    this->crashTracker.OnRequestCompleted(!this->streaming || this->forwardedEvents > 0);
     this->place.End(PlaceAction::Release);
     this->Succeed(aEnd.reply);
     return;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -54,6 +54,7 @@
   Router& router;
   RetryBudget& retryBudget;
   PoisonRequestFilter& poisonFilter;
+  PoisonRequestFilter& poisonPartFilter;
   CrashProbe& crashProbe;
   EndpointLimits& endpointLimits;
   BrittleServices& brittleServices;
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -242,12 +242,14 @@
   // Opening a connection on a busy host can take a second, so the state is checked again right before the first byte
   // May be called after this run has ended, until its transfer is cancelled
   const auto mayBeSent = [&current = this->context.fleet, guard = this->context.snapshotGuard,
-                          &poisonFilter = this->context.poisonFilter, id = this->endpointId,
-                          fingerprint = this->call.fingerprint] {
+                          &poisonFilter = this->context.poisonFilter,
+                          &poisonPartFilter = this->context.poisonPartFilter, id = this->endpointId,
+                          fingerprint = this->call.fingerprint,
+                          partKeys = this->call.sharedPartKeys] {
     const FleetSnapshotPtr newest = current.Get();
     const Endpoint* target = newest->Find(id);
     return target != nullptr && target->state == EndpointState::Live && IsSnapshotUsable(guard) &&
-           !poisonFilter.IsPoisoned(fingerprint);
+           !poisonFilter.IsPoisoned(fingerprint) && !poisonPartFilter.IsAnyPoisoned(partKeys);
   };
   this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms, mayBeSent);
   this->ArmSilenceTimer(false);
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -21,6 +21,7 @@
              aMarket.router,
              aMarket.retryBudget,
              aMarket.poison,
+             aMarket.poisonParts,
              this->crashProbe,
              aMarket.endpointLimits,
              aMarket.brittle,
