--- a/UnitTests/Relay/RelayPoisonPartTests.cpp
+++ b/UnitTests/Relay/RelayPoisonPartTests.cpp
@@ -62,8 +62,7 @@
 
 /// Guards against requests that are not alike but share a part of their prompts which crashes each endpoint: each of them
 /// crashed one.
-BOOST_AUTO_TEST_CASE(RequestsWithAPartThatCrashedFiveEndpointsAreNotSent,
-                     *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(RequestsWithAPartThatCrashedFiveEndpointsAreNotSent)
 {
   for (int time = 0; time < kEndpoints - 2; ++time) {
     BOOST_TEST(this->SendParts({ kTemplate, 3 }, false).reply.has_value());
