An owner of brittle endpoints that owns one again starts anew; later fallback to the next owner

Found by reading: an owner kept what it knew of an endpoint while it did not own it, and would have given out all places on stale knowledge when it owned it again (OwnerThatOwnsAnEndpointAgainStartsAnew). Requests wait up to 100 ms at an owner, so the next one is asked after 300 ms instead of 150.

--- a/Lagoonward/Admission/PlaceLedger.cpp
+++ b/Lagoonward/Admission/PlaceLedger.cpp
@@ -286,6 +286,20 @@
   }
 }
 
+void
+PlaceLedger::OnOwnersChanged(const std::function<bool(std::uint64_t aEndpoint)>& aIsOwned)
+{
+  std::erase_if(this->endpoints, [&](const auto& aEach) {
+    if (aIsOwned(aEach.first)) {
+      return false;
+    }
+    for (const Waiting& each : aEach.second.waiting) {
+      each.respond({});
+    }
+    return true;
+  });
+}
+
 int
 PlaceLedger::Taken(std::uint64_t aEndpoint) const
 {
--- a/Lagoonward/Admission/PlaceLedger.h
+++ b/Lagoonward/Admission/PlaceLedger.h
@@ -125,6 +125,10 @@
   /// Releases all places of a daemon process that has ended.
   void OnRunEnded(std::uint64_t aRun);
 
+  /// Forgets the endpoints that this daemon no longer owns: should it own them again, it knows nothing of what is in flight
+  /// there. Requests that wait are told to ask the new owners.
+  void OnOwnersChanged(const std::function<bool(std::uint64_t aEndpoint)>& aIsOwned);
+
   /// Time without changes after which the list of daemons counts as stable.
   [[nodiscard]] Milliseconds TakeoverDelay() const { return this->settings.takeoverDelay; }
 
--- a/Lagoonward/Attempts/Market.h
+++ b/Lagoonward/Attempts/Market.h
@@ -32,8 +32,7 @@
   /// be known, as one may go unnoticed.
   PoisonFilterSettings poisonParts{ .subject = "part",
                                     .crashesToPoison = 4,
-                                    .maximumCompletions = 16384,
-                                    .maximumVerdicts = 128 };
+                                    .maximumCompletions = 16384 };
   EndpointLimitSettings endpointLimits;
   BrittleServiceSettings brittle;
 };
--- a/Lagoonward/Daemon/PlaceExchange.cpp
+++ b/Lagoonward/Daemon/PlaceExchange.cpp
@@ -190,6 +190,9 @@
 PlaceExchange::OnPeers(const PeerView& aView)
 {
   this->haveOwnersChanged = true;
+  this->ledger.OnOwnersChanged([this](std::uint64_t aEndpoint) {
+    return this->owners.RoleOf(aEndpoint) != KeyOwnerRole::None;
+  });
   std::erase_if(this->runs, [&](const auto& aEach) {
     const bool isLive = std::any_of(aView.peers.begin(), aView.peers.end(), [&](const Peer& aPeer) {
       return aPeer.info.Key() == aEach.first;
--- a/Lagoonward/Daemon/PlaceExchange.h
+++ b/Lagoonward/Daemon/PlaceExchange.h
@@ -11,7 +11,8 @@
 /// Tunables of PlaceExchange.
 struct PlaceExchangeSettings
 {
-  KeyOwnerQuerySettings query;
+  /// An owner replies late to a request that waits for a place, so the next one is asked later than elsewhere.
+  KeyOwnerQuerySettings query{ .fallbackDelay = Milliseconds(300) };
   PlaceSettings places;
   Milliseconds declareInterval{
     200
--- a/UnitTests/Admission/PlaceLedgerTests.cpp
+++ b/UnitTests/Admission/PlaceLedgerTests.cpp
@@ -172,6 +172,19 @@
   BOOST_TEST(this->AskAll(10) == kPlaces - 1);
 }
 
+/// Guards against an owner that gives out all places after it did not own the endpoint for a while, and was told nothing.
+BOOST_AUTO_TEST_CASE(OwnerThatOwnsAnEndpointAgainStartsAnew)
+{
+  BOOST_TEST(this->AskAll(kPlaces) == kPlaces);
+  const auto waiting = this->Send(PlaceAction::Request, 1, 100);
+  this->ledger->OnOwnersChanged([](std::uint64_t) { return false; });
+  BOOST_REQUIRE(waiting->has_value());
+  BOOST_TEST(((*waiting)->answer == PlaceAnswer::NotOwner));
+  this->clock.Advance(Milliseconds(10000));
+  this->isStable = false;
+  BOOST_TEST(this->AskAll(kPlaces) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(PlacesOfDaemonsThatEndedAndOfLostReleasesBecomeFree)
 {
   BOOST_TEST(this->AskAll(kPlaces) == kPlaces);
