Logs and metrics show what endpoints say in answers of leaving and of rests

Server-Leaving and Retry-After of answers were read nowhere, so the logs could not tell an answer that nobody reads from one that older news overrides. Nothing acts on the notices yet.

--- a/Lagoonward/Attempts/Market.cpp
+++ b/Lagoonward/Attempts/Market.cpp
@@ -13,6 +13,7 @@
   , poisonParts(aSettings.poisonParts, aClock)
   , endpointLimits(aSettings.endpointLimits, aClock)
   , brittle(aSettings.brittle, aClock)
+  , notices(aSettings.notices, aClock)
   , places(aClock)
   , name(std::move(aName))
   , settings(aSettings)
--- a/Lagoonward/Attempts/Market.h
+++ b/Lagoonward/Attempts/Market.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Admission/Admission.h"
 #include "Lagoonward/Admission/BrittleServices.h"
 #include "Lagoonward/Admission/EndpointLimits.h"
+#include "Lagoonward/Admission/EndpointNotices.h"
 #include "Lagoonward/Admission/PlaceRegistry.h"
 #include "Lagoonward/Admission/PoisonRequestFilter.h"
 #include "Lagoonward/Admission/RetryBudget.h"
@@ -35,6 +36,7 @@
                                     .maximumCompletions = 16384 };
   EndpointLimitSettings endpointLimits;
   BrittleServiceSettings brittle;
+  EndpointNoticeSettings notices;
 };
 
 /// One market for the traffic threads: its configuration in force and the modules that route and admit its requests.
@@ -73,6 +75,7 @@
   PoisonRequestFilter poisonParts; ///< The same for parts of prompts.
   EndpointLimits endpointLimits;
   BrittleServices brittle;
+  EndpointNotices notices;
   PlaceRegistry places; ///< Requests in flight, for the owners of brittle endpoints.
 
 private:
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -331,6 +331,8 @@
   state.limitedEndpoints = static_cast<int>(this->market->endpointLimits.LimitedEndpoints().size());
   state.poisonedParts = this->market->poisonParts.PoisonedCount();
   state.brittleServices = this->market->brittle.Count();
+  state.leavingByAnswer = this->market->notices.Count(EndpointNotice::Leaving);
+  state.restingEndpoints = this->market->notices.Count(EndpointNotice::Resting);
   return state;
 }
 
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -125,6 +125,12 @@
   this->SetGauge("lagoonward_relay_brittle_services",
                  "Services whose endpoints crash when they have to reject too many requests.",
                  aState.brittleServices);
+  this->SetGauge("lagoonward_relay_leaving_by_answer",
+                 "Endpoints whose answers to this daemon say that they leave.",
+                 aState.leavingByAnswer);
+  this->SetGauge("lagoonward_relay_resting_endpoints",
+                 "Endpoints that want no requests of this daemon for now.",
+                 aState.restingEndpoints);
   this->SetEndpointGauges(aState);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
@@ -162,6 +168,7 @@
                        { "send", aSend.send },
                        { "own", aSend.ownInFlight },
                        { "others", aSend.peersInFlight },
+                       { "notice", ToString(aSend.notice) },
                        { "endpoints_age_ms", this->endpointsAge().count() },
                        { "age_ms", this->AgeOf(aCall) } });
 }
@@ -209,6 +216,7 @@
                                  { "cause", ToString(aFailed.cause) },
                                  { "reason", aFailed.reason },
                                  { "goes_on", aFailed.willRetry },
+                                 { "obstacle", aFailed.obstacle },
                                  { "age_ms", this->AgeOf(aCall) } });
 }
 
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -37,7 +37,9 @@
   int poisonedRequests = 0;        ///< Requests that are sent to no endpoint, as they crash them.
   int poisonedParts = 0;           ///< Parts of prompts for which the same holds.
   int limitedEndpoints = 0;        ///< Endpoints that have reported a limit of requests.
-  int brittleServices = 0; ///< Services whose endpoints crash when they reject too many requests.
+  int brittleServices = 0;  ///< Services whose endpoints crash when they reject too many requests.
+  int leavingByAnswer = 0;  ///< Endpoints whose answers say that they leave.
+  int restingEndpoints = 0; ///< Endpoints that want no requests of this daemon for now.
 };
 
 /// Reports what happens to relayed requests: a log event for each decision, and metrics of counts and latencies.
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -119,6 +119,20 @@
   double tolerated = 0; ///< For Brittle only; finite and not negative.
 };
 
+/// For how long an endpoint that turns a request away wants no more requests of this daemon.
+struct AdvertisedRest
+{
+  enum class Kind
+  {
+    None,      ///< The response asks for no rest.
+    Rest,      ///< The endpoint wants no requests for `time`.
+    Malformed, ///< Cannot be parsed; a rest asked for before stays in force.
+  };
+
+  Kind kind = Kind::None;
+  Milliseconds time{ 0 }; ///< For Rest only; positive.
+};
+
 /// Parsed head of an endpoint's response.
 struct EndpointHead
 {
@@ -131,6 +145,8 @@
   bool streamsEvents = false;
   AdvertisedLimit limit; ///< Limit on the requests of all daemons together.
   AdvertisedBrittleness brittleness;
+  AdvertisedRest rest;
+  bool isLeaving = false; ///< The endpoint says that it will terminate and wants no new requests.
   std::vector<HttpHeader> headers; ///< The headers to pass to the caller.
 };
 
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Admission/EndpointNotices.h"
 #include "Lagoonward/Core/Error.h"
 #include "Lagoonward/Fleet/Endpoint.h"
 #include "Lagoonward/Relay/AttemptResult.h"
@@ -30,6 +31,7 @@
   /// Other requests known to be in flight at the endpoint: of this daemon, and as the other daemons have reported.
   int ownInFlight = 0;
   int peersInFlight = 0;
+  EndpointNotice notice = EndpointNotice::None; ///< In force for the endpoint.
 };
 
 /// Description of a failed attempt.
@@ -37,8 +39,9 @@
 {
   std::string_view endpoint;
   AttemptCause cause = AttemptCause::None;
-  std::string_view reason; ///< For logs.
-  bool willRetry = false;  ///< The request will be retried.
+  std::string_view reason;        ///< For logs.
+  bool willRetry = false;         ///< The request will be retried.
+  std::string_view obstacle = {}; ///< Why it will not be; empty if it will.
 };
 
 /// What becomes of a stream that its caller takes up.
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -151,6 +151,15 @@
       this->context.endpointLimits.OnMalformedLimit(this->endpointId);
       break;
   }
+  EndpointNotices& notices = this->context.notices;
+  if (aHead.isLeaving) {
+    notices.OnLeaving(this->endpointKey, this->endpointId);
+  }
+  if (aHead.rest.kind == AdvertisedRest::Kind::Rest) {
+    notices.OnRest(this->endpointKey, this->endpointId, aHead.rest.time);
+  } else if (aHead.rest.kind == AdvertisedRest::Kind::Malformed) {
+    notices.OnMalformedRest(this->endpointId);
+  }
   BrittleServices& brittle = this->context.brittleServices;
   switch (aHead.brittleness.kind) {
     case AdvertisedBrittleness::Kind::Brittle:
@@ -249,8 +258,15 @@
     hasAttempts && !isClientError && (!this->mayHaveRun || this->call.route->IsRepeatable());
   const bool isBudgetExempt = aEnd.outcome == AttemptOutcome::NotSent;
   const bool willRetry = isAllowed && (isBudgetExempt || this->context.retryBudget.TryConsume());
-  this->context.observer.OnAttemptFailed(this->call,
-                                         { this->endpointId, aEnd.cause, aEnd.reason, willRetry });
+  std::string_view obstacle = isAllowed ? "retry budget" : "not repeatable";
+  if (!hasAttempts) {
+    obstacle = "attempts of the route";
+  }
+  if (willRetry) {
+    obstacle = {};
+  }
+  this->context.observer.OnAttemptFailed(
+    this->call, { this->endpointId, aEnd.cause, aEnd.reason, willRetry, obstacle });
   if (willRetry) {
     this->ContinueAfterFailure(aEnd.cause);
     return;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Admission/BrittleServices.h"
 #include "Lagoonward/Admission/EndpointLimits.h"
+#include "Lagoonward/Admission/EndpointNotices.h"
 #include "Lagoonward/Admission/PermitSource.h"
 #include "Lagoonward/Admission/PlaceRegistry.h"
 #include "Lagoonward/Admission/PoisonRequestFilter.h"
@@ -58,6 +59,7 @@
   CrashProbe& crashProbe;
   EndpointLimits& endpointLimits;
   BrittleServices& brittleServices;
+  EndpointNotices& notices;
   PermitSource* permitSource; ///< Never null.
   PlaceRegistry& places;
   PlaceSource* placeSource;         ///< Never null.
@@ -194,6 +196,7 @@
 
   std::unique_ptr<RelayAttempt> attempt; ///< Null between attempts.
   std::string endpointId;
+  std::uint64_t endpointKey = 0; ///< See EndpointKeyOf().
   /// Start time that identifies its process; see Endpoint::incarnation.
   std::int64_t endpointIncarnation = 0;
   std::string endpointVersion;   ///< See Endpoint::softwareVersion.
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -214,6 +214,7 @@
   this->placeRefusals = 0;
   this->fullEndpoints.clear();
   this->endpointId = endpoint->id;
+  this->endpointKey = EndpointKeyOf(*endpoint);
   this->endpointIncarnation = endpoint->incarnation;
   this->endpointVersion = endpoint->softwareVersion;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
@@ -222,7 +223,8 @@
   this->context.observer.OnSent(this->call, *endpoint,
                                 { this->sends,
                                   isReported ? EngineWork{} : this->EstimateWork(aChoice),
-                                  this->dispatch.ownInFlight, this->dispatch.peersInFlight });
+                                  this->dispatch.ownInFlight, this->dispatch.peersInFlight,
+                                  this->context.notices.Find(this->endpointKey) });
 
   const TimePoint now = this->context.loop.GetClock().Now();
   this->crashTracker.OnSent(*endpoint);
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -25,6 +25,7 @@
              this->crashProbe,
              aMarket.endpointLimits,
              aMarket.brittle,
+             aMarket.notices,
              &this->localPermits,
              aMarket.places,
              &this->localPlaces,
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -38,6 +38,10 @@
       if (name == "Brittle") {
         head.brittleness = { AdvertisedBrittleness::Kind::Brittle, std::stod(value) };
       }
+      head.isLeaving = head.isLeaving || name == "Leaving";
+      if (name == "Rest") {
+        head.rest = { AdvertisedRest::Kind::Rest, Milliseconds(std::stoi(value)) };
+      }
       if (name == "Limit") {
         head.limit = { AdvertisedLimit::Kind::Limited, std::stod(value) };
       }
