--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -23,9 +23,6 @@
 /// nothing.
 constexpr int kReaderRanks = 2;
 
-/// Greatest snapshot age sent or accepted: older ones are of no use. Longer answered spans in messages are cut to it.
-constexpr Milliseconds kMaximumPlausibleAge = Seconds(3600);
-
 } // namespace
 
 EndpointReplicator::EndpointReplicator(const EndpointReplicatorSettings& aSettings,
@@ -46,6 +43,11 @@
     [this](PeerKey aSender, std::string_view aBytes, const PeerTransport::Responder& aRespond) {
       aRespond(this->HandleUpdate(aSender, aBytes));
     });
+  this->membership.Transport().OnRequest(
+    ToRequestType(PeerRequest::EndpointSnapshot),
+    [this](PeerKey, std::string_view, const PeerTransport::Responder& aRespond) {
+      aRespond(this->EncodeSnapshot());
+    });
 }
 
 void
@@ -109,7 +111,7 @@
 EndpointReplicator::SendUpdates(bool aToOtherGroups)
 {
   // Before its first full read a daemon lacks older records, and its snapshot has no age yet
-  if (!this->endVersion || this->Age() > kMaximumPlausibleAge) {
+  if (!this->endVersion || this->Age() > kMaximumSnapshotAge) {
     return;
   }
   this->changeLog.DropExpired(this->clock.BootNow());
@@ -123,16 +125,8 @@
 void
 EndpointReplicator::SendUpdatesTo(std::span<const PeerAddress> aReceivers, bool aForwardToGroup)
 {
-  EndpointUpdateMessage message;
+  EndpointUpdateMessage message = this->MakeMessage();
   message.forwardToGroup = aForwardToGroup;
-  message.sentAt =
-    std::chrono::floor<Milliseconds>(this->clock.BootNow().time_since_epoch()).count();
-  message.age = this->Age().count();
-  message.answeredFor =
-    std::chrono::floor<Milliseconds>(this->answeredSpan.until - this->answeredSpan.since).count();
-  message.endVersion = *this->endVersion;
-  message.digest = this->Digest();
-  message.configurationVersion = this->hooks.configurationVersion();
   // Sending all changes of the last seconds to every receiver would occupy a small host's link for longer than the
   // timeout of a message, so each receiver is sent only what it has not acknowledged. Most have acknowledged the same
   // version, so each distinct message is encoded once
@@ -159,6 +153,21 @@
   }
 }
 
+EndpointUpdateMessage
+EndpointReplicator::MakeMessage()
+{
+  EndpointUpdateMessage message;
+  message.sentAt =
+    std::chrono::floor<Milliseconds>(this->clock.BootNow().time_since_epoch()).count();
+  message.age = this->Age().count();
+  message.answeredFor =
+    std::chrono::floor<Milliseconds>(this->answeredSpan.until - this->answeredSpan.since).count();
+  message.endVersion = *this->endVersion;
+  message.digest = this->Digest();
+  message.configurationVersion = this->hooks.configurationVersion();
+  return message;
+}
+
 void
 EndpointReplicator::OnReply(PeerKey aReceiver, std::string_view aReply)
 {
@@ -178,18 +187,14 @@
     kLog.Warning("Malformed endpoint update from a daemon; ignored.");
     return {};
   }
-  const TimePoint now = this->clock.BootNow();
-  const Milliseconds delay = this->delays[aSender].OnMessage(Milliseconds(message->sentAt), now);
+  const AvailabilityInterval answered = this->AnsweredSpanOf(aSender, *message);
   bool isChange = false;
   for (const EndpointRecord& entry : message->entries) {
     isChange = this->HandleRecord(entry, true) || isChange;
   }
-  const bool isPlausible = message->age >= 0 && message->age <= kMaximumPlausibleAge.count();
+  const bool isPlausible = message->age >= 0 && message->age <= kMaximumSnapshotAge.count();
   if (isPlausible && this->endVersion && message->firstVersion <= *this->endVersion) {
-    const std::int64_t answeredFor =
-      std::clamp<std::int64_t>(message->answeredFor, 0, kMaximumPlausibleAge.count());
-    const TimePoint readAt = now - delay - Milliseconds(message->age);
-    this->AdvanceTo({ readAt - Milliseconds(answeredFor), readAt }, message->endVersion);
+    this->AdvanceTo(answered, message->endVersion);
   }
   if (isChange) {
     this->OnSnapshotChanged();
@@ -205,6 +210,18 @@
     EndpointUpdateReply{ this->endVersion.has_value(), this->endVersion.value_or(0) });
 }
 
+AvailabilityInterval
+EndpointReplicator::AnsweredSpanOf(PeerKey aSender, const EndpointUpdateMessage& aMessage)
+{
+  const TimePoint now = this->clock.BootNow();
+  const Milliseconds delay = this->delays[aSender].OnMessage(Milliseconds(aMessage.sentAt), now);
+  const auto age = std::clamp<std::int64_t>(aMessage.age, 0, kMaximumSnapshotAge.count());
+  const auto answeredFor =
+    std::clamp<std::int64_t>(aMessage.answeredFor, 0, kMaximumSnapshotAge.count());
+  const TimePoint readAt = now - delay - Milliseconds(age);
+  return { readAt - Milliseconds(answeredFor), readAt };
+}
+
 void
 EndpointReplicator::CompareDigest(std::uint64_t aDigest)
 {
@@ -253,6 +270,7 @@
   if (!aAnswers) {
     this->ownReadsAnsweredSince.reset();
   }
+  this->isSourceLost = !aAnswers;
   this->guard.OnSourceReachability(aAnswers);
   this->lapses.OnOutage();
   this->directory.SetSourceAvailable(aAnswers);
@@ -298,6 +316,7 @@
   this->UpdatePlan();
   this->PruneRetainedState();
   this->LogStaleness();
+  this->RequestPeerSnapshot();
   const std::vector<EndedHold> ended = this->directory.ApplyHeldRemovals();
   for (const EndedHold& hold : ended) {
     kLog.Event("endpoint_hold_ended",
@@ -365,8 +384,9 @@
     return;
   }
   const FleetSnapshotPtr fleet = this->directory.Snapshot();
-  std::erase_if(this->versions,
-                [&](const auto& aKnown) { return fleet->Find(aKnown.first) == nullptr; });
+  const auto isGone = [&](const auto& aKnown) { return fleet->Find(aKnown.first) == nullptr; };
+  std::erase_if(this->versions, isGone);
+  std::erase_if(this->records, isGone);
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Core/Result.h"
 #include "Lagoonward/Daemon/EndpointChangeLog.h"
 #include "Lagoonward/Daemon/EndpointReplicatorSettings.h"
+#include "Lagoonward/Daemon/EndpointUpdateMessages.h"
 #include "Lagoonward/Fleet/EndpointDirectory.h"
 #include "Lagoonward/Fleet/LapseDetector.h"
 #include "Lagoonward/Membership/AggregationPlan.h"
@@ -25,6 +26,8 @@
   std::function<void(TimePoint aAsOf)> onCurrent = [](TimePoint) {};
   /// Version of the configuration in force here.
   std::function<std::int64_t()> configurationVersion = [] { return std::int64_t{ -1 }; };
+  /// Another daemon's snapshot has been applied in place of a first full read, before onChanged().
+  std::function<void()> onPeerSnapshot = [] {};
 };
 
 /// Replicates the endpoint records to all daemons. One daemon, the primary reader, reads the records from the source at
@@ -43,6 +46,9 @@
 /// carries the digest of the live endpoints, so that a fault in this protocol is detected, and the version of the
 /// sender's configuration, so that daemons that receive updates need not poll for configurations either.
 ///
+/// A daemon whose source does not answer before its first full read requests another daemon's snapshot, with the age that
+/// it has there, so that a daemon that starts in an outage of the source serves like the others.
+///
 /// Runs on the control thread, except for methods that are documented for any thread. Construct it, which registers the
 /// request handler, before the membership starts.
 class EndpointReplicator
@@ -102,6 +108,9 @@
   [[nodiscard]] SnapshotGuard& Guard() { return this->guard; }
 
 private:
+  /// Greatest snapshot age sent or accepted: older ones are of no use. Longer answered spans in messages are cut to it.
+  static constexpr Milliseconds kMaximumSnapshotAge = Seconds(3600);
+
   /// @return whether the snapshot has changed
   bool HandleRecord(EndpointRecord aRecord, bool aFromPeer);
   /// Both set the evidence of the record to what this daemon knows.
@@ -116,6 +125,9 @@
   /// Starts the change log after the first full read.
   void StartChangeLog(std::int64_t aEndVersion);
   [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason);
+  /// When the source had answered the sender of a message, by this daemon's BootNow().
+  [[nodiscard]] AvailabilityInterval AnsweredSpanOf(PeerKey aSender,
+                                                    const EndpointUpdateMessage& aMessage);
   /// @return the encoded reply
   [[nodiscard]] std::string HandleUpdate(PeerKey aSender, std::string_view aBytes);
   /// The snapshot contains all records below a version, as of the end of a span.
@@ -127,6 +139,13 @@
   void CompareDigest(std::uint64_t aDigest);
   [[nodiscard]] std::uint64_t Digest();
   void OnSnapshotChanged();
+  /// Requests another daemon's snapshot while the source does not answer and this daemon has none.
+  void RequestPeerSnapshot();
+  /// @return the encoded snapshot of this daemon as one update; empty if it has none
+  [[nodiscard]] std::string EncodeSnapshot();
+  void ApplyPeerSnapshot(PeerKey aSender, std::string_view aBytes);
+  /// Fills in what all messages say of this daemon's snapshot.
+  [[nodiscard]] EndpointUpdateMessage MakeMessage();
   void Tick();
   void LogStaleness();
   void UpdatePlan();
@@ -146,7 +165,11 @@
   TimePoint sourceLostUntil =
     TimePoint::min(); ///< BootNow() at the end of the last outage seen here.
   std::unordered_map<std::string, std::int64_t> versions; ///< Newest known version by endpoint id.
-  EndpointChangeLog changeLog;                            ///< Recent changes to send.
+  /// Newest record that is no removal, by endpoint id, for EncodeSnapshot(). Pruned with `versions`.
+  std::unordered_map<std::string, EndpointRecord> records;
+  bool isSourceLost = false;
+  std::size_t snapshotRequests = 0; ///< Sent so far; each goes to another daemon.
+  EndpointChangeLog changeLog;      ///< Recent changes to send.
   std::optional<std::int64_t>
     endVersion; ///< The snapshot is complete below this version; empty before the first full read.
   std::atomic<TimePoint> asOf{ TimePoint::min() }; ///< BootNow(); see Age().
--- a/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
@@ -31,6 +31,9 @@
   known->second = aRecord.version;
   const bool isChange =
     aRecord.removed ? this->ApplyRemoval(aRecord, aFromPeer) : this->ApplyEntry(aRecord, aFromPeer);
+  if (!aRecord.removed) {
+    this->records[aRecord.id] = aRecord;
+  }
   // Each aggregator forwards records that another has read first, as one of them may not reach all daemons. Whether a
   // removal takes effect at once depends on which daemons saw an outage of the source, so each daemon decides for
   // itself
--- a/Lagoonward/Daemon/PeerRequestTypes.h
+++ b/Lagoonward/Daemon/PeerRequestTypes.h
@@ -24,6 +24,7 @@
   StreamOriginQuery = 12,
   EndpointPlace = 13,
   PartCrashReport = 14,
+  EndpointSnapshot = 15,
 };
 
 /// The number of the request on the wire.
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -213,6 +213,7 @@
   EndpointReplicatorHooks hooks;
   hooks.decode = this->ports.decodeEndpoint;
   hooks.onChanged = [this] { this->PublishFleet(); };
+  hooks.onPeerSnapshot = [this] { this->knowsEndpoints = true; };
   hooks.onCurrent = [this](TimePoint aAsOf) { this->versions.OnCurrent(aAsOf); };
   hooks.configurationVersion = [this] { return this->ConfigurationVersion(); };
   this->forwardExchange = std::make_unique<ForwardExchange>(
--- a/UnitTests/Daemon/EndpointReplicatorTests.cpp
+++ b/UnitTests/Daemon/EndpointReplicatorTests.cpp
@@ -604,6 +604,33 @@
   BOOST_TEST((daemon.StateOf("e1") == EndpointState::Live));
 }
 
+/// Guards against a daemon that starts while the source is away and refuses all requests until it is back, although the
+/// other daemons know the endpoints.
+BOOST_AUTO_TEST_CASE(DaemonThatStartsInAnOutageOfTheSourceTakesASnapshotOfAnother)
+{
+  const std::vector<EndpointRecord> all{ { "e1", "live", 1, false },
+                                         { "e2", "leaving", 2, false },
+                                         { "e3", "live", 3, false } };
+  for (const auto& daemon : this->daemons) {
+    daemon->CompleteFullRead(all, 4);
+    daemon->RunOnControlThread([&] {
+      daemon->replicator.OnRecord({ "e3", "", 4, true });
+      daemon->replicator.OnReadCompleted(this->clock.BootNow(), 5);
+    });
+  }
+  Daemon& started = this->AddNonAggregator();
+  started.RunOnControlThread([&] { started.replicator.OnSourceReachability(false); });
+  BOOST_TEST(this->Eventually([&] { return started.StateOf("e1") == EndpointState::Live; }));
+  BOOST_TEST((started.StateOf("e2") == EndpointState::Leaving));
+  // Another daemon retains it as leaving only because it has removed its entry
+  BOOST_TEST((started.StateOf("e3") != EndpointState::Live));
+  BOOST_TEST((started.replicator.Age() < kWaitLimit));
+  // The source is back, and has lost an endpoint meanwhile
+  started.RunOnControlThread([&] { started.replicator.OnSourceReachability(true); });
+  started.CompleteFullRead({ { "e2", "leaving", 2, false }, { "e4", "live", 6, false } }, 7);
+  BOOST_TEST((started.StateOf("e4") == EndpointState::Live));
+}
+
 BOOST_AUTO_TEST_CASE(ADaemonSendsNoUpdatesBeforeItsFirstFullRead)
 {
   Daemon& reader = *this->FirstDomainDaemons().front();
