--- a/Lagoonward/Admission/EndpointNotices.h
+++ b/Lagoonward/Admission/EndpointNotices.h
@@ -59,10 +59,10 @@
 ToString(EndpointNotice aNotice);
 
 /// What endpoints have said of themselves in their answers: that they leave, or that they want no requests of this daemon
-/// for a time, after which it gets more and more requests again. An endpoint's record in the platform's store may say so later or never. That an endpoint leaves concerns
-/// all daemons, so they report it to each other; a rest concerns the daemon that was asked for it only. Keys are those of
-/// EndpointKeyOf(), so that a later instance of an endpoint starts without notices. Times are Clock::BootNow().
-/// Thread-safe; performs no I/O.
+/// for a time, after which they get more and more again. An endpoint's record in the platform's store may say so later or
+/// never. That an endpoint leaves concerns all daemons, so they report it to each other; a rest concerns only the daemon
+/// that was asked for it. Keys are those of EndpointKeyOf(), so that a later instance of an endpoint starts without
+/// notices. Times are Clock::BootNow(). Thread-safe; performs no I/O.
 class EndpointNotices
 {
 public:
@@ -79,7 +79,7 @@
   /// A request is being sent to the endpoint.
   void OnSent(std::uint64_t aKey);
 
-  /// Handles an answer that asks for no rest.
+  /// Handles an answer to a request that the endpoint accepted.
   /// @param aSentAt  Clock::Now() at which the request was sent; one from before the end of the rest says nothing
   void OnAccepted(std::uint64_t aKey, TimePoint aSentAt);
 
@@ -114,11 +114,11 @@
 private:
   struct State
   {
-    std::optional<TimePoint>
-      leavingSince; ///< When the first answer that says so arrived at any daemon.
+    /// When the first answer that says so arrived at any daemon.
+    std::optional<TimePoint> leavingSince;
     TimePoint restsUntil = TimePoint::min();
-    bool isRecovering =
-      false;       ///< It rests, or has rested and has not answered enough requests since.
+    /// It rests, or has rested and has not answered enough requests since.
+    bool isRecovering = false;
     int sends = 0; ///< Since the end of the rest, as is the next.
     int answers = 0;
     TimePoint receivedAt; ///< Of the newest notice.
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -159,7 +159,7 @@
     notices.OnRest(this->endpointKey, this->endpointId, aHead.rest.time);
   } else if (aHead.rest.kind == AdvertisedRest::Kind::Malformed) {
     notices.OnMalformedRest(this->endpointId);
-  } else {
+  } else if (!aHead.notRun) {
     notices.OnAccepted(this->endpointKey, this->dispatch.dispatchedAt);
   }
   BrittleServices& brittle = this->context.brittleServices;
--- a/UnitTests/Admission/EndpointNoticesTests.cpp
+++ b/UnitTests/Admission/EndpointNoticesTests.cpp
@@ -33,7 +33,7 @@
   VirtualClock clock;
   EndpointNotices notices{ {}, clock };
   std::shared_ptr<FleetSnapshot> fleet = MakeFleet({ 7, 7 });
-  const std::vector<std::string> none;
+  const std::vector<std::string> none{};
   const std::vector<std::string> first{ "e0" };
 };
 
