--- a/Lagoonward/Admission/EndpointNotices.cpp
+++ b/Lagoonward/Admission/EndpointNotices.cpp
@@ -21,8 +21,8 @@
       return "";
     case EndpointNotice::Leaving:
       return "leaving";
-    case EndpointNotice::Resting:
-      return "resting";
+    case EndpointNotice::Backoff:
+      return "backoff";
   }
   return "";
 }
@@ -60,17 +60,17 @@
 }
 
 void
-EndpointNotices::OnRest(std::uint64_t aKey, std::string_view aEndpoint, Milliseconds aTime)
+EndpointNotices::OnBackoff(std::uint64_t aKey, std::string_view aEndpoint, Milliseconds aTime)
 {
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.BootNow();
   State& state = this->FindOrCreate(aKey);
-  if (state.restsUntil <= now) {
-    kLog.Event("endpoint_rests", { { "endpoint", aEndpoint }, { "rest_ms", aTime.count() } });
+  if (state.backoffUntil <= now) {
+    kLog.Event("endpoint_backoff", { { "endpoint", aEndpoint }, { "backoff_ms", aTime.count() } });
   }
   state.receivedAt = now;
   this->blocked.validUntil = TimePoint::min();
-  state.restsUntil = std::max(state.restsUntil, now + aTime);
+  state.backoffUntil = std::max(state.backoffUntil, now + aTime);
   state.isRecovering = true;
   state.sends = 0;
   state.answers = 0;
@@ -82,7 +82,7 @@
   const std::lock_guard lock(this->mutex);
   const auto found = this->states.empty() ? this->states.end() : this->states.find(aKey);
   if (found != this->states.end() && found->second.isRecovering &&
-      found->second.restsUntil <= this->clock.BootNow()) {
+      found->second.backoffUntil <= this->clock.BootNow()) {
     ++found->second.sends;
     this->blocked.validUntil = TimePoint::min();
   }
@@ -98,7 +98,7 @@
   }
   State& state = found->second;
   const TimePoint sentAt = aSentAt + (this->clock.BootNow() - this->clock.Now());
-  if (sentAt < state.restsUntil) {
+  if (sentAt < state.backoffUntil) {
     return;
   }
   ++state.answers;
@@ -111,7 +111,7 @@
 int
 EndpointNotices::AllowedSends(const State& aState, TimePoint aNow) const
 {
-  const auto intervals = (aNow - aState.restsUntil) / this->settings.recoveryInterval;
+  const auto intervals = (aNow - aState.backoffUntil) / this->settings.recoveryInterval;
   return 1 + 2 * aState.answers + static_cast<int>(intervals);
 }
 
@@ -121,20 +121,20 @@
   if (aState.leavingSince) {
     return TimePoint::max();
   }
-  if (aState.restsUntil > aNow || !aState.isRecovering ||
+  if (aState.backoffUntil > aNow || !aState.isRecovering ||
       aState.sends < this->AllowedSends(aState, aNow)) {
-    return aState.restsUntil;
+    return aState.backoffUntil;
   }
-  const auto intervals = (aNow - aState.restsUntil) / this->settings.recoveryInterval;
-  return aState.restsUntil + (intervals + 1) * this->settings.recoveryInterval;
+  const auto intervals = (aNow - aState.backoffUntil) / this->settings.recoveryInterval;
+  return aState.backoffUntil + (intervals + 1) * this->settings.recoveryInterval;
 }
 
 void
-EndpointNotices::OnMalformedRest(std::string_view aEndpoint)
+EndpointNotices::OnMalformedBackoff(std::string_view aEndpoint)
 {
   const std::lock_guard lock(this->mutex);
   if (!std::exchange(this->isMalformedLogged, true)) {
-    kLog.Event(LogLevel::Warning, "endpoint_rest_malformed", { { "endpoint", aEndpoint } });
+    kLog.Event(LogLevel::Warning, "endpoint_backoff_malformed", { { "endpoint", aEndpoint } });
   }
 }
 
@@ -184,10 +184,10 @@
   const std::lock_guard lock(this->mutex);
   const TimePoint now = this->clock.BootNow();
   const auto found = this->states.find(aKey);
-  if (found == this->states.end() || NoticeOf(found->second, now) != EndpointNotice::Resting) {
+  if (found == this->states.end() || NoticeOf(found->second, now) != EndpointNotice::Backoff) {
     return std::nullopt;
   }
-  return std::chrono::ceil<Milliseconds>(found->second.restsUntil - now);
+  return std::chrono::ceil<Milliseconds>(found->second.backoffUntil - now);
 }
 
 void
@@ -263,7 +263,7 @@
   if (aState.leavingSince) {
     return EndpointNotice::Leaving;
   }
-  return aState.restsUntil > aNow ? EndpointNotice::Resting : EndpointNotice::None;
+  return aState.backoffUntil > aNow ? EndpointNotice::Backoff : EndpointNotice::None;
 }
 
 EndpointNotices::State&
--- a/Lagoonward/Admission/EndpointNotices.h
+++ b/Lagoonward/Admission/EndpointNotices.h
@@ -25,8 +25,8 @@
   /// platform's store is away meanwhile.
   Milliseconds reportedFor{ 60'000 };
 
-  /// After a rest the endpoint gets one request, and then two more for each that it answers, until it has answered this
-  /// many: all that waited must not arrive at once, as it may turn them away again.
+  /// After a backoff the endpoint gets one request, and then two more for each that it answers, until it has answered this
+  /// many: all that waited must not arrive at once, as it may reject them again.
   int answersUntilRecovered = 8;
 
   /// Interval after which another request may be sent to it although none was answered.
@@ -51,7 +51,7 @@
 {
   None,
   Leaving, ///< It will terminate and wants no new requests. Final for that instance.
-  Resting, ///< It wants no requests of this daemon for now.
+  Backoff, ///< It wants no requests of this daemon for now.
 };
 
 /// Name of the notice in logs; empty for none.
@@ -59,10 +59,10 @@
 ToString(EndpointNotice aNotice);
 
 /// What endpoints have said of themselves in their answers: that they leave, or that they want no requests of this daemon
-/// for a time, after which they get more and more again. An endpoint's record in the platform's store may say so later or
-/// never. That an endpoint leaves concerns all daemons, so they report it to each other; a rest concerns only the daemon
-/// that was asked for it. Keys are those of EndpointKeyOf(), so that a later instance of an endpoint starts without
-/// notices. Times are Clock::BootNow(). Thread-safe; performs no I/O.
+/// for a time (a backoff), after which they get more and more again. An endpoint's record in the platform's store may say
+/// so later or never. That an endpoint leaves concerns all daemons, so they report it to each other; a backoff concerns
+/// only the daemon that was asked for it. Keys are those of EndpointKeyOf(), so that a later instance of an endpoint
+/// starts without notices. Times are Clock::BootNow(). Thread-safe; performs no I/O.
 class EndpointNotices
 {
 public:
@@ -72,21 +72,21 @@
   /// @param aEndpoint  its id, for the log
   void OnLeaving(std::uint64_t aKey, std::string_view aEndpoint);
 
-  /// Handles an answer that turns a request away and asks for a rest from its arrival on. A rest that ends later than
+  /// Handles an answer that rejects a request and asks for a backoff from its arrival on. A backoff that ends later than
   /// this one stays in force, as answers may overtake each other.
-  void OnRest(std::uint64_t aKey, std::string_view aEndpoint, Milliseconds aTime);
+  void OnBackoff(std::uint64_t aKey, std::string_view aEndpoint, Milliseconds aTime);
 
   /// A request is being sent to the endpoint.
   void OnSent(std::uint64_t aKey);
 
   /// Handles an answer to a request that the endpoint accepted.
-  /// @param aSentAt  Clock::Now() at which the request was sent; one from before the end of the rest says nothing
+  /// @param aSentAt  Clock::Now() at which the request was sent; one from before the end of the backoff says nothing
   void OnAccepted(std::uint64_t aKey, TimePoint aSentAt);
 
-  /// Handles an answer with a rest that is no number of seconds: it has no effect.
-  void OnMalformedRest(std::string_view aEndpoint);
+  /// Handles an answer with a backoff that is no number of seconds: it has no effect.
+  void OnMalformedBackoff(std::string_view aEndpoint);
 
-  /// The notice in force. A leaving endpoint does not come back, so it goes before a rest.
+  /// The notice in force. A leaving endpoint does not come back, so it goes before a backoff.
   [[nodiscard]] EndpointNotice Find(std::uint64_t aKey);
 
   /// Endpoints that are live in the snapshot and to which nothing may be sent now.
@@ -116,10 +116,10 @@
   {
     /// When the first answer that says so arrived at any daemon.
     std::optional<TimePoint> leavingSince;
-    TimePoint restsUntil = TimePoint::min();
-    /// It rests, or has rested and has not answered enough requests since.
+    TimePoint backoffUntil = TimePoint::min();
+    /// It is in a backoff, or has been and has not answered enough requests since.
     bool isRecovering = false;
-    int sends = 0; ///< Since the end of the rest, as is the next.
+    int sends = 0; ///< Since the end of the backoff, as is the next.
     int answers = 0;
     TimePoint receivedAt; ///< Of the newest notice.
   };
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -335,7 +335,7 @@
   state.poisonedParts = this->market->poisonParts.PoisonedCount();
   state.brittleServices = this->market->brittle.Count();
   state.leavingByAnswer = this->market->notices.Count(EndpointNotice::Leaving);
-  state.restingEndpoints = this->market->notices.Count(EndpointNotice::Resting);
+  state.backoffEndpoints = this->market->notices.Count(EndpointNotice::Backoff);
   return state;
 }
 
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -128,9 +128,9 @@
   this->SetGauge("lagoonward_relay_leaving_by_answer",
                  "Endpoints whose answers to this daemon say that they leave.",
                  aState.leavingByAnswer);
-  this->SetGauge("lagoonward_relay_resting_endpoints",
+  this->SetGauge("lagoonward_relay_backoff_endpoints",
                  "Endpoints that want no requests of this daemon for now.",
-                 aState.restingEndpoints);
+                 aState.backoffEndpoints);
   this->SetEndpointGauges(aState);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -39,7 +39,7 @@
   int limitedEndpoints = 0;        ///< Endpoints that have reported a limit of requests.
   int brittleServices = 0;  ///< Services whose endpoints crash when they reject too many requests.
   int leavingByAnswer = 0;  ///< Endpoints whose answers say that they leave.
-  int restingEndpoints = 0; ///< Endpoints that want no requests of this daemon for now.
+  int backoffEndpoints = 0; ///< Endpoints that want no requests of this daemon for now.
 };
 
 /// Reports what happens to relayed requests: a log event for each decision, and metrics of counts and latencies.
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -119,18 +119,18 @@
   double tolerated = 0; ///< For Brittle only; finite and not negative.
 };
 
-/// For how long an endpoint that turns a request away wants no more requests of this daemon.
-struct AdvertisedRest
+/// For how long an endpoint that rejects a request wants no more requests of this daemon.
+struct AdvertisedBackoff
 {
   enum class Kind
   {
-    None,      ///< The response asks for no rest.
-    Rest,      ///< The endpoint wants no requests for `time`.
-    Malformed, ///< Cannot be parsed; a rest asked for before stays in force.
+    None,      ///< The response asks for no backoff.
+    Backoff,   ///< The endpoint wants no requests for `time`.
+    Malformed, ///< Cannot be parsed; a backoff asked for before stays in force.
   };
 
   Kind kind = Kind::None;
-  Milliseconds time{ 0 }; ///< For Rest only; positive.
+  Milliseconds time{ 0 }; ///< For Backoff only; positive.
 };
 
 /// Parsed head of an endpoint's response.
@@ -145,7 +145,7 @@
   bool streamsEvents = false;
   AdvertisedLimit limit; ///< Limit on the requests of all daemons together.
   AdvertisedBrittleness brittleness;
-  AdvertisedRest rest;
+  AdvertisedBackoff backoff;
   bool isLeaving = false; ///< The endpoint says that it will terminate and wants no new requests.
   std::vector<HttpHeader> headers; ///< The headers to pass to the caller.
 };
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -155,10 +155,10 @@
   if (aHead.isLeaving) {
     notices.OnLeaving(this->endpointKey, this->endpointId);
   }
-  if (aHead.rest.kind == AdvertisedRest::Kind::Rest) {
-    notices.OnRest(this->endpointKey, this->endpointId, aHead.rest.time);
-  } else if (aHead.rest.kind == AdvertisedRest::Kind::Malformed) {
-    notices.OnMalformedRest(this->endpointId);
+  if (aHead.backoff.kind == AdvertisedBackoff::Kind::Backoff) {
+    notices.OnBackoff(this->endpointKey, this->endpointId, aHead.backoff.time);
+  } else if (aHead.backoff.kind == AdvertisedBackoff::Kind::Malformed) {
+    notices.OnMalformedBackoff(this->endpointId);
   } else if (!aHead.notRun) {
     notices.OnAccepted(this->endpointKey, this->dispatch.dispatchedAt);
   }
--- a/UnitTests/Admission/EndpointNoticesTests.cpp
+++ b/UnitTests/Admission/EndpointNoticesTests.cpp
@@ -114,11 +114,11 @@
   BOOST_TEST((few.Find(3) == EndpointNotice::Leaving));
 }
 
-BOOST_AUTO_TEST_CASE(EndpointIsBlockedUntilTheEndOfItsLongestRest)
+BOOST_AUTO_TEST_CASE(EndpointIsBlockedUntilTheEndOfItsLongestBackoff)
 {
-  this->notices.OnRest(this->Key(0), "e0", Seconds(3));
+  this->notices.OnBackoff(this->Key(0), "e0", Seconds(3));
   // An answer that was overtaken asks for less
-  this->notices.OnRest(this->Key(0), "e0", Seconds(1));
+  this->notices.OnBackoff(this->Key(0), "e0", Seconds(1));
   BOOST_TEST(this->Blocked() == this->first);
   BOOST_TEST((this->notices.UntilUnblocked(this->Key(0)) == Seconds(3)));
   this->clock.Advance(Milliseconds(2999));
@@ -129,11 +129,11 @@
   BOOST_TEST((this->notices.Find(this->Key(0)) == EndpointNotice::None));
 }
 
-/// Guards against a rest that an answer to a request from before it ends.
-BOOST_AUTO_TEST_CASE(AnswersToRequestsFromBeforeDoNotEndARest)
+/// Guards against a backoff that an answer to a request from before it ends.
+BOOST_AUTO_TEST_CASE(AnswersToRequestsFromBeforeDoNotEndABackoff)
 {
   const TimePoint before = this->clock.Now();
-  this->notices.OnRest(this->Key(0), "e0", Seconds(3));
+  this->notices.OnBackoff(this->Key(0), "e0", Seconds(3));
   this->clock.Advance(Seconds(1));
   for (int answer = 0; answer < 20; ++answer) {
     this->notices.OnAccepted(this->Key(0), before);
@@ -141,10 +141,10 @@
   BOOST_TEST(this->Blocked() == this->first);
 }
 
-/// Guards against all requests that waited for the end of a rest arriving at once.
-BOOST_AUTO_TEST_CASE(EndpointGetsMoreAndMoreRequestsAfterItsRest)
+/// Guards against all requests that waited for the end of a backoff arriving at once.
+BOOST_AUTO_TEST_CASE(EndpointGetsMoreAndMoreRequestsAfterItsBackoff)
 {
-  this->notices.OnRest(this->Key(0), "e0", Seconds(3));
+  this->notices.OnBackoff(this->Key(0), "e0", Seconds(3));
   this->clock.Advance(Seconds(3));
   this->notices.OnSent(this->Key(0));
   BOOST_TEST(this->Blocked() == this->first);
@@ -163,9 +163,9 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(EndpointThatAnswersNothingAfterItsRestIsTriedEachSecond)
+BOOST_AUTO_TEST_CASE(EndpointThatAnswersNothingAfterItsBackoffIsTriedEachSecond)
 {
-  this->notices.OnRest(this->Key(0), "e0", Seconds(3));
+  this->notices.OnBackoff(this->Key(0), "e0", Seconds(3));
   this->clock.Advance(Seconds(3));
   for (int sent = 0; sent < 4; ++sent) {
     BOOST_TEST(this->Blocked() == this->none);
@@ -177,9 +177,9 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(RestsAreNotReportedToOtherDaemons)
+BOOST_AUTO_TEST_CASE(BackoffsAreNotReportedToOtherDaemons)
 {
-  this->notices.OnRest(this->Key(0), "e0", Seconds(3));
+  this->notices.OnBackoff(this->Key(0), "e0", Seconds(3));
   BOOST_TEST(this->notices.Reports().empty());
 }
 
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -39,8 +39,8 @@
         head.brittleness = { AdvertisedBrittleness::Kind::Brittle, std::stod(value) };
       }
       head.isLeaving = head.isLeaving || name == "Leaving";
-      if (name == "Rest") {
-        head.rest = { AdvertisedRest::Kind::Rest, Milliseconds(std::stoi(value)) };
+      if (name == "Backoff") {
+        head.backoff = { AdvertisedBackoff::Kind::Backoff, Milliseconds(std::stoi(value)) };
       }
       if (name == "Limit") {
         head.limit = { AdvertisedLimit::Kind::Limited, std::stod(value) };
--- a/UnitTests/Relay/RelayNoticeTests.cpp
+++ b/UnitTests/Relay/RelayNoticeTests.cpp
@@ -17,11 +17,11 @@
            const std::string&) { return script; };
 }
 
-/// Turns each request away and asks for a rest of that many milliseconds.
+/// Rejects each request and asks for a backoff of that many milliseconds.
 ScriptedServer::Handler
-AskingForRest(int aMilliseconds)
+AskingForBackoff(int aMilliseconds)
 {
-  const std::string headers = fmt::format("Id: r1\r\nNot-Run: 1\r\nRest: {}\r\n", aMilliseconds);
+  const std::string headers = fmt::format("Id: r1\r\nNot-Run: 1\r\nBackoff: {}\r\n", aMilliseconds);
   return [script = Send(MakeResponse("", "503 Service Unavailable", headers))](const std::string&) {
     return script;
   };
@@ -53,22 +53,22 @@
   BOOST_TEST(leaving.Requests().size() <= 1U);
 }
 
-/// Guards against requests to an endpoint that turned one away and asked for a rest: it looks free, as it answers at once,
+/// Guards against requests to an endpoint that rejected one and asked for a backoff: it looks free, as it answers at once,
 /// and draws the requests that others have room for.
-BOOST_AUTO_TEST_CASE(EndpointThatAsksForARestIsSentNothingUntilItsEnd)
+BOOST_AUTO_TEST_CASE(EndpointThatAsksForABackoffIsSentNothingUntilItsEnd)
 {
-  ScriptedServer resting(AskingForRest(60'000));
+  ScriptedServer rejecting(AskingForBackoff(60'000));
   ScriptedServer other(Answering(""));
-  RelayFixture relay({ &resting, &other });
+  RelayFixture relay({ &rejecting, &other });
   BOOST_TEST(CountServed(relay) == kRequests);
-  BOOST_TEST(resting.Requests().size() <= 1U);
+  BOOST_TEST(rejecting.Requests().size() <= 1U);
 }
 
-/// Guards against a rest that never ends.
-BOOST_AUTO_TEST_CASE(EndpointIsUsedAgainAfterItsRest)
+/// Guards against a backoff that never ends.
+BOOST_AUTO_TEST_CASE(EndpointIsUsedAgainAfterItsBackoff)
 {
-  const int rest = 300;
-  ScriptedServer endpoint(RespondFirstThen(AskingForRest(rest)(""), Answering("")("")));
+  const int backoff = 300;
+  ScriptedServer endpoint(RespondFirstThen(AskingForBackoff(backoff)(""), Answering("")("")));
   RelayFixture relay({ &endpoint });
   const TimePoint begun = relay.clock.Now();
   BOOST_TEST(!relay.SendRequest(RelayKind::Idempotent).reply.has_value());
@@ -76,14 +76,14 @@
     static_cast<void>(relay.SendRequest(RelayKind::Idempotent));
   }
   BOOST_TEST(endpoint.Requests().size() == 2U);
-  BOOST_TEST((relay.clock.Now() >= begun + Milliseconds(rest)));
+  BOOST_TEST((relay.clock.Now() >= begun + Milliseconds(backoff)));
 }
 
 /// Guards against requests that wait, or come back at once, although all endpoints have said how long they want none.
-BOOST_AUTO_TEST_CASE(RequestsAreRefusedUntilTheFirstEndpointHasRested)
+BOOST_AUTO_TEST_CASE(RequestsAreRefusedUntilTheFirstBackoffEnds)
 {
-  ScriptedServer first(AskingForRest(60'000));
-  ScriptedServer second(AskingForRest(30'000));
+  ScriptedServer first(AskingForBackoff(60'000));
+  ScriptedServer second(AskingForBackoff(30'000));
   RelayFixture relay({ &first, &second });
   static_cast<void>(CountServed(relay, 2));
   const TimePoint begun = relay.clock.Now();
