--- a/Lagoonward/Attempts/Market.cpp
+++ b/Lagoonward/Attempts/Market.cpp
@@ -15,6 +15,7 @@
   , brittle(aSettings.brittle, aClock)
   , notices(aSettings.notices, aClock)
   , places(aClock)
+  , slots(aClock)
   , name(std::move(aName))
   , settings(aSettings)
   , clock(aClock)
--- a/Lagoonward/Attempts/Market.h
+++ b/Lagoonward/Attempts/Market.h
@@ -9,6 +9,8 @@
 #include "Lagoonward/Admission/RetryBudget.h"
 #include "Lagoonward/Configuration/Configuration.h"
 #include "Lagoonward/Fleet/FleetSnapshot.h"
+#include "Lagoonward/Queueing/QueuePoolsStore.h"
+#include "Lagoonward/Queueing/SlotRegistry.h"
 #include "Lagoonward/Routing/Router.h"
 
 #include <atomic>
@@ -76,7 +78,9 @@
   EndpointLimits endpointLimits;
   BrittleServices brittle;
   EndpointNotices notices;
-  PlaceRegistry places; ///< Requests in flight, for the owners of brittle endpoints.
+  PlaceRegistry places;       ///< Requests in flight, for the owners of brittle endpoints.
+  QueuePoolsStore queuePools; ///< Endpoints of the services whose requests are queued.
+  SlotRegistry slots;         ///< Queued requests in flight, for the owners of the pools.
 
 private:
   const std::string name;
--- a/Lagoonward/Daemon/PeerRequestTypes.h
+++ b/Lagoonward/Daemon/PeerRequestTypes.h
@@ -25,6 +25,7 @@
   EndpointPlace = 13,
   PartCrashReport = 14,
   EndpointSnapshot = 15,
+  PoolSlot = 16,
 };
 
 /// The number of the request on the wire.
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -100,6 +100,7 @@
   this->relay->SetTokenSource(*this->limitTokenExchange);
   this->relay->SetPermitSource(*this->permitExchange);
   this->relay->SetPlaceSource(*this->placeExchange);
+  this->relay->SetSlotSource(*this->slotExchange);
   this->relay->SetStreamOrigins(*this->streamOrigins, &this->versions);
   this->relay->SetSnapshotGuard(this->endpointReplicator->Guard());
   this->BuildLeaderTasks();
@@ -128,6 +129,7 @@
   this->membership->Loop().Run([this] {
     this->loadExchange->Start();
     this->placeExchange->Start();
+    this->slotExchange->Start();
     this->ApplyDaemonList();
     this->PollDaemonCount();
     this->endpointReplicator->Start();
@@ -178,6 +180,7 @@
     this->crashExchange->OnKeyOwnersChanged();
     this->partCrashExchange->OnKeyOwnersChanged();
     this->placeExchange->OnPeers(*aView);
+    this->slotExchange->OnPeers(*aView);
     this->streamOrigins->OnKeyOwnersChanged();
   });
   LoadExchangeInputs facts;
@@ -207,6 +210,10 @@
   this->placeExchange =
     std::make_unique<PlaceExchange>(PlaceExchangeSettings{}, *this->keyOwners, *this->membership,
                                     this->market->places, this->market->brittle, this->clock);
+  this->market->slots.SetRun(HashBytes(this->incarnation));
+  this->slotExchange =
+    std::make_unique<SlotExchange>(SlotExchangeSettings{}, self.Key(), *this->keyOwners,
+                                   *this->membership, this->market->slots, this->clock);
   this->streamOrigins =
     std::make_unique<StreamOriginExchange>(StreamOriginExchangeSettings{}, *this->keyOwners,
                                            *this->membership, this->versions, this->clock);
@@ -562,12 +569,42 @@
     }
   }
   this->market->notices.ApplyTo(*snapshot);
+  this->PublishQueuePools(*snapshot);
   this->fleet.Publish(snapshot);
   this->versions.OnSnapshot(*snapshot);
   this->market->ApplyFleet(*snapshot);
   this->relay->OnFleet(snapshot);
 }
 
+bool
+RelayDaemon::IsQueued(const RelayConfiguration& aConfiguration, std::string_view aService) const
+{
+  if (this->settings.requestQueueing == RequestQueueing::Off ||
+      !aConfiguration.routes->HasTimeout(aService)) {
+    return false;
+  }
+  const auto& services = aConfiguration.services;
+  const auto service = std::find_if(services.begin(), services.end(),
+                                    [&](const auto& aEach) { return aEach.name == aService; });
+  const bool isEngine = service != services.end() && service->isEngine;
+  return !isEngine || this->settings.requestQueueing == RequestQueueing::All;
+}
+
+void
+RelayDaemon::PublishQueuePools(const FleetSnapshot& aFleet)
+{
+  const RelayConfigurationPtr current = this->ConfigurationInForce();
+  if (current == nullptr || this->settings.requestQueueing == RequestQueueing::Off) {
+    return;
+  }
+  const auto pools =
+    std::make_shared<const QueuePools>(aFleet, QueuePoolSettings{}, [&](std::string_view aService) {
+      return this->IsQueued(*current, aService);
+    });
+  this->market->queuePools.Publish(pools);
+  this->slotExchange->SetPools(pools);
+}
+
 void
 RelayDaemon::Drain()
 {
@@ -581,7 +618,10 @@
   this->loadExchange->Drain();
   this->keyOwners->Drain();
   this->limitTokenExchange->OnKeyOwnersChanged();
-  this->membership->Loop().Run([this] { this->streamOrigins->OnKeyOwnersChanged(); });
+  this->membership->Loop().Run([this] {
+    this->streamOrigins->OnKeyOwnersChanged();
+    this->slotExchange->OnOwnersChanged();
+  });
   this->membership->Drain();
 
   // The load balancer sends callers until it has noticed the drain
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -12,6 +12,7 @@
 #include "Lagoonward/Daemon/PlaceExchange.h"
 #include "Lagoonward/Daemon/RelayPorts.h"
 #include "Lagoonward/Daemon/RelayReporter.h"
+#include "Lagoonward/Daemon/SlotExchange.h"
 #include "Lagoonward/Daemon/StreamOriginExchange.h"
 #include "Lagoonward/Membership/DaemonCountEstimator.h"
 #include "Lagoonward/Membership/MembershipService.h"
@@ -118,6 +119,10 @@
   void OnPeerConfiguration(const SharedState& aState);
   void ApplyConfiguration(LoadedConfiguration aLoaded);
   void PublishFleet();
+  /// Divides the endpoints of the services whose requests are queued into pools.
+  void PublishQueuePools(const FleetSnapshot& aFleet);
+  [[nodiscard]] bool IsQueued(const RelayConfiguration& aConfiguration,
+                              std::string_view aService) const;
   void ApplyDaemonList();
   /// Passes the number of daemons that may share clients' limits to the admission.
   void UpdateDaemonCount();
@@ -146,6 +151,7 @@
   std::unique_ptr<CrashExchange> partCrashExchange; ///< The same for parts of prompts.
   std::unique_ptr<PermitExchange> permitExchange;
   std::unique_ptr<PlaceExchange> placeExchange;
+  std::unique_ptr<SlotExchange> slotExchange;
   std::unique_ptr<StreamOriginExchange> streamOrigins;
   std::unique_ptr<EndpointReplicator> endpointReplicator;
   std::unique_ptr<ForwardExchange> forwardExchange;
--- a/Lagoonward/Relay/RelayRoutes.cpp
+++ b/Lagoonward/Relay/RelayRoutes.cpp
@@ -31,6 +31,11 @@
 void
 RelayRoutes::AddRoute(RelayRoutePtr aRoute)
 {
+  if (aRoute->timeout > Milliseconds::zero()) {
+    for (const WeightedService& service : aRoute->services) {
+      this->servicesWithTimeout.insert(service.name);
+    }
+  }
   HostRoutes& hostRoutes = this->routes[aRoute->host];
   const std::string_view prefix = aRoute->prefix;
   hostRoutes.prefixLengths.insert(prefix.size());
--- a/Lagoonward/Relay/RelayRoutes.h
+++ b/Lagoonward/Relay/RelayRoutes.h
@@ -87,6 +87,12 @@
 
   [[nodiscard]] std::int64_t Version() const { return this->version; }
 
+  /// Whether a route of the service states a timeout, so how long its callers may be kept waiting.
+  [[nodiscard]] bool HasTimeout(std::string_view aService) const
+  {
+    return this->servicesWithTimeout.contains(aService);
+  }
+
   /// The route of the host with the longest prefix of the path, or null.
   /// @param aPath  path as sent, without the query
   [[nodiscard]] RelayRoutePtr FindRoute(std::string_view aHost, std::string_view aPath) const;
@@ -107,6 +113,7 @@
 
   std::int64_t version;
   std::map<std::string, HostRoutes, std::less<>> routes; ///< By host.
+  std::set<std::string, std::less<>> servicesWithTimeout;
   std::vector<RelayAccount> accounts;
   std::unordered_map<std::string, std::size_t> accountByKey; ///< Index into `accounts`.
 };
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -24,6 +24,24 @@
   return aEnd.outcome == AttemptOutcome::Unknown ? PlaceAction::ReleaseLater : PlaceAction::Release;
 }
 
+/// What the owner of the pool is told about the end of a failed attempt.
+SlotAction
+SlotActionOf(const AttemptResult& aEnd)
+{
+  switch (aEnd.outcome) {
+    case AttemptOutcome::NotRun:
+      return aEnd.addressReassigned ? SlotAction::Withdraw : SlotAction::Reject;
+    case AttemptOutcome::NotSent:
+      return aEnd.cause == AttemptCause::Withheld ? SlotAction::Withdraw : SlotAction::Fail;
+    case AttemptOutcome::Unknown:
+      return SlotAction::Lose;
+    case AttemptOutcome::Success:
+    case AttemptOutcome::Failure:
+      return SlotAction::Fail;
+  }
+  return SlotAction::Fail;
+}
+
 } // namespace
 
 RelayRun::RelayRun(const RelayContext& aContext, RelayCall aCall,
@@ -224,6 +242,7 @@
     this->context.router.OnFinished(this->dispatch, DispatchOutcome::Completed);
     this->crashTracker.OnRequestCompleted(!this->streaming || this->forwardedEvents > 0);
     this->place.End(PlaceAction::Release);
+    this->slot.End(SlotAction::Complete);
     this->Succeed(aEnd.reply);
     return;
   }
@@ -241,6 +260,7 @@
   const bool isProvenNotRun =
     aEnd.outcome == AttemptOutcome::NotSent || aEnd.outcome == AttemptOutcome::NotRun;
   this->place.End(PlaceActionOf(aEnd, isRefusal));
+  this->slot.End(SlotActionOf(aEnd));
   this->sends -= aEnd.outcome == AttemptOutcome::NotSent ? 1 : 0;
   this->mayHaveRun = this->mayHaveRun || !isProvenNotRun;
   this->lastReason = fmt::format("endpoint {}: {}", this->endpointId, aEnd.reason);
@@ -296,6 +316,7 @@
   if (this->attempt != nullptr) {
     this->attempt.reset();
     this->place.End(PlaceAction::ReleaseLater);
+    this->slot.End(aOutcome == DispatchOutcome::Failed ? SlotAction::Lose : SlotAction::Abandon);
     this->context.router.OnFinished(this->dispatch, aOutcome);
   }
 }
@@ -385,6 +406,7 @@
 {
   assert(!this->ended);
   this->ended = true;
+  this->WithdrawSlotRequest();
   this->context.observer.OnEnded(this->call, aEnd);
   this->context.loop.Post(std::move(this->handlers.onEnded));
 }
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -12,10 +12,13 @@
 #include "Lagoonward/Fleet/FleetStore.h"
 #include "Lagoonward/Fleet/SnapshotGuard.h"
 #include "Lagoonward/Fleet/SoftwareVersionHistory.h"
+#include "Lagoonward/Queueing/QueuePoolsStore.h"
+#include "Lagoonward/Queueing/SlotRegistry.h"
 #include "Lagoonward/Relay/RelayAttempt.h"
 #include "Lagoonward/Relay/RelayMove.h"
 #include "Lagoonward/Relay/RelayObserver.h"
 #include "Lagoonward/Relay/SendGate.h"
+#include "Lagoonward/Relay/SlotSearch.h"
 #include "Lagoonward/Relay/StreamOrigin.h"
 #include "Lagoonward/Routing/Router.h"
 
@@ -64,7 +67,10 @@
   PermitSource* permitSource; ///< Never null.
   SendGate& gate;
   PlaceRegistry& places;
-  PlaceSource* placeSource;         ///< Never null.
+  PlaceSource* placeSource; ///< Never null.
+  const QueuePoolsStore& queuePools;
+  SlotRegistry& slots;
+  SlotSource* slotSource;           ///< Never null.
   StreamOriginStore* streamOrigins; ///< Never null.
   SoftwareVersionHistory* versions; ///< Null if they are not known.
   PathMonitor& pathMonitor;
@@ -151,6 +157,21 @@
   [[nodiscard]] PlaceUse MakePlaceUse(const Endpoint& aEndpoint) const;
   /// How much longer the request may wait for a place.
   [[nodiscard]] Milliseconds PlaceBudget() const;
+  /// Whether the request waits in the queue of a pool of endpoints for a slot.
+  [[nodiscard]] bool IsQueued() const;
+  /// Asks the owner of a pool for a slot; then starts the attempt there, waits, or refuses the request.
+  void RequestSlot();
+  /// Sends the request for a slot, or a poll for it, to the owner of its pool.
+  void AskForSlot();
+  void OnSlotReply(SlotHold aSlot, const SlotReply& aReply);
+  void OnSlotGranted(SlotHold aSlot, std::uint64_t aEndpoint);
+  void RefuseForLackOfSlots();
+  /// Leaves the queue, if the request waits in one.
+  void WithdrawSlotRequest();
+  [[nodiscard]] SlotMessage MakeSlotRequest(std::uint64_t aPool) const;
+  /// Keys of the endpoints of the service that cannot be used now.
+  [[nodiscard]] std::vector<std::uint64_t> UnusableEndpoints(bool aIncludesFailed) const;
+
   /// Requests a permit if the endpoint advertises a limit, and starts the attempt.
   void RequestPermitOrBegin(RouteChoice aChoice);
   /// Starts the attempt once the owners of the endpoint's permits grant one, or selects another endpoint.
@@ -204,6 +225,9 @@
   PlaceHold place;               ///< Of the attempt, or granted for the next one.
   int placeRequests = 0;         ///< Since the last attempt.
   int placeRefusals = 0;         ///< Of these, replies that the request would wait for too long.
+  SlotHold slot;                 ///< Of the attempt, if its service is queued.
+  std::optional<SlotMessage> slotRequest; ///< While the request waits for a slot.
+  SlotSearch slotSearch;
   std::vector<std::string> fullEndpoints;   ///< Endpoints that had no place for this request.
   std::vector<std::string> failedEndpoints; ///< Endpoints that failed this request.
   std::string lastReason;                   ///< Why the last attempt failed; for logs.
--- a/Lagoonward/Relay/RelayRunOrigin.cpp
+++ b/Lagoonward/Relay/RelayRunOrigin.cpp
@@ -161,9 +161,11 @@
   if (this->origin) {
     return Scale(route.eventIntervalTarget, settings.resumptionWaitFactor);
   }
-  const bool isBrittle = this->context.brittleServices.IsBrittle(this->call.service);
+  // Owners of places and slots may be changing
+  const bool needsRoom =
+    this->context.brittleServices.IsBrittle(this->call.service) || this->IsQueued();
   return Scale(route.firstEventTarget,
-               isBrittle ? settings.placeWaitFactor : settings.endpointWaitFactor);
+               needsRoom ? settings.placeWaitFactor : settings.endpointWaitFactor);
 }
 
 } // namespace lagoonward
--- /dev/null
+++ b/Lagoonward/Relay/RelayRunQueue.cpp
@@ -0,0 +1,209 @@
+#include "Lagoonward/Core/Hash.h"
+#include "Lagoonward/Relay/RelayRun.h"
+
+#include <algorithm>
+#include <utility>
+
+// Part of RelayRun: waits for a slot in the queue of a pool of endpoints.
+
+namespace lagoonward {
+
+namespace {
+
+std::uint32_t
+MillisecondsUntil(TimePoint aTime, TimePoint aNow)
+{
+  const auto left = std::chrono::floor<Milliseconds>(aTime - aNow).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(left, 0, UINT32_MAX));
+}
+
+} // namespace
+
+bool
+RelayRun::IsQueued() const
+{
+  return !this->context.queuePools.Get()->PoolsOf(this->call.service).empty() &&
+         !this->context.brittleServices.IsBrittle(this->call.service);
+}
+
+std::vector<std::uint64_t>
+RelayRun::UnusableEndpoints(bool aIncludesFailed) const
+{
+  std::vector<std::string> ids = this->context.gate.BlockedEndpoints(this->call.service);
+  if (aIncludesFailed) {
+    ids.insert(ids.end(), this->failedEndpoints.begin(), this->failedEndpoints.end());
+  }
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  std::vector<std::uint64_t> keys;
+  for (const Endpoint& endpoint : fleet->endpoints) {
+    if (endpoint.name != this->call.service) {
+      continue;
+    }
+    const bool isListed = std::find(ids.begin(), ids.end(), endpoint.id) != ids.end();
+    const bool isOtherVersion =
+      this->origin && endpoint.softwareVersion != this->origin->softwareVersion;
+    if (isListed || isOtherVersion || !this->context.router.IsAllowed(endpoint.id)) {
+      keys.push_back(EndpointKeyOf(endpoint));
+    }
+  }
+  return keys;
+}
+
+void
+RelayRun::RequestSlot()
+{
+  const QueuePoolsPtr pools = this->context.queuePools.Get();
+  std::vector<const QueuePool*> usable;
+  std::vector<std::uint64_t> excluded;
+  // An endpoint that has failed this request is asked again if there is no other
+  for (const bool includesFailed : { true, false }) {
+    excluded = this->UnusableEndpoints(includesFailed);
+    for (const QueuePool& pool : pools->PoolsOf(this->call.service)) {
+      const bool isUsable =
+        std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [&](const PoolEndpoint& aEach) {
+          return aEach.acceptsRequests &&
+                 std::find(excluded.begin(), excluded.end(), aEach.key) == excluded.end();
+        });
+      if (isUsable) {
+        usable.push_back(&pool);
+      }
+    }
+    if (!usable.empty()) {
+      break;
+    }
+  }
+  if (usable.empty()) {
+    this->WaitForEndpoint(
+      Error(ErrorKind::NoEndpoint, "No endpoint of the service accepts requests."));
+    return;
+  }
+  SlotMessage identity;
+  this->context.slots.Identify(identity);
+  const auto step = this->slotSearch.Next(usable, CombineHashes(identity.lease, 1));
+  if (!step) {
+    this->RefuseForLackOfSlots();
+    return;
+  }
+  SlotMessage request = this->MakeSlotRequest(step->pool);
+  request.run = identity.run;
+  request.lease = identity.lease;
+  request.excluded = std::move(excluded);
+  request.waitMs =
+    step->mayWait ? static_cast<std::uint32_t>(this->context.settings.slotPollTime.count()) : 0;
+  this->slotRequest = std::move(request);
+  this->AskForSlot();
+}
+
+SlotMessage
+RelayRun::MakeSlotRequest(std::uint64_t aPool) const
+{
+  SlotMessage request;
+  request.pool = aPool;
+  request.priority = this->call.priority;
+  request.account = HashBytes(this->call.account);
+  return request;
+}
+
+void
+RelayRun::AskForSlot()
+{
+  SlotMessage& request = *this->slotRequest;
+  const TimePoint now = this->context.loop.GetClock().Now();
+  const TimePoint deadline = this->call.EffectiveDeadline();
+  request.ageMs = MillisecondsUntil(now, this->call.receivedAt);
+  request.targetMs =
+    MillisecondsUntil(this->call.receivedAt + this->call.route->firstEventTarget, now);
+  request.budgetMs = MillisecondsUntil(deadline, now);
+  request.leaseMs =
+    request.budgetMs + static_cast<std::uint32_t>(this->context.settings.slotLeaseMargin.count());
+  SlotRegistry& slots = this->context.slots;
+  SlotSource& source = *this->context.slotSource;
+  const auto onReply = [this, aliveToken = std::weak_ptr(this->aliveToken), &slots, &source,
+                        asked = request](const SlotReply& aReply) {
+    SlotHold granted;
+    if (aReply.answer == SlotAnswer::Granted) {
+      SlotMessage taken = asked;
+      taken.grantedBy = aReply.owner;
+      granted = SlotHold(slots, source, taken, aReply.endpoint);
+    }
+    const bool isExpected = !aliveToken.expired() && !this->ended && this->slotRequest &&
+                            this->slotRequest->lease == asked.lease;
+    if (!isExpected) {
+      granted.End(SlotAction::Withdraw);
+      return;
+    }
+    this->OnSlotReply(std::move(granted), aReply);
+  };
+  source.RequestSlot(request, [&loop = this->context.loop, onReply](const SlotReply& aReply) {
+    loop.Post([onReply, aReply] { onReply(aReply); });
+  });
+}
+
+void
+RelayRun::OnSlotReply(SlotHold aSlot, const SlotReply& aReply)
+{
+  switch (aReply.answer) {
+    case SlotAnswer::Granted:
+      this->slotRequest.reset();
+      this->OnSlotGranted(std::move(aSlot), aReply.endpoint);
+      return;
+    case SlotAnswer::Waiting:
+      this->endpointWaitSince = this->context.loop.GetClock().Now();
+      this->AskForSlot();
+      return;
+    case SlotAnswer::Refused:
+      this->slotRequest.reset();
+      this->slotSearch.OnRefused(aReply);
+      this->RequestSlot();
+      return;
+    case SlotAnswer::NotOwner:
+      // The owners are changing; the request keeps its age
+      this->slotRequest.reset();
+      this->WaitForEndpoint(
+        Error(ErrorKind::NoEndpoint, "No daemon answers that gives out the slots of the service."));
+      return;
+  }
+}
+
+void
+RelayRun::OnSlotGranted(SlotHold aSlot, std::uint64_t aEndpoint)
+{
+  const QueuePoolsPtr pools = this->context.queuePools.Get();
+  const std::string id(pools->IdOf(aEndpoint));
+  RouteRequest request = this->MakeRouteRequest();
+  request.onlyEndpoint = id;
+  auto choice = id.empty() ? Result<RouteChoice>(Error(ErrorKind::NoEndpoint, "unknown endpoint"))
+                           : this->context.router.Choose(request);
+  if (!choice) {
+    aSlot.End(SlotAction::Withdraw);
+    this->WaitForEndpoint(choice.error());
+    return;
+  }
+  this->slot = std::move(aSlot);
+  this->RequestPermitOrBegin(std::move(choice.value()));
+}
+
+void
+RelayRun::RefuseForLackOfSlots()
+{
+  if (this->mayHaveRun) {
+    this->Fail(Error(ErrorKind::EndpointFailed, this->lastReason, Ran::Unknown));
+    return;
+  }
+  this->Fail(Error(ErrorKind::Overloaded, "No endpoint has a free slot in time.", Ran::No)
+               .WithRetryAfter(
+                 std::max(this->slotSearch.RetryAfter(), this->context.settings.retryAfterFloor)));
+}
+
+void
+RelayRun::WithdrawSlotRequest()
+{
+  if (!this->slotRequest) {
+    return;
+  }
+  SlotMessage withdrawal = *std::exchange(this->slotRequest, {});
+  withdrawal.action = SlotAction::Withdraw;
+  this->context.slotSource->Notify(withdrawal);
+}
+
+} // namespace lagoonward
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -54,6 +54,10 @@
       this->context.settings.snapshotRecheckInterval, [this] { this->Dispatch(); });
     return;
   }
+  if (this->IsQueued()) {
+    this->RequestSlot();
+    return;
+  }
   auto choice = this->Choose();
   if (!choice) {
     this->WaitForEndpoint(choice.error());
@@ -124,6 +128,7 @@
   }
   this->context.endpointLimits.OnPermitDenied(aChoice.Target().id, aReply);
   this->place.End(PlaceAction::Release);
+  this->slot.End(SlotAction::Withdraw);
   this->Dispatch();
 }
 
@@ -182,6 +187,7 @@
   const Endpoint* endpoint = fleet->Find(aChoice.Target().id);
   if (endpoint == nullptr) {
     this->place.End(PlaceAction::Release);
+    this->slot.End(SlotAction::Withdraw);
     this->WaitForEndpoint(
       Error(ErrorKind::NoEndpoint, "The selected endpoint is no longer in the endpoint list."));
     return;
@@ -196,6 +202,7 @@
   ++this->sends;
   this->placeRequests = 0;
   this->placeRefusals = 0;
+  this->slotSearch = {};
   this->fullEndpoints.clear();
   this->endpointId = endpoint->id;
   this->endpointKey = EndpointKeyOf(*endpoint);
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -16,6 +16,7 @@
   , forwarder(this->loop, this->settings)
   , localPermits(aClock)
   , localPlaces(this->loop)
+  , localSlots(this->loop, aMarket.queuePools)
   , gate(aFleet, aMarket.endpointLimits, aMarket.places, aMarket.notices)
   , localStreamOrigins({}, aClock)
   , context{ this->loop,
@@ -31,6 +32,9 @@
              this->gate,
              aMarket.places,
              &this->localPlaces,
+             aMarket.queuePools,
+             aMarket.slots,
+             &this->localSlots,
              &this->localStreamOrigins,
              nullptr,
              this->pathMonitor,
@@ -184,8 +188,9 @@
 void
 RelayService::UpdatePressure(const RelayCall& aCall)
 {
-  if (this->market.brittle.IsBrittle(aCall.service)) {
-    // The owners of the endpoints know their free places, and refuse what would wait for too long
+  const bool isQueued = !this->market.queuePools.Get()->PoolsOf(aCall.service).empty();
+  if (isQueued || this->market.brittle.IsBrittle(aCall.service)) {
+    // The owners of the endpoints know what room there is, and refuse what would wait for too long
     this->market.admission.SetPressure(0);
     return;
   }
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -5,6 +5,7 @@
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Core/Service.h"
 #include "Lagoonward/Relay/LocalPlaceSource.h"
+#include "Lagoonward/Relay/LocalSlotSource.h"
 #include "Lagoonward/Relay/PathMonitor.h"
 #include "Lagoonward/Relay/RelayRun.h"
 #include "Lagoonward/Relay/RequestForwarder.h"
@@ -44,6 +45,10 @@
   /// before Start(); must outlive the service.
   void SetPlaceSource(PlaceSource& aPlaceSource) { this->context.placeSource = &aPlaceSource; }
 
+  /// Sets the source of slots for queued requests; without it this daemon gives out all of them itself. To be called before
+  /// Start(); must outlive the service.
+  void SetSlotSource(SlotSource& aSlotSource) { this->context.slotSource = &aSlotSource; }
+
   /// Sets where the origins of streams are kept, and the software versions of the services; without it origins are kept in
   /// this process, and versions are not known. To be called before Start(); must outlive the service.
   void SetStreamOrigins(StreamOriginStore& aOrigins, SoftwareVersionHistory* aVersions)
@@ -114,6 +119,7 @@
   RequestForwarder forwarder;
   LocalPermitSource localPermits;
   LocalPlaceSource localPlaces;
+  LocalSlotSource localSlots;
   SendGate gate;
   StreamOriginTable localStreamOrigins;
   RelayContext context;
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -50,6 +50,11 @@
   Milliseconds placeQueueTime{ 100 };
   /// How long an endpoint is not asked again whose owners did not reply.
   Milliseconds placeNoReplyBlockTime{ 100 };
+  /// How long the owner of a pool may hold back its reply to a request that waits for a slot: less than the time after
+  /// which the next owner is asked.
+  Milliseconds slotPollTime{ 100 };
+  /// Added to the time in which a queued request ends, for the messages about it.
+  Milliseconds slotLeaseMargin{ 500 };
   /// How long a stream that was begun waits for an endpoint of its software version to accept it, as a multiple of the
   /// target for the interval between events.
   double resumptionWaitFactor = 1;
--- a/Lagoonward/Settings/RelayDaemonSettings.h
+++ b/Lagoonward/Settings/RelayDaemonSettings.h
@@ -8,6 +8,14 @@
 
 namespace lagoonward {
 
+/// Which requests wait for a free slot of an endpoint in a queue.
+enum class RequestQueueing
+{
+  Off,   ///< None: they are sent to an endpoint or refused at once.
+  Calls, ///< Those to plain services with a route that states a timeout.
+  All,   ///< Those to all services with such a route.
+};
+
 /// The validated settings of `lagoonward relay`. Filled by RelaySettingsReader.
 struct RelayDaemonSettings
 {
@@ -46,6 +54,8 @@
   double retryRatio = 0.2;   ///< Retries allowed in a window, as a ratio of the requests...
   double retrySlack = 54;    ///< ...and additional retries, over the whole deployment.
   Seconds retryWindow{ 10 }; ///< Length of the retry window.
+
+  RequestQueueing requestQueueing = RequestQueueing::Off;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Settings/RelaySettingsReader.cpp
+++ b/Lagoonward/Settings/RelaySettingsReader.cpp
@@ -35,6 +35,7 @@
   std::string failureDomains;
   std::string seeds;
   std::string logLevel;
+  std::string requestQueue;
   int graceMilliseconds = 0;
   int leavingNoticeMilliseconds = 0;
   int endpointHeartbeatMilliseconds = 0;
@@ -93,9 +94,27 @@
       "repeats allowed beyond that in a window, all daemons together");
   add("retry-window-s", po::value(&aRaw.retryWindowSeconds)->default_value(10),
       "length of that window");
+  add("request-queue", po::value(&aRaw.requestQueue)->default_value("off"),
+      "which requests wait for a free slot of an endpoint: off, calls (to plain services with a "
+      "route that states a timeout), all (to all such services)");
   return options;
 }
 
+void
+ParseRequestQueue(const std::string& aText, RequestQueueing& aQueueing,
+                  std::vector<std::string>& aFaults)
+{
+  if (aText == "off") {
+    aQueueing = RequestQueueing::Off;
+  } else if (aText == "calls") {
+    aQueueing = RequestQueueing::Calls;
+  } else if (aText == "all") {
+    aQueueing = RequestQueueing::All;
+  } else {
+    aFaults.push_back(fmt::format("request-queue: \"{}\" is none of off, calls and all", aText));
+  }
+}
+
 void
 ParseAddress(const char* aName, const std::string& aText, SocketAddress& aAddress,
              std::vector<std::string>& aFaults)
@@ -151,6 +170,7 @@
   ParsePositive("usage-window-s", aRaw.usageWindowSeconds, settings.usageWindow, faults);
   ParsePositive("usage-lateness-s", aRaw.usageLatenessSeconds, settings.usageLateness, faults);
   ParsePositive("retry-window-s", aRaw.retryWindowSeconds, settings.retryWindow, faults);
+  ParseRequestQueue(aRaw.requestQueue, settings.requestQueueing, faults);
   if (const Fault fault = ReadLogLevel(aRaw.logLevel, settings.logLevel)) {
     faults.push_back(fmt::format("log-level: \"{}\" {}", aRaw.logLevel, *fault));
   }
