--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -274,7 +274,7 @@
 }
 
 void
-RequestQueue::Refuse(Waiter aWaiter, TimePoint aExpectedStart)
+RequestQueue::Refuse(const Waiter& aWaiter, TimePoint aExpectedStart)
 {
   ++this->counts.refused;
   if (!aWaiter.respond) {
--- a/UnitTests/Queueing/QueueLoad.cpp
+++ b/UnitTests/Queueing/QueueLoad.cpp
@@ -25,6 +25,7 @@
   , endpoints(aEndpoints)
 {
   std::vector<PoolEndpoint> list;
+  list.reserve(static_cast<std::size_t>(aEndpoints));
   for (int index = 0; index < aEndpoints; ++index) {
     list.push_back({ static_cast<std::uint64_t>(index + 1), kSlots });
   }
