A repeated Lose counts as one failure

A daemon sends the message about an end again if the response was lost, and the slot of a lost request stays taken for a while. Each repeat counted as a further failure, so three could pause a healthy endpoint. SlotTableTests/ARepeatedLoseCountsOnce failed before and passes.

--- a/Lagoonward/Queueing/SlotTable.cpp
+++ b/Lagoonward/Queueing/SlotTable.cpp
@@ -225,6 +225,10 @@
   State& state = *this->Find(endpoint->second);
   const auto lease = std::find_if(state.leases.begin(), state.leases.end(),
                                   [&](const Lease& aEach) { return aEach.id == aLease; });
+  // The message is sent again if its response was lost
+  if (lease->isAbandoned) {
+    return;
+  }
   const auto index = static_cast<std::size_t>(lease - state.leases.begin());
   const TimePoint now = this->clock.Now();
   if (aAction == SlotAction::Lose || aAction == SlotAction::Fail) {
--- a/UnitTests/Queueing/SlotTableTests.cpp
+++ b/UnitTests/Queueing/SlotTableTests.cpp
@@ -136,6 +136,17 @@
   }
 }
 
+/// Guards against a message that is sent again because its response was lost and then counts as a second failure.
+BOOST_AUTO_TEST_CASE(ARepeatedLoseCountsOnce)
+{
+  TableFixture fixture({ { kFirst, 2 } });
+  fixture.Take(kFirst, 1);
+  for (int repeat = 0; repeat < 3; ++repeat) {
+    fixture.table.End(1, SlotAction::Lose);
+  }
+  BOOST_TEST((fixture.Select() == kFirst));
+}
+
 /// Guards against an endpoint that is filled up again at once after it has rejected a request, or never again.
 BOOST_AUTO_TEST_CASE(ARejectionTakesSlotsThatReturnOneByOne)
 {
