A declaration at another endpoint moves the slot

Where two owners of a pool grant a request slots at different endpoints, the one whose reply came too late learns from the declaration where the request runs. It then recorded both slots under one lease; the end freed one, and the other stayed taken until its lease expired (two minutes at most). SlotTableTests/ADeclarationAtAnotherEndpointMovesTheSlot failed before and passes.

--- a/Lagoonward/Queueing/SlotTable.cpp
+++ b/Lagoonward/Queueing/SlotTable.cpp
@@ -190,6 +190,8 @@
     known->expiresAt = now + duration;
     return;
   }
+  // Another owner has granted a slot elsewhere, and its reply was first
+  this->Release(aMessage.lease);
   if (state->leases.size() >= this->settings.maximumLeasesPerEndpoint) {
     return;
   }
--- a/UnitTests/Queueing/SlotTableTests.cpp
+++ b/UnitTests/Queueing/SlotTableTests.cpp
@@ -293,4 +293,18 @@
   BOOST_TEST(fixture.table.Taken() == 3);
 }
 
+/// Guards against a slot that stays taken until its lease expires: two owners grant a request a slot at different endpoints,
+/// and the one whose reply came too late learns from the declaration where the request runs.
+BOOST_AUTO_TEST_CASE(ADeclarationAtAnotherEndpointMovesTheSlot)
+{
+  TableFixture fixture({ { kFirst, 1 }, { kSecond, 1 } });
+  fixture.Take(kFirst, 1);
+  fixture.Declare(kSecond, 1);
+  BOOST_TEST(fixture.table.Taken(kFirst) == 0);
+  BOOST_TEST(fixture.table.Taken(kSecond) == 1);
+  fixture.table.End(1, SlotAction::Complete);
+  BOOST_TEST(fixture.table.Taken(kSecond) == 0);
+  BOOST_TEST(fixture.table.Taken() == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
