Declared requests teach no speed

A new owner of a pool learns of requests in flight by declarations and does not know when they began. It measured them from the declaration, so the endpoints seemed many times faster than they are, and it queued requests that could not be in time. Their success still ends a row of failures. SlotTableTests/ADeclaredRequestTeachesNoSpeed failed before (2 ms learned instead of 50 ms assumed) and passes.

--- a/Lagoonward/Queueing/EndpointPace.cpp
+++ b/Lagoonward/Queueing/EndpointPace.cpp
@@ -15,6 +15,12 @@
     this->secondsPerWork > 0
       ? this->secondsPerWork + this->settings->paceWeight * (pace - this->secondsPerWork)
       : pace;
+  this->OnSucceeded();
+}
+
+void
+EndpointPace::OnSucceeded()
+{
   this->failureRatio -= this->settings->failureWeight * this->failureRatio;
   this->consecutiveFailures = 0;
 }
--- a/Lagoonward/Queueing/EndpointPace.h
+++ b/Lagoonward/Queueing/EndpointPace.h
@@ -13,6 +13,9 @@
   /// A request of that work has been answered completely.
   void OnCompleted(double aSeconds, double aWork);
 
+  /// A request has been answered completely; how long it took is not known.
+  void OnSucceeded();
+
   /// A request has failed. Its time says nothing about the endpoint's speed.
   void OnFailed();
 
--- a/Lagoonward/Queueing/SlotTable.cpp
+++ b/Lagoonward/Queueing/SlotTable.cpp
@@ -200,6 +200,7 @@
   lease.run = aMessage.run;
   lease.work = std::max<double>(aMessage.work, 1e-6);
   lease.memoryTokens = aMessage.memoryTokens;
+  lease.isDeclared = aMessage.action == SlotAction::Declare;
   lease.begunAt = now;
   lease.expiresAt = now + duration;
   state->leases.push_back(lease);
@@ -242,11 +243,7 @@
     return;
   }
   if (aAction == SlotAction::Complete) {
-    const double seconds = ToSeconds(now - lease->begunAt);
-    const double pace = seconds / lease->work;
-    state.pace.OnCompleted(seconds, lease->work);
-    this->meanPace =
-      this->meanPace > 0 ? this->meanPace + kMeanPaceWeight * (pace - this->meanPace) : pace;
+    this->LearnPace(state, *lease);
   }
   this->Erase(state, index);
   if (aAction == SlotAction::Reject) {
@@ -256,6 +253,20 @@
   }
 }
 
+void
+SlotTable::LearnPace(State& aState, const Lease& aLease)
+{
+  if (aLease.isDeclared) {
+    aState.pace.OnSucceeded();
+    return;
+  }
+  const double seconds = ToSeconds(this->clock.Now() - aLease.begunAt);
+  const double pace = seconds / aLease.work;
+  aState.pace.OnCompleted(seconds, aLease.work);
+  this->meanPace =
+    this->meanPace > 0 ? this->meanPace + kMeanPaceWeight * (pace - this->meanPace) : pace;
+}
+
 void
 SlotTable::Release(std::uint64_t aLease)
 {
--- a/Lagoonward/Queueing/SlotTable.h
+++ b/Lagoonward/Queueing/SlotTable.h
@@ -83,6 +83,7 @@
     double work = 1;
     std::uint32_t memoryTokens = 0;
     bool isAbandoned = false;
+    bool isDeclared = false; ///< It began at an unknown time before `begunAt`.
     TimePoint begunAt;
     TimePoint expiresAt;
   };
@@ -107,6 +108,8 @@
   [[nodiscard]] bool IsFailing(const State& aState) const;
   /// Seconds per unit of work, learned or assumed.
   [[nodiscard]] double PaceOf(const State& aState) const;
+  /// A request has been answered completely.
+  void LearnPace(State& aState, const Lease& aLease);
   /// How many times longer than usual the requests that it runs have taken so far; 1 unless they are overdue.
   [[nodiscard]] double Slowdown(const State& aState) const;
   [[nodiscard]] double ExpectedSecondsAt(const State& aState, double aWork) const;
--- a/UnitTests/Queueing/EndpointPaceTests.cpp
+++ b/UnitTests/Queueing/EndpointPaceTests.cpp
@@ -54,4 +54,18 @@
   BOOST_TEST(pace.FailureRatio() == 0.25);
 }
 
+/// Guards against a success of unknown duration that counts as infinitely fast, or that leaves the endpoint avoided.
+BOOST_AUTO_TEST_CASE(ASuccessOfUnknownDurationLeavesTheSpeedAlone)
+{
+  SlotTableSettings settings;
+  settings.failureWeight = 0.5;
+  EndpointPace pace(settings);
+  pace.OnCompleted(2, 1);
+  pace.OnFailed();
+  pace.OnSucceeded();
+  BOOST_TEST(pace.SecondsPerWork() == 2);
+  BOOST_TEST(pace.ConsecutiveFailures() == 0);
+  BOOST_TEST(pace.FailureRatio() == 0.25);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Queueing/SlotTableTests.cpp
+++ b/UnitTests/Queueing/SlotTableTests.cpp
@@ -307,4 +307,16 @@
   BOOST_TEST(fixture.table.Taken() == 0);
 }
 
+/// Guards against endpoints that seem fast after another daemon has taken their pool over: it does not know when the
+/// requests in flight began, so the time until they end says nothing.
+BOOST_AUTO_TEST_CASE(ADeclaredRequestTeachesNoSpeed)
+{
+  TableFixture fixture({ { kFirst, 1 } });
+  const double before = fixture.table.ExpectedSeconds(kFirst, 1);
+  fixture.Declare(kFirst, 1);
+  fixture.clock.Advance(Milliseconds(2));
+  fixture.table.End(1, SlotAction::Complete);
+  BOOST_TEST(fixture.table.ExpectedSeconds(kFirst, 1) == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
