Turns of accounts are counted for each priority

All priorities shared one virtual time. An urgent account that used more than the share of each account below moved it on faster than a large account used its turns, so a small account waited behind the large one in the order of arrival. RequestQueueTests/UrgentRequestsUseNoTurnsOfTheAccountsBelow covers it.

--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -32,7 +32,6 @@
   : settings(aSettings)
   , clock(aClock)
   , slots(aSettings.slots, aClock)
-  , turns(aSettings.maximumAccounts)
   , arrivals(aSettings.arrivalWindow, aClock)
   , takenOverAt(aClock.Now())
 {
@@ -114,12 +113,19 @@
   this->RecordEmptiness();
 }
 
+FairTurns&
+RequestQueue::TurnsOf(int aPriority)
+{
+  return this->turns.try_emplace(aPriority, this->settings.maximumAccounts).first->second;
+}
+
 RequestQueue::Waiter
 RequestQueue::MakeWaiter(const SlotMessage& aMessage, const Responder& aRespond)
 {
   const TimePoint now = this->clock.Now();
   Waiter waiter;
-  waiter.tag = this->turns.OnArrived(aMessage.account, aMessage.work, aMessage.weight);
+  waiter.tag =
+    this->TurnsOf(aMessage.priority).OnArrived(aMessage.account, aMessage.work, aMessage.weight);
   waiter.arrivedAt = now - Milliseconds(aMessage.ageMs);
   waiter.targetAt = now + Milliseconds(aMessage.targetMs);
   waiter.deadlineAt = now + Milliseconds(aMessage.budgetMs);
@@ -160,7 +166,8 @@
 {
   Waiter removed = std::move(this->waiting[aIndex]);
   this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(aIndex));
-  this->turns.OnLeft(removed.message.account, removed.message.work, removed.message.weight);
+  const SlotMessage& message = removed.message;
+  this->TurnsOf(message.priority).OnLeft(message.account, message.work, message.weight);
   return removed;
 }
 
@@ -226,7 +233,7 @@
 void
 RequestQueue::Grant(Waiter aWaiter, std::uint64_t aEndpoint)
 {
-  this->turns.OnServed(aWaiter.tag);
+  this->TurnsOf(aWaiter.message.priority).OnServed(aWaiter.tag);
   ++this->counts.granted;
   if (!aWaiter.respond) {
     aWaiter.message.leaseMs = static_cast<std::uint32_t>(this->settings.pollGrace.count());
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -74,6 +74,8 @@
     Responder respond;     ///< Empty between two polls.
   };
 
+  /// The turns of the accounts at a priority.
+  [[nodiscard]] FairTurns& TurnsOf(int aPriority);
   void HandleRequest(const SlotMessage& aMessage, const Responder& aRespond);
   [[nodiscard]] Waiter MakeWaiter(const SlotMessage& aMessage, const Responder& aRespond);
   void Poll(Waiter& aWaiter, const SlotMessage& aMessage, const Responder& aRespond) const;
@@ -107,7 +109,8 @@
   RequestQueueSettings settings;
   const Clock& clock;
   SlotTable slots;
-  FairTurns turns;
+  /// By priority: served urgent requests must not use up the turns of the accounts below them.
+  std::map<int, FairTurns> turns;
   ArrivalRates arrivals;
   RequestQueueCounts counts;
   std::vector<Waiter> waiting; ///< In the order in which they are served.
--- a/UnitTests/Queueing/RequestQueueTests.cpp
+++ b/UnitTests/Queueing/RequestQueueTests.cpp
@@ -67,6 +67,28 @@
   BOOST_TEST(!fixture.IsGranted(2));
 }
 
+/// Guards against an account that waits behind a larger one because urgent requests of others have moved the turns on: a
+/// new request then counts as if its account had had its share already.
+BOOST_AUTO_TEST_CASE(UrgentRequestsUseNoTurnsOfTheAccountsBelow)
+{
+  QueueFixture fixture({ { kFirst, 1 } });
+  Queue(fixture, 1, 6);
+  for (std::uint64_t lease = 10; lease < 20; ++lease) {
+    SlotMessage urgent = MakeSlotRequest(lease);
+    urgent.priority = 1;
+    urgent.account = 9;
+    fixture.Ask(urgent);
+  }
+  Serve(fixture, 1, 1);
+  Serve(fixture, 10, 18);
+  SlotMessage small = MakeSlotRequest(30);
+  small.account = 2;
+  fixture.Ask(small);
+  Serve(fixture, 19, 19);
+  BOOST_TEST(fixture.IsGranted(30));
+  BOOST_TEST(!fixture.IsGranted(2));
+}
+
 /// Guards against a request that has waited elsewhere being served after a younger one.
 BOOST_AUTO_TEST_CASE(TheOlderIsServedFirstAtEqualTurn)
 {
