Slots granted too late are given back to their owner, and owners learn of all requests in flight

Cause, each seen as a failing case of SlotExchangeTests on the code before: a grant that came after the request had another reply was withdrawn at the primary only, so that of the backup stayed taken until its lease ended, and a turn in the primary's queue was lost; requests in flight were declared once per change of a pool's primary, and never if that daemon did not know the pool yet; a list of over 255 excluded endpoints threw on the control thread and ended the process. Change: the withdrawal goes to the daemon that granted. Each request in flight is declared until the primary of its pool has confirmed it; an update is answered Applied or NotOwner. A request has a slot at one endpoint only, the one declared last. The list of excluded endpoints has a length of 16 bits. Slots that expire are freed every 200 ms also where nothing waits.

--- a/Lagoonward/Daemon/SlotExchange.cpp
+++ b/Lagoonward/Daemon/SlotExchange.cpp
@@ -40,8 +40,19 @@
 
 void
 SlotExchange::Start()
+{
+  this->RunPeriodicTasks();
+}
+
+void
+SlotExchange::RunPeriodicTasks()
 {
   this->DeclareRequests();
+  // Slots also become free without a message
+  this->ledger.Update();
+  this->PublishState();
+  this->membership.Loop().After(this->settings.declareInterval,
+                                [this] { this->RunPeriodicTasks(); });
 }
 
 void
@@ -65,13 +76,13 @@
     aReply.owner = self;
     aRespond(EncodeMessage(aReply));
   };
-  this->HandleHere(message.value(), respond);
+  const bool isApplied = this->HandleHere(message.value(), respond);
   if (message.value().action != SlotAction::Request) {
-    respond({});
+    respond({ isApplied ? SlotAnswer::Applied : SlotAnswer::NotOwner });
   }
 }
 
-void
+bool
 SlotExchange::HandleHere(const SlotMessage& aMessage, const RequestQueue::Responder& aRespond)
 {
   const KeyOwnerRole role = this->owners.RoleOf(aMessage.pool);
@@ -79,11 +90,12 @@
     if (aMessage.action == SlotAction::Request) {
       aRespond({});
     }
-    return;
+    return false;
   }
-  this->ledger.Handle(aMessage, role == KeyOwnerRole::Primary, aRespond);
+  const bool isApplied = this->ledger.Handle(aMessage, role == KeyOwnerRole::Primary, aRespond);
   this->PublishState();
   this->ScheduleUpdate();
+  return isApplied;
 }
 
 void
@@ -144,12 +156,8 @@
       return KeyOwnerResponseStatus::Malformed;
     }
     if (*isAnswered) {
-      // A slot that came too late is given back, unless another owner has granted one
-      const bool isGranted = reply.value().answer == SlotAnswer::Granted;
-      if (isGranted && best->answer != SlotAnswer::Granted) {
-        SlotMessage withdrawal = asked;
-        withdrawal.action = SlotAction::Withdraw;
-        this->NotifyOwners(std::move(withdrawal));
+      if (reply.value().answer == SlotAnswer::Granted) {
+        this->GiveBackLateGrant(asked, reply.value().owner);
       }
       return KeyOwnerResponseStatus::Completed;
     }
@@ -170,6 +178,19 @@
   this->query.Start(std::move(request));
 }
 
+void
+SlotExchange::GiveBackLateGrant(const SlotMessage& aRequest, PeerKey aOwner)
+{
+  // Another owner may have the request in its queue, or has granted it a slot, so only this one is notified
+  SlotMessage withdrawal = aRequest;
+  withdrawal.action = SlotAction::Withdraw;
+  if (const auto address = this->membership.AddressOf(aOwner)) {
+    this->SendUpdate(*address, withdrawal, this->settings.maximumAttempts);
+  }
+  // If the request is in flight, the owner must count it at the endpoint where it is
+  this->knownRequests[aRequest.lease] = {};
+}
+
 void
 SlotExchange::Notify(const SlotMessage& aUpdate)
 {
@@ -253,27 +274,49 @@
 void
 SlotExchange::DeclareRequests()
 {
-  std::unordered_map<std::uint64_t, PeerKey> current;
+  std::unordered_map<std::uint64_t, KnownRequest> current;
   for (SlotMessage& declaration : this->registry.Declarations()) {
+    const auto before = this->knownRequests.find(declaration.lease);
+    KnownRequest known = before != this->knownRequests.end()
+                           ? before->second
+                           : KnownRequest{ declaration.pool, declaration.grantedBy };
     if (const std::uint64_t pool = this->pools->PoolOf(declaration.endpoint); pool != 0) {
       declaration.pool = pool;
     }
     const auto primary = this->PrimaryOf(declaration.pool);
-    const PeerKey key = primary ? primary->key : kSelf;
-    current[declaration.pool] = key;
-    const auto before = this->primaryOfPool.find(declaration.pool);
-    if (before != this->primaryOfPool.end() && before->second == key) {
-      continue;
-    }
-    if (primary) {
-      this->SendUpdate(*primary, declaration, 1);
-    } else {
-      this->HandleHere(declaration, [](const SlotReply&) {});
+    const PeerKey owner = primary ? primary->key : kSelf;
+    const bool isKnown = known.pool == declaration.pool && known.owner == owner;
+    if (!isKnown && !primary && this->HandleHere(declaration, [](const SlotReply&) {})) {
+      known = { declaration.pool, owner };
+    } else if (!isKnown && primary && !known.isPending) {
+      known.isPending = true;
+      this->SendDeclaration(*primary, declaration);
     }
+    current[declaration.lease] = known;
   }
-  this->primaryOfPool = std::move(current);
-  this->membership.Loop().After(this->settings.declareInterval,
-                                [this] { this->DeclareRequests(); });
+  this->knownRequests = std::move(current);
+}
+
+void
+SlotExchange::SendDeclaration(const PeerAddress& aOwner, const SlotMessage& aDeclaration)
+{
+  this->membership.Transport().Request(
+    aOwner, kSlot, EncodeMessage(aDeclaration), this->settings.query.timeout,
+    [this, owner = aOwner.key, lease = aDeclaration.lease,
+     pool = aDeclaration.pool](const Result<std::string>& aResponse) {
+      const auto known = this->knownRequests.find(lease);
+      // Also false after a slot there was given back, which revokes the declaration
+      if (known == this->knownRequests.end() || !known->second.isPending) {
+        return;
+      }
+      known->second.isPending = false;
+      // A daemon that does not know yet that it owns the pool gets the declaration again
+      const auto reply = aResponse ? DecodeMessage<SlotReply>(aResponse.value())
+                                   : Result<SlotReply>(aResponse.error());
+      if (reply && reply.value().answer == SlotAnswer::Applied) {
+        known->second = { pool, owner };
+      }
+    });
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/SlotExchange.h
+++ b/Lagoonward/Daemon/SlotExchange.h
@@ -16,7 +16,7 @@
   KeyOwnerQuerySettings query{ .fallbackDelay = Milliseconds(250) };
   PoolLedgerSettings ledger;
   Milliseconds updateInterval{ 20 }; ///< Between two updates of the own queues while requests wait.
-  Milliseconds declareInterval{ 200 }; ///< Between two checks for pools that have a new owner.
+  Milliseconds declareInterval{ 200 }; ///< Between two checks for requests to declare.
   Milliseconds retryDelay{ 300 };      ///< Before an unanswered update is sent again.
   int maximumAttempts = 5;             ///< Messages to one owner about one update.
 };
@@ -35,7 +35,7 @@
   SlotExchange(const SlotExchangeSettings& aSettings, PeerKey aSelf, KeyOwnerDirectory& aOwners,
                MembershipService& aMembership, SlotRegistry& aRegistry, const Clock& aClock);
 
-  /// Begins to declare requests in flight to new owners. On the control thread.
+  /// Begins to declare requests in flight to owners that do not know them. On the control thread.
   void Start();
 
   /// The daemons, and with them the owners, may have changed. On the control thread.
@@ -57,14 +57,28 @@
 private:
   using Answered = std::function<void(const SlotReply& aReply)>;
 
+  /// Where a request in flight is known.
+  struct KnownRequest
+  {
+    std::uint64_t pool = 0;
+    PeerKey owner = 0;      ///< See kSelf.
+    bool isPending = false; ///< It is being declared to another owner.
+  };
+
   void HandlePeer(PeerKey aSender, std::string_view aBytes,
                   const PeerTransport::Responder& aRespond);
-  void HandleHere(const SlotMessage& aMessage, const RequestQueue::Responder& aRespond);
+  /// @return whether the message concerns a queue of this daemon
+  bool HandleHere(const SlotMessage& aMessage, const RequestQueue::Responder& aRespond);
   void AskOwners(const SlotMessage& aRequest, const Answered& aAnswered);
   /// Sends an update to the owner that granted the slot, and to the present one.
   void NotifyOwners(SlotMessage aUpdate);
   void SendUpdate(const PeerAddress& aOwner, const SlotMessage& aUpdate, int aAttemptsLeft);
+  /// Returns a slot whose grant came after the request had got another reply.
+  void GiveBackLateGrant(const SlotMessage& aRequest, PeerKey aOwner);
+  void RunPeriodicTasks();
+  /// Declares the requests in flight that the owner of their pool does not know.
   void DeclareRequests();
+  void SendDeclaration(const PeerAddress& aOwner, const SlotMessage& aDeclaration);
   void ScheduleUpdate();
   void PublishState();
   /// The primary owner of a pool; nothing if it is this daemon.
@@ -77,8 +91,8 @@
   SlotRegistry& registry;
   PoolLedger ledger; ///< Control thread only, as are the next five.
   QueuePoolsPtr pools = std::make_shared<const QueuePools>();
-  std::unordered_map<PeerKey, std::uint64_t> runs;          ///< The newest process of each daemon.
-  std::unordered_map<std::uint64_t, PeerKey> primaryOfPool; ///< To which requests were declared.
+  std::unordered_map<PeerKey, std::uint64_t> runs; ///< The newest process of each daemon.
+  std::unordered_map<std::uint64_t, KnownRequest> knownRequests; ///< Requests in flight, by lease.
   bool isUpdateScheduled = false;
   KeyOwnerQuery query;
   mutable std::mutex mutex; ///< Guards `state`.
--- a/Lagoonward/Queueing/PoolLedger.cpp
+++ b/Lagoonward/Queueing/PoolLedger.cpp
@@ -74,7 +74,7 @@
   return &this->queues.emplace(aPool, std::move(entry)).first->second;
 }
 
-void
+bool
 PoolLedger::Handle(const SlotMessage& aMessage, bool aIsPrimary,
                    const RequestQueue::Responder& aRespond)
 {
@@ -87,6 +87,7 @@
   } else if (aMessage.action == SlotAction::Request) {
     aRespond({ SlotAnswer::NotOwner });
   }
+  return entry != nullptr;
 }
 
 void
--- a/Lagoonward/Queueing/PoolLedger.h
+++ b/Lagoonward/Queueing/PoolLedger.h
@@ -29,7 +29,8 @@
   /// Handles a message about a pool that this daemon owns.
   /// @param aRespond  called once, at once or later, for a Request
   /// @param aIsPrimary  whether this daemon is the primary owner; the backup serves what the primary does not answer
-  void Handle(const SlotMessage& aMessage, bool aIsPrimary,
+  /// @return whether the pool is known
+  bool Handle(const SlotMessage& aMessage, bool aIsPrimary,
               const RequestQueue::Responder& aRespond);
 
   /// See RequestQueue::Update().
--- a/Lagoonward/Queueing/SlotMessages.h
+++ b/Lagoonward/Queueing/SlotMessages.h
@@ -44,7 +44,7 @@
   std::int32_t priority = 0;           ///< Higher values are served first.
   std::uint64_t account = 0;           ///< Hash of the client account.
   float weight = 1;                    ///< Weight of the account; positive.
-  std::vector<std::uint64_t> excluded; ///< Keys of endpoints that the sender cannot use.
+  std::vector<std::uint64_t> excluded; ///< Keys of the pool's endpoints that the sender cannot use.
 
   std::uint64_t grantedBy = 0; ///< The owner that granted the slot; not sent. See SlotReply::owner.
 
@@ -63,18 +63,19 @@
     if (this->action == SlotAction::Request) {
       aArchive(this->waitMs, this->ageMs, this->targetMs, this->budgetMs, this->priority,
                this->account, this->weight);
-      SerializeList<std::uint8_t>(aArchive, this->excluded);
+      SerializeList<std::uint16_t>(aArchive, this->excluded);
     }
   }
 };
 
-/// An owner's reply to a Request.
+/// An owner's reply.
 enum class SlotAnswer : std::uint8_t
 {
   NotOwner, ///< This daemon does not own the pool or knows no endpoint of it.
   Granted,  ///< The request may be sent to `endpoint` now; the slot is taken until it ends.
   Waiting,  ///< It keeps its turn; poll again at once.
   Refused,  ///< It will not get a slot in time here.
+  Applied,  ///< To any message but a Request: this daemon owns the pool.
 };
 
 struct SlotReply
--- a/Lagoonward/Queueing/SlotTable.cpp
+++ b/Lagoonward/Queueing/SlotTable.cpp
@@ -182,6 +182,10 @@
   if (state == nullptr) {
     return;
   }
+  // A request is at one endpoint; the one that its daemon named last counts
+  if (const auto before = this->EndpointOf(aMessage.lease); before && *before != aEndpoint) {
+    this->Release(aMessage.lease);
+  }
   const TimePoint now = this->clock.Now();
   const auto duration = std::min(Milliseconds(aMessage.leaseMs), this->settings.maximumLease);
   const auto known = std::find_if(state->leases.begin(), state->leases.end(),
--- a/Lagoonward/Relay/RelayRunQueue.cpp
+++ b/Lagoonward/Relay/RelayRunQueue.cpp
@@ -157,6 +157,7 @@
       this->RequestSlot();
       return;
     case SlotAnswer::NotOwner:
+    case SlotAnswer::Applied:
       // The owners are changing; the request keeps its age
       this->slotRequest.reset();
       this->WaitForEndpoint(
