Requests skip endpoints that this daemon cannot use, and faulty requests are no failures of endpoints

Cause, each seen as a failing case of RelayQueueTests on the code before: a request was granted a slot again and again at an endpoint that this daemon knew to leave, or did not know yet, and was refused in the end; its list of excluded endpoints held all of the service; an answer with a status below 500 was reported as a failure of the endpoint, which then got one request per second. By reading: a slot that was held when the run ended without an attempt stayed taken for the time of an abandoned request; the time of a lease could wrap around. Change: leaving and unknown endpoints are excluded, those of the pool only; such an answer releases the slot without a verdict; an unused slot is withdrawn at the end of the run.

--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -37,7 +37,8 @@
       return SlotAction::Lose;
     case AttemptOutcome::Success:
     case AttemptOutcome::Failure:
-      return SlotAction::Fail;
+      // The answer to a faulty request says nothing about the endpoint
+      return aEnd.reply.status < kServerError ? SlotAction::Withdraw : SlotAction::Fail;
   }
   return SlotAction::Fail;
 }
@@ -407,6 +408,8 @@
   assert(!this->ended);
   this->ended = true;
   this->WithdrawSlotRequest();
+  // A slot that is still held was not used
+  this->slot.End(SlotAction::Withdraw);
   this->context.observer.OnEnded(this->call, aEnd);
   this->context.loop.Post(std::move(this->handlers.onEnded));
 }
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -228,6 +228,8 @@
   SlotHold slot;                 ///< Of the attempt, if its service is queued.
   std::optional<SlotMessage> slotRequest; ///< While the request waits for a slot.
   SlotSearch slotSearch;
+  /// Keys of endpoints at which a slot was granted, but which this daemon does not know yet.
+  std::vector<std::uint64_t> unknownEndpoints;
   std::vector<std::string> fullEndpoints;   ///< Endpoints that had no place for this request.
   std::vector<std::string> failedEndpoints; ///< Endpoints that failed this request.
   std::string lastReason;                   ///< Why the last attempt failed; for logs.
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -115,6 +115,7 @@
     this->CancelAttempt(DispatchOutcome::Cancelled);
   } else {
     this->place.End(PlaceAction::Release);
+    this->slot.End(SlotAction::Withdraw);
     this->context.router.OnFinished(this->dispatch, DispatchOutcome::Cancelled);
   }
   this->place = std::move(destinationPlace);
--- a/Lagoonward/Relay/RelayRunQueue.cpp
+++ b/Lagoonward/Relay/RelayRunQueue.cpp
@@ -42,7 +42,9 @@
     const bool isListed = std::find(ids.begin(), ids.end(), endpoint.id) != ids.end();
     const bool isOtherVersion =
       this->origin && endpoint.softwareVersion != this->origin->softwareVersion;
-    if (isListed || isOtherVersion || !this->context.router.IsAllowed(endpoint.id)) {
+    // The owner of the pool may not know yet that an endpoint leaves
+    if (endpoint.state != EndpointState::Live || isListed || isOtherVersion ||
+        !this->context.router.IsAllowed(endpoint.id)) {
       keys.push_back(EndpointKeyOf(endpoint));
     }
   }
@@ -87,6 +89,8 @@
   SlotMessage request = this->MakeSlotRequest(step->pool);
   request.run = identity.run;
   request.lease = identity.lease;
+  std::erase_if(excluded, [&](std::uint64_t aEach) { return pools->PoolOf(aEach) != step->pool; });
+  excluded.insert(excluded.end(), this->unknownEndpoints.begin(), this->unknownEndpoints.end());
   request.excluded = std::move(excluded);
   request.waitMs =
     step->mayWait ? static_cast<std::uint32_t>(this->context.settings.slotPollTime.count()) : 0;
@@ -114,8 +118,7 @@
   request.targetMs =
     MillisecondsUntil(this->call.receivedAt + this->call.route->firstEventTarget, now);
   request.budgetMs = MillisecondsUntil(deadline, now);
-  request.leaseMs =
-    request.budgetMs + static_cast<std::uint32_t>(this->context.settings.slotLeaseMargin.count());
+  request.leaseMs = MillisecondsUntil(deadline + this->context.settings.slotLeaseMargin, now);
   SlotRegistry& slots = this->context.slots;
   SlotSource& source = *this->context.slotSource;
   const auto onReply = [this, aliveToken = std::weak_ptr(this->aliveToken), &slots, &source,
@@ -171,6 +174,15 @@
 {
   const QueuePoolsPtr pools = this->context.queuePools.Get();
   const std::string id(pools->IdOf(aEndpoint));
+  const bool isNew = std::find(this->unknownEndpoints.begin(), this->unknownEndpoints.end(),
+                               aEndpoint) == this->unknownEndpoints.end();
+  if (id.empty() && isNew) {
+    // The owner has a newer list of endpoints
+    aSlot.End(SlotAction::Withdraw);
+    this->unknownEndpoints.push_back(aEndpoint);
+    this->RequestSlot();
+    return;
+  }
   RouteRequest request = this->MakeRouteRequest();
   request.onlyEndpoint = id;
   auto choice = id.empty() ? Result<RouteChoice>(Error(ErrorKind::NoEndpoint, "unknown endpoint"))
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -185,8 +185,9 @@
   explicit RelayFixture(const std::vector<const ScriptedServer*>& aEndpoints,
                         const MarketSettings& aMarket = {},
                         const std::vector<ManifestClient>& aClients = {},
-                        SnapshotGuard* aGuard = nullptr)
+                        SnapshotGuard* aGuard = nullptr, const RelaySettings& aSettings = {})
     : market("m", aMarket, clock, 1)
+    , service(aSettings, MakeAnyEndpointDialect(TestDialect()), market, fleet, observer, clock)
   {
     auto configuration = std::make_shared<Configuration>();
     configuration->offset = 1;
@@ -308,7 +309,7 @@
   Market market;
   FleetStore fleet;
   CountingObserver observer;
-  RelayService service{ {}, MakeAnyEndpointDialect(TestDialect()), market, fleet, observer, clock };
+  RelayService service;
 };
 
 inline std::string
