A queued request is sent without a slot when no owner gives out slots

Where both owners of a pool do not queue (the setting is being changed daemon by daemon, or the owner runs a release without the message PoolSlot) every reply is NotOwner, and the request waited 0.75 of its target and was refused. It now asks for 100 ms and is then sent as without queues. A change of owners that ends within that time still leads to a slot.

--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -165,6 +165,8 @@
   void AskForSlot();
   void OnSlotReply(SlotHold aSlot, const SlotReply& aReply);
   void OnSlotGranted(SlotHold aSlot, std::uint64_t aEndpoint);
+  /// Asks again, or sends the request without a slot if no daemon has given out slots for a while.
+  void OnNoSlotOwner();
   void RefuseForLackOfSlots();
   /// Leaves the queue, if the request waits in one.
   void WithdrawSlotRequest();
@@ -228,11 +230,13 @@
   SlotHold slot;                 ///< Of the attempt, if its service is queued.
   std::optional<SlotMessage> slotRequest; ///< While the request waits for a slot.
   SlotSearch slotSearch;
-  std::vector<std::string> fullEndpoints;   ///< Endpoints that had no place for this request.
-  std::vector<std::string> failedEndpoints; ///< Endpoints that failed this request.
-  std::string lastReason;                   ///< Why the last attempt failed; for logs.
-  std::optional<RelayReply> failureReply;   ///< Failure response of an endpoint, if one arrived.
-  int sends = 0;                            ///< Attempts that may have reached an endpoint.
+  std::optional<TimePoint> noSlotOwnerSince; ///< While no daemon gives out the slots of a pool.
+  bool bypassesQueue = false;                ///< The next attempt is sent without a slot.
+  std::vector<std::string> fullEndpoints;    ///< Endpoints that had no place for this request.
+  std::vector<std::string> failedEndpoints;  ///< Endpoints that failed this request.
+  std::string lastReason;                    ///< Why the last attempt failed; for logs.
+  std::optional<RelayReply> failureReply;    ///< Failure response of an endpoint, if one arrived.
+  int sends = 0;                             ///< Attempts that may have reached an endpoint.
   bool demandReported = false; ///< The work of the request has been reported to the observer.
   bool mayHaveRun = false;
   bool started = false;   ///< An endpoint has responded, so the request ran.
--- a/Lagoonward/Relay/RelayRunQueue.cpp
+++ b/Lagoonward/Relay/RelayRunQueue.cpp
@@ -22,7 +22,8 @@
 bool
 RelayRun::IsQueued() const
 {
-  return !this->context.queuePools.Get()->PoolsOf(this->call.service).empty() &&
+  return !this->bypassesQueue &&
+         !this->context.queuePools.Get()->PoolsOf(this->call.service).empty() &&
          !this->context.brittleServices.IsBrittle(this->call.service);
 }
 
@@ -142,6 +143,9 @@
 void
 RelayRun::OnSlotReply(SlotHold aSlot, const SlotReply& aReply)
 {
+  if (aReply.answer != SlotAnswer::NotOwner) {
+    this->noSlotOwnerSince.reset();
+  }
   switch (aReply.answer) {
     case SlotAnswer::Granted:
       this->slotRequest.reset();
@@ -157,14 +161,30 @@
       this->RequestSlot();
       return;
     case SlotAnswer::NotOwner:
-      // The owners are changing; the request keeps its age
       this->slotRequest.reset();
-      this->WaitForEndpoint(
-        Error(ErrorKind::NoEndpoint, "No daemon answers that gives out the slots of the service."));
+      this->OnNoSlotOwner();
       return;
   }
 }
 
+void
+RelayRun::OnNoSlotOwner()
+{
+  const TimePoint now = this->context.loop.GetClock().Now();
+  if (!this->noSlotOwnerSince) {
+    this->noSlotOwnerSince = now;
+  }
+  if (now - *this->noSlotOwnerSince < this->context.settings.slotOwnerWait) {
+    // The owners are changing; the request keeps its age
+    this->WaitForEndpoint(
+      Error(ErrorKind::NoEndpoint, "No daemon answers that gives out the slots of the service."));
+    return;
+  }
+  // The owners do not queue requests, as while the setting is changed daemon by daemon
+  this->bypassesQueue = true;
+  this->Dispatch();
+}
+
 void
 RelayRun::OnSlotGranted(SlotHold aSlot, std::uint64_t aEndpoint)
 {
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -203,6 +203,8 @@
   this->placeRequests = 0;
   this->placeRefusals = 0;
   this->slotSearch = {};
+  this->noSlotOwnerSince.reset();
+  this->bypassesQueue = false;
   this->fullEndpoints.clear();
   this->endpointId = endpoint->id;
   this->endpointKey = EndpointKeyOf(*endpoint);
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -53,6 +53,8 @@
   /// How long the owner of a pool may hold back its reply to a request that waits for a slot: less than the time after
   /// which the next owner is asked.
   Milliseconds slotPollTime{ 100 };
+  /// How long a request asks for a slot again while no daemon gives out those of a pool; then it is sent without one.
+  Milliseconds slotOwnerWait{ 100 };
   /// Added to the time in which a queued request ends, for the messages about it.
   Milliseconds slotLeaseMargin{ 500 };
   /// How long a stream that was begun waits for an endpoint of its software version to accept it, as a multiple of the
