SlotSearch: time to retry and pools asked are those of the present

RetryAfter() was the shortest of all refusals, also of those from pools that were only asked for a free slot and later refused to queue the request: a caller was told 50 ms where no pool would have queued it for seconds. Refusals by pools that no longer exist counted as the two that are asked, so the request was refused although new pools were not asked. SlotSearchTests/TheTimeToRetryIsTheShortestOfTheLastRefusals and /PoolsThatReplacedThoseAskedAreAsked failed before and pass.

--- a/Lagoonward/Relay/SlotSearch.cpp
+++ b/Lagoonward/Relay/SlotSearch.cpp
@@ -48,7 +48,9 @@
       unasked.push_back(pool);
     }
   }
-  if (this->refusals.size() < kProbes && !unasked.empty()) {
+  // Refusals by pools that are gone say nothing about the others
+  const std::size_t asked = aPools.size() - unasked.size();
+  if (asked < kProbes && !unasked.empty()) {
     // The only pool need not be compared with another
     const bool mayWait = aPools.size() == 1;
     this->current = Step{ DrawPool(unasked, aRandom)->key, mayWait };
@@ -76,9 +78,18 @@
   }
   std::erase_if(this->refusals,
                 [&](const Refusal& aEach) { return aEach.pool == this->current->pool; });
-  this->refusals.push_back({ this->current->pool, aReply.expectedWaitMs, this->current->mayWait });
-  const Milliseconds after(aReply.retryAfterMs);
-  this->retryAfter = this->retryAfter > Milliseconds(0) ? std::min(this->retryAfter, after) : after;
+  this->refusals.push_back(
+    { this->current->pool, aReply.expectedWaitMs, aReply.retryAfterMs, this->current->mayWait });
+}
+
+Milliseconds
+SlotSearch::RetryAfter() const
+{
+  const auto least = std::min_element(this->refusals.begin(), this->refusals.end(),
+                                      [](const Refusal& aLeft, const Refusal& aRight) {
+                                        return aLeft.retryAfterMs < aRight.retryAfterMs;
+                                      });
+  return Milliseconds(least == this->refusals.end() ? 0 : least->retryAfterMs);
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/SlotSearch.h
+++ b/Lagoonward/Relay/SlotSearch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Lagoonward/Core/Clock.h"
 #include "Lagoonward/Queueing/QueuePools.h"
 #include "Lagoonward/Queueing/SlotMessages.h"
 
@@ -31,14 +32,15 @@
   /// The owner of the pool of the last step has refused the request.
   void OnRefused(const SlotReply& aReply);
 
-  /// Shortest time after which a later request might be queued, of all refusals.
-  [[nodiscard]] Milliseconds RetryAfter() const { return this->retryAfter; }
+  /// Shortest time after which a later request might be queued, of the last refusal of each pool.
+  [[nodiscard]] Milliseconds RetryAfter() const;
 
 private:
   struct Refusal
   {
     std::uint64_t pool = 0;
     std::uint32_t expectedWaitMs = 0;
+    std::uint32_t retryAfterMs = 0;
     bool mayWait = false; ///< The pool was asked whether the request may wait.
   };
 
@@ -46,7 +48,6 @@
 
   std::vector<Refusal> refusals;
   std::optional<Step> current;
-  Milliseconds retryAfter{ 0 };
 };
 
 } // namespace lagoonward
--- a/UnitTests/Relay/SlotSearchTests.cpp
+++ b/UnitTests/Relay/SlotSearchTests.cpp
@@ -104,4 +104,29 @@
   BOOST_TEST(fixture.IsOver());
 }
 
+/// Guards against a request that is refused although new pools could serve it: those that refused it are gone.
+BOOST_AUTO_TEST_CASE(PoolsThatReplacedThoseAskedAreAsked)
+{
+  SearchFixture fixture({ 4, 4, 4, 4 });
+  (void)fixture.Next();
+  fixture.Refuse(500);
+  (void)fixture.Next();
+  fixture.Refuse(500);
+  fixture.pools.erase(fixture.pools.begin(), fixture.pools.begin() + 2);
+  BOOST_TEST(fixture.Next().pool >= 3U);
+}
+
+/// Guards against a caller that is told to retry sooner than any pool would queue its request: what a pool said when it was
+/// asked for a free slot is out of date once it has refused to queue the request.
+BOOST_AUTO_TEST_CASE(TheTimeToRetryIsTheShortestOfTheLastRefusals)
+{
+  SearchFixture fixture({ 4, 4 });
+  for (const std::uint32_t retryAfter : { 50U, 60U, 3000U, 2000U }) {
+    (void)fixture.Next();
+    fixture.Refuse(500, retryAfter);
+  }
+  BOOST_TEST(fixture.IsOver());
+  BOOST_TEST((fixture.search.RetryAfter() == Milliseconds(2000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
