RequestQueue: what does not queue delays nobody, true times to retry, one forecast for each priority

Four faults, each with a test of RequestQueueTests that failed before and passes: - A request that may not wait stood in the queue while late ones were refused, so a less urgent one could be refused for its sake (ARequestThatMayNotWaitRefusesNobody). - Such requests counted as arriving work in each pool that they asked, so the part that urgent requests leave was underestimated in a standing queue (RequestsThatOnlyLookForAFreeSlotAreNoArrivingWork). - With failing endpoints only, a caller was told to retry after 3,585 s; now at the next trial (RequestsToFailingEndpointsAreToldToRetryAtTheNextTrial). - A large request kept memory free at endpoints that it excludes, and held all others up there (ALargeRequestKeepsNoMemoryAtEndpointsThatItExcludes).

The speed of the fastest endpoint was computed anew for each waiting request, with one reading of the clock for each request in flight. It is now computed once for each priority and after each grant.

--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -93,18 +93,15 @@
     return;
   }
   this->slots.Expire();
-  this->arrivals.OnArrived(aMessage.priority, aMessage.work);
   this->Insert(this->MakeWaiter(aMessage, aRespond));
   this->GrantFreeSlots();
+  // A request that looks for a free slot in several pools is no work that arrives here, and it delays nobody
+  if (aMessage.waitMs == 0 && this->RefuseToQueue(aMessage.lease)) {
+    return;
+  }
+  this->arrivals.OnArrived(aMessage.priority, aMessage.work);
   this->RefuseLate();
-  const auto index = this->FindWaiter(aMessage.lease);
-  if (index && aMessage.waitMs == 0) {
-    const double workAhead = std::accumulate(
-      this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(*index + 1), 0.0,
-      [](double aSum, const Waiter& aEach) { return aSum + aEach.message.work; });
-    this->Refuse(this->Remove(*index),
-                 this->ExpectedStart(aMessage.priority, workAhead, this->slots.WorkPerSecond()));
-  } else if (index) {
+  if (this->FindWaiter(aMessage.lease)) {
     ++this->counts.queued;
   }
   if (this->waiting.size() > this->settings.maximumWaiting) {
@@ -113,6 +110,28 @@
   this->RecordEmptiness();
 }
 
+bool
+RequestQueue::RefuseToQueue(std::uint64_t aLease)
+{
+  const auto index = this->FindWaiter(aLease);
+  if (!index) {
+    return false;
+  }
+  const Waiter& waiter = this->waiting[*index];
+  const double workAhead = std::accumulate(
+    this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(*index + 1), 0.0,
+    [](double aSum, const Waiter& aEach) { return aSum + aEach.message.work; });
+  const Forecast forecast = this->MakeForecast(waiter.message.priority);
+  const TimePoint start = ExpectedStart(forecast, workAhead);
+  const bool isLate = start > LatestStart(forecast, waiter, this->settings.targetMargin);
+  if (const auto endpoint = isLate ? this->SelectSlow(waiter) : std::nullopt) {
+    this->Grant(this->Extract(*index), *endpoint);
+    return false;
+  }
+  this->Refuse(this->Remove(*index), start);
+  return true;
+}
+
 FairTurns&
 RequestQueue::TurnsOf(int aPriority)
 {
@@ -162,10 +181,17 @@
 }
 
 RequestQueue::Waiter
-RequestQueue::Remove(std::size_t aIndex)
+RequestQueue::Extract(std::size_t aIndex)
 {
-  Waiter removed = std::move(this->waiting[aIndex]);
+  Waiter extracted = std::move(this->waiting[aIndex]);
   this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  return extracted;
+}
+
+RequestQueue::Waiter
+RequestQueue::Remove(std::size_t aIndex)
+{
+  Waiter removed = this->Extract(aIndex);
   const SlotMessage& message = removed.message;
   this->TurnsOf(message.priority).OnLeft(message.account, message.work, message.weight);
   return removed;
@@ -196,38 +222,64 @@
 void
 RequestQueue::GrantFreeSlots()
 {
+  std::vector<std::uint64_t> kept;
+  Forecast forecast;
   double workAhead = 0;
   for (std::size_t index = 0; index < this->waiting.size();) {
     const SlotMessage& message = this->waiting[index].message;
-    const auto endpoint = this->slots.Select(message.work, message.memoryTokens, message.excluded);
-    if (endpoint && !this->ShouldWaitForFaster(this->waiting[index], *endpoint, workAhead)) {
-      Waiter granted = std::move(this->waiting[index]);
-      this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
-      this->Grant(std::move(granted), *endpoint);
-      continue;
-    }
-    // What is free is kept for a request that is too large for it, as smaller ones would always be served first. One that
-    // only excludes the free endpoints holds nobody up
-    if (!endpoint && !this->slots.Select(message.work, message.memoryTokens, {})) {
+    const auto endpoint = this->SelectExcept(message, message.memoryTokens, kept);
+    if (!endpoint && !this->slots.Select(message.work, 0, kept)) {
       return;
     }
+    if (!endpoint) {
+      // Smaller requests would always be served first
+      this->KeepMemory(message, kept);
+    }
+    if (endpoint && (!forecast.isCurrent || forecast.priority != message.priority)) {
+      forecast = this->MakeForecast(message.priority);
+    }
+    if (endpoint &&
+        !this->ShouldWaitForFaster(this->waiting[index], *endpoint, forecast, workAhead)) {
+      this->Grant(this->Extract(index), *endpoint);
+      forecast.isCurrent = false;
+      continue;
+    }
     workAhead += message.work;
     ++index;
   }
 }
 
+std::optional<std::uint64_t>
+RequestQueue::SelectExcept(const SlotMessage& aMessage, std::uint32_t aMemoryTokens,
+                           const std::vector<std::uint64_t>& aKept) const
+{
+  if (aKept.empty()) {
+    return this->slots.Select(aMessage.work, aMemoryTokens, aMessage.excluded);
+  }
+  std::vector<std::uint64_t> excluded = aMessage.excluded;
+  excluded.insert(excluded.end(), aKept.begin(), aKept.end());
+  return this->slots.Select(aMessage.work, aMemoryTokens, excluded);
+}
+
+void
+RequestQueue::KeepMemory(const SlotMessage& aMessage, std::vector<std::uint64_t>& aKept) const
+{
+  while (const auto endpoint = this->SelectExcept(aMessage, 0, aKept)) {
+    aKept.push_back(*endpoint);
+  }
+}
+
 bool
 RequestQueue::ShouldWaitForFaster(const Waiter& aWaiter, std::uint64_t aEndpoint,
-                                  double aWorkAhead) const
+                                  const Forecast& aForecast, double aWorkAhead) const
 {
-  const TimePoint now = this->clock.Now();
   const double work = aWaiter.message.work;
-  if (now + FromSeconds(this->slots.ExpectedSeconds(aEndpoint, work)) <= aWaiter.targetAt) {
+  const double seconds = this->slots.ExpectedSeconds(aEndpoint, work);
+  if (aForecast.now + FromSeconds(seconds) <= aWaiter.targetAt) {
     return false;
   }
-  const TimePoint start =
-    this->ExpectedStart(aWaiter.message.priority, aWorkAhead + work, this->slots.WorkPerSecond());
-  return start + FromSeconds(this->slots.FastestSeconds(work)) <= aWaiter.targetAt;
+  const TimePoint start = ExpectedStart(aForecast, aWorkAhead + work);
+  return start + FromSeconds(aForecast.fastestSecondsPerWork * work) <= aWaiter.targetAt;
 }
 
 void
@@ -247,24 +299,23 @@
 void
 RequestQueue::RefuseLate()
 {
-  const double workPerSecond = this->slots.WorkPerSecond();
+  Forecast forecast;
   double workAhead = 0;
   for (std::size_t index = 0; index < this->waiting.size();) {
     const Waiter& waiter = this->waiting[index];
-    const TimePoint start =
-      this->ExpectedStart(waiter.message.priority, workAhead + waiter.message.work, workPerSecond);
-    if (start > this->LatestStart(waiter)) {
-      if (const auto endpoint = this->SelectSlow(waiter)) {
-        Waiter granted = std::move(this->waiting[index]);
-        this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
-        this->Grant(std::move(granted), *endpoint);
-      } else {
-        this->Refuse(this->Remove(index), start);
-      }
-      continue;
+    if (!forecast.isCurrent || forecast.priority != waiter.message.priority) {
+      forecast = this->MakeForecast(waiter.message.priority);
+    }
+    const TimePoint start = ExpectedStart(forecast, workAhead + waiter.message.work);
+    if (start <= LatestStart(forecast, waiter, this->settings.targetMargin)) {
+      workAhead += waiter.message.work;
+      ++index;
+    } else if (const auto endpoint = this->SelectSlow(waiter)) {
+      this->Grant(this->Extract(index), *endpoint);
+      forecast.isCurrent = false;
+    } else {
+      this->Refuse(this->Remove(index), start);
     }
-    workAhead += waiter.message.work;
-    ++index;
   }
 }
 
@@ -290,9 +341,13 @@
   const TimePoint now = this->clock.Now();
   SlotReply reply{ SlotAnswer::Refused };
   reply.expectedWaitMs = CeilMilliseconds(aExpectedStart - now);
-  const auto excess = std::max<TimePoint::duration>(aExpectedStart - this->LatestStart(aWaiter),
-                                                    this->settings.minimumRetryAfter);
-  reply.retryAfterMs = CeilMilliseconds(excess);
+  const Forecast forecast = this->MakeForecast(aWaiter.message.priority);
+  const TimePoint latest = LatestStart(forecast, aWaiter, this->settings.targetMargin);
+  // Endpoints that all fail are tried again after the pause
+  const TimePoint::duration excess =
+    forecast.workPerSecond > 0 ? aExpectedStart - latest : this->settings.slots.failurePause;
+  reply.retryAfterMs =
+    CeilMilliseconds(std::max<TimePoint::duration>(excess, this->settings.minimumRetryAfter));
   aWaiter.respond(reply);
 }
 
@@ -318,28 +373,41 @@
   }
 }
 
+RequestQueue::Forecast
+RequestQueue::MakeForecast(int aPriority) const
+{
+  Forecast forecast;
+  forecast.isCurrent = true;
+  forecast.now = this->clock.Now();
+  forecast.priority = aPriority;
+  forecast.isStanding = this->IsStanding(aPriority);
+  forecast.fastestSecondsPerWork = this->slots.FastestSeconds(1);
+  forecast.workPerSecond = this->slots.WorkPerSecond();
+  if (forecast.isStanding) {
+    forecast.workPerSecond = std::max(forecast.workPerSecond - this->arrivals.Above(aPriority),
+                                      forecast.workPerSecond * this->settings.minimumRemainingRate);
+  }
+  return forecast;
+}
+
 TimePoint
-RequestQueue::LatestStart(const Waiter& aWaiter) const
+RequestQueue::LatestStart(const Forecast& aForecast, const Waiter& aWaiter, double aTargetMargin)
 {
-  const double seconds = this->slots.FastestSeconds(aWaiter.message.work);
-  if (!this->IsStanding(aWaiter.message.priority)) {
+  const double seconds = aForecast.fastestSecondsPerWork * aWaiter.message.work;
+  if (!aForecast.isStanding) {
     return aWaiter.deadlineAt - FromSeconds(seconds);
   }
   return std::min(aWaiter.targetAt, aWaiter.deadlineAt) -
-         FromSeconds(seconds * (1 + this->settings.targetMargin));
+         FromSeconds(seconds * (1 + aTargetMargin));
 }
 
 TimePoint
-RequestQueue::ExpectedStart(int aPriority, double aWorkAhead, double aWorkPerSecond) const
+RequestQueue::ExpectedStart(const Forecast& aForecast, double aWorkAhead)
 {
-  double remaining = aWorkPerSecond;
-  if (this->IsStanding(aPriority)) {
-    remaining = std::max(aWorkPerSecond - this->arrivals.Above(aPriority),
-                         aWorkPerSecond * this->settings.minimumRemainingRate);
-  }
-  const double seconds =
-    remaining > 0 ? std::min(aWorkAhead / remaining, kMaximumWaitSeconds) : kMaximumWaitSeconds;
-  return this->clock.Now() + FromSeconds(seconds);
+  const double seconds = aForecast.workPerSecond > 0
+                           ? std::min(aWorkAhead / aForecast.workPerSecond, kMaximumWaitSeconds)
+                           : kMaximumWaitSeconds;
+  return aForecast.now + FromSeconds(seconds);
 }
 
 bool
@@ -357,8 +425,12 @@
   // A new owner that finds requests waiting at once has taken over a queue of unknown age
   const bool isYoung = now < this->takenOverAt + this->settings.takeoverPeriod;
   const TimePoint initial = isYoung ? now - this->settings.standingAfter : now;
+  std::optional<int> recorded;
   for (const Waiter& waiter : this->waiting) {
-    this->emptyAt.try_emplace(waiter.message.priority, initial);
+    if (recorded != waiter.message.priority) {
+      recorded = waiter.message.priority;
+      this->emptyAt.try_emplace(*recorded, initial);
+    }
   }
   if (isYoung) {
     return;
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -76,20 +76,43 @@
 
   /// The turns of the accounts at a priority.
   [[nodiscard]] FairTurns& TurnsOf(int aPriority);
+  /// What is expected for all requests of a priority, until a slot is taken or given back.
+  struct Forecast
+  {
+    bool isCurrent = false;
+    TimePoint now;
+    int priority = 0;
+    bool isStanding = false;
+    double workPerSecond = 0;         ///< What more urgent requests leave.
+    double fastestSecondsPerWork = 0; ///< At the fastest endpoint.
+  };
+
+  [[nodiscard]] Forecast MakeForecast(int aPriority) const;
   void HandleRequest(const SlotMessage& aMessage, const Responder& aRespond);
   [[nodiscard]] Waiter MakeWaiter(const SlotMessage& aMessage, const Responder& aRespond);
   void Poll(Waiter& aWaiter, const SlotMessage& aMessage, const Responder& aRespond) const;
   /// Whether the first request is served before the second.
   [[nodiscard]] static bool IsBefore(const Waiter& aLeft, const Waiter& aRight);
   void Insert(Waiter aWaiter);
-  /// Removes a waiter, whose account gets its turn back.
+  /// Takes out a waiter that is served.
+  Waiter Extract(std::size_t aIndex);
+  /// Removes a waiter that is not served; its account gets its turn back.
   Waiter Remove(std::size_t aIndex);
   [[nodiscard]] std::optional<std::size_t> FindWaiter(std::uint64_t aLease) const;
   void GrantFreeSlots();
+  /// The best endpoint with room for a request, which is not one of those.
+  [[nodiscard]] std::optional<std::uint64_t> SelectExcept(
+    const SlotMessage& aMessage, std::uint32_t aMemoryTokens,
+    const std::vector<std::uint64_t>& aKept) const;
+  /// Adds the endpoints with a free slot that the request can use once enough memory is free.
+  void KeepMemory(const SlotMessage& aMessage, std::vector<std::uint64_t>& aKept) const;
   /// Whether the endpoint is so slow that a request meets its target only by waiting for another one.
   [[nodiscard]] bool ShouldWaitForFaster(const Waiter& aWaiter, std::uint64_t aEndpoint,
-                                         double aWorkAhead) const;
+                                         const Forecast& aForecast, double aWorkAhead) const;
   void Grant(Waiter aWaiter, std::uint64_t aEndpoint);
+  /// Refuses a request that may not wait, if it waits.
+  /// @return whether it was refused
+  bool RefuseToQueue(std::uint64_t aLease);
   /// Refuses the waiters that would get a slot too late, unless a slow endpoint has one now.
   void RefuseLate();
   /// An endpoint with a free slot at which the request ends before its deadline, though not within its target.
@@ -98,11 +121,10 @@
   void ForgetSilent();
   void AnswerPolls();
   /// The latest time at which a request may start.
-  [[nodiscard]] TimePoint LatestStart(const Waiter& aWaiter) const;
-  /// When a request would start that has that much work before it.
-  /// @param aWorkPerSecond  see SlotTable::WorkPerSecond()
-  [[nodiscard]] TimePoint ExpectedStart(int aPriority, double aWorkAhead,
-                                        double aWorkPerSecond) const;
+  [[nodiscard]] static TimePoint LatestStart(const Forecast& aForecast, const Waiter& aWaiter,
+                                             double aTargetMargin);
+  /// When a request would start that has that much work before it, its own included.
+  [[nodiscard]] static TimePoint ExpectedStart(const Forecast& aForecast, double aWorkAhead);
   [[nodiscard]] bool IsStanding(int aPriority) const;
   void RecordEmptiness();
 
--- a/Lagoonward/Queueing/SlotTable.cpp
+++ b/Lagoonward/Queueing/SlotTable.cpp
@@ -100,7 +100,7 @@
 }
 
 double
-SlotTable::Slowdown(const State& aState) const
+SlotTable::Slowdown(const State& aState, TimePoint aNow) const
 {
   // Without a completed request, nothing says how long one usually takes
   if (this->meanPace <= 0) {
@@ -111,7 +111,7 @@
   int running = 0;
   for (const Lease& lease : aState.leases) {
     if (!lease.isAbandoned) {
-      sum += ToSeconds(this->clock.Now() - lease.begunAt) / (lease.work * pace);
+      sum += ToSeconds(aNow - lease.begunAt) / (lease.work * pace);
       ++running;
     }
   }
@@ -120,13 +120,13 @@
 }
 
 double
-SlotTable::ExpectedSecondsAt(const State& aState, double aWork) const
+SlotTable::ExpectedSecondsAt(const State& aState, double aWork, TimePoint aNow) const
 {
   const double occupancy =
     static_cast<double>(aState.leases.size()) / static_cast<double>(aState.endpoint.slots);
   const double success = 1 - aState.pace.FailureRatio();
   const double failurePenalty = 1 / std::max(success, 1 / kMaximumFailurePenalty);
-  return aWork * this->PaceOf(aState) * this->Slowdown(aState) * failurePenalty *
+  return aWork * this->PaceOf(aState) * this->Slowdown(aState, aNow) * failurePenalty *
          (1 + this->settings.occupancyPenalty * occupancy);
 }
 
@@ -134,16 +134,17 @@
 SlotTable::ExpectedSeconds(std::uint64_t aEndpoint, double aWork) const
 {
   const State* state = this->Find(aEndpoint);
-  return state == nullptr ? 0 : this->ExpectedSecondsAt(*state, aWork);
+  return state == nullptr ? 0 : this->ExpectedSecondsAt(*state, aWork, this->clock.Now());
 }
 
 double
 SlotTable::FastestSeconds(double aWork) const
 {
+  const TimePoint now = this->clock.Now();
   double fastest = 0;
   for (const State& state : this->endpoints) {
     if (state.endpoint.acceptsRequests && !this->IsFailing(state)) {
-      const double seconds = aWork * this->PaceOf(state) * this->Slowdown(state);
+      const double seconds = aWork * this->PaceOf(state) * this->Slowdown(state, now);
       fastest = fastest > 0 ? std::min(fastest, seconds) : seconds;
     }
   }
@@ -166,7 +167,7 @@
         !this->HasRoom(state, aMemoryTokens)) {
       continue;
     }
-    const double seconds = this->ExpectedSecondsAt(state, aWork);
+    const double seconds = this->ExpectedSecondsAt(state, aWork, now);
     if (best == nullptr || seconds < bestSeconds) {
       best = &state;
       bestSeconds = seconds;
@@ -318,10 +319,11 @@
 double
 SlotTable::WorkPerSecond() const
 {
+  const TimePoint now = this->clock.Now();
   double rate = 0;
   for (const State& state : this->endpoints) {
     if (state.endpoint.acceptsRequests && !this->IsFailing(state)) {
-      rate += this->AllowedSlots(state) / (this->PaceOf(state) * this->Slowdown(state));
+      rate += this->AllowedSlots(state) / (this->PaceOf(state) * this->Slowdown(state, now));
     }
   }
   return rate;
--- a/Lagoonward/Queueing/SlotTable.h
+++ b/Lagoonward/Queueing/SlotTable.h
@@ -111,8 +111,8 @@
   /// A request has been answered completely.
   void LearnPace(State& aState, const Lease& aLease);
   /// How many times longer than usual the requests that it runs have taken so far; 1 unless they are overdue.
-  [[nodiscard]] double Slowdown(const State& aState) const;
-  [[nodiscard]] double ExpectedSecondsAt(const State& aState, double aWork) const;
+  [[nodiscard]] double Slowdown(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] double ExpectedSecondsAt(const State& aState, double aWork, TimePoint aNow) const;
   void Erase(State& aState, std::size_t aIndex);
 
   SlotTableSettings settings;
--- a/UnitTests/Queueing/RequestQueueTests.cpp
+++ b/UnitTests/Queueing/RequestQueueTests.cpp
@@ -202,6 +202,44 @@
   BOOST_TEST(fixture.queue.Counts().queued == 0);
 }
 
+/// Guards against a request that is refused for the sake of another one which is not queued either.
+BOOST_AUTO_TEST_CASE(ARequestThatMayNotWaitRefusesNobody)
+{
+  QueueFixture fixture({ { kFirst, 1 } });
+  fixture.CompleteOne(1);
+  Queue(fixture, 2, 2);
+  SlotMessage narrow = MakeSlotRequest(3);
+  narrow.budgetMs = 250;
+  fixture.Ask(narrow);
+  SlotMessage probe = MakeSlotRequest(4);
+  probe.priority = 1;
+  probe.waitMs = 0;
+  fixture.Ask(probe);
+  BOOST_TEST(fixture.IsRefused(4));
+  BOOST_TEST(!fixture.IsRefused(3));
+}
+
+/// Guards against less urgent requests that are refused in a standing queue because the same urgent request looks for a
+/// free slot in several pools and is counted as arriving work in each.
+BOOST_AUTO_TEST_CASE(RequestsThatOnlyLookForAFreeSlotAreNoArrivingWork)
+{
+  QueueFixture fixture({ { kFirst, 1 } });
+  fixture.CompleteOne(1);
+  fixture.queue.OnTakenOver();
+  Queue(fixture, 2, 3);
+  for (std::uint64_t lease = 100; lease < 120; ++lease) {
+    SlotMessage probe = MakeSlotRequest(lease);
+    probe.priority = 1;
+    probe.waitMs = 0;
+    fixture.Ask(probe);
+  }
+  SlotMessage request = MakeSlotRequest(4);
+  request.targetMs = 1000;
+  fixture.Ask(request);
+  BOOST_TEST(!fixture.IsRefused(4));
+  BOOST_TEST(fixture.queue.Waiting() == 2);
+}
+
 /// Guards against a time to retry after which the request is refused again although nothing else has arrived.
 BOOST_AUTO_TEST_CASE(ARefusedRequestIsQueuedAfterTheTimeItWasTold)
 {
@@ -224,6 +262,24 @@
   BOOST_TEST(!fixture.IsRefused(102));
 }
 
+/// Guards against callers that are sent away for an hour because the only endpoint has failed three times in a row.
+BOOST_AUTO_TEST_CASE(RequestsToFailingEndpointsAreToldToRetryAtTheNextTrial)
+{
+  const SlotTableSettings settings;
+  QueueFixture fixture({ { kFirst, 4 } });
+  for (std::uint64_t lease = 1; lease <= 3; ++lease) {
+    fixture.Ask(MakeSlotRequest(lease));
+    fixture.Tell(MakeSlotUpdate(lease, SlotAction::Fail));
+  }
+  fixture.Ask(MakeSlotRequest(4));
+  BOOST_TEST(fixture.IsRefused(4));
+  const Milliseconds after(fixture.replies[4].retryAfterMs);
+  BOOST_TEST(after.count() <= settings.failurePause.count());
+  fixture.Pass(after);
+  fixture.Ask(MakeSlotRequest(5));
+  BOOST_TEST(fixture.IsGranted(5));
+}
+
 /// Guards against requests refused in a short burst, and against requests that are all late in a queue that never empties.
 BOOST_AUTO_TEST_CASE(OnlyAStandingQueueRefusesWhatMissesItsTarget)
 {
@@ -292,6 +348,26 @@
   BOOST_TEST((fixture.replies[3].endpoint == kFirst));
 }
 
+/// Guards against memory that is kept free for a large request at an endpoint which that request cannot use.
+BOOST_AUTO_TEST_CASE(ALargeRequestKeepsNoMemoryAtEndpointsThatItExcludes)
+{
+  QueueFixture fixture({ { kFirst, 8, 100 }, { kSecond, 8, 100 } });
+  for (const std::uint64_t lease : { 1U, 2U, 3U }) {
+    SlotMessage request = MakeSlotRequest(lease);
+    request.memoryTokens = 60;
+    request.excluded = lease == 3 ? std::vector{ kFirst } : std::vector<std::uint64_t>{};
+    fixture.Ask(request);
+  }
+  BOOST_TEST(!fixture.AnswerTo(3).has_value());
+  for (const std::uint64_t lease : { 4U, 5U }) {
+    SlotMessage small = MakeSlotRequest(lease);
+    small.memoryTokens = 20;
+    fixture.Ask(small);
+    BOOST_TEST(fixture.IsGranted(lease));
+    BOOST_TEST(fixture.replies[lease].endpoint == kFirst);
+  }
+}
+
 /// Guards against queues without limit, and against an urgent request refused because many others wait.
 BOOST_AUTO_TEST_CASE(AFullQueueKeepsTheMoreUrgent)
 {
