lagoonward-bench queue: time of one decision of PoolLedger

508 pools of 3,000 endpoints, messages of 300 daemons, with empty queues and with 100 and 300 requests queued in each pool at first, of which some are refused as late.

--- a/Bench/Main.cpp
+++ b/Bench/Main.cpp
@@ -2,6 +2,7 @@
 #include "Bench/ControlBench.h"
 #include "Bench/DecisionsBench.h"
 #include "Bench/PathBench.h"
+#include "Bench/QueueBench.h"
 #include "Bench/ReclaimBench.h"
 #include "Bench/RouteBench.h"
 
@@ -27,7 +28,8 @@
 constexpr std::array kSubcommands{
   Subcommand{ "claims", &RunClaimsBench },       Subcommand{ "control", &RunControlBench },
   Subcommand{ "decisions", &RunDecisionsBench }, Subcommand{ "path", &RunPathBench },
-  Subcommand{ "reclaim", &RunReclaimBench },     Subcommand{ "route", &RunRouteBench },
+  Subcommand{ "queue", &RunQueueBench },         Subcommand{ "reclaim", &RunReclaimBench },
+  Subcommand{ "route", &RunRouteBench },
 };
 
 } // namespace
