Fewer passes over the waiting requests for each message

An end of a request answered polls and searched for silent requests although only time changes these; Update() does that, every 20 ms while requests wait. The priorities that wait are found by bisection, and the queue holds pointers, as inserting and removing moved all waiters behind. Two comments of settings said what the code does not do.

--- a/Bench/QueueBench.cpp
+++ b/Bench/QueueBench.cpp
@@ -120,13 +120,14 @@
     for (int decision = -kWarmUp; decision < kDecisions; ++decision) {
       this->Decide(decision >= 0);
     }
+    // Without ends of requests, the updates refuse what waits
+    const PoolLedgerState state = this->ledger.State();
     std::vector<double> updates;
     for (int update = 0; update < kUpdates; ++update) {
       this->clock.Advance(kUpdateSeconds);
       updates.push_back(Time([&] { this->ledger.Update(); }));
       this->RecordGrants();
     }
-    const PoolLedgerState state = this->ledger.State();
     return { { "endpoints", kEndpoints },
              { "pools", state.pools },
              { "daemons", kDaemons },
--- a/Lagoonward/Queueing/QueueSettings.h
+++ b/Lagoonward/Queueing/QueueSettings.h
@@ -23,9 +23,9 @@
   double overdueFactor = 1.5;
   /// Relative increase of the expected time at an endpoint whose slots are all taken.
   double occupancyPenalty = 0.5;
-  int failuresToPause =
-    3; ///< Consecutive failures after which an endpoint gets one request at a time.
-  Milliseconds failurePause{ 1000 }; ///< Between two of these requests.
+  /// Consecutive failures after which an endpoint gets single requests as trials until one succeeds.
+  int failuresToPause = 3;
+  Milliseconds failurePause{ 1000 }; ///< Between two of these trials.
   /// After a rejection an endpoint gets no more than it had, and one slot more each time this has passed.
   Milliseconds recoveryInterval{ 500 };
   /// How long the slot of an abandoned request stays taken, as the endpoint may not notice at once.
@@ -71,8 +71,9 @@
   RequestQueueSettings queue;
   /// A backup owner that gets a request for a pool after this long without one takes the queue over.
   Milliseconds backupPause{ 1000 };
-  Milliseconds idleTimeout{ 60'000 }; ///< A pool without messages for this long is removed.
-  std::size_t maximumPools = 4096;
+  /// Where there are too many pools, those without messages for this long are removed.
+  Milliseconds idleTimeout{ 60'000 };
+  std::size_t maximumPools = 4096; ///< Requests for further pools are answered NotOwner.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -54,9 +54,9 @@
     case SlotAction::Withdraw:
       this->slots.Release(aMessage.lease);
       if (const auto index = this->FindWaiter(aMessage.lease)) {
-        const Waiter left = this->Remove(*index);
-        if (left.respond) {
-          left.respond({ SlotAnswer::Refused });
+        const WaiterPtr left = this->Remove(*index);
+        if (left->respond) {
+          left->respond({ SlotAnswer::Refused });
         }
       }
       break;
@@ -71,7 +71,10 @@
       this->slots.End(aMessage.lease, aMessage.action);
       break;
   }
-  this->Update();
+  this->slots.Expire();
+  this->GrantFreeSlots();
+  this->RefuseLate();
+  this->RecordEmptiness();
 }
 
 void
@@ -88,7 +91,7 @@
     return;
   }
   if (const auto index = this->FindWaiter(aMessage.lease)) {
-    this->Poll(this->waiting[*index], aMessage, aRespond);
+    this->Poll(*this->waiting[*index], aMessage, aRespond);
     this->Update();
     return;
   }
@@ -105,7 +108,7 @@
     ++this->counts.queued;
   }
   if (this->waiting.size() > this->settings.maximumWaiting) {
-    this->Refuse(this->Remove(this->waiting.size() - 1), this->clock.Now());
+    this->Refuse(*this->Remove(this->waiting.size() - 1), this->clock.Now());
   }
   this->RecordEmptiness();
 }
@@ -117,10 +120,10 @@
   if (!index) {
     return false;
   }
-  const Waiter& waiter = this->waiting[*index];
+  const Waiter& waiter = *this->waiting[*index];
   const double workAhead = std::accumulate(
     this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(*index + 1), 0.0,
-    [](double aSum, const Waiter& aEach) { return aSum + aEach.message.work; });
+    [](double aSum, const WaiterPtr& aEach) { return aSum + aEach->message.work; });
   const Forecast forecast = this->MakeForecast(waiter.message.priority);
   const TimePoint start = ExpectedStart(forecast, workAhead);
   const bool isLate = start > LatestStart(forecast, waiter, this->settings.targetMargin);
@@ -128,7 +131,7 @@
     this->Grant(this->Extract(*index), *endpoint);
     return false;
   }
-  this->Refuse(this->Remove(*index), start);
+  this->Refuse(*this->Remove(*index), start);
   return true;
 }
 
@@ -138,17 +141,17 @@
   return this->turns.try_emplace(aPriority, this->settings.maximumAccounts).first->second;
 }
 
-RequestQueue::Waiter
+RequestQueue::WaiterPtr
 RequestQueue::MakeWaiter(const SlotMessage& aMessage, const Responder& aRespond)
 {
   const TimePoint now = this->clock.Now();
-  Waiter waiter;
-  waiter.tag =
+  auto waiter = std::make_unique<Waiter>();
+  waiter->tag =
     this->TurnsOf(aMessage.priority).OnArrived(aMessage.account, aMessage.work, aMessage.weight);
-  waiter.arrivedAt = now - Milliseconds(aMessage.ageMs);
-  waiter.targetAt = now + Milliseconds(aMessage.targetMs);
-  waiter.deadlineAt = now + Milliseconds(aMessage.budgetMs);
-  this->Poll(waiter, aMessage, aRespond);
+  waiter->arrivedAt = now - Milliseconds(aMessage.ageMs);
+  waiter->targetAt = now + Milliseconds(aMessage.targetMs);
+  waiter->deadlineAt = now + Milliseconds(aMessage.budgetMs);
+  this->Poll(*waiter, aMessage, aRespond);
   return waiter;
 }
 
@@ -173,26 +176,27 @@
 }
 
 void
-RequestQueue::Insert(Waiter aWaiter)
+RequestQueue::Insert(WaiterPtr aWaiter)
 {
-  const auto position =
-    std::upper_bound(this->waiting.begin(), this->waiting.end(), aWaiter, &RequestQueue::IsBefore);
+  const auto position = std::upper_bound(
+    this->waiting.begin(), this->waiting.end(), aWaiter,
+    [](const WaiterPtr& aLeft, const WaiterPtr& aRight) { return IsBefore(*aLeft, *aRight); });
   this->waiting.insert(position, std::move(aWaiter));
 }
 
-RequestQueue::Waiter
+RequestQueue::WaiterPtr
 RequestQueue::Extract(std::size_t aIndex)
 {
-  Waiter extracted = std::move(this->waiting[aIndex]);
+  WaiterPtr extracted = std::move(this->waiting[aIndex]);
   this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(aIndex));
   return extracted;
 }
 
-RequestQueue::Waiter
+RequestQueue::WaiterPtr
 RequestQueue::Remove(std::size_t aIndex)
 {
-  Waiter removed = this->Extract(aIndex);
-  const SlotMessage& message = removed.message;
+  WaiterPtr removed = this->Extract(aIndex);
+  const SlotMessage& message = removed->message;
   this->TurnsOf(message.priority).OnLeft(message.account, message.work, message.weight);
   return removed;
 }
@@ -202,7 +206,7 @@
 {
   const auto found =
     std::find_if(this->waiting.begin(), this->waiting.end(),
-                 [&](const Waiter& aEach) { return aEach.message.lease == aLease; });
+                 [&](const WaiterPtr& aEach) { return aEach->message.lease == aLease; });
   return found == this->waiting.end()
            ? std::nullopt
            : std::optional(static_cast<std::size_t>(found - this->waiting.begin()));
@@ -226,7 +230,7 @@
   Forecast forecast;
   double workAhead = 0;
   for (std::size_t index = 0; index < this->waiting.size();) {
-    const SlotMessage& message = this->waiting[index].message;
+    const SlotMessage& message = this->waiting[index]->message;
     const auto endpoint = this->SelectExcept(message, message.memoryTokens, kept);
     if (!endpoint && !this->slots.Select(message.work, 0, kept)) {
       return;
@@ -239,7 +243,7 @@
       forecast = this->MakeForecast(message.priority);
     }
     if (endpoint &&
-        !this->ShouldWaitForFaster(this->waiting[index], *endpoint, forecast, workAhead)) {
+        !this->ShouldWaitForFaster(*this->waiting[index], *endpoint, forecast, workAhead)) {
       this->Grant(this->Extract(index), *endpoint);
       forecast.isCurrent = false;
       continue;
@@ -283,16 +287,16 @@
 }
 
 void
-RequestQueue::Grant(Waiter aWaiter, std::uint64_t aEndpoint)
+RequestQueue::Grant(WaiterPtr aWaiter, std::uint64_t aEndpoint)
 {
-  this->TurnsOf(aWaiter.message.priority).OnServed(aWaiter.tag);
+  this->TurnsOf(aWaiter->message.priority).OnServed(aWaiter->tag);
   ++this->counts.granted;
-  if (!aWaiter.respond) {
-    aWaiter.message.leaseMs = static_cast<std::uint32_t>(this->settings.pollGrace.count());
+  if (!aWaiter->respond) {
+    aWaiter->message.leaseMs = static_cast<std::uint32_t>(this->settings.pollGrace.count());
   }
-  this->slots.Take(aEndpoint, aWaiter.message);
-  if (aWaiter.respond) {
-    aWaiter.respond({ SlotAnswer::Granted, aEndpoint });
+  this->slots.Take(aEndpoint, aWaiter->message);
+  if (aWaiter->respond) {
+    aWaiter->respond({ SlotAnswer::Granted, aEndpoint });
   }
 }
 
@@ -302,7 +306,7 @@
   Forecast forecast;
   double workAhead = 0;
   for (std::size_t index = 0; index < this->waiting.size();) {
-    const Waiter& waiter = this->waiting[index];
+    const Waiter& waiter = *this->waiting[index];
     if (!forecast.isCurrent || forecast.priority != waiter.message.priority) {
       forecast = this->MakeForecast(waiter.message.priority);
     }
@@ -314,7 +318,7 @@
       this->Grant(this->Extract(index), *endpoint);
       forecast.isCurrent = false;
     } else {
-      this->Refuse(this->Remove(index), start);
+      this->Refuse(*this->Remove(index), start);
     }
   }
 }
@@ -332,7 +336,7 @@
 }
 
 void
-RequestQueue::Refuse(Waiter aWaiter, TimePoint aExpectedStart)
+RequestQueue::Refuse(const Waiter& aWaiter, TimePoint aExpectedStart)
 {
   ++this->counts.refused;
   if (!aWaiter.respond) {
@@ -356,8 +360,8 @@
 {
   const TimePoint now = this->clock.Now();
   for (std::size_t index = this->waiting.size(); index-- > 0;) {
-    if (this->waiting[index].forgottenAt <= now) {
-      this->Refuse(this->Remove(index), now);
+    if (this->waiting[index]->forgottenAt <= now) {
+      this->Refuse(*this->Remove(index), now);
     }
   }
 }
@@ -366,9 +370,9 @@
 RequestQueue::AnswerPolls()
 {
   const TimePoint now = this->clock.Now();
-  for (Waiter& waiter : this->waiting) {
-    if (waiter.respond && waiter.respondBy <= now) {
-      std::exchange(waiter.respond, nullptr)({ SlotAnswer::Waiting });
+  for (const WaiterPtr& waiter : this->waiting) {
+    if (waiter->respond && waiter->respondBy <= now) {
+      std::exchange(waiter->respond, nullptr)({ SlotAnswer::Waiting });
     }
   }
 }
@@ -425,19 +429,20 @@
   // A new owner that finds requests waiting at once has taken over a queue of unknown age
   const bool isYoung = now < this->takenOverAt + this->settings.takeoverPeriod;
   const TimePoint initial = isYoung ? now - this->settings.standingAfter : now;
-  std::optional<int> recorded;
-  for (const Waiter& waiter : this->waiting) {
-    if (recorded != waiter.message.priority) {
-      recorded = waiter.message.priority;
-      this->emptyAt.try_emplace(*recorded, initial);
-    }
+  // From each priority to the next lower one
+  for (auto each = this->waiting.begin(); each != this->waiting.end();) {
+    const int priority = (*each)->message.priority;
+    this->emptyAt.try_emplace(priority, initial);
+    each = std::partition_point(each, this->waiting.end(), [&](const WaiterPtr& aEach) {
+      return aEach->message.priority == priority;
+    });
   }
   if (isYoung) {
     return;
   }
   const auto firstEmpty = this->waiting.empty()
                             ? this->emptyAt.begin()
-                            : this->emptyAt.upper_bound(this->waiting.front().message.priority);
+                            : this->emptyAt.upper_bound(this->waiting.front()->message.priority);
   for (auto each = firstEmpty; each != this->emptyAt.end(); ++each) {
     each->second = now;
   }
@@ -455,7 +460,7 @@
 {
   this->slots.OnRunEnded(aRun);
   for (std::size_t index = this->waiting.size(); index-- > 0;) {
-    if (this->waiting[index].message.run == aRun) {
+    if (this->waiting[index]->message.run == aRun) {
       this->Remove(index);
     }
   }
@@ -465,10 +470,10 @@
 void
 RequestQueue::Close()
 {
-  std::vector<Waiter> closed = std::exchange(this->waiting, {});
-  for (const Waiter& waiter : closed) {
-    if (waiter.respond) {
-      waiter.respond({ SlotAnswer::NotOwner });
+  std::vector<WaiterPtr> closed = std::exchange(this->waiting, {});
+  for (const WaiterPtr& waiter : closed) {
+    if (waiter->respond) {
+      waiter->respond({ SlotAnswer::NotOwner });
     }
   }
 }
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace lagoonward {
@@ -76,6 +77,8 @@
 
   /// The turns of the accounts at a priority.
   [[nodiscard]] FairTurns& TurnsOf(int aPriority);
+  using WaiterPtr = std::unique_ptr<Waiter>;
+
   /// What is expected for all requests of a priority, until a slot is taken or given back.
   struct Forecast
   {
@@ -89,15 +92,15 @@
 
   [[nodiscard]] Forecast MakeForecast(int aPriority) const;
   void HandleRequest(const SlotMessage& aMessage, const Responder& aRespond);
-  [[nodiscard]] Waiter MakeWaiter(const SlotMessage& aMessage, const Responder& aRespond);
+  [[nodiscard]] WaiterPtr MakeWaiter(const SlotMessage& aMessage, const Responder& aRespond);
   void Poll(Waiter& aWaiter, const SlotMessage& aMessage, const Responder& aRespond) const;
   /// Whether the first request is served before the second.
   [[nodiscard]] static bool IsBefore(const Waiter& aLeft, const Waiter& aRight);
-  void Insert(Waiter aWaiter);
+  void Insert(WaiterPtr aWaiter);
   /// Takes out a waiter that is served.
-  Waiter Extract(std::size_t aIndex);
+  WaiterPtr Extract(std::size_t aIndex);
   /// Removes a waiter that is not served; its account gets its turn back.
-  Waiter Remove(std::size_t aIndex);
+  WaiterPtr Remove(std::size_t aIndex);
   [[nodiscard]] std::optional<std::size_t> FindWaiter(std::uint64_t aLease) const;
   void GrantFreeSlots();
   /// The best endpoint with room for a request, which is not one of those.
@@ -109,7 +112,7 @@
   /// Whether the endpoint is so slow that a request meets its target only by waiting for another one.
   [[nodiscard]] bool ShouldWaitForFaster(const Waiter& aWaiter, std::uint64_t aEndpoint,
                                          const Forecast& aForecast, double aWorkAhead) const;
-  void Grant(Waiter aWaiter, std::uint64_t aEndpoint);
+  void Grant(WaiterPtr aWaiter, std::uint64_t aEndpoint);
   /// Refuses a request that may not wait, if it waits.
   /// @return whether it was refused
   bool RefuseToQueue(std::uint64_t aLease);
@@ -117,7 +120,7 @@
   void RefuseLate();
   /// An endpoint with a free slot at which the request ends before its deadline, though not within its target.
   [[nodiscard]] std::optional<std::uint64_t> SelectSlow(const Waiter& aWaiter) const;
-  void Refuse(Waiter aWaiter, TimePoint aExpectedStart);
+  void Refuse(const Waiter& aWaiter, TimePoint aExpectedStart);
   void ForgetSilent();
   void AnswerPolls();
   /// The latest time at which a request may start.
@@ -135,8 +138,9 @@
   std::map<int, FairTurns> turns;
   ArrivalRates arrivals;
   RequestQueueCounts counts;
-  std::vector<Waiter> waiting; ///< In the order in which they are served.
-  TimePoint takenOverAt;       ///< Or created.
+  /// In the order in which they are served; pointers, as waiters are large and often inserted and removed.
+  std::vector<WaiterPtr> waiting;
+  TimePoint takenOverAt; ///< Or created.
   /// When nothing of that priority or a higher one waited last.
   std::map<int, TimePoint> emptyAt;
 };
