The rule which services are queued is a function of its own, with tests

Cause: the rule was part of RelayDaemon, which no unit test constructs; the setting request-queue and RelayRoutes::HasTimeout had no tests. Change: IsServiceQueued() and tests of all three; a wrong value of the setting is a fault that names the valid ones.

--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/RelayDaemon.h"
 
 #include "Lagoonward/Daemon/PeerKeys.h"
+#include "Lagoonward/Daemon/QueuedServices.h"
 #include "Lagoonward/Daemon/RelayTuning.h"
 
 #include <sodium.h>
@@ -576,20 +577,6 @@
   this->relay->OnFleet(snapshot);
 }
 
-bool
-RelayDaemon::IsQueued(const RelayConfiguration& aConfiguration, std::string_view aService) const
-{
-  if (this->settings.requestQueueing == RequestQueueing::Off ||
-      !aConfiguration.routes->HasTimeout(aService)) {
-    return false;
-  }
-  const auto& services = aConfiguration.services;
-  const auto service = std::find_if(services.begin(), services.end(),
-                                    [&](const auto& aEach) { return aEach.name == aService; });
-  const bool isEngine = service != services.end() && service->isEngine;
-  return !isEngine || this->settings.requestQueueing == RequestQueueing::All;
-}
-
 void
 RelayDaemon::PublishQueuePools(const FleetSnapshot& aFleet)
 {
@@ -599,7 +586,7 @@
   }
   const auto pools =
     std::make_shared<const QueuePools>(aFleet, QueuePoolSettings{}, [&](std::string_view aService) {
-      return this->IsQueued(*current, aService);
+      return IsServiceQueued(this->settings.requestQueueing, *current, aService);
     });
   this->market->queuePools.Publish(pools);
   this->slotExchange->SetPools(pools);
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -121,8 +121,6 @@
   void PublishFleet();
   /// Divides the endpoints of the services whose requests are queued into pools.
   void PublishQueuePools(const FleetSnapshot& aFleet);
-  [[nodiscard]] bool IsQueued(const RelayConfiguration& aConfiguration,
-                              std::string_view aService) const;
   void ApplyDaemonList();
   /// Passes the number of daemons that may share clients' limits to the admission.
   void UpdateDaemonCount();
--- a/UnitTests/Relay/RelayRoutesTests.cpp
+++ b/UnitTests/Relay/RelayRoutesTests.cpp
@@ -40,6 +40,23 @@
   BOOST_TEST(routes.FindRoute("b.example", "/a/").get() == nullptr);
 }
 
+/// Guards against requests that wait in a queue although nothing says how long their callers do.
+BOOST_AUTO_TEST_CASE(ServiceHasATimeoutIfARouteOfItStatesOne)
+{
+  RelayRoutes routes(7);
+  RelayRoute without = MakeRoute("without", "/a/");
+  without.services = { { "first", 1 }, { "never", 1 } };
+  routes.AddRoute(ShareRoute(without));
+  BOOST_TEST(!routes.HasTimeout("first"));
+  RelayRoute with = MakeRoute("with", "/b/");
+  with.timeout = Milliseconds(100);
+  routes.AddRoute(ShareRoute(with));
+  BOOST_TEST(routes.HasTimeout("first"));
+  BOOST_TEST(routes.HasTimeout("second"));
+  BOOST_TEST(!routes.HasTimeout("never"));
+  BOOST_TEST(!routes.HasTimeout("unknown"));
+}
+
 BOOST_AUTO_TEST_CASE(FindAccountReturnsTheAccountOfAKey)
 {
   RelayRoutes routes(7);
--- a/UnitTests/Settings/RelaySettingsReaderTests.cpp
+++ b/UnitTests/Settings/RelaySettingsReaderTests.cpp
@@ -78,6 +78,32 @@
   BOOST_TEST(outcome.settings.region == "variable");
 }
 
+BOOST_AUTO_TEST_CASE(ReadsWhichRequestsAreQueued)
+{
+  const SettingsFile file(kCompleteSettings);
+  BOOST_TEST((Read({ "--settings", file.path }).settings.requestQueueing == RequestQueueing::Off));
+  for (const auto& [text, queueing] :
+       { std::pair("off", RequestQueueing::Off), std::pair("calls", RequestQueueing::Calls),
+         std::pair("all", RequestQueueing::All) }) {
+    const auto outcome = Read({ "--settings", file.path, "--request-queue", text });
+    BOOST_TEST(outcome.faults.empty());
+    BOOST_TEST((outcome.settings.requestQueueing == queueing));
+  }
+}
+
+/// Guards against a misspelt value that leaves the queues off without a word.
+BOOST_AUTO_TEST_CASE(UnknownValueOfRequestQueueIsAFaultThatNamesTheValidOnes)
+{
+  const SettingsFile file(kCompleteSettings);
+  for (const std::string text : { "on", "Calls", "calls,all" }) {
+    const auto outcome = Read({ "--settings", file.path, "--request-queue=" + text });
+    BOOST_TEST_REQUIRE(outcome.faults.size() == 1U);
+    BOOST_TEST(outcome.faults.front() ==
+               "request-queue: \"" + text + "\" is none of off, calls and all");
+  }
+  BOOST_TEST(Read({ "--settings", file.path, "--request-queue=" }).faults.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAllFaultsTogether)
 {
   const auto outcome = Read(
