The bodies of requests that wait for a slot are bounded, and each send carries its wait

Cause: the owner of a pool bounds how many requests wait, but nothing bounded their bytes in the daemon that has accepted them. Change: RelaySettings::maximumWaitingBytes (8 MiB). A request beyond it is granted a slot at once or refused as Overloaded with Retry-After. SendRecord has the time that the request has waited for its slot.

--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -32,6 +32,8 @@
   int ownInFlight = 0;
   int peersInFlight = 0;
   EndpointNotice notice = EndpointNotice::None; ///< In force for the endpoint.
+  /// How long the request has waited for a slot of the endpoint; empty if its service is not queued.
+  std::optional<Milliseconds> slotWait;
 };
 
 /// Description of a failed attempt.
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -20,6 +20,7 @@
 #include "Lagoonward/Relay/SendGate.h"
 #include "Lagoonward/Relay/SlotSearch.h"
 #include "Lagoonward/Relay/StreamOrigin.h"
+#include "Lagoonward/Relay/WaitingBytes.h"
 #include "Lagoonward/Routing/Router.h"
 
 #include <functional>
@@ -70,7 +71,8 @@
   PlaceSource* placeSource; ///< Never null.
   const QueuePoolsStore& queuePools;
   SlotRegistry& slots;
-  SlotSource* slotSource;           ///< Never null.
+  SlotSource* slotSource; ///< Never null.
+  WaitingBytes& waitingBytes;
   StreamOriginStore* streamOrigins; ///< Never null.
   SoftwareVersionHistory* versions; ///< Null if they are not known.
   PathMonitor& pathMonitor;
@@ -166,6 +168,10 @@
   void OnSlotReply(SlotHold aSlot, const SlotReply& aReply);
   void OnSlotGranted(SlotHold aSlot, std::uint64_t aEndpoint);
   void RefuseForLackOfSlots();
+  /// Whether the body of the request may be kept while it waits.
+  [[nodiscard]] bool TryHoldWaitingBytes();
+  /// The request for a slot has been answered.
+  void EndSlotRequest();
   /// Leaves the queue, if the request waits in one.
   void WithdrawSlotRequest();
   [[nodiscard]] SlotMessage MakeSlotRequest(std::uint64_t aPool) const;
@@ -183,6 +189,8 @@
                                                        const FleetSnapshot& aFleet);
   /// Expected work of the request at the selected endpoint.
   [[nodiscard]] EngineWork EstimateWork(const RouteChoice& aChoice) const;
+  /// How long the request has waited for the slot of the attempt that begins; empty without one.
+  [[nodiscard]] std::optional<Milliseconds> TakeSlotWait();
   /// See RouteRequest::freshTokens.
   [[nodiscard]] int FreshTokens() const;
   [[nodiscard]] bool IsWorthMoving() const;
@@ -226,7 +234,10 @@
   int placeRequests = 0;         ///< Since the last attempt.
   int placeRefusals = 0;         ///< Of these, replies that the request would wait for too long.
   SlotHold slot;                 ///< Of the attempt, if its service is queued.
-  std::optional<SlotMessage> slotRequest; ///< While the request waits for a slot.
+  std::optional<SlotMessage> slotRequest;         ///< While the request waits for a slot.
+  std::optional<WaitingBytes::Hold> waitingBytes; ///< Of the request's body while it may wait.
+  bool lacksMemoryToWait = false;                 ///< It may not, as the bodies of others take all.
+  std::optional<TimePoint> slotWaitSince;         ///< First request for a slot of the next attempt.
   SlotSearch slotSearch;
   /// Keys of endpoints at which a slot was granted, but which this daemon does not know yet.
   std::vector<std::uint64_t> unknownEndpoints;
--- a/Lagoonward/Relay/RelayRunQueue.cpp
+++ b/Lagoonward/Relay/RelayRunQueue.cpp
@@ -92,12 +92,31 @@
   std::erase_if(excluded, [&](std::uint64_t aEach) { return pools->PoolOf(aEach) != step->pool; });
   excluded.insert(excluded.end(), this->unknownEndpoints.begin(), this->unknownEndpoints.end());
   request.excluded = std::move(excluded);
+  const bool mayWait = step->mayWait && this->TryHoldWaitingBytes();
   request.waitMs =
-    step->mayWait ? static_cast<std::uint32_t>(this->context.settings.slotPollTime.count()) : 0;
+    mayWait ? static_cast<std::uint32_t>(this->context.settings.slotPollTime.count()) : 0;
+  if (!this->slotWaitSince) {
+    this->slotWaitSince = this->context.loop.GetClock().Now();
+  }
   this->slotRequest = std::move(request);
   this->AskForSlot();
 }
 
+bool
+RelayRun::TryHoldWaitingBytes()
+{
+  this->waitingBytes = this->context.waitingBytes.TryHold(this->call.body.size());
+  this->lacksMemoryToWait = !this->waitingBytes;
+  return !this->lacksMemoryToWait;
+}
+
+void
+RelayRun::EndSlotRequest()
+{
+  this->slotRequest.reset();
+  this->waitingBytes.reset();
+}
+
 SlotMessage
 RelayRun::MakeSlotRequest(std::uint64_t aPool) const
 {
@@ -147,7 +166,7 @@
 {
   switch (aReply.answer) {
     case SlotAnswer::Granted:
-      this->slotRequest.reset();
+      this->EndSlotRequest();
       this->OnSlotGranted(std::move(aSlot), aReply.endpoint);
       return;
     case SlotAnswer::Waiting:
@@ -155,14 +174,14 @@
       this->AskForSlot();
       return;
     case SlotAnswer::Refused:
-      this->slotRequest.reset();
+      this->EndSlotRequest();
       this->slotSearch.OnRefused(aReply);
       this->RequestSlot();
       return;
     case SlotAnswer::NotOwner:
     case SlotAnswer::Applied:
       // The owners are changing; the request keeps its age
-      this->slotRequest.reset();
+      this->EndSlotRequest();
       this->WaitForEndpoint(
         Error(ErrorKind::NoEndpoint, "No daemon answers that gives out the slots of the service."));
       return;
@@ -196,6 +215,16 @@
   this->RequestPermitOrBegin(std::move(choice.value()));
 }
 
+std::optional<Milliseconds>
+RelayRun::TakeSlotWait()
+{
+  const auto since = std::exchange(this->slotWaitSince, {});
+  if (!since || !this->slot.IsHeld()) {
+    return std::nullopt;
+  }
+  return std::chrono::floor<Milliseconds>(this->context.loop.GetClock().Now() - *since);
+}
+
 void
 RelayRun::RefuseForLackOfSlots()
 {
@@ -203,7 +232,11 @@
     this->Fail(Error(ErrorKind::EndpointFailed, this->lastReason, Ran::Unknown));
     return;
   }
-  this->Fail(Error(ErrorKind::Overloaded, "No endpoint has a free slot in time.", Ran::No)
+  const char* const reason =
+    this->lacksMemoryToWait
+      ? "No endpoint has a free slot, and no request of this size may wait for one now."
+      : "No endpoint has a free slot in time.";
+  this->Fail(Error(ErrorKind::Overloaded, reason, Ran::No)
                .WithRetryAfter(
                  std::max(this->slotSearch.RetryAfter(), this->context.settings.retryAfterFloor)));
 }
@@ -215,6 +248,7 @@
     return;
   }
   SlotMessage withdrawal = *std::exchange(this->slotRequest, {});
+  this->waitingBytes.reset();
   withdrawal.action = SlotAction::Withdraw;
   this->context.slotSource->Notify(withdrawal);
 }
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -211,11 +211,11 @@
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
   // Demand counts each caller request once: resends after many refused connections must not raise it
   const bool isReported = std::exchange(this->demandReported, true);
-  this->context.observer.OnSent(this->call, *endpoint,
-                                { this->sends,
-                                  isReported ? EngineWork{} : this->EstimateWork(aChoice),
-                                  this->dispatch.ownInFlight, this->dispatch.peersInFlight,
-                                  this->context.notices.Find(this->endpointKey) });
+  this->context.observer.OnSent(
+    this->call, *endpoint,
+    { this->sends, isReported ? EngineWork{} : this->EstimateWork(aChoice),
+      this->dispatch.ownInFlight, this->dispatch.peersInFlight,
+      this->context.notices.Find(this->endpointKey), this->TakeSlotWait() });
   this->context.notices.OnSent(this->endpointKey);
 
   const TimePoint now = this->context.loop.GetClock().Now();
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -17,6 +17,7 @@
   , localPermits(aClock)
   , localPlaces(this->loop)
   , localSlots(this->loop, aMarket.queuePools)
+  , waitingBytes(aSettings.maximumWaitingBytes)
   , gate(aFleet, aMarket.endpointLimits, aMarket.places, aMarket.notices)
   , localStreamOrigins({}, aClock)
   , context{ this->loop,
@@ -35,6 +36,7 @@
              aMarket.queuePools,
              aMarket.slots,
              &this->localSlots,
+             this->waitingBytes,
              &this->localStreamOrigins,
              nullptr,
              this->pathMonitor,
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -10,6 +10,7 @@
 #include "Lagoonward/Relay/RelayRun.h"
 #include "Lagoonward/Relay/RequestForwarder.h"
 #include "Lagoonward/Relay/StreamOriginTable.h"
+#include "Lagoonward/Relay/WaitingBytes.h"
 
 #include <atomic>
 #include <memory>
@@ -120,6 +121,7 @@
   LocalPermitSource localPermits;
   LocalPlaceSource localPlaces;
   LocalSlotSource localSlots;
+  WaitingBytes waitingBytes; ///< Accessed on the loop only.
   SendGate gate;
   StreamOriginTable localStreamOrigins;
   RelayContext context;
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -53,6 +53,9 @@
   /// How long the owner of a pool may hold back its reply to a request that waits for a slot: less than the time after
   /// which the next owner is asked.
   Milliseconds slotPollTime{ 100 };
+  /// Bytes of the bodies of all requests that wait for a slot in this daemon. A further one is granted a slot at once or
+  /// refused.
+  std::size_t maximumWaitingBytes = 8U << 20U;
   /// Added to the time in which a queued request ends, for the messages about it.
   Milliseconds slotLeaseMargin{ 500 };
   /// How long a stream that was begun waits for an endpoint of its software version to accept it, as a multiple of the
--- a/UnitTests/Relay/RelayQueueTests.cpp
+++ b/UnitTests/Relay/RelayQueueTests.cpp
@@ -370,6 +370,52 @@
   BOOST_TEST(source.Updates().size() == requests.size());
 }
 
+/// Guards against waiting requests that take all memory of a daemon: how many wait is bounded, how large they are was not.
+BOOST_AUTO_TEST_CASE(RequestIsRefusedAtOnceIfTheBodiesOfThoseThatWaitTakeAllMemory)
+{
+  SlowServer server(kLongWork);
+  RelaySettings settings;
+  settings.maximumWaitingBytes = 100;
+  RelayFixture relay({ &server.Server() }, {}, {}, nullptr, settings);
+  PublishPools(relay, 1);
+  relay.body.assign(80, 'x');
+  TestCaller running;
+  TestCaller waiting;
+  relay.Submit(running, RelayKind::Idempotent, false, Seconds(5));
+  BOOST_TEST_REQUIRE(AwaitUntil([&] { return server.Received() == 1U; }));
+  relay.Submit(waiting, RelayKind::Idempotent, false, Seconds(5));
+  const TimePoint askedAt = relay.clock.Now();
+  const Received refused = relay.SendRequest(RelayKind::Idempotent);
+  BOOST_TEST(ToSeconds(relay.clock.Now() - askedAt) < 0.1);
+  BOOST_TEST_REQUIRE(refused.error.has_value());
+  BOOST_TEST((refused.error->kind == ErrorKind::Overloaded));
+  BOOST_TEST((refused.error->ran == Ran::No));
+  BOOST_TEST(refused.error->retryAfter.has_value());
+  BOOST_TEST(running.Wait().reply.has_value());
+  BOOST_TEST(waiting.Wait().reply.has_value());
+  BOOST_TEST(server.Received() == 2U);
+  // The memory of the request that has waited is free again
+  TestCaller next;
+  TestCaller last;
+  relay.Submit(next, RelayKind::Idempotent, false, Seconds(5));
+  BOOST_TEST_REQUIRE(AwaitUntil([&] { return server.Received() == 3U; }));
+  relay.Submit(last, RelayKind::Idempotent, false, Seconds(5));
+  BOOST_TEST(next.Wait().reply.has_value());
+  BOOST_TEST(last.Wait().reply.has_value());
+}
+
+/// Guards against large requests that are refused although a slot is free.
+BOOST_AUTO_TEST_CASE(RequestThatIsTooLargeToWaitIsServedIfASlotIsFree)
+{
+  SlowServer server;
+  RelaySettings settings;
+  settings.maximumWaitingBytes = 100;
+  RelayFixture relay({ &server.Server() }, {}, {}, nullptr, settings);
+  PublishPools(relay, 1);
+  relay.body.assign(101, 'x');
+  BOOST_TEST(relay.SendRequest(RelayKind::Idempotent).reply.has_value());
+}
+
 /// Guards against a request that no owner answers: it is refused after a part of its target, not kept until its deadline.
 BOOST_AUTO_TEST_CASE(RequestThatNoOwnerAnswersIsRefused)
 {
