Metrics and log events of the queues

Cause: an operator could not see what waits in the queues, for how long, nor when a queue is taken over or stands. Change: gauges of the queues, slots and waiting requests of a daemon, counts of granted, queued and refused requests, a histogram of the wait by service, slot_wait_ms in the log event of each send; events queue_taken_over and queue_standing, once per change. A request that only asks whether a slot is free no longer counts as refused.

--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -344,6 +344,7 @@
   state.brittleServices = this->market->brittle.Count();
   state.leavingByAnswer = this->market->notices.Count(EndpointNotice::Leaving);
   state.backoffEndpoints = this->market->notices.Count(EndpointNotice::Backoff);
+  state.queues = this->slotExchange->State();
   return state;
 }
 
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -53,6 +53,15 @@
                 .Name("lagoonward_relay_began_seconds")
                 .Help("Time from a request's arrival until an endpoint began to answer, by route.")
                 .Register(this->registry))
+  , slotRequests(prometheus::BuildCounter()
+                   .Name("lagoonward_relay_slot_requests_total")
+                   .Help("Requests of all daemons for slots of the pools that this daemon owned, "
+                         "by outcome; those that were queued are granted or refused later.")
+                   .Register(this->registry))
+  , slotWait(prometheus::BuildHistogram()
+               .Name("lagoonward_relay_slot_wait_seconds")
+               .Help("Time that sent requests have waited for a slot of an endpoint, by service.")
+               .Register(this->registry))
 {
 }
 
@@ -94,6 +103,25 @@
   }
 }
 
+void
+RelayReporter::SetQueueMetrics(const PoolLedgerState& aState)
+{
+  this->SetGauge("lagoonward_relay_queues", "Queues of pools of endpoints kept by this daemon.",
+                 aState.pools);
+  this->SetGauge("lagoonward_relay_queue_waiting", "Requests of all daemons that wait in them.",
+                 aState.waiting);
+  this->SetGauge("lagoonward_relay_queue_slots_taken", "Slots of their endpoints that are taken.",
+                 aState.takenSlots);
+  this->SetGauge("lagoonward_relay_queue_slots", "Slots of their endpoints.", aState.slots);
+  const auto set = [this](const char* aOutcome, std::uint64_t aCount) {
+    prometheus::Counter& counter = this->slotRequests.Add({ { "outcome", aOutcome } });
+    counter.Increment(static_cast<double>(aCount) - counter.Value());
+  };
+  set("granted", aState.counts.granted);
+  set("queued", aState.counts.queued);
+  set("refused", aState.counts.refused);
+}
+
 std::string
 RelayReporter::MetricsText(const RelayState& aState)
 {
@@ -132,6 +160,7 @@
                  "Endpoints that want no requests of this daemon for now.",
                  aState.backoffEndpoints);
   this->SetEndpointGauges(aState);
+  this->SetQueueMetrics(aState.queues);
   return prometheus::TextSerializer().Serialize(this->registry.Collect());
 }
 
@@ -162,6 +191,10 @@
     this->onSent(aCall, aSend.work);
   }
   this->attempts.Add({ { "service", aCall.service }, { "outcome", "sent" } }).Increment();
+  if (aSend.slotWait) {
+    this->slotWait.Add({ { "service", aCall.service } }, kLatencyBuckets)
+      .Observe(std::chrono::duration<double>(*aSend.slotWait).count());
+  }
   kLog.Event("sent", { { "request", aCall.id },
                        { "endpoint", aEndpoint.id },
                        { "software", aEndpoint.softwareVersion },
@@ -169,6 +202,7 @@
                        { "own", aSend.ownInFlight },
                        { "others", aSend.peersInFlight },
                        { "notice", ToString(aSend.notice) },
+                       { "slot_wait_ms", aSend.slotWait.value_or(Milliseconds(0)).count() },
                        { "endpoints_age_ms", this->endpointsAge().count() },
                        { "age_ms", this->AgeOf(aCall) } });
 }
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Queueing/PoolLedger.h"
 #include "Lagoonward/Relay/RelayObserver.h"
 
 #include <prometheus/counter.h>
@@ -40,6 +41,7 @@
   int brittleServices = 0;  ///< Services whose endpoints crash when they reject too many requests.
   int leavingByAnswer = 0;  ///< Endpoints whose answers say that they leave.
   int backoffEndpoints = 0; ///< Endpoints that want no requests of this daemon for now.
+  PoolLedgerState queues;   ///< Queues of the pools of endpoints that this daemon owns.
 };
 
 /// Reports what happens to relayed requests: a log event for each decision, and metrics of counts and latencies.
@@ -77,6 +79,7 @@
   [[nodiscard]] std::int64_t AgeOf(const RelayCall& aCall) const;
   void SetGauge(const std::string& aName, const std::string& aHelp, double aValue);
   void SetEndpointGauges(const RelayState& aState);
+  void SetQueueMetrics(const PoolLedgerState& aState);
 
   const Clock& clock;
   BeganHandler onBegan;
@@ -87,6 +90,8 @@
   prometheus::Family<prometheus::Counter>& attempts;
   prometheus::Family<prometheus::Counter>& resumptions;
   prometheus::Family<prometheus::Histogram>& firstByte;
+  prometheus::Family<prometheus::Counter>& slotRequests;
+  prometheus::Family<prometheus::Histogram>& slotWait;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/SlotExchange.cpp
+++ b/Lagoonward/Daemon/SlotExchange.cpp
@@ -32,6 +32,8 @@
   , ledger(aSettings.ledger, aClock)
   , query(aSettings.query, kSlot, aOwners, aMembership, aClock)
 {
+  this->ledger.SetListener(
+    [this](std::uint64_t aPool, QueueEvent aEvent) { this->LogEvent(aPool, aEvent); });
   aMembership.Transport().OnRequest(kSlot, [this](PeerKey aSender, std::string_view aBytes,
                                                   const PeerTransport::Responder& aRespond) {
     this->HandlePeer(aSender, aBytes, aRespond);
@@ -98,6 +100,14 @@
   return isApplied;
 }
 
+void
+SlotExchange::LogEvent(std::uint64_t aPool, QueueEvent aEvent) const
+{
+  kLog.Event(
+    aEvent == QueueEvent::TakenOver ? "queue_taken_over" : "queue_standing",
+    { { "pool", fmt::format("{:x}", aPool) }, { "service", this->pools->ServiceOf(aPool) } });
+}
+
 void
 SlotExchange::ScheduleUpdate()
 {
--- a/Lagoonward/Daemon/SlotExchange.h
+++ b/Lagoonward/Daemon/SlotExchange.h
@@ -79,6 +79,7 @@
   /// Declares the requests in flight that the owner of their pool does not know.
   void DeclareRequests();
   void SendDeclaration(const PeerAddress& aOwner, const SlotMessage& aDeclaration);
+  void LogEvent(std::uint64_t aPool, QueueEvent aEvent) const;
   void ScheduleUpdate();
   void PublishState();
   /// The primary owner of a pool; nothing if it is this daemon.
--- a/Lagoonward/Queueing/PoolLedger.cpp
+++ b/Lagoonward/Queueing/PoolLedger.cpp
@@ -22,6 +22,12 @@
 {
 }
 
+void
+PoolLedger::SetListener(std::function<void(std::uint64_t aPool, QueueEvent aEvent)> aListener)
+{
+  this->listener = std::move(aListener);
+}
+
 void
 PoolLedger::SetPools(QueuePoolsPtr aPools)
 {
@@ -80,10 +86,11 @@
 {
   Entry* entry = this->FindOrCreate(aMessage.pool);
   if (entry != nullptr && aMessage.action == SlotAction::Request) {
-    this->DetectTakeover(*entry, aIsPrimary);
+    this->DetectTakeover(aMessage.pool, *entry, aIsPrimary);
   }
   if (entry != nullptr) {
     entry->queue->Handle(aMessage, aRespond);
+    this->DetectStanding(aMessage.pool, *entry);
   } else if (aMessage.action == SlotAction::Request) {
     aRespond({ SlotAnswer::NotOwner });
   }
@@ -91,23 +98,34 @@
 }
 
 void
-PoolLedger::DetectTakeover(Entry& aEntry, bool aIsPrimary) const
+PoolLedger::DetectTakeover(std::uint64_t aPool, Entry& aEntry, bool aIsPrimary) const
 {
   const TimePoint now = this->clock.Now();
   const bool hasPaused =
     !aEntry.requestedAt || now - *aEntry.requestedAt > this->settings.backupPause;
   if (aIsPrimary ? !aEntry.isPrimary : hasPaused) {
     aEntry.queue->OnTakenOver();
+    this->listener(aPool, QueueEvent::TakenOver);
   }
   aEntry.isPrimary = aIsPrimary;
   aEntry.requestedAt = now;
 }
 
+void
+PoolLedger::DetectStanding(std::uint64_t aPool, Entry& aEntry) const
+{
+  const bool wasStanding = std::exchange(aEntry.isStanding, aEntry.queue->IsStanding());
+  if (aEntry.isStanding && !wasStanding) {
+    this->listener(aPool, QueueEvent::Standing);
+  }
+}
+
 void
 PoolLedger::Update()
 {
   for (auto& [key, entry] : this->queues) {
     entry.queue->Update();
+    this->DetectStanding(key, entry);
   }
 }
 
--- a/Lagoonward/Queueing/QueuePools.cpp
+++ b/Lagoonward/Queueing/QueuePools.cpp
@@ -110,6 +110,19 @@
   return found == this->poolByKey.end() ? nullptr : found->second;
 }
 
+std::string_view
+QueuePools::ServiceOf(std::uint64_t aPool) const
+{
+  for (const auto& [service, own] : this->pools) {
+    const bool isOwn = std::any_of(own.begin(), own.end(),
+                                   [&](const QueuePool& aEach) { return aEach.key == aPool; });
+    if (isOwn) {
+      return service;
+    }
+  }
+  return {};
+}
+
 std::uint64_t
 QueuePools::PoolOf(std::uint64_t aEndpoint) const
 {
--- a/Lagoonward/Queueing/QueuePools.h
+++ b/Lagoonward/Queueing/QueuePools.h
@@ -41,6 +41,9 @@
   /// The pool with that key, or null.
   [[nodiscard]] const QueuePool* Find(std::uint64_t aPool) const;
 
+  /// The service that a pool belongs to; empty if the pool is not known. For logs, as it searches all pools.
+  [[nodiscard]] std::string_view ServiceOf(std::uint64_t aPool) const;
+
   /// Key of the pool that an endpoint belongs to; zero for none.
   [[nodiscard]] std::uint64_t PoolOf(std::uint64_t aEndpoint) const;
 
--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -103,8 +103,9 @@
     const double workAhead = std::accumulate(
       this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(*index + 1), 0.0,
       [](double aSum, const Waiter& aEach) { return aSum + aEach.message.work; });
-    this->Refuse(this->Remove(*index),
-                 this->ExpectedStart(aMessage.priority, workAhead, this->slots.WorkPerSecond()));
+    // It may wait elsewhere, so it does not count as refused
+    this->AnswerRefused(this->Remove(*index), this->ExpectedStart(aMessage.priority, workAhead,
+                                                                  this->slots.WorkPerSecond()));
   } else if (index) {
     ++this->counts.queued;
   }
@@ -277,6 +278,12 @@
 RequestQueue::Refuse(Waiter aWaiter, TimePoint aExpectedStart)
 {
   ++this->counts.refused;
+  this->AnswerRefused(aWaiter, aExpectedStart);
+}
+
+void
+RequestQueue::AnswerRefused(const Waiter& aWaiter, TimePoint aExpectedStart) const
+{
   if (!aWaiter.respond) {
     return;
   }
@@ -343,6 +350,14 @@
          this->clock.Now() - empty->second >= this->settings.standingAfter;
 }
 
+bool
+RequestQueue::IsStanding() const
+{
+  return std::any_of(this->waiting.begin(), this->waiting.end(), [this](const Waiter& aEach) {
+    return this->IsStanding(aEach.message.priority);
+  });
+}
+
 void
 RequestQueue::RecordEmptiness()
 {
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -55,6 +55,9 @@
   /// Answers all that wait with NotOwner, as this daemon no longer owns the pool.
   void Close();
 
+  /// Whether requests of a priority have waited for `standingAfter` without a pause.
+  [[nodiscard]] bool IsStanding() const;
+
   [[nodiscard]] const SlotTable& Slots() const { return this->slots; }
   [[nodiscard]] std::size_t Waiting() const;
   [[nodiscard]] const RequestQueueCounts& Counts() const { return this->counts; }
@@ -93,6 +96,8 @@
   /// An endpoint with a free slot at which the request ends before its deadline, though not within its target.
   [[nodiscard]] std::optional<std::uint64_t> SelectSlow(const Waiter& aWaiter) const;
   void Refuse(Waiter aWaiter, TimePoint aExpectedStart);
+  /// Answers a request that gets no slot.
+  void AnswerRefused(const Waiter& aWaiter, TimePoint aExpectedStart) const;
   void ForgetSilent();
   void AnswerPolls();
   /// The latest time at which a request may start.
