Requests that only ask whether a slot is free do not count as arrived work

Cause, seen as a failing case of QueueEventTests on the code before: a request that asks two pools whether a slot is free and then waits in one counted as arrived work three times, so a standing queue refused less urgent requests for work that does not arrive. Change: it counts where it is granted a slot or may wait.

--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -94,7 +94,6 @@
     return;
   }
   this->slots.Expire();
-  this->arrivals.OnArrived(aMessage.priority, aMessage.work);
   this->Insert(this->MakeWaiter(aMessage, aRespond));
   this->GrantFreeSlots();
   this->RefuseLate();
@@ -103,12 +102,15 @@
     const double workAhead = std::accumulate(
       this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(*index + 1), 0.0,
       [](double aSum, const Waiter& aEach) { return aSum + aEach.message.work; });
-    // It may wait elsewhere, so it does not count as refused
-    this->AnswerRefused(this->Remove(*index), this->ExpectedStart(aMessage.priority, workAhead,
-                                                                  this->slots.WorkPerSecond()));
+    this->Refuse(this->Remove(*index),
+                 this->ExpectedStart(aMessage.priority, workAhead, this->slots.WorkPerSecond()));
   } else if (index) {
     ++this->counts.queued;
   }
+  // One that may not wait here asks elsewhere as well
+  if (aMessage.waitMs > 0 || this->slots.EndpointOf(aMessage.lease)) {
+    this->arrivals.OnArrived(aMessage.priority, aMessage.work);
+  }
   if (this->waiting.size() > this->settings.maximumWaiting) {
     this->Refuse(this->Remove(this->waiting.size() - 1), this->clock.Now());
   }
@@ -277,13 +279,8 @@
 void
 RequestQueue::Refuse(Waiter aWaiter, TimePoint aExpectedStart)
 {
-  ++this->counts.refused;
-  this->AnswerRefused(aWaiter, aExpectedStart);
-}
-
-void
-RequestQueue::AnswerRefused(const Waiter& aWaiter, TimePoint aExpectedStart) const
-{
+  // One that may not wait here has only asked whether a slot is free
+  this->counts.refused += aWaiter.message.waitMs > 0 ? 1 : 0;
   if (!aWaiter.respond) {
     return;
   }
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -96,8 +96,6 @@
   /// An endpoint with a free slot at which the request ends before its deadline, though not within its target.
   [[nodiscard]] std::optional<std::uint64_t> SelectSlow(const Waiter& aWaiter) const;
   void Refuse(Waiter aWaiter, TimePoint aExpectedStart);
-  /// Answers a request that gets no slot.
-  void AnswerRefused(const Waiter& aWaiter, TimePoint aExpectedStart) const;
   void ForgetSilent();
   void AnswerPolls();
   /// The latest time at which a request may start.
--- a/UnitTests/Queueing/QueueEventTests.cpp
+++ b/UnitTests/Queueing/QueueEventTests.cpp
@@ -32,10 +32,14 @@
 
   SlotAnswer Ask(std::uint64_t aLease, Milliseconds aWait)
   {
-    const SlotMessage request = this->MakeRequest(aLease, aWait);
+    return this->Send(this->MakeRequest(aLease, aWait));
+  }
+
+  SlotAnswer Send(const SlotMessage& aRequest)
+  {
     // The reply may come after this has returned
     const auto answer = std::make_shared<SlotAnswer>(SlotAnswer::Waiting);
-    this->ledger.Handle(request, true,
+    this->ledger.Handle(aRequest, true,
                         [answer](const SlotReply& aReply) { *answer = aReply.answer; });
     return *answer;
   }
@@ -100,4 +104,24 @@
   BOOST_TEST(this->ledger.State().counts.refused == 0U);
 }
 
+/// Guards against requests that are refused for work that does not arrive: a request that asks two pools whether a slot is free
+/// and then waits in one counted three times.
+BOOST_AUTO_TEST_CASE(RequestThatMayNotWaitDoesNotCountAsArrivedWork)
+{
+  BOOST_TEST((this->Ask(1, Milliseconds(0)) == SlotAnswer::Granted));
+  this->clock.Advance(Milliseconds(1000));
+  this->ledger.Update();
+  this->KeepWaiting(2, Milliseconds(2500));
+  BOOST_TEST_REQUIRE(this->standing == 1);
+  for (std::uint64_t lease = 100; lease < 150; ++lease) {
+    SlotMessage urgent = this->MakeRequest(lease, Milliseconds(0));
+    urgent.priority = 1;
+    BOOST_TEST((this->Send(urgent) == SlotAnswer::Refused));
+  }
+  // At the assumed time of a request, both that wait are served within 100 ms
+  SlotMessage usual = this->MakeRequest(3, kPollTime);
+  usual.targetMs = 300;
+  BOOST_TEST((this->Send(usual) == SlotAnswer::Waiting));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
