--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -107,6 +107,10 @@
   if (this->FindWaiter(aMessage.lease)) {
     ++this->counts.queued;
   }
+  // One that may not wait here asks elsewhere as well
+  if (aMessage.waitMs > 0 || this->slots.EndpointOf(aMessage.lease)) {
+    this->arrivals.OnArrived(aMessage.priority, aMessage.work);
+  }
   if (this->waiting.size() > this->settings.maximumWaiting) {
     this->Refuse(*this->Remove(this->waiting.size() - 1), this->clock.Now());
   }
@@ -338,7 +342,8 @@
 void
 RequestQueue::Refuse(const Waiter& aWaiter, TimePoint aExpectedStart)
 {
-  ++this->counts.refused;
+  // One that may not wait here has only asked whether a slot is free
+  this->counts.refused += aWaiter.message.waitMs > 0 ? 1 : 0;
   if (!aWaiter.respond) {
     return;
   }
@@ -422,6 +427,14 @@
          this->clock.Now() - empty->second >= this->settings.standingAfter;
 }
 
+bool
+RequestQueue::IsStanding() const
+{
+  return std::any_of(this->waiting.begin(), this->waiting.end(), [this](const Waiter& aEach) {
+    return this->IsStanding(aEach.message.priority);
+  });
+}
+
 void
 RequestQueue::RecordEmptiness()
 {
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -56,6 +56,9 @@
   /// Answers all that wait with NotOwner, as this daemon no longer owns the pool.
   void Close();
 
+  /// Whether requests of a priority have waited for `standingAfter` without a pause.
+  [[nodiscard]] bool IsStanding() const;
+
   [[nodiscard]] const SlotTable& Slots() const { return this->slots; }
   [[nodiscard]] std::size_t Waiting() const;
   [[nodiscard]] const RequestQueueCounts& Counts() const { return this->counts; }
