A standing queue remains one while its requests are refused

A queue whose requests were all refused is empty, so it was taken for a burst again: the next requests of that priority were kept waiting up to their deadline, and most were refused then. Emptiness no longer ends a standing queue within standingAfter of a refusal. The new case failed before; all 6 cases of the suite pass after.

--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -252,6 +252,9 @@
         this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
         this->Grant(std::move(granted), *endpoint);
       } else {
+        if (this->IsStanding(waiter.message.priority)) {
+          this->refusedAt[waiter.message.priority] = this->clock.Now();
+        }
         this->Refuse(this->Remove(index), start);
       }
       continue;
@@ -360,15 +363,26 @@
                             ? this->emptyAt.begin()
                             : this->emptyAt.upper_bound(this->waiting.front().message.priority);
   for (auto each = firstEmpty; each != this->emptyAt.end(); ++each) {
-    each->second = now;
+    if (!this->RefusesRequests(each->first)) {
+      each->second = now;
+    }
   }
 }
 
+bool
+RequestQueue::RefusesRequests(int aPriority) const
+{
+  const auto refused = this->refusedAt.find(aPriority);
+  return refused != this->refusedAt.end() &&
+         this->clock.Now() - refused->second < this->settings.standingAfter;
+}
+
 void
 RequestQueue::OnTakenOver()
 {
   this->takenOverAt = this->clock.Now();
   this->emptyAt.clear();
+  this->refusedAt.clear();
 }
 
 void
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -103,6 +103,8 @@
                                         double aWorkPerSecond) const;
   [[nodiscard]] bool IsStanding(int aPriority) const;
   void RecordEmptiness();
+  /// Whether requests of that priority are refused, so that an empty queue does not show that all are served.
+  [[nodiscard]] bool RefusesRequests(int aPriority) const;
 
   RequestQueueSettings settings;
   const Clock& clock;
@@ -114,6 +116,8 @@
   TimePoint takenOverAt;       ///< Or created.
   /// When nothing of that priority or a higher one waited last.
   std::map<int, TimePoint> emptyAt;
+  /// When a request of that priority was refused last because a standing queue served it too late.
+  std::map<int, TimePoint> refusedAt;
 };
 
 } // namespace lagoonward
--- a/UnitTests/Queueing/RequestQueueLoadTests.cpp
+++ b/UnitTests/Queueing/RequestQueueLoadTests.cpp
@@ -54,6 +54,20 @@
   BOOST_TEST(InTime(results) >= kInTimeShare);
 }
 
+/// The load of the case before. The queue of the least urgent requests was taken for a burst again each time that all of
+/// them had been refused: the next ones were kept waiting up to their deadline, and most were refused after that.
+BOOST_AUTO_TEST_CASE(RequestsThatFitNowhereAreRefusedEarlyForAsLongAsTheOverloadLasts)
+{
+  QueueLoad load(kEndpoints);
+  const double capacity = load.Capacity();
+  const auto results = load.Play(
+    { { 0.45 * capacity, 2, 1 }, { 0.45 * capacity, 1, 1 }, { 0.6 * capacity, 0, 1 } }, kSeconds);
+  const LoadResult& least = results[2];
+  BOOST_TEST(least.InTime() >= kInTimeShare);
+  BOOST_TEST(least.refusalSeconds / (least.offered - least.served) <= load.target / 4);
+  BOOST_TEST_MESSAGE(least.Served());
+}
+
 /// The load: 0.7 of the capacity on average, three times as much for 0.7 s of each 3 s. Nearly half was refused at once
 /// although all of it would have been served before the deadline.
 BOOST_AUTO_TEST_CASE(WavesWaitInsteadOfBeingRefused)
