--- a/UnitTests/Queueing/RequestQueueLoadTests.cpp
+++ b/UnitTests/Queueing/RequestQueueLoadTests.cpp
@@ -65,7 +65,6 @@
   const LoadResult& least = results[2];
   BOOST_TEST(least.InTime() >= kInTimeShare);
   BOOST_TEST(least.refusalSeconds / (least.offered - least.served) <= load.target / 4);
-  BOOST_TEST_MESSAGE(least.Served());
 }
 
 /// The load: 0.7 of the capacity on average, three times as much for 0.7 s of each 3 s. Nearly half was refused at once
