A request that no owner answers is sent without a slot after the first try

The time without an owner counts from the first question, not from the first reply, which takes 0.5 s where both owners are cut off: with a target of 0.6 s the request was refused before its second try had ended.

--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -230,7 +230,7 @@
   SlotHold slot;                 ///< Of the attempt, if its service is queued.
   std::optional<SlotMessage> slotRequest; ///< While the request waits for a slot.
   SlotSearch slotSearch;
-  std::optional<TimePoint> noSlotOwnerSince; ///< While no daemon gives out the slots of a pool.
+  std::optional<TimePoint> noSlotOwnerSince; ///< First request for a slot since an owner replied.
   bool bypassesQueue = false;                ///< The next attempt is sent without a slot.
   std::vector<std::string> fullEndpoints;    ///< Endpoints that had no place for this request.
   std::vector<std::string> failedEndpoints;  ///< Endpoints that failed this request.
--- a/Lagoonward/Relay/RelayRunQueue.cpp
+++ b/Lagoonward/Relay/RelayRunQueue.cpp
@@ -111,6 +111,9 @@
   SlotMessage& request = *this->slotRequest;
   const TimePoint now = this->context.loop.GetClock().Now();
   const TimePoint deadline = this->call.EffectiveDeadline();
+  if (!this->noSlotOwnerSince) {
+    this->noSlotOwnerSince = now;
+  }
   request.ageMs = MillisecondsUntil(now, this->call.receivedAt);
   request.targetMs =
     MillisecondsUntil(this->call.receivedAt + this->call.route->firstEventTarget, now);
@@ -171,10 +174,8 @@
 RelayRun::OnNoSlotOwner()
 {
   const TimePoint now = this->context.loop.GetClock().Now();
-  if (!this->noSlotOwnerSince) {
-    this->noSlotOwnerSince = now;
-  }
-  if (now - *this->noSlotOwnerSince < this->context.settings.slotOwnerWait) {
+  const TimePoint since = this->noSlotOwnerSince.value_or(now);
+  if (now - since < this->context.settings.slotOwnerWait) {
     // The owners are changing; the request keeps its age
     this->WaitForEndpoint(
       Error(ErrorKind::NoEndpoint, "No daemon answers that gives out the slots of the service."));
--- a/UnitTests/Relay/RelayQueueOwnerTests.cpp
+++ b/UnitTests/Relay/RelayQueueOwnerTests.cpp
@@ -1,5 +1,7 @@
 #include "UnitTests/Relay/RelayFixture.h"
 
+#include <thread>
+
 using namespace lagoonward;
 using namespace lagoonward::testing;
 
@@ -19,6 +21,7 @@
                    std::function<void(const SlotReply& aReply)> aAnswered) override
   {
     ++this->requests;
+    std::this_thread::sleep_for(this->delay);
     SlotReply reply;
     if (this->refusalsLeft-- <= 0) {
       reply = { SlotAnswer::Granted, this->endpoint };
@@ -32,6 +35,7 @@
     this->completed += aUpdate.action == SlotAction::Complete ? 1 : 0;
   }
 
+  Milliseconds delay{ 0 };    ///< Of each reply.
   std::uint64_t endpoint = 0; ///< At which slots are granted.
   std::atomic<int> requests{ 0 };
   std::atomic<int> completed{ 0 };
@@ -81,4 +85,17 @@
   BOOST_TEST(owners.completed == 1);
 }
 
+/// Guards against refused requests of a daemon that is cut off from the owners: each reply took as long as the timeouts
+/// of both, and the request asked until it had waited too long.
+BOOST_AUTO_TEST_CASE(RequestIsSentWithoutASlotIfNoOwnerReplies)
+{
+  const ScriptedServer server([](const std::string&) { return Send(MakeResponse("hi")); });
+  FakeOwners owners(1'000'000);
+  owners.delay = Milliseconds(500);
+  RelayFixture relay({ &server });
+  QueueRequests(relay, owners);
+  BOOST_TEST(relay.SendRequest(RelayKind::Idempotent).reply.has_value());
+  BOOST_TEST(owners.requests == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
