Arrivals at a pool count a request once

A request to a service of several pools asks two for a free slot before it waits in one; each question counted as an arrival of its priority, so less urgent requests were expected to find less than half of what is left, and were refused although they fitted. Questions that get no slot no longer count.

--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -94,12 +94,19 @@
     return;
   }
   this->slots.Expire();
-  this->arrivals.OnArrived(aMessage.priority, aMessage.work);
+  // One that only asks for a free slot comes again or goes to another pool if there is none
+  const bool mayWait = aMessage.waitMs > 0;
+  if (mayWait) {
+    this->arrivals.OnArrived(aMessage.priority, aMessage.work);
+  }
   this->Insert(this->MakeWaiter(aMessage, aRespond));
   this->GrantFreeSlots();
+  if (!mayWait && this->slots.EndpointOf(aMessage.lease)) {
+    this->arrivals.OnArrived(aMessage.priority, aMessage.work);
+  }
   this->RefuseLate();
   const auto index = this->FindWaiter(aMessage.lease);
-  if (index && aMessage.waitMs == 0) {
+  if (index && !mayWait) {
     const double workAhead = std::accumulate(
       this->waiting.begin(), this->waiting.begin() + static_cast<std::ptrdiff_t>(*index + 1), 0.0,
       [](double aSum, const Waiter& aEach) { return aSum + aEach.message.work; });
--- a/UnitTests/Queueing/QueueLoad.cpp
+++ b/UnitTests/Queueing/QueueLoad.cpp
@@ -82,7 +82,6 @@
   request.run = 1;
   request.lease = this->nextLease++;
   request.leaseMs = 10'000;
-  request.waitMs = ToMilliseconds(this->deadline);
   request.targetMs = ToMilliseconds(this->target);
   request.budgetMs = ToMilliseconds(this->deadline);
   request.priority = aSource.priority;
@@ -91,14 +90,25 @@
   if (result != nullptr) {
     ++result->offered;
   }
-  const double arrivedAt = this->now;
-  this->queue.Handle(request, [this, request, result, arrivedAt](const SlotReply& aReply) {
-    if (aReply.answer == SlotAnswer::Granted) {
-      this->Run(aReply.endpoint, request, arrivedAt, result);
-    } else if (result != nullptr) {
-      result->refusalSeconds += this->now - arrivedAt;
-    }
-  });
+  this->Ask(request, this->probes, this->now, result);
+}
+
+void
+QueueLoad::Ask(SlotMessage aRequest, int aProbesLeft, double aArrivedAt, LoadResult* aResult)
+{
+  aRequest.waitMs = aProbesLeft > 0 ? 0 : ToMilliseconds(this->deadline);
+  this->queue.Handle(aRequest,
+                     [this, aRequest, aProbesLeft, aArrivedAt, aResult](const SlotReply& aReply) {
+                       if (aReply.answer == SlotAnswer::Granted) {
+                         this->Run(aReply.endpoint, aRequest, aArrivedAt, aResult);
+                       } else if (aProbesLeft > 0) {
+                         this->At(this->now, [this, aRequest, aProbesLeft, aArrivedAt, aResult] {
+                           this->Ask(aRequest, aProbesLeft - 1, aArrivedAt, aResult);
+                         });
+                       } else if (aResult != nullptr) {
+                         aResult->refusalSeconds += this->now - aArrivedAt;
+                       }
+                     });
 }
 
 void
--- a/UnitTests/Queueing/QueueLoad.h
+++ b/UnitTests/Queueing/QueueLoad.h
@@ -54,6 +54,8 @@
   std::function<double(int aEndpoint, double aSeconds)> speed;
   double target = 0.6;   ///< Seconds.
   double deadline = 2.0; ///< Seconds.
+  int probes =
+    0; ///< Times that each request asks for a slot that is free now, before it asks to wait.
 
   /// Plays for so long; results in the order of the sources. Those that arrive in the first `aWarmUp` seconds don't count.
   [[nodiscard]] std::vector<LoadResult> Play(const std::vector<LoadSource>& aSources,
@@ -76,6 +78,7 @@
   void At(double aSeconds, std::function<void()> aRun);
   void Arrive(const LoadSource& aSource, LoadResult& aResult, double aEnd, double aWarmUp);
   void Send(const LoadSource& aSource, LoadResult& aResult, double aWarmUp);
+  void Ask(SlotMessage aRequest, int aProbesLeft, double aArrivedAt, LoadResult* aResult);
   void Run(std::uint64_t aEndpoint, const SlotMessage& aRequest, double aArrivedAt,
            LoadResult* aResult);
   /// Time at which work that begins now is done, considering changes of the endpoint's speed.
--- a/UnitTests/Queueing/RequestQueueLoadTests.cpp
+++ b/UnitTests/Queueing/RequestQueueLoadTests.cpp
@@ -67,6 +67,19 @@
   BOOST_TEST(least.refusalSeconds / (least.offered - least.served) <= load.target / 4);
 }
 
+/// The load of the cases before, of requests that ask twice for a slot that is free now, as those to a service of several
+/// pools do. Each question counted as an arrival, so less urgent requests that fitted were refused.
+BOOST_AUTO_TEST_CASE(RequestsThatAskForAFreeSlotFirstCountOnce)
+{
+  QueueLoad load(kEndpoints);
+  load.probes = 2;
+  const double capacity = load.Capacity();
+  const auto results = load.Play(
+    { { 0.45 * capacity, 2, 1 }, { 0.45 * capacity, 1, 1 }, { 0.6 * capacity, 0, 1 } }, kSeconds);
+  BOOST_TEST(results[0].Served() >= kUrgentShare);
+  BOOST_TEST(results[1].Served() >= kUrgentShare);
+}
+
 /// The load: 0.7 of the capacity on average, three times as much for 0.7 s of each 3 s. Nearly half was refused at once
 /// although all of it would have been served before the deadline.
 BOOST_AUTO_TEST_CASE(WavesWaitInsteadOfBeingRefused)
