--- a/Lagoonward/Queueing/QueueSettings.h
+++ b/Lagoonward/Queueing/QueueSettings.h
@@ -42,7 +42,7 @@
 
   /// A queue that has not been empty for this long is a standing queue: no short burst explains it, so requests are only
   /// queued if they can still meet their target. Before, all that can meet their deadline are queued. It remains one until
-  /// it is empty and none was refused for as long, since refusing all of them empties it, too.
+  /// it is empty and none was refused just before, since refusing all of them empties it, too.
   Milliseconds standingAfter{ 2000 };
 
   /// Requests that wait within this time after another daemon has kept the queue make it a standing queue.
--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -23,6 +23,10 @@
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, UINT32_MAX));
 }
 
+/// For how long a refusal shows that an empty queue is no sign of free slots. Under lasting overload refusals follow each
+/// other faster; a single one after a burst should not make the queue refuse the next burst.
+constexpr Milliseconds kRefusalMemory{ 200 };
+
 /// Beyond this, a wait is only known to be long.
 constexpr double kMaximumWaitSeconds = 3600;
 
@@ -381,7 +385,7 @@
 {
   const auto refused = this->refusedAt.find(aPriority);
   return refused != this->refusedAt.end() &&
-         this->clock.Now() - refused->second < this->settings.standingAfter;
+         this->clock.Now() - refused->second < kRefusalMemory;
 }
 
 void
