--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -23,6 +23,10 @@
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, UINT32_MAX));
 }
 
+/// For how long a refusal shows that an empty queue is no sign of free slots. Under lasting overload refusals follow each
+/// other faster; a single one after a burst should not make the queue refuse the next burst.
+constexpr Milliseconds kRefusalMemory{ 200 };
+
 /// Beyond this, a wait is only known to be long.
 constexpr double kMaximumWaitSeconds = 3600;
 
@@ -107,10 +111,6 @@
   if (this->FindWaiter(aMessage.lease)) {
     ++this->counts.queued;
   }
-  // One that may not wait here asks elsewhere as well
-  if (aMessage.waitMs > 0 || this->slots.EndpointOf(aMessage.lease)) {
-    this->arrivals.OnArrived(aMessage.priority, aMessage.work);
-  }
   if (this->waiting.size() > this->settings.maximumWaiting) {
     this->Refuse(*this->Remove(this->waiting.size() - 1), this->clock.Now());
   }
@@ -311,8 +311,9 @@
   double workAhead = 0;
   for (std::size_t index = 0; index < this->waiting.size();) {
     const Waiter& waiter = *this->waiting[index];
-    if (!forecast.isCurrent || forecast.priority != waiter.message.priority) {
-      forecast = this->MakeForecast(waiter.message.priority);
+    const int priority = waiter.message.priority;
+    if (!forecast.isCurrent || forecast.priority != priority) {
+      forecast = this->MakeForecast(priority);
     }
     const TimePoint start = ExpectedStart(forecast, workAhead + waiter.message.work);
     if (start <= LatestStart(forecast, waiter, this->settings.targetMargin)) {
@@ -322,6 +323,9 @@
       this->Grant(this->Extract(index), *endpoint);
       forecast.isCurrent = false;
     } else {
+      if (this->IsStanding(priority)) {
+        this->refusedAt[priority] = this->clock.Now();
+      }
       this->Refuse(*this->Remove(index), start);
     }
   }
@@ -457,15 +461,25 @@
                             ? this->emptyAt.begin()
                             : this->emptyAt.upper_bound(this->waiting.front()->message.priority);
   for (auto each = firstEmpty; each != this->emptyAt.end(); ++each) {
-    each->second = now;
+    if (!this->RefusesRequests(each->first)) {
+      each->second = now;
+    }
   }
 }
 
+bool
+RequestQueue::RefusesRequests(int aPriority) const
+{
+  const auto refused = this->refusedAt.find(aPriority);
+  return refused != this->refusedAt.end() && this->clock.Now() - refused->second < kRefusalMemory;
+}
+
 void
 RequestQueue::OnTakenOver()
 {
   this->takenOverAt = this->clock.Now();
   this->emptyAt.clear();
+  this->refusedAt.clear();
 }
 
 void
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -243,7 +243,7 @@
   SlotSearch slotSearch;
   /// Keys of endpoints at which a slot was granted, but which this daemon does not know yet.
   std::vector<std::uint64_t> unknownEndpoints;
-  std::optional<TimePoint> noSlotOwnerSince; ///< While no daemon gives out the slots of a pool.
+  std::optional<TimePoint> noSlotOwnerSince; ///< First request for a slot since an owner replied.
   bool bypassesQueue = false;                ///< The next attempt is sent without a slot.
   std::vector<std::string> fullEndpoints;    ///< Endpoints that had no place for this request.
   std::vector<std::string> failedEndpoints;  ///< Endpoints that failed this request.
