--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -434,8 +434,8 @@
 bool
 RequestQueue::IsStanding() const
 {
-  return std::any_of(this->waiting.begin(), this->waiting.end(), [this](const Waiter& aEach) {
-    return this->IsStanding(aEach.message.priority);
+  return std::any_of(this->waiting.begin(), this->waiting.end(), [this](const WaiterPtr& aEach) {
+    return this->IsStanding(aEach->message.priority);
   });
 }
 
