--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -100,6 +100,7 @@
   this->GrantFreeSlots();
   // A request that looks for a free slot in several pools is no work that arrives here, and it delays nobody
   if (aMessage.waitMs == 0 && this->RefuseToQueue(aMessage.lease)) {
+    this->RecordEmptiness();
     return;
   }
   this->arrivals.OnArrived(aMessage.priority, aMessage.work);
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -75,9 +75,10 @@
     Responder respond;     ///< Empty between two polls.
   };
 
+  using WaiterPtr = std::unique_ptr<Waiter>;
+
   /// The turns of the accounts at a priority.
   [[nodiscard]] FairTurns& TurnsOf(int aPriority);
-  using WaiterPtr = std::unique_ptr<Waiter>;
 
   /// What is expected for all requests of a priority, until a slot is taken or given back.
   struct Forecast
