--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -277,7 +277,7 @@
 }
 
 void
-RequestQueue::Refuse(Waiter aWaiter, TimePoint aExpectedStart)
+RequestQueue::Refuse(const Waiter& aWaiter, TimePoint aExpectedStart)
 {
   // One that may not wait here has only asked whether a slot is free
   this->counts.refused += aWaiter.message.waitMs > 0 ? 1 : 0;
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -95,7 +95,7 @@
   void RefuseLate();
   /// An endpoint with a free slot at which the request ends before its deadline, though not within its target.
   [[nodiscard]] std::optional<std::uint64_t> SelectSlow(const Waiter& aWaiter) const;
-  void Refuse(Waiter aWaiter, TimePoint aExpectedStart);
+  void Refuse(const Waiter& aWaiter, TimePoint aExpectedStart);
   void ForgetSilent();
   void AnswerPolls();
   /// The latest time at which a request may start.
--- a/UnitTests/Daemon/SlotExchangeTests.cpp
+++ b/UnitTests/Daemon/SlotExchangeTests.cpp
@@ -306,7 +306,8 @@
   Await([&] { return primary.slots.State().waiting == 1; });
   primary.keyOwners.Drain();
   primary.membership.Loop().Run([&] { primary.slots.OnOwnersChanged(); });
-  BOOST_TEST((Daemon::Receive(std::move(reply)).answer == SlotAnswer::NotOwner));
+  const SlotReply received = Daemon::Receive(std::move(reply));
+  BOOST_TEST((received.answer == SlotAnswer::NotOwner));
 }
 
 /// Guards against a message that cannot be decoded or has impossible values: it must not stop the owner or be left without
--- a/UnitTests/Relay/RelayQueueTests.cpp
+++ b/UnitTests/Relay/RelayQueueTests.cpp
@@ -270,7 +270,7 @@
        { std::pair("404 Not Found", SlotAction::Withdraw),
          std::pair("500 Internal Server Error", SlotAction::Fail) }) {
     const ScriptedServer server(
-      [status](const std::string&) { return Send(MakeResponse("no", status)); });
+      [answer = MakeResponse("no", status)](const std::string&) { return Send(answer); });
     RecordingSlotSource source;
     RelayFixture relay({ &server });
     relay.service.SetSlotSource(source);
