--- a/Lagoonward/Daemon/SlotExchange.cpp
+++ b/Lagoonward/Daemon/SlotExchange.cpp
@@ -26,10 +26,12 @@
                            SlotRegistry& aRegistry, const Clock& aClock)
   : settings(aSettings)
   , self(aSelf)
+  , clock(aClock)
   , owners(aOwners)
   , membership(aMembership)
   , registry(aRegistry)
   , ledger(aSettings.ledger, aClock)
+  , checkedAt(aClock.Now())
   , query(aSettings.query, kSlot, aOwners, aMembership, aClock)
 {
   this->ledger.SetListener(
@@ -49,6 +51,7 @@
 void
 SlotExchange::RunPeriodicTasks()
 {
+  this->DetectStandstill();
   this->DeclareRequests();
   // Slots also become free without a message
   this->ledger.Update();
@@ -57,6 +60,16 @@
                                 [this] { this->RunPeriodicTasks(); });
 }
 
+void
+SlotExchange::DetectStandstill()
+{
+  const TimePoint now = this->clock.Now();
+  if (now - this->checkedAt > this->settings.standstillTime) {
+    this->ledger.OnStandstill();
+  }
+  this->checkedAt = now;
+}
+
 void
 SlotExchange::HandlePeer(PeerKey aSender, std::string_view aBytes,
                          const PeerTransport::Responder& aRespond)
@@ -87,6 +100,7 @@
 bool
 SlotExchange::HandleHere(const SlotMessage& aMessage, const RequestQueue::Responder& aRespond)
 {
+  this->DetectStandstill();
   const KeyOwnerRole role = this->owners.RoleOf(aMessage.pool);
   if (role == KeyOwnerRole::None) {
     if (aMessage.action == SlotAction::Request) {
--- a/Lagoonward/Daemon/SlotExchange.h
+++ b/Lagoonward/Daemon/SlotExchange.h
@@ -18,7 +18,9 @@
   Milliseconds updateInterval{ 20 }; ///< Between two updates of the own queues while requests wait.
   Milliseconds declareInterval{ 200 }; ///< Between two checks for requests to declare.
   Milliseconds retryDelay{ 300 };      ///< Before an unanswered update is sent again.
-  int maximumAttempts = 5;             ///< Messages to one owner about one update.
+  /// Time without a periodic check after which this process has stood still: several intervals between two.
+  Milliseconds standstillTime{ 1000 };
+  int maximumAttempts = 5; ///< Messages to one owner about one update.
 };
 
 /// Asks the owners of pools for slots and tells them of this daemon's requests there, and keeps the queues of the pools that
@@ -76,6 +78,7 @@
   /// Returns a slot whose grant came after the request had got another reply.
   void GiveBackLateGrant(const SlotMessage& aRequest, PeerKey aOwner);
   void RunPeriodicTasks();
+  void DetectStandstill();
   /// Declares the requests in flight that the owner of their pool does not know.
   void DeclareRequests();
   void SendDeclaration(const PeerAddress& aOwner, const SlotMessage& aDeclaration);
@@ -87,6 +90,7 @@
 
   SlotExchangeSettings settings;
   PeerKey self;
+  const Clock& clock;
   KeyOwnerDirectory& owners;
   MembershipService& membership;
   SlotRegistry& registry;
@@ -95,6 +99,7 @@
   std::unordered_map<PeerKey, std::uint64_t> runs; ///< The newest process of each daemon.
   std::unordered_map<std::uint64_t, KnownRequest> knownRequests; ///< Requests in flight, by lease.
   bool isUpdateScheduled = false;
+  TimePoint checkedAt; ///< Last DetectStandstill().
   KeyOwnerQuery query;
   mutable std::mutex mutex; ///< Guards `state`.
   PoolLedgerState state;
--- a/Lagoonward/Queueing/PoolLedger.cpp
+++ b/Lagoonward/Queueing/PoolLedger.cpp
@@ -129,6 +129,14 @@
   }
 }
 
+void
+PoolLedger::OnStandstill()
+{
+  for (auto& [key, entry] : this->queues) {
+    entry.queue->OnStandstill();
+  }
+}
+
 void
 PoolLedger::OnRunEnded(std::uint64_t aRun)
 {
--- a/Lagoonward/Queueing/PoolLedger.h
+++ b/Lagoonward/Queueing/PoolLedger.h
@@ -46,6 +46,9 @@
   /// See RequestQueue::Update().
   void Update();
 
+  /// See RequestQueue::OnStandstill().
+  void OnStandstill();
+
   /// See RequestQueue::OnRunEnded().
   void OnRunEnded(std::uint64_t aRun);
 
--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -72,7 +72,7 @@
     case SlotAction::Lose:
     case SlotAction::Abandon:
     case SlotAction::Reject:
-      this->slots.End(aMessage.lease, aMessage.action);
+      this->slots.End(aMessage.lease, aMessage.action, Milliseconds(aMessage.heldMs));
       break;
   }
   this->slots.Expire();
--- a/Lagoonward/Queueing/RequestQueue.h
+++ b/Lagoonward/Queueing/RequestQueue.h
@@ -50,6 +50,9 @@
   /// Releases all slots and turns of a daemon process that has ended.
   void OnRunEnded(std::uint64_t aRun);
 
+  /// This process has stood still for a while, and messages have waited.
+  void OnStandstill() { this->slots.OnStandstill(); }
+
   /// Another daemon has kept the queue so far: requests that wait from the beginning make it a standing queue at once.
   void OnTakenOver();
 
--- a/Lagoonward/Queueing/SlotMessages.h
+++ b/Lagoonward/Queueing/SlotMessages.h
@@ -34,6 +34,9 @@
     1; ///< Expected work, in units of which a pool's endpoints do equally many per second.
   std::uint32_t memoryTokens = 0; ///< Tokens of the endpoint's memory that it takes; zero for none.
 
+  /// With Complete: how long the request took, measured by the sender; zero if unknown.
+  std::uint32_t heldMs = 0;
+
   // With Request only
   std::uint32_t waitMs =
     0; ///< How long the reply may be held back; zero to be granted now or not at all.
@@ -60,6 +63,9 @@
   {
     aArchive(this->pool, this->run, this->lease, this->action, this->endpoint, this->leaseMs,
              this->work, this->memoryTokens);
+    if (this->action == SlotAction::Complete) {
+      aArchive(this->heldMs);
+    }
     if (this->action == SlotAction::Request) {
       aArchive(this->waitMs, this->ageMs, this->targetMs, this->budgetMs, this->priority,
                this->account, this->weight);
--- a/Lagoonward/Queueing/SlotRegistry.cpp
+++ b/Lagoonward/Queueing/SlotRegistry.cpp
@@ -24,7 +24,8 @@
 SlotRegistry::Begin(const SlotMessage& aRequest, std::uint64_t aEndpoint)
 {
   const std::lock_guard lock(this->mutex);
-  Entry entry{ aRequest, this->clock.Now() + Milliseconds(aRequest.leaseMs) };
+  const TimePoint now = this->clock.Now();
+  Entry entry{ aRequest, now, now + Milliseconds(aRequest.leaseMs) };
   entry.message.action = SlotAction::Declare;
   entry.message.endpoint = aEndpoint;
   entry.message.excluded.clear();
@@ -41,6 +42,8 @@
   }
   SlotMessage message = std::move(found->second.message);
   message.action = aAction;
+  const auto held = std::chrono::ceil<Milliseconds>(this->clock.Now() - found->second.begunAt);
+  message.heldMs = static_cast<std::uint32_t>(std::max<std::int64_t>(held.count(), 1));
   this->entries.erase(found);
   return message;
 }
--- a/Lagoonward/Queueing/SlotRegistry.h
+++ b/Lagoonward/Queueing/SlotRegistry.h
@@ -40,6 +40,7 @@
   struct Entry
   {
     SlotMessage message;
+    TimePoint begunAt;
     TimePoint endsBy;
   };
 
--- a/Lagoonward/Queueing/SlotTable.cpp
+++ b/Lagoonward/Queueing/SlotTable.cpp
@@ -224,7 +224,7 @@
 }
 
 void
-SlotTable::End(std::uint64_t aLease, SlotAction aAction)
+SlotTable::End(std::uint64_t aLease, SlotAction aAction, Milliseconds aHeld)
 {
   const auto endpoint = this->endpointByLease.find(aLease);
   if (endpoint == this->endpointByLease.end()) {
@@ -248,7 +248,7 @@
     return;
   }
   if (aAction == SlotAction::Complete) {
-    this->LearnPace(state, *lease);
+    this->LearnPace(state, *lease, aHeld);
   }
   this->Erase(state, index);
   if (aAction == SlotAction::Reject) {
@@ -259,13 +259,16 @@
 }
 
 void
-SlotTable::LearnPace(State& aState, const Lease& aLease)
+SlotTable::LearnPace(State& aState, const Lease& aLease, Milliseconds aHeld)
 {
-  if (aLease.isDeclared) {
+  const bool isMeasured = aHeld > Milliseconds(0);
+  if (aLease.isDeclared && !isMeasured) {
     aState.pace.OnSucceeded();
     return;
   }
-  const double seconds = ToSeconds(this->clock.Now() - aLease.begunAt);
+  // The message about the end may have been read late here, so the time that the sender measured counts
+  const double seconds =
+    isMeasured ? ToSeconds(aHeld) : ToSeconds(this->clock.Now() - aLease.begunAt);
   const double pace = seconds / aLease.work;
   aState.pace.OnCompleted(seconds, aLease.work);
   this->meanPace =
@@ -308,6 +311,17 @@
   }
 }
 
+void
+SlotTable::OnStandstill()
+{
+  for (State& state : this->endpoints) {
+    for (Lease& lease : state.leases) {
+      lease.begunAt = this->clock.Now();
+      lease.isDeclared = true;
+    }
+  }
+}
+
 void
 SlotTable::OnRunEnded(std::uint64_t aRun)
 {
--- a/Lagoonward/Queueing/SlotTable.h
+++ b/Lagoonward/Queueing/SlotTable.h
@@ -43,7 +43,8 @@
 
   /// A request has ended; its slot is free (with Abandon, after `abandonedTime`). Only the first call has an effect.
   /// @param aAction  Complete, Fail, Lose, Abandon or Reject
-  void End(std::uint64_t aLease, SlotAction aAction);
+  /// @param aHeld  with Complete: how long the request took, as its daemon has measured; zero if unknown
+  void End(std::uint64_t aLease, SlotAction aAction, Milliseconds aHeld = Milliseconds(0));
 
   /// Frees the slot of a request that was not sent.
   void Release(std::uint64_t aLease);
@@ -54,6 +55,9 @@
   /// Frees the slots of requests that have ended without a message.
   void Expire();
 
+  /// This process has stood still: how long the requests have run says nothing about their endpoints.
+  void OnStandstill();
+
   /// Frees all slots of a daemon process that has ended.
   void OnRunEnded(std::uint64_t aRun);
 
@@ -109,7 +113,7 @@
   /// Seconds per unit of work, learned or assumed.
   [[nodiscard]] double PaceOf(const State& aState) const;
   /// A request has been answered completely.
-  void LearnPace(State& aState, const Lease& aLease);
+  void LearnPace(State& aState, const Lease& aLease, Milliseconds aHeld);
   /// How many times longer than usual the requests that it runs have taken so far; 1 unless they are overdue.
   [[nodiscard]] double Slowdown(const State& aState, TimePoint aNow) const;
   [[nodiscard]] double ExpectedSecondsAt(const State& aState, double aWork, TimePoint aNow) const;
--- a/UnitTests/Queueing/SlotTableTests.cpp
+++ b/UnitTests/Queueing/SlotTableTests.cpp
@@ -319,4 +319,28 @@
   BOOST_TEST(fixture.table.ExpectedSeconds(kFirst, 1) == before);
 }
 
+/// Guards against endpoints that seem slow because the owner of their pool reads messages late, as it stood still or its
+/// host is busy.
+BOOST_AUTO_TEST_CASE(AnEndThatIsReadLateTeachesTheTimeThatTheSenderMeasured)
+{
+  TableFixture fixture({ { kFirst, 1 } });
+  fixture.Take(kFirst, 1);
+  fixture.clock.Advance(Milliseconds(3000));
+  fixture.table.End(1, SlotAction::Complete, Milliseconds(100));
+  BOOST_TEST(fixture.table.ExpectedSeconds(kFirst, 1) == 0.1);
+}
+
+/// Guards against endpoints that seem overdue after the owner of their pool has stood still.
+BOOST_AUTO_TEST_CASE(NoRequestIsOverdueAfterAStandstill)
+{
+  TableFixture fixture({ { kFirst, 2 } });
+  fixture.Run(kFirst, 1, Milliseconds(100), SlotAction::Complete);
+  fixture.Take(kFirst, 2);
+  const double before = fixture.table.WorkPerSecond();
+  fixture.clock.Advance(Milliseconds(3000));
+  BOOST_TEST(fixture.table.WorkPerSecond() < before);
+  fixture.table.OnStandstill();
+  BOOST_TEST(fixture.table.WorkPerSecond() == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
