--- a/Lagoonward/Queueing/RequestQueue.cpp
+++ b/Lagoonward/Queueing/RequestQueue.cpp
@@ -384,8 +384,7 @@
 RequestQueue::RefusesRequests(int aPriority) const
 {
   const auto refused = this->refusedAt.find(aPriority);
-  return refused != this->refusedAt.end() &&
-         this->clock.Now() - refused->second < kRefusalMemory;
+  return refused != this->refusedAt.end() && this->clock.Now() - refused->second < kRefusalMemory;
 }
 
 void
