--- a/Lagoonward/Daemon/SlotExchange.cpp
+++ b/Lagoonward/Daemon/SlotExchange.cpp
@@ -66,6 +66,7 @@
   const TimePoint now = this->clock.Now();
   if (now - this->checkedAt > this->settings.standstillTime) {
     this->ledger.OnStandstill();
+    this->servesFrom = now + this->settings.standstillRecovery;
   }
   this->checkedAt = now;
 }
@@ -102,7 +103,9 @@
 {
   this->DetectStandstill();
   const KeyOwnerRole role = this->owners.RoleOf(aMessage.pool);
-  if (role == KeyOwnerRole::None) {
+  const bool mayBeOld =
+    aMessage.action == SlotAction::Request && this->clock.Now() < this->servesFrom;
+  if (role == KeyOwnerRole::None || mayBeOld) {
     if (aMessage.action == SlotAction::Request) {
       aRespond({});
     }
--- a/Lagoonward/Daemon/SlotExchange.h
+++ b/Lagoonward/Daemon/SlotExchange.h
@@ -20,6 +20,9 @@
   Milliseconds retryDelay{ 300 };      ///< Before an unanswered update is sent again.
   /// Time without a periodic check after which this process has stood still: several intervals between two.
   Milliseconds standstillTime{ 1000 };
+  /// How long after a standstill requests for slots are left to the other owner: those that are read then have waited here
+  /// for an unknown time, and most have been answered elsewhere.
+  Milliseconds standstillRecovery{ 500 };
   int maximumAttempts = 5; ///< Messages to one owner about one update.
 };
 
@@ -99,7 +102,8 @@
   std::unordered_map<PeerKey, std::uint64_t> runs; ///< The newest process of each daemon.
   std::unordered_map<std::uint64_t, KnownRequest> knownRequests; ///< Requests in flight, by lease.
   bool isUpdateScheduled = false;
-  TimePoint checkedAt; ///< Last DetectStandstill().
+  TimePoint checkedAt;  ///< Last DetectStandstill().
+  TimePoint servesFrom; ///< The requests that are read earlier may be old.
   KeyOwnerQuery query;
   mutable std::mutex mutex; ///< Guards `state`.
   PoolLedgerState state;
