--- a/Lagoonward/Queueing/QueueSettings.h
+++ b/Lagoonward/Queueing/QueueSettings.h
@@ -11,7 +11,7 @@
 {
   /// Slots that a pool should have: enough that a request rarely waits in one pool while another has room, few enough
   /// that a small host can own a pool. An endpoint with at least this many slots is a pool of its own.
-  int slotsPerPool = 6;
+  int slotsPerPool = 16;
 };
 
 /// Settings of SlotTable and EndpointPace.
