--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -585,8 +585,9 @@
   if (current == nullptr || this->settings.requestQueueing == RequestQueueing::Off) {
     return;
   }
+  const QueuePoolSettings poolSettings{ .slotsPerPool = this->settings.queuePoolSlots };
   const auto pools =
-    std::make_shared<const QueuePools>(aFleet, QueuePoolSettings{}, [&](std::string_view aService) {
+    std::make_shared<const QueuePools>(aFleet, poolSettings, [&](std::string_view aService) {
       return IsServiceQueued(this->settings.requestQueueing, *current, aService);
     });
   this->market->queuePools.Publish(pools);
--- a/Lagoonward/Settings/RelayDaemonSettings.h
+++ b/Lagoonward/Settings/RelayDaemonSettings.h
@@ -56,6 +56,7 @@
   Seconds retryWindow{ 10 }; ///< Length of the retry window.
 
   RequestQueueing requestQueueing = RequestQueueing::Off;
+  int queuePoolSlots = 16; ///< See QueuePoolSettings::slotsPerPool.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Settings/RelaySettingsReader.cpp
+++ b/Lagoonward/Settings/RelaySettingsReader.cpp
@@ -24,6 +24,9 @@
 /// failed: two checks between daemons and one read.
 constexpr Milliseconds kMinimumLeavingNotice{ 700 };
 
+/// More slots than a service's endpoints have in any deployment.
+constexpr int kMaximumPoolSlots = 65'536;
+
 /// The unparsed values of the settings.
 struct RawRelaySettings
 {
@@ -36,6 +39,7 @@
   std::string seeds;
   std::string logLevel;
   std::string requestQueue;
+  int queuePoolSlots = 0;
   int graceMilliseconds = 0;
   int leavingNoticeMilliseconds = 0;
   int endpointHeartbeatMilliseconds = 0;
@@ -97,6 +101,9 @@
   add("request-queue", po::value(&aRaw.requestQueue)->default_value("off"),
       "which requests wait for a free slot of an endpoint: off, calls (to plain services with a "
       "route that states a timeout), all (to all such services)");
+  add("queue-pool-slots", po::value(&aRaw.queuePoolSlots)->default_value(16),
+      "slots of endpoints that one queue should give out; fewer where hosts are small, as each "
+      "queue is kept by one of them");
   return options;
 }
 
@@ -170,6 +177,11 @@
   ParsePositive("usage-window-s", aRaw.usageWindowSeconds, settings.usageWindow, faults);
   ParsePositive("usage-lateness-s", aRaw.usageLatenessSeconds, settings.usageLateness, faults);
   ParsePositive("retry-window-s", aRaw.retryWindowSeconds, settings.retryWindow, faults);
+  settings.queuePoolSlots = aRaw.queuePoolSlots;
+  if (aRaw.queuePoolSlots < 1 || aRaw.queuePoolSlots > kMaximumPoolSlots) {
+    faults.push_back(fmt::format("queue-pool-slots: must be from 1 to {}, got {}",
+                                 kMaximumPoolSlots, aRaw.queuePoolSlots));
+  }
   ParseRequestQueue(aRaw.requestQueue, settings.requestQueueing, faults);
   if (const Fault fault = ReadLogLevel(aRaw.logLevel, settings.logLevel)) {
     faults.push_back(fmt::format("log-level: \"{}\" {}", aRaw.logLevel, *fault));
--- a/UnitTests/Settings/RelaySettingsReaderTests.cpp
+++ b/UnitTests/Settings/RelaySettingsReaderTests.cpp
@@ -121,4 +121,18 @@
   BOOST_TEST(Read({ "--help" }).helpRequested);
 }
 
+/// Guards against a division of endpoints into pools without slots, which never ends.
+BOOST_AUTO_TEST_CASE(SlotsOfAQueueAreWithinBounds)
+{
+  const SettingsFile file(kCompleteSettings);
+  BOOST_TEST(Read({ "--settings", file.path }).settings.queuePoolSlots == 16);
+  BOOST_TEST(Read({ "--settings", file.path, "--queue-pool-slots", "6" }).settings.queuePoolSlots ==
+             6);
+  for (const std::string text : { "0", "65537" }) {
+    const auto outcome = Read({ "--settings", file.path, "--queue-pool-slots", text });
+    BOOST_TEST_REQUIRE(outcome.faults.size() == 1U);
+    BOOST_TEST(outcome.faults.front() == "queue-pool-slots: must be from 1 to 65536, got " + text);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
