--- a/Lagoonward/Relay/RelayRunQueue.cpp
+++ b/Lagoonward/Relay/RelayRunQueue.cpp
@@ -17,6 +17,24 @@
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(left, 0, UINT32_MAX));
 }
 
+/// The pools of a service in which an endpoint accepts requests that is not excluded.
+std::vector<const QueuePool*>
+UsablePools(const QueuePools& aPools, std::string_view aService,
+            std::span<const std::uint64_t> aExcluded)
+{
+  const auto isUsable = [&](const PoolEndpoint& aEndpoint) {
+    return aEndpoint.acceptsRequests &&
+           std::find(aExcluded.begin(), aExcluded.end(), aEndpoint.key) == aExcluded.end();
+  };
+  std::vector<const QueuePool*> usable;
+  for (const QueuePool& pool : aPools.PoolsOf(aService)) {
+    if (std::any_of(pool.endpoints.begin(), pool.endpoints.end(), isUsable)) {
+      usable.push_back(&pool);
+    }
+  }
+  return usable;
+}
+
 } // namespace
 
 bool
@@ -56,24 +74,12 @@
 RelayRun::RequestSlot()
 {
   const QueuePoolsPtr pools = this->context.queuePools.Get();
-  std::vector<const QueuePool*> usable;
-  std::vector<std::uint64_t> excluded;
-  // An endpoint that has failed this request is asked again if there is no other
-  for (const bool includesFailed : { true, false }) {
-    excluded = this->UnusableEndpoints(includesFailed);
-    for (const QueuePool& pool : pools->PoolsOf(this->call.service)) {
-      const bool isUsable =
-        std::any_of(pool.endpoints.begin(), pool.endpoints.end(), [&](const PoolEndpoint& aEach) {
-          return aEach.acceptsRequests &&
-                 std::find(excluded.begin(), excluded.end(), aEach.key) == excluded.end();
-        });
-      if (isUsable) {
-        usable.push_back(&pool);
-      }
-    }
-    if (!usable.empty()) {
-      break;
-    }
+  std::vector<std::uint64_t> excluded = this->UnusableEndpoints(true);
+  std::vector<const QueuePool*> usable = UsablePools(*pools, this->call.service, excluded);
+  if (usable.empty()) {
+    // An endpoint that has failed this request is asked again if there is no other
+    excluded = this->UnusableEndpoints(false);
+    usable = UsablePools(*pools, this->call.service, excluded);
   }
   if (usable.empty()) {
     this->WaitForEndpoint(
