--- a/Lagoonward/Queueing/SlotTable.cpp
+++ b/Lagoonward/Queueing/SlotTable.cpp
@@ -182,6 +182,10 @@
   if (state == nullptr) {
     return;
   }
+  // A request is at one endpoint; the one that its daemon named last counts
+  if (const auto before = this->EndpointOf(aMessage.lease); before && *before != aEndpoint) {
+    this->Release(aMessage.lease);
+  }
   const TimePoint now = this->clock.Now();
   const auto duration = std::min(Milliseconds(aMessage.leaseMs), this->settings.maximumLease);
   const auto known = std::find_if(state->leases.begin(), state->leases.end(),
@@ -190,6 +194,8 @@
     known->expiresAt = now + duration;
     return;
   }
+  // Another owner has granted a slot elsewhere, and its reply was first
+  this->Release(aMessage.lease);
   if (state->leases.size() >= this->settings.maximumLeasesPerEndpoint) {
     return;
   }
@@ -198,6 +204,7 @@
   lease.run = aMessage.run;
   lease.work = std::max<double>(aMessage.work, 1e-6);
   lease.memoryTokens = aMessage.memoryTokens;
+  lease.isDeclared = aMessage.action == SlotAction::Declare;
   lease.begunAt = now;
   lease.expiresAt = now + duration;
   state->leases.push_back(lease);
@@ -225,6 +232,10 @@
   State& state = *this->Find(endpoint->second);
   const auto lease = std::find_if(state.leases.begin(), state.leases.end(),
                                   [&](const Lease& aEach) { return aEach.id == aLease; });
+  // The message is sent again if its response was lost
+  if (lease->isAbandoned) {
+    return;
+  }
   const auto index = static_cast<std::size_t>(lease - state.leases.begin());
   const TimePoint now = this->clock.Now();
   if (aAction == SlotAction::Lose || aAction == SlotAction::Fail) {
@@ -236,11 +247,7 @@
     return;
   }
   if (aAction == SlotAction::Complete) {
-    const double seconds = ToSeconds(now - lease->begunAt);
-    const double pace = seconds / lease->work;
-    state.pace.OnCompleted(seconds, lease->work);
-    this->meanPace =
-      this->meanPace > 0 ? this->meanPace + kMeanPaceWeight * (pace - this->meanPace) : pace;
+    this->LearnPace(state, *lease);
   }
   this->Erase(state, index);
   if (aAction == SlotAction::Reject) {
@@ -250,6 +257,20 @@
   }
 }
 
+void
+SlotTable::LearnPace(State& aState, const Lease& aLease)
+{
+  if (aLease.isDeclared) {
+    aState.pace.OnSucceeded();
+    return;
+  }
+  const double seconds = ToSeconds(this->clock.Now() - aLease.begunAt);
+  const double pace = seconds / aLease.work;
+  aState.pace.OnCompleted(seconds, aLease.work);
+  this->meanPace =
+    this->meanPace > 0 ? this->meanPace + kMeanPaceWeight * (pace - this->meanPace) : pace;
+}
+
 void
 SlotTable::Release(std::uint64_t aLease)
 {
--- a/Lagoonward/Relay/RelayRunQueue.cpp
+++ b/Lagoonward/Relay/RelayRunQueue.cpp
@@ -22,7 +22,8 @@
 bool
 RelayRun::IsQueued() const
 {
-  return !this->context.queuePools.Get()->PoolsOf(this->call.service).empty() &&
+  return !this->bypassesQueue &&
+         !this->context.queuePools.Get()->PoolsOf(this->call.service).empty() &&
          !this->context.brittleServices.IsBrittle(this->call.service);
 }
 
@@ -42,7 +43,9 @@
     const bool isListed = std::find(ids.begin(), ids.end(), endpoint.id) != ids.end();
     const bool isOtherVersion =
       this->origin && endpoint.softwareVersion != this->origin->softwareVersion;
-    if (isListed || isOtherVersion || !this->context.router.IsAllowed(endpoint.id)) {
+    // The owner of the pool may not know yet that an endpoint leaves
+    if (endpoint.state != EndpointState::Live || isListed || isOtherVersion ||
+        !this->context.router.IsAllowed(endpoint.id)) {
       keys.push_back(EndpointKeyOf(endpoint));
     }
   }
@@ -87,6 +90,8 @@
   SlotMessage request = this->MakeSlotRequest(step->pool);
   request.run = identity.run;
   request.lease = identity.lease;
+  std::erase_if(excluded, [&](std::uint64_t aEach) { return pools->PoolOf(aEach) != step->pool; });
+  excluded.insert(excluded.end(), this->unknownEndpoints.begin(), this->unknownEndpoints.end());
   request.excluded = std::move(excluded);
   request.waitMs =
     step->mayWait ? static_cast<std::uint32_t>(this->context.settings.slotPollTime.count()) : 0;
@@ -114,8 +119,7 @@
   request.targetMs =
     MillisecondsUntil(this->call.receivedAt + this->call.route->firstEventTarget, now);
   request.budgetMs = MillisecondsUntil(deadline, now);
-  request.leaseMs =
-    request.budgetMs + static_cast<std::uint32_t>(this->context.settings.slotLeaseMargin.count());
+  request.leaseMs = MillisecondsUntil(deadline + this->context.settings.slotLeaseMargin, now);
   SlotRegistry& slots = this->context.slots;
   SlotSource& source = *this->context.slotSource;
   const auto onReply = [this, aliveToken = std::weak_ptr(this->aliveToken), &slots, &source,
@@ -142,6 +146,9 @@
 void
 RelayRun::OnSlotReply(SlotHold aSlot, const SlotReply& aReply)
 {
+  if (aReply.answer != SlotAnswer::NotOwner) {
+    this->noSlotOwnerSince.reset();
+  }
   switch (aReply.answer) {
     case SlotAnswer::Granted:
       this->slotRequest.reset();
@@ -157,19 +164,45 @@
       this->RequestSlot();
       return;
     case SlotAnswer::NotOwner:
-      // The owners are changing; the request keeps its age
+    case SlotAnswer::Applied:
       this->slotRequest.reset();
-      this->WaitForEndpoint(
-        Error(ErrorKind::NoEndpoint, "No daemon answers that gives out the slots of the service."));
+      this->OnNoSlotOwner();
       return;
   }
 }
 
+void
+RelayRun::OnNoSlotOwner()
+{
+  const TimePoint now = this->context.loop.GetClock().Now();
+  if (!this->noSlotOwnerSince) {
+    this->noSlotOwnerSince = now;
+  }
+  if (now - *this->noSlotOwnerSince < this->context.settings.slotOwnerWait) {
+    // The owners are changing; the request keeps its age
+    this->WaitForEndpoint(
+      Error(ErrorKind::NoEndpoint, "No daemon answers that gives out the slots of the service."));
+    return;
+  }
+  // The owners do not queue requests, as while the setting is changed daemon by daemon
+  this->bypassesQueue = true;
+  this->Dispatch();
+}
+
 void
 RelayRun::OnSlotGranted(SlotHold aSlot, std::uint64_t aEndpoint)
 {
   const QueuePoolsPtr pools = this->context.queuePools.Get();
   const std::string id(pools->IdOf(aEndpoint));
+  const bool isNew = std::find(this->unknownEndpoints.begin(), this->unknownEndpoints.end(),
+                               aEndpoint) == this->unknownEndpoints.end();
+  if (id.empty() && isNew) {
+    // The owner has a newer list of endpoints
+    aSlot.End(SlotAction::Withdraw);
+    this->unknownEndpoints.push_back(aEndpoint);
+    this->RequestSlot();
+    return;
+  }
   RouteRequest request = this->MakeRouteRequest();
   request.onlyEndpoint = id;
   auto choice = id.empty() ? Result<RouteChoice>(Error(ErrorKind::NoEndpoint, "unknown endpoint"))
