--- a/Lagoonward/Daemon/SlotExchange.cpp
+++ b/Lagoonward/Daemon/SlotExchange.cpp
@@ -26,12 +26,16 @@
                            SlotRegistry& aRegistry, const Clock& aClock)
   : settings(aSettings)
   , self(aSelf)
+  , clock(aClock)
   , owners(aOwners)
   , membership(aMembership)
   , registry(aRegistry)
   , ledger(aSettings.ledger, aClock)
+  , checkedAt(aClock.Now())
   , query(aSettings.query, kSlot, aOwners, aMembership, aClock)
 {
+  this->ledger.SetListener(
+    [this](std::uint64_t aPool, QueueEvent aEvent) { this->LogEvent(aPool, aEvent); });
   aMembership.Transport().OnRequest(kSlot, [this](PeerKey aSender, std::string_view aBytes,
                                                   const PeerTransport::Responder& aRespond) {
     this->HandlePeer(aSender, aBytes, aRespond);
@@ -47,6 +51,7 @@
 void
 SlotExchange::RunPeriodicTasks()
 {
+  this->DetectStandstill();
   this->DeclareRequests();
   // Slots also become free without a message
   this->ledger.Update();
@@ -55,6 +60,17 @@
                                 [this] { this->RunPeriodicTasks(); });
 }
 
+void
+SlotExchange::DetectStandstill()
+{
+  const TimePoint now = this->clock.Now();
+  if (now - this->checkedAt > this->settings.standstillTime) {
+    this->ledger.OnStandstill();
+    this->servesFrom = now + this->settings.standstillRecovery;
+  }
+  this->checkedAt = now;
+}
+
 void
 SlotExchange::HandlePeer(PeerKey aSender, std::string_view aBytes,
                          const PeerTransport::Responder& aRespond)
@@ -85,8 +101,11 @@
 bool
 SlotExchange::HandleHere(const SlotMessage& aMessage, const RequestQueue::Responder& aRespond)
 {
+  this->DetectStandstill();
   const KeyOwnerRole role = this->owners.RoleOf(aMessage.pool);
-  if (role == KeyOwnerRole::None) {
+  const bool mayBeOld =
+    aMessage.action == SlotAction::Request && this->clock.Now() < this->servesFrom;
+  if (role == KeyOwnerRole::None || mayBeOld) {
     if (aMessage.action == SlotAction::Request) {
       aRespond({});
     }
@@ -98,6 +117,14 @@
   return isApplied;
 }
 
+void
+SlotExchange::LogEvent(std::uint64_t aPool, QueueEvent aEvent) const
+{
+  kLog.Event(
+    aEvent == QueueEvent::TakenOver ? "queue_taken_over" : "queue_standing",
+    { { "pool", fmt::format("{:x}", aPool) }, { "service", this->pools->ServiceOf(aPool) } });
+}
+
 void
 SlotExchange::ScheduleUpdate()
 {
--- a/Lagoonward/Queueing/QueueSettings.h
+++ b/Lagoonward/Queueing/QueueSettings.h
@@ -11,7 +11,7 @@
 {
   /// Slots that a pool should have: enough that a request rarely waits in one pool while another has room, few enough
   /// that a small host can own a pool. An endpoint with at least this many slots is a pool of its own.
-  int slotsPerPool = 16;
+  int slotsPerPool = 6;
 };
 
 /// Settings of SlotTable and EndpointPace.
@@ -23,9 +23,9 @@
   double overdueFactor = 1.5;
   /// Relative increase of the expected time at an endpoint whose slots are all taken.
   double occupancyPenalty = 0.5;
-  int failuresToPause =
-    3; ///< Consecutive failures after which an endpoint gets one request at a time.
-  Milliseconds failurePause{ 1000 }; ///< Between two of these requests.
+  /// Consecutive failures after which an endpoint gets single requests as trials until one succeeds.
+  int failuresToPause = 3;
+  Milliseconds failurePause{ 1000 }; ///< Between two of these trials.
   /// After a rejection an endpoint gets no more than it had, and one slot more each time this has passed.
   Milliseconds recoveryInterval{ 500 };
   /// How long the slot of an abandoned request stays taken, as the endpoint may not notice at once.
@@ -41,7 +41,8 @@
   SlotTableSettings slots;
 
   /// A queue that has not been empty for this long is a standing queue: no short burst explains it, so requests are only
-  /// queued if they can still meet their target. Before, all that can meet their deadline are queued.
+  /// queued if they can still meet their target. Before, all that can meet their deadline are queued. It remains one until
+  /// it is empty and none was refused just before, since refusing all of them empties it, too.
   Milliseconds standingAfter{ 2000 };
 
   /// Requests that wait within this time after another daemon has kept the queue make it a standing queue.
@@ -71,8 +72,9 @@
   RequestQueueSettings queue;
   /// A backup owner that gets a request for a pool after this long without one takes the queue over.
   Milliseconds backupPause{ 1000 };
-  Milliseconds idleTimeout{ 60'000 }; ///< A pool without messages for this long is removed.
-  std::size_t maximumPools = 4096;
+  /// Where there are too many pools, those without messages for this long are removed.
+  Milliseconds idleTimeout{ 60'000 };
+  std::size_t maximumPools = 4096; ///< Requests for further pools are answered NotOwner.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -55,6 +55,9 @@
   Milliseconds slotPollTime{ 100 };
   /// How long a request asks for a slot again while no daemon gives out those of a pool; then it is sent without one.
   Milliseconds slotOwnerWait{ 100 };
+  /// Bytes of the bodies of all requests that wait for a slot in this daemon. A further one is granted a slot at once or
+  /// refused.
+  std::size_t maximumWaitingBytes = 8U << 20U;
   /// Added to the time in which a queued request ends, for the messages about it.
   Milliseconds slotLeaseMargin{ 500 };
   /// How long a stream that was begun waits for an endpoint of its software version to accept it, as a multiple of the
