--- a/UnitTests/Queueing/RequestQueueLoadTests.cpp
+++ b/UnitTests/Queueing/RequestQueueLoadTests.cpp
@@ -40,8 +40,8 @@
 
 BOOST_AUTO_TEST_SUITE(RequestQueueLoadTests)
 
-/// The load: three priorities, one and a half times the capacity in all; the most urgent alone would fit. A scalar
-/// pressure threshold served it 0.65 and used 0.70 of the places.
+/// The load: three priorities, one and a half times the capacity in all, of which the two upper ones fit. Guards against
+/// refusals by a threshold of the load, which hit all priorities and leave slots unused.
 BOOST_AUTO_TEST_CASE(UrgentRequestsAreServedFirstUnderOverload)
 {
   QueueLoad load(kEndpoints);
@@ -80,8 +80,8 @@
   BOOST_TEST(results[1].Served() >= kUrgentShare);
 }
 
-/// The load: 0.7 of the capacity on average, three times as much for 0.7 s of each 3 s. Nearly half was refused at once
-/// although all of it would have been served before the deadline.
+/// The load: 0.7 of the capacity on average, three times as much for 0.7 s of each 3 s. Guards against refusals
+/// at once of what would be served before the deadline after the wave.
 BOOST_AUTO_TEST_CASE(WavesWaitInsteadOfBeingRefused)
 {
   QueueLoad load(kEndpoints);
