Positions in the store carry its epoch, so that a restored store hides no record of an endpoint

Cause: a daemon kept reading at its offset of before. A read from beyond the end brings nothing, which counted as nothing new; records whose offsets are given out again were older by number than what was known and were dropped, at readers and at all who take updates. Class: a claim to be current without a proof that all was read; here, numbers of two histories compared as one. The epoch comes with each answer of the store and never falls for a client. A follower that finds another epoch, or an end before what it has read, reads everything anew. Entries that the copy lacks are held for the time in which endpoints write again, endpoints that had left do not come back by their copied record.

--- a/Bench/VirtualLog.cpp
+++ b/Bench/VirtualLog.cpp
@@ -10,7 +10,7 @@
 {
 }
 
-Result<Offset>
+Result<LogPosition>
 VirtualLog::Append(std::string_view /*aStream*/, std::string_view aRecord)
 {
   this->clock.Advance(this->latency);
--- a/Bench/VirtualLog.h
+++ b/Bench/VirtualLog.h
@@ -12,7 +12,8 @@
   /// @param aLatency  virtual time that each call takes
   VirtualLog(VirtualClock& aClock, Milliseconds aLatency);
 
-  [[nodiscard]] Result<Offset> Append(std::string_view aStream, std::string_view aRecord) override;
+  [[nodiscard]] Result<LogPosition> Append(std::string_view aStream,
+                                           std::string_view aRecord) override;
   [[nodiscard]] Result<LogPage> Read(std::string_view aStream, Offset aFrom, int aLimit,
                                      Milliseconds aWait) override;
 
--- a/Lagoonward/Claims/ClaimBatcher.cpp
+++ b/Lagoonward/Claims/ClaimBatcher.cpp
@@ -276,8 +276,8 @@
   }
 
   // Offsets only increase: if our offset is the next unread one, no other record precedes it
-  if (offset && offset.value() == this->ledger.NextOffset()) {
-    this->ledger.Fold(offset.value(), this->batch->record);
+  if (offset && offset.value().offset == this->ledger.NextOffset()) {
+    this->ledger.Fold(offset.value().offset, this->batch->record);
     this->batch->inLog = true;
     return boost::outcome_v2::success();
   }
--- a/Lagoonward/Configuration/Manifest.h
+++ b/Lagoonward/Configuration/Manifest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Core/LogPosition.h"
 
 #include <cstdint>
 #include <string>
@@ -9,13 +10,6 @@
 
 namespace lagoonward {
 
-/// Position of a record in a log stream. Also used as the version of a configuration and as the fencing
-/// number of a lease.
-using Offset = std::int64_t;
-
-/// The offset that stands for no record.
-inline constexpr Offset kNoOffset = -1;
-
 /// An adapter of a model and the versions that can be requested, the default one first.
 struct ManifestAdapter
 {
--- a/Lagoonward/Configuration/MarketFollower.cpp
+++ b/Lagoonward/Configuration/MarketFollower.cpp
@@ -194,7 +194,7 @@
   const auto appended = this->log.Append(ConfigurationStream(this->market), text);
   if (appended) {
     kLog.Info("market {}: wrote the checkpoint of offset {} at offset {}.", this->market,
-              state.offset, appended.value());
+              state.offset, appended.value().offset);
   } else {
     kLog.Warning("market {}: writing the checkpoint failed, it may be missing: {}.", this->market,
                  appended.error().message);
--- a/Lagoonward/Daemon/EndpointChangeLog.cpp
+++ b/Lagoonward/Daemon/EndpointChangeLog.cpp
@@ -10,7 +10,7 @@
 }
 
 void
-EndpointChangeLog::StartAt(std::int64_t aFirstVersion)
+EndpointChangeLog::StartAt(LogPosition aFirstVersion)
 {
   this->isStarted = true;
   this->firstVersion = aFirstVersion;
@@ -29,13 +29,13 @@
 EndpointChangeLog::DropExpired(TimePoint aNow)
 {
   while (!this->changes.empty() && this->changes.front().addedAt + this->retention < aNow) {
-    this->firstVersion = std::max(this->firstVersion, this->changes.front().record.version + 1);
+    this->firstVersion = std::max(this->firstVersion, this->changes.front().record.version.Next());
     this->changes.pop_front();
   }
 }
 
 std::vector<EndpointRecord>
-EndpointChangeLog::ChangesFrom(std::int64_t aVersion) const
+EndpointChangeLog::ChangesFrom(LogPosition aVersion) const
 {
   std::vector<EndpointRecord> found;
   for (const Change& change : this->changes) {
--- a/Lagoonward/Daemon/EndpointChangeLog.h
+++ b/Lagoonward/Daemon/EndpointChangeLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Core/LogPosition.h"
 
 #include <cstdint>
 #include <deque>
@@ -15,14 +16,15 @@
   None,
   Left,     ///< The endpoint itself removed its entry; the entry did not lapse.
   Returned, ///< The endpoint had left, and has written enough records since to count as live again.
+  Restored, ///< Found when the source had been restored: it may be older than what was known before.
 };
 
 /// An endpoint's own record, as its source stores it.
 struct EndpointRecord
 {
   std::string id;
-  std::string text;         ///< Empty for a removed record.
-  std::int64_t version = 0; ///< Increases with each record of the source.
+  std::string text;    ///< Empty for a removed record.
+  LogPosition version; ///< Increases with each record of the source.
   bool removed = false;
   RecordEvidence evidence = RecordEvidence::None;
 
@@ -42,7 +44,7 @@
   explicit EndpointChangeLog(Milliseconds aRetention);
 
   /// Empties the log and starts it: from now on all changes of this version and above are added.
-  void StartAt(std::int64_t aFirstVersion);
+  void StartAt(LogPosition aFirstVersion);
 
   /// A record has changed the snapshot. No effect before StartAt().
   /// @param aIsInferred  whether the source has no such record, because the endpoint was missing in a full read
@@ -52,11 +54,11 @@
   void DropExpired(TimePoint aNow);
 
   /// Lowest version from which on the log has no gap.
-  [[nodiscard]] std::int64_t FirstVersion() const { return this->firstVersion; }
+  [[nodiscard]] LogPosition FirstVersion() const { return this->firstVersion; }
 
   /// The changes of this version and above. Inferred ones are always among them: their version is that of the last
   /// record before the end of the full read, and says little about when the endpoint was removed.
-  [[nodiscard]] std::vector<EndpointRecord> ChangesFrom(std::int64_t aVersion) const;
+  [[nodiscard]] std::vector<EndpointRecord> ChangesFrom(LogPosition aVersion) const;
 
 private:
   struct Change
@@ -68,7 +70,7 @@
 
   Milliseconds retention;
   bool isStarted = false;
-  std::int64_t firstVersion = 0;
+  LogPosition firstVersion;
   std::deque<Change> changes; ///< In the order of adding.
 };
 
--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -58,7 +58,7 @@
 }
 
 void
-EndpointReplicator::OnReadCompleted(TimePoint aAsOf, std::int64_t aEndVersion)
+EndpointReplicator::OnReadCompleted(TimePoint aAsOf, LogPosition aEndVersion)
 {
   this->needsRepair = false;
   this->lapses.OnRead(aAsOf);
@@ -79,9 +79,10 @@
 }
 
 void
-EndpointReplicator::AdvanceTo(const AvailabilityInterval& aAnswered, std::int64_t aEndVersion)
+EndpointReplicator::AdvanceTo(const AvailabilityInterval& aAnswered, LogPosition aEndVersion)
 {
   this->endVersion = std::max(this->endVersion.value_or(aEndVersion), aEndVersion);
+  this->sourceEpoch = this->endVersion->epoch;
   this->asOf = std::max(this->asOf.load(), aAnswered.until);
   this->answeredSpan.Add(aAnswered, this->settings.staleAfter);
   this->directory.AddSourceAvailability(
@@ -130,7 +131,7 @@
   // Sending all changes of the last seconds to every receiver would occupy a small host's link for longer than the
   // timeout of a message, so each receiver is sent only what it has not acknowledged. Most have acknowledged the same
   // version, so each distinct message is encoded once
-  std::map<std::int64_t, std::string> encoded;
+  std::map<LogPosition, std::string> encoded;
   for (const PeerAddress& receiver : aReceivers) {
     const auto known = this->acknowledgedVersions.find(receiver.key);
     message.firstVersion = this->changeLog.FirstVersion();
@@ -188,12 +189,13 @@
     return {};
   }
   const AvailabilityInterval answered = this->AnsweredSpanOf(aSender, *message);
-  bool isChange = false;
-  for (const EndpointRecord& entry : message->entries) {
-    isChange = this->HandleRecord(entry, true) || isChange;
-  }
   const bool isPlausible = message->age >= 0 && message->age <= kMaximumSnapshotAge.count();
-  if (isPlausible && this->endVersion && message->firstVersion <= *this->endVersion) {
+  const bool isContinuous = this->endVersion &&
+                            message->endVersion.epoch == this->endVersion->epoch &&
+                            message->firstVersion <= *this->endVersion;
+  const bool isUsable = isContinuous || this->BeginsLaterEpoch(*message);
+  const bool isChange = this->ApplyEntries(*message);
+  if (isPlausible && isUsable) {
     this->AdvanceTo(answered, message->endVersion);
   }
   if (isChange) {
@@ -202,12 +204,44 @@
   this->UpdateGuard();
   this->newestPeerConfiguration =
     std::max(this->newestPeerConfiguration.load(), message->configurationVersion);
-  this->CompareDigest(message->digest);
+  if (!this->endVersion || message->endVersion.epoch == this->endVersion->epoch) {
+    this->CompareDigest(message->digest);
+  }
   if (message->forwardToGroup && this->isAggregator) {
     this->SendUpdates(false);
   }
   return EncodePeerMessage(
-    EndpointUpdateReply{ this->endVersion.has_value(), this->endVersion.value_or(0) });
+    EndpointUpdateReply{ this->endVersion.has_value(), this->endVersion.value_or(LogPosition()) });
+}
+
+bool
+EndpointReplicator::BeginsLaterEpoch(const EndpointUpdateMessage& aMessage) const
+{
+  return this->endVersion && aMessage.endVersion.epoch > this->endVersion->epoch &&
+         aMessage.firstVersion == LogPosition(0, aMessage.endVersion.epoch);
+}
+
+bool
+EndpointReplicator::ApplyEntries(const EndpointUpdateMessage& aMessage)
+{
+  const bool isOtherEpoch =
+    this->endVersion && aMessage.endVersion.epoch != this->endVersion->epoch;
+  if (isOtherEpoch && !this->BeginsLaterEpoch(aMessage)) {
+    return false;
+  }
+  const FleetSnapshotPtr before = this->directory.Snapshot();
+  if (isOtherEpoch) {
+    this->OnSourceRestored(aMessage.endVersion.epoch);
+  }
+  bool isChange = false;
+  for (const EndpointRecord& entry : aMessage.entries) {
+    isChange = this->HandleRecord(entry, true) || isChange;
+  }
+  if (isOtherEpoch) {
+    this->RemoveAllMissing(*before, aMessage.entries, aMessage.endVersion);
+    isChange = std::exchange(this->hasUnpublishedChanges, false) || isChange;
+  }
+  return isChange;
 }
 
 AvailabilityInterval
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -13,6 +13,7 @@
 #include <atomic>
 #include <functional>
 #include <optional>
+#include <span>
 #include <unordered_map>
 
 namespace lagoonward {
@@ -42,7 +43,10 @@
 ///
 /// A snapshot is complete up to a version of the source, and a message contains the changes from a version on: the
 /// receiver acknowledges the version up to which its snapshot is complete, and is sent the changes from there on. A
-/// message that begins beyond that version leaves a gap and does not make the snapshot any younger. Each message also
+/// message that begins beyond that version leaves a gap and does not make the snapshot any younger. Nor does one of
+/// another epoch of the source: after a restore, versions of before say nothing of what is in the source. The daemon that
+/// finds the restore sends all records of the new epoch. Endpoints that are missing in it are held for a while, as they
+/// write again, and ones that had left do not come back by a copy of their record. Each message also
 /// carries the digest of the live endpoints, so that a fault in this protocol is detected, and the version of the
 /// sender's configuration, so that daemons that receive updates need not poll for configurations either.
 ///
@@ -66,12 +70,12 @@
 
   /// All existing records were read from the source.
   /// @param aEndVersion  records of this version and above are not among them
-  void OnFullRead(const std::vector<EndpointRecord>& aRecords, std::int64_t aEndVersion);
+  void OnFullRead(const std::vector<EndpointRecord>& aRecords, LogPosition aEndVersion);
 
   /// The source has answered a read; its records have been passed to the methods above.
   /// @param aAsOf        BootNow() at which the read began: everything acknowledged before then has been passed
   /// @param aEndVersion  all records below this version have been passed
-  void OnReadCompleted(TimePoint aAsOf, std::int64_t aEndVersion);
+  void OnReadCompleted(TimePoint aAsOf, LogPosition aEndVersion);
 
   /// The source has stopped answering, or answers again.
   void OnSourceReachability(bool aAnswers);
@@ -99,6 +103,9 @@
     return this->newestPeerConfiguration;
   }
 
+  /// Epoch of the source that the snapshot is of. Any thread.
+  [[nodiscard]] std::int64_t SourceEpoch() const { return this->sourceEpoch; }
+
   /// Number of records so far that could not be decoded. Any thread.
   [[nodiscard]] std::int64_t RefusedRecords() const { return this->refusedRecords; }
 
@@ -117,21 +124,31 @@
   [[nodiscard]] bool ApplyEntry(EndpointRecord& aRecord, bool aFromPeer);
   [[nodiscard]] bool ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer);
   /// Earliest BootNow() time at which a record of this version can have been written; TimePoint::min() if unknown.
-  [[nodiscard]] TimePoint EarliestWriteOf(std::int64_t aVersion) const;
+  [[nodiscard]] TimePoint EarliestWriteOf(LogPosition aVersion) const;
   /// The same time by Clock::Now(), which EndpointDirectory uses.
   [[nodiscard]] TimePoint ToSteadyTime(TimePoint aBootTime) const;
+  /// The source was restored from an older copy, which the records of the new epoch that follow show.
+  void OnSourceRestored(std::int64_t aEpoch);
+  /// Removes the endpoints of a snapshot that are not part of a full read.
+  void RemoveAllMissing(const FleetSnapshot& aBefore, std::span<const EndpointRecord> aRecords,
+                        LogPosition aEndVersion);
   /// Removes an endpoint that is not part of a full read.
-  void RemoveMissing(const Endpoint& aEndpoint, std::int64_t aEndVersion);
+  void RemoveMissing(const Endpoint& aEndpoint, LogPosition aEndVersion);
   /// Starts the change log after the first full read.
-  void StartChangeLog(std::int64_t aEndVersion);
+  void StartChangeLog(LogPosition aEndVersion);
   [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason);
   /// When the source had answered the sender of a message, by this daemon's BootNow().
   [[nodiscard]] AvailabilityInterval AnsweredSpanOf(PeerKey aSender,
                                                     const EndpointUpdateMessage& aMessage);
+  /// Whether a message contains all records of a later epoch than that of this daemon's snapshot.
+  [[nodiscard]] bool BeginsLaterEpoch(const EndpointUpdateMessage& aMessage) const;
+  /// Applies the entries of a message.
+  /// @return whether the snapshot has changed
+  bool ApplyEntries(const EndpointUpdateMessage& aMessage);
   /// @return the encoded reply
   [[nodiscard]] std::string HandleUpdate(PeerKey aSender, std::string_view aBytes);
   /// The snapshot contains all records below a version, as of the end of a span.
-  void AdvanceTo(const AvailabilityInterval& aAnswered, std::int64_t aEndVersion);
+  void AdvanceTo(const AvailabilityInterval& aAnswered, LogPosition aEndVersion);
   void UpdateGuard();
   void SendUpdates(bool aToOtherGroups);
   void SendUpdatesTo(std::span<const PeerAddress> aReceivers, bool aForwardToGroup);
@@ -164,20 +181,21 @@
   SnapshotGuard guard;
   TimePoint sourceLostUntil =
     TimePoint::min(); ///< BootNow() at the end of the last outage seen here.
-  std::unordered_map<std::string, std::int64_t> versions; ///< Newest known version by endpoint id.
+  std::unordered_map<std::string, LogPosition> versions; ///< Newest known version by endpoint id.
   /// Newest record that is no removal, by endpoint id, for EncodeSnapshot(). Pruned with `versions`.
   std::unordered_map<std::string, EndpointRecord> records;
   bool isSourceLost = false;
   std::size_t snapshotRequests = 0; ///< Sent so far; each goes to another daemon.
   EndpointChangeLog changeLog;      ///< Recent changes to send.
-  std::optional<std::int64_t>
+  std::optional<LogPosition>
     endVersion; ///< The snapshot is complete below this version; empty before the first full read.
+  std::atomic<std::int64_t> sourceEpoch{ 0 };
   std::atomic<TimePoint> asOf{ TimePoint::min() }; ///< BootNow(); see Age().
   /// BootNow() of the first direct read since one was not answered.
   std::optional<TimePoint> ownReadsAnsweredSince;
   AvailabilityInterval
     answeredSpan; ///< BootNow() times at which the source answered any daemon; see EndpointDirectory.
-  std::unordered_map<PeerKey, std::int64_t>
+  std::unordered_map<PeerKey, LogPosition>
     acknowledgedVersions; ///< Version below which each receiver's snapshot is complete.
   std::unordered_map<PeerKey, DelayEstimator> delays; ///< By sender.
   Milliseconds longestStaleAge{ 0 }; ///< Greatest Age() while above staleAfter; zero otherwise.
--- a/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
@@ -29,22 +29,34 @@
            this->ApplyRemoval(aRecord, aFromPeer);
   }
   known->second = aRecord.version;
+  const bool isRestored = aRecord.evidence == RecordEvidence::Restored;
+  // An older copy lists endpoints that have left since. One that lives writes again
+  if (isRestored && !isNew && !this->directory.IsLive(aRecord.id)) {
+    kLog.Event("endpoint_not_restored",
+               { { "endpoint", aRecord.id }, { "version", aRecord.version.offset } });
+    this->changeLog.Add(aRecord, false, this->clock.BootNow());
+    return false;
+  }
   const bool isChange =
     aRecord.removed ? this->ApplyRemoval(aRecord, aFromPeer) : this->ApplyEntry(aRecord, aFromPeer);
   if (!aRecord.removed) {
     this->records[aRecord.id] = aRecord;
+    this->records[aRecord.id].evidence = RecordEvidence::None;
+  }
+  if (isRestored) {
+    aRecord.evidence = RecordEvidence::Restored;
   }
   // Each aggregator forwards records that another has read first, as one of them may not reach all daemons. Whether a
   // removal takes effect at once depends on which daemons saw an outage of the source, so each daemon decides for
   // itself
-  if (isChange || aRecord.removed) {
+  if (isChange || aRecord.removed || isRestored) {
     this->changeLog.Add(aRecord, false, this->clock.BootNow());
   }
   return isChange;
 }
 
 TimePoint
-EndpointReplicator::EarliestWriteOf(std::int64_t aVersion) const
+EndpointReplicator::EarliestWriteOf(LogPosition aVersion) const
 {
   return this->endVersion && aVersion >= *this->endVersion ? this->asOf.load() : TimePoint::min();
 }
@@ -70,7 +82,7 @@
   const RemovalOutcome outcome = this->directory.OnRemoved(aRecord.id, removal);
   if (outcome != RemovalOutcome::Ignored) {
     kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
-                                     { "version", aRecord.version },
+                                     { "version", aRecord.version.offset },
                                      { "from_peer", aFromPeer },
                                      { "may_have_lapsed", removal.mayHaveLapsed },
                                      { "held", outcome == RemovalOutcome::Held } });
@@ -99,14 +111,14 @@
   if (outcome == EntryOutcome::Unchanged) {
     if (wasRemoved) {
       kLog.Event("endpoint_not_returned",
-                 { { "endpoint", aRecord.id }, { "version", aRecord.version } });
+                 { { "endpoint", aRecord.id }, { "version", aRecord.version.offset } });
     }
     return false;
   }
   aRecord.evidence =
     outcome == EntryOutcome::Returned ? RecordEvidence::Returned : RecordEvidence::None;
   kLog.Event("endpoint", { { "endpoint", aRecord.id },
-                           { "version", aRecord.version },
+                           { "version", aRecord.version.offset },
                            { "from_peer", aFromPeer },
                            { "service", service },
                            { "software", software },
@@ -137,16 +149,49 @@
 }
 
 void
-EndpointReplicator::OnFullRead(const std::vector<EndpointRecord>& aRecords,
-                               std::int64_t aEndVersion)
+EndpointReplicator::OnFullRead(const std::vector<EndpointRecord>& aRecords, LogPosition aEndVersion)
 {
   const FleetSnapshotPtr before = this->directory.Snapshot();
+  const bool isRestored = this->endVersion && aEndVersion.epoch > this->endVersion->epoch;
+  if (isRestored) {
+    this->OnSourceRestored(aEndVersion.epoch);
+  }
+  for (EndpointRecord record : aRecords) {
+    record.evidence = isRestored ? RecordEvidence::Restored : record.evidence;
+    const bool isChange = this->HandleRecord(std::move(record), false);
+    this->hasUnpublishedChanges = isChange || this->hasUnpublishedChanges;
+  }
+  this->RemoveAllMissing(*before, aRecords, aEndVersion);
+  if (!this->endVersion) {
+    this->StartChangeLog(aEndVersion);
+  }
+  kLog.Event("endpoints",
+             { { "count", aRecords.size() }, { "changed", this->hasUnpublishedChanges } });
+}
+
+void
+EndpointReplicator::OnSourceRestored(std::int64_t aEpoch)
+{
+  kLog.Event(LogLevel::Warning, "endpoints_restored",
+             { { "epoch", aEpoch },
+               { "epoch_before", this->endVersion->epoch },
+               { "end_before", this->endVersion->offset } });
+  this->lapses.OnOutage();
+  this->directory.OnSourceRestored();
+  // The log is to contain all records of the new epoch, so that other daemons need not read them
+  this->changeLog.StartAt({ 0, aEpoch });
+}
+
+void
+EndpointReplicator::RemoveAllMissing(const FleetSnapshot& aBefore,
+                                     std::span<const EndpointRecord> aRecords,
+                                     LogPosition aEndVersion)
+{
   std::unordered_set<std::string_view> present;
   for (const EndpointRecord& record : aRecords) {
     present.insert(record.id);
-    this->hasUnpublishedChanges = this->HandleRecord(record, false) || this->hasUnpublishedChanges;
   }
-  for (const Endpoint& endpoint : before->endpoints) {
+  for (const Endpoint& endpoint : aBefore.endpoints) {
     // Records of newer versions, received since the read, are not part of it
     const auto version = this->versions.find(endpoint.id);
     const bool isNewer = version != this->versions.end() && version->second >= aEndVersion;
@@ -154,17 +199,13 @@
       this->RemoveMissing(endpoint, aEndVersion);
     }
   }
-  if (!this->endVersion) {
-    this->StartChangeLog(aEndVersion);
-  }
-  kLog.Event("endpoints",
-             { { "count", aRecords.size() }, { "changed", this->hasUnpublishedChanges } });
 }
 
 void
-EndpointReplicator::RemoveMissing(const Endpoint& aEndpoint, std::int64_t aEndVersion)
+EndpointReplicator::RemoveMissing(const Endpoint& aEndpoint, LogPosition aEndVersion)
 {
-  EndpointRecord removal{ aEndpoint.id, {}, aEndVersion - 1, true };
+  const LogPosition lastVersion(aEndVersion.offset - 1, aEndVersion.epoch);
+  EndpointRecord removal{ aEndpoint.id, {}, lastVersion, true };
   this->hasUnpublishedChanges = this->ApplyRemoval(removal, false) || this->hasUnpublishedChanges;
   if (aEndpoint.state != EndpointState::Leaving) {
     this->changeLog.Add(removal, true, this->clock.BootNow());
@@ -172,12 +213,12 @@
 }
 
 void
-EndpointReplicator::StartChangeLog(std::int64_t aEndVersion)
+EndpointReplicator::StartChangeLog(LogPosition aEndVersion)
 {
   // Records received before the first full read were not added to the change log
-  std::int64_t firstVersion = aEndVersion;
+  LogPosition firstVersion = aEndVersion;
   for (const auto& [id, version] : this->versions) {
-    firstVersion = std::max(firstVersion, version + 1);
+    firstVersion = std::max(firstVersion, version.Next());
   }
   this->changeLog.StartAt(firstVersion);
   this->endVersion = aEndVersion;
--- a/Lagoonward/Daemon/EndpointUpdateMessages.h
+++ b/Lagoonward/Daemon/EndpointUpdateMessages.h
@@ -15,9 +15,9 @@
   std::int64_t age = 0;        ///< Of the sender's snapshot, in milliseconds.
   std::int64_t answeredFor =
     0; ///< Length of the span up to then in which the source had answered, in milliseconds.
-  std::int64_t firstVersion = 0; ///< The entries contain all changes of this version and above.
-  std::int64_t endVersion = 0;   ///< The sender's snapshot is complete below this version.
-  std::uint64_t digest = 0;      ///< Of the live endpoints in the sender's snapshot.
+  LogPosition firstVersion; ///< The entries contain all changes of this version and above.
+  LogPosition endVersion;   ///< The sender's snapshot is complete below this version.
+  std::uint64_t digest = 0; ///< Of the live endpoints in the sender's snapshot.
   std::int64_t configurationVersion = 0; ///< In force at the sender.
   std::vector<EndpointRecord> entries;
 
@@ -33,7 +33,7 @@
 struct EndpointUpdateReply
 {
   bool hasFullSnapshot = false; ///< Whether the receiver has completed a full read.
-  std::int64_t endVersion = 0;  ///< Its snapshot is complete below this version.
+  LogPosition endVersion;       ///< Its snapshot is complete below this version.
 
   template<class Archive>
   void serialize(Archive& aArchive)
--- a/Lagoonward/Daemon/LeaseFollower.cpp
+++ b/Lagoonward/Daemon/LeaseFollower.cpp
@@ -85,20 +85,21 @@
 bool
 LeaseFollower::Append(const std::string& aRecord)
 {
-  const auto offset = this->log.Append(this->stream, aRecord);
-  if (!offset) {
+  const auto position = this->log.Append(this->stream, aRecord);
+  if (!position) {
     kLog.Debug("Market {}: no response to an append to the lease stream; reads it back.",
                this->market);
     return false;
   }
   const std::lock_guard lock(this->mutex);
-  if (offset.value() != this->leaseManager->NextOffset()) {
+  const Offset offset = position.value().offset;
+  if (offset != this->leaseManager->NextOffset()) {
     return false;
   }
   LogPage page;
-  page.start = offset.value();
-  page.end = offset.value() + 1;
-  page.records.push_back({ offset.value(), aRecord });
+  page.start = offset;
+  page.end = offset + 1;
+  page.records.push_back({ offset, aRecord });
   this->ApplyPage(page);
   return true;
 }
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -425,7 +425,7 @@
 }
 
 void
-RelayDaemon::OnEndpointFullRead(std::vector<EndpointRecord> aRecords, std::int64_t aEndVersion)
+RelayDaemon::OnEndpointFullRead(std::vector<EndpointRecord> aRecords, LogPosition aEndVersion)
 {
   this->membership->Loop().Post([this, records = std::move(aRecords), aEndVersion] {
     this->endpointReplicator->OnFullRead(records, aEndVersion);
@@ -437,7 +437,7 @@
 }
 
 void
-RelayDaemon::OnEndpointReadCompleted(TimePoint aAsOf, std::int64_t aEndVersion)
+RelayDaemon::OnEndpointReadCompleted(TimePoint aAsOf, LogPosition aEndVersion)
 {
   this->membership->Loop().Post(
     [this, aAsOf, aEndVersion] { this->endpointReplicator->OnReadCompleted(aAsOf, aEndVersion); });
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -51,11 +51,11 @@
   /// A record of an endpoint was read. See EndpointReplicator for this and the next three.
   void OnEndpointRecord(EndpointRecord aRecord);
   /// All existing records of endpoints were read.
-  void OnEndpointFullRead(std::vector<EndpointRecord> aRecords, std::int64_t aEndVersion);
+  void OnEndpointFullRead(std::vector<EndpointRecord> aRecords, LogPosition aEndVersion);
   /// The endpoints' source has answered a read.
   /// @param aAsOf        BootNow() at which the read began
   /// @param aEndVersion  all records below this version have been passed
-  void OnEndpointReadCompleted(TimePoint aAsOf, std::int64_t aEndVersion);
+  void OnEndpointReadCompleted(TimePoint aAsOf, LogPosition aEndVersion);
   /// The endpoints' source has stopped answering, or answers again.
   void OnEndpointSourceReachability(bool aAnswers);
   /// Interval between two reads of the endpoints' records in the current state.
--- a/Lagoonward/Daemon/UsageReporter.cpp
+++ b/Lagoonward/Daemon/UsageReporter.cpp
@@ -87,15 +87,15 @@
   record.window = aWindow;
   record.counts = this->ports.countsOf(aWindow);
   const std::string text = WriteUsageRecord(record);
-  const auto offset = this->ports.log->Append(this->ports.stream, text);
-  if (offset && offset.value() == this->ledger.NextOffset()) {
+  const auto position = this->ports.log->Append(this->ports.stream, text);
+  if (position && position.value().offset == this->ledger.NextOffset()) {
     // The record directly follows the last one read, so no other one precedes it and it need not be read back
-    this->ledger.Apply(offset.value(), text);
+    this->ledger.Apply(position.value().offset, text);
     return true;
   }
   // The first record in the log is authoritative, whether or not this append succeeded, so the log is read again
   this->isLedgerCurrent = false;
-  if (!offset) {
+  if (!position) {
     kLog.Event(LogLevel::Warning, "usage_append_unanswered", { { "window", aWindow } });
   }
   this->isLedgerCurrent = this->ReadLog();
--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -60,24 +60,29 @@
   return endedForOthers ? std::min(end, this->availability.since) : end;
 }
 
-bool
-EndpointDirectory::IsNearOutage() const
+std::optional<TimePoint>
+EndpointDirectory::LastDisturbance() const
 {
-  if (!this->outageStart || this->WasAvailableToOthers()) {
-    return false;
+  std::optional<TimePoint> last = this->restoredAt;
+  if (this->outageStart && !this->WasAvailableToOthers()) {
+    last = std::max(last.value_or(TimePoint::min()), this->OutageEnd());
   }
-  const TimePoint end = this->OutageEnd();
-  return end == TimePoint::max() || this->clock.Now() < end + this->settings.returnGrace;
+  return last;
 }
 
 bool
 EndpointDirectory::MustHold(const Hold& aHold) const
 {
-  if (!this->IsNearOutage()) {
+  const std::optional<TimePoint> disturbance = this->LastDisturbance();
+  if (!disturbance) {
     return false;
   }
-  const bool isAfterOutage = aHold.notBefore >= this->OutageEnd();
-  return !isAfterOutage || this->clock.Now() < aHold.notBefore + this->settings.maximumHold;
+  const TimePoint now = this->clock.Now();
+  if (*disturbance != TimePoint::max() && now >= *disturbance + this->settings.returnGrace) {
+    return false;
+  }
+  const bool isAfter = aHold.notBefore >= *disturbance;
+  return !isAfter || now < aHold.notBefore + this->settings.maximumHold;
 }
 
 bool
@@ -136,6 +141,12 @@
   this->sourceAvailable = aAvailable;
 }
 
+void
+EndpointDirectory::OnSourceRestored()
+{
+  this->restoredAt = this->clock.Now();
+}
+
 std::vector<EndedHold>
 EndpointDirectory::ApplyHeldRemovals()
 {
@@ -169,6 +180,13 @@
   return found != this->entries.end() && found->second.removedAt.has_value();
 }
 
+bool
+EndpointDirectory::IsLive(const std::string& aId) const
+{
+  const auto found = this->entries.find(aId);
+  return found != this->entries.end() && !found->second.removedAt;
+}
+
 FleetSnapshotPtr
 EndpointDirectory::Snapshot()
 {
--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -91,6 +91,9 @@
   /// Sets whether the source responds.
   void SetSourceAvailable(bool aAvailable);
 
+  /// The source was restored from an older copy: entries that are missing are written again, and are kept until then.
+  void OnSourceRestored();
+
   /// Adds an interval during which this host or another one observed that the source responded.
   void AddSourceAvailability(const AvailabilityInterval& aSpan);
 
@@ -105,6 +108,9 @@
   /// Whether the entry of an endpoint was removed, and the removal has taken effect.
   [[nodiscard]] bool IsRemoved(const std::string& aId) const;
 
+  /// Whether an endpoint has an entry that is not removed, whatever the entry says.
+  [[nodiscard]] bool IsLive(const std::string& aId) const;
+
   /// The endpoints, in the order of their ids.
   [[nodiscard]] FleetSnapshotPtr Snapshot();
 
@@ -126,9 +132,11 @@
     bool unreadable = false;
   };
 
-  [[nodiscard]] bool IsNearOutage() const;
   /// End of the last outage as far as any host knows; TimePoint::max() while it lasts. Only after an outage.
   [[nodiscard]] TimePoint OutageEnd() const;
+  /// When the source had the last event in which entries of live endpoints may have vanished: the end of an outage, or a
+  /// restore.
+  [[nodiscard]] std::optional<TimePoint> LastDisturbance() const;
   [[nodiscard]] bool MustHold(const Hold& aHold) const;
   /// Whether the source responded to other hosts during this host's last outage.
   [[nodiscard]] bool WasAvailableToOthers() const;
@@ -139,6 +147,7 @@
   bool sourceAvailable = true;
   std::optional<TimePoint> outageStart; ///< Start of the last outage.
   std::optional<TimePoint> outageEnd;   ///< End of the last outage.
+  std::optional<TimePoint> restoredAt;  ///< When the last restore of the source was found.
   AvailabilityInterval availability;    ///< Merged from the observations of all hosts.
   std::uint64_t generation = 0;
 };
--- a/Lagoonward/Providers/HttpLogService.cpp
+++ b/Lagoonward/Providers/HttpLogService.cpp
@@ -46,7 +46,7 @@
 {
 }
 
-Result<Offset>
+Result<LogPosition>
 HttpLogService::Append(std::string_view aStream, std::string_view aRecord)
 {
   PlatformCall call;
@@ -58,7 +58,7 @@
     return response.error();
   }
   return DecodeResponse(response.value(), [](JsonReader& aReader) {
-    return Offset{ aReader.ReadInteger("offset", kPlatformIntegers) };
+    return LogPosition(aReader.ReadInteger("offset", kPlatformIntegers));
   });
 }
 
--- a/Lagoonward/Providers/HttpLogService.h
+++ b/Lagoonward/Providers/HttpLogService.h
@@ -11,7 +11,8 @@
 public:
   HttpLogService(std::string aBaseUrl, PlatformSettings aSettings);
 
-  [[nodiscard]] Result<Offset> Append(std::string_view aStream, std::string_view aRecord) override;
+  [[nodiscard]] Result<LogPosition> Append(std::string_view aStream,
+                                           std::string_view aRecord) override;
   [[nodiscard]] Result<LogPage> Read(std::string_view aStream, Offset aFrom, int aLimit,
                                      Milliseconds aWait) override;
   void Interrupt() override;
--- a/Lagoonward/Providers/PlatformHttpClient.cpp
+++ b/Lagoonward/Providers/PlatformHttpClient.cpp
@@ -136,6 +136,16 @@
   return headers;
 }
 
+/// @return the value of a header of the response; empty if there is none
+std::string
+ReadHeader(CURL* aHandle, const std::string& aName)
+{
+  curl_header* header = nullptr;
+  const bool isFound = !aName.empty() && curl_easy_header(aHandle, aName.c_str(), 0, CURLH_HEADER,
+                                                          -1, &header) == CURLHE_OK;
+  return isFound ? std::string(header->value) : std::string();
+}
+
 } // namespace
 
 PlatformHttpClient::PlatformHttpClient(std::string aBaseUrl, PlatformSettings aSettings)
@@ -192,8 +202,9 @@
     this->ReleaseHandle(std::move(handle));
     return error;
   }
+  std::string header = ReadHeader(easy, aCall.responseHeader);
   this->ReleaseHandle(std::move(handle));
-  return PlatformResponse{ static_cast<int>(status), std::move(transfer.body) };
+  return PlatformResponse{ static_cast<int>(status), std::move(transfer.body), std::move(header) };
 }
 
 CURLcode
--- a/Lagoonward/Providers/PlatformHttpClient.h
+++ b/Lagoonward/Providers/PlatformHttpClient.h
@@ -22,7 +22,9 @@
   std::string body;                 ///< Sent only with POST.
   std::vector<std::string> headers; ///< Additional header lines, `Name: value`.
   Milliseconds wait{ 0 };           ///< Time for which the service may delay its response.
-  bool discardsBody = false;        ///< Aborts the call once the status is received.
+  std::string
+    responseHeader; ///< Name of the header of the response that is returned; empty for none.
+  bool discardsBody = false; ///< Aborts the call once the status is received.
   std::string
     expectedErrorKind; ///< Error kind that is a valid response also with status 503; may be empty.
 };
@@ -32,6 +34,7 @@
 {
   int status = 0;
   std::string body;
+  std::string header; ///< Value of PlatformCall::responseHeader; empty if the response lacks it.
 };
 
 /// Blocking HTTP client for one base URL. Reuses connections. When a call gets no response, all idle connections are
--- a/Lagoonward/Providers/PlatformInterfaces.h
+++ b/Lagoonward/Providers/PlatformInterfaces.h
@@ -20,8 +20,9 @@
 /// A range of records of a log stream.
 struct LogPage
 {
-  Offset start = 0; ///< Oldest offset that is retained.
-  Offset end = 0;   ///< Offset of the next record to be appended.
+  Offset start = 0;       ///< Oldest offset that is retained.
+  Offset end = 0;         ///< Offset of the next record to be appended.
+  std::int64_t epoch = 0; ///< Of the log, see LogPosition.
   std::vector<LogRecord> records;
 };
 
@@ -33,9 +34,9 @@
   virtual ~LogService() = default;
 
   /// Appends one record.
-  /// @return the record's offset
-  [[nodiscard]] virtual Result<Offset> Append(std::string_view aStream,
-                                              std::string_view aRecord) = 0;
+  /// @return the record's position
+  [[nodiscard]] virtual Result<LogPosition> Append(std::string_view aStream,
+                                                   std::string_view aRecord) = 0;
 
   /// Reads up to aLimit records starting at aFrom. Waits up to aWait for the first record.
   [[nodiscard]] virtual Result<LogPage> Read(std::string_view aStream, Offset aFrom, int aLimit,
--- a/UnitTests/Cli/PublishCommandTests.cpp
+++ b/UnitTests/Cli/PublishCommandTests.cpp
@@ -44,7 +44,7 @@
   const std::string stream = aRequest.path.substr(std::string("/streams/").size());
   if (aRequest.method == "POST") {
     const auto offset = aLog.Append(stream, aRequest.body);
-    return { 200, nlohmann::json{ { "offset", offset.value() } }.dump(), {} };
+    return { 200, nlohmann::json{ { "offset", offset.value().offset } }.dump(), {} };
   }
   const auto page = aLog.Read(stream, std::stoll(aRequest.query.at("from")),
                               std::stoi(aRequest.query.at("limit")), Milliseconds(0));
--- a/UnitTests/Configuration/MarketIndexTests.cpp
+++ b/UnitTests/Configuration/MarketIndexTests.cpp
@@ -13,13 +13,13 @@
 class MemoryLog final : public LogService
 {
 public:
-  Result<Offset> Append(std::string_view, std::string_view aRecord) override
+  Result<LogPosition> Append(std::string_view, std::string_view aRecord) override
   {
     if (this->unavailable) {
       return Error(ErrorKind::PlatformUnavailable, "away");
     }
     this->records.emplace_back(aRecord);
-    return static_cast<Offset>(this->records.size()) - 1;
+    return LogPosition(static_cast<Offset>(this->records.size()) - 1);
   }
 
   Result<LogPage> Read(std::string_view, Offset aFrom, int, Milliseconds) override
--- a/UnitTests/Daemon/EndpointReplicatorTests.cpp
+++ b/UnitTests/Daemon/EndpointReplicatorTests.cpp
@@ -73,14 +73,14 @@
   }
 
   /// The source answers a read that began now.
-  void CompleteRead(std::int64_t aEndVersion)
+  void CompleteRead(LogPosition aEndVersion)
   {
     this->RunOnControlThread(
       [&] { this->replicator.OnReadCompleted(this->clock.BootNow(), aEndVersion); });
   }
 
   /// The source answers a full read that began now.
-  void CompleteFullRead(const std::vector<EndpointRecord>& aRecords, std::int64_t aEndVersion)
+  void CompleteFullRead(const std::vector<EndpointRecord>& aRecords, LogPosition aEndVersion)
   {
     this->RunOnControlThread([&] {
       this->replicator.OnFullRead(aRecords, aEndVersion);
@@ -204,7 +204,7 @@
   aDaemon.RunOnControlThread([&] {
     aDaemon.replicator.OnFullRead({}, 0);
     aDaemon.replicator.OnRecord(aRecord);
-    aDaemon.replicator.OnReadCompleted(aDaemon.clock.BootNow(), aRecord.version + 1);
+    aDaemon.replicator.OnReadCompleted(aDaemon.clock.BootNow(), aRecord.version.Next());
   });
 }
 
@@ -214,7 +214,7 @@
 {
   aDaemon.RunOnControlThread([&] {
     aDaemon.replicator.OnRecord(aRecord);
-    aDaemon.replicator.OnReadCompleted(aDaemon.clock.BootNow(), aRecord.version + 1);
+    aDaemon.replicator.OnReadCompleted(aDaemon.clock.BootNow(), aRecord.version.Next());
   });
 }
 
@@ -681,6 +681,63 @@
 }
 
 /// An endpoint that existed when the reader's change log began is not part of its updates.
+// Guards against requests to endpoints that have left: after a restore of the source, records of versions that were given
+// out again were taken for older ones.
+BOOST_AUTO_TEST_CASE(RecordsOfARestoredSourceReachEveryDaemon)
+{
+  Daemon& reader = this->PrimaryReader();
+  const std::vector<EndpointRecord> all{ { "a", "live", 40 },
+                                         { "b", "live", 45 },
+                                         { "c", "live", 47 } };
+  for (const auto& daemon : this->daemons) {
+    daemon->CompleteFullRead(all, 50);
+  }
+  reader.RunOnControlThread([&] { reader.replicator.OnRecord({ "b", {}, 50, true }); });
+  reader.CompleteRead(51);
+  BOOST_TEST(this->Eventually([this] {
+    return std::all_of(this->daemons.begin(), this->daemons.end(), [](const auto& aDaemon) {
+      return aDaemon->StateOf("b") == EndpointState::Leaving;
+    });
+  }));
+
+  // The copy lists an endpoint that has left, and lacks one that lives
+  const std::vector<EndpointRecord> copied{ { "a", "live", { 20, 1 } },
+                                            { "b", "live", { 21, 1 } } };
+  reader.CompleteFullRead(copied, { 22, 1 });
+  BOOST_TEST(this->Eventually([this] {
+    return std::all_of(this->daemons.begin(), this->daemons.end(),
+                       [](const auto& aDaemon) { return aDaemon->replicator.SourceEpoch() == 1; });
+  }));
+  for (const auto& daemon : this->daemons) {
+    BOOST_TEST((daemon->StateOf("b") == EndpointState::Leaving));
+    BOOST_TEST((daemon->StateOf("c") == EndpointState::Live));
+  }
+
+  // Its version was that of another record before
+  reader.RunOnControlThread([&] { reader.replicator.OnRecord({ "a", "leaving", { 22, 1 } }); });
+  reader.CompleteRead({ 23, 1 });
+  BOOST_TEST(this->Eventually([this] {
+    return std::all_of(this->daemons.begin(), this->daemons.end(), [](const auto& aDaemon) {
+      return aDaemon->StateOf("a") == EndpointState::Leaving;
+    });
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(UpdatesOfAnEarlierEpochDoNotMakeASnapshotYounger)
+{
+  Daemon& reader = *this->FirstDomainDaemons().front();
+  Daemon& listener = *this->FirstDomainDaemons(false).front();
+  reader.CompleteFullRead({ { "a", "live", 40 } }, 50);
+  listener.CompleteFullRead({ { "a", "live", { 20, 1 } } }, { 22, 1 });
+  std::this_thread::sleep_for(Milliseconds(300));
+  reader.RunOnControlThread([&] { reader.replicator.OnRecord({ "a", "leaving", 50 }); });
+  reader.CompleteRead(51);
+  std::this_thread::sleep_for(Milliseconds(100));
+  BOOST_TEST((listener.StateOf("a") == EndpointState::Live));
+  BOOST_TEST((listener.replicator.Age() >= Milliseconds(400)));
+  BOOST_TEST(listener.replicator.SourceEpoch() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AMissedRecordIsDetectedByTheDigest)
 {
   Daemon& reader = *this->FirstDomainDaemons().front();
--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -278,6 +278,27 @@
   BOOST_TEST(Tick(directory));
 }
 
+BOOST_AUTO_TEST_CASE(EntriesMissingAfterARestoreAreKeptUntilTheyCanBeWrittenAgain)
+{
+  VirtualClock clock;
+  clock.Advance(Seconds(60));
+  EndpointDirectorySettings settings;
+  EndpointDirectory directory(settings, clock);
+  directory.OnEntry(MakeEndpoint("stays"));
+  directory.OnEntry(MakeEndpoint("goes"));
+  // No host has seen an outage
+  directory.AddSourceAvailability({ clock.Now() - Seconds(10), clock.Now() });
+  directory.OnSourceRestored();
+  BOOST_TEST(!RemoveAll(directory));
+  directory.OnEntry(MakeEndpoint("stays"));
+  clock.Advance(settings.returnGrace);
+  BOOST_TEST(Tick(directory));
+  BOOST_TEST(directory.IsRemoved("goes"));
+  BOOST_TEST(directory.IsLive("stays"));
+  // Later removals are no matter of the restore
+  BOOST_TEST(Remove(directory, "stays"));
+}
+
 BOOST_AUTO_TEST_CASE(EndpointThatLeftIsLiveAfterSeveralRecordsOrOfAnotherHostsEvidence)
 {
   VirtualClock clock;
--- a/UnitTests/Providers/HttpServicesTests.cpp
+++ b/UnitTests/Providers/HttpServicesTests.cpp
@@ -98,7 +98,7 @@
 {
   FixedServer fixed({ 200, R"({"offset":7})", {} });
   HttpLogService log(fixed.server.Url() + "/", ShortTimeoutSettings());
-  BOOST_TEST(log.Append("config/v 1", "{\"x\":1}").value() == 7);
+  BOOST_TEST(log.Append("config/v 1", "{\"x\":1}").value().offset == 7);
   BOOST_TEST(fixed.last.method == "POST");
   BOOST_TEST(fixed.last.path == "/streams/config/v 1");
   BOOST_TEST(fixed.last.body == "{\"x\":1}");
--- a/UnitTests/Support/FakeLogService.cpp
+++ b/UnitTests/Support/FakeLogService.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-Result<Offset>
+Result<LogPosition>
 FakeLogService::Append(std::string_view aStream, std::string_view aRecord)
 {
   const std::lock_guard lock(this->mutex);
--- a/UnitTests/Support/FakeLogService.h
+++ b/UnitTests/Support/FakeLogService.h
@@ -21,7 +21,8 @@
     Late,       ///< Fails; the record is stored at the next StoreLateAppends().
   };
 
-  [[nodiscard]] Result<Offset> Append(std::string_view aStream, std::string_view aRecord) override;
+  [[nodiscard]] Result<LogPosition> Append(std::string_view aStream,
+                                           std::string_view aRecord) override;
   [[nodiscard]] Result<LogPage> Read(std::string_view aStream, Offset aFrom, int aLimit,
                                      Milliseconds aWait) override;
 
