A refused call of the store is no outage while reads are answered in between

Cause: a removal was held after any outage that this daemon saw, unless others had seen answers to the very end of it, which the time of the answered read (its start) never shows; each further refusal moved the end. Entries cannot lapse within the shortest outage. Mend: an outage counts only if no read of any daemon was answered for longer than that; answered times of one daemon are merged over the same gap. So a hold is bounded by the last real outage.

--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -84,7 +84,7 @@
   this->endVersion = std::max(this->endVersion.value_or(aEndVersion), aEndVersion);
   this->sourceEpoch = this->endVersion->epoch;
   this->asOf = std::max(this->asOf.load(), aAnswered.until);
-  this->answeredSpan.Add(aAnswered, this->settings.staleAfter);
+  this->answeredSpan.Add(aAnswered, this->settings.directory.shortestOutage);
   this->directory.AddSourceAvailability(
     { this->ToSteadyTime(this->answeredSpan.since), this->ToSteadyTime(this->answeredSpan.until) });
 }
--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -64,7 +64,7 @@
 EndpointDirectory::LastDisturbance() const
 {
   std::optional<TimePoint> last = this->restoredAt;
-  if (this->outageStart && !this->WasAvailableToOthers()) {
+  if (this->outageStart && !this->WasAnswering()) {
     last = std::max(last.value_or(TimePoint::min()), this->OutageEnd());
   }
   return last;
@@ -86,17 +86,17 @@
 }
 
 bool
-EndpointDirectory::WasAvailableToOthers() const
+EndpointDirectory::WasAnswering() const
 {
   // Entries of live endpoints expire only if the source itself is unavailable. If a removal were delayed because only
   // this host cannot reach the source, it would take effect too late: leaving endpoints must be known sooner
   if (!this->outageStart) {
     return false;
   }
-  const TimePoint latestObservable = this->clock.Now() - this->settings.shortestOutage;
-  const TimePoint until =
-    this->sourceAvailable ? *this->outageEnd : std::max(*this->outageStart, latestObservable);
-  return this->availability.Covers(*this->outageStart - this->settings.shortestOutage, until);
+  // Nor do they expire while the source does not answer for less than the shortest outage, as when it refuses a call
+  const TimePoint end = this->sourceAvailable ? *this->outageEnd : this->clock.Now();
+  return this->availability.Covers(*this->outageStart - this->settings.shortestOutage,
+                                   end - this->settings.shortestOutage);
 }
 
 void
--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -138,8 +138,9 @@
   /// restore.
   [[nodiscard]] std::optional<TimePoint> LastDisturbance() const;
   [[nodiscard]] bool MustHold(const Hold& aHold) const;
-  /// Whether the source responded to other hosts during this host's last outage.
-  [[nodiscard]] bool WasAvailableToOthers() const;
+  /// Whether the source responded to this host or to others throughout this host's last outage, but for pauses that are
+  /// shorter than the shortest outage.
+  [[nodiscard]] bool WasAnswering() const;
 
   EndpointDirectorySettings settings;
   const Clock& clock;
--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -259,6 +259,26 @@
   BOOST_TEST(directory.ApplyHeldRemovals().size() == 1U);
 }
 
+// Guards against requests that reach an endpoint later than allowed after it left: each call that the store refused counted
+// as an outage, and each further one moved the end of all holds.
+BOOST_AUTO_TEST_CASE(RefusedCallsAreNoOutageWhileOthersAreAnswered)
+{
+  VirtualClock clock;
+  clock.Advance(Seconds(60));
+  EndpointDirectory directory({}, clock);
+  directory.OnEntry(MakeEndpoint("a"));
+  const TimePoint testStart = clock.Now();
+  for (int refusal = 0; refusal < 5; ++refusal) {
+    clock.Advance(Milliseconds(400));
+    directory.AddSourceAvailability({ testStart - Seconds(10), clock.Now() });
+    clock.Advance(Milliseconds(400));
+    directory.SetSourceAvailable(false);
+    clock.Advance(Milliseconds(250));
+    directory.SetSourceAvailable(true);
+  }
+  BOOST_TEST(Remove(directory, "a"));
+}
+
 /// A host that retries at long intervals notices the end of an outage later than others.
 BOOST_AUTO_TEST_CASE(OutageEndsWhenTheFirstHostSeesTheSourceAgain)
 {
