A stream of unknown origin goes on at the only version only if none other ran for as long as streams are taken up

Cause: a daemon said that there is one version once it had known the endpoints for the route's timeout, which bounds one try and not a caller's tries together, and streams begun before the kill are older than anything it can have seen. Class: a claim to know more than was seen. Mend: the time is that for which origins are kept, 60 s, whatever the timeout.

--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -68,6 +68,12 @@
   /// Whether this daemon is the primary reader, which reads the sources for all daemons.
   [[nodiscard]] bool IsPrimaryReader() const;
 
+  /// Epoch of the endpoints' source, as far as it is known here.
+  [[nodiscard]] std::int64_t SourceEpoch() const { return this->endpointReplicator->SourceEpoch(); }
+
+  /// Software versions of the endpoints that streams may be of, to be recorded outside and to be read by later runs.
+  [[nodiscard]] SoftwareVersionHistory& SoftwareVersions() { return this->versions; }
+
   /// Whether other daemons send the configurations, so that this one need not poll for them. To be called by one
   /// thread.
   [[nodiscard]] bool ReceivesConfigurationsFromPeers();
--- a/Lagoonward/Fleet/SoftwareVersionHistory.cpp
+++ b/Lagoonward/Fleet/SoftwareVersionHistory.cpp
@@ -52,6 +52,58 @@
   this->asOf = std::max(this->asOf.value_or(aAsOf), aAsOf);
 }
 
+void
+SoftwareVersionHistory::OnRecorded(const VersionsByService& aRecorded, TimePoint aReadAt)
+{
+  const TimePoint now = this->clock.BootNow();
+  const std::lock_guard lock(this->mutex);
+  for (const auto& [service, versions] : aRecorded) {
+    for (const std::string& version : versions) {
+      const auto [seen, isNew] = this->lastSeen[service].try_emplace(version, now);
+      seen->second = std::max(seen->second, now);
+    }
+  }
+  this->recordReadAt = aReadAt;
+}
+
+bool
+SoftwareVersionHistory::IsRecordUpToDate() const
+{
+  return this->recordReadAt && *this->recordReadAt >= this->knownSince;
+}
+
+bool
+SoftwareVersionHistory::IsCurrent(TimePoint aNow) const
+{
+  return this->asOf && aNow - *this->asOf <= kLongestPause;
+}
+
+bool
+SoftwareVersionHistory::NeedsRecord()
+{
+  const std::lock_guard lock(this->mutex);
+  return this->IsCurrent(this->clock.BootNow()) && !this->IsRecordUpToDate();
+}
+
+std::optional<VersionsByService>
+SoftwareVersionHistory::AllVersions(Milliseconds aDuring)
+{
+  const TimePoint now = this->clock.BootNow();
+  const std::lock_guard lock(this->mutex);
+  if (!this->IsCurrent(now) || !this->IsRecordUpToDate()) {
+    return std::nullopt;
+  }
+  VersionsByService all;
+  for (const auto& [service, versions] : this->lastSeen) {
+    for (const auto& [version, seenAt] : versions) {
+      if (seenAt >= now - aDuring) {
+        all[service].insert(version);
+      }
+    }
+  }
+  return all;
+}
+
 bool
 SoftwareVersionHistory::IsCurrentAsOf(TimePoint aTime)
 {
@@ -66,7 +118,8 @@
   const TimePoint begin = now - aDuring;
   const std::lock_guard lock(this->mutex);
   ServiceVersions result;
-  result.isComplete = this->asOf && this->knownSince <= begin && now - *this->asOf <= kLongestPause;
+  result.isComplete =
+    this->IsCurrent(now) && (this->knownSince <= begin || this->IsRecordUpToDate());
   const auto found = this->lastSeen.find(aService);
   if (found == this->lastSeen.end()) {
     return result;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -131,8 +131,6 @@
   void OnOriginReply(const StreamOriginReply& aReply);
   /// Continues a stream whose origin is not recorded if a current snapshot shows that only this version can have begun it.
   void ContinueAtSoleVersion(const std::string& aVersion, TimePoint aAskedAt);
-  /// Bounds the age of a stream whose origin is not recorded.
-  [[nodiscard]] Milliseconds MaximumStreamAge() const;
   void ContinueFrom(const StreamOrigin& aOrigin, ResumptionOutcome aOutcome);
   void RefuseUnknownOrigin();
   /// Records what wrote the stream's events, from the first one on and from time to time.
--- a/Lagoonward/Relay/RelayRunOrigin.cpp
+++ b/Lagoonward/Relay/RelayRunOrigin.cpp
@@ -26,16 +26,9 @@
       }
     });
   };
-  this->context.streamOrigins->Find(
-    { StreamKeyOf(this->call.account, id), this->call.service, this->MaximumStreamAge() }, onFound);
-}
-
-Milliseconds
-RelayRun::MaximumStreamAge() const
-{
-  const Milliseconds timeout = this->call.route->timeout;
-  return timeout > Milliseconds::zero() ? timeout
-                                        : this->context.settings.maximumUnrecordedStreamAge;
+  this->context.streamOrigins->Find({ StreamKeyOf(this->call.account, id), this->call.service,
+                                      this->context.settings.maximumUnrecordedStreamAge },
+                                    onFound);
 }
 
 void
@@ -62,8 +55,8 @@
   }
   // Whatever began the stream was in the source before its caller asked, so a snapshot of then shows all versions
   if (this->context.versions->IsCurrentAsOf(aAskedAt)) {
-    const ServiceVersions seen =
-      this->context.versions->VersionsOf(this->call.service, this->MaximumStreamAge());
+    const ServiceVersions seen = this->context.versions->VersionsOf(
+      this->call.service, this->context.settings.maximumUnrecordedStreamAge);
     if (seen.count == 1 && seen.version == aVersion) {
       this->ContinueFrom({ this->call.service, aVersion }, ResumptionOutcome::SoleVersion);
     } else {
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -63,7 +63,8 @@
   /// How long a stream that was begun waits for an endpoint of its software version to accept it, as a multiple of the
   /// target for the interval between events.
   double resumptionWaitFactor = 1;
-  /// A stream whose origin is not recorded, on a route without a timeout, began at most this long ago.
+  /// A stream whose origin is not recorded began at most this long ago. A route's timeout does not bound it, as a caller's
+  /// tries together may last longer: as long as origins are kept.
   Milliseconds maximumUnrecordedStreamAge{ 60'000 };
   /// How long such a stream waits for a snapshot of the endpoints that is as new as the request: over two intervals
   /// between reads of their source.
--- a/UnitTests/Fleet/SoftwareVersionHistoryTests.cpp
+++ b/UnitTests/Fleet/SoftwareVersionHistoryTests.cpp
@@ -49,6 +49,36 @@
   BOOST_TEST((this->Sole(Seconds(10)) == "v1"));
 }
 
+// Guards against streams held together from two versions after a kill of all daemons: a daemon that was started again took
+// the only version that it had seen for the one that had begun a stream.
+BOOST_AUTO_TEST_CASE(RecordedVersionCountsAsSeenWhenTheRecordWasRead)
+{
+  this->Run({ "v2" }, Seconds(1));
+  BOOST_TEST(this->history.NeedsRecord());
+  BOOST_TEST(!this->history.AllVersions(Seconds(10)).has_value());
+  this->history.OnRecorded({ { "s", { "v1", "v2" } } }, this->clock.BootNow());
+  BOOST_TEST(!this->history.NeedsRecord());
+  BOOST_TEST(!this->Sole(Seconds(10)).has_value());
+  BOOST_TEST(
+    (this->history.AllVersions(Seconds(10)) == VersionsByService{ { "s", { "v1", "v2" } } }));
+  this->Run({ "v2" }, Seconds(11));
+  BOOST_TEST((this->Sole(Seconds(10)) == "v2"));
+}
+
+BOOST_AUTO_TEST_CASE(OnlyVersionIsKnownAtOnceFromTheRecordUntilAGap)
+{
+  this->Run({ "v1" }, Seconds(1));
+  this->history.OnRecorded({ { "s", { "v1" } } }, this->clock.BootNow());
+  BOOST_TEST((this->Sole(Seconds(60)) == "v1"));
+  // Versions that came and went meanwhile were recorded by others
+  this->clock.Advance(Seconds(20));
+  this->Run({ "v1" }, Seconds(1));
+  BOOST_TEST(!this->Sole(Seconds(60)).has_value());
+  BOOST_TEST(this->history.NeedsRecord());
+  this->history.OnRecorded({ { "s", { "v1" } } }, this->clock.BootNow());
+  BOOST_TEST((this->Sole(Seconds(60)) == "v1"));
+}
+
 // Guards against a stream that continues at another version because the one that began it has just gone, or another one
 // has come and gone
 BOOST_AUTO_TEST_CASE(VersionThatRanWithinTheTimeCountsAfterItHasGone)
