Fencing numbers contain the store's epoch, and a lease that a restore lost is waited out

Cause: a fencing number is the offset of a tenure's first record, and offsets go back; a reader asked for records after an offset that no longer exists. Mend: a fencing number is the epoch (upper bits) and the offset; who finds another history of the log gives up what it holds, reads anew and acquires nothing until any lease that was lost has ended; records written without knowledge of a restore are ignored; the epoch that the endpoints' reader learned makes the others read. Epoch 0 gives the numbers of before.

--- a/Lagoonward/Daemon/LeaderTaskService.cpp
+++ b/Lagoonward/Daemon/LeaderTaskService.cpp
@@ -114,7 +114,8 @@
     const LeaderAnnouncement announced = this->inputs.load->Leader();
     const bool isOtherLeader = !announced.id.empty() && announced.id != this->inputs.self;
     const Milliseconds pause = this->lease.Step(
-      this->inputs.load->ElectionRank(), isOtherLeader ? Offset{ announced.fencing } : kNoOffset);
+      this->inputs.load->ElectionRank(), isOtherLeader ? Offset{ announced.fencing } : kNoOffset,
+      this->inputs.logEpoch());
     if (!this->Pause(pause)) {
       return;
     }
--- a/Lagoonward/Daemon/LeaderTaskService.h
+++ b/Lagoonward/Daemon/LeaderTaskService.h
@@ -53,6 +53,8 @@
   std::string region;
   std::string incarnation;
   std::function<RelayConfigurationPtr()> activeConfiguration;
+  /// Epoch of the log as far as this daemon knows it; see LogPosition.
+  std::function<std::int64_t()> logEpoch = [] { return std::int64_t{ 0 }; };
   const FleetStore* fleet = nullptr;
   Router* router = nullptr;     ///< Source of the endpoints' measured speed.
   LoadExchange* load = nullptr; ///< Source of usage and load over all daemons.
--- a/Lagoonward/Daemon/LeaseFollower.cpp
+++ b/Lagoonward/Daemon/LeaseFollower.cpp
@@ -8,6 +8,9 @@
 
 const Log kLog("leadership");
 
+/// Bits of a fencing number below the epoch.
+constexpr int kOffsetBits = 32;
+
 } // namespace
 
 LeaseFollower::LeaseFollower(const FleetManagerSettings& aSettings, std::string aMarket,
@@ -27,7 +30,7 @@
 }
 
 Milliseconds
-LeaseFollower::Step(int aRank, Offset aAnnouncedFencing)
+LeaseFollower::Step(int aRank, Offset aAnnouncedFencing, std::int64_t aKnownEpoch)
 {
   const bool isCandidate = aRank < this->settings.lease.candidates;
   Offset next = 0;
@@ -38,7 +41,9 @@
     this->leaseManager->SetRank(aRank);
     next = this->leaseManager->NextOffset();
     isHolder = this->leaseManager->Holds();
-    if (!isHolder && this->IsCurrentTenure(aAnnouncedFencing)) {
+    const bool isRestored = this->epoch && aKnownEpoch > *this->epoch;
+    this->mustRead = this->mustRead || isRestored;
+    if (!isHolder && !isRestored && this->IsCurrentTenure(aAnnouncedFencing)) {
       this->otherLeaderSeenAt = this->clock.BootNow();
       return this->settings.leaderAnnouncedPause;
     }
@@ -65,6 +70,18 @@
     this->LogChanges();
     return this->settings.leaseRetryPause;
   }
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->IsOtherHistory(page.value())) {
+      this->BeginEpoch(page.value());
+      return Milliseconds(0);
+    }
+    // A log that was ever restored may have been so just now
+    if (!this->epoch && page.value().epoch > 0) {
+      this->leaseManager->BeginEpoch(page.value().epoch);
+    }
+    this->epoch = page.value().epoch;
+  }
   this->mustRead = false;
 
   // An append takes effect once it is read back, whatever its response was
@@ -93,7 +110,7 @@
   }
   const std::lock_guard lock(this->mutex);
   const Offset offset = position.value().offset;
-  if (offset != this->leaseManager->NextOffset()) {
+  if (offset != this->leaseManager->NextOffset() || position.value().epoch != this->epoch) {
     return false;
   }
   LogPage page;
@@ -104,12 +121,48 @@
   return true;
 }
 
+bool
+LeaseFollower::IsOtherHistory(const LogPage& aPage) const
+{
+  const Offset next = this->leaseManager->NextOffset();
+  // Without the log's epochs only an end that has gone back shows it
+  const bool isShorter = aPage.end < next && aPage.start <= next;
+  return this->epoch && (aPage.epoch != *this->epoch || isShorter);
+}
+
+void
+LeaseFollower::BeginEpoch(const LogPage& aPage)
+{
+  kLog.Event(LogLevel::Warning, "lease_log_restored",
+             { { "epoch", aPage.epoch },
+               { "epoch_before", *this->epoch },
+               { "read_before", this->leaseManager->NextOffset() },
+               { "held", this->leaseManager->Holds() } });
+  this->epoch = aPage.epoch;
+  this->ledger = {};
+  this->RestartCandidacy();
+  this->leaseManager->BeginEpoch(aPage.epoch);
+  if (this->resigned) {
+    this->leaseManager->Resign();
+  }
+  // Whoever led before the restore may not know of it yet
+  this->otherLeaderSeenAt = this->clock.BootNow();
+}
+
+Offset
+LeaseFollower::FencingNumberOf(Offset aTenure) const
+{
+  return aTenure == kNoOffset ? kNoOffset : (this->epoch.value_or(0) << kOffsetBits) + aTenure;
+}
+
 bool
 LeaseFollower::IsCurrentTenure(Offset aAnnouncedFencing) const
 {
   const LeaseInForce* current = this->ledger.InForce();
   return aAnnouncedFencing != kNoOffset &&
-         (current == nullptr || aAnnouncedFencing >= current->fencing) && !this->resigned;
+
+         (current == nullptr || aAnnouncedFencing >= this->FencingNumberOf(current->fencing)) &&
+         !this->resigned;
 }
 
 void
@@ -174,7 +227,7 @@
   const LeaseInForce* current = this->ledger.InForce();
   status.holder = this->leaseManager->Leader();
   status.held = this->leaseManager->Holds();
-  status.fencing = current == nullptr ? kNoOffset : current->fencing;
+  status.fencing = this->FencingNumberOf(current == nullptr ? kNoOffset : current->fencing);
   if (status.holder != this->lastLogged.holder || status.fencing != this->lastLogged.fencing) {
     kLog.Info("Market {}: {} leads with fencing number {}.", this->market,
               status.holder.empty() ? "nobody" : status.holder, status.fencing);
@@ -190,7 +243,11 @@
 LeaseFollower::Authorize(OrderKind aKind, bool aChecksFencing) const
 {
   const std::lock_guard lock(this->mutex);
-  return this->leaseManager->Authorize(aKind, aChecksFencing);
+  auto grant = this->leaseManager->Authorize(aKind, aChecksFencing);
+  if (grant) {
+    grant.value().fencing = this->FencingNumberOf(grant.value().fencing);
+  }
+  return grant;
 }
 
 void
@@ -206,7 +263,8 @@
 {
   const std::lock_guard lock(this->mutex);
   const LeaseInForce* current = this->ledger.InForce();
-  if (current == nullptr || current->fencing != aFencing || !this->IsOwnTenure()) {
+  if (current == nullptr || this->FencingNumberOf(current->fencing) != aFencing ||
+      !this->IsOwnTenure()) {
     return;
   }
   kLog.Warning(
@@ -232,7 +290,7 @@
   status.market = this->market;
   status.holder = this->leaseManager->Leader();
   status.held = this->leaseManager->Holds();
-  status.fencing = current == nullptr ? kNoOffset : current->fencing;
+  status.fencing = this->FencingNumberOf(current == nullptr ? kNoOffset : current->fencing);
   return status;
 }
 
--- a/Lagoonward/Daemon/LeaseFollower.h
+++ b/Lagoonward/Daemon/LeaseFollower.h
@@ -21,6 +21,10 @@
 /// Takes part in the election of one market's leader: reads the lease stream, appends the records that the LeaseManager
 /// requests, and logs each change of leader. Step() is called in a loop by one thread, which is not the one that sends
 /// orders, so that slow orders do not delay a renewal. The other methods are thread-safe.
+///
+/// When the log has been restored from an older copy, the records read before may be gone and their offsets mean others:
+/// whoever notices gives up what it holds, reads all anew and waits until any lease that was lost has ended. Fencing numbers
+/// contain the log's epoch and so never go back.
 class LeaseFollower
 {
 public:
@@ -35,8 +39,11 @@
   /// leader's own announcements skips the read, too.
   /// @param aRank              rank among the region's daemons; zero is the first candidate
   /// @param aAnnouncedFencing  fencing number of another daemon that has just announced its lead; kNoOffset for none
+  /// @param aKnownEpoch        epoch of the log as far as this daemon has learned it otherwise: a later one than that of the
+  ///                           records read so far makes it read
   /// @return how long to wait before the next step
-  [[nodiscard]] Milliseconds Step(int aRank, Offset aAnnouncedFencing = kNoOffset);
+  [[nodiscard]] Milliseconds Step(int aRank, Offset aAnnouncedFencing = kNoOffset,
+                                  std::int64_t aKnownEpoch = 0);
 
   /// See LeaseManager::Authorize().
   [[nodiscard]] Result<OrderGrant> Authorize(OrderKind aKind, bool aChecksFencing) const;
@@ -56,6 +63,12 @@
   [[nodiscard]] TimePoint OtherLeaderSeenAt() const;
 
 private:
+  /// Whether a page is of another history of the log than the records read so far.
+  [[nodiscard]] bool IsOtherHistory(const LogPage& aPage) const;
+  /// Forgets all records read so far.
+  void BeginEpoch(const LogPage& aPage);
+  /// Fencing number of a tenure; kNoOffset for none.
+  [[nodiscard]] Offset FencingNumberOf(Offset aTenure) const;
   void ApplyPage(const LogPage& aPage);
   /// Appends a record.
   /// @return whether it is known to have taken effect, directly after the records read so far
@@ -79,8 +92,9 @@
   bool mustRead =
     true; ///< The outcome of the last append is unknown, so that it must be read back.
 
-  mutable std::mutex mutex; ///< Guards all members below.
-  int candidacies = 0;      ///< Number of candidacies begun after an abandoned tenure.
+  mutable std::mutex mutex;          ///< Guards all members below.
+  std::optional<std::int64_t> epoch; ///< Of the records read so far; empty before the first read.
+  int candidacies = 0; ///< Number of candidacies begun after an abandoned tenure or a restore.
   std::unique_ptr<LeaseManager> leaseManager;
   LeaseLedger ledger; ///< Reads the same stream to determine the current tenure.
   TimePoint otherLeaderSeenAt;
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -243,6 +243,7 @@
   facts.region = this->settings.region;
   facts.incarnation = this->incarnation;
   facts.activeConfiguration = [this] { return this->ConfigurationInForce(); };
+  facts.logEpoch = [this] { return this->SourceEpoch(); };
   facts.fleet = &this->fleet;
   facts.router = &this->market->router;
   facts.load = this->loadExchange.get();
--- a/Lagoonward/Leadership/LeaseLedger.cpp
+++ b/Lagoonward/Leadership/LeaseLedger.cpp
@@ -54,6 +54,10 @@
 void
 LeaseLedger::Fold(Offset aOffset, const LeaseRecord& aRecord)
 {
+  // Its writer did not know of a restore, and its base may mean another record
+  if (this->inForce && aRecord.epoch < this->inForce->record.epoch) {
+    return;
+  }
   const Offset current = this->inForce ? this->inForce->offset : kNoOffset;
   const bool follows =
     aRecord.vacantBefore == kNoOffset ? aRecord.base == current : current < aRecord.vacantBefore;
--- a/Lagoonward/Leadership/LeaseManager.cpp
+++ b/Lagoonward/Leadership/LeaseManager.cpp
@@ -33,6 +33,14 @@
   this->rank = std::max(0, aRank);
 }
 
+void
+LeaseManager::BeginEpoch(std::int64_t aEpoch)
+{
+  this->epoch = aEpoch;
+  this->earliestAcquisition =
+    this->clock.BootNow() + this->settings.duration + this->settings.handover;
+}
+
 bool
 LeaseManager::IsOwn(const LeaseRecord& aRecord) const
 {
@@ -72,10 +80,11 @@
 bool
 LeaseManager::MayAcquire() const
 {
-  if (!this->observedAt || this->rank >= this->settings.candidates) {
+  const TimePoint now = this->clock.BootNow();
+  if (!this->observedAt || this->rank >= this->settings.candidates ||
+      now < this->earliestAcquisition) {
     return false;
   }
-  const TimePoint now = this->clock.BootNow();
   const Milliseconds rankWait = this->rank * this->settings.rankDelay;
   const LeaseInForce* current = this->ledger.InForce();
   if (!this->ledger.IsCertain()) {
@@ -124,6 +133,7 @@
 {
   const LeaseInForce* current = this->ledger.InForce();
   LeaseRecord record;
+  record.epoch = this->epoch;
   record.holder = this->holder;
   record.duration = aDuration;
   record.writer = RecordId{ this->incarnation, ++this->sequence };
--- a/Lagoonward/Leadership/LeaseManager.h
+++ b/Lagoonward/Leadership/LeaseManager.h
@@ -39,6 +39,10 @@
   /// Sets the rank of this daemon in the region by rendezvous weight; zero is the first candidate.
   void SetRank(int aRank);
 
+  /// To be called before the first page of another epoch of the log, by a manager that has read nothing yet. The restore
+  /// may have lost the record of a lease that still runs, so none is acquired before it has ended.
+  void BeginEpoch(std::int64_t aEpoch);
+
   /// Applies a page that was read from the lease stream.
   void ObservePage(const LogPage& aPage);
 
@@ -75,6 +79,8 @@
   int rank = 0;
   bool resigning = false;
   LeaseLedger ledger;
+  std::int64_t epoch = 0;
+  TimePoint earliestAcquisition = TimePoint::min(); ///< BootNow().
 
   std::uint64_t sequence = 0;
   /// Boot time before each append of this run, by sequence; bounded.
--- a/Lagoonward/Leadership/LeaseRecord.cpp
+++ b/Lagoonward/Leadership/LeaseRecord.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr IntegerRange kOffsets{ kNoOffset, std::numeric_limits<Offset>::max() };
+constexpr IntegerRange kEpochs{ 0, std::numeric_limits<Offset>::max() };
 constexpr IntegerRange kDurations{ 0, 3'600'000 };
 
 } // namespace
@@ -23,6 +24,7 @@
   record.base = reader.ReadInteger("base", kOffsets);
   record.tenure = reader.ReadInteger("tenure", kOffsets, kNoOffset);
   record.vacantBefore = reader.ReadInteger("vacant_before", kOffsets, kNoOffset);
+  record.epoch = reader.ReadInteger("epoch", kEpochs, 0);
   record.holder = reader.ReadString("holder");
   record.duration = Milliseconds(reader.ReadInteger("duration_ms", kDurations));
   record.writer = ReadRecordId(reader, "writer");
@@ -38,6 +40,7 @@
   const nlohmann::json json{ { "base", aRecord.base },
                              { "tenure", aRecord.tenure },
                              { "vacant_before", aRecord.vacantBefore },
+                             { "epoch", aRecord.epoch },
                              { "holder", aRecord.holder },
                              { "duration_ms", aRecord.duration.count() },
                              { "writer", WriteRecordId(aRecord.writer) } };
--- a/Lagoonward/Leadership/LeaseRecord.h
+++ b/Lagoonward/Leadership/LeaseRecord.h
@@ -18,6 +18,9 @@
   /// record in force before this offset, and is valid only if no record from this offset on has been valid.
   Offset vacantBefore = kNoOffset;
 
+  /// Epoch of the log whose records the writer had read. One that wrote before it noticed a restore is ignored.
+  std::int64_t epoch = 0;
+
   std::string holder;         ///< Daemon that holds the lease.
   Milliseconds duration{ 0 }; ///< Zero releases the lease.
   RecordId writer; ///< Run of the holder; another run of the same daemon is another holder.
--- a/UnitTests/Daemon/LeaseFollowerTests.cpp
+++ b/UnitTests/Daemon/LeaseFollowerTests.cpp
@@ -170,4 +170,50 @@
   BOOST_TEST(this->log.Reads() > reads);
 }
 
+// Guards against orders that are refused as stale for long after a restore of the store, and against two leaders: fencing
+// numbers were offsets, which go back with the log, and whoever had read the lost lease did not notice.
+BOOST_AUTO_TEST_CASE(RestoredLogLowersNoFencingNumberAndGivesNoLeaseTwice)
+{
+  this->log.Copy();
+  Run(this->first, 0, Seconds(40));
+  BOOST_REQUIRE(this->first.Status().held);
+  const Offset fencing = this->first.Status().fencing;
+  // The lease is lost with the log; its holder goes on until it notices
+  this->log.Restore();
+  Offset newest = fencing;
+  bool isSucceeded = false;
+  for (const TimePoint end = this->clock.Now() + Seconds(30); this->clock.Now() < end;) {
+    for (LeaseFollower* each : { &this->second, &this->first }) {
+      static_cast<void>(each->Step(each == &this->first ? 1 : 0));
+      const LeaseStatus status = each->Status();
+      isSucceeded = isSucceeded || (status.held && status.fencing > fencing);
+      BOOST_TEST((!status.held || status.fencing >= newest));
+      newest = status.held ? std::max(newest, status.fencing) : newest;
+    }
+    BOOST_TEST(!(this->first.Status().held && this->second.Status().held));
+    this->clock.Advance(Milliseconds(100));
+  }
+  BOOST_TEST(isSucceeded);
+}
+
+BOOST_AUTO_TEST_CASE(LeaseThatTheCopyHasIsNotHeldBeyondItsEnd)
+{
+  Run(this->first, 0, Seconds(2));
+  const Offset fencing = this->first.Status().fencing;
+  this->log.Copy();
+  Run(this->second, 0, Seconds(30));
+  BOOST_REQUIRE(this->second.Status().held);
+  BOOST_TEST(!this->first.Status().held);
+  // In the copy the first daemon's lease is in force again
+  this->log.Restore();
+  for (int step = 0; step < 300; ++step) {
+    static_cast<void>(this->first.Step(0));
+    static_cast<void>(this->second.Step(1));
+    BOOST_TEST(!(this->first.Status().held && this->second.Status().held));
+    this->clock.Advance(Milliseconds(100));
+  }
+  BOOST_TEST(this->first.Status().fencing > fencing);
+  BOOST_TEST((this->first.Status().held || this->second.Status().held));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Support/FakeLogService.cpp
+++ b/UnitTests/Support/FakeLogService.cpp
@@ -27,7 +27,7 @@
   }
   switch (fault) {
     case Fault::None:
-      return this->Store(aStream, aRecord);
+      return LogPosition(this->Store(aStream, aRecord), this->epoch);
     case Fault::AnswerLost:
       this->Store(aStream, aRecord);
       break;
@@ -50,6 +50,7 @@
   }
   const Stream& stream = this->streams[std::string(aStream)];
   LogPage page;
+  page.epoch = this->epoch;
   page.start = stream.start;
   page.end = stream.start + static_cast<Offset>(stream.records.size());
   const Offset first = std::max(aFrom, page.start);
@@ -103,6 +104,21 @@
   }
 }
 
+void
+FakeLogService::Copy()
+{
+  const std::lock_guard lock(this->mutex);
+  this->copy = this->streams;
+}
+
+void
+FakeLogService::Restore()
+{
+  const std::lock_guard lock(this->mutex);
+  this->streams = this->copy;
+  ++this->epoch;
+}
+
 Offset
 FakeLogService::End(std::string_view aStream) const
 {
--- a/UnitTests/Support/FakeLogService.h
+++ b/UnitTests/Support/FakeLogService.h
@@ -41,6 +41,12 @@
   /// Drops all records below an offset.
   void Truncate(std::string_view aStream, Offset aStart);
 
+  /// Keeps a copy of all streams for Restore().
+  void Copy();
+
+  /// Goes back to the copy: later records are lost, their offsets are given out again, and the epoch rises.
+  void Restore();
+
   [[nodiscard]] Offset End(std::string_view aStream) const;
 
   /// Number of Read() calls so far, of all streams.
@@ -57,6 +63,8 @@
 
   mutable std::mutex mutex; ///< Guards everything below.
   std::map<std::string, Stream, std::less<>> streams;
+  std::map<std::string, Stream, std::less<>> copy;
+  std::int64_t epoch = 0;
   std::deque<Fault> faults;
   std::vector<std::pair<std::string, std::string>>
     lateAppends; ///< Stream and record, not yet stored.
