Records of reported usage that a restore of the store loses are appended again

Mend: a daemon keeps the records that it has read, reads the log anew when its epoch has risen, and appends what it lacks. A window whose only readers died in the restore can still be reported twice. Measured: UsageReporterTests/RecordsThatARestoreLostAreAppendedAgain fails without it and passes.

--- a/Lagoonward/Daemon/LeaderTaskService.cpp
+++ b/Lagoonward/Daemon/LeaderTaskService.cpp
@@ -46,6 +46,7 @@
   reporterPorts.isDue = [this](Milliseconds aSince) {
     return this->inputs.load->IsUsageReportable(aSince);
   };
+  reporterPorts.logEpoch = this->inputs.logEpoch;
   reporterPorts.expireBefore = [this](std::int64_t aBefore) {
     this->inputs.load->ExpireUsage(aBefore);
   };
--- a/Lagoonward/Daemon/UsageReporter.cpp
+++ b/Lagoonward/Daemon/UsageReporter.cpp
@@ -31,6 +31,9 @@
 void
 UsageReporter::Step()
 {
+  if (this->IsLogRestored() && this->ReadLog()) {
+    this->AppendLostRecords();
+  }
   const std::int64_t current = this->usage.CurrentWindow();
   const std::int64_t oldest = this->usage.OldestReportableWindow();
   for (std::int64_t window = oldest; window < current; ++window) {
@@ -88,7 +91,8 @@
   record.counts = this->ports.countsOf(aWindow);
   const std::string text = WriteUsageRecord(record);
   const auto position = this->ports.log->Append(this->ports.stream, text);
-  if (position && position.value().offset == this->ledger.NextOffset()) {
+  if (position &&
+      position.value() == LogPosition(this->ledger.NextOffset(), *this->ledger.Epoch())) {
     // The record directly follows the last one read, so no other one precedes it and it need not be read back
     this->ledger.Apply(position.value().offset, text);
     return true;
@@ -111,6 +115,12 @@
     if (!page) {
       return false;
     }
+    const bool isShorter = page.value().end < this->ledger.NextOffset() &&
+                           page.value().start <= this->ledger.NextOffset();
+    if (this->ledger.Epoch() != page.value().epoch || isShorter) {
+      this->ledger.BeginEpoch(page.value().epoch);
+      continue;
+    }
     this->ledger.SkipTo(page.value().start);
     for (const LogRecord& record : page.value().records) {
       this->ledger.Apply(record.offset, record.data);
@@ -121,6 +131,24 @@
   }
 }
 
+bool
+UsageReporter::IsLogRestored() const
+{
+  const std::optional<std::int64_t> epoch = this->ledger.Epoch();
+  return !this->ledger.LostRecords().empty() || (epoch && this->ports.logEpoch() > *epoch);
+}
+
+void
+UsageReporter::AppendLostRecords()
+{
+  for (const UsageRecord& record : this->ledger.LostRecords()) {
+    const std::string text = WriteUsageRecord(record);
+    const bool isWritten = this->ports.log->Append(this->ports.stream, text).has_value();
+    kLog.Event(LogLevel::Warning, "usage_record_restored",
+               { { "window", record.window }, { "written", isWritten } });
+  }
+}
+
 void
 UsageReporter::ExpireBefore(std::int64_t aWindow)
 {
--- a/Lagoonward/Daemon/UsageReporter.h
+++ b/Lagoonward/Daemon/UsageReporter.h
@@ -29,6 +29,8 @@
   std::function<UsageCounts(std::int64_t aWindow)> countsOf;
   /// Whether a window that ended this long ago can be reported now.
   std::function<bool(Milliseconds aSinceEnd)> isDue;
+  /// Epoch of the log as far as this daemon knows it; see LogPosition.
+  std::function<std::int64_t()> logEpoch = [] { return std::int64_t{ 0 }; };
   /// Called when the counts of windows before the given one are no longer needed.
   std::function<void(std::int64_t aBefore)> expireBefore;
 };
@@ -39,6 +41,9 @@
 /// A window can be reported from when it is due until kUsageReportPeriod after its end, as this daemon may have been
 /// suspended or there may have been no leader in the meantime. Usage that is known then and can no longer be reported
 /// is logged (`usage_lost`, `usage_short`). To be used by one thread.
+///
+/// A restore of the log from an older copy may lose records of windows that were reported. Every daemon that has read them
+/// keeps them and appends them again.
 class UsageReporter
 {
 public:
@@ -49,6 +54,10 @@
 
 private:
   [[nodiscard]] bool ReadLog();
+  /// Whether the log was restored from an older copy since this daemon read it.
+  [[nodiscard]] bool IsLogRestored() const;
+  /// Appends the records again that a restore of the log has lost, so that no later leader reports other counts.
+  void AppendLostRecords();
   /// Ensures that the ledger contains the record of a window, and appends it to the log otherwise.
   /// @return whether the ledger contains it
   [[nodiscard]] bool EnsureRecorded(std::int64_t aWindow);
--- a/Lagoonward/Metering/UsageRecord.cpp
+++ b/Lagoonward/Metering/UsageRecord.cpp
@@ -56,9 +56,30 @@
   if (auto record = ReadUsageRecord(aData)) {
     const std::int64_t window = record->window;
     this->records.emplace(window, std::move(*record));
+    this->unread.erase(window);
   }
 }
 
+void
+UsageLedger::BeginEpoch(std::int64_t aEpoch)
+{
+  this->epoch = aEpoch;
+  this->next = 0;
+  for (const auto& [window, record] : this->records) {
+    this->unread.insert(window);
+  }
+}
+
+std::vector<UsageRecord>
+UsageLedger::LostRecords() const
+{
+  std::vector<UsageRecord> lost;
+  for (const std::int64_t window : this->unread) {
+    lost.push_back(this->records.at(window));
+  }
+  return lost;
+}
+
 void
 UsageLedger::SkipTo(Offset aOffset)
 {
@@ -76,6 +97,7 @@
 UsageLedger::EvictBefore(std::int64_t aBefore)
 {
   std::erase_if(this->records, [&](const auto& aEntry) { return aEntry.first < aBefore; });
+  std::erase_if(this->unread, [&](std::int64_t aWindow) { return aWindow < aBefore; });
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Metering/UsageRecord.h
+++ b/Lagoonward/Metering/UsageRecord.h
@@ -5,8 +5,10 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lagoonward {
 
@@ -38,6 +40,15 @@
   /// Skips records that the log no longer retains.
   void SkipTo(Offset aOffset);
 
+  /// Begins to read another history of the log, which was restored from an older copy. What was read stays valid.
+  void BeginEpoch(std::int64_t aEpoch);
+
+  /// Epoch of the log; nothing before the first read.
+  [[nodiscard]] std::optional<std::int64_t> Epoch() const { return this->epoch; }
+
+  /// Records that were read before a restore and have not been read since.
+  [[nodiscard]] std::vector<UsageRecord> LostRecords() const;
+
   /// The valid record of a window, or nullptr.
   [[nodiscard]] const UsageRecord* Find(std::int64_t aWindow) const;
 
@@ -47,8 +58,10 @@
   void EvictBefore(std::int64_t aBefore);
 
 private:
+  std::optional<std::int64_t> epoch;
   Offset next = 0;
   std::map<std::int64_t, UsageRecord> records;
+  std::set<std::int64_t> unread; ///< Windows of records that were read before a restore only.
 };
 
 } // namespace lagoonward
--- a/UnitTests/Daemon/UsageReporterTests.cpp
+++ b/UnitTests/Daemon/UsageReporterTests.cpp
@@ -30,6 +30,7 @@
     };
     ports.onRefused = [](Offset) {};
     ports.countsOf = [this](std::int64_t aWindow) { return this->accumulator.TotalOf(aWindow); };
+    ports.logEpoch = [this] { return this->epoch; };
     ports.isDue = [this](Milliseconds aSince) { return this->accumulator.IsDue(aSince); };
     ports.expireBefore = [this](std::int64_t aBefore) { this->accumulator.EvictBefore(aBefore); };
     return ports;
@@ -61,6 +62,7 @@
   UsageCounter counter{ Seconds(1), clock };
   UsageAccumulator accumulator{ {}, clock };
   bool leads = true;
+  std::int64_t epoch = 0; ///< Of the log, as this daemon knows it.
   std::vector<UsageRecord> reports;
   UsageReporter reporter{ Ports(), counter };
 };
@@ -127,4 +129,32 @@
   BOOST_TEST(this->Reported("a") == 7);
 }
 
+// Guards against two reports of a window with different counts: a restore of the store loses the record that another daemon
+// would have to report again.
+BOOST_AUTO_TEST_CASE(RecordsThatARestoreLostAreAppendedAgain)
+{
+  this->log.Copy();
+  this->counter.OnStarted("a");
+  this->Run(Seconds(5));
+  BOOST_REQUIRE_EQUAL(this->Reported("a"), 1);
+  const std::size_t reportsBefore = this->reports.size();
+  this->log.Restore();
+  BOOST_TEST(this->log.End(kStream) == 0);
+  this->leads = false;
+  this->epoch = 1;
+  this->Run(Milliseconds(500));
+  UsageReporterPorts ports = this->Ports();
+  ports.countsOf = [](std::int64_t) { return UsageCounts(); };
+  UsageReporter other(ports, this->counter);
+  this->leads = true;
+  other.Step();
+  // A leader that has counted nothing itself reports what was reported before
+  BOOST_TEST(this->Reported("a") == 2);
+  BOOST_TEST(this->reports.size() > reportsBefore);
+  std::map<std::int64_t, UsageCounts> counts;
+  for (const UsageRecord& record : this->reports) {
+    BOOST_TEST((counts.try_emplace(record.window, record.counts).first->second == record.counts));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
