--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -74,6 +74,9 @@
   /// Software versions of the endpoints that streams may be of, to be recorded outside and to be read by later runs.
   [[nodiscard]] SoftwareVersionHistory& SoftwareVersions() { return this->versions; }
 
+  /// Origins of streams, to be saved outside and to be read by later runs.
+  [[nodiscard]] StreamOriginExchange& StreamOrigins() { return *this->streamOrigins; }
+
   /// Whether other daemons send the configurations, so that this one need not poll for them. To be called by one
   /// thread.
   [[nodiscard]] bool ReceivesConfigurationsFromPeers();
--- a/Lagoonward/Daemon/StreamOriginExchange.cpp
+++ b/Lagoonward/Daemon/StreamOriginExchange.cpp
@@ -123,6 +123,7 @@
   , membership(aMembership)
   , versions(aVersions)
   , table(aSettings.table, aClock)
+  , saved(aSettings.table, aClock)
   , query(aSettings.query, ToRequestType(PeerRequest::StreamOriginQuery), aOwners, aMembership,
           aClock)
 {
@@ -155,11 +156,16 @@
 StreamOriginExchange::Record(std::uint64_t aStream, const StreamOrigin& aOrigin)
 {
   this->table.Record(aStream, aOrigin);
+  const bool isToBeSaved =
+    this->versions.VersionsOf(aOrigin.service, this->settings.streamAge).count > 1;
   bool isFirst = false;
   {
     const std::lock_guard lock(this->pendingMutex);
     isFirst = this->pending.empty();
     this->pending.emplace_back(aStream, aOrigin);
+    if (isToBeSaved && this->unsaved.size() < this->settings.maximumUnsaved) {
+      this->unsaved.emplace_back(aStream, aOrigin);
+    }
   }
   if (isFirst) {
     this->membership.Loop().Post([this] {
@@ -168,6 +174,48 @@
   }
 }
 
+std::vector<StreamOriginTable::Entry>
+StreamOriginExchange::TakeUnsaved()
+{
+  Entries taken;
+  {
+    const std::lock_guard lock(this->pendingMutex);
+    taken.swap(this->unsaved);
+  }
+  std::set<std::string> several;
+  for (const auto& [service, running] :
+       this->versions.AllVersions(this->settings.streamAge).value_or(VersionsByService())) {
+    if (running.size() > 1) {
+      several.insert(service);
+    }
+  }
+  const bool hasNew = !std::includes(this->severalVersions.begin(), this->severalVersions.end(),
+                                     several.begin(), several.end());
+  if (hasNew) {
+    for (StreamOriginTable::Entry& entry : this->table.Entries()) {
+      const std::string& service = entry.second.service;
+      if (several.contains(service) && !this->severalVersions.contains(service)) {
+        taken.push_back(std::move(entry));
+      }
+    }
+  }
+  this->severalVersions = std::move(several);
+  return taken;
+}
+
+void
+StreamOriginExchange::OnSaved(std::uint64_t aStream, const StreamOrigin& aOrigin)
+{
+  this->saved.Record(aStream, aOrigin);
+}
+
+std::optional<StreamOrigin>
+StreamOriginExchange::Get(std::uint64_t aStream)
+{
+  auto origin = this->table.Get(aStream);
+  return origin ? origin : this->saved.Get(aStream);
+}
+
 void
 StreamOriginExchange::SendPending()
 {
@@ -282,7 +330,7 @@
     return EncodeMessage(answer);
   }
   const StreamOriginQuery& asked = request.value();
-  if (const auto origin = this->table.Get(asked.stream)) {
+  if (const auto origin = this->Get(asked.stream)) {
     answer.hasOrigin = true;
     answer.service = origin->service;
     answer.softwareVersion = origin->softwareVersion;
@@ -299,7 +347,7 @@
 StreamOriginExchange::Find(const StreamOriginRequest& aRequest, StreamOriginHandler aFound)
 {
   const auto search = std::make_shared<Search>();
-  search->reply.origin = this->table.Get(aRequest.stream);
+  search->reply.origin = this->Get(aRequest.stream);
   if (search->reply.origin) {
     aFound(search->reply);
     return;
--- a/Lagoonward/Daemon/StreamOriginExchange.h
+++ b/Lagoonward/Daemon/StreamOriginExchange.h
@@ -5,6 +5,7 @@
 #include "Lagoonward/Relay/StreamOriginTable.h"
 
 #include <array>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -26,6 +27,11 @@
   Milliseconds handoffDelay{ 50 };
 
   std::size_t maximumPerMessage = 512; ///< Origins in one message.
+
+  /// Streams whose origin is not recorded may be of the versions that ran within this time.
+  Milliseconds streamAge{ 60'000 };
+  std::size_t maximumUnsaved =
+    16'384; ///< Origins that wait to be saved; further ones are not saved.
 };
 
 /// Copies the origin of each stream from the daemon that began it to the two owners of the stream's key
@@ -33,6 +39,10 @@
 /// elsewhere. An origin is thus on up to three daemons, and is found from the id of the stream alone by asking two, whatever
 /// the number of daemons. When the owners change, each daemon sends what it holds to the new ones.
 ///
+/// While a service runs several software versions, the origins of its streams are also to be saved outside, so that daemons
+/// find them after all have been killed (TakeUnsaved(), OnSaved()). Every daemon reads what was saved, so saved origins are
+/// not handed off.
+///
 /// An origin never changes while its service serves the stream's route, so a copy cannot be wrong, only missing. Where
 /// none of the daemons asked has one, they tell whether the service has run only one software version for so long that the
 /// stream must be of it.
@@ -51,6 +61,13 @@
   /// control thread.
   void OnKeyOwnersChanged();
 
+  /// Origins of streams whose service runs several software versions: those recorded here since the last call, and all that
+  /// are held here when the second version has come. By one thread.
+  [[nodiscard]] std::vector<StreamOriginTable::Entry> TakeUnsaved();
+
+  /// An origin that was saved has been read. Any thread.
+  void OnSaved(std::uint64_t aStream, const StreamOrigin& aOrigin);
+
   /// Number of origins held here. Any thread.
   [[nodiscard]] std::size_t Size() { return this->table.Size(); }
 
@@ -69,6 +86,8 @@
   /// Streams have owners by shard, so that the owners of all streams are known from few keys.
   static constexpr std::size_t kShards = 256;
 
+  /// The origin of a stream, recorded or read from outside.
+  [[nodiscard]] std::optional<StreamOrigin> Get(std::uint64_t aStream);
   [[nodiscard]] static std::size_t ShardOf(std::uint64_t aStream);
   [[nodiscard]] static std::uint64_t OwnerKeyOf(std::size_t aShard);
 
@@ -84,9 +103,13 @@
   MembershipService& membership;
   SoftwareVersionHistory& versions;
   StreamOriginTable table;
+  StreamOriginTable saved; ///< Origins that were read from outside.
   KeyOwnerQuery query;
-  std::mutex pendingMutex; ///< Guards `pending`.
+  std::set<std::string>
+    severalVersions; ///< Services that ran several at the last TakeUnsaved(), which alone uses it.
+  std::mutex pendingMutex; ///< Guards `pending` and `unsaved`.
   Entries pending;         ///< Origins not yet sent to their owners.
+  Entries unsaved; ///< See TakeUnsaved(); bounded by StreamOriginExchangeSettings::maximumUnsaved.
   /// Owners that hold the origins of each shard. Control thread only.
   std::array<std::vector<OwnerProcess>, kShards> knownOwners;
   bool isHandoffDue = false; ///< Control thread only.
