--- a/Lagoonward/Daemon/StreamOriginExchange.cpp
+++ b/Lagoonward/Daemon/StreamOriginExchange.cpp
@@ -156,8 +156,7 @@
 StreamOriginExchange::Record(std::uint64_t aStream, const StreamOrigin& aOrigin)
 {
   this->table.Record(aStream, aOrigin);
-  const bool isToBeSaved =
-    this->versions.VersionsOf(aOrigin.service, this->settings.streamAge).count > 1;
+  const bool isToBeSaved = this->versions.VersionsOf(aOrigin.service, kMaximumStreamAge).count > 1;
   bool isFirst = false;
   {
     const std::lock_guard lock(this->pendingMutex);
@@ -184,7 +183,7 @@
   }
   std::set<std::string> several;
   for (const auto& [service, running] :
-       this->versions.AllVersions(this->settings.streamAge).value_or(VersionsByService())) {
+       this->versions.AllVersions(kMaximumStreamAge).value_or(VersionsByService())) {
     if (running.size() > 1) {
       several.insert(service);
     }
--- a/Lagoonward/Daemon/StreamOriginExchange.h
+++ b/Lagoonward/Daemon/StreamOriginExchange.h
@@ -28,8 +28,6 @@
 
   std::size_t maximumPerMessage = 512; ///< Origins in one message.
 
-  /// Streams whose origin is not recorded may be of the versions that ran within this time.
-  Milliseconds streamAge{ 60'000 };
   std::size_t maximumUnsaved =
     16'384; ///< Origins that wait to be saved; further ones are not saved.
 };
--- a/Lagoonward/Relay/RelayRunOrigin.cpp
+++ b/Lagoonward/Relay/RelayRunOrigin.cpp
@@ -26,9 +26,8 @@
       }
     });
   };
-  this->context.streamOrigins->Find({ StreamKeyOf(this->call.account, id), this->call.service,
-                                      this->context.settings.maximumUnrecordedStreamAge },
-                                    onFound);
+  this->context.streamOrigins->Find(
+    { StreamKeyOf(this->call.account, id), this->call.service, kMaximumStreamAge }, onFound);
 }
 
 void
@@ -55,8 +54,8 @@
   }
   // Whatever began the stream was in the source before its caller asked, so a snapshot of then shows all versions
   if (this->context.versions->IsCurrentAsOf(aAskedAt)) {
-    const ServiceVersions seen = this->context.versions->VersionsOf(
-      this->call.service, this->context.settings.maximumUnrecordedStreamAge);
+    const ServiceVersions seen =
+      this->context.versions->VersionsOf(this->call.service, kMaximumStreamAge);
     if (seen.count == 1 && seen.version == aVersion) {
       this->ContinueFrom({ this->call.service, aVersion }, ResumptionOutcome::SoleVersion);
     } else {
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -63,10 +63,7 @@
   /// How long a stream that was begun waits for an endpoint of its software version to accept it, as a multiple of the
   /// target for the interval between events.
   double resumptionWaitFactor = 1;
-  /// A stream whose origin is not recorded began at most this long ago. A route's timeout does not bound it, as a caller's
-  /// tries together may last longer: as long as origins are kept.
-  Milliseconds maximumUnrecordedStreamAge{ 60'000 };
-  /// How long such a stream waits for a snapshot of the endpoints that is as new as the request: over two intervals
+  /// How long a stream whose origin is not recorded waits for a snapshot of the endpoints that is as new as the request: over two intervals
   /// between reads of their source.
   Milliseconds currentSnapshotWait{ 1'000 };
   /// Interval at which the origin of a stream in progress is recorded again, so that it outlasts its retention.
--- a/Lagoonward/Relay/StreamOrigin.h
+++ b/Lagoonward/Relay/StreamOrigin.h
@@ -10,6 +10,10 @@
 
 namespace lagoonward {
 
+/// A stream is taken up at most this long after its first event, counted over all tries of its caller, or its origin is still
+/// recorded. A route's timeout does not bound it.
+inline constexpr Milliseconds kMaximumStreamAge = Seconds(60);
+
 /// What wrote the events of a stream that its caller has received. Only endpoints of the same service and software
 /// version can continue the stream.
 struct StreamOrigin
