--- a/Lagoonward/Core/LogPosition.h
+++ b/Lagoonward/Core/LogPosition.h
@@ -24,7 +24,7 @@
   }
 
   bool operator==(const LogPosition& aOther) const = default;
-  auto operator<=>(const LogPosition& aOther) const = default;
+  auto operator<=>(const LogPosition& aOther) const = default; // NOLINT(modernize-use-nullptr)
 
   /// Not compared to bare offsets, which do not tell their epoch.
   auto operator<=>(Offset aOffset) const = delete;
