Tests do not evaluate a condition again once it holds

Cause: Await() ended its loop when the condition held and then evaluated it again; here that asks for another place, and the one that had become free was taken. Trace: by reading, and 1 of 5 runs of this test alone failed at once. Now the value that ended the loop is checked: as strict. 12 of 12 runs passed.

--- a/UnitTests/Support/LoopbackPeers.h
+++ b/UnitTests/Support/LoopbackPeers.h
@@ -16,16 +16,18 @@
 /// Timeout of Await().
 inline constexpr Seconds kAwaitTimeout{ 20 };
 
-/// Polls a condition every 10 ms until it holds; fails the test after the timeout.
+/// Polls a condition every 10 ms until it holds; fails the test after the timeout. It is not evaluated again once it holds,
+/// as that may use up what it waits for.
 template<typename Condition>
 void
 Await(Condition aCondition)
 {
-  for (Milliseconds waited{ 0 }; waited < kAwaitTimeout && !aCondition();
-       waited += Milliseconds(10)) {
+  bool holds = aCondition();
+  for (Milliseconds waited{ 0 }; waited < kAwaitTimeout && !holds; waited += Milliseconds(10)) {
     std::this_thread::sleep_for(Milliseconds(10));
+    holds = aCondition();
   }
-  BOOST_TEST_REQUIRE(aCondition());
+  BOOST_TEST_REQUIRE(holds);
 }
 
 /// Identity of a daemon on loopback, in its own failure domain.
