A daemon that has received no configuration in parts does not take one for arriving

Cause: the age of the last progress of a transfer was computed before there was any; the result wraps to a negative age, so that a transfer seemed to be under way and the daemon put off its own read of the configuration. Mend: the time is compared instead of the age. Measured: StreamTakeUpTests under sanitizers reported it before and reports nothing now; RelayDaemonTests, StoreClientTests, StreamTakeUpTests (release) pass. What callers saw of it is not known.

--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -482,7 +482,7 @@
   const TimePoint now = this->clock.Now();
   const std::int64_t known =
     std::max(this->ConfigurationVersion(), this->receivedConfiguration.load());
-  const bool isArriving = now - this->membership->LastStateProgress() <= kTransferPause;
+  const bool isArriving = this->membership->LastStateProgress() >= now - kTransferPause;
   if (this->endpointReplicator->NewestPeerConfiguration() <= known || isArriving) {
     this->upToDateAt = now;
   }
