--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -69,8 +69,9 @@
 /// Endpoints according to the entries that they write to the platform's store. An entry with state "leaving" takes
 /// effect immediately and is final for that instance. An endpoint whose entry is removed while the store responds is
 /// leaving until the entry reappears; if the endpoint itself removed it, until it was written several times again. An
-/// entry that may have lapsed in an outage of the store is kept for a while after it, unless other hosts observed that
-/// the store responded the whole time. An endpoint whose entry cannot be read gets no new requests until it can be read
+/// entry that may have lapsed in an outage of the store is kept for a while after it, unless this host or others observed
+/// that the store responded, with shorter pauses than an entry needs to lapse; one that vanished in a restore of the store
+/// is kept for the same time. An endpoint whose entry cannot be read gets no new requests until it can be read
 /// again. Not thread-safe.
 class EndpointDirectory
 {
