--- a/review/common.py
+++ b/review/common.py
@@ -41,8 +41,8 @@
 class Record:
     """Writes record.txt: one line for what was sent, answered or run."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, folder, name="record.txt"):
+        self.file = open(os.path.join(folder, name), "w", encoding="utf-8")
         self.begin = time.monotonic()
 
     def __call__(self, text):
