--- a/review/common.py
+++ b/review/common.py
@@ -4,11 +4,12 @@
 """
 
 import asyncio
+import atexit
 import json
 import os
 import random
 import re
-import signal
+import shutil
 import socket
 import subprocess
 import sys
@@ -18,7 +19,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "platform"))
 
-from Soak.messages import read_chunks, read_head, read_message  # noqa: E402
+from Soak.messages import read_chunks, read_head  # noqa: E402
 from Soak.store import Store  # noqa: E402
 
 PREFIX = "X-Lagoonward" + "-"
@@ -148,6 +149,7 @@
     def __init__(self, record, daemons=3, zones=("boa-vista", "santo-amaro", "agreste")):
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="review-")
+        atexit.register(shutil.rmtree, self.folder, True)
         self.zones = zones
         self.count = daemons
         self.store = Store(lambda text: record(f"store: {text}"))
