--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <utility>
+
 namespace lagoonward {
 
 namespace {
@@ -76,18 +78,37 @@
 }
 
 void
-RelayAttempt::ReadHead(int aStatus)
+RelayAttempt::OnHeadComplete(const TransferHead& aHead)
 {
-  if (this->headRead) {
-    return;
-  }
   this->headRead = true;
-  this->head = this->dialect.readHead(this->call, aStatus, this->headers);
+  this->head = this->dialect.readHead(this->call, aHead.status, this->headers);
+  // A server may send an extra response late. On a reused connection, one that doesn't name this request may belong to
+  // an earlier one
+  const bool isUnnamed = !this->head.matchesRequest && !this->head.namesOtherRequest;
+  const bool isResponse = this->head.matchesRequest || (isUnnamed && aHead.isFirstOnConnection);
+  this->provenNotRun = isResponse && this->IsRejection();
   // Another server may use the address now; its limits must not be applied to the target endpoint
-  const bool isFromTarget = (this->head.matchesRequest && this->head.isMarked) || this->head.notRun;
-  if (isFromTarget && !this->head.addressReassigned) {
+  const bool isFromTarget =
+    (this->head.matchesRequest && this->head.isMarked) || (this->provenNotRun && this->head.notRun);
+  if (isFromTarget && !this->IsMisdirected()) {
     this->listener.OnHead(this->head);
   }
+  if (!this->head.matchesRequest) {
+    // The response to this request may still follow, and must not be taken for that to the next one
+    this->loop.StopTransfer(this->transfer);
+  }
+}
+
+bool
+RelayAttempt::IsMisdirected() const
+{
+  return this->head.addressReassigned || this->head.status == kMisdirectedRequest;
+}
+
+bool
+RelayAttempt::IsRejection() const
+{
+  return this->head.notRun || this->IsMisdirected();
 }
 
 bool
@@ -98,11 +119,10 @@
 }
 
 void
-RelayAttempt::OnBytes(int aStatus, std::string_view aBytes)
+RelayAttempt::OnBytes(int /*aStatus*/, std::string_view aBytes)
 {
   this->path.OnBytes();
-  const bool isFirst = !this->headRead;
-  this->ReadHead(aStatus);
+  const bool isFirst = !std::exchange(this->bodyBegun, true);
   if (!this->head.streamsEvents || !this->IsGenuineSuccess()) {
     this->invalidBody =
       this->invalidBody || this->body.size() + aBytes.size() > this->settings.maximumResponseBytes;
@@ -143,23 +163,25 @@
     end.cause = aEnd.isWithheld ? AttemptCause::Withheld : AttemptCause::NoConnection;
     return end;
   }
-  if (aEnd.outcome != TransferOutcome::Complete) {
+  const bool isRead =
+    aEnd.outcome == TransferOutcome::Complete || aEnd.outcome == TransferOutcome::Stopped;
+  if (isRead && this->provenNotRun) {
+    end.outcome = AttemptOutcome::NotRun;
+    end.cause = AttemptCause::Refused;
+    end.addressReassigned = this->IsMisdirected();
+    end.reason = fmt::format("status {}", aEnd.status);
+    return end;
+  }
+  if (!isRead) {
     end.cause = aEnd.outcome == TransferOutcome::Broken ? AttemptCause::ConnectionLost
                                                         : AttemptCause::TimedOut;
     return end;
   }
-  this->ReadHead(aEnd.status);
-  end.addressReassigned = this->head.addressReassigned || aEnd.status == kMisdirectedRequest;
   end.reason = fmt::format("status {}", aEnd.status);
-  if (this->head.notRun || aEnd.status == kMisdirectedRequest) {
-    end.outcome = AttemptOutcome::NotRun;
-    end.cause = AttemptCause::Refused;
-    return end;
-  }
   end.cause = AttemptCause::InvalidResponse;
   if (!this->head.matchesRequest || this->head.bodyEncoded || this->invalidBody) {
     end.reason += this->head.matchesRequest ? ", body encoded, malformed or too large"
-                                            : ", response to a different request";
+                                            : ", response does not name this request";
     return end;
   }
   const bool isTruncated = this->head.streamsEvents && this->events.HasPartialEvent();
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -53,11 +53,13 @@
 
 private:
   void OnHeaderLine(std::string_view aLine) override;
+  void OnHeadComplete(const TransferHead& aHead) override;
   void OnBytes(int aStatus, std::string_view aBytes) override;
   void OnEnd(const TransferEnd& aEnd) override;
 
-  /// Parses the response head. Called when the body begins or the transfer ends; later calls do nothing.
-  void ReadHead(int aStatus);
+  /// Whether the endpoint rejects a request with this head, which may be another one.
+  [[nodiscard]] bool IsRejection() const;
+  [[nodiscard]] bool IsMisdirected() const;
   [[nodiscard]] bool IsGenuineSuccess() const;
   [[nodiscard]] AttemptResult Classify(const TransferEnd& aEnd);
 
@@ -73,6 +75,8 @@
   std::vector<HttpHeader> headers; ///< Response headers received so far.
   EndpointHead head;
   bool headRead = false;
+  bool provenNotRun = false; ///< The response rejects this request.
+  bool bodyBegun = false;
   std::string body;
   EventSplitter events;
   bool invalidBody = false; ///< The body is too large or is no event stream.
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -140,10 +140,12 @@
 struct EndpointHead
 {
   int status = 0;
-  bool matchesRequest = false;    ///< The response belongs to the request that was sent.
+  bool matchesRequest = false;    ///< The response names the request that was sent.
+  bool namesOtherRequest = false; ///< It names another one. A response may also name none.
   bool isMarked = false;          ///< Has the mark that endpoints set on their own responses.
-  bool notRun = false;            ///< The response proves that the request did not run.
-  bool addressReassigned = false; ///< The address is now used by a different endpoint.
+  /// The response states that the request to which it belongs did not run.
+  bool notRun = false;
+  bool addressReassigned = false; ///< It states that a different endpoint uses the address now.
   bool bodyEncoded = false; ///< The body was encoded on the way, so it is not the original one.
   bool streamsEvents = false;
   AdvertisedLimit limit; ///< Limit on the requests of all daemons together.
--- a/Lagoonward/Relay/RelayMove.cpp
+++ b/Lagoonward/Relay/RelayMove.cpp
@@ -34,6 +34,8 @@
   transferRequest.url = fmt::format("http://{}{}", aSource, request.path);
   transferRequest.headers = { "Content-Type: application/json", "Accept:" };
   transferRequest.body = request.body;
+  // The reply names no request, so no late reply to an earlier one may be on the connection
+  transferRequest.freshConnection = true;
   transferRequest.singleSend = true;
   transferRequest.timeout = aTimeout;
   this->transfer = this->loop.StartTransfer(transferRequest, *this);
--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -15,6 +15,8 @@
 /// HttpClientSettings::unacknowledgedTimeout.
 constexpr long kKeepAliveSeconds = 1;
 
+constexpr int kFirstFinalStatus = 200;
+
 } // namespace
 
 CurlTransfer::CurlTransfer()
@@ -120,16 +122,41 @@
   return CURL_SOCKOPT_OK;
 }
 
+int
+CurlTransfer::Status() const
+{
+  long status = 0;
+  curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
+  return static_cast<int>(status);
+}
+
 std::size_t
 CurlTransfer::OnBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
 {
   auto& transfer = *static_cast<CurlTransfer*>(aTransfer);
-  long status = 0;
-  curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
   if (transfer.observer != nullptr) {
-    transfer.observer->OnBytes(static_cast<int>(status), { aData, aSize * aCount });
+    transfer.observer->OnBytes(transfer.Status(), { aData, aSize * aCount });
+  }
+  return transfer.isStopped ? CURL_WRITEFUNC_ERROR : aSize * aCount;
+}
+
+void
+CurlTransfer::OnHeaderLine(std::string_view aLine)
+{
+  if (this->observer == nullptr) {
+    return;
+  }
+  this->observer->OnHeaderLine(aLine);
+  // An empty line ends a head; those of interim responses precede the final one
+  if (!aLine.empty() || this->headComplete || this->Status() < kFirstFinalStatus) {
+    return;
+  }
+  this->headComplete = true;
+  long newConnections = 0;
+  curl_easy_getinfo(this->easy.get(), CURLINFO_NUM_CONNECTS, &newConnections);
+  if (this->observer != nullptr) {
+    this->observer->OnHeadComplete({ this->Status(), newConnections > 0 });
   }
-  return aSize * aCount;
 }
 
 std::size_t
@@ -140,19 +167,15 @@
   while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
     line.remove_suffix(1);
   }
-  if (transfer.observer != nullptr) {
-    transfer.observer->OnHeaderLine(line);
-  }
-  return aSize * aCount;
+  transfer.OnHeaderLine(line);
+  return transfer.isStopped ? CURL_WRITEFUNC_ERROR : aSize * aCount;
 }
 
 TransferEnd
 CurlTransfer::DescribeEnd(CURLcode aResult) const
 {
   TransferEnd end;
-  long status = 0;
-  curl_easy_getinfo(this->easy.get(), CURLINFO_RESPONSE_CODE, &status);
-  end.status = static_cast<int>(status);
+  end.status = this->Status();
   end.message = curl_easy_strerror(aResult);
   if (aResult == CURLE_ABORTED_BY_CALLBACK) {
     end.message = this->isCancelled ? "cancelled before the request was sent"
@@ -162,7 +185,10 @@
   curl_easy_getinfo(this->easy.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
   end.isWithheld = this->isCancelled;
   end.isConnectionRefused = aResult == CURLE_COULDNT_CONNECT;
-  if (aResult == CURLE_OK) {
+  if (this->isStopped) {
+    end.outcome = TransferOutcome::Stopped;
+    end.message = "stopped, as the response is of no use";
+  } else if (aResult == CURLE_OK) {
     end.outcome = TransferOutcome::Complete;
   } else if (requestBytes == 0 || (this->isCancelled && !this->wasSent)) {
     end.outcome = TransferOutcome::NotSent;
--- a/Lagoonward/Wire/CurlTransfer.h
+++ b/Lagoonward/Wire/CurlTransfer.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace lagoonward {
 
@@ -44,12 +45,16 @@
   bool singleSend = false;
   bool wasSent = false;            ///< libcurl has started to send the request at least once.
   bool isCancelled = false;        ///< `mayBeSent` returned false.
+  bool isStopped = false;          ///< See TrafficLoop::StopTransfer().
   std::function<bool()> mayBeSent; ///< See HttpTransferRequest.
 
 private:
   void SetRequest(const HttpTransferRequest& aRequest);
   void SetConnection(const HttpTransferRequest& aRequest, const HttpClientSettings& aSettings);
   void SetCallbacks();
+  /// The status of the response so far; zero before its status line.
+  [[nodiscard]] int Status() const;
+  void OnHeaderLine(std::string_view aLine);
 
   /// Called before each attempt to send the request. libcurl sends it again on its own when a reused
   /// connection was closed by the peer.
@@ -59,6 +64,8 @@
   static int OnNewSocket(void* aTransfer, curl_socket_t aSocket, curlsocktype aPurpose);
   static std::size_t OnBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
   static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
+
+  bool headComplete = false; ///< Of the final response.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -54,6 +54,15 @@
   NotSent,  ///< Certain: no byte of the request was sent (connection refused or timed out).
   Broken,   ///< The connection failed after the request may have been sent.
   TimedOut, ///< The transfer's timeout expired after the request may have been sent.
+  Stopped,  ///< The observer stopped the transfer; see TrafficLoop::StopTransfer().
+};
+
+/// What is known of a response once its head is complete.
+struct TransferHead
+{
+  int status = 0; ///< HTTP status of the final response, not of an interim (1xx) one.
+  /// No other response was received on this connection before, so that this one can't belong to an earlier request.
+  bool isFirstOnConnection = false;
 };
 
 /// The result of a transfer.
@@ -76,6 +85,9 @@
   /// Called for each header line of the response, without its line end, and for the status line.
   virtual void OnHeaderLine(std::string_view aLine) { static_cast<void>(aLine); }
 
+  /// Called once when the head of the final response is complete, before its body.
+  virtual void OnHeadComplete(const TransferHead& aHead) { static_cast<void>(aHead); }
+
   /// Called with bytes of the response body.
   /// @param aStatus  the response's HTTP status
   virtual void OnBytes(int aStatus, std::string_view aBytes) = 0;
--- a/Lagoonward/Wire/TrafficLoop.cpp
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -172,6 +172,15 @@
   this->pendingCancels.push_back(aTransfer);
 }
 
+void
+TrafficLoop::StopTransfer(TransferId aTransfer)
+{
+  const auto found = this->transfers.find(aTransfer);
+  if (found != this->transfers.end()) {
+    found->second->isStopped = true;
+  }
+}
+
 const Clock&
 TrafficLoop::GetClock() const
 {
--- a/Lagoonward/Wire/TrafficLoop.h
+++ b/Lagoonward/Wire/TrafficLoop.h
@@ -58,6 +58,11 @@
   /// Cancels a transfer; its observer is not called again. Does nothing if the transfer has ended.
   void CancelTransfer(TransferId aTransfer);
 
+  /// Ends a transfer whose response is of no use, and closes its connection: the rest of the response must not be taken
+  /// for the response to a later request. The observer receives OnEnd() with TransferOutcome::Stopped. May be called only
+  /// in a callback of that transfer's observer, and not in OnEnd().
+  void StopTransfer(TransferId aTransfer);
+
   [[nodiscard]] const Clock& GetClock() const;
 
 private:
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -32,6 +32,7 @@
     head.status = aStatus;
     for (const auto& [name, value] : aHeaders) {
       head.matchesRequest = head.matchesRequest || (name == "Id" && value == aCall.id);
+      head.namesOtherRequest = head.namesOtherRequest || (name == "Id" && value != aCall.id);
       head.isMarked = head.isMarked || name == "Mark";
       head.notRun = head.notRun || name == "Not-Run";
       head.streamsEvents = head.streamsEvents || value == "text/event-stream";
--- /dev/null
+++ b/UnitTests/Relay/RelayForeignResponseTests.cpp
@@ -0,0 +1,110 @@
+#include "UnitTests/Relay/RelayFixture.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace lagoonward;
+using namespace lagoonward::testing;
+
+namespace {
+
+const std::string kUnavailable = "503 Service Unavailable";
+const std::string kMisdirected = "421 Misdirected Request";
+
+/// A response that rejects a request.
+struct Rejection
+{
+  std::string status;
+  std::string headers;
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, const Rejection& aRejection)
+{
+  return aStream << aRejection.status << ", " << aRejection.headers;
+}
+
+/// Rejections of another request, and rejections that name none.
+const std::vector<Rejection> kUnrelatedRejections{ { kUnavailable, "Id: r0\r\nNot-Run: 1\r\n" },
+                                                   { kUnavailable, "Not-Run: 1\r\n" },
+                                                   { kMisdirected, "Id: r0\r\n" },
+                                                   { kMisdirected, "Instance: e9\r\n" } };
+
+/// Responds to the second request with a rejection, as a server does that sends an extra response late, and after it with
+/// the proper response.
+ScriptedServer::Handler
+SendExtraResponse(const Rejection& aRejection)
+{
+  return [count = std::make_shared<std::atomic<int>>(0), aRejection](const std::string&) {
+    const std::string proper = MakeResponse("ran");
+    const bool hasExtra = (*count)++ == 1;
+    return Send(hasExtra ? MakeResponse("", aRejection.status, aRejection.headers) + proper
+                         : proper);
+  };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayForeignResponseTests)
+
+/// Guards against a caller that is told that its request did not run although it did: an extra response to an earlier
+/// request on the connection was taken for its rejection.
+BOOST_DATA_TEST_CASE(RejectionOfAnotherRequestProvesNothing,
+                     boost::unit_test::data::make(kUnrelatedRejections), rejection)
+{
+  const ScriptedServer server(SendExtraResponse(rejection));
+  RelayFixture relay({ &server });
+  BOOST_TEST(relay.SendRequest(RelayKind::NonIdempotent).reply->body == "ran");
+  const Received second = relay.SendRequest(RelayKind::NonIdempotent);
+  BOOST_REQUIRE(second.error.has_value());
+  BOOST_TEST((second.error->kind == ErrorKind::OutcomeUnknown));
+  BOOST_TEST((second.error->ran == Ran::Unknown));
+  BOOST_TEST(server.Requests().size() == 2U);
+}
+
+/// Guards against requests that fail one after the other because each receives the response to the one before.
+BOOST_DATA_TEST_CASE(ConnectionIsClosedAfterAResponseToAnotherRequest,
+                     boost::unit_test::data::make(kUnrelatedRejections), rejection)
+{
+  const ScriptedServer server(SendExtraResponse(rejection));
+  RelayFixture relay({ &server });
+  for (int turn = 0; turn < 2; ++turn) {
+    static_cast<void>(relay.SendRequest(RelayKind::NonIdempotent));
+  }
+  const Received third = relay.SendRequest(RelayKind::NonIdempotent);
+  BOOST_REQUIRE(third.reply.has_value());
+  BOOST_TEST(third.reply->body == "ran");
+}
+
+/// Guards against limits and notices that are taken from the response to another request.
+BOOST_AUTO_TEST_CASE(NoticesOfAResponseToAnotherRequestAreIgnored)
+{
+  const ScriptedServer server(
+    SendExtraResponse({ kUnavailable, "Id: r0\r\nNot-Run: 1\r\nLeaving: 1\r\n" }));
+  RelayFixture relay({ &server });
+  for (int turn = 0; turn < 2; ++turn) {
+    static_cast<void>(relay.SendRequest(RelayKind::NonIdempotent));
+  }
+  BOOST_TEST(relay.SendRequest(RelayKind::NonIdempotent).reply.has_value());
+}
+
+/// The first response on a connection belongs to its request, whether it names it or not.
+BOOST_AUTO_TEST_CASE(FirstRejectionOnAConnectionNeedsNoName)
+{
+  for (const Rejection& rejection : { kUnrelatedRejections[1], kUnrelatedRejections[3] }) {
+    const ScriptedServer rejecting([&](const std::string&) {
+      return Send(MakeResponse("", rejection.status, rejection.headers));
+    });
+    const ScriptedServer available([](const std::string&) { return Send(MakeResponse("ran")); });
+    RelayFixture relay({ &rejecting, &available });
+    for (int turn = 0; turn < 8; ++turn) {
+      const Received received = relay.SendRequest(RelayKind::NonIdempotent);
+      BOOST_REQUIRE(received.reply.has_value());
+      BOOST_TEST(received.reply->body == "ran");
+    }
+    BOOST_TEST(!rejecting.Requests().empty());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
