--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -194,6 +194,10 @@
   if (this->isStopped) {
     end.outcome = TransferOutcome::Stopped;
     end.message = "stopped, as the response is of no use";
+  } else if (aResult == CURLE_OK && !this->headComplete) {
+    // libcurl accepts a connection that is closed within the head as the end of a response without a body
+    end.outcome = TransferOutcome::Broken;
+    end.message = "the connection was closed within the head of the response";
   } else if (aResult == CURLE_OK) {
     end.outcome = TransferOutcome::Complete;
   } else if (requestBytes == 0 || (this->isCancelled && !this->wasSent)) {
--- /dev/null
+++ b/UnitTests/Wire/TrafficLoopResponseTests.cpp
@@ -0,0 +1,85 @@
+#include "Lagoonward/Core/SystemClock.h"
+#include "Lagoonward/Wire/TrafficLoop.h"
+#include "UnitTests/Support/ScriptedServer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <future>
+
+using namespace lagoonward;
+using namespace lagoonward::testing;
+
+namespace {
+
+using Kind = ScriptStep::Kind;
+
+/// Collects what a transfer reports of its response.
+class HeadObserver final : public HttpTransferObserver
+{
+public:
+  void OnHeadComplete(const TransferHead& aHead) override { this->heads.push_back(aHead); }
+  void OnBytes(int, std::string_view) override {}
+  void OnEnd(const TransferEnd& aEnd) override { this->end.set_value(aEnd); }
+
+  std::vector<TransferHead> heads;
+  std::promise<TransferEnd> end;
+};
+
+/// A client loop and a server that plays the same script for each request.
+struct ScriptedTransfers
+{
+  explicit ScriptedTransfers(Script aScript)
+    : server([script = std::move(aScript)](const std::string&) { return script; })
+    , loop(clock, {})
+  {
+    this->loop.Start();
+  }
+
+  TransferEnd Fetch(HeadObserver& aObserver)
+  {
+    HttpTransferRequest request;
+    request.url = fmt::format("http://127.0.0.1:{}/", this->server.Port());
+    this->loop.Post([&] { this->loop.StartTransfer(request, aObserver); });
+    return aObserver.end.get_future().get();
+  }
+
+  SystemClock clock;
+  ScriptedServer server;
+  TrafficLoop loop;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TrafficLoopResponseTests)
+
+/// Guards against a response that counts as complete although its connection was closed within its head.
+BOOST_AUTO_TEST_CASE(ResponseThatEndsWithinItsHeadIsBroken)
+{
+  for (const char* head :
+       { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n", "HTTP/1.1 200 OK\r\nContent-Ty",
+         "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n",
+         "HTTP/1.1 100 Continue\r\n\r\n" }) {
+    ScriptedTransfers transfers({ { Kind::Send, head }, { Kind::Close } });
+    HeadObserver observer;
+    const TransferEnd end = transfers.Fetch(observer);
+    BOOST_TEST((end.outcome == TransferOutcome::Broken), head);
+    BOOST_TEST(observer.heads.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HeadIsReportedOnceAndTellsWhetherItsConnectionIsNew)
+{
+  ScriptedTransfers transfers({ { Kind::Send, "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+                                              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" } });
+  for (const bool isFirst : { true, false }) {
+    HeadObserver observer;
+    BOOST_TEST((transfers.Fetch(observer).outcome == TransferOutcome::Complete));
+    BOOST_REQUIRE_EQUAL(observer.heads.size(), 1U);
+    BOOST_TEST(observer.heads[0].status == 200);
+    BOOST_TEST(observer.heads[0].isFirstOnConnection == isFirst);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
