--- a/Lagoonward/Relay/AttemptResult.h
+++ b/Lagoonward/Relay/AttemptResult.h
@@ -55,6 +55,7 @@
   AttemptOutcome outcome = AttemptOutcome::Unknown;
   AttemptCause cause = AttemptCause::None;
   bool addressReassigned = false; ///< The address is now used by a different endpoint.
+  bool isEventStream = false;     ///< The body was passed on event by event.
   RelayReply reply;               ///< Set for Success and Failure; has no body for an event stream.
   std::string reason;             ///< For logs.
 };
--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -122,13 +122,20 @@
 RelayAttempt::OnBytes(int /*aStatus*/, std::string_view aBytes)
 {
   this->path.OnBytes();
-  if (this->head.streamsEvents && this->IsGenuineSuccess()) {
+  if (this->ForwardsEvents()) {
     this->ForwardEvents(aBytes);
   } else {
     this->AppendToBody(aBytes);
   }
 }
 
+bool
+RelayAttempt::ForwardsEvents() const
+{
+  return this->call.route->kind == RelayKind::Stream && this->head.streamsEvents &&
+         this->IsGenuineSuccess();
+}
+
 void
 RelayAttempt::AppendToBody(std::string_view aBytes)
 {
@@ -198,7 +205,7 @@
                                             : ", response does not name this request";
     return end;
   }
-  const bool isTruncated = this->head.streamsEvents && this->events.HasPartialEvent();
+  const bool isTruncated = this->events.HasPartialEvent();
   if (IsSuccess(aEnd.status)) {
     end.reason += this->head.isMarked ? "" : ", not marked as the endpoint's own response";
     end.reason += isTruncated ? ", stream ended within an event" : "";
@@ -210,6 +217,7 @@
     end.outcome = AttemptOutcome::Failure;
     end.cause = AttemptCause::Failed;
   }
+  end.isEventStream = this->ForwardsEvents();
   end.reply = { aEnd.status, this->head.headers, std::move(this->body) };
   return end;
 }
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -61,6 +61,9 @@
   [[nodiscard]] bool IsRejection() const;
   [[nodiscard]] bool IsMisdirected() const;
   [[nodiscard]] bool IsGenuineSuccess() const;
+  /// Whether the body is passed on event by event. That of a plain request is kept until it is complete, whatever its
+  /// type, as the request may be repeated after a broken one.
+  [[nodiscard]] bool ForwardsEvents() const;
   void AppendToBody(std::string_view aBytes);
   void ForwardEvents(std::string_view aBytes);
   [[nodiscard]] AttemptResult Classify(const TransferEnd& aEnd);
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -237,6 +237,14 @@
     return;
   }
   this->move.reset();
+  if (aEnd.outcome == AttemptOutcome::Success && this->streaming && !aEnd.isEventStream) {
+    AttemptResult unusable = aEnd;
+    unusable.outcome = AttemptOutcome::Unknown;
+    unusable.cause = AttemptCause::InvalidResponse;
+    unusable.reason += ", a plain response cannot continue an event stream";
+    this->OnAttemptFailed(unusable);
+    return;
+  }
   if (aEnd.outcome == AttemptOutcome::Success) {
     this->RecordFirstByte();
     this->RecordStarted();
