--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -222,6 +222,7 @@
     this->lastEventId = aId;
   }
   ++this->forwardedEvents;
+  this->attemptHasEvents = true;
   this->RecordOrigin();
   this->context.router.OnEvent(this->dispatch, this->call.tokensPerEvent);
   this->caller->WriteEvent(aBytes);
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -133,6 +133,8 @@
   void RefuseUnknownOrigin();
   /// Records what wrote the stream's events, from the first one on and from time to time.
   void RecordOrigin();
+  /// Records that the version that wrote the stream's events can't be determined.
+  void RecordUnknownOrigin();
   /// Whether no live endpoint runs the software version that the stream needs.
   [[nodiscard]] bool IsVersionGone() const;
   /// How long to wait for an endpoint since `endpointWaitSince`.
@@ -205,6 +207,8 @@
   void ArmSilenceTimer(bool aStreamStarted);
   void OnSilenceTimeout();
   void CancelAttempt(DispatchOutcome aOutcome);
+  /// The endpoint of the attempt has restarted, perhaps before the request was sent to it.
+  void OnLaterIncarnation(const Endpoint& aEndpoint);
   void OnEndpointRestarted();
   void OnDeadline();
   void RecordFirstByte();
@@ -251,7 +255,8 @@
   bool started = false;   ///< An endpoint has responded, so the request ran.
   bool streaming = false; ///< The stream head has been sent to the caller.
   std::string lastEventId;
-  int forwardedEvents = 0; ///< Stream events sent to the caller.
+  int forwardedEvents = 0;       ///< Stream events sent to the caller.
+  bool attemptHasEvents = false; ///< Some of them came from the current attempt.
   /// What wrote the events that the caller has; empty until the first one.
   std::optional<StreamOrigin> origin;
   std::optional<TimePoint> originRecordedAt; ///< By this run.
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -30,7 +30,7 @@
   }
   const Endpoint* endpoint = aFleet.Find(this->endpointId);
   if (endpoint != nullptr && endpoint->incarnation > this->endpointIncarnation) {
-    this->OnEndpointRestarted();
+    this->OnLaterIncarnation(*endpoint);
     return;
   }
   if (this->lastMoveSource == this->endpointId || !this->IsWorthMoving()) {
@@ -41,6 +41,20 @@
   }
 }
 
+void
+RelayRun::OnLaterIncarnation(const Endpoint& aEndpoint)
+{
+  if (!this->attemptHasEvents || aEndpoint.softwareVersion == this->endpointVersion) {
+    this->OnEndpointRestarted();
+    return;
+  }
+  // Its state is known late, so either process may have received the request and written the events. If it was the former
+  // one, its connection breaks; until then the stream goes on, but no other endpoint may continue it
+  this->endpointIncarnation = aEndpoint.incarnation;
+  this->endpointVersion = aEndpoint.softwareVersion;
+  this->RecordUnknownOrigin();
+}
+
 void
 RelayRun::BeginMove(const Endpoint& aSource)
 {
--- a/Lagoonward/Relay/RelayRunOrigin.cpp
+++ b/Lagoonward/Relay/RelayRunOrigin.cpp
@@ -116,6 +116,14 @@
   this->context.streamOrigins->Record(StreamKeyOf(this->call.account, id), *this->origin);
 }
 
+void
+RelayRun::RecordUnknownOrigin()
+{
+  this->origin = StreamOrigin{ this->call.service, std::string(kUnknownSoftwareVersion) };
+  this->originRecordedAt.reset();
+  this->RecordOrigin();
+}
+
 bool
 RelayRun::IsVersionGone() const
 {
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -210,6 +210,7 @@
   this->endpointKey = EndpointKeyOf(*endpoint);
   this->endpointIncarnation = endpoint->incarnation;
   this->endpointVersion = endpoint->softwareVersion;
+  this->attemptHasEvents = false;
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
   // Demand counts each caller request once: resends after many refused connections must not raise it
   const bool isReported = std::exchange(this->demandReported, true);
--- a/Lagoonward/Relay/StreamOrigin.h
+++ b/Lagoonward/Relay/StreamOrigin.h
@@ -14,12 +14,16 @@
 /// recorded. A route's timeout does not bound it.
 inline constexpr Milliseconds kMaximumStreamAge = Seconds(60);
 
+/// Stands for the software version of a stream's origin where it can't be determined. No endpoint runs it, so that nothing
+/// continues the stream.
+inline constexpr std::string_view kUnknownSoftwareVersion = "\x1funknown";
+
 /// What wrote the events of a stream that its caller has received. Only endpoints of the same service and software
 /// version can continue the stream.
 struct StreamOrigin
 {
   std::string service;
-  std::string softwareVersion; ///< See Endpoint::softwareVersion.
+  std::string softwareVersion; ///< See Endpoint::softwareVersion, or kUnknownSoftwareVersion.
 
   bool operator==(const StreamOrigin& aOther) const = default;
 };
@@ -57,7 +61,8 @@
 public:
   virtual ~StreamOriginStore() = default;
 
-  /// Records the origin of a stream, or extends the retention of a recorded one. Any thread.
+  /// Records the origin of a stream, or extends the retention of a recorded one. One whose version is unknown stays so, as
+  /// records may arrive out of order. Any thread.
   virtual void Record(std::uint64_t aStream, const StreamOrigin& aOrigin) = 0;
 
   /// Finds the origin of a stream.
--- a/Lagoonward/Relay/StreamOriginTable.cpp
+++ b/Lagoonward/Relay/StreamOriginTable.cpp
@@ -40,7 +40,9 @@
 {
   const std::lock_guard lock(this->mutex);
   this->DropExpired();
-  this->newer.insert_or_assign(aStream, aOrigin);
+  const auto known = this->FindLocked(aStream);
+  const bool isUnknown = known && known->softwareVersion == kUnknownSoftwareVersion;
+  this->newer.insert_or_assign(aStream, isUnknown ? *known : aOrigin);
 }
 
 std::optional<StreamOrigin>
@@ -48,6 +50,12 @@
 {
   const std::lock_guard lock(this->mutex);
   this->DropExpired();
+  return this->FindLocked(aStream);
+}
+
+std::optional<StreamOrigin>
+StreamOriginTable::FindLocked(std::uint64_t aStream) const
+{
   for (const Generation* generation : { &this->newer, &this->older }) {
     const auto found = generation->find(aStream);
     if (found != generation->end()) {
--- a/Lagoonward/Relay/StreamOriginTable.h
+++ b/Lagoonward/Relay/StreamOriginTable.h
@@ -48,6 +48,8 @@
   using Generation = std::unordered_map<std::uint64_t, StreamOrigin>;
 
   void DropExpired();
+  /// Called with the mutex held.
+  [[nodiscard]] std::optional<StreamOrigin> FindLocked(std::uint64_t aStream) const;
 
   const StreamOriginTableSettings settings;
   const Clock& clock;
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -244,12 +244,15 @@
     this->service.OnFleet(snapshot);
   }
 
-  /// Publishes that the endpoint with that port has restarted under the same id.
-  void MarkRestarted(std::uint16_t aPort)
+  /// Publishes that the endpoint with that port has restarted under the same id, with this software version.
+  void MarkRestarted(std::uint16_t aPort, const std::string& aVersion = {})
   {
     auto snapshot = std::make_shared<FleetSnapshot>(*this->fleet.Get());
     for (Endpoint& endpoint : snapshot->endpoints) {
-      endpoint.incarnation += endpoint.port == aPort ? 1 : 0;
+      if (endpoint.port == aPort) {
+        ++endpoint.incarnation;
+        endpoint.softwareVersion = aVersion;
+      }
     }
     this->fleet.Publish(snapshot);
     this->market.ApplyFleet(*snapshot);
--- a/UnitTests/Relay/RelayStreamVersionTests.cpp
+++ b/UnitTests/Relay/RelayStreamVersionTests.cpp
@@ -99,10 +99,93 @@
   aRelay.resumedId = "r1";
 }
 
+/// Three endpoints of version v1. The one that receives the stream sends an event, and later what `rest` says.
+class RestartingFleet
+{
+public:
+  explicit RestartingFleet(const Script& aRest)
+  {
+    for (std::size_t index = 0; index < kEndpoints; ++index) {
+      this->servers.push_back(std::make_unique<ScriptedServer>([aRest](const std::string&) {
+        Script script{ { Kind::Send, kStreamHead + Chunk("id: 1\ndata: a\n\n") },
+                       { Kind::Wait, {}, Milliseconds(500) } };
+        script.insert(script.end(), aRest.begin(), aRest.end());
+        return script;
+      }));
+      this->endpoints.push_back(this->servers.back().get());
+    }
+  }
+
+  [[nodiscard]] std::size_t RequestCount() const
+  {
+    std::size_t count = 0;
+    for (const ScriptedServer* server : this->endpoints) {
+      count += server->Requests().size();
+    }
+    return count;
+  }
+
+  /// Port of the endpoint that received the first request.
+  [[nodiscard]] std::uint16_t ReceiverPort() const
+  {
+    const auto receiver =
+      std::find_if(this->endpoints.begin(), this->endpoints.end(),
+                   [](const ScriptedServer* aEach) { return !aEach->Requests().empty(); });
+    return (*receiver)->Port();
+  }
+
+  static constexpr std::size_t kEndpoints = 3;
+  std::vector<std::unique_ptr<ScriptedServer>> servers;
+  std::vector<const ScriptedServer*> endpoints;
+};
+
+/// Begins a stream and publishes after its first event that its endpoint has restarted with another version.
+void
+BeginAndRestart(RelayFixture& aRelay, const RestartingFleet& aFleet, TestCaller& aCaller)
+{
+  aRelay.SetSoftwareVersions(std::vector<std::string>(RestartingFleet::kEndpoints, "v1"));
+  // The endpoint is silent for longer than usual
+  aRelay.eventIntervalTarget = Seconds(2);
+  aRelay.Submit(aCaller, RelayKind::Stream, true, Seconds(8));
+  Await([&] { return aCaller.HasEvents(); });
+  aRelay.MarkRestarted(aFleet.ReceiverPort(), "v2");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayStreamVersionTests)
 
+/// Guards against streams that hold events of two versions: their endpoint had already restarted with another one when it
+/// received them, its state was read later, and they were then continued elsewhere.
+BOOST_AUTO_TEST_CASE(StreamStaysAtAnEndpointWhoseNewVersionIsReadLate)
+{
+  const RestartingFleet fleet({ { Kind::Send, Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" } });
+  RelayFixture relay(fleet.endpoints);
+  TestCaller caller;
+  BeginAndRestart(relay, fleet, caller);
+  const Received received = caller.Wait();
+  BOOST_TEST(!received.aborted);
+  BOOST_TEST(received.events == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  BOOST_TEST(fleet.RequestCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StreamOfAnUnknownVersionIsNotContinuedElsewhere)
+{
+  const RestartingFleet fleet({ { Kind::Reset } });
+  RelayFixture relay(fleet.endpoints);
+  TestCaller caller;
+  BeginAndRestart(relay, fleet, caller);
+  BOOST_TEST(caller.Wait().aborted);
+  BOOST_TEST(fleet.RequestCount() == 1U);
+  // Nor is it when its caller takes it up
+  TakeUp(relay);
+  const Received rest = relay.SendRequest(RelayKind::Stream, true);
+  BOOST_REQUIRE(rest.error.has_value());
+  BOOST_TEST((rest.error->kind == ErrorKind::OriginGone));
+  BOOST_TEST((rest.error->ran == Ran::No));
+  BOOST_TEST(fleet.RequestCount() == 1U);
+}
+
 // Guards against a stream whose endpoint breaks off and that is resumed within the same response at an endpoint of
 // another software version
 BOOST_AUTO_TEST_CASE(BrokenStreamContinuesAtItsSoftwareVersion)
