--- a/Lagoonward/Daemon/UsageReporter.cpp
+++ b/Lagoonward/Daemon/UsageReporter.cpp
@@ -2,6 +2,8 @@
 
 #include "Lagoonward/Core/Log.h"
 
+#include <algorithm>
+
 namespace lagoonward {
 
 namespace {
@@ -31,6 +33,7 @@
 void
 UsageReporter::Step()
 {
+  this->CheckEpoch();
   if (this->IsLogRestored() && this->ReadLog()) {
     this->AppendLostRecords();
   }
@@ -55,6 +58,13 @@
   if (!this->ports.isDue(since)) {
     return true;
   }
+  // A daemon that has the record may be about to append it again
+  if (this->MayHaveLostRecord(aWindow) && !this->ReadLog()) {
+    return false;
+  }
+  if (this->MayHaveLostRecord(aWindow)) {
+    return true;
+  }
   if (!this->EnsureRecorded(aWindow)) {
     return false;
   }
@@ -76,6 +86,23 @@
   return false;
 }
 
+void
+UsageReporter::CheckEpoch()
+{
+  const std::int64_t epoch =
+    std::max(this->ports.logEpoch(), this->ledger.Epoch().value_or(this->seenEpoch));
+  if (epoch > this->seenEpoch) {
+    this->seenEpoch = epoch;
+    this->epochWindow = this->usage.CurrentWindow();
+  }
+}
+
+bool
+UsageReporter::MayHaveLostRecord(std::int64_t aWindow) const
+{
+  return aWindow < this->epochWindow && this->ledger.Find(aWindow) == nullptr;
+}
+
 bool
 UsageReporter::EnsureRecorded(std::int64_t aWindow)
 {
@@ -83,6 +110,10 @@
     return false;
   }
   this->isLedgerCurrent = true;
+  this->CheckEpoch();
+  if (this->MayHaveLostRecord(aWindow)) {
+    return false;
+  }
   if (this->ledger.Find(aWindow) != nullptr) {
     return true;
   }
--- a/Lagoonward/Daemon/UsageReporter.h
+++ b/Lagoonward/Daemon/UsageReporter.h
@@ -43,7 +43,8 @@
 /// is logged (`usage_lost`, `usage_short`). To be used by one thread.
 ///
 /// A restore of the log from an older copy may lose records of windows that were reported. Every daemon that has read them
-/// keeps them and appends them again.
+/// keeps them and appends them again. If none of these lives, nobody knows whether a window that ended before the restore
+/// was reported, and with which counts; without a record it is not reported.
 class UsageReporter
 {
 public:
@@ -56,6 +57,10 @@
   [[nodiscard]] bool ReadLog();
   /// Whether the log was restored from an older copy since this daemon read it.
   [[nodiscard]] bool IsLogRestored() const;
+  /// Finds out whether the log was restored since the last step.
+  void CheckEpoch();
+  /// Whether the window may have been reported in a former epoch of the log, whose records are lost.
+  [[nodiscard]] bool MayHaveLostRecord(std::int64_t aWindow) const;
   /// Appends the records again that a restore of the log has lost, so that no later leader reports other counts.
   void AppendLostRecords();
   /// Ensures that the ledger contains the record of a window, and appends it to the log otherwise.
@@ -71,6 +76,9 @@
   const UsageCounter& usage;
   UsageLedger ledger;
   bool isLedgerCurrent = false; ///< Whether `ledger` contains all records of the log.
+  std::int64_t seenEpoch = 0;   ///< Newest epoch of the log that this daemon has heard of.
+  /// The window in which it heard of it: earlier ones ended before, zero if the log was never restored.
+  std::int64_t epochWindow = 0;
   std::set<std::int64_t> reported;
   std::int64_t expiredBefore = 0; ///< Zero before the first step.
 };
--- a/UnitTests/Daemon/UsageReporterTests.cpp
+++ b/UnitTests/Daemon/UsageReporterTests.cpp
@@ -157,4 +157,58 @@
   }
 }
 
+/// Guards against two reports of a window with different counts: a restore of the store loses its record, and the only
+/// daemon that had read it has died.
+BOOST_AUTO_TEST_CASE(WindowsOfBeforeARestoreAreNotReportedWithoutTheirRecord)
+{
+  this->log.Copy();
+  UsageReporterPorts ports = this->Ports();
+  bool otherLeads = false;
+  ports.fencingIfLeader = [&] { return otherLeads ? std::optional<Offset>(2) : std::nullopt; };
+  ports.countsOf = [](std::int64_t) { return UsageCounts{ { "a", 7 } }; };
+  UsageReporter other(ports, this->counter);
+  this->counter.OnStarted("a");
+  for (int step = 0; step < 20; ++step) {
+    this->Run(Milliseconds(250));
+    other.Step();
+  }
+  std::map<std::int64_t, UsageCounts> counts;
+  for (const UsageRecord& record : this->reports) {
+    counts[record.window] = record.counts;
+  }
+  BOOST_REQUIRE(!counts.empty());
+  this->log.Restore();
+  this->epoch = 1;
+  this->leads = false;
+  otherLeads = true;
+  const std::int64_t restoredIn = this->counter.CurrentWindow();
+  const std::size_t reportsBefore = this->reports.size();
+  for (int step = 0; step < 40; ++step) {
+    this->clock.Advance(Milliseconds(250));
+    this->accumulator.OnCounts(1, this->counter.Read());
+    other.Step();
+  }
+  BOOST_TEST(this->reports.size() > reportsBefore);
+  for (const UsageRecord& record : this->reports) {
+    const bool isSame = !counts.contains(record.window) || counts[record.window] == record.counts;
+    BOOST_TEST(isSame);
+  }
+  // Windows that ended after the restore are reported
+  BOOST_TEST(this->reports.back().window >= restoredIn);
+}
+
+/// The same for a daemon that has started since.
+BOOST_AUTO_TEST_CASE(DaemonThatStartsAfterARestoreReportsNoEarlierWindow)
+{
+  this->epoch = 1;
+  this->leads = false;
+  this->counter.OnStarted("a");
+  this->clock.Advance(Seconds(5));
+  this->accumulator.OnCounts(1, this->counter.Read());
+  UsageReporter other(this->Ports(), this->counter);
+  this->leads = true;
+  other.Step();
+  BOOST_TEST(this->reports.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
