--- a/Lagoonward/Attempts/RunCrashTracker.cpp
+++ b/Lagoonward/Attempts/RunCrashTracker.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-/// Parts of an answer after which its prompt is considered harmless. Not the first: it may arrive before the endpoint
+/// Parts of an answer after which its prompt is considered harmless, and the request less likely to be the cause. Not the first: it may arrive before the endpoint
 /// crashes.
 constexpr int kProvingProgress = 3;
 
@@ -150,7 +150,8 @@
   report.endpoint = this->endpoint;
   report.domain = this->domain;
   report.sentAge = std::chrono::floor<Milliseconds>(this->clock.Now() - this->sentAt).count();
-  report.hadPartialAnswer = this->progress > 0;
+  // The first parts may arrive before the request crashes the endpoint
+  report.hadPartialAnswer = this->progress >= kProvingProgress;
   return report;
 }
 
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -122,24 +122,27 @@
   return aRequest.ends_with(kCrashingBody);
 }
 
-/// Script of an endpoint that crashes at the start of its response to a request with kCrashingBody and responds to
-/// all others.
-Script
-CrashOrAnswer(const std::string& aRequest)
+/// An endpoint that crashes after the start of its response to a request with kCrashingBody and responds to all others.
+ScriptedServer::Handler
+CrashOrAnswer(const std::string& aStart)
 {
-  if (!IsCrashing(aRequest)) {
-    return Send(MakeResponse("hi"));
-  }
-  return { { Kind::Send, kStreamHead }, { Kind::ResetAndStopListening } };
+  return [aStart](const std::string& aRequest) -> Script {
+    if (!IsCrashing(aRequest)) {
+      return Send(MakeResponse("hi"));
+    }
+    return { { Kind::Send, aStart },
+             { Kind::Wait, {}, Milliseconds(20) },
+             { Kind::ResetAndStopListening } };
+  };
 }
 
 /// Endpoints that stay down after a request with kCrashingBody.
 struct CrashingEndpoints
 {
-  CrashingEndpoints()
+  explicit CrashingEndpoints(const std::string& aStart = kStreamHead)
   {
     for (int index = 0; index < 12; ++index) {
-      this->servers.push_back(std::make_unique<ScriptedServer>(CrashOrAnswer));
+      this->servers.push_back(std::make_unique<ScriptedServer>(CrashOrAnswer(aStart)));
       this->endpoints.push_back(this->servers.back().get());
     }
   }
@@ -678,6 +681,18 @@
   BOOST_TEST(relay.SendRequestWithBody("another", kind).reply.has_value());
 }
 
+/// Guards against a request that crashes endpoints at the first event of its stream: each crash counted half, as if the
+/// event had shown that the request is harmless.
+BOOST_AUTO_TEST_CASE(StreamThatCrashedThreeEndpointsAtItsFirstEventIsNotSentAgain)
+{
+  const CrashingEndpoints crashing(kStreamHead + Chunk("id: 1\ndata: a\n\n"));
+  RelayFixture relay(crashing.endpoints);
+  for (int time = 0; time < 12; ++time) {
+    static_cast<void>(relay.SendRequestWithBody(std::string(kCrashingBody), RelayKind::Stream));
+  }
+  BOOST_TEST(crashing.Crashes() == 3U);
+}
+
 /// Guards against treating a request as one that crashes endpoints when these lose responses but stay alive.
 BOOST_AUTO_TEST_CASE(LostConnectionsWithoutACrashDoNotBlockARequest)
 {
