--- a/UnitTests/Relay/RelayEndlessResponseTests.cpp
+++ b/UnitTests/Relay/RelayEndlessResponseTests.cpp
@@ -31,7 +31,7 @@
   RelayKind kind = RelayKind::Stream;
   std::string begin;     ///< The head and what precedes the endless part.
   std::string piece;     ///< Sent again and again.
-  std::size_t bytes = 0; ///< After so many it falls silent, with the connection open.
+  std::size_t bytes = 0; ///< Of the endless part that are sent.
 };
 
 std::ostream&
@@ -49,15 +49,18 @@
     kLongEvent },
   { "comments", RelayKind::Stream, kStreamHead, Chunk(Repeat(": c\n", 8192)), kLongEvent },
   { "one line", RelayKind::Stream, kStreamHead, Chunk(Repeat("x", 8192)), kLongEvent },
-  { "event without chunks", RelayKind::Stream, kHead + kEventStream + "\r\n", "data: 1\n",
-    kLongEvent },
+  { "event without chunks", RelayKind::Stream, kHead + kEventStream + "\r\n",
+    Repeat("data: 1\n", 8192), kLongEvent },
   { "plain body in chunks", RelayKind::NonIdempotent, kHead + "Transfer-Encoding: chunked\r\n\r\n",
     Chunk(Repeat("x", 8192)), kLongBody },
-  { "plain body without chunks", RelayKind::NonIdempotent, kHead + "\r\n", "x", kLongBody },
+  { "plain body without chunks", RelayKind::NonIdempotent, kHead + "\r\n", Repeat("x", 8192),
+    kLongBody },
   { "body of a failure", RelayKind::NonIdempotent,
-    "HTTP/1.1 500 Internal Server Error\r\nId: r1\r\nMark: m\r\n\r\n", "x", kLongBody },
+    "HTTP/1.1 500 Internal Server Error\r\nId: r1\r\nMark: m\r\n\r\n", Repeat("x", 8192),
+    kLongBody },
   { "body of a response that is not marked", RelayKind::Stream,
-    "HTTP/1.1 200 OK\r\nId: r1\r\n" + kEventStream + "\r\n", "data: 1\n\n", kLongBody },
+    "HTTP/1.1 200 OK\r\nId: r1\r\n" + kEventStream + "\r\n", Repeat("data: 1\n\n", 8192),
+    kLongBody },
   { "header lines", RelayKind::NonIdempotent, kHead, "Name: value\r\n", kLongHead },
   { "interim responses",
     RelayKind::NonIdempotent,
@@ -68,6 +71,15 @@
     kHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "Name: value\r\n", kLongHead },
 };
 
+/// Sends the response and then falls silent, with the connection open.
+ScriptedServer::Handler
+SendEndlessly(const EndlessResponse& aResponse)
+{
+  const Script script{ { Kind::Send, aResponse.begin + Repeat(aResponse.piece, aResponse.bytes) },
+                       { Kind::Wait, {}, Seconds(20) } };
+  return [script](const std::string&) { return script; };
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayEndlessResponseTests)
@@ -76,10 +88,7 @@
 BOOST_DATA_TEST_CASE(EndlessResponseEndsItsAttemptAtOnce,
                      boost::unit_test::data::make(kEndlessResponses), response)
 {
-  const ScriptedServer server([&](const std::string&) {
-    return Script{ { Kind::Send, response.begin + Repeat(response.piece, response.bytes) },
-                   { Kind::Wait, {}, Seconds(20) } };
-  });
+  const ScriptedServer server(SendEndlessly(response));
   RelayFixture relay({ &server });
   const TimePoint begun = relay.clock.Now();
   const Received received = relay.SendRequest(response.kind, false, kRouteTimeout);
@@ -96,10 +105,7 @@
 BOOST_AUTO_TEST_CASE(EndlessResponseDoesNotCountAsACrash)
 {
   const EndlessResponse& response = kEndlessResponses.front();
-  const ScriptedServer server([&](const std::string&) {
-    return Script{ { Kind::Send, response.begin + Repeat(response.piece, response.bytes) },
-                   { Kind::Wait, {}, Seconds(20) } };
-  });
+  const ScriptedServer server(SendEndlessly(response));
   RelayFixture relay({ &server });
   for (int turn = 0; turn < 5; ++turn) {
     const Received received = relay.SendRequest(response.kind, false, kRouteTimeout);
