--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -54,6 +54,7 @@
   request.body = this->call.body;
   // RelayRun decides about retries, within the limits of the route
   request.singleSend = true;
+  request.freshConnection = aTerms.wasSentBefore;
   request.mayBeSent = std::move(aMayBeSent);
   // RelayRun cancels the attempt at its deadline; this later timeout only ends attempts that it failed to cancel
   request.timeout = aTerms.remainingTime + this->settings.attemptTimeoutMargin;
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -77,6 +77,9 @@
   std::string_view stateHandle;
   /// Address of an endpoint that has more of the prompt cached; empty for none.
   std::string_view fetchFrom;
+  /// The endpoint has received this request before; see HttpTransferRequest::freshConnection. A late response to the earlier
+  /// send, which names the same request, must not be on the connection.
+  bool wasSentBefore = false;
 };
 
 /// HTTP call that makes an endpoint stop a run and copy the state of the run to another endpoint.
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -184,6 +184,8 @@
   void RequestPermit(RouteChoice aChoice, const PermitRequest& aPermit);
   void OnPermitReply(const RouteChoice& aChoice, const PermitReply& aReply);
   void BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest);
+  /// Whether an endpoint has received the request in an earlier attempt.
+  [[nodiscard]] bool WasSentTo(std::string_view aEndpoint) const;
   /// Address from which the endpoint fetches the cached prefix of the prompt; empty for none.
   [[nodiscard]] static std::string PrefixSourceAddress(const RouteChoice& aChoice,
                                                        const FleetSnapshot& aFleet);
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -230,6 +230,7 @@
   terms.lastEventId = this->lastEventId;
   const std::string prefixSource = this->PrefixSourceAddress(aChoice, *fleet);
   terms.fetchFrom = prefixSource;
+  terms.wasSentBefore = this->WasSentTo(this->endpointId);
   const std::string stateHandle = std::exchange(this->copiedState, {});
   terms.stateHandle = stateHandle;
   AttemptListener& listener = *this;
@@ -250,6 +251,15 @@
   this->ArmSilenceTimer(false);
 }
 
+bool
+RelayRun::WasSentTo(std::string_view aEndpoint) const
+{
+  // An earlier attempt has failed there, or its run was moved away
+  return aEndpoint == this->lastMoveSource ||
+         std::find(this->failedEndpoints.begin(), this->failedEndpoints.end(), aEndpoint) !=
+           this->failedEndpoints.end();
+}
+
 std::string
 RelayRun::PrefixSourceAddress(const RouteChoice& aChoice, const FleetSnapshot& aFleet)
 {
--- a/UnitTests/Relay/RelayForeignResponseTests.cpp
+++ b/UnitTests/Relay/RelayForeignResponseTests.cpp
@@ -89,6 +89,20 @@
   BOOST_TEST(relay.SendRequest(RelayKind::NonIdempotent).reply.has_value());
 }
 
+/// Guards against an extra rejection of the first send that is taken for that of the second: both name the same request.
+BOOST_AUTO_TEST_CASE(RequestIsSentToAnEndpointAgainOnANewConnection)
+{
+  const std::string rejection = MakeResponse("", kUnavailable, "Id: r1\r\nNot-Run: 1\r\n");
+  const ScriptedServer server(RespondFirstThen(
+    { { Kind::Send, rejection }, { Kind::Wait, {}, Milliseconds(300) }, { Kind::Send, rejection } },
+    Send(MakeResponse("ran"))));
+  RelayFixture relay({ &server });
+  const Received received = relay.SendRequest(RelayKind::NonIdempotent);
+  BOOST_REQUIRE(received.reply.has_value());
+  BOOST_TEST(received.reply->body == "ran");
+  BOOST_TEST(server.Requests().size() == 2U);
+}
+
 /// The first response on a connection belongs to its request, whether it names it or not.
 BOOST_AUTO_TEST_CASE(FirstRejectionOnAConnectionNeedsNoName)
 {
