--- a/Lagoonward/Relay/EventSplitter.cpp
+++ b/Lagoonward/Relay/EventSplitter.cpp
@@ -66,6 +66,19 @@
   return id;
 }
 
+bool
+EventSplitter::HasField(std::string_view aEvent)
+{
+  while (!aEvent.empty()) {
+    const Line line = FirstLine(aEvent);
+    if (!line.text.empty() && !line.text.starts_with(':')) {
+      return true;
+    }
+    aEvent.remove_prefix(line.next == std::string_view::npos ? aEvent.size() : line.next);
+  }
+  return false;
+}
+
 std::optional<std::int64_t>
 ParseEventNumber(std::string_view aId)
 {
--- a/Lagoonward/Relay/EventSplitter.h
+++ b/Lagoonward/Relay/EventSplitter.h
@@ -13,7 +13,8 @@
 class EventSplitter
 {
 public:
-  /// @param aMaximumEventBytes  size limit of one event; after a longer one the splitter ignores all further bytes
+  /// @param aMaximumEventBytes  size limit of one event, with the comments and blank lines before it; after a longer one
+  ///                            the splitter ignores all further bytes
   explicit EventSplitter(std::size_t aMaximumEventBytes);
 
   /// Appends bytes and calls `aOnEvent(std::string_view bytes, std::string_view id)` for each event that they
@@ -32,11 +33,12 @@
       const std::size_t end = this->lineStart;
       const std::string_view event = std::string_view(this->pending).substr(start, end - start);
       aOnEvent(event, FindEventId(event));
+      this->bytesWithoutField = HasField(event) ? 0 : this->bytesWithoutField + event.size();
       start = end;
     }
     this->pending.erase(0, start);
     this->lineStart -= start;
-    this->failed = this->pending.size() > this->maximumEventBytes;
+    this->failed = this->bytesWithoutField + this->pending.size() > this->maximumEventBytes;
     return !this->failed;
   }
 
@@ -49,11 +51,15 @@
   /// @return whether the event has ended
   [[nodiscard]] bool FindEventEnd();
   [[nodiscard]] static std::string_view FindEventId(std::string_view aEvent);
+  /// Whether an event has more than comments and blank lines.
+  [[nodiscard]] static bool HasField(std::string_view aEvent);
 
   std::size_t maximumEventBytes;
   std::string pending; ///< Start of an event whose end has not arrived.
   std::size_t lineStart =
     0; ///< Of the first line in `pending` whose end has not been searched for or not arrived.
+  std::size_t bytesWithoutField =
+    0; ///< Of comments and blank lines since the last event with a field.
   bool failed = false;
 };
 
--- a/UnitTests/Relay/EventSplitterTests.cpp
+++ b/UnitTests/Relay/EventSplitterTests.cpp
@@ -83,6 +83,25 @@
   BOOST_TEST(!splitter.HasPartialEvent());
 }
 
+/// Guards against comments and blank lines without end, which complete events but hold none.
+BOOST_AUTO_TEST_CASE(CommentsAndBlankLinesCountTowardsTheNextEvent)
+{
+  const auto ignore = [](std::string_view, std::string_view) {};
+  for (const char* piece : { ": ping\n\n", "\n", "\r\n" }) {
+    EventSplitter splitter(100);
+    std::size_t bytes = 0;
+    while (bytes < 1000 && splitter.Consume(piece, ignore)) {
+      bytes += std::string_view(piece).size();
+    }
+    BOOST_TEST(bytes <= 100U);
+  }
+  // Between events there is no limit on their sum
+  EventSplitter splitter(100);
+  for (int number = 0; number < 1000; ++number) {
+    BOOST_REQUIRE(splitter.Consume(": ping\n\ndata: a\n\n", ignore));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ParsesOnlyDecimalEventIds)
 {
   BOOST_TEST(*ParseEventNumber("12") == 12);
