--- a/Lagoonward/Attempts/RunCrashTracker.cpp
+++ b/Lagoonward/Attempts/RunCrashTracker.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// Parts of an answer after which its prompt is considered harmless, and the request less likely to be the cause. Not the first: it may arrive before the endpoint
-/// crashes.
+/// Parts of an answer after which its prompt is considered harmless, and its request less likely to be the cause of a
+/// crash. Not the first: it may arrive before the endpoint crashes.
 constexpr int kProvingProgress = 3;
 
 } // namespace
--- a/Lagoonward/Relay/EventSplitter.h
+++ b/Lagoonward/Relay/EventSplitter.h
@@ -55,11 +55,9 @@
   [[nodiscard]] static bool HasField(std::string_view aEvent);
 
   std::size_t maximumEventBytes;
-  std::string pending; ///< Start of an event whose end has not arrived.
-  std::size_t lineStart =
-    0; ///< Of the first line in `pending` whose end has not been searched for or not arrived.
-  std::size_t bytesWithoutField =
-    0; ///< Of comments and blank lines since the last event with a field.
+  std::string pending;               ///< Start of an event whose end has not arrived.
+  std::size_t lineStart = 0;         ///< Of the first line in `pending` that is not complete yet.
+  std::size_t bytesWithoutField = 0; ///< Of comments and blank lines since the last event.
   bool failed = false;
 };
 
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -48,8 +48,8 @@
     this->OnEndpointRestarted();
     return;
   }
-  // Its state is known late, so either process may have received the request and written the events. If it was the former
-  // one, its connection breaks; until then the stream goes on, but no other endpoint may continue it
+  // The restart is known late, so either process may have written the events. If it was the former one, its connection
+  // breaks; until then the stream goes on, but no other endpoint may continue it
   this->endpointIncarnation = aEndpoint.incarnation;
   this->endpointVersion = aEndpoint.softwareVersion;
   this->RecordUnknownOrigin();
