--- a/UnitTests/Relay/RelayEndlessResponseTests.cpp
+++ b/UnitTests/Relay/RelayEndlessResponseTests.cpp
@@ -62,6 +62,7 @@
     "HTTP/1.1 200 OK\r\nId: r1\r\n" + kEventStream + "\r\n", Repeat("data: 1\n\n", 8192),
     kLongBody },
   { "header lines", RelayKind::NonIdempotent, kHead, "Name: value\r\n", kLongHead },
+  { "one header line", RelayKind::NonIdempotent, kHead + "Name: ", Repeat("x", 8192), kLongHead },
   { "interim responses",
     RelayKind::NonIdempotent,
     {},
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -179,6 +179,13 @@
   std::atomic<int> moved{ 0 };
 };
 
+/// What a relay service asks about the origins of streams; null for what it has itself.
+struct OriginSources
+{
+  StreamOriginStore* origins = nullptr;
+  SoftwareVersionHistory* versions = nullptr;
+};
+
 /// A relay service with scripted endpoints of one service.
 class RelayFixture
 {
@@ -186,7 +193,8 @@
   explicit RelayFixture(const std::vector<const ScriptedServer*>& aEndpoints,
                         const MarketSettings& aMarket = {},
                         const std::vector<ManifestClient>& aClients = {},
-                        SnapshotGuard* aGuard = nullptr, const RelaySettings& aSettings = {})
+                        SnapshotGuard* aGuard = nullptr, const RelaySettings& aSettings = {},
+                        const OriginSources& aSources = {})
     : market("m", aMarket, clock, 1)
     , service(aSettings, MakeAnyEndpointDialect(TestDialect()), market, fleet, observer, clock)
   {
@@ -213,6 +221,9 @@
     if (aGuard != nullptr) {
       this->service.SetSnapshotGuard(*aGuard);
     }
+    if (aSources.origins != nullptr) {
+      this->service.SetStreamOrigins(*aSources.origins, aSources.versions);
+    }
     BOOST_TEST(this->service.Start().has_value());
   }
 
--- a/UnitTests/Relay/RelayForeignResponseTests.cpp
+++ b/UnitTests/Relay/RelayForeignResponseTests.cpp
@@ -1,9 +1,14 @@
 #include "UnitTests/Relay/RelayFixture.h"
+#include "UnitTests/Support/LoopbackPeers.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <set>
+#include <thread>
+
 using namespace lagoonward;
 using namespace lagoonward::testing;
 
@@ -103,6 +108,50 @@
   BOOST_TEST(server.Requests().size() == 2U);
 }
 
+/// Guards against a stream that goes on from the state of another run: the reply to a move names no run, so a late one to
+/// an earlier move must not be on its connection.
+BOOST_AUTO_TEST_CASE(MoveIsAskedForOnANewConnection)
+{
+  std::mutex mutex;
+  std::set<std::thread::id> connections; // Each is served by a thread of its own
+  std::optional<std::thread::id> moveConnection;
+  const auto script = [&](const std::string& aRequest) -> Script {
+    const std::lock_guard lock(mutex);
+    if (aRequest.starts_with("POST /move ")) {
+      moveConnection = std::this_thread::get_id();
+      return Send(MakeResponse("", "503 Busy"));
+    }
+    connections.insert(std::this_thread::get_id());
+    if (aRequest.ends_with("plain")) {
+      return { { Kind::Wait, {}, Milliseconds(100) }, { Kind::Send, MakeResponse("ran") } };
+    }
+    return { { Kind::Send, kStreamHead + Chunk("id: 1\ndata: a\n\n") },
+             { Kind::Wait, {}, Milliseconds(600) },
+             { Kind::Send, Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n" } };
+  };
+  const ScriptedServer left(script);
+  const ScriptedServer right(script);
+  RelayFixture relay({ &left, &right });
+  // Each endpoint has several idle connections when the move is asked for
+  relay.body = "plain";
+  std::array<TestCaller, 12> plainCallers;
+  for (TestCaller& caller : plainCallers) {
+    relay.Submit(caller, RelayKind::NonIdempotent, false, Seconds(5));
+  }
+  for (TestCaller& caller : plainCallers) {
+    BOOST_TEST(caller.Wait().reply.has_value());
+  }
+  const std::size_t before = left.Requests().size();
+  relay.body = "stream";
+  TestCaller caller;
+  relay.Submit(caller, RelayKind::Stream, false, Seconds(5));
+  Await([&] { return caller.HasEvents(); });
+  relay.MarkLeaving(left.Requests().size() > before ? left.Port() : right.Port());
+  BOOST_TEST(!caller.Wait().aborted);
+  BOOST_REQUIRE(moveConnection.has_value());
+  BOOST_TEST(!connections.contains(*moveConnection));
+}
+
 /// The first response on a connection belongs to its request, whether it names it or not.
 BOOST_AUTO_TEST_CASE(FirstRejectionOnAConnectionNeedsNoName)
 {
--- a/UnitTests/Relay/RelayStreamVersionTests.cpp
+++ b/UnitTests/Relay/RelayStreamVersionTests.cpp
@@ -1,6 +1,7 @@
 #include "UnitTests/Relay/RelayFixture.h"
 #include "UnitTests/Support/LoopbackPeers.h"
 
+#include <future>
 #include <tuple>
 
 using namespace lagoonward;
@@ -80,6 +81,65 @@
   std::string moveDestination;
 };
 
+/// Knows no origin. Says, as a daemon that has missed a rollout, that the service has run v1 only.
+class OutdatedOrigins final : public StreamOriginStore
+{
+public:
+  void Record(std::uint64_t, const StreamOrigin&) override {}
+  void Find(const StreamOriginRequest&, StreamOriginHandler aFound) override
+  {
+    aFound({ std::nullopt, "v1" });
+    this->asked = true;
+  }
+
+  std::atomic<bool> asked{ false };
+};
+
+/// A daemon that has not read the endpoints for two seconds and knows endpoints of v1 only; a stream is taken up there.
+struct OutdatedDaemon
+{
+  OutdatedDaemon()
+  {
+    this->endpoints.lastEventId = "1";
+    this->endpoints.resumedId = "r0";
+    this->endpoints.SetSoftwareVersions({ "v1", "v1" });
+    this->versions.OnSnapshot(*this->endpoints.fleet.Get());
+    this->versions.OnCurrent(this->clock.BootNow() - Seconds(2));
+    this->endpoints.Submit(this->caller, RelayKind::Stream, true, Seconds(5));
+  }
+
+  /// The daemon reads endpoints of these versions once it has asked for the origin.
+  void Read(const std::vector<std::string>& aVersions)
+  {
+    Await([this] { return this->origins.asked.load(); });
+    // The loop notes when it received the reply
+    std::promise<void> received;
+    this->endpoints.service.Loop().Post([&received] { received.set_value(); });
+    received.get_future().wait();
+    this->endpoints.SetSoftwareVersions(aVersions);
+    this->versions.OnSnapshot(*this->endpoints.fleet.Get());
+    this->versions.OnCurrent(this->clock.BootNow());
+  }
+
+  [[nodiscard]] std::size_t RequestCount() const
+  {
+    return this->left.Requests().size() + this->right.Requests().size();
+  }
+
+  static Script Continue(const std::string& /*aRequest*/)
+  {
+    return Send(kStreamHead + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  }
+
+  SystemClock clock;
+  const ScriptedServer left{ Continue };
+  const ScriptedServer right{ Continue };
+  OutdatedOrigins origins;
+  SoftwareVersionHistory versions{ clock };
+  TestCaller caller;
+  RelayFixture endpoints{ { &left, &right }, {}, {}, nullptr, {}, { &origins, &versions } };
+};
+
 /// Begins a stream whose caller leaves after the first event.
 void
 BeginAndLeave(RelayFixture& aRelay)
@@ -186,6 +246,31 @@
   BOOST_TEST(fleet.RequestCount() == 1U);
 }
 
+/// Guards against a stream of a new version that is taken up at a daemon that was cut off or stood still while endpoints of
+/// that version came, and that goes on at the version which that daemon takes for the only one.
+BOOST_AUTO_TEST_CASE(DaemonThatMissedANewVersionRefusesItsStreams)
+{
+  OutdatedDaemon neverReads;
+  const Received unread = neverReads.caller.Wait();
+  BOOST_REQUIRE(unread.error.has_value());
+  BOOST_TEST((unread.error->kind == ErrorKind::UnknownOrigin));
+  BOOST_TEST(neverReads.RequestCount() == 0U);
+
+  OutdatedDaemon reads;
+  reads.Read({ "v1", "v2" });
+  const Received refused = reads.caller.Wait();
+  BOOST_REQUIRE(refused.error.has_value());
+  BOOST_TEST((refused.error->kind == ErrorKind::UnknownOrigin));
+  BOOST_TEST(reads.RequestCount() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(DaemonThatMissedNothingContinuesStreamsOfTheOnlyVersion)
+{
+  OutdatedDaemon reads;
+  reads.Read({ "v1", "v1" });
+  BOOST_TEST(reads.caller.Wait().events == "id: 2\ndata: b\n\n");
+}
+
 // Guards against a stream whose endpoint breaks off and that is resumed within the same response at an endpoint of
 // another software version
 BOOST_AUTO_TEST_CASE(BrokenStreamContinuesAtItsSoftwareVersion)
