--- a/Lagoonward/Attempts/KvTransfer.cpp
+++ b/Lagoonward/Attempts/KvTransfer.cpp
@@ -37,6 +37,8 @@
   request.method = "POST";
   request.url =
     "http://" + this->route.sourceAddress + "/v1/streams/" + this->route.streamId + "/export";
+  // The replies name no stream, so no late reply to an earlier call may be on the connection
+  request.freshConnection = true;
   request.timeout = this->route.timeout;
   this->transfer = this->loop.StartTransfer(request, *this);
 }
@@ -80,6 +82,7 @@
   request.method = "POST";
   request.url = "http://" + this->route.targetAddress + "/v1/kv/import";
   request.headers = { "Content-Type: application/json" };
+  request.freshConnection = true;
   request.body = Json{ { "kv_id", *id }, { "from", this->route.sourceAddress } }.dump();
   request.timeout = this->route.timeout;
   this->body.clear();
