--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -83,8 +83,8 @@
 {
   this->headRead = true;
   this->head = this->dialect.readHead(this->call, aHead.status, this->headers);
-  // A server may send an extra response late. On a reused connection, one that doesn't name this request may belong to
-  // an earlier one
+  // An endpoint may send an extra response late. On a reused connection, one that does not name this request may belong
+  // to an earlier one
   const bool isUnnamed = !this->head.matchesRequest && !this->head.namesOtherRequest;
   const bool isResponse = this->head.matchesRequest || (isUnnamed && aHead.isFirstOnConnection);
   this->provenNotRun = isResponse && this->IsRejection();
@@ -96,10 +96,17 @@
   }
   if (!this->head.matchesRequest) {
     // The response to this request may still follow, and must not be taken for that to the next one
-    this->loop.StopTransfer(this->transfer);
+    this->Stop(isUnnamed ? "response names no request" : "response names another request");
   }
 }
 
+void
+RelayAttempt::Stop(std::string aReason)
+{
+  this->stopReason = std::move(aReason);
+  this->loop.StopTransfer(this->transfer);
+}
+
 bool
 RelayAttempt::IsMisdirected() const
 {
@@ -140,8 +147,9 @@
 void
 RelayAttempt::AppendToBody(std::string_view aBytes)
 {
-  if (this->body.size() + aBytes.size() > this->settings.maximumResponseBytes) {
-    this->loop.StopTransfer(this->transfer);
+  const std::size_t limit = this->settings.maximumResponseBytes;
+  if (this->body.size() + aBytes.size() > limit) {
+    this->Stop(fmt::format("body exceeds {} bytes", limit));
     return;
   }
   this->body.append(aBytes);
@@ -158,7 +166,7 @@
       this->listener.OnStreamEvent(aEvent, aId);
     });
   if (!isValid) {
-    this->loop.StopTransfer(this->transfer);
+    this->Stop(fmt::format("unfinished event exceeds {} bytes", this->settings.maximumEventBytes));
   }
 }
 
@@ -200,10 +208,13 @@
   }
   end.reason = fmt::format("status {}", aEnd.status);
   end.cause = AttemptCause::InvalidResponse;
-  const bool isStopped = aEnd.outcome == TransferOutcome::Stopped;
-  if (!this->head.matchesRequest || this->head.bodyEncoded || isStopped) {
-    end.reason += this->head.matchesRequest ? ", body encoded, malformed or too large"
-                                            : ", response does not name this request";
+  if (aEnd.outcome == TransferOutcome::Stopped) {
+    end.reason += ", " + (this->stopReason.empty() ? aEnd.message : this->stopReason);
+    return end;
+  }
+  if (!this->head.matchesRequest || this->head.bodyEncoded) {
+    end.reason += this->head.bodyEncoded ? ", body has a content encoding"
+                                         : ", response does not name this request";
     return end;
   }
   const bool isTruncated = this->events.HasPartialEvent();
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -64,6 +64,9 @@
   /// Whether the body is passed on event by event. That of a plain request is kept until it is complete, whatever its
   /// type, as the request may be repeated after a broken one.
   [[nodiscard]] bool ForwardsEvents() const;
+  /// Ends the transfer because its response is of no use.
+  /// @param aReason  for logs
+  void Stop(std::string aReason);
   void AppendToBody(std::string_view aBytes);
   void ForwardEvents(std::string_view aBytes);
   [[nodiscard]] AttemptResult Classify(const TransferEnd& aEnd);
@@ -84,6 +87,7 @@
   bool bodyBegun = false;
   std::string body;
   EventSplitter events;
+  std::string stopReason; ///< See Stop(); empty if it was not called.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Wire/CurlTransfer.h"
 
+#include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -193,7 +194,9 @@
   end.isConnectionRefused = aResult == CURLE_COULDNT_CONNECT;
   if (this->isStopped) {
     end.outcome = TransferOutcome::Stopped;
-    end.message = "stopped, as the response is of no use";
+    end.message = this->headBytes > this->maximumHeadBytes
+                    ? fmt::format("header lines exceed {} bytes", this->maximumHeadBytes)
+                    : "stopped, as the response is of no use";
   } else if (aResult == CURLE_OK && !this->headComplete) {
     // libcurl accepts a connection that is closed within the head as the end of a response without a body
     end.outcome = TransferOutcome::Broken;
--- a/UnitTests/Relay/RelayEndlessResponseTests.cpp
+++ b/UnitTests/Relay/RelayEndlessResponseTests.cpp
@@ -76,9 +76,9 @@
 ScriptedServer::Handler
 SendEndlessly(const EndlessResponse& aResponse)
 {
-  const Script script{ { Kind::Send, aResponse.begin + Repeat(aResponse.piece, aResponse.bytes) },
-                       { Kind::Wait, {}, Seconds(20) } };
-  return [script](const std::string&) { return script; };
+  Script script{ { Kind::Send, aResponse.begin + Repeat(aResponse.piece, aResponse.bytes) },
+                 { Kind::Wait, {}, Seconds(20) } };
+  return [script = std::move(script)](const std::string&) { return script; };
 }
 
 } // namespace
