--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -251,6 +251,8 @@
                                  { "reason", aFailed.reason },
                                  { "goes_on", aFailed.willRetry },
                                  { "obstacle", aFailed.obstacle },
+                                 { "status_line", aFailed.response.statusLine },
+                                 { "reused", aFailed.response.onReusedConnection },
                                  { "age_ms", this->AgeOf(aCall) } });
 }
 
@@ -280,6 +282,8 @@
                         { "sends", aEnd.sends },
                         { "endpoint", aEnd.endpoint },
                         { "reason", aEnd.reason },
+                        { "status_line", aEnd.response.statusLine },
+                        { "reused", aEnd.response.onReusedConnection },
                         { "age_ms", this->AgeOf(aCall) } });
 }
 
--- a/Lagoonward/Relay/AttemptResult.h
+++ b/Lagoonward/Relay/AttemptResult.h
@@ -49,6 +49,14 @@
 [[nodiscard]] bool
 IsPossibleCrash(AttemptCause aCause);
 
+/// What the HTTP client received as the head of a response, for logs.
+struct ResponseTrace
+{
+  std::string statusLine; ///< As received, perhaps shortened; empty if there was none.
+  /// The connection had carried another response before, so that bytes of a late one may precede this one.
+  bool onReusedConnection = false;
+};
+
 /// Result of one attempt.
 struct AttemptResult
 {
@@ -58,6 +66,7 @@
   bool isEventStream = false;     ///< The body was passed on event by event.
   RelayReply reply;               ///< Set for Success and Failure; has no body for an event stream.
   std::string reason;             ///< For logs.
+  ResponseTrace response;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -12,6 +12,7 @@
 
 constexpr int kFirstNonSuccessStatus = 300;
 constexpr int kMisdirectedRequest = 421;
+constexpr std::size_t kLoggedStatusLineBytes = 100;
 
 bool
 IsSuccess(int aStatus)
@@ -70,6 +71,7 @@
   // Only the last head counts
   if (IsStatusLine(aLine)) {
     this->headers.clear();
+    this->trace.statusLine = aLine.substr(0, kLoggedStatusLineBytes);
     return;
   }
   auto header = ParseHeaderLine(aLine);
@@ -82,6 +84,7 @@
 RelayAttempt::OnHeadComplete(const TransferHead& aHead)
 {
   this->headRead = true;
+  this->trace.onReusedConnection = !aHead.isFirstOnConnection;
   this->head = this->dialect.readHead(this->call, aHead.status, this->headers);
   // An endpoint may send an extra response late. On a reused connection, one that does not name this request may belong
   // to an earlier one
@@ -186,6 +189,7 @@
 RelayAttempt::Classify(const TransferEnd& aEnd)
 {
   AttemptResult end;
+  end.response = std::move(this->trace);
   end.reason = aEnd.message;
   if (aEnd.outcome == TransferOutcome::NotSent) {
     end.outcome = AttemptOutcome::NotSent;
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -80,6 +80,7 @@
   TransferId transfer = 0;
   std::string endpointId;
 
+  ResponseTrace trace;
   std::vector<HttpHeader> headers; ///< Response headers received so far.
   EndpointHead head;
   bool headRead = false;
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -21,6 +21,7 @@
   int sends = 0;          ///< Attempts that may have reached an endpoint.
   std::string reason;     ///< Why the request did not succeed; empty on success.
   std::string endpoint;   ///< Id of the last endpoint used; empty for none.
+  ResponseTrace response; ///< Of the last attempt that has ended.
 };
 
 /// Description of a send to an endpoint.
@@ -44,6 +45,7 @@
   std::string_view reason;        ///< For logs.
   bool willRetry = false;         ///< The request will be retried.
   std::string_view obstacle = {}; ///< Why it will not be; empty if it will.
+  ResponseTrace response = {};
 };
 
 /// What becomes of a stream that its caller takes up.
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -232,6 +232,7 @@
 RelayRun::OnAttemptEnd(const AttemptResult& aEnd)
 {
   const std::unique_ptr<RelayAttempt> finished = std::move(this->attempt);
+  this->lastResponse = aEnd.response;
   if (this->move != nullptr && aEnd.outcome != AttemptOutcome::Success) {
     // The source stops the run before the copy is complete; OnMoveFinished() decides
     this->endDuringMove = aEnd;
@@ -298,7 +299,7 @@
     obstacle = {};
   }
   this->context.observer.OnAttemptFailed(
-    this->call, { this->endpointId, aEnd.cause, aEnd.reason, willRetry, obstacle });
+    this->call, { this->endpointId, aEnd.cause, aEnd.reason, willRetry, obstacle, aEnd.response });
   if (willRetry) {
     this->ContinueAfterFailure(aEnd.cause);
     return;
@@ -419,7 +420,9 @@
   this->WithdrawSlotRequest();
   // A slot that is still held was not used
   this->slot.End(SlotAction::Withdraw);
-  this->context.observer.OnEnded(this->call, aEnd);
+  RelayResult result = aEnd;
+  result.response = this->lastResponse;
+  this->context.observer.OnEnded(this->call, result);
   this->context.loop.Post(std::move(this->handlers.onEnded));
 }
 
