--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -174,10 +174,26 @@
   while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) {
     line.remove_suffix(1);
   }
+  if (!transfer.headCheck.Accept(line)) {
+    transfer.isStopped = true;
+    return CURL_WRITEFUNC_ERROR;
+  }
   transfer.OnHeaderLine(line);
   return transfer.isStopped ? CURL_WRITEFUNC_ERROR : aSize * aCount;
 }
 
+std::string
+CurlTransfer::StopReason() const
+{
+  if (this->headBytes > this->maximumHeadBytes) {
+    return fmt::format("header lines exceed {} bytes", this->maximumHeadBytes);
+  }
+  if (!this->headCheck.Fault().empty()) {
+    return this->headCheck.Fault();
+  }
+  return "stopped, as the response is of no use";
+}
+
 TransferEnd
 CurlTransfer::DescribeEnd(CURLcode aResult) const
 {
@@ -194,9 +210,7 @@
   end.isConnectionRefused = aResult == CURLE_COULDNT_CONNECT;
   if (this->isStopped) {
     end.outcome = TransferOutcome::Stopped;
-    end.message = this->headBytes > this->maximumHeadBytes
-                    ? fmt::format("header lines exceed {} bytes", this->maximumHeadBytes)
-                    : "stopped, as the response is of no use";
+    end.message = this->StopReason();
   } else if (aResult == CURLE_OK && !this->headComplete) {
     // libcurl accepts a connection that is closed within the head as the end of a response without a body
     end.outcome = TransferOutcome::Broken;
--- a/Lagoonward/Wire/CurlTransfer.h
+++ b/Lagoonward/Wire/CurlTransfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Wire/HttpTransfer.h"
+#include "Lagoonward/Wire/ResponseHeadCheck.h"
 
 #include <curl/curl.h>
 
@@ -55,6 +56,8 @@
   void SetCallbacks();
   /// The status of the response so far; zero before its status line.
   [[nodiscard]] int Status() const;
+  /// Why the transfer was stopped, for logs.
+  [[nodiscard]] std::string StopReason() const;
   void OnHeaderLine(std::string_view aLine);
 
   /// Called before each attempt to send the request. libcurl sends it again on its own when a reused
@@ -68,6 +71,7 @@
 
   bool headComplete = false; ///< Of the final response.
   std::size_t headBytes = 0; ///< Of all header lines so far.
+  ResponseHeadCheck headCheck;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -57,7 +57,9 @@
   NotSent,  ///< Certain: no byte of the request was sent (connection refused or timed out).
   Broken,   ///< The connection failed after the request may have been sent.
   TimedOut, ///< The transfer's timeout expired after the request may have been sent.
-  Stopped, ///< The response is of no use, or has too many header lines; see TrafficLoop::StopTransfer().
+  /// The response is of no use (see TrafficLoop::StopTransfer()), has too many header lines, or its head is not that of one
+  /// response (see ResponseHeadCheck). Nothing in it may be used that was not proven before.
+  Stopped,
 };
 
 /// What is known of a response once its head is complete.
--- /dev/null
+++ b/Lagoonward/Wire/ResponseHeadCheck.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace lagoonward {
+
+/// Checks line by line that the head of an HTTP/1 response is that of one response. A server may send the beginning of an
+/// extra response before the one that is due; if it ends within a line, that line holds the start of the due response as
+/// well. libcurl accepts such a line, and would report the status of one response with the body of the other.
+/// Covers interim (1xx) responses before the final one, and trailers. Not thread-safe.
+class ResponseHeadCheck
+{
+public:
+  /// @param aLine  the next status line, header line, empty line or trailer, without its line end
+  /// @return false if the lines so far can't be the head of one response; the response must not be used then
+  [[nodiscard]] bool Accept(std::string_view aLine);
+
+  /// What is wrong, for logs; empty while all lines were accepted.
+  [[nodiscard]] const std::string& Fault() const { return this->fault; }
+
+private:
+  enum class Expected
+  {
+    StatusLine,
+    Header,
+    Trailer,
+  };
+
+  [[nodiscard]] bool AcceptStatusLine(std::string_view aLine);
+  [[nodiscard]] bool AcceptHeader(std::string_view aLine);
+  bool Reject(std::string_view aReason, std::string_view aLine);
+
+  Expected expected = Expected::StatusLine;
+  bool isInterim = false; ///< The status line was that of an interim response.
+  std::string fault;
+};
+
+} // namespace lagoonward
--- /dev/null
+++ b/UnitTests/Wire/ResponseHeadCheckTests.cpp
@@ -0,0 +1,91 @@
+#include "Lagoonward/Wire/ResponseHeadCheck.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <initializer_list>
+#include <string>
+#include <vector>
+
+using namespace lagoonward;
+
+namespace {
+
+using Lines = std::vector<std::string>;
+
+bool
+IsAccepted(const Lines& aLines)
+{
+  ResponseHeadCheck check;
+  for (const std::string& line : aLines) {
+    if (!check.Accept(line)) {
+      BOOST_TEST(!check.Fault().empty());
+      return false;
+    }
+  }
+  BOOST_TEST(check.Fault().empty());
+  return true;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ResponseHeadCheckTests)
+
+BOOST_AUTO_TEST_CASE(HeadsOfOneResponseAreAccepted)
+{
+  BOOST_TEST(IsAccepted({ "HTTP/1.1 200 OK", "A: b", "Date: Sat, 01 Jan 2000 00:00:00 GMT", "" }));
+  BOOST_TEST(IsAccepted({ "HTTP/1.0 500", "" }));
+  BOOST_TEST(IsAccepted({ "HTTP/1.1 505 HTTP Version Not Supported", "" }));
+  BOOST_TEST(IsAccepted({ "HTTP/1.1 200 OK", "Via: HTTP/1.1 proxy:80", "Upgrade: HTTP/2.0", "" }));
+  BOOST_TEST(IsAccepted({ "HTTP/1.1 200 OK", "Empty:", "Spaced : value", " continued", "" }));
+  BOOST_TEST(IsAccepted({ "HTTP/1.1 200 OK", "Name: caf\xc3\xa9\t!", "" }));
+  BOOST_TEST(IsAccepted({ "HTTP/1.1 100 Continue", "", "HTTP/1.1 103 Early Hints", "Link: a", "",
+                          "HTTP/1.1 200 OK", "" }));
+  BOOST_TEST(IsAccepted({ "HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "", "Trailer: a", "" }));
+}
+
+BOOST_AUTO_TEST_CASE(StartOfAnotherResponseWithinALineIsRejected)
+{
+  const std::string next = "HTTP/1.1 500 Internal Server Error";
+  for (const std::string beginning :
+       { "H", "HTTP/", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 2", "HTTP/1.1 200", "HTTP/1.1 200 ",
+         "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r", "\r" }) {
+    BOOST_TEST(!IsAccepted({ beginning + next }), beginning);
+  }
+  for (const std::string line : { "Da", "Date", "Date:", "Date: Sat, 01 J", "Id: 9c41d07be2a35f68",
+                                  "Content-Length: 1", "Date: Sat\r", " ", "\r" }) {
+    BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", line + next }), line);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(StatusLineOutsideTheBeginningOfAHeadIsRejected)
+{
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "HTTP/1.1 500 Internal Server Error" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "A: b", "HTTP/1.1 500 Error: b" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 100 Continue", "HTTP/1.1 500 Internal Server Error" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "", "HTTP/1.1 500 Internal Server Error" }));
+}
+
+BOOST_AUTO_TEST_CASE(MalformedLinesAreRejected)
+{
+  using namespace std::string_literals;
+  BOOST_TEST(!IsAccepted({ "" }));
+  BOOST_TEST(!IsAccepted({ "200 OK" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1  200 OK" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 20 OK" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 2000 OK" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "no colon" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", ": no name" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "two words: a" }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "A: b\0c"s }));
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 100 Continue", "", "A: b" }));
+}
+
+BOOST_AUTO_TEST_CASE(NothingIsAcceptedAfterAFault)
+{
+  ResponseHeadCheck check;
+  BOOST_TEST(!check.Accept("HTTP/1.1 200 LaHTTP/1.1 500 Error"));
+  BOOST_TEST(!check.Accept("HTTP/1.1 200 OK"));
+  BOOST_TEST(check.Fault().find("HTTP/1.1 200 LaHTTP/1.1 500 Error") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
