--- a/Lagoonward/Attempts/ServiceRun.cpp
+++ b/Lagoonward/Attempts/ServiceRun.cpp
@@ -161,18 +161,18 @@
   request.method = "POST";
   request.url = fmt::format("http://{}:{}{}", endpoint->address, endpoint->port, this->call.path);
   request.headers = { "Content-Type: " + this->call.contentType,
-                      "Lagoonward-Request-Id: " + this->call.terms.requestId };
+                      "Lagoonward-Request-Id: " + this->call.terms.requestId, "Connection: close" };
   if (!this->call.terms.idempotencyKey.empty()) {
     request.headers.push_back("Idempotency-Key: " + this->call.terms.idempotencyKey);
   }
   request.body = this->call.body;
-  // libcurl sends a request again by itself if a reused connection turns out to be closed
-  request.freshConnection = !this->call.terms.idempotent;
+  // The reply names no call, so no late reply to an earlier one may be on the connection. Besides, libcurl sends a
+  // request again by itself if a reused connection turns out to be closed
+  request.freshConnection = true;
   // A connection without data does not show that the service failed, so an idempotent call uses another connection
   if (this->call.terms.idempotent) {
     const int doublings = std::min(this->attemptCount - 1, kMaximumTimeoutDoublings);
     request.timeout = this->context.settings.serviceSilenceTimeout * (1 << doublings);
-    request.freshConnection = this->attemptCount > 1;
   }
   this->transfer = this->context.loop.StartTransfer(request, *this);
 }
