--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -336,7 +336,8 @@
   attempt.attemptId = fmt::format("{}-{}", this->call.terms.requestId, this->attemptCount);
   attempt.baseUrl = this->baseUrl;
   attempt.resumeStreamId = aResumeStreamId;
-  attempt.freshConnection = aFreshConnection;
+  // An engine's rejection names no attempt, so for a request that may run once no late one may be on the connection
+  attempt.freshConnection = aFreshConnection || !this->call.terms.idempotent;
   this->stream =
     std::make_unique<EngineStream>(this->context.loop, this->call.engine, std::move(attempt),
                                    *this->answer, this->context.settings.maximumEventBytes, *this);
--- a/UnitTests/Attempts/RunServiceLateResponseTests.cpp
+++ b/UnitTests/Attempts/RunServiceLateResponseTests.cpp
@@ -210,4 +210,16 @@
   BOOST_TEST(this->CountRequests("Connection: close\r\n") == 3);
 }
 
+/// Guards against a request that runs twice: an engine's rejection names no attempt, so an extra one to an earlier request
+/// must not count as proof that a non-idempotent request did not run.
+BOOST_DATA_TEST_CASE(RejectionOfAnEarlierRequestDoesNotRepeatANonIdempotentOne,
+                     boost::unit_test::data::make({ true, false }), isFirstIdempotent)
+{
+  BOOST_TEST(this->Complete("first", isFirstIdempotent).text == "first");
+  const CallEnd end = this->Complete("second", false);
+  BOOST_TEST(!end.failure.has_value());
+  BOOST_TEST(end.text == "second");
+  BOOST_TEST(this->CountRequests("\"prompt\":\"second\"") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
