--- a/Lagoonward/Relay/AttemptResult.h
+++ b/Lagoonward/Relay/AttemptResult.h
@@ -64,6 +64,7 @@
   AttemptCause cause = AttemptCause::None;
   bool addressReassigned = false; ///< The address is now used by a different endpoint.
   bool isEventStream = false;     ///< The body was passed on event by event.
+  bool isForeign = false;         ///< What arrived belongs to another request, wholly or in part.
   RelayReply reply;               ///< Set for Success and Failure; has no body for an event stream.
   std::string reason;             ///< For logs.
   ResponseTrace response;
--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -55,7 +55,8 @@
   request.body = this->call.body;
   // RelayRun decides about retries, within the limits of the route
   request.singleSend = true;
-  request.freshConnection = aTerms.wasSentBefore;
+  request.freshConnection = aTerms.wasSentBefore || aTerms.needsOwnConnection;
+  request.closesConnection = aTerms.needsOwnConnection;
   request.mayBeSent = std::move(aMayBeSent);
   // RelayRun cancels the attempt at its deadline; this later timeout only ends attempts that it failed to cancel
   request.timeout = aTerms.remainingTime + this->settings.attemptTimeoutMargin;
@@ -97,6 +98,7 @@
   if (isFromTarget && !this->IsMisdirected()) {
     this->listener.OnHead(this->head);
   }
+  this->isForeign = !isResponse && !this->head.matchesRequest;
   if (!this->head.matchesRequest) {
     // The response to this request may still follow, and must not be taken for that to the next one
     this->Stop(isUnnamed ? "response names no request" : "response names another request");
@@ -191,6 +193,7 @@
   AttemptResult end;
   end.response = std::move(this->trace);
   end.reason = aEnd.message;
+  end.isForeign = this->isForeign || aEnd.hasMalformedHead;
   if (aEnd.outcome == TransferOutcome::NotSent) {
     end.outcome = AttemptOutcome::NotSent;
     end.cause = aEnd.isWithheld ? AttemptCause::Withheld : AttemptCause::NoConnection;
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -85,6 +85,7 @@
   EndpointHead head;
   bool headRead = false;
   bool provenNotRun = false; ///< The response rejects this request.
+  bool isForeign = false;    ///< See AttemptResult.
   bool bodyBegun = false;
   std::string body;
   EventSplitter events;
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -80,6 +80,8 @@
   /// The endpoint has received this request before; see HttpTransferRequest::freshConnection. A late response to the earlier
   /// send, which names the same request, must not be on the connection.
   bool wasSentBefore = false;
+  /// The request is the only one on its connection, as the endpoint sends bytes of other responses; see ConnectionReuse.
+  bool needsOwnConnection = false;
 };
 
 /// HTTP call that makes an endpoint stop a run and copy the state of the run to another endpoint.
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -233,6 +233,9 @@
 {
   const std::unique_ptr<RelayAttempt> finished = std::move(this->attempt);
   this->lastResponse = aEnd.response;
+  if (aEnd.isForeign) {
+    this->context.connectionReuse.Suspend(this->endpointKey);
+  }
   if (this->move != nullptr && aEnd.outcome != AttemptOutcome::Success) {
     // The source stops the run before the copy is complete; OnMoveFinished() decides
     this->endDuringMove = aEnd;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -14,6 +14,7 @@
 #include "Lagoonward/Fleet/SoftwareVersionHistory.h"
 #include "Lagoonward/Queueing/QueuePoolsStore.h"
 #include "Lagoonward/Queueing/SlotRegistry.h"
+#include "Lagoonward/Relay/ConnectionReuse.h"
 #include "Lagoonward/Relay/RelayAttempt.h"
 #include "Lagoonward/Relay/RelayMove.h"
 #include "Lagoonward/Relay/RelayObserver.h"
@@ -76,6 +77,7 @@
   StreamOriginStore* streamOrigins; ///< Never null.
   SoftwareVersionHistory* versions; ///< Null if they are not known.
   PathMonitor& pathMonitor;
+  ConnectionReuse& connectionReuse;
   const FleetStore& fleet;
   SnapshotGuard* snapshotGuard; ///< Null if the snapshot of the endpoints has no age.
   const RelaySettings& settings;
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -231,6 +231,8 @@
   const std::string prefixSource = this->PrefixSourceAddress(aChoice, *fleet);
   terms.fetchFrom = prefixSource;
   terms.wasSentBefore = this->WasSentTo(this->endpointId);
+  terms.needsOwnConnection = !this->call.route->IsRepeatable() &&
+                             this->context.connectionReuse.IsSuspended(this->endpointKey);
   const std::string stateHandle = std::exchange(this->copiedState, {});
   terms.stateHandle = stateHandle;
   AttemptListener& listener = *this;
--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -13,6 +13,7 @@
   , crashProbe(this->loop)
   , pathMonitor(aSettings.path, this->loop, aFleet,
                 [&aMarket] { aMarket.router.ResetCircuitBreakers(); })
+  , connectionReuse(aSettings.connectionReuse, aClock)
   , forwarder(this->loop, this->settings)
   , localPermits(aClock)
   , localPlaces(this->loop)
@@ -40,6 +41,7 @@
              &this->localStreamOrigins,
              nullptr,
              this->pathMonitor,
+             this->connectionReuse,
              aFleet,
              nullptr,
              this->settings,
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -121,6 +121,7 @@
   TrafficLoop loop;
   CrashProbe crashProbe;
   PathMonitor pathMonitor;
+  ConnectionReuse connectionReuse; ///< Accessed on the loop only.
   RequestForwarder forwarder;
   LocalPermitSource localPermits;
   LocalPlaceSource localPlaces;
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Relay/ConnectionReuse.h"
 #include "Lagoonward/Relay/PathMonitor.h"
 #include "Lagoonward/Wire/HttpTransfer.h"
 
@@ -13,6 +14,7 @@
 {
   HttpClientSettings client;
   PathMonitorSettings path;
+  ConnectionReuseSettings connectionReuse;
 
   /// Interval of the check for disconnected callers. Two checks fit in the half second within which an endpoint should
   /// stop working for a disconnected caller.
--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -78,6 +78,7 @@
                    static_cast<long>(aSettings.connectTimeout.count()));
   curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(aRequest.timeout.count()));
   curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, aRequest.freshConnection ? 1L : 0L);
+  curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, aRequest.closesConnection ? 1L : 0L);
   curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &CurlTransfer::OnBeforeSend);
   curl_easy_setopt(handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(handle, CURLOPT_SOCKOPTFUNCTION, &CurlTransfer::OnNewSocket);
@@ -207,6 +208,8 @@
   long requestBytes = 0;
   curl_easy_getinfo(this->easy.get(), CURLINFO_REQUEST_SIZE, &requestBytes);
   end.isWithheld = this->isCancelled;
+  end.hasMalformedHead = !this->headCheck.Fault().empty() || aResult == CURLE_WEIRD_SERVER_REPLY ||
+                         aResult == CURLE_UNSUPPORTED_PROTOCOL;
   end.isConnectionRefused = aResult == CURLE_COULDNT_CONNECT;
   if (this->isStopped) {
     end.outcome = TransferOutcome::Stopped;
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -43,6 +43,8 @@
   /// Opens a new connection and sends the request at most once. Otherwise libcurl may send it again on a new
   /// connection when a reused one is already closed, which is not allowed for a non-idempotent call.
   bool freshConnection = false;
+  /// Closes the connection after the response, so that no other request uses it.
+  bool closesConnection = false;
   Milliseconds timeout{ 0 }; ///< Timeout of the complete transfer; zero for none.
   /// Called on the loop's thread immediately before the request is sent, which may be long after the transfer was
   /// started because a connection has to be opened first. Returning false ends the transfer as NotSent. Empty means
@@ -74,8 +76,9 @@
 struct TransferEnd
 {
   TransferOutcome outcome = TransferOutcome::Broken;
-  int status = 0;          ///< HTTP status; zero if no response was received.
-  bool isWithheld = false; ///< HttpTransferRequest::mayBeSent returned false.
+  int status = 0;                ///< HTTP status; zero if no response was received.
+  bool isWithheld = false;       ///< HttpTransferRequest::mayBeSent returned false.
+  bool hasMalformedHead = false; ///< The response's head is not that of one HTTP response.
   bool isConnectionRefused =
     false;             ///< The connection attempt failed immediately: nothing listens there.
   std::string message; ///< Error text for logs.
