--- a/Lagoonward/Relay/RelayService.cpp
+++ b/Lagoonward/Relay/RelayService.cpp
@@ -1,7 +1,20 @@
 #include "Lagoonward/Relay/RelayService.h"
 
+#include <utility>
+
 namespace lagoonward {
 
+namespace {
+
+Error
+ShutdownError(Milliseconds aRetryAfter)
+{
+  return Error(ErrorKind::Draining, "The daemon shut down before the request was admitted.")
+    .WithRetryAfter(aRetryAfter);
+}
+
+} // namespace
+
 RelayService::RelayService(const RelaySettings& aSettings, AnyEndpointDialect aDialect,
                            Market& aMarket, const FleetStore& aFleet, RelayObserver& aObserver,
                            const Clock& aClock)
@@ -77,6 +90,7 @@
 RelayService::Stop()
 {
   this->loop.Stop();
+  this->pendingRequests.clear();
   this->runs.clear();
 }
 
@@ -87,11 +101,22 @@
   aCall.sharedPartKeys = ComputeSharedPartKeys(aCall);
   const auto request =
     std::make_shared<PendingRequest>(PendingRequest{ std::move(aCall), std::move(aCaller) });
-  this->loop.Post([this, request] { this->AcquireTokens(request); });
+  this->loop.Post([this, request] { this->AwaitAdmission(request); });
 }
 
 void
-RelayService::AcquireTokens(const std::shared_ptr<PendingRequest>& aRequest)
+RelayService::AwaitAdmission(const PendingRequestPtr& aRequest)
+{
+  if (this->abandoned) {
+    this->Refuse(*aRequest, ShutdownError(this->settings.retryAfterFloor));
+    return;
+  }
+  this->pendingRequests.insert(aRequest);
+  this->AcquireTokens(aRequest);
+}
+
+void
+RelayService::AcquireTokens(const PendingRequestPtr& aRequest)
 {
   const auto start = [this, aRequest] { this->AdmitAndStart(aRequest); };
   if (this->tokenSource != nullptr && !aRequest->call.account.empty()) {
@@ -114,8 +139,13 @@
 {
   const auto request = std::make_shared<ForwardRequest>(std::move(aRequest));
   const auto caller = std::make_shared<std::unique_ptr<RelayCaller>>(std::move(aCaller));
-  this->loop.Post(
-    [this, request, caller] { this->forwarder.Forward(std::move(*request), std::move(*caller)); });
+  this->loop.Post([this, request, caller] {
+    if (this->abandoned) {
+      (*caller)->SendError(ShutdownError(this->settings.retryAfterFloor));
+      return;
+    }
+    this->forwarder.Forward(std::move(*request), std::move(*caller));
+  });
 }
 
 void
@@ -174,8 +204,11 @@
 }
 
 void
-RelayService::AdmitAndStart(const std::shared_ptr<PendingRequest>& aRequest)
+RelayService::AdmitAndStart(const PendingRequestPtr& aRequest)
 {
+  if (!this->pendingRequests.contains(aRequest)) {
+    return; // Refused meanwhile by AbandonAll()
+  }
   const RelayCall& call = aRequest->call;
   this->UpdatePressure(call);
   auto ticket = this->Admit(call);
@@ -185,12 +218,11 @@
                           [this, aRequest] { this->AcquireTokens(aRequest); });
       return;
     }
-    this->observer.OnAccepted(call);
-    aRequest->caller->SendError(ticket.error());
-    const int status = GetErrorRule(ticket.error().kind).httpStatus;
-    this->observer.OnEnded(call, { status, false, 0, ticket.error().message, {} });
+    this->pendingRequests.erase(aRequest);
+    this->Refuse(*aRequest, ticket.error());
     return;
   }
+  this->pendingRequests.erase(aRequest);
   ActiveRun active;
   active.ticket = std::move(ticket.value());
   const std::uint64_t id = this->nextRunId++;
@@ -208,6 +240,15 @@
   run.Start();
 }
 
+void
+RelayService::Refuse(PendingRequest& aRequest, const Error& aError)
+{
+  this->observer.OnAccepted(aRequest.call);
+  aRequest.caller->SendError(aError);
+  const int status = GetErrorRule(aError.kind).httpStatus;
+  this->observer.OnEnded(aRequest.call, { status, false, 0, aError.message, {} });
+}
+
 void
 RelayService::ChargeRepeat(const RelayCall& aCall)
 {
@@ -260,6 +301,11 @@
 RelayService::AbandonAll()
 {
   this->loop.Post([this] {
+    // A reply from outside may still come for a request that waits; it must not start it then
+    this->abandoned = true;
+    for (const PendingRequestPtr& request : std::exchange(this->pendingRequests, {})) {
+      this->Refuse(*request, ShutdownError(this->settings.retryAfterFloor));
+    }
     for (auto& [id, active] : this->runs) {
       active.run->Abandon();
     }
--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <memory>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace lagoonward {
 
@@ -75,7 +76,8 @@
   /// Applies a new snapshot of the endpoints to all runs. Safe from any thread.
   void OnFleet(const FleetSnapshotPtr& aFleet);
 
-  /// Fails all requests in progress, for the shutdown of the daemon. Safe from any thread.
+  /// Answers all requests in progress, for the shutdown of the daemon: those that an endpoint may have run fail, all
+  /// others are refused, also those that come later. Safe from any thread.
   void AbandonAll();
 
   [[nodiscard]] int ActiveRuns() const { return this->activeRuns; }
@@ -96,10 +98,15 @@
     RelayCall call;
     std::unique_ptr<RelayCaller> caller;
   };
+  using PendingRequestPtr = std::shared_ptr<PendingRequest>;
 
+  /// Waits until the request can be admitted, unless the daemon shuts down.
+  void AwaitAdmission(const PendingRequestPtr& aRequest);
   /// Requests the limit tokens that are missing locally, if that may help, and then admits the request.
-  void AcquireTokens(const std::shared_ptr<PendingRequest>& aRequest);
-  void AdmitAndStart(const std::shared_ptr<PendingRequest>& aRequest);
+  void AcquireTokens(const PendingRequestPtr& aRequest);
+  void AdmitAndStart(const PendingRequestPtr& aRequest);
+  /// Ends a request that was not admitted.
+  void Refuse(PendingRequest& aRequest, const Error& aError);
   /// Admits the request. @return its ticket, null for a route without accounts
   [[nodiscard]] Result<std::unique_ptr<Ticket>> Admit(const RelayCall& aCall);
   /// Whether a refused request should wait for tokens of its account's limit.
@@ -130,7 +137,10 @@
   SendGate gate;
   StreamOriginTable localStreamOrigins;
   RelayContext context;
-  std::unordered_map<std::uint64_t, ActiveRun> runs; ///< Accessed on the loop only.
+  std::unordered_set<PendingRequestPtr>
+    pendingRequests;      ///< Accessed on the loop only, as are the next two.
+  bool abandoned = false; ///< See AbandonAll().
+  std::unordered_map<std::uint64_t, ActiveRun> runs;
   std::uint64_t nextRunId = 1;
   std::atomic<int> activeRuns{ 0 };
 };
--- a/UnitTests/Relay/RelayServiceTests.cpp
+++ b/UnitTests/Relay/RelayServiceTests.cpp
@@ -114,6 +114,24 @@
   FakeTokenSource tokenSource{ *this };
 };
 
+/// Returns when the service has run all tasks that were posted to its loop before.
+void
+AwaitPostedTasks(RelayFixture& aRelay)
+{
+  std::promise<void> reached;
+  aRelay.service.Loop().Post([&reached] { reached.set_value(); });
+  reached.get_future().wait();
+}
+
+void
+CheckRefusedAtTheShutdown(TestCaller& aCaller)
+{
+  const Received received = aCaller.Wait();
+  BOOST_REQUIRE(received.error.has_value());
+  BOOST_TEST((received.error->kind == ErrorKind::Draining));
+  BOOST_TEST((received.error->ran == Ran::No));
+}
+
 constexpr std::string_view kCrashingBody = "crash";
 
 bool
@@ -246,6 +264,58 @@
   BOOST_TEST((received.error->kind == ErrorKind::UnknownOrigin));
 }
 
+// Guards against a request that gets no answer, or is sent and gets none, because the limit of its account has not been
+// decided when the daemon shuts down
+BOOST_AUTO_TEST_CASE(RequestThatWaitsForTokensIsRefusedAtTheShutdown)
+{
+  LimitedRelayFixture limited;
+  TestCaller caller;
+  limited.relay.Submit(caller, RelayKind::NonIdempotent, false, Seconds(5), std::string(kAccount),
+                       400);
+  limited.relay.service.AbandonAll();
+  CheckRefusedAtTheShutdown(caller);
+  limited.tokenSource.Reply([](const LimitTokenRequest& aRequest) {
+    return LimitTokenGrant{ aRequest.neededTokens, 0 };
+  });
+  AwaitPostedTasks(limited.relay);
+  BOOST_TEST(limited.relay.observer.sent == 0);
+  BOOST_TEST(limited.relay.observer.ended == 1);
+}
+
+// The same for a daemon that has just started, and for a stream that is continued
+BOOST_AUTO_TEST_CASE(RequestsThatWaitForTheirLimitAreRefusedAtTheShutdown)
+{
+  LimitedRelayFixture starting(LimitedRelayFixture::RespondAlike, false);
+  starting.relay.firstEventTarget = Seconds(60);
+  TestCaller first;
+  starting.relay.Submit(first, RelayKind::NonIdempotent, false, Seconds(60), std::string(kAccount),
+                        1);
+  starting.relay.service.AbandonAll();
+  CheckRefusedAtTheShutdown(first);
+
+  LimitedRelayFixture limited;
+  limited.relay.lastEventId = "3";
+  limited.relay.eventIntervalTarget = Seconds(60);
+  TestCaller continued;
+  limited.relay.Submit(continued, RelayKind::Stream, true, Seconds(60), std::string(kAccount), 3);
+  limited.tokenSource.Reply([](const LimitTokenRequest&) { return LimitTokenGrant{ 0, 0.05 }; });
+  AwaitPostedTasks(limited.relay);
+  limited.relay.service.AbandonAll();
+  CheckRefusedAtTheShutdown(continued);
+}
+
+// Guards against a request that is sent to an endpoint when its response can no longer arrive
+BOOST_AUTO_TEST_CASE(RequestThatIsSubmittedAfterTheShutdownIsRefused)
+{
+  const ScriptedServer server([](const std::string&) { return Send(MakeResponse("late")); });
+  RelayFixture relay({ &server });
+  relay.service.AbandonAll();
+  TestCaller caller;
+  relay.Submit(caller, RelayKind::NonIdempotent, false, Seconds(5));
+  CheckRefusedAtTheShutdown(caller);
+  BOOST_TEST(server.Requests().empty());
+}
+
 BOOST_AUTO_TEST_CASE(NonIdempotentRequestIsSentOnceWhenItsResponseIsLost)
 {
   for (const Script& loss : { Script{ { Kind::Reset } }, Script{ { Kind::Close } },
