--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -38,6 +38,10 @@
 
 constexpr Milliseconds kDrainPollInterval{ 20 };
 
+/// Polls for which abandoned requests may take to be answered. A count, since a process that stood still would find any
+/// time passed.
+constexpr int kFlushPolls = 22;
+
 constexpr std::size_t kForwardTokenBytes = 16;
 
 /// A crash concerns several parts of each request that ran there.
@@ -625,7 +629,7 @@
   if (this->OpenExchanges() > 0) {
     kLog.Event(LogLevel::Warning, "abandons", { { "open", this->OpenExchanges() } });
     this->relay->AbandonAll();
-    this->WaitForResponses(begun + this->settings.grace - kResponseFlushMargin / 2);
+    this->FlushResponses();
   }
   kLog.Event("drained", { { "open", this->OpenExchanges() } });
 }
@@ -638,6 +642,14 @@
   }
 }
 
+void
+RelayDaemon::FlushResponses()
+{
+  for (int poll = 0; poll<kFlushPolls&& this->OpenExchanges()> 0; ++poll) {
+    std::this_thread::sleep_for(kDrainPollInterval);
+  }
+}
+
 void
 RelayDaemon::Stop()
 {
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -137,6 +137,8 @@
   /// Version in force, or -1 before the first.
   [[nodiscard]] std::int64_t ConfigurationVersion() const;
   void WaitForResponses(TimePoint aUntil);
+  /// Waits for the responses to requests that were abandoned.
+  void FlushResponses();
 
   RelayDaemonSettings settings;
   const Clock& clock;
