--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Daemon/RelayDaemon.h"
 
+#include "Lagoonward/Daemon/DrainSchedule.h"
 #include "Lagoonward/Daemon/PeerKeys.h"
 #include "Lagoonward/Daemon/QueuedServices.h"
 #include "Lagoonward/Daemon/RelayTuning.h"
@@ -19,13 +20,6 @@
 constexpr std::string_view kRelayMarket = "relay";
 constexpr std::string_view kConfigurationState = "relay/configuration";
 
-/// A load balancer that probes once a second removes a daemon after two failed probes; the rest covers the latency of
-/// these.
-constexpr Milliseconds kBalancerDetectionTime{ 2500 };
-
-/// Time left between the last response and the forced termination, for the responses to reach their callers.
-constexpr Milliseconds kResponseFlushMargin{ 900 };
-
 /// The time in which a configuration must be in force, divided by this, is the time that peers have to begin to deliver a
 /// configuration whose version they have announced; afterwards it is read from the source.
 constexpr int kConfigurationWaitDivisor = 4;
@@ -606,6 +600,7 @@
     return;
   }
   const TimePoint begun = this->clock.Now();
+  const DrainSchedule schedule = MakeDrainSchedule(this->settings.grace);
   kLog.Event("draining", { { "open", this->OpenExchanges() } });
   this->callerServer->CloseAfterResponses();
   this->leaderTasks->Drain();
@@ -618,14 +613,14 @@
   });
   this->membership->Drain();
 
-  // The load balancer sends callers until it has noticed the drain
-  std::this_thread::sleep_for(kBalancerDetectionTime);
+  this->SleepUntil(begun + schedule.rejectAfter);
   this->rejectsRequests = true;
+  this->SleepUntil(begun + schedule.stopListeningAfter);
   this->callerServer->StopListening();
   if (this->forwardServer != nullptr) {
     this->forwardServer->StopListening();
   }
-  this->WaitForResponses(begun + this->settings.grace - kResponseFlushMargin);
+  this->WaitForResponses(begun + schedule.abandonAfter);
   if (this->OpenExchanges() > 0) {
     kLog.Event(LogLevel::Warning, "abandons", { { "open", this->OpenExchanges() } });
     this->relay->AbandonAll();
@@ -634,6 +629,12 @@
   kLog.Event("drained", { { "open", this->OpenExchanges() } });
 }
 
+void
+RelayDaemon::SleepUntil(TimePoint aUntil) const
+{
+  std::this_thread::sleep_for(aUntil - this->clock.Now());
+}
+
 void
 RelayDaemon::WaitForResponses(TimePoint aUntil)
 {
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -113,7 +113,7 @@
   void BuildServers();
   void BuildForwarding();
   void HandleCall(HttpRequest aRequest, const HttpExchangePtr& aExchange);
-  /// Reads a request and runs it, or forwards it if there are targets.
+  /// Reads a request and runs it, or forwards it if there are targets. Rejects it late in a drain.
   void Serve(HttpRequest aRequest, std::unique_ptr<RelayCaller> aCaller,
              std::vector<ForwardTarget> aTargets);
   /// Handles a request that another daemon forwarded.
@@ -136,6 +136,7 @@
   void PollDaemonCount();
   /// Version in force, or -1 before the first.
   [[nodiscard]] std::int64_t ConfigurationVersion() const;
+  void SleepUntil(TimePoint aUntil) const;
   void WaitForResponses(TimePoint aUntil);
   /// Waits for the responses to requests that were abandoned.
   void FlushResponses();
--- a/Lagoonward/Daemon/RelayDaemonCalls.cpp
+++ b/Lagoonward/Daemon/RelayDaemonCalls.cpp
@@ -20,12 +20,6 @@
 RelayDaemon::HandleCall(HttpRequest aRequest, const HttpExchangePtr& aExchange)
 {
   auto caller = std::make_unique<HttpRelayCaller>(aExchange, this->ports.callers.writeError);
-  if (this->rejectsRequests) {
-    // The end of the grace period could cut off a request that is accepted now
-    caller->SendError(Error(ErrorKind::Draining, "This daemon is draining; retry at another one.")
-                        .WithRetryAfter(kDrainRetryAfter));
-    return;
-  }
   this->Serve(std::move(aRequest), std::move(caller), this->TargetsIfPathIsLost());
 }
 
@@ -33,6 +27,12 @@
 RelayDaemon::Serve(HttpRequest aRequest, std::unique_ptr<RelayCaller> aCaller,
                    std::vector<ForwardTarget> aTargets)
 {
+  if (this->rejectsRequests) {
+    // The end of the grace period could cut off a request that is accepted now
+    aCaller->SendError(Error(ErrorKind::Draining, "This daemon is draining; retry at another one.")
+                         .WithRetryAfter(kDrainRetryAfter));
+    return;
+  }
   ForwardRequest forward;
   forward.targets = std::move(aTargets);
   if (!forward.targets.empty()) {
