--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Wire/ResponseHeadCheck.h"
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr std::string_view kProtocol = "HTTP/";
+constexpr std::string_view kBlanks = " \t";
 constexpr std::size_t kStatusDigits = 3;
 constexpr int kFirstFinalStatus = 200;
 constexpr std::size_t kLoggedLineBytes = 100;
@@ -46,25 +48,36 @@
 {
   const std::size_t colon = aLine.find(':');
   const std::string_view name = aLine.substr(0, colon == std::string_view::npos ? 0 : colon);
-  return name.substr(0, name.find_last_not_of(" \t") + 1);
+  return name.substr(0, name.find_last_not_of(kBlanks) + 1);
 }
 
-/// The status of a status line (RFC 9112, section 4); nullopt if the text doesn't begin with one.
-std::optional<int>
-ParseStatusLine(std::string_view aText)
+/// Whether the text is `HTTP/` and a version as RFC 9112 (section 2.3) has it, or one without a minor number.
+bool
+IsVersion(std::string_view aText)
 {
+  constexpr std::size_t kMajorOnly = 1;
+  constexpr std::size_t kMajorAndMinor = 3;
   if (!aText.starts_with(kProtocol)) {
-    return std::nullopt;
+    return false;
   }
-  aText.remove_prefix(kProtocol.size());
-  const std::size_t versionEnd = std::min(aText.find_first_not_of("0123456789."), aText.size());
-  aText.remove_prefix(versionEnd);
-  if (versionEnd == 0 || aText.size() < 1 + kStatusDigits || aText.front() != ' ') {
+  const std::string_view number = aText.substr(kProtocol.size());
+  return (number.size() == kMajorOnly && IsDigit(number[0])) ||
+         (number.size() == kMajorAndMinor && IsDigit(number[0]) && number[1] == '.' &&
+          IsDigit(number[2]));
+}
+
+/// The status of a status line (RFC 9112, section 4); nullopt if the line isn't one. Strict, as libcurl reads a status out
+/// of some malformed lines that differs from the one they hold.
+std::optional<int>
+ParseStatusLine(std::string_view aLine)
+{
+  const std::size_t versionEnd = std::min(aLine.find(' '), aLine.size());
+  const std::string_view afterVersion = aLine.substr(versionEnd);
+  if (!IsVersion(aLine.substr(0, versionEnd)) || afterVersion.size() < 1 + kStatusDigits) {
     return std::nullopt;
   }
-  aText.remove_prefix(1);
-  const std::string_view digits = aText.substr(0, kStatusDigits);
-  const std::string_view rest = aText.substr(kStatusDigits);
+  const std::string_view digits = afterVersion.substr(1, kStatusDigits);
+  const std::string_view rest = afterVersion.substr(1 + kStatusDigits);
   if (!std::all_of(digits.begin(), digits.end(), IsDigit) ||
       (!rest.empty() && rest.front() != ' ')) {
     return std::nullopt;
@@ -76,13 +89,34 @@
   return status;
 }
 
-/// Whether a status line begins anywhere in the text.
+/// Whether the text begins like the part of a status line that follows `HTTP/`, in any spelling that servers may use:
+/// wider than ParseStatusLine(), as a status line that isn't accepted by itself must not hide in another line either.
+bool
+BeginsLikeVersionAndStatus(std::string_view aText)
+{
+  const auto skip = [&aText](std::string_view aCharacters) {
+    aText.remove_prefix(std::min(aText.find_first_not_of(aCharacters), aText.size()));
+  };
+  skip("0123456789.");
+  const std::size_t afterVersion = aText.size();
+  skip(kBlanks);
+  if (aText.size() == afterVersion || aText.size() < kStatusDigits) {
+    return false;
+  }
+  const std::string_view digits = aText.substr(0, kStatusDigits);
+  const std::string_view rest = aText.substr(kStatusDigits);
+  return std::all_of(digits.begin(), digits.end(), IsDigit) &&
+         (rest.empty() || kBlanks.find(rest.front()) != std::string_view::npos);
+}
+
+/// Whether something like a status line begins anywhere in the text.
 bool
 ContainsStatusLine(std::string_view aText)
 {
-  for (std::size_t at = aText.find(kProtocol); at != std::string_view::npos;
-       at = aText.find(kProtocol, at + 1)) {
-    if (ParseStatusLine(aText.substr(at))) {
+  for (std::size_t slash = aText.find('/'); slash != std::string_view::npos;
+       slash = aText.find('/', slash + 1)) {
+    if (boost::algorithm::iends_with(aText.substr(0, slash + 1), kProtocol) &&
+        BeginsLikeVersionAndStatus(aText.substr(slash + 1))) {
       return true;
     }
   }
--- a/UnitTests/Relay/RelayJoinedResponseTests.cpp
+++ b/UnitTests/Relay/RelayJoinedResponseTests.cpp
@@ -110,6 +110,25 @@
   }
 }
 
+/// Guards against a caller that gets a success instead of a failure whose status line is written in an unusual way.
+BOOST_AUTO_TEST_CASE(BeginningIsNotJoinedWithAnUnusualStatusLine)
+{
+  const std::string rest = kOwnFailure.substr(kOwnFailure.find("\r\n"));
+  for (const std::string line :
+       { "HTTP/1.0 500 Error", "HTTP/1.1 500", "HTTP/1.1 500 ", "HTTP/1.1  500 Error",
+         "HTTP/1.1\t500 Error", "HTTP/1.1 500\tError", "http/1.1 500 Error" }) {
+    for (const std::string beginning :
+         { "HTTP/1.1 200 La", "HTTP/1.1 204 ", "HTTP/1.1 421 ", "HTTP/1.1 200 OK\r\nDate: Sat" }) {
+      const ScriptedServer server(
+        RespondFirstThen(Send(kOwnFailure), Send(beginning + line + rest)));
+      const Received received = SendTwoRequests(server, RelayKind::NonIdempotent, beginning.size());
+      BOOST_TEST(IsOwnOrUnknown(received),
+                 Describe(received) << " after `" << beginning << "` and `" << line << "`");
+      BOOST_TEST(server.Requests().size() == 2U);
+    }
+  }
+}
+
 /// Guards against a stream whose head comes from two responses.
 BOOST_AUTO_TEST_CASE(BeginningOfALateResponseIsNotJoinedWithAStream)
 {
--- a/UnitTests/Wire/ResponseHeadCheckTests.cpp
+++ b/UnitTests/Wire/ResponseHeadCheckTests.cpp
@@ -80,6 +80,28 @@
   BOOST_TEST(!IsAccepted({ "HTTP/1.1 100 Continue", "", "A: b" }));
 }
 
+/// Guards against a joined head that passes because the status line of its second response is written in an unusual way.
+BOOST_AUTO_TEST_CASE(UnusualStartOfAnotherResponseIsRejected)
+{
+  for (const std::string next :
+       { "http/1.1 500 Error", "HTTP/1.1  500 Error", "HTTP/1.1\t500 Error", "HTTP/1.1 500\tError",
+         "HTTP/1 500", "HTTP/2 500", "HTTP/ 500" }) {
+    BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 La" + next }), next);
+    BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "Date: Sat, 01 J" + next }), next);
+  }
+  BOOST_TEST(IsAccepted({ "HTTP/1.1 200 OK", "Via: HTTP/1.1 127.0.0.1:80, http/1.0 500.example" }));
+}
+
+/// Guards against a failure that is taken for a success: libcurl reads `HTTP/. 500` as status 200.
+BOOST_AUTO_TEST_CASE(MalformedVersionIsRejected)
+{
+  for (const std::string line : { "HTTP/. 500 Error", "HTTP/.1 500 Error", "HTTP/1. 500 Error",
+                                  "HTTP/11.1 500 Error", "HTTP/1.1.1 500 Error", "HTTP/ 500" }) {
+    BOOST_TEST(!IsAccepted({ line, "" }), line);
+  }
+  BOOST_TEST(IsAccepted({ "HTTP/2 200", "" }));
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsAcceptedAfterAFault)
 {
   ResponseHeadCheck check;
--- a/UnitTests/Wire/TrafficLoopResponseTests.cpp
+++ b/UnitTests/Wire/TrafficLoopResponseTests.cpp
@@ -69,6 +69,20 @@
   }
 }
 
+/// Guards against a failure that is taken for a success because its status line is malformed.
+BOOST_AUTO_TEST_CASE(MalformedStatusLineHasNoStatus)
+{
+  for (const char* line : { "HTTP/. 500 Error", "HTTP/.1 500 Error", "HTTP/HTTP/1.1 500 Error",
+                            "http/1.1 500 Error", "HTTP/1.15 500 Error", "HTTP/1 500 Error" }) {
+    ScriptedTransfers transfers(
+      { { Kind::Send, fmt::format("{}\r\nContent-Length: 0\r\n\r\n", line) } });
+    HeadObserver observer;
+    const TransferEnd end = transfers.Fetch(observer);
+    BOOST_TEST((end.outcome != TransferOutcome::Complete), line);
+    BOOST_TEST(observer.heads.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HeadIsReportedOnceAndTellsWhetherItsConnectionIsNew)
 {
   ScriptedTransfers transfers({ { Kind::Send, "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
