--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view kProtocol = "HTTP/";
 constexpr std::string_view kBlanks = " \t";
 constexpr std::size_t kStatusDigits = 3;
+constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr std::size_t kLoggedLineBytes = 100;
 
@@ -156,6 +157,10 @@
   if (HasLineEnd(aLine)) {
     return this->Reject("status line with a line end within", aLine);
   }
+  // No request asks for it, and libcurl would take all that follows for the bytes of another protocol
+  if (*status == kSwitchingProtocols) {
+    return this->Reject("response switches to another protocol", aLine);
+  }
   this->isInterim = *status < kFirstFinalStatus;
   this->expected = Expected::Header;
   return true;
--- a/UnitTests/Wire/ResponseHeadCheckTests.cpp
+++ b/UnitTests/Wire/ResponseHeadCheckTests.cpp
@@ -102,6 +102,12 @@
   BOOST_TEST(IsAccepted({ "HTTP/2 200", "" }));
 }
 
+/// Guards against a due response that is read as the bytes of another protocol, without end.
+BOOST_AUTO_TEST_CASE(SwitchToAnotherProtocolIsRejected)
+{
+  BOOST_TEST(!IsAccepted({ "HTTP/1.1 101 Switching Protocols", "Upgrade: h2c", "" }));
+}
+
 BOOST_AUTO_TEST_CASE(NothingIsAcceptedAfterAFault)
 {
   ResponseHeadCheck check;
