--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -26,8 +26,11 @@
 }
 
 void
-CurlTransfer::Prepare(const HttpTransferRequest& aRequest, const HttpClientSettings& aSettings)
+CurlTransfer::Prepare(const HttpTransferRequest& aRequest, const HttpClientSettings& aSettings,
+                      IdleSockets& aIdleSockets)
 {
+  this->idleSockets = &aIdleSockets;
+  aIdleSockets.Watch(this->easy.get());
   this->body = aRequest.body;
   this->singleSend = aRequest.singleSend;
   this->mayBeSent = aRequest.mayBeSent;
@@ -104,10 +107,14 @@
 }
 
 int
-CurlTransfer::OnBeforeSend(void* aTransfer, char* /*aRemote*/, char* /*aLocal*/,
-                           int /*aRemotePort*/, int /*aLocalPort*/)
+CurlTransfer::OnBeforeSend(void* aTransfer, char* /*aRemote*/, char* /*aLocal*/, int aRemotePort,
+                           int aLocalPort)
 {
   auto& transfer = *static_cast<CurlTransfer*>(aTransfer);
+  if (transfer.idleSockets->ExtractHasUnreadBytes(aLocalPort, aRemotePort)) {
+    transfer.hasUnreadBytes = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   if (transfer.mayBeSent && !transfer.mayBeSent()) {
     transfer.isCancelled = true;
     return CURL_PREREQFUNC_ABORT;
@@ -116,6 +123,16 @@
   return transfer.singleSend && isRepeat ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+bool
+CurlTransfer::ExtractNeedsNewConnection()
+{
+  if (!std::exchange(this->hasUnreadBytes, false)) {
+    return false;
+  }
+  curl_easy_setopt(this->easy.get(), CURLOPT_FRESH_CONNECT, 1L);
+  return true;
+}
+
 int
 CurlTransfer::OnNewSocket(void* aTransfer, curl_socket_t aSocket, curlsocktype /*aPurpose*/)
 {
--- a/Lagoonward/Wire/CurlTransfer.h
+++ b/Lagoonward/Wire/CurlTransfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Wire/HttpTransfer.h"
+#include "Lagoonward/Wire/IdleSockets.h"
 #include "Lagoonward/Wire/ResponseHeadCheck.h"
 
 #include <curl/curl.h>
@@ -32,7 +33,13 @@
   CurlTransfer& operator=(const CurlTransfer&) = delete;
 
   /// Configures the easy handle: request, connection options and callbacks.
-  void Prepare(const HttpTransferRequest& aRequest, const HttpClientSettings& aSettings);
+  /// @param aIdleSockets  of the loop; must outlive its connections
+  void Prepare(const HttpTransferRequest& aRequest, const HttpClientSettings& aSettings,
+               IdleSockets& aIdleSockets);
+
+  /// Whether the transfer has ended before the request was sent because an earlier response left bytes on its connection.
+  /// It can then be started again, on a new connection.
+  [[nodiscard]] bool ExtractNeedsNewConnection();
 
   /// Converts libcurl's result into a TransferEnd.
   [[nodiscard]] TransferEnd DescribeEnd(CURLcode aResult) const;
@@ -69,6 +76,9 @@
   static std::size_t OnBytes(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
   static std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer);
 
+  IdleSockets* idleSockets = nullptr;
+  bool hasUnreadBytes =
+    false; ///< The connection that it was about to reuse has bytes that nothing has read.
   bool headComplete = false; ///< Of the final response.
   std::size_t headBytes = 0; ///< Of all header lines so far.
   ResponseHeadCheck headCheck;
--- a/Lagoonward/Wire/TrafficLoop.cpp
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -154,7 +154,7 @@
   auto transfer = std::make_unique<CurlTransfer>();
   transfer->id = this->nextTransfer++;
   transfer->observer = aObserver;
-  transfer->Prepare(aRequest, this->settings);
+  transfer->Prepare(aRequest, this->settings, this->idleSockets);
   const TransferId id = transfer->id;
   this->transfers.emplace(id, std::move(transfer));
   this->pendingStarts.push_back(id);
@@ -305,6 +305,13 @@
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &finished);
     assert(finished != nullptr);
 
+    if (finished->ExtractNeedsNewConnection()) {
+      curl_multi_remove_handle(this->multi.get(), finished->easy.get());
+      curl_multi_add_handle(this->multi.get(), finished->easy.get());
+      continue;
+    }
+    this->idleSockets.Record(finished->easy.get());
+
     // Remove the transfer first, because the observer may start another one or destroy itself
     const auto found = this->transfers.find(finished->id);
     assert(found != this->transfers.end());
--- a/Lagoonward/Wire/TrafficLoop.h
+++ b/Lagoonward/Wire/TrafficLoop.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Core/Clock.h"
 #include "Lagoonward/Core/UniqueFd.h"
 #include "Lagoonward/Wire/HttpTransfer.h"
+#include "Lagoonward/Wire/IdleSockets.h"
 
 #include <curl/curl.h>
 
@@ -86,6 +87,7 @@
 
   const Clock& clock;
   HttpClientSettings settings;
+  IdleSockets idleSockets; ///< Before `multi`, whose connections report to it when they are closed.
   std::unique_ptr<CURLM, MultiDeleter> multi;
   UniqueFd epoll;
   UniqueFd wakeup; ///< eventfd that Post() and Stop() write to.
--- a/UnitTests/Support/ScriptedServer.cpp
+++ b/UnitTests/Support/ScriptedServer.cpp
@@ -155,6 +155,7 @@
       }
     }
   }
+  ++this->completed;
   return true;
 }
 
--- a/UnitTests/Support/ScriptedServer.h
+++ b/UnitTests/Support/ScriptedServer.h
@@ -51,6 +51,9 @@
   /// All complete requests received so far.
   [[nodiscard]] std::vector<std::string> Requests() const;
 
+  /// Number of scripts of which all steps were run.
+  [[nodiscard]] int CompletedScripts() const { return this->completed; }
+
   /// Number of connections whose other end closed during a Wait step.
   [[nodiscard]] int AbandonedScripts() const { return this->abandoned; }
 
@@ -63,6 +66,7 @@
   UniqueFd listener;
   std::uint16_t port = 0;
   std::atomic<bool> stopping{ false };
+  std::atomic<int> completed{ 0 };
   std::atomic<int> abandoned{ 0 };
   mutable std::mutex mutex; ///< Guards `requests` and `connections`.
   std::vector<std::string> requests;
--- a/UnitTests/Wire/TrafficLoopResponseTests.cpp
+++ b/UnitTests/Wire/TrafficLoopResponseTests.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Core/SystemClock.h"
 #include "Lagoonward/Wire/TrafficLoop.h"
+#include "UnitTests/Support/LoopbackPeers.h"
 #include "UnitTests/Support/ScriptedServer.h"
 
 #include <boost/test/unit_test.hpp>
@@ -19,10 +20,11 @@
 {
 public:
   void OnHeadComplete(const TransferHead& aHead) override { this->heads.push_back(aHead); }
-  void OnBytes(int, std::string_view) override {}
+  void OnBytes(int, std::string_view aBytes) override { this->body += aBytes; }
   void OnEnd(const TransferEnd& aEnd) override { this->end.set_value(aEnd); }
 
   std::vector<TransferHead> heads;
+  std::string body;
   std::promise<TransferEnd> end;
 };
 
@@ -36,10 +38,11 @@
     this->loop.Start();
   }
 
-  TransferEnd Fetch(HeadObserver& aObserver)
+  TransferEnd Fetch(HeadObserver& aObserver, bool aSingleSend = false)
   {
     HttpTransferRequest request;
     request.url = fmt::format("http://127.0.0.1:{}/", this->server.Port());
+    request.singleSend = aSingleSend;
     this->loop.Post([&] { this->loop.StartTransfer(request, aObserver); });
     return aObserver.end.get_future().get();
   }
@@ -96,4 +99,43 @@
   }
 }
 
+/// Guards against a request that receives an extra response to an earlier one, which arrived while the connection was idle:
+/// libcurl reuses the connection nevertheless.
+BOOST_AUTO_TEST_CASE(ConnectionWithUnreadBytesIsNotReused)
+{
+  for (const char* response :
+       { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown",
+         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n",
+         "HTTP/1.1 204 No Content\r\n\r\n" }) {
+    for (const char* extra :
+         { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra", "HTTP/1.1 200 La", "x" }) {
+      ScriptedTransfers transfers(
+        { { Kind::Send, response }, { Kind::Wait, {}, Milliseconds(100) }, { Kind::Send, extra } });
+      for (int turn = 0; turn < 3; ++turn) {
+        HeadObserver observer;
+        BOOST_TEST((transfers.Fetch(observer).outcome == TransferOutcome::Complete));
+        BOOST_TEST(observer.body != "extra");
+        BOOST_REQUIRE_EQUAL(observer.heads.size(), 1U);
+        BOOST_TEST(observer.heads[0].isFirstOnConnection);
+        Await([&] { return transfers.server.CompletedScripts() == turn + 1; });
+      }
+      BOOST_TEST(transfers.server.Requests().size() == 3U);
+    }
+  }
+}
+
+/// Guards against a request that was withheld from a connection with unread bytes and then counts as sent twice.
+BOOST_AUTO_TEST_CASE(SingleSendRequestMovesToANewConnectionBeforeItIsSent)
+{
+  ScriptedTransfers transfers({ { Kind::Send, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown" },
+                                { Kind::Wait, {}, Milliseconds(100) },
+                                { Kind::Send, "x" } });
+  for (int turn = 0; turn < 2; ++turn) {
+    HeadObserver observer;
+    BOOST_TEST((transfers.Fetch(observer, true).outcome == TransferOutcome::Complete));
+    Await([&] { return transfers.server.CompletedScripts() == turn + 1; });
+  }
+  BOOST_TEST(transfers.server.Requests().size() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
