--- a/Lagoonward/Providers/PlatformHttpClient.cpp
+++ b/Lagoonward/Providers/PlatformHttpClient.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Providers/PlatformHttpClient.h"
 
+#include "Lagoonward/Wire/IdleSockets.h"
+
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -208,7 +210,7 @@
 }
 
 CURLcode
-PlatformHttpClient::Perform(const Handle& aHandle, const PlatformCall& aCall,
+PlatformHttpClient::Perform(Handle& aHandle, const PlatformCall& aCall,
                             const std::string& aBody) const
 {
   CURLM* const multi = aHandle.multi.get();
@@ -242,6 +244,8 @@
     const auto wait = std::min(remaining, kInterruptCheckInterval);
     curl_multi_poll(multi, nullptr, 0, static_cast<int>(wait.count()), nullptr);
   }
+  // Known only while the transfer belongs to the multi handle
+  curl_easy_getinfo(aHandle.easy.get(), CURLINFO_ACTIVESOCKET, &aHandle.idleSocket);
   curl_multi_remove_handle(multi, aHandle.easy.get());
   return code;
 }
@@ -256,14 +260,17 @@
 PlatformHttpClient::AcquireHandle()
 {
   const std::lock_guard lock(this->mutex);
-  if (this->idle.empty()) {
-    Handle handle;
-    handle.multi.reset(curl_multi_init());
-    handle.easy.reset(curl_easy_init());
-    return handle;
+  while (!this->idle.empty()) {
+    Handle handle = std::move(this->idle.back());
+    this->idle.pop_back();
+    // libcurl would take an extra response to an earlier call for that to the next one
+    if (handle.idleSocket == CURL_SOCKET_BAD || !HasUnreadBytes(handle.idleSocket)) {
+      return handle;
+    }
   }
-  Handle handle = std::move(this->idle.back());
-  this->idle.pop_back();
+  Handle handle;
+  handle.multi.reset(curl_multi_init());
+  handle.easy.reset(curl_easy_init());
   return handle;
 }
 
--- a/Lagoonward/Providers/PlatformHttpClient.h
+++ b/Lagoonward/Providers/PlatformHttpClient.h
@@ -38,8 +38,8 @@
 };
 
 /// Blocking HTTP client for one base URL. Reuses connections. When a call gets no response, all idle connections are
-/// closed, because an intermediary may have dropped their state. Thread-safe; calls run
-/// concurrently.
+/// closed, because an intermediary may have dropped their state. Responses name no call, so a connection on which bytes
+/// arrive between two calls is closed as well. Thread-safe; calls run concurrently.
 class PlatformHttpClient
 {
 public:
@@ -72,10 +72,12 @@
   {
     std::unique_ptr<CURLM, MultiDeleter> multi;
     std::unique_ptr<CURL, EasyDeleter> easy;
+    curl_socket_t idleSocket =
+      CURL_SOCKET_BAD; ///< Of the open connection between two calls; CURL_SOCKET_BAD for none.
   };
 
   /// Runs a transfer that is set up, until it ends or no more of the response arrives in time.
-  [[nodiscard]] CURLcode Perform(const Handle& aHandle, const PlatformCall& aCall,
+  [[nodiscard]] CURLcode Perform(Handle& aHandle, const PlatformCall& aCall,
                                  const std::string& aBody) const;
   [[nodiscard]] Handle AcquireHandle();
   void ReleaseHandle(Handle aHandle);
--- a/UnitTests/Providers/HttpServicesTests.cpp
+++ b/UnitTests/Providers/HttpServicesTests.cpp
@@ -3,9 +3,11 @@
 #include "Lagoonward/Providers/HttpLogService.h"
 #include "Lagoonward/Providers/HttpWeightStore.h"
 #include "UnitTests/Support/FakeHttpServer.h"
+#include "UnitTests/Support/LoopbackPeers.h"
 #include "UnitTests/Support/ScriptedServer.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include <atomic>
@@ -49,6 +51,12 @@
   return log.Read("s", 3, 10, Milliseconds(0)).error().kind;
 }
 
+std::string
+MakeResponse(std::string_view aStatus, std::string_view aBody)
+{
+  return fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", aStatus, aBody.size(), aBody);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpServicesTests)
@@ -94,6 +102,34 @@
   BOOST_TEST((std::chrono::steady_clock::now() - startedAt < Milliseconds(2000)));
 }
 
+// Guards against a call that counts as done, or as refused, because of an extra response to an earlier one: it arrived on
+// the idle connection, and responses name no call
+BOOST_AUTO_TEST_CASE(ResponseThatArrivesBetweenTwoCallsIsNotUsed)
+{
+  for (const char* extra : { "200 OK", "409 Conflict" }) {
+    const ScriptedServer server([extra](const std::string& aRequest) {
+      const bool isFirst = aRequest.starts_with("GET /first ");
+      Script script{ { ScriptStep::Kind::Send, MakeResponse("404 Not Found", "own"), {} } };
+      if (isFirst) {
+        script.push_back({ ScriptStep::Kind::Wait, {}, Milliseconds(100) });
+        script.push_back({ ScriptStep::Kind::Send, MakeResponse(extra, "extra"), {} });
+      }
+      return script;
+    });
+    PlatformHttpClient client("http://127.0.0.1:" + std::to_string(server.Port()),
+                              ShortTimeoutSettings());
+    PlatformCall call;
+    call.path = "/first";
+    BOOST_TEST(client.Call(call).has_value());
+    Await([&server] { return server.CompletedScripts() == 1; });
+    call.path = "/second";
+    const auto answer = client.Call(call);
+    BOOST_REQUIRE(answer.has_value());
+    BOOST_TEST(answer.value().status == 404);
+    BOOST_TEST(answer.value().body == "own");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LogAppendsAndReadsRecords)
 {
   FixedServer fixed({ 200, R"({"offset":7})", {} });
