--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -85,7 +85,6 @@
 RelayAttempt::OnHeadComplete(const TransferHead& aHead)
 {
   this->headRead = true;
-  this->trace.onReusedConnection = !aHead.isFirstOnConnection;
   this->head = this->dialect.readHead(this->call, aHead.status, this->headers);
   // An endpoint may send an extra response late. On a reused connection, one that does not name this request may belong
   // to an earlier one
@@ -199,6 +198,7 @@
     end.cause = aEnd.isWithheld ? AttemptCause::Withheld : AttemptCause::NoConnection;
     return end;
   }
+  end.response.onReusedConnection = !aEnd.isFirstOnConnection;
   const bool isRead =
     aEnd.outcome == TransferOutcome::Complete || aEnd.outcome == TransferOutcome::Stopped;
   if (isRead && this->provenNotRun) {
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -21,7 +21,7 @@
   int sends = 0;          ///< Attempts that may have reached an endpoint.
   std::string reason;     ///< Why the request did not succeed; empty on success.
   std::string endpoint;   ///< Id of the last endpoint used; empty for none.
-  ResponseTrace response; ///< Of the last attempt that has ended.
+  ResponseTrace response; ///< Of the last attempt; empty if it was cancelled.
 };
 
 /// Description of a send to an endpoint.
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -252,7 +252,7 @@
   std::vector<std::string> fullEndpoints;    ///< Endpoints that had no place for this request.
   std::vector<std::string> failedEndpoints;  ///< Endpoints that failed this request.
   std::string lastReason;                    ///< Why the last attempt failed; for logs.
-  ResponseTrace lastResponse;                ///< Of the last attempt that has ended.
+  ResponseTrace lastResponse;                ///< Of the last attempt, once it has ended.
   std::optional<RelayReply> failureReply;    ///< Failure response of an endpoint, if one arrived.
   int sends = 0;                             ///< Attempts that may have reached an endpoint.
   bool demandReported = false; ///< The work of the request has been reported to the observer.
--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -172,13 +172,19 @@
     return;
   }
   this->headComplete = true;
-  long newConnections = 0;
-  curl_easy_getinfo(this->easy.get(), CURLINFO_NUM_CONNECTS, &newConnections);
   if (this->observer != nullptr) {
-    this->observer->OnHeadComplete({ this->Status(), newConnections > 0 });
+    this->observer->OnHeadComplete({ this->Status(), this->IsFirstOnConnection() });
   }
 }
 
+bool
+CurlTransfer::IsFirstOnConnection() const
+{
+  long newConnections = 0;
+  curl_easy_getinfo(this->easy.get(), CURLINFO_NUM_CONNECTS, &newConnections);
+  return newConnections > 0;
+}
+
 std::size_t
 CurlTransfer::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
 {
@@ -227,6 +233,7 @@
   end.isWithheld = this->isCancelled;
   end.hasMalformedHead = !this->headCheck.Fault().empty() || aResult == CURLE_WEIRD_SERVER_REPLY ||
                          aResult == CURLE_UNSUPPORTED_PROTOCOL;
+  end.isFirstOnConnection = this->IsFirstOnConnection();
   end.isConnectionRefused = aResult == CURLE_COULDNT_CONNECT;
   if (this->isStopped) {
     end.outcome = TransferOutcome::Stopped;
--- a/Lagoonward/Wire/CurlTransfer.h
+++ b/Lagoonward/Wire/CurlTransfer.h
@@ -63,6 +63,8 @@
   void SetCallbacks();
   /// The status of the response so far; zero before its status line.
   [[nodiscard]] int Status() const;
+  /// See TransferHead::isFirstOnConnection.
+  [[nodiscard]] bool IsFirstOnConnection() const;
   /// Why the transfer was stopped, for logs.
   [[nodiscard]] std::string StopReason() const;
   void OnHeaderLine(std::string_view aLine);
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -80,7 +80,9 @@
   bool isWithheld = false;       ///< HttpTransferRequest::mayBeSent returned false.
   bool hasMalformedHead = false; ///< The response's head is not that of one HTTP response.
   bool isConnectionRefused =
-    false;             ///< The connection attempt failed immediately: nothing listens there.
+    false; ///< The connection attempt failed immediately: nothing listens there.
+  /// As in TransferHead; also known if the head never was complete. Of no meaning for NotSent.
+  bool isFirstOnConnection = false;
   std::string message; ///< Error text for logs.
 };
 
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -163,15 +163,28 @@
   }
   void OnResumption(const RelayCall&, ResumptionOutcome, std::string_view) override {}
   void OnStarted(const RelayCall&) override { ++this->started; }
-  void OnAttemptFailed(const RelayCall&, const FailedAttempt&) override {}
+  void OnAttemptFailed(const RelayCall&, const FailedAttempt& aFailed) override
+  {
+    if (this->onAttemptFailed) {
+      this->onAttemptFailed(aFailed);
+    }
+  }
   void OnMoved(const RelayCall&, std::string_view, std::string_view, bool aMoved,
                std::string_view) override
   {
     this->moved += aMoved ? 1 : 0;
   }
-  void OnEnded(const RelayCall&, const RelayResult&) override { ++this->ended; }
+  void OnEnded(const RelayCall&, const RelayResult& aEnd) override
+  {
+    ++this->ended;
+    if (this->onEnded) {
+      this->onEnded(aEnd);
+    }
+  }
 
   std::function<void(std::string_view aEndpoint, int aSend)> onSent; ///< Called on the loop.
+  std::function<void(const FailedAttempt&)> onAttemptFailed;         ///< As are these.
+  std::function<void(const RelayResult&)> onEnded;
   std::atomic<int> sent{ 0 };
   std::atomic<int> sendsWithDemand{ 0 }; ///< Sends that reported work.
   std::atomic<int> started{ 0 };
--- a/UnitTests/Relay/RelayJoinedResponseTests.cpp
+++ b/UnitTests/Relay/RelayJoinedResponseTests.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <future>
+
 using namespace lagoonward;
 using namespace lagoonward::testing;
 
@@ -145,4 +147,36 @@
   BOOST_TEST((received.error->ran == Ran::Unknown));
 }
 
+/// Guards against a log that calls the connection of a joined head a new one, on which no late response can be.
+BOOST_AUTO_TEST_CASE(AttemptWithAJoinedHeadIsReportedAsOnAReusedConnection)
+{
+  for (const std::string beginning : { "HTTP/1.1 200 La", "HTTP/1.1 200 OK\r\n", "H" }) {
+    const ScriptedServer server(RespondFirstThen(Send(kOwnFailure), Send(beginning + kOwnFailure)));
+    RelayFixture relay({ &server });
+    std::vector<bool> reused;
+    relay.observer.onAttemptFailed = [&](const FailedAttempt& aFailed) {
+      reused.push_back(aFailed.response.onReusedConnection);
+    };
+    static_cast<void>(relay.SendRequest(RelayKind::NonIdempotent));
+    static_cast<void>(relay.SendRequest(RelayKind::NonIdempotent));
+    BOOST_TEST(reused == std::vector<bool>({ false, true }), beginning);
+  }
+}
+
+/// Guards against a log that shows the status line of one endpoint's response beside the id of another endpoint.
+BOOST_AUTO_TEST_CASE(EndOfARequestNamesNoResponseOfAnEarlierAttempt)
+{
+  const auto script = RespondFirstThen(Send(kOwnFailure), { { Kind::Wait, {}, Seconds(10) } });
+  const ScriptedServer left(script);
+  const ScriptedServer right(script);
+  RelayFixture relay({ &left, &right });
+  std::promise<std::string> statusLine;
+  relay.observer.onEnded = [&](const RelayResult& aEnd) {
+    statusLine.set_value(aEnd.response.statusLine);
+  };
+  BOOST_TEST(relay.SendRequest(RelayKind::Idempotent, false, Milliseconds(300)).error.has_value());
+  BOOST_TEST(left.Requests().size() + right.Requests().size() == 2U);
+  BOOST_TEST(statusLine.get_future().get() == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
