--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -32,6 +32,7 @@
   , call(aCall)
   , listener(aListener)
   , events(aSettings.maximumEventBytes)
+  , embeddedHeads(aDialect, aCall)
 {
 }
 
@@ -76,8 +77,8 @@
     return;
   }
   auto header = ParseHeaderLine(aLine);
-  if (header && !this->headRead) {
-    this->headers.push_back(std::move(*header));
+  if (header) {
+    (this->headRead ? this->trailers : this->headers).push_back(std::move(*header));
   }
 }
 
@@ -167,13 +168,33 @@
   }
   const bool isValid =
     this->events.Consume(aBytes, [this](std::string_view aEvent, std::string_view aId) {
-      this->listener.OnStreamEvent(aEvent, aId);
+      this->ForwardEvent(aEvent, aId);
     });
   if (!isValid) {
     this->Stop(fmt::format("unfinished event exceeds {} bytes", this->settings.maximumEventBytes));
   }
 }
 
+void
+RelayAttempt::ForwardEvent(std::string_view aEvent, std::string_view aId)
+{
+  if (this->stopReason.empty() && this->embeddedHeads.IsInEvent(aEvent)) {
+    this->Stop("event holds the head of another response");
+  }
+  if (this->stopReason.empty()) {
+    this->listener.OnStreamEvent(aEvent, aId);
+  }
+}
+
+bool
+RelayAttempt::HoldsOtherHead() const
+{
+  const EndpointHead trailerHead =
+    this->dialect.readHead(this->call, this->head.status, this->trailers);
+  return trailerHead.matchesRequest || trailerHead.namesOtherRequest ||
+         this->embeddedHeads.IsInBody(this->body);
+}
+
 void
 RelayAttempt::OnEnd(const TransferEnd& aEnd)
 {
@@ -224,6 +245,10 @@
                                          : ", response does not name this request";
     return end;
   }
+  if (this->HoldsOtherHead()) {
+    end.reason += ", content holds the head of another response";
+    return end;
+  }
   const bool isTruncated = this->events.HasPartialEvent();
   if (IsSuccess(aEnd.status)) {
     end.reason += this->head.isMarked ? "" : ", not marked as the endpoint's own response";
--- a/Lagoonward/Relay/RelayAttempt.h
+++ b/Lagoonward/Relay/RelayAttempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Relay/AttemptResult.h"
+#include "Lagoonward/Relay/EmbeddedHeadFinder.h"
 #include "Lagoonward/Relay/EventSplitter.h"
 #include "Lagoonward/Relay/PathMonitor.h"
 #include "Lagoonward/Relay/RelayCall.h"
@@ -69,6 +70,9 @@
   void Stop(std::string aReason);
   void AppendToBody(std::string_view aBytes);
   void ForwardEvents(std::string_view aBytes);
+  void ForwardEvent(std::string_view aEvent, std::string_view aId);
+  /// Whether the body or the trailers hold the head of a second response.
+  [[nodiscard]] bool HoldsOtherHead() const;
   [[nodiscard]] AttemptResult Classify(const TransferEnd& aEnd);
 
   TrafficLoop& loop;
@@ -89,6 +93,8 @@
   bool bodyBegun = false;
   std::string body;
   EventSplitter events;
+  std::vector<HttpHeader> trailers; ///< Of a chunked body.
+  EmbeddedHeadFinder embeddedHeads;
   std::string stopReason; ///< See Stop(); empty if it was not called.
 };
 
