--- a/Lagoonward/Wire/TrafficLoop.cpp
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <utility>
 
 namespace lagoonward {
 
@@ -178,6 +179,7 @@
   const auto found = this->transfers.find(aTransfer);
   if (found != this->transfers.end()) {
     found->second->isStopped = true;
+    this->pendingStops.push_back(aTransfer);
   }
 }
 
@@ -201,10 +203,39 @@
     this->HandleFinishedTransfers();
     this->RunDueTimers();
     this->RunPostedTasks();
+    this->EndStoppedTransfers();
     this->ApplyStartsAndCancels();
   }
 }
 
+void
+TrafficLoop::EndStoppedTransfers()
+{
+  // An observer may stop others in OnEnd()
+  while (!this->pendingStops.empty()) {
+    const TransferId transfer = this->pendingStops.back();
+    this->pendingStops.pop_back();
+    // libcurl has already ended one that was stopped in a callback of its own
+    this->EndTransfer(transfer, CURLE_WRITE_ERROR);
+  }
+}
+
+void
+TrafficLoop::EndTransfer(TransferId aTransfer, int aResult)
+{
+  // Remove the transfer first, because the observer may start another one or destroy itself
+  const auto found = this->transfers.find(aTransfer);
+  if (found == this->transfers.end()) {
+    return;
+  }
+  const std::unique_ptr<CurlTransfer> transfer = std::move(found->second);
+  this->transfers.erase(found);
+  curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
+  if (transfer->observer != nullptr) {
+    transfer->observer->OnEnd(transfer->DescribeEnd(static_cast<CURLcode>(aResult)));
+  }
+}
+
 void
 TrafficLoop::ApplyStartsAndCancels()
 {
@@ -311,16 +342,7 @@
       continue;
     }
     this->idleSockets.Record(finished->easy.get());
-
-    // Remove the transfer first, because the observer may start another one or destroy itself
-    const auto found = this->transfers.find(finished->id);
-    assert(found != this->transfers.end());
-    const std::unique_ptr<CurlTransfer> transfer = std::move(found->second);
-    this->transfers.erase(found);
-    curl_multi_remove_handle(this->multi.get(), transfer->easy.get());
-    if (transfer->observer != nullptr) {
-      transfer->observer->OnEnd(transfer->DescribeEnd(result));
-    }
+    this->EndTransfer(finished->id, result);
   }
 }
 
--- a/Lagoonward/Wire/TrafficLoop.h
+++ b/Lagoonward/Wire/TrafficLoop.h
@@ -60,8 +60,8 @@
   void CancelTransfer(TransferId aTransfer);
 
   /// Ends a transfer whose response is of no use, and closes its connection: the rest of the response must not be taken
-  /// for the response to a later request. The observer receives OnEnd() with TransferOutcome::Stopped. May be called only
-  /// in a callback of that transfer's observer, and not in OnEnd().
+  /// for the response to a later request. The observer receives OnEnd() with TransferOutcome::Stopped, soon and whether or
+  /// not further bytes arrive, but not within this call. Does nothing if the transfer has ended.
   void StopTransfer(TransferId aTransfer);
 
   [[nodiscard]] const Clock& GetClock() const;
@@ -79,6 +79,10 @@
   void RunDueTimers();
   void RunPostedTasks();
   void HandleFinishedTransfers();
+  void EndStoppedTransfers();
+  /// Removes a transfer and calls its observer. Does nothing if it has ended.
+  /// @param aResult  a CURLcode
+  void EndTransfer(TransferId aTransfer, int aResult);
   void ApplyStartsAndCancels();
   void Wake() const;
   static int OnSocket(CURL* aEasy, curl_socket_t aSocket, int aWhat, void* aLoop,
@@ -105,6 +109,7 @@
   std::unordered_map<TransferId, std::unique_ptr<CurlTransfer>> transfers;
   std::vector<TransferId> pendingStarts;  ///< libcurl cannot add transfers in callbacks.
   std::vector<TransferId> pendingCancels; ///< Nor can it remove them there.
+  std::vector<TransferId> pendingStops;   ///< See StopTransfer().
   TransferId nextTransfer = 1;
 };
 
--- a/UnitTests/Wire/TrafficLoopResponseTests.cpp
+++ b/UnitTests/Wire/TrafficLoopResponseTests.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <future>
+#include <utility>
 
 using namespace lagoonward;
 using namespace lagoonward::testing;
@@ -20,11 +21,19 @@
 {
 public:
   void OnHeadComplete(const TransferHead& aHead) override { this->heads.push_back(aHead); }
-  void OnBytes(int, std::string_view aBytes) override { this->body += aBytes; }
+  void OnBytes(int, std::string_view aBytes) override
+  {
+    this->body += aBytes;
+    if (!std::exchange(this->hasBytes, true)) {
+      this->firstBytes.set_value();
+    }
+  }
   void OnEnd(const TransferEnd& aEnd) override { this->end.set_value(aEnd); }
 
   std::vector<TransferHead> heads;
   std::string body;
+  bool hasBytes = false;
+  std::promise<void> firstBytes;
   std::promise<TransferEnd> end;
 };
 
@@ -138,4 +147,21 @@
   BOOST_TEST(transfers.server.Requests().size() == 2U);
 }
 
+/// Guards against a transfer that is stopped from outside its callbacks and keeps its connection until more bytes arrive.
+BOOST_AUTO_TEST_CASE(StoppedTransferEndsThoughNoMoreBytesArrive)
+{
+  ScriptedTransfers transfers({ { Kind::Send, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx" },
+                                { Kind::Wait, {}, Seconds(20) } });
+  HeadObserver observer;
+  HttpTransferRequest request;
+  request.url = fmt::format("http://127.0.0.1:{}/", transfers.server.Port());
+  TransferId transfer = 0;
+  transfers.loop.Post([&] { transfer = transfers.loop.StartTransfer(request, observer); });
+  observer.firstBytes.get_future().get();
+  transfers.loop.Post([&] { transfers.loop.StopTransfer(transfer); });
+  auto end = observer.end.get_future();
+  BOOST_TEST_REQUIRE((end.wait_for(Seconds(5)) == std::future_status::ready));
+  BOOST_TEST((end.get().outcome == TransferOutcome::Stopped));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
