--- a/Lagoonward/Wire/HttpExchange.cpp
+++ b/Lagoonward/Wire/HttpExchange.cpp
@@ -1,8 +1,13 @@
 #include "Lagoonward/Wire/HttpExchange.h"
 
+#include "Lagoonward/Core/StringMemory.h"
+
 #include <microhttpd.h>
 #include <poll.h>
 #include <strings.h>
+#include <sys/socket.h>
+
+#include <utility>
 
 namespace lagoonward {
 
@@ -10,6 +15,8 @@
 
 /// Maximum number of bytes buffered for a slow caller; a Write() beyond it fails.
 constexpr std::size_t kMaximumBufferedBytes = 4U << 20U;
+/// Largest buffer of a stream that is kept for its next bytes.
+constexpr std::size_t kMaximumIdleBytes = 16U << 10U;
 
 bool
 EqualsIgnoringCase(std::string_view aFirst, std::string_view aSecond)
@@ -85,11 +92,7 @@
   if (this->bytes.size() - this->sent + aBytes.size() > kMaximumBufferedBytes) {
     return false;
   }
-  // Reuse the buffer once all of it has been sent
-  if (this->sent == this->bytes.size()) {
-    this->bytes.clear();
-    this->sent = 0;
-  }
+  this->FreeSentLocked();
   this->bytes.append(aBytes);
   this->ResumeLocked();
   return true;
@@ -112,6 +115,49 @@
   this->ResumeLocked();
 }
 
+void
+HttpExchange::Discard()
+{
+  const std::scoped_lock lock(this->mutex);
+  if (this->state == State::Done) {
+    return;
+  }
+  if (this->state == State::Streaming && !this->streamed) {
+    // The server sends from `bytes` until it notices
+    const auto* info = MHD_get_connection_info(this->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info != nullptr) {
+      ::shutdown(info->connect_fd, SHUT_RDWR);
+    }
+    return;
+  }
+  this->isDiscarded = this->state == State::Ready && !this->streamed;
+  this->aborted = true;
+  this->ended = true;
+  FreeString(this->bytes);
+  this->sent = 0;
+  this->ResumeLocked();
+}
+
+std::size_t
+HttpExchange::HeldBytes()
+{
+  const std::scoped_lock lock(this->mutex);
+  return HeapBytes(this->bytes);
+}
+
+void
+HttpExchange::FreeSentLocked()
+{
+  const bool isSent = this->sent == this->bytes.size();
+  if (isSent && this->bytes.capacity() > kMaximumIdleBytes) {
+    FreeString(this->bytes);
+    this->sent = 0;
+  } else if (isSent || this->sent > this->bytes.size() / 2) {
+    // Each byte is moved at most once on average
+    this->bytes.erase(0, std::exchange(this->sent, 0));
+  }
+}
+
 void
 HttpExchange::OnCallerDisconnected(std::function<void()> aCallback)
 {
--- a/Lagoonward/Wire/HttpExchange.h
+++ b/Lagoonward/Wire/HttpExchange.h
@@ -62,6 +62,13 @@
   /// no response has begun.
   void AbortStream();
 
+  /// Drops what the caller has not received, so that it occupies no memory, and closes the connection, so that the caller
+  /// can detect that the response is incomplete.
+  void Discard();
+
+  /// Bytes of memory that the response occupies; zero once the caller has received it.
+  [[nodiscard]] std::size_t HeldBytes();
+
   /// Sets a callback that is called once if the connection is lost before the response was sent completely. It runs on
   /// a server thread. Must be set before the first call that responds.
   void OnCallerDisconnected(std::function<void()> aCallback);
@@ -82,6 +89,8 @@
 
   /// Resumes the connection on its server thread if it is suspended. Called with the mutex held.
   void ResumeLocked();
+  /// Frees the memory of bytes of a stream that have been passed to the server. Called with the mutex held.
+  void FreeSentLocked();
 
   std::mutex mutex;
   MHD_Connection* connection; ///< Owned by the server; null in State::Done.
@@ -90,6 +99,7 @@
   bool streamed = false;
   bool ended = false;
   bool aborted = false;
+  bool isDiscarded = false; ///< A complete response was dropped before the server began to send it.
   int status = 0;
   std::vector<HttpHeader> headers;
   std::string bytes;    ///< The body, or the buffered part of the stream.
--- a/Lagoonward/Wire/HttpServer.cpp
+++ b/Lagoonward/Wire/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Wire/HttpServer.h"
 
+#include "Lagoonward/Core/StringMemory.h"
+
 #include <arpa/inet.h>
 #include <fmt/format.h>
 #include <microhttpd.h>
@@ -187,6 +189,9 @@
     if (aExchange->state != HttpExchange::State::Ready) {
       return MHD_YES;
     }
+    if (aExchange->isDiscarded) {
+      return MHD_NO;
+    }
     const ResponsePtr response = MakeResponse(aServer, aExchange);
     for (const auto& [name, value] : aExchange->headers) {
       MHD_add_response_header(response.get(), name.c_str(), value.c_str());
@@ -221,6 +226,7 @@
       const std::size_t count = std::min(waiting, aSize);
       std::memcpy(aBuffer, exchange.bytes.data() + exchange.sent, count);
       exchange.sent += count;
+      exchange.FreeSentLocked();
       return static_cast<ssize_t>(count);
     }
     if (exchange.ended) {
@@ -248,6 +254,8 @@
       incoming->exchange->state = HttpExchange::State::Done;
       incoming->exchange->connection = nullptr;
       incoming->exchange->suspended = false;
+      FreeString(incoming->exchange->bytes);
+      incoming->exchange->sent = 0;
       std::swap(callback, incoming->exchange->onCallerDisconnected);
     }
     if (aCode != MHD_REQUEST_TERMINATED_COMPLETED_OK && callback) {
--- a/UnitTests/Support/RawClient.cpp
+++ b/UnitTests/Support/RawClient.cpp
@@ -52,6 +52,25 @@
   return received;
 }
 
+std::size_t
+RawClient::Skip(std::size_t aBytes)
+{
+  std::size_t received = 0;
+  std::array<char, 4096> buffer{};
+  while (received < aBytes) {
+    pollfd descriptor{ this->socket.Get(), POLLIN, 0 };
+    if (::poll(&descriptor, 1, kReadTimeoutMilliseconds) <= 0) {
+      break;
+    }
+    const ssize_t count = ::recv(this->socket.Get(), buffer.data(), buffer.size(), 0);
+    if (count <= 0) {
+      break;
+    }
+    received += static_cast<std::size_t>(count);
+  }
+  return received;
+}
+
 std::string
 RawClient::ReadToEnd()
 {
--- a/UnitTests/Support/RawClient.h
+++ b/UnitTests/Support/RawClient.h
@@ -21,6 +21,10 @@
   /// @return all bytes received by this call
   [[nodiscard]] std::string Read(std::string_view aUntil);
 
+  /// Reads at least this number of bytes, unless the connection ends or ten seconds pass without data.
+  /// @return the number of bytes read by this call
+  std::size_t Skip(std::size_t aBytes);
+
   /// Reads until the connection ends.
   [[nodiscard]] std::string ReadToEnd();
 
--- a/UnitTests/Wire/RawHttpTests.cpp
+++ b/UnitTests/Wire/RawHttpTests.cpp
@@ -12,6 +12,10 @@
 
 namespace {
 
+/// Bytes of a stream that may be unsent.
+constexpr std::size_t kMaximumUnsent = 4U << 20U;
+constexpr std::size_t kLongStream = 16 * kMaximumUnsent;
+
 /// A server that records its requests and responds with "ok" unless `waits` is set.
 class RecordingServer
 {
@@ -159,6 +163,56 @@
   }
 }
 
+/// Guards against a stream whose bytes are kept after they were sent because its caller never catches up.
+BOOST_AUTO_TEST_CASE(SentBytesOfAStreamAreFreedThoughItsCallerLags)
+{
+  RecordingServer recorder;
+  recorder.waits = true;
+  RawClient client(recorder.server.Port());
+  client.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const HttpExchangePtr exchange = recorder.Await();
+  exchange->BeginStream(200, {});
+  const std::string block(64U << 10U, 'x');
+  std::size_t most = 0;
+  for (std::size_t written = 0; written < kLongStream; written += block.size()) {
+    while (!exchange->Write(block)) {
+      BOOST_TEST_REQUIRE(client.Skip(4 * block.size()) > 0U);
+    }
+    most = std::max(most, exchange->HeldBytes());
+  }
+  // Twice what may be unsent, in a buffer that grows by doubling
+  BOOST_TEST(most <= 4 * kMaximumUnsent);
+}
+
+/// Guards against memory that a discarded response still occupies, and against one that looks complete.
+BOOST_AUTO_TEST_CASE(DiscardedResponseOccupiesNoMemoryAndIsTruncated)
+{
+  for (const bool isStream : { false, true }) {
+    RecordingServer recorder;
+    recorder.waits = true;
+    RawClient client(recorder.server.Port());
+    client.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const HttpExchangePtr exchange = recorder.Await();
+    const std::size_t length = isStream ? kMaximumUnsent : kLongStream;
+    if (isStream) {
+      exchange->BeginStream(200, {});
+      BOOST_TEST(exchange->Write(std::string(length, 'x')));
+    } else {
+      exchange->Respond(200, {}, std::string(length, 'x'));
+    }
+    // The head shows that the server has begun to send
+    BOOST_TEST(client.Read("\r\n\r\n").starts_with("HTTP/1.1 200"));
+    exchange->Discard();
+    BOOST_TEST(!client.ReadToEnd().ends_with("0\r\n\r\n"));
+    const auto begun = std::chrono::steady_clock::now();
+    while (exchange->HeldBytes() > 0 &&
+           std::chrono::steady_clock::now() - begun < std::chrono::seconds(5)) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    BOOST_TEST(exchange->HeldBytes() == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionsCloseAfterTheirResponseWhileStillListening)
 {
   RecordingServer recorder;
