--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -92,8 +92,8 @@
     return built;
   }
   this->relay = &this->kernel.Add(
-    std::make_unique<RelayService>(RelaySettings{}, this->ports.endpoints, *this->market,
-                                   this->fleet, this->reporter, this->clock));
+    std::make_unique<RelayService>(RelaySettingsOf(this->settings), this->ports.endpoints,
+                                   *this->market, this->fleet, this->reporter, this->clock));
   this->market->notices.SetLeavingListener(
     [this] { this->membership->Loop().Post([this] { this->PublishFleet(); }); });
   this->relay->SetTokenSource(*this->limitTokenExchange);
--- a/Lagoonward/Daemon/RelayTuning.cpp
+++ b/Lagoonward/Daemon/RelayTuning.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Daemon/RelayTuning.h"
 
+#include <algorithm>
+
 namespace lagoonward {
 
 namespace {
@@ -34,6 +36,13 @@
 constexpr double kToleranceShare = 0.5;
 constexpr double kSlackShare = 0.5;
 
+constexpr double kBytesPerMegabyte = 1U << 20U;
+/// Share of a process's memory for the responses on their way. The rest is for requests, connections and the daemon's own
+/// state, and for what the allocator cannot reuse.
+constexpr double kResponseMemoryShare = 0.25;
+/// Largest responses that fit into that memory however little it is.
+constexpr std::size_t kMinimumResponses = 2;
+
 } // namespace
 
 MarketSettings
@@ -57,6 +66,18 @@
   return market;
 }
 
+RelaySettings
+RelaySettingsOf(const RelayDaemonSettings& aSettings)
+{
+  RelaySettings relay;
+  if (aSettings.memoryMegabytes > 0) {
+    const double bytes = aSettings.memoryMegabytes * kBytesPerMegabyte * kResponseMemoryShare;
+    relay.maximumResponseMemory =
+      std::max(static_cast<std::size_t>(bytes), relay.maximumResponseBytes * kMinimumResponses);
+  }
+  return relay;
+}
+
 LeaderTaskSettings
 LeaderTaskSettingsOf(const RelayDaemonSettings& aSettings)
 {
--- a/Lagoonward/Daemon/RelayTuning.h
+++ b/Lagoonward/Daemon/RelayTuning.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Attempts/Market.h"
 #include "Lagoonward/Daemon/LeaderTaskService.h"
+#include "Lagoonward/Relay/RelaySettings.h"
 #include "Lagoonward/Settings/RelayDaemonSettings.h"
 
 namespace lagoonward {
@@ -10,6 +11,10 @@
 [[nodiscard]] MarketSettings
 MarketSettingsOf(const RelayDaemonSettings& aSettings);
 
+/// Settings of a relay daemon's requests.
+[[nodiscard]] RelaySettings
+RelaySettingsOf(const RelayDaemonSettings& aSettings);
+
 /// Settings of a relay daemon's leader tasks: lease, reports, and quiet time after a change of leader.
 [[nodiscard]] LeaderTaskSettings
 LeaderTaskSettingsOf(const RelayDaemonSettings& aSettings);
--- a/Lagoonward/Settings/RelayDaemonSettings.h
+++ b/Lagoonward/Settings/RelayDaemonSettings.h
@@ -57,6 +57,8 @@
 
   RequestQueueing requestQueueing = RequestQueueing::Off;
   int queuePoolSlots = 16; ///< See QueuePoolSettings::slotsPerPool.
+
+  double memoryMegabytes = 0; ///< Memory that this process may use; zero if it is not known.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Settings/RelaySettingsReader.cpp
+++ b/Lagoonward/Settings/RelaySettingsReader.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <charconv>
+#include <cmath>
 #include <fstream>
 #include <sstream>
 
@@ -40,6 +42,7 @@
   std::string logLevel;
   std::string requestQueue;
   int queuePoolSlots = 0;
+  std::string memoryMegabytes;
   int graceMilliseconds = 0;
   int leavingNoticeMilliseconds = 0;
   int endpointHeartbeatMilliseconds = 0;
@@ -104,6 +107,9 @@
   add("queue-pool-slots", po::value(&aRaw.queuePoolSlots)->default_value(16),
       "slots of endpoints that one queue should give out; fewer where hosts are small, as each "
       "queue is kept by one of them");
+  add("memory-mb", po::value(&aRaw.memoryMegabytes)->default_value(""),
+      "memory that this process may use, in MB; a quarter of it is for responses on their way; "
+      "empty: not known");
   return options;
 }
 
@@ -134,6 +140,20 @@
   }
 }
 
+void
+ParseMemory(const std::string& aText, double& aMegabytes, std::vector<std::string>& aFaults)
+{
+  if (aText.empty()) {
+    return;
+  }
+  const char* const end = aText.data() + aText.size();
+  const auto [next, error] = std::from_chars(aText.data(), end, aMegabytes);
+  const bool isNumber = error == std::errc() && next == end && std::isfinite(aMegabytes);
+  if (!isNumber || aMegabytes <= 0) {
+    aFaults.push_back(fmt::format("memory-mb: must be greater than zero, got \"{}\"", aText));
+  }
+}
+
 template<typename Duration>
 void
 ParsePositive(const char* aName, int aValue, Duration& aDuration, std::vector<std::string>& aFaults)
@@ -183,6 +203,7 @@
                                  kMaximumPoolSlots, aRaw.queuePoolSlots));
   }
   ParseRequestQueue(aRaw.requestQueue, settings.requestQueueing, faults);
+  ParseMemory(aRaw.memoryMegabytes, settings.memoryMegabytes, faults);
   if (const Fault fault = ReadLogLevel(aRaw.logLevel, settings.logLevel)) {
     faults.push_back(fmt::format("log-level: \"{}\" {}", aRaw.logLevel, *fault));
   }
--- a/UnitTests/Settings/RelaySettingsReaderTests.cpp
+++ b/UnitTests/Settings/RelaySettingsReaderTests.cpp
@@ -135,4 +135,23 @@
   }
 }
 
+/// Guards against a daemon that does not start because the platform states no memory limit.
+BOOST_AUTO_TEST_CASE(MemoryMayBeUnknown)
+{
+  const SettingsFile file(kCompleteSettings);
+  BOOST_TEST(Read({ "--settings", file.path }).settings.memoryMegabytes == 0);
+  const SettingsFile empty(std::string(kCompleteSettings) + "memory-mb =\n");
+  const auto unknown = Read({ "--settings", empty.path });
+  BOOST_TEST(unknown.faults.empty());
+  BOOST_TEST(unknown.settings.memoryMegabytes == 0);
+  const SettingsFile known(std::string(kCompleteSettings) + "memory-mb = 260\n");
+  BOOST_TEST(Read({ "--settings", known.path }).settings.memoryMegabytes == 260);
+  for (const std::string text : { "0", "-1", "some", "260MB", "inf" }) {
+    const auto outcome = Read({ "--settings", file.path, "--memory-mb=" + text });
+    BOOST_TEST_REQUIRE(outcome.faults.size() == 1U);
+    BOOST_TEST(outcome.faults.front() ==
+               "memory-mb: must be greater than zero, got \"" + text + "\"");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
