--- a/Lagoonward/Attempts/AttemptSettings.h
+++ b/Lagoonward/Attempts/AttemptSettings.h
@@ -40,6 +40,9 @@
   std::size_t maximumEventBytes = 64U << 10U;
   /// Largest response body accepted from a plain service.
   std::size_t maximumServiceReplyBytes = 4U << 20U;
+  /// Maximum size of the unfinished answers and replies of all requests together, of which each traffic thread has an equal
+  /// share. Beyond it some are stopped; see ResponseMemory.
+  std::size_t maximumResponseMemory = 64U << 20U;
   /// Number of requests whose decisions are stored.
   std::size_t journalRequests = 2000;
 };
--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -32,6 +32,9 @@
   if (this->backoffTimer) {
     this->context.loop.CancelTimer(*this->backoffTimer);
   }
+  if (this->evictionTimer) {
+    this->context.loop.CancelTimer(*this->evictionTimer);
+  }
 }
 
 void
@@ -178,6 +181,7 @@
   this->resumedSinceProgress = false;
   this->silenceCount = 0;
   this->backoff = Milliseconds(0);
+  this->UpdateMemory();
   this->context.counters.tokensRelayed += aNewTokens;
   this->context.router.OnToken(this->dispatch);
 }
@@ -354,6 +358,33 @@
   this->BeginStream(this->streamId, true);
 }
 
+void
+CompletionRun::UpdateMemory()
+{
+  if (!this->answerMemory) {
+    // The run may not end while another one accounts for its own answer
+    this->answerMemory.emplace(this->context.responseMemory, this->endpointId, [this] {
+      this->evictionTimer = this->context.loop.RunAfter(Milliseconds(0), [this] {
+        this->evictionTimer.reset();
+        this->EndEvicted();
+      });
+    });
+  }
+  static_cast<void>(this->answerMemory->Set(this->answer->ByteSize()));
+}
+
+void
+CompletionRun::EndEvicted()
+{
+  if (this->ended) {
+    return;
+  }
+  this->CancelEngineStream();
+  this->Fail(Error(ErrorKind::EndpointFailed,
+                   "The answer was " + this->context.responseMemory.EvictionReason() + ".",
+                   Ran::Unknown));
+}
+
 void
 CompletionRun::LeaveEndpoint(DispatchOutcome aOutcome)
 {
@@ -528,6 +559,7 @@
 CompletionRun::End()
 {
   this->ended = true;
+  this->answerMemory.reset();
   this->cancellation.reset();
   this->move.Cancel();
   this->report.NotifyEnded();
--- a/Lagoonward/Attempts/CompletionRun.h
+++ b/Lagoonward/Attempts/CompletionRun.h
@@ -86,6 +86,11 @@
   void CheckSilence(TimePoint aNow);
   [[nodiscard]] Milliseconds SilenceTimeout() const;
 
+  /// Accounts for the memory of the answer.
+  void UpdateMemory();
+  /// Ends the run, whose answer occupies memory that others need.
+  void EndEvicted();
+
   // End
   void Finish(const std::string& aFinishReason);
   void Fail(const Error& aError);
@@ -121,6 +126,8 @@
   std::optional<TimePoint> noSubscribersSince; ///< Set while the answer has no subscribers.
   std::optional<TrafficLoop::TimerId> tickTimer;
   std::optional<TrafficLoop::TimerId> backoffTimer;
+  std::optional<ResponseMemory::Account> answerMemory; ///< From the first token to the end.
+  std::optional<TrafficLoop::TimerId> evictionTimer;   ///< Set once the answer has been evicted.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Attempts/EngineStream.cpp
+++ b/Lagoonward/Attempts/EngineStream.cpp
@@ -199,6 +199,10 @@
 void
 EngineStream::HandleToken(std::int64_t aIndex, std::string_view aText)
 {
+  if (aIndex >= this->call.maxTokens) {
+    this->FailWith(AttemptFailure::Malformed, "there are more tokens than were requested");
+    return;
+  }
   const bool inOrder = aIndex == static_cast<std::int64_t>(this->answer.TokenCount());
   if (this->phase != Phase::Tokens || !inOrder) {
     this->FailWith(AttemptFailure::Malformed, "a token event is out of order");
--- a/Lagoonward/Attempts/RunContext.h
+++ b/Lagoonward/Attempts/RunContext.h
@@ -7,6 +7,7 @@
 #include "Lagoonward/Attempts/RunCrashTracker.h"
 #include "Lagoonward/Fleet/FleetStore.h"
 #include "Lagoonward/Routing/Router.h"
+#include "Lagoonward/Wire/ResponseMemory.h"
 #include "Lagoonward/Wire/TrafficLoop.h"
 
 #include <atomic>
@@ -40,6 +41,7 @@
   RequestDirectory* directory; ///< Null if there are no other daemons.
   PoisonRequestFilter& poison;
   CrashProbe& crashProbe;
+  ResponseMemory& responseMemory; ///< Of the loop.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Attempts/RunService.cpp
+++ b/Lagoonward/Attempts/RunService.cpp
@@ -13,8 +13,10 @@
 
 } // namespace
 
-RunService::Worker::Worker(const Clock& aClock, const HttpClientSettings& aSettings)
-  : loop(aClock, aSettings)
+RunService::Worker::Worker(const Clock& aClock, const HttpClientSettings& aSettings,
+                           std::size_t aMaximumResponseMemory)
+  : responseMemory(aMaximumResponseMemory)
+  , loop(aClock, aSettings)
   , crashProbe(loop)
 {
 }
@@ -30,8 +32,11 @@
   , moves(aSettings.moves)
 {
   // The workers are created here, because other threads post to them before Start() and after Stop()
+  const std::size_t responseMemory =
+    aSettings.attempts.maximumResponseMemory / std::max(this->settings.threads, 1U);
   for (unsigned index = 0; index < this->settings.threads; ++index) {
-    this->workers.push_back(std::make_unique<Worker>(this->clock, this->settings.client));
+    this->workers.push_back(
+      std::make_unique<Worker>(this->clock, this->settings.client, responseMemory));
   }
 }
 
@@ -346,8 +351,9 @@
                      const AnswerPtr& aAnswer, const std::shared_ptr<Ticket>& aTicket)
 {
   const RunContext context{
-    aWorker.loop,   aMarket->router,         aMarket->retryBudget, this->fleet,  this->journal,
-    this->counters, this->settings.attempts, this->directory,      this->poison, aWorker.crashProbe
+    aWorker.loop,  aMarket->router,    aMarket->retryBudget,    this->fleet,
+    this->journal, this->counters,     this->settings.attempts, this->directory,
+    this->poison,  aWorker.crashProbe, aWorker.responseMemory
   };
   const std::uint64_t id = this->nextRun++;
   const std::string key = aCall.terms.RegistryKey();
--- a/Lagoonward/Attempts/RunService.h
+++ b/Lagoonward/Attempts/RunService.h
@@ -82,8 +82,10 @@
   /// One traffic thread and its runs. The maps are accessed on that thread only.
   struct Worker
   {
-    explicit Worker(const Clock& aClock, const HttpClientSettings& aSettings);
+    Worker(const Clock& aClock, const HttpClientSettings& aSettings,
+           std::size_t aMaximumResponseMemory);
 
+    ResponseMemory responseMemory;
     std::optional<TrafficLoop::TimerId> replanTimer;
     std::unordered_map<std::uint64_t, ActiveRun<CompletionRun>> completions;
     std::unordered_map<std::uint64_t, ActiveRun<ServiceRun>> services;
--- a/Lagoonward/Attempts/ServiceRun.cpp
+++ b/Lagoonward/Attempts/ServiceRun.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Attempts/ServiceRun.h"
 
+#include "Lagoonward/Core/StringMemory.h"
+
 #include <strings.h>
 
 #include <algorithm>
@@ -65,22 +67,28 @@
 ServiceRun::OnBytes(int /*aStatus*/, std::string_view aBytes)
 {
   if (this->reply.body.size() + aBytes.size() > this->context.settings.maximumServiceReplyBytes) {
-    this->replyTooLarge = true;
-    this->context.loop.StopTransfer(this->transfer);
+    this->Stop("The service's answer is larger than the limit for relayed answers.");
     return;
   }
-  this->reply.body.append(aBytes);
+  static_cast<void>(this->replyMemory->Append(this->reply.body, aBytes));
+}
+
+void
+ServiceRun::Stop(std::string aReason)
+{
+  this->stopReason = std::move(aReason);
+  FreeString(this->reply.body);
+  this->context.loop.StopTransfer(this->transfer);
 }
 
 void
 ServiceRun::OnEnd(const TransferEnd& aEnd)
 {
   this->transfer = 0;
-  if (this->replyTooLarge) {
+  this->replyMemory.reset();
+  if (!this->stopReason.empty()) {
     this->context.router.OnFinished(this->dispatch, DispatchOutcome::Failed);
-    this->Fail(Error(ErrorKind::EndpointFailed,
-                     "The service's answer is larger than the limit for relayed answers.",
-                     Ran::Yes));
+    this->Fail(Error(ErrorKind::EndpointFailed, this->stopReason, Ran::Yes));
     return;
   }
   if (aEnd.outcome != TransferOutcome::Complete) {
@@ -156,7 +164,10 @@
   this->report.RecordDecision("dispatched to " + aChoice.Describe());
 
   this->reply = ServiceReply{};
-  this->replyTooLarge = false;
+  this->stopReason.clear();
+  this->replyMemory.emplace(this->context.responseMemory, this->endpointId, [this] {
+    this->Stop("The service's answer was " + this->context.responseMemory.EvictionReason() + ".");
+  });
   HttpTransferRequest request;
   request.method = "POST";
   request.url = fmt::format("http://{}:{}{}", endpoint->address, endpoint->port, this->call.path);
@@ -241,6 +252,7 @@
   if (this->transfer != 0) {
     this->context.loop.CancelTransfer(this->transfer);
     this->transfer = 0;
+    this->replyMemory.reset();
     this->context.router.OnFinished(this->dispatch, DispatchOutcome::Failed);
   }
   this->Fail(Error(ErrorKind::DeadlineExceeded, "The deadline passed before the service answered.",
--- a/Lagoonward/Attempts/ServiceRun.h
+++ b/Lagoonward/Attempts/ServiceRun.h
@@ -36,6 +36,8 @@
 
   void Dispatch();
   void BeginAttempt(const RouteChoice& aChoice, const RouteRequest& aRequest);
+  /// Ends the transfer because its response is of no use.
+  void Stop(std::string aReason);
   void OnAttemptFailed(const TransferEnd& aEnd);
   /// Dispatches again after a failed attempt: at once if the retry budget allows, else after a backoff.
   void Retry();
@@ -54,7 +56,8 @@
   lagoonward::Dispatch dispatch; ///< The router's record of the attempt.
   TransferId transfer = 0;       ///< Zero if none is running.
   ServiceReply reply;            ///< The part of the current attempt's response received so far.
-  bool replyTooLarge = false;
+  std::optional<ResponseMemory::Account> replyMemory; ///< Of `reply` while the transfer runs.
+  std::string stopReason; ///< Why the transfer was stopped, a sentence; empty if it was not.
   std::vector<std::string> excludedEndpoints; ///< Endpoints that failed this call.
   int attemptCount = 0;
   bool mayHaveRun = false; ///< Whether some attempt may have reached a service.
--- a/UnitTests/Attempts/EngineStreamTests.cpp
+++ b/UnitTests/Attempts/EngineStreamTests.cpp
@@ -115,6 +115,19 @@
     (this->Run({ kFirst, R"({"index":0,"text":"x"})" }).failure == AttemptFailure::Malformed));
 }
 
+/// Guards against an engine that sends tokens without end, all of which an answer keeps.
+BOOST_AUTO_TEST_CASE(MoreTokensThanRequestedFailAsMalformed)
+{
+  std::vector<std::string> events;
+  for (int index = 0; index <= this->call.maxTokens; ++index) {
+    events.push_back(fmt::format(R"({{"index":{},"text":"x"}})", index));
+  }
+  std::vector<std::string_view> views{ kFirst };
+  views.insert(views.end(), events.begin(), events.end());
+  BOOST_TEST((this->Run(views).failure == AttemptFailure::Malformed));
+  BOOST_TEST(this->answer.TokenCount() == static_cast<std::size_t>(this->call.maxTokens));
+}
+
 BOOST_AUTO_TEST_CASE(CutStreamAndStatus500AreBrokenAndStatus503IsRejected)
 {
   BOOST_TEST((this->Run({ kFirst }).failure == AttemptFailure::Broken));
