--- a/Lagoonward/Relay/RelayService.h
+++ b/Lagoonward/Relay/RelayService.h
@@ -132,8 +132,8 @@
   CrashProbe crashProbe;
   PathMonitor pathMonitor;
   ConnectionReuse connectionReuse; ///< Accessed on the loop only.
-  ResponseMemory responseMemory; ///< Accessed on the loop only.
-  ReplyDeliveries deliveries;    ///< Accessed on the loop only.
+  ResponseMemory responseMemory;   ///< Accessed on the loop only.
+  ReplyDeliveries deliveries;      ///< Accessed on the loop only.
   RequestForwarder forwarder;
   LocalPermitSource localPermits;
   LocalPlaceSource localPlaces;
