--- a/Lagoonward/Providers/PlatformHttpClient.cpp
+++ b/Lagoonward/Providers/PlatformHttpClient.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Providers/PlatformHttpClient.h"
 
 #include "Lagoonward/Wire/IdleSockets.h"
+#include "Lagoonward/Wire/ResponseHeadCheck.h"
 
 #include <fmt/format.h>
 #include <netinet/in.h>
@@ -40,8 +41,20 @@
   std::size_t maxBytes = 0;
   bool discardsBody = false;
   bool tooLong = false;
+  ResponseHeadCheck headCheck;
 };
 
+std::size_t
+ReceiveHeaderLine(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
+{
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  std::string_view line(aData, aSize * aCount);
+  while (line.ends_with('\n') || line.ends_with('\r')) {
+    line.remove_suffix(1);
+  }
+  return transfer.headCheck.Accept(line) ? aSize * aCount : CURL_WRITEFUNC_ERROR;
+}
+
 std::size_t
 ReceiveBody(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
 {
@@ -58,6 +71,20 @@
   return bytes;
 }
 
+/// Why a call has no usable response.
+std::string
+DescribeFailure(const Transfer& aTransfer, CURLcode aCode)
+{
+  if (aTransfer.tooLong) {
+    return "the response is too long";
+  }
+  if (!aTransfer.headCheck.Fault().empty()) {
+    return aTransfer.headCheck.Fault();
+  }
+  return aCode == CURLE_OK ? "the connection was closed within the head of the response"
+                           : curl_easy_strerror(aCode);
+}
+
 /// Returns whether a body is `{"error":{"kind":…}}` with the given kind.
 bool
 HasErrorKind(const std::string& aBody, const std::string& aKind)
@@ -118,6 +145,8 @@
 {
   curl_easy_setopt(aHandle, CURLOPT_WRITEFUNCTION, &ReceiveBody);
   curl_easy_setopt(aHandle, CURLOPT_WRITEDATA, &aTransfer);
+  curl_easy_setopt(aHandle, CURLOPT_HEADERFUNCTION, &ReceiveHeaderLine);
+  curl_easy_setopt(aHandle, CURLOPT_HEADERDATA, &aTransfer);
 }
 
 struct HeaderListDeleter
@@ -191,10 +220,11 @@
   long status = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
   const bool isIntendedAbort = transfer.discardsBody && code == CURLE_WRITE_ERROR;
-  if (code != CURLE_OK && !isIntendedAbort) {
+  // libcurl accepts a connection that is closed within the head as the end of a response without a body
+  const bool hasHead = transfer.headCheck.IsComplete() && transfer.headCheck.Fault().empty();
+  if ((code != CURLE_OK && !isIntendedAbort) || !hasHead) {
     this->CloseIdleHandles();
-    const char* reason = transfer.tooLong ? "the response is too long" : curl_easy_strerror(code);
-    return this->MakeUnavailableError(reason, nullptr);
+    return this->MakeUnavailableError(DescribeFailure(transfer, code), nullptr);
   }
   const bool isUnavailable =
     status == kTooManyRequests || status == kRequestTimeout || status >= kFirstServerError;
--- a/Lagoonward/Wire/ResponseHeadCheck.h
+++ b/Lagoonward/Wire/ResponseHeadCheck.h
@@ -16,6 +16,9 @@
   /// @return false if the lines so far can't be the head of one response; the response must not be used then
   [[nodiscard]] bool Accept(std::string_view aLine);
 
+  /// Whether the head of the final response is complete.
+  [[nodiscard]] bool IsComplete() const { return this->expected == Expected::Trailer; }
+
   /// What is wrong, for logs; empty while all lines were accepted.
   [[nodiscard]] const std::string& Fault() const { return this->fault; }
 
--- a/UnitTests/Providers/HttpServicesTests.cpp
+++ b/UnitTests/Providers/HttpServicesTests.cpp
@@ -130,6 +130,44 @@
   }
 }
 
+// Guards against a call that counts as done because the beginning of an extra response came right before its own: libcurl
+// reads both as one head, with the status of the first
+BOOST_AUTO_TEST_CASE(HeadThatHoldsTheStartOfTwoResponsesIsAnError)
+{
+  for (const std::string beginning : { "HTTP/1.1 200 Late", "HTTP/1.1 200 OK\r\nDate: Sat" }) {
+    for (const bool discardsBody : { false, true }) {
+      const ScriptedServer server([&beginning](const std::string&) {
+        return Script{
+          { ScriptStep::Kind::Send, beginning + MakeResponse("409 Conflict", "{}"), {} }
+        };
+      });
+      PlatformHttpClient client("http://127.0.0.1:" + std::to_string(server.Port()),
+                                ShortTimeoutSettings());
+      PlatformCall call;
+      call.discardsBody = discardsBody;
+      call.path = "/write";
+      const auto answer = client.Call(call);
+      BOOST_REQUIRE(answer.has_error());
+      BOOST_TEST((answer.error().kind == ErrorKind::PlatformUnavailable));
+    }
+  }
+}
+
+// Guards against a write that counts as done although the connection was closed within the head of the response
+BOOST_AUTO_TEST_CASE(ResponseThatEndsWithinItsHeadIsAnError)
+{
+  for (const char* head : { "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" }) {
+    const ScriptedServer server([head](const std::string&) {
+      return Script{ { ScriptStep::Kind::Send, head, {} }, { ScriptStep::Kind::Close, {}, {} } };
+    });
+    PlatformHttpClient client("http://127.0.0.1:" + std::to_string(server.Port()),
+                              ShortTimeoutSettings());
+    PlatformCall call;
+    call.path = "/write";
+    BOOST_TEST(!client.Call(call).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LogAppendsAndReadsRecords)
 {
   FixedServer fixed({ 200, R"({"offset":7})", {} });
