--- a/Lagoonward/Relay/ReplyDeliveries.cpp
+++ b/Lagoonward/Relay/ReplyDeliveries.cpp
@@ -22,9 +22,14 @@
   if (bytes == 0) {
     return;
   }
-  Delivery& added =
-    *this->deliveries.emplace_back(std::make_unique<Delivery>(this->memory, std::move(aCaller)));
-  static_cast<void>(added.memory.Set(bytes));
+  // Most have been delivered long before the next update; they must not cost others their memory
+  if (this->memory.Held() + bytes > this->memory.Maximum() / 2) {
+    this->Update();
+  }
+  auto added = std::make_unique<Delivery>(this->memory, std::move(aCaller));
+  if (added->memory.Set(bytes)) {
+    this->deliveries.push_back(std::move(added));
+  }
 }
 
 void
