--- a/UnitTests/Relay/RelayResponseMemoryTests.cpp
+++ b/UnitTests/Relay/RelayResponseMemoryTests.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-constexpr Milliseconds kRouteTimeout{ 9000 };
-constexpr Milliseconds kSilence{ 20'000 };
+constexpr Milliseconds kRouteTimeout{ 18'000 };
+constexpr Milliseconds kSilence{ 30'000 };
 
 constexpr std::size_t kMebibyte = 1U << 20U;
 constexpr std::size_t kBound = 4 * kMebibyte;
