--- a/Lagoonward/Wire/ResponseMemory.cpp
+++ b/Lagoonward/Wire/ResponseMemory.cpp
@@ -24,10 +24,10 @@
 ResponseMemory::Account::~Account()
 {
   this->owner.held -= this->bytes;
-  std::vector<Account*>& accounts = this->owner.accounts;
-  accounts[this->position] = accounts.back();
-  accounts[this->position]->position = this->position;
-  accounts.pop_back();
+  std::vector<Account*>& all = this->owner.accounts;
+  all[this->position] = all.back();
+  all[this->position]->position = this->position;
+  all.pop_back();
 }
 
 bool
--- a/UnitTests/Relay/RelayResponseMemoryTests.cpp
+++ b/UnitTests/Relay/RelayResponseMemoryTests.cpp
@@ -118,7 +118,8 @@
     relay.Submit(caller, RelayKind::NonIdempotent, false, kRouteTimeout);
   }
   const auto closed = [&] {
-    return static_cast<std::size_t>(first.AbandonedScripts() + second.AbandonedScripts());
+    return static_cast<std::size_t>(first.AbandonedScripts()) +
+           static_cast<std::size_t>(second.AbandonedScripts());
   };
   BOOST_TEST(
     AwaitUntil([&] { return closed() + aFitting >= kEndlessResponses; }, kRouteTimeout / 2));
@@ -178,6 +179,7 @@
   // So many that no endpoint is avoided because of its failures
   std::deque<ScriptedServer> servers;
   std::vector<const ScriptedServer*> endpoints;
+  endpoints.reserve(kRequests);
   for (int number = 0; number < kRequests; ++number) {
     endpoints.push_back(&servers.emplace_back(handler));
   }
