--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -646,8 +646,10 @@
 void
 RelayDaemon::FlushResponses()
 {
-  for (int poll = 0; poll<kFlushPolls&& this->OpenExchanges()> 0; ++poll) {
+  int polls = 0;
+  while (polls<kFlushPolls&& this->OpenExchanges()> 0) {
     std::this_thread::sleep_for(kDrainPollInterval);
+    ++polls;
   }
 }
 
--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -36,7 +36,7 @@
 
 /// Whether the line holds CR, LF or NUL, which RFC 9110 (section 5.5) calls dangerous: recipients see different line ends.
 bool
-HasLineEnd(std::string_view aLine)
+HasForbiddenCharacter(std::string_view aLine)
 {
   using namespace std::string_view_literals;
   return aLine.find_first_of("\r\n\0"sv) != std::string_view::npos;
@@ -45,7 +45,7 @@
 /// The part of a header line before its colon, without the white space that a proxy has to tolerate there; empty if there
 /// is no colon.
 std::string_view
-NameOf(std::string_view aLine)
+FieldNameOf(std::string_view aLine)
 {
   const std::size_t colon = aLine.find(':');
   const std::string_view name = aLine.substr(0, colon == std::string_view::npos ? 0 : colon);
@@ -154,8 +154,8 @@
   if (ContainsStatusLine(aLine.substr(kProtocol.size()))) {
     return this->Reject("status line holds the start of another response", aLine);
   }
-  if (HasLineEnd(aLine)) {
-    return this->Reject("status line with a line end within", aLine);
+  if (HasForbiddenCharacter(aLine)) {
+    return this->Reject("status line with a CR, LF or NUL within", aLine);
   }
   // No request asks for it, and libcurl would take all that follows for the bytes of another protocol
   if (*status == kSwitchingProtocols) {
@@ -172,14 +172,14 @@
   if (ContainsStatusLine(aLine)) {
     return this->Reject("header line holds the start of another response", aLine);
   }
-  if (HasLineEnd(aLine)) {
-    return this->Reject("header line with a line end within", aLine);
+  if (HasForbiddenCharacter(aLine)) {
+    return this->Reject("header line with a CR, LF or NUL within", aLine);
   }
   const bool continuesLine = aLine.front() == ' ' || aLine.front() == '\t';
   if (continuesLine) {
     return true;
   }
-  const std::string_view name = NameOf(aLine);
+  const std::string_view name = FieldNameOf(aLine);
   const bool isNamed = !name.empty() && std::all_of(name.begin(), name.end(), IsNameCharacter);
   return isNamed || this->Reject("malformed header line", aLine);
 }
