--- a/UnitTests/Relay/RelayJoinedBodyTests.cpp
+++ b/UnitTests/Relay/RelayJoinedBodyTests.cpp
@@ -112,7 +112,7 @@
     const std::string first = Chunk("id: 1\ndata: a\n\n");
     const std::string second = "00f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n";
     const ScriptedServer server([&](const std::string&) {
-      return Send(head + first + second.substr(0, 1) + head + first + second);
+      return Send(fmt::format("{0}{1}{2:.1}{0}{1}{2}", head, first, second));
     });
     RelayFixture relay({ &server });
     const Received received = relay.SendRequest(kind);
--- a/UnitTests/Relay/RelayJoinedResponseTests.cpp
+++ b/UnitTests/Relay/RelayJoinedResponseTests.cpp
@@ -122,7 +122,7 @@
     for (const std::string beginning :
          { "HTTP/1.1 200 La", "HTTP/1.1 204 ", "HTTP/1.1 421 ", "HTTP/1.1 200 OK\r\nDate: Sat" }) {
       const ScriptedServer server(
-        RespondFirstThen(Send(kOwnFailure), Send(beginning + line + rest)));
+        RespondFirstThen(Send(kOwnFailure), Send(fmt::format("{}{}{}", beginning, line, rest))));
       const Received received = SendTwoRequests(server, RelayKind::NonIdempotent, beginning.size());
       BOOST_TEST(IsOwnOrUnknown(received),
                  Describe(received) << " after `" << beginning << "` and `" << line << "`");
--- a/UnitTests/Wire/TrafficLoopLateResponseTests.cpp
+++ b/UnitTests/Wire/TrafficLoopLateResponseTests.cpp
@@ -23,8 +23,8 @@
   "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n\te\r\nId:\r\n r0\r\n\r\n",
   "HTTP/1.1 200 OK\nA: b\nId: r0\nContent-Length: 4\n\nlate",
   "HTTP/1.1 200 OK\r\r\nA: b\r\r\nContent-Length: 4\r\r\n\r\r\nlate",
-  "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n"
-  "B: c\r\n\r\n",
+  ("HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nlate\r\n0\r\n"
+   "B: c\r\n\r\n"),
   "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n",
   "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\n\r\n",
 };
@@ -80,7 +80,7 @@
 {
 public:
   /// @param aPosition  where in the due response the bytes of the late one are
-  LateResponder(std::string aLate, std::string aDue, std::size_t aPosition)
+  LateResponder(const std::string& aLate, const std::string& aDue, std::size_t aPosition)
     : server([=](const std::string& aRequest) -> Script {
       const std::size_t length = std::strtoul(aRequest.c_str() + sizeof("GET /") - 1, nullptr, 10);
       std::string bytes = aDue;
