--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -109,7 +109,7 @@
   if (isFromTarget && !this->IsMisdirected()) {
     this->listener.OnHead(this->head);
   }
-  this->isForeign = !isResponse && !this->head.matchesRequest;
+  this->isForeign = !isResponse;
   if (!this->head.matchesRequest) {
     // The response to this request may still follow, and must not be taken for that to the next one
     this->Stop(isUnnamed ? "response names no request" : "response names another request");
