--- a/UnitTests/Attempts/RunServiceLateResponseTests.cpp
+++ b/UnitTests/Attempts/RunServiceLateResponseTests.cpp
@@ -87,6 +87,7 @@
     snapshot->endpoints.push_back(endpoint);
     this->fleet.Publish(snapshot);
     this->market->ApplyFleet(*snapshot);
+    this->service.SetClaims(this->claims);
     BOOST_TEST_REQUIRE(this->service.Start().has_value());
   }
 
@@ -186,6 +187,8 @@
   MarketPtr market = std::make_shared<Market>("m", MarketSettings{}, this->clock, 1);
   FleetStore fleet;
   ScriptedServer server;
+  FakeLogService log;
+  ClaimService claims{ {}, { .region = "r", .daemonId = "d" }, this->log, this->clock };
   // One thread, so that the calls could use one connection
   RunService service{ { .threads = 1 }, this->clock, this->fleet };
   int callCount = 0;
