--- a/Bench/Path/PathDaemon.cpp
+++ b/Bench/Path/PathDaemon.cpp
@@ -76,10 +76,10 @@
   HttpServerSettings server;
   server.threads = settings.callerThreads;
   server.maximumConnections = settings.maximumConnections;
-  server.maximumBodyBytes = settings.maximumBodyBytes;
+  server.limits.maximumBodyBytes = settings.maximumBodyBytes;
   this->callers =
-    std::make_unique<CallerApi>(server, settings.calls, Milliseconds(0), this->clock, this->markets,
-                                *this->runs, [](const std::string&) {});
+    std::make_unique<CallerApi>(server, nullptr, settings.calls, Milliseconds(0), this->clock,
+                                this->markets, *this->runs, [](const std::string&) {});
   this->Configure(aEnginePort, aEngineCount);
 }
 
--- a/Bench/Path/PathEngine.cpp
+++ b/Bench/Path/PathEngine.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr unsigned kConnections = 8192;
-constexpr unsigned kIdleSeconds = 120;
+constexpr Seconds kIdleTimeout{ 120 };
 constexpr int kStatusOk = 200;
 
 HttpServerSettings
@@ -19,7 +19,7 @@
   HttpServerSettings server;
   server.threads = aSettings.threads;
   server.maximumConnections = kConnections;
-  server.idleTimeoutSeconds = kIdleSeconds;
+  server.limits.idleTimeout = kIdleTimeout;
   return server;
 }
 
@@ -80,7 +80,7 @@
 void
 PathEngine::BeginStream(const HttpRequest& aRequest, const HttpExchangePtr& aExchange)
 {
-  const auto body = nlohmann::json::parse(aRequest.body);
+  const auto body = nlohmann::json::parse(aRequest.body.Text());
   Stream stream;
   stream.exchange = aExchange;
   stream.identityFields = fmt::format(
--- a/Lagoonward/Attempts/CompletionCall.h
+++ b/Lagoonward/Attempts/CompletionCall.h
@@ -4,6 +4,7 @@
 #include "Lagoonward/Attempts/EngineStream.h"
 #include "Lagoonward/Configuration/Manifest.h"
 #include "Lagoonward/Core/Hash.h"
+#include "Lagoonward/Core/SharedBytes.h"
 
 #include <cstdint>
 #include <string>
@@ -26,6 +27,8 @@
   ManifestObjective objective;
   TimePoint accepted; ///< When the request had been received completely.
   TimePoint deadline;
+  /// The share of the memory of all requests that this one occupies until it ends; see ConnectionTable. May be null.
+  std::shared_ptr<const void> requestMemory;
   std::shared_ptr<DispatchClaim> claim; ///< Set if the request may run under this claim only.
 
   /// Whether the request must be claimed in the log first. Without an idempotency key no claim is needed: no other
@@ -72,7 +75,7 @@
   std::string service;
   std::string path; ///< Path below the service, with a leading slash.
   std::string contentType;
-  std::string body;
+  SharedBytes body; ///< Shared with all attempts.
 
   /// The model or service of the answer, as the caller named it.
   [[nodiscard]] const std::string& Target() const { return this->service; }
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -13,6 +13,12 @@
 
 const Log kLog("daemon");
 
+/// Requests of operators have no body, but some clients send an empty object.
+constexpr std::size_t kAdminBodyBytes = 1U << 10U;
+
+/// Bodies of the largest size for which there is memory.
+constexpr std::size_t kMinimumLargestBodies = 2;
+
 /// Rank of a daemon for a key under rendezvous hashing: the number of daemons with a greater weight.
 int
 RankAmong(const std::vector<std::string>& aDaemons, std::string_view aOwn, std::string_view aKey)
@@ -58,7 +64,10 @@
   if (!started) {
     return started;
   }
-  this->membership->Loop().Run([this] { this->demandExchange->Start(); });
+  this->membership->Loop().Run([this] {
+    this->demandExchange->Start();
+    this->SweepConnections();
+  });
   for (const std::string& market : this->settings.markets) {
     this->control->FollowMarket(market);
   }
@@ -218,13 +227,18 @@
 void
 Daemon::BuildInterfaces()
 {
+  ConnectionTableSettings tableSettings;
+  tableSettings.maximumRequestMemory = std::max(
+    tableSettings.maximumRequestMemory, this->settings.maximumBodyBytes * kMinimumLargestBodies);
+  this->connections = std::make_shared<ConnectionTable>(tableSettings, this->clock);
   HttpServerSettings adminServer;
   adminServer.address = this->settings.admin.address;
   adminServer.port = this->settings.admin.port;
+  adminServer.limits.maximumBodyBytes = kAdminBodyBytes;
   const StatusSources sources{ this->settings, this->clock, *this->follower,    *this->membership,
                                this->fleet,    *this->runs, *this->fleetManager };
   this->admin = &this->kernel.Add(std::make_unique<AdminApi>(
-    adminServer, *this->runs, [this] { return this->FindUnreadyReason(); },
+    adminServer, this->connections, *this->runs, [this] { return this->FindUnreadyReason(); },
     [this, sources] { return MakeStatusPage(sources, this->draining); }, this->onDrainRequested));
   this->admin->AddMetrics(std::make_shared<RunMetrics>(*this->runs));
 
@@ -233,10 +247,18 @@
   callerServer.port = this->settings.listen.port;
   callerServer.threads = this->settings.callerThreads;
   callerServer.maximumConnections = this->settings.maximumConnections;
-  callerServer.maximumBodyBytes = this->settings.maximumBodyBytes;
+  callerServer.limits.maximumBodyBytes = this->settings.maximumBodyBytes;
   this->kernel.Add(std::make_unique<CallerApi>(
-    callerServer, this->settings.calls, this->settings.drainNotice, this->clock, this->markets,
-    *this->runs, [this](const std::string& aMarket) { this->control->FollowMarket(aMarket); }));
+    callerServer, this->connections, this->settings.calls, this->settings.drainNotice, this->clock,
+    this->markets, *this->runs,
+    [this](const std::string& aMarket) { this->control->FollowMarket(aMarket); }));
+}
+
+void
+Daemon::SweepConnections()
+{
+  const Milliseconds pause = this->connections->Sweep();
+  this->membership->Loop().After(pause, [this] { this->SweepConnections(); });
 }
 
 std::vector<ConfigurationPtr>
--- a/Lagoonward/Daemon/Daemon.h
+++ b/Lagoonward/Daemon/Daemon.h
@@ -50,6 +50,7 @@
   void BuildFleetManager();
   void BuildRuns();
   void BuildInterfaces();
+  void SweepConnections();
   /// The configurations in force, one for each followed market that has one. Any thread.
   [[nodiscard]] std::vector<ConfigurationPtr> ConfigurationsInForce() const;
   /// Ids of the live daemons, this one included, of all regions or of one. Any thread.
@@ -71,6 +72,7 @@
   HttpLogService log;      ///< For the follower only, which interrupts it when it stops.
   HttpLogService claimLog; ///< For the claims only.
   HttpLogService indexLog; ///< For the market index reader only.
+  std::shared_ptr<ConnectionTable> connections; ///< Of all servers.
   std::unique_ptr<PeerClaimForwarder> claimForwarder;
   std::unique_ptr<PeerRequestDirectory> requestDirectory;
   std::unique_ptr<DemandExchange> demandExchange;
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -47,15 +47,26 @@
 /// Memory of a connection: the largest header block, and what the HTTP library needs in addition.
 constexpr std::size_t kConnectionMemory = 48U << 10U;
 
-/// A server for requests of callers.
-std::unique_ptr<HttpServer>
-MakeCallServer(const SocketAddress& aAddress, HttpServer::Handler aHandler)
+/// Settings of a server for requests of callers.
+HttpServerSettings
+MakeCallServerSettings(const SocketAddress& aAddress)
 {
   HttpServerSettings settings;
   settings.address = aAddress.address;
   settings.port = aAddress.port;
   settings.connectionMemoryBytes = kConnectionMemory;
-  return std::make_unique<HttpServer>(std::move(settings), std::move(aHandler));
+  return settings;
+}
+
+/// Settings of a server for requests without a body.
+HttpServerSettings
+MakeProbeServerSettings(const SocketAddress& aAddress)
+{
+  HttpServerSettings settings;
+  settings.address = aAddress.address;
+  settings.port = aAddress.port;
+  settings.limits.maximumBodyBytes = 0;
+  return settings;
 }
 
 } // namespace
@@ -131,6 +142,7 @@
     this->slotExchange->Start();
     this->ApplyDaemonList();
     this->PollDaemonCount();
+    this->SweepConnections();
     this->endpointReplicator->Start();
     this->forwardExchange->Start();
   });
@@ -261,28 +273,28 @@
 void
 RelayDaemon::BuildServers()
 {
-  this->callerServer = MakeCallServer(
-    this->settings.listen, [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
+  this->connections =
+    std::make_shared<ConnectionTable>(ConnectionTableSettingsOf(this->settings), this->clock);
+  this->callerServer = std::make_unique<HttpServer>(
+    MakeCallServerSettings(this->settings.listen),
+    [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
       this->HandleCall(std::move(aRequest), aExchange);
-    });
-
-  HttpServerSettings readinessSettings;
-  readinessSettings.address = this->settings.ready.address;
-  readinessSettings.port = this->settings.ready.port;
+    },
+    this->connections);
   this->readinessServer = std::make_unique<HttpServer>(
-    readinessSettings, [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
+    MakeProbeServerSettings(this->settings.ready),
+    [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
       aExchange->Respond(this->IsReady() ? kOk : kUnavailable, {}, {});
-    });
-
+    },
+    this->connections);
   if (this->settings.metrics.port != 0) {
-    HttpServerSettings metricsSettings;
-    metricsSettings.address = this->settings.metrics.address;
-    metricsSettings.port = this->settings.metrics.port;
     this->metricsServer = std::make_unique<HttpServer>(
-      metricsSettings, [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
+      MakeProbeServerSettings(this->settings.metrics),
+      [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
         aExchange->Respond(kOk, { { "Content-Type", "text/plain; version=0.0.4" } },
                            this->reporter.MetricsText(this->State()));
-      });
+      },
+      this->connections);
   }
 }
 
@@ -295,10 +307,12 @@
   if (this->settings.forward.address.empty()) {
     return;
   }
-  this->forwardServer = MakeCallServer(
-    this->settings.forward, [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
+  this->forwardServer = std::make_unique<HttpServer>(
+    MakeCallServerSettings(this->settings.forward),
+    [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
       this->HandleForwardedCall(std::move(aRequest), aExchange);
-    });
+    },
+    this->connections);
 }
 
 int
@@ -333,6 +347,8 @@
   }
   state.daemons = this->LiveDaemons();
   state.openRequests = this->OpenExchanges();
+  state.requestBytes = this->connections->Held();
+  state.closedConnections = this->connections->Closed();
   state.isLeader = this->leaderTasks->IsLeader();
   state.isEndpointReader = this->endpointReplicator->IsPrimaryReader();
   state.refusedRecords = this->endpointReplicator->RefusedRecords();
@@ -554,6 +570,13 @@
   this->membership->Loop().After(kDaemonCountInterval, [this] { this->PollDaemonCount(); });
 }
 
+void
+RelayDaemon::SweepConnections()
+{
+  const Milliseconds pause = this->connections->Sweep();
+  this->membership->Loop().After(pause, [this] { this->SweepConnections(); });
+}
+
 void
 RelayDaemon::PublishFleet()
 {
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -12,12 +12,14 @@
 #include "Lagoonward/Daemon/PlaceExchange.h"
 #include "Lagoonward/Daemon/RelayPorts.h"
 #include "Lagoonward/Daemon/RelayReporter.h"
+#include "Lagoonward/Daemon/RelayTuning.h"
 #include "Lagoonward/Daemon/SlotExchange.h"
 #include "Lagoonward/Daemon/StreamOriginExchange.h"
 #include "Lagoonward/Membership/DaemonCountEstimator.h"
 #include "Lagoonward/Membership/MembershipService.h"
 #include "Lagoonward/Relay/RelayService.h"
 #include "Lagoonward/Settings/RelayDaemonSettings.h"
+#include "Lagoonward/Wire/ConnectionTable.h"
 #include "Lagoonward/Wire/HttpServer.h"
 
 #include <atomic>
@@ -134,6 +136,7 @@
   /// Passes the number of daemons that may share clients' limits to the admission.
   void UpdateDaemonCount();
   void PollDaemonCount();
+  void SweepConnections();
   /// Version in force, or -1 before the first.
   [[nodiscard]] std::int64_t ConfigurationVersion() const;
   void SleepUntil(TimePoint aUntil) const;
@@ -166,6 +169,7 @@
   std::unique_ptr<EndpointReplicator> endpointReplicator;
   std::unique_ptr<ForwardExchange> forwardExchange;
   std::string forwardToken; ///< Random; known to the daemons that have asked this one for it.
+  std::shared_ptr<ConnectionTable> connections; ///< Of all servers.
   std::unique_ptr<HttpServer> callerServer;
   std::unique_ptr<HttpServer> readinessServer;
   std::unique_ptr<HttpServer> metricsServer;
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -142,6 +142,13 @@
   this->SetGauge("lagoonward_relay_endpoints_age_seconds",
                  "Age of the snapshot of the endpoints: it contains what was acknowledged before.",
                  std::chrono::duration<double>(aState.endpointsAge).count());
+  this->SetGauge("lagoonward_relay_request_bytes",
+                 "Memory of requests, from their first bytes until their last attempt has ended.",
+                 static_cast<double>(aState.requestBytes));
+  this->SetGauge("lagoonward_relay_closed_connections",
+                 "Accepted connections that were closed for others, or because their request took "
+                 "too long, since the start.",
+                 static_cast<double>(aState.closedConnections));
   this->SetGauge("lagoonward_relay_poisoned_requests",
                  "Requests that crash endpoints and are sent to none.", aState.poisonedRequests);
   this->SetGauge("lagoonward_relay_poisoned_prompt_parts",
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -11,6 +11,8 @@
 #include <prometheus/registry.h>
 
 #include <atomic>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -30,14 +32,16 @@
   std::int64_t configurationVersion = 0;           ///< Zero while none is in force.
   std::map<std::string, EndpointCounts> endpoints; ///< By service.
   int daemons = 0;                                 ///< Regarded as live, this one included.
-  int openRequests = 0;            ///< Callers that wait for a response from this daemon.
-  bool isLeader = false;           ///< Whether this daemon holds the lease.
-  std::int64_t refusedRecords = 0; ///< Endpoint records so far that could not be decoded.
-  bool isEndpointReader = false;   ///< Whether it reads the endpoint records for all daemons.
-  Milliseconds endpointsAge{ 0 };  ///< Age of the snapshot of the endpoints.
-  int poisonedRequests = 0;        ///< Requests that are sent to no endpoint, as they crash them.
-  int poisonedParts = 0;           ///< Parts of prompts for which the same holds.
-  int limitedEndpoints = 0;        ///< Endpoints that have reported a limit of requests.
+  int openRequests = 0;                ///< Callers that wait for a response from this daemon.
+  std::size_t requestBytes = 0;        ///< See ConnectionTable::Held().
+  std::uint64_t closedConnections = 0; ///< See ConnectionTable::Closed().
+  bool isLeader = false;               ///< Whether this daemon holds the lease.
+  std::int64_t refusedRecords = 0;     ///< Endpoint records so far that could not be decoded.
+  bool isEndpointReader = false;       ///< Whether it reads the endpoint records for all daemons.
+  Milliseconds endpointsAge{ 0 };      ///< Age of the snapshot of the endpoints.
+  int poisonedRequests = 0; ///< Requests that are sent to no endpoint, as they crash them.
+  int poisonedParts = 0;    ///< Parts of prompts for which the same holds.
+  int limitedEndpoints = 0; ///< Endpoints that have reported a limit of requests.
   int brittleServices = 0;  ///< Services whose endpoints crash when they reject too many requests.
   int leavingByAnswer = 0;  ///< Endpoints whose answers say that they leave.
   int backoffEndpoints = 0; ///< Endpoints that want no requests of this daemon for now.
--- a/Lagoonward/Daemon/RelayTuning.cpp
+++ b/Lagoonward/Daemon/RelayTuning.cpp
@@ -1,6 +1,9 @@
 #include "Lagoonward/Daemon/RelayTuning.h"
 
+#include "Lagoonward/Wire/HttpServer.h"
+
 #include <algorithm>
+#include <optional>
 
 namespace lagoonward {
 
@@ -37,11 +40,21 @@
 constexpr double kSlackShare = 0.5;
 
 constexpr double kBytesPerMegabyte = 1U << 20U;
-/// Share of a process's memory for the responses on their way. The rest is for requests, connections and the daemon's own
-/// state, and for what the allocator cannot reuse.
+/// Shares of a process's memory for the responses on their way, and for requests. The
+/// rest is for the daemon's own state, and for what the allocator cannot reuse.
 constexpr double kResponseMemoryShare = 0.25;
-/// Largest responses that fit into that memory however little it is.
+constexpr double kRequestMemoryShare = 0.25;
+/// Largest responses, or requests, that fit into their memory however little it is.
 constexpr std::size_t kMinimumResponses = 2;
+/// A share of the memory of a process, in bytes; nothing if that is not known.
+std::optional<std::size_t>
+MemoryShare(const RelayDaemonSettings& aSettings, double aShare)
+{
+  if (aSettings.memoryMegabytes <= 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(aSettings.memoryMegabytes * kBytesPerMegabyte * aShare);
+}
 
 } // namespace
 
@@ -70,14 +83,23 @@
 RelaySettingsOf(const RelayDaemonSettings& aSettings)
 {
   RelaySettings relay;
-  if (aSettings.memoryMegabytes > 0) {
-    const double bytes = aSettings.memoryMegabytes * kBytesPerMegabyte * kResponseMemoryShare;
-    relay.maximumResponseMemory =
-      std::max(static_cast<std::size_t>(bytes), relay.maximumResponseBytes * kMinimumResponses);
+  if (const auto bytes = MemoryShare(aSettings, kResponseMemoryShare)) {
+    relay.maximumResponseMemory = std::max(*bytes, relay.maximumResponseBytes * kMinimumResponses);
   }
   return relay;
 }
 
+ConnectionTableSettings
+ConnectionTableSettingsOf(const RelayDaemonSettings& aSettings)
+{
+  ConnectionTableSettings table;
+  if (const auto bytes = MemoryShare(aSettings, kRequestMemoryShare)) {
+    table.maximumRequestMemory =
+      std::max(*bytes, HttpLimits().maximumBodyBytes * kMinimumResponses);
+  }
+  return table;
+}
+
 LeaderTaskSettings
 LeaderTaskSettingsOf(const RelayDaemonSettings& aSettings)
 {
--- a/Lagoonward/Daemon/RelayTuning.h
+++ b/Lagoonward/Daemon/RelayTuning.h
@@ -4,6 +4,7 @@
 #include "Lagoonward/Daemon/LeaderTaskService.h"
 #include "Lagoonward/Relay/RelaySettings.h"
 #include "Lagoonward/Settings/RelayDaemonSettings.h"
+#include "Lagoonward/Wire/ConnectionTable.h"
 
 namespace lagoonward {
 
@@ -15,6 +16,10 @@
 [[nodiscard]] RelaySettings
 RelaySettingsOf(const RelayDaemonSettings& aSettings);
 
+/// Settings of the table of all accepted connections.
+[[nodiscard]] ConnectionTableSettings
+ConnectionTableSettingsOf(const RelayDaemonSettings& aSettings);
+
 /// Settings of a relay daemon's leader tasks: lease, reports, and quiet time after a change of leader.
 [[nodiscard]] LeaderTaskSettings
 LeaderTaskSettingsOf(const RelayDaemonSettings& aSettings);
--- a/Lagoonward/Frontend/AdminApi.cpp
+++ b/Lagoonward/Frontend/AdminApi.cpp
@@ -25,17 +25,19 @@
 
 } // namespace
 
-AdminApi::AdminApi(HttpServerSettings aServer, RunService& aRuns,
-                   std::function<std::optional<Error>()> aReadiness,
+AdminApi::AdminApi(HttpServerSettings aServer, std::shared_ptr<ConnectionTable> aConnections,
+                   RunService& aRuns, std::function<std::optional<Error>()> aReadiness,
                    std::function<std::string()> aStatus, std::function<void()> aDrain)
   : runs(aRuns)
   , readiness(std::move(aReadiness))
   , status(std::move(aStatus))
   , drain(std::move(aDrain))
-  , server(std::move(aServer),
-           [this](const HttpRequest& aRequest, const HttpExchangePtr& aExchange) {
-             this->Handle(aRequest, *aExchange);
-           })
+  , server(
+      std::move(aServer),
+      [this](const HttpRequest& aRequest, const HttpExchangePtr& aExchange) {
+        this->Handle(aRequest, *aExchange);
+      },
+      std::move(aConnections))
 {
 }
 
--- a/Lagoonward/Frontend/AdminApi.h
+++ b/Lagoonward/Frontend/AdminApi.h
@@ -24,9 +24,10 @@
   /// @param aReadiness  returns the reason why the daemon should get no requests, or nothing; any thread
   /// @param aStatus  returns the JSON text of `/status`; called on the server's thread
   /// @param aDrain   starts draining the daemon; returns immediately
-  AdminApi(HttpServerSettings aServer, RunService& aRuns,
-           std::function<std::optional<Error>()> aReadiness, std::function<std::string()> aStatus,
-           std::function<void()> aDrain);
+  /// @param aConnections  of all servers of the process
+  AdminApi(HttpServerSettings aServer, std::shared_ptr<ConnectionTable> aConnections,
+           RunService& aRuns, std::function<std::optional<Error>()> aReadiness,
+           std::function<std::string()> aStatus, std::function<void()> aDrain);
 
   [[nodiscard]] std::string_view Name() const override;
   [[nodiscard]] Result<void> Start() override;
--- a/Lagoonward/Frontend/CallReader.cpp
+++ b/Lagoonward/Frontend/CallReader.cpp
@@ -193,7 +193,7 @@
   if (!terms) {
     return terms.error();
   }
-  const Json body = Json::parse(aRequest.body, nullptr, false);
+  const Json body = Json::parse(aRequest.body.Text(), nullptr, false);
   if (!body.is_object()) {
     return Invalid("The body must be a JSON object in UTF-8.");
   }
@@ -336,6 +336,7 @@
   }
   terms.idempotent = idempotent != "false";
   terms.bodyHash = HashBytes(aRequest.body, HashBytes(aRequest.path));
+  terms.requestMemory = aRequest.body.Resource();
   return terms;
 }
 
--- a/Lagoonward/Frontend/CallerApi.cpp
+++ b/Lagoonward/Frontend/CallerApi.cpp
@@ -26,19 +26,21 @@
 
 } // namespace
 
-CallerApi::CallerApi(HttpServerSettings aServer, const CallSettings& aCalls,
-                     Milliseconds aDrainNotice, const Clock& aClock, MarketDirectory& aMarkets,
-                     RunService& aRuns,
+CallerApi::CallerApi(HttpServerSettings aServer, std::shared_ptr<ConnectionTable> aConnections,
+                     const CallSettings& aCalls, Milliseconds aDrainNotice, const Clock& aClock,
+                     MarketDirectory& aMarkets, RunService& aRuns,
                      std::function<void(const std::string& aMarket)> aOnUnknownMarket)
   : reader(aCalls, aClock)
   , drainNotice(aDrainNotice)
   , markets(aMarkets)
   , runs(aRuns)
   , onUnknownMarket(std::move(aOnUnknownMarket))
-  , server(std::move(aServer),
-           [this](const HttpRequest& aRequest, const HttpExchangePtr& aExchange) {
-             this->Handle(aRequest, aExchange);
-           })
+  , server(
+      std::move(aServer),
+      [this](const HttpRequest& aRequest, const HttpExchangePtr& aExchange) {
+        this->Handle(aRequest, aExchange);
+      },
+      std::move(aConnections))
 {
 }
 
--- a/Lagoonward/Frontend/CallerApi.h
+++ b/Lagoonward/Frontend/CallerApi.h
@@ -21,8 +21,10 @@
 
   /// @param aOnUnknownMarket  called with the name of a market that a request names and this daemon does not follow
   ///                          yet, so that it starts to follow it; any thread
-  CallerApi(HttpServerSettings aServer, const CallSettings& aCalls, Milliseconds aDrainNotice,
-            const Clock& aClock, MarketDirectory& aMarkets, RunService& aRuns,
+  /// @param aConnections  of all servers of the process
+  CallerApi(HttpServerSettings aServer, std::shared_ptr<ConnectionTable> aConnections,
+            const CallSettings& aCalls, Milliseconds aDrainNotice, const Clock& aClock,
+            MarketDirectory& aMarkets, RunService& aRuns,
             std::function<void(const std::string& aMarket)> aOnUnknownMarket);
 
   [[nodiscard]] std::string_view Name() const override;
--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -25,7 +25,7 @@
   std::string method; ///< Forwarded unchanged, as are target, headers and body.
   std::string target;
   std::vector<HttpHeader> headers; ///< Only the headers to forward to the endpoint.
-  std::string body;
+  SharedBytes body;                ///< Shared with all attempts.
 
   RelayRoutePtr route;
   /// Version under which the request was accepted; for logs.
--- a/Lagoonward/Wire/CurlTransfer.h
+++ b/Lagoonward/Wire/CurlTransfer.h
@@ -47,7 +47,7 @@
   TransferId id = 0;
   std::unique_ptr<CURL, EasyDeleter> easy;
   std::unique_ptr<curl_slist, HeaderListDeleter> headers;
-  std::string body;
+  SharedBytes body;
   HttpTransferObserver* observer = nullptr; ///< Null for detached and cancelled transfers.
   Milliseconds unacknowledgedTimeout{ 0 };
   std::size_t maximumHeadBytes = 0; ///< See HttpClientSettings.
--- a/Lagoonward/Wire/HttpExchange.h
+++ b/Lagoonward/Wire/HttpExchange.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Lagoonward/Core/SharedBytes.h"
+
 #include <chrono>
 #include <functional>
 #include <map>
@@ -25,7 +27,7 @@
   std::string path;   ///< Unescaped, without the query.
   std::vector<HttpHeader> headers;
   std::vector<HttpHeader> query;
-  std::string body;
+  SharedBytes body;
   /// Time since another daemon received the request from its caller, if that daemon forwarded it.
   std::chrono::milliseconds age{ 0 };
 
--- a/Lagoonward/Wire/HttpServer.cpp
+++ b/Lagoonward/Wire/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Wire/HttpServer.h"
 
 #include "Lagoonward/Core/StringMemory.h"
+#include "Lagoonward/Core/SystemClock.h"
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
@@ -10,6 +11,9 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <limits>
+#include <optional>
+#include <span>
 #include <strings.h>
 
 namespace lagoonward {
@@ -20,6 +24,12 @@
 /// and discarded, so that the caller receives the error response.
 constexpr std::size_t kMaximumOversizeFactor = 4;
 
+/// An announced body up to this size gets its memory at once; a larger one as it arrives.
+constexpr std::size_t kReservedBodyBytes = 64U << 10U;
+
+/// For a request for which there is no memory. Another daemon may have some at once.
+constexpr Milliseconds kMemoryRetryAfter{ 1000 };
+
 struct ResponseDeleter
 {
   void operator()(MHD_Response* aResponse) const { MHD_destroy_response(aResponse); }
@@ -38,8 +48,13 @@
 /// The request that a connection is receiving.
 struct IncomingRequest
 {
+  ConnectionTable::Connection* connection = nullptr;
+  std::shared_ptr<const HttpLimits> limits; ///< When the head was received.
   HttpRequest request;
+  std::string body;
   HttpExchangePtr exchange;
+  std::size_t expectedBytes =
+    0; ///< Of the body: its announced length, or the limit if none was announced.
   std::size_t receivedBytes = 0;
   bool begun = false;      ///< The headers have been processed.
   bool handedOver = false; ///< The request has been passed to the handler.
@@ -69,6 +84,57 @@
   return lengths + encodings > 1 || !isPlainChunked || !isPlainLength;
 }
 
+/// The length that the head announces. Nothing if the body comes in chunks; zero if there is none.
+std::optional<std::size_t>
+AnnouncedLength(const HttpRequest& aRequest)
+{
+  if (!aRequest.Header("Transfer-Encoding").empty()) {
+    return std::nullopt;
+  }
+  const std::string_view text = aRequest.Header("Content-Length");
+  std::size_t length = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), length);
+  return error == std::errc::result_out_of_range ? std::numeric_limits<std::size_t>::max() : length;
+}
+
+/// Bytes of all header lines, with their line ends.
+std::size_t
+HeaderLineBytes(std::span<const HttpHeader> aHeaders)
+{
+  constexpr std::size_t kSeparators = std::string_view(": \r\n").size();
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : aHeaders) {
+    bytes += name.size() + value.size() + kSeparators;
+  }
+  return bytes;
+}
+
+/// The capacity with which a body grows to a size: few copies, and no more memory than the whole body needs.
+std::size_t
+GrownCapacity(std::size_t aNeeded, std::size_t aCapacity, std::size_t aExpected)
+{
+  const std::size_t first = aExpected <= kReservedBodyBytes ? aExpected : 0;
+  return std::max({ aNeeded, first, std::min(aCapacity * 2, aExpected) });
+}
+
+/// Gives a string exactly this capacity; std::string::reserve() may give it more.
+void
+Grow(std::string& aText, std::size_t aCapacity)
+{
+  std::string grown;
+  grown.reserve(aCapacity);
+  grown.append(aText);
+  aText.swap(grown);
+}
+
+/// A table for a server that shares none with others.
+std::shared_ptr<ConnectionTable>
+MakeOwnTable()
+{
+  static const SystemClock clock;
+  return std::make_shared<ConnectionTable>(ConnectionTableSettings{}, clock);
+}
+
 } // namespace
 
 struct HttpServer::Callbacks
@@ -88,16 +154,38 @@
       body.size(), const_cast<char*>(body.data()), MHD_RESPMEM_MUST_COPY));
     MHD_add_response_header(response.get(), "Content-Type", "application/json");
     MHD_add_response_header(response.get(), "Connection", "close");
+    if (aError.retryAfter) {
+      const std::string seconds =
+        std::to_string(std::chrono::ceil<Seconds>(*aError.retryAfter).count());
+      MHD_add_response_header(response.get(), "Retry-After", seconds.c_str());
+    }
     return MHD_queue_response(
       aConnection, static_cast<unsigned>(GetErrorRule(aError.kind).httpStatus), response.get());
   }
 
+  /// A connection was accepted, or is about to be closed.
+  static void OnConnection(void* aServer, MHD_Connection* aConnection, void** aContext,
+                           MHD_ConnectionNotificationCode aCode)
+  {
+    auto& server = *static_cast<HttpServer*>(aServer);
+    if (aCode == MHD_CONNECTION_NOTIFY_STARTED) {
+      const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      *aContext = &server.connections->Open(server.listener, info->connect_fd);
+    } else {
+      server.connections->Close(*static_cast<ConnectionTable::Connection*>(*aContext));
+    }
+  }
+
   /// Records the target before it is unescaped. The returned pointer becomes the request's context.
-  static void* OnTarget(void* aServer, const char* aTarget, MHD_Connection* /*aConnection*/)
+  static void* OnTarget(void* aServer, const char* aTarget, MHD_Connection* aConnection)
   {
+    auto& server = *static_cast<HttpServer*>(aServer);
     auto incoming = std::make_unique<IncomingRequest>();
     incoming->request.target = aTarget;
-    ++static_cast<HttpServer*>(aServer)->openExchanges;
+    const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    incoming->connection = static_cast<ConnectionTable::Connection*>(info->socket_context);
+    server.connections->OnHeadBegun(*incoming->connection);
+    ++server.openExchanges;
     return incoming.release();
   }
 
@@ -105,32 +193,68 @@
                                  const char* aUrl, const char* aMethod, IncomingRequest& aIncoming)
   {
     aIncoming.begun = true;
+    aIncoming.limits = aServer.Limits();
     aIncoming.request.method = aMethod;
     aIncoming.request.path = aUrl;
     MHD_get_connection_values(aConnection, MHD_HEADER_KIND, &OnHeader, &aIncoming.request.headers);
     MHD_get_connection_values(aConnection, MHD_GET_ARGUMENT_KIND, &OnHeader,
                               &aIncoming.request.query);
     aIncoming.exchange = std::make_shared<HttpExchange>(aConnection);
+    ApplyIdleTimeout(aServer, aConnection, *aIncoming.limits);
+    const auto refusal = CheckHead(aServer, aConnection, aIncoming);
+    return refusal ? Refuse(aConnection, *refusal) : MHD_YES;
+  }
+
+  /// @return why the request is refused before its body is received; nothing if it is not
+  static std::optional<Error> CheckHead(const HttpServer& aServer, MHD_Connection* aConnection,
+                                        IncomingRequest& aIncoming)
+  {
+    const HttpLimits& limits = *aIncoming.limits;
+    const std::size_t headBytes =
+      MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)->header_size;
+    const auto announced = AnnouncedLength(aIncoming.request);
+    aIncoming.expectedBytes = announced.value_or(limits.maximumBodyBytes);
+    const bool isTooLarge = aIncoming.expectedBytes > limits.maximumBodyBytes;
+    const bool hasMemory = aServer.connections->OnHeadReceived(
+      *aIncoming.connection, headBytes, isTooLarge ? 0 : aIncoming.expectedBytes,
+      announced.has_value());
     if (IsFramingAmbiguous(aIncoming.request)) {
-      return Refuse(aConnection, Error(ErrorKind::InvalidRequest,
-                                       "The end of the body is ambiguous: expected at most one "
-                                       "Content-Length or Transfer-Encoding: chunked header."));
+      return Error(ErrorKind::InvalidRequest,
+                   "The end of the body is ambiguous: expected at most one "
+                   "Content-Length or Transfer-Encoding: chunked header.");
+    }
+    const std::size_t headerBytes = HeaderLineBytes(aIncoming.request.headers);
+    if (limits.maximumHeaderBytes > 0 && headerBytes > limits.maximumHeaderBytes) {
+      return Error(ErrorKind::HeadersTooLarge,
+                   fmt::format("The header lines have {} bytes, over the limit of {}.", headerBytes,
+                               limits.maximumHeaderBytes));
+    }
+    if (isTooLarge) {
+      return BodyTooLarge(limits);
     }
-    const std::string_view length = aIncoming.request.Header("Content-Length");
+    if (!hasMemory) {
+      return Error(ErrorKind::Overloaded, "The requests in progress leave no memory for this one.",
+                   Ran::No)
+        .WithRetryAfter(kMemoryRetryAfter);
+    }
+    return std::nullopt;
+  }
 
-    // Reject a body whose announced length is too large before it is received
-    std::size_t announced = 0;
-    std::from_chars(length.data(), length.data() + length.size(), announced);
-    if (announced > aServer.settings.maximumBodyBytes) {
-      return Refuse(aConnection, BodyTooLarge(aServer));
+  static void ApplyIdleTimeout(const HttpServer& aServer, MHD_Connection* aConnection,
+                               const HttpLimits& aLimits)
+  {
+    // The library checks connections with a timeout of their own one by one, so most share that of the server
+    if (aLimits.idleTimeout > aServer.settings.limits.idleTimeout) {
+      const auto seconds = std::chrono::ceil<Seconds>(aLimits.idleTimeout);
+      MHD_set_connection_option(aConnection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                static_cast<unsigned>(seconds.count()));
     }
-    return MHD_YES;
   }
 
-  static Error BodyTooLarge(const HttpServer& aServer)
+  static Error BodyTooLarge(const HttpLimits& aLimits)
   {
-    return { ErrorKind::BodyTooLarge, fmt::format("The body exceeds the limit of {} bytes.",
-                                                  aServer.settings.maximumBodyBytes) };
+    return { ErrorKind::BodyTooLarge,
+             fmt::format("The body exceeds the limit of {} bytes.", aLimits.maximumBodyBytes) };
   }
 
   static MHD_Result OnAccess(void* aServer, MHD_Connection* aConnection, const char* aUrl,
@@ -149,12 +273,17 @@
     if (*aUploadSize > 0) {
       return AppendBody(server, *incoming, { aUpload, std::exchange(*aUploadSize, 0) });
     }
-    if (incoming->receivedBytes > server.settings.maximumBodyBytes) {
-      return Refuse(aConnection, BodyTooLarge(server));
+    if (incoming->receivedBytes > incoming->limits->maximumBodyBytes) {
+      return Refuse(aConnection, BodyTooLarge(*incoming->limits));
     }
     // Pass the complete request to the handler once
     if (!incoming->handedOver) {
       incoming->handedOver = true;
+      auto hold = server.connections->OnRequestReceived(*incoming->connection);
+      if (hold == nullptr) {
+        return MHD_NO;
+      }
+      incoming->request.body = SharedBytes(std::move(incoming->body), std::move(hold));
       server.handler(std::move(incoming->request), incoming->exchange);
     }
     return QueueOrSuspend(server, aConnection, incoming->exchange);
@@ -163,13 +292,28 @@
   static MHD_Result AppendBody(const HttpServer& aServer, IncomingRequest& aIncoming,
                                std::string_view aBytes)
   {
-    const std::size_t limit = aServer.settings.maximumBodyBytes;
+    ConnectionTable& connections = *aServer.connections;
+    std::string& body = aIncoming.body;
+    const std::size_t limit = aIncoming.limits->maximumBodyBytes;
     aIncoming.receivedBytes += aBytes.size();
-    if (aIncoming.receivedBytes <= limit) {
-      aIncoming.request.body.append(aBytes);
-      return MHD_YES;
+    if (aIncoming.receivedBytes > limit) {
+      FreeString(body);
+      const bool isOpen =
+        connections.OnBodyReceived(*aIncoming.connection, aIncoming.receivedBytes, 0);
+      return isOpen && aIncoming.receivedBytes <= limit * kMaximumOversizeFactor ? MHD_YES : MHD_NO;
+    }
+    const std::size_t needed = body.size() + aBytes.size();
+    const bool grows = needed > body.capacity();
+    const std::size_t capacity =
+      grows ? GrownCapacity(needed, body.capacity(), aIncoming.expectedBytes) : body.capacity();
+    if (!connections.OnBodyReceived(*aIncoming.connection, aIncoming.receivedBytes, capacity + 1)) {
+      return MHD_NO;
     }
-    return aIncoming.receivedBytes > limit * kMaximumOversizeFactor ? MHD_NO : MHD_YES;
+    if (grows) {
+      Grow(body, capacity);
+    }
+    body.append(aBytes);
+    return MHD_YES;
   }
 
   /// Queues the response if it is ready; otherwise suspends the connection until it is.
@@ -261,6 +405,7 @@
     if (aCode != MHD_REQUEST_TERMINATED_COMPLETED_OK && callback) {
       callback();
     }
+    static_cast<HttpServer*>(aServer)->connections->OnRequestEnded(*incoming->connection);
     --static_cast<HttpServer*>(aServer)->openExchanges;
   }
 };
@@ -271,10 +416,15 @@
   MHD_stop_daemon(aDaemon);
 }
 
-HttpServer::HttpServer(HttpServerSettings aSettings, Handler aHandler)
+HttpServer::HttpServer(HttpServerSettings aSettings, Handler aHandler,
+                       std::shared_ptr<ConnectionTable> aConnections)
   : settings(std::move(aSettings))
   , handler(std::move(aHandler))
+  , connections(aConnections != nullptr ? std::move(aConnections) : MakeOwnTable())
+  , listener(this->connections->AddListener(
+      { this->settings.maximumConnections, this->settings.connectionMemoryBytes }))
 {
+  this->SetLimits(this->settings.limits);
 }
 
 HttpServer::~HttpServer()
@@ -291,16 +441,18 @@
   if (inet_pton(AF_INET, this->settings.address.c_str(), &address.sin_addr) != 1) {
     return Error(ErrorKind::InvalidSettings, this->settings.address + " is not an IPv4 address.");
   }
+  const auto idleTimeout = std::chrono::ceil<Seconds>(this->settings.limits.idleTimeout);
   this->listening = true;
   this->daemon.reset(MHD_start_daemon(
     MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, this->settings.port, nullptr, nullptr,
     &Callbacks::OnAccess, this, MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&address),
     MHD_OPTION_THREAD_POOL_SIZE, this->settings.threads > 1 ? this->settings.threads : 0U,
     MHD_OPTION_CONNECTION_LIMIT,
-    std::max(this->settings.maximumConnections, this->settings.threads),
+    std::max(this->settings.maximumConnections + kSpareConnections, this->settings.threads),
     MHD_OPTION_CONNECTION_MEMORY_LIMIT, this->settings.connectionMemoryBytes,
-    MHD_OPTION_CONNECTION_TIMEOUT, this->settings.idleTimeoutSeconds, MHD_OPTION_STRICT_FOR_CLIENT,
-    1, MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::OnTarget, this, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+    MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(idleTimeout.count()),
+    MHD_OPTION_NOTIFY_CONNECTION, &Callbacks::OnConnection, this, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+    MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::OnTarget, this, MHD_OPTION_LISTEN_BACKLOG_SIZE,
     static_cast<unsigned>(SOMAXCONN), MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::OnCompleted, this,
     MHD_OPTION_END));
   if (this->daemon == nullptr) {
@@ -311,6 +463,19 @@
   return boost::outcome_v2::success();
 }
 
+void
+HttpServer::SetLimits(const HttpLimits& aLimits)
+{
+  std::atomic_store(&this->limits, std::make_shared<const HttpLimits>(aLimits));
+  this->connections->SetTimeouts(this->listener, aLimits.headTimeout, aLimits.bodyTimeout);
+}
+
+std::shared_ptr<const HttpLimits>
+HttpServer::Limits() const
+{
+  return std::atomic_load(&this->limits);
+}
+
 void
 HttpServer::CloseAfterResponses()
 {
--- a/Lagoonward/Wire/HttpServer.h
+++ b/Lagoonward/Wire/HttpServer.h
@@ -2,7 +2,9 @@
 
 #include "Lagoonward/Core/Result.h"
 #include "Lagoonward/Core/UniqueFd.h"
+#include "Lagoonward/Wire/ConnectionTable.h"
 #include "Lagoonward/Wire/HttpExchange.h"
+#include "Lagoonward/Wire/HttpLimits.h"
 
 #include <atomic>
 #include <cstdint>
@@ -20,11 +22,11 @@
   std::string address = "127.0.0.1"; ///< IPv4 address to listen on.
   std::uint16_t port = 0;            ///< Zero selects a free port.
   unsigned threads = 1;
+  /// Beyond it, connections that wait for a request or receive one are closed; see ConnectionTable.
   unsigned maximumConnections = 4096;
-  std::size_t maximumBodyBytes = 4U << 20U;
   std::size_t connectionMemoryBytes = 16U << 10U; ///< Per connection; limits the headers as well.
   std::size_t streamBlockBytes = 2048; ///< Largest block of a streamed response; one per stream.
-  unsigned idleTimeoutSeconds = 30;    ///< Timeout for a caller that stops sending its request.
+  HttpLimits limits;                   ///< Until SetLimits().
 };
 
 /// An HTTP/1.1 server based on libmicrohttpd. Passes each complete request to a handler, which responds through the
@@ -32,9 +34,14 @@
 class HttpServer
 {
 public:
+  /// Connections beyond the maximum that may be open for a moment, so that others can be closed for them.
+  static constexpr unsigned kSpareConnections = 8;
+
   using Handler = std::function<void(HttpRequest aRequest, const HttpExchangePtr& aExchange)>;
 
-  HttpServer(HttpServerSettings aSettings, Handler aHandler);
+  /// @param aConnections  of all servers of the process; null for a table of its own
+  HttpServer(HttpServerSettings aSettings, Handler aHandler,
+             std::shared_ptr<ConnectionTable> aConnections = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -42,6 +49,9 @@
   /// Binds the socket and starts the threads. Errors: InvalidSettings.
   [[nodiscard]] Result<void> Start();
 
+  /// Sets what clients may send from their next request on. Any thread.
+  void SetLimits(const HttpLimits& aLimits);
+
   /// Closes each connection after its next response, so that callers reconnect to another daemon. New connections
   /// are still accepted, because a load balancer takes some time to stop sending them.
   void CloseAfterResponses();
@@ -69,8 +79,13 @@
     void operator()(MHD_Daemon* aDaemon) const;
   };
 
+  [[nodiscard]] std::shared_ptr<const HttpLimits> Limits() const;
+
   HttpServerSettings settings;
   Handler handler;
+  std::shared_ptr<const HttpLimits> limits; ///< Accessed atomically.
+  std::shared_ptr<ConnectionTable> connections;
+  ConnectionTable::Listener& listener; ///< In `connections`.
   std::unique_ptr<MHD_Daemon, DaemonDeleter> daemon;
   UniqueFd quiesced; ///< The listening socket after StopListening().
   std::atomic<int> openExchanges{ 0 };
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Core/SharedBytes.h"
 
 #include <cstdint>
 #include <functional>
@@ -36,7 +37,7 @@
   std::string method = "GET";
   std::string url;
   std::vector<std::string> headers; ///< Complete header lines, `Name: value`.
-  std::string body;
+  SharedBytes body;
   /// Sends the request at most once, on a reused or a new connection. When a reused connection is already closed, the
   /// transfer ends as Broken instead of being sent again by libcurl.
   bool singleSend = false;
--- a/UnitTests/Daemon/RelayTuningTests.cpp
+++ b/UnitTests/Daemon/RelayTuningTests.cpp
@@ -1,4 +1,6 @@
+#include "Lagoonward/Core/VirtualClock.h"
 #include "Lagoonward/Daemon/RelayTuning.h"
+#include "Lagoonward/Wire/HttpServer.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -24,4 +26,13 @@
   BOOST_TEST(relay.maximumResponseMemory >= 2 * relay.maximumResponseBytes);
 }
 
+BOOST_AUTO_TEST_CASE(LargestRequestFitsIntoLittleMemory)
+{
+  RelayDaemonSettings settings;
+  settings.memoryMegabytes = 1;
+  VirtualClock clock;
+  const ConnectionTable table(ConnectionTableSettingsOf(settings), clock);
+  BOOST_TEST(table.MaximumBodyBytes() >= HttpLimits().maximumBodyBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Wire/HttpTests.cpp
+++ b/UnitTests/Wire/HttpTests.cpp
@@ -25,7 +25,7 @@
 struct ServerAndClient
 {
   explicit ServerAndClient(HttpServer::Handler aHandler)
-    : server({ .maximumBodyBytes = 100 }, std::move(aHandler))
+    : server({ .limits = { .maximumBodyBytes = 100 } }, std::move(aHandler))
     , loop(clock, {})
   {
     BOOST_REQUIRE(this->server.Start().has_value());
@@ -51,7 +51,7 @@
 BOOST_AUTO_TEST_CASE(RespondsImmediately)
 {
   ServerAndClient fixture([](const HttpRequest& aRequest, const HttpExchangePtr& aExchange) {
-    aExchange->Respond(201, {}, aRequest.method + aRequest.path + aRequest.body);
+    aExchange->Respond(201, {}, aRequest.method + aRequest.path + aRequest.body.Text());
   });
   CollectingObserver observer;
   const TransferEnd end = fixture.Fetch({ .method = "POST", .url = "/x", .body = "abc" }, observer);
