--- a/Lagoonward/Core/UniqueFd.cpp
+++ b/Lagoonward/Core/UniqueFd.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Core/UniqueFd.h"
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <utility>
@@ -52,4 +53,12 @@
   }
 }
 
+std::size_t
+ProcessDescriptorLimit()
+{
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  return limit.rlim_cur;
+}
+
 } // namespace lagoonward
--- a/Lagoonward/Core/UniqueFd.h
+++ b/Lagoonward/Core/UniqueFd.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 namespace lagoonward {
 
 /// Owns one file descriptor and closes it when it goes out of scope.
@@ -25,4 +27,8 @@
   int descriptor = -1;
 };
 
+/// Most descriptors that the system lets this process open.
+[[nodiscard]] std::size_t
+ProcessDescriptorLimit();
+
 } // namespace lagoonward
--- a/Lagoonward/Daemon/Daemon.cpp
+++ b/Lagoonward/Daemon/Daemon.cpp
@@ -13,6 +13,10 @@
 
 const Log kLog("daemon");
 
+/// Part of the process's descriptors that callers' connections may take. The rest is for connections to endpoints and other
+/// daemons, and for operators.
+constexpr double kCallerDescriptorShare = 0.6;
+constexpr unsigned kAdminConnections = 64;
 /// Requests of operators have no body, but some clients send an empty object.
 constexpr std::size_t kAdminBodyBytes = 1U << 10U;
 
@@ -234,6 +238,7 @@
   HttpServerSettings adminServer;
   adminServer.address = this->settings.admin.address;
   adminServer.port = this->settings.admin.port;
+  adminServer.maximumConnections = kAdminConnections;
   adminServer.limits.maximumBodyBytes = kAdminBodyBytes;
   const StatusSources sources{ this->settings, this->clock, *this->follower,    *this->membership,
                                this->fleet,    *this->runs, *this->fleetManager };
@@ -246,7 +251,9 @@
   callerServer.address = this->settings.listen.address;
   callerServer.port = this->settings.listen.port;
   callerServer.threads = this->settings.callerThreads;
-  callerServer.maximumConnections = this->settings.maximumConnections;
+  const double descriptors = static_cast<double>(ProcessDescriptorLimit()) * kCallerDescriptorShare;
+  callerServer.maximumConnections =
+    std::min(this->settings.maximumConnections, static_cast<unsigned>(descriptors));
   callerServer.limits.maximumBodyBytes = this->settings.maximumBodyBytes;
   this->kernel.Add(std::make_unique<CallerApi>(
     callerServer, this->connections, this->settings.calls, this->settings.drainNotice, this->clock,
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -49,22 +49,24 @@
 
 /// Settings of a server for requests of callers.
 HttpServerSettings
-MakeCallServerSettings(const SocketAddress& aAddress)
+MakeCallServerSettings(const SocketAddress& aAddress, unsigned aMaximumConnections)
 {
   HttpServerSettings settings;
   settings.address = aAddress.address;
   settings.port = aAddress.port;
+  settings.maximumConnections = aMaximumConnections;
   settings.connectionMemoryBytes = kConnectionMemory;
   return settings;
 }
 
 /// Settings of a server for requests without a body.
 HttpServerSettings
-MakeProbeServerSettings(const SocketAddress& aAddress)
+MakeProbeServerSettings(const SocketAddress& aAddress, unsigned aMaximumConnections)
 {
   HttpServerSettings settings;
   settings.address = aAddress.address;
   settings.port = aAddress.port;
+  settings.maximumConnections = aMaximumConnections;
   settings.limits.maximumBodyBytes = 0;
   return settings;
 }
@@ -79,6 +81,7 @@
   , reporter(aClock)
   , versions(aClock)
   , usage(this->settings.usageWindow, aClock)
+  , connectionLimits(ConnectionLimitsOf(this->settings, ProcessDescriptorLimit()))
   , incarnation(
       fmt::format("{}@{}", this->settings.peer.address, ToUnixMilliseconds(aClock.WallNow())))
   , daemonCount(DaemonCountSettings{}, aClock.Now())
@@ -173,8 +176,10 @@
     nothing.asOf = this->clock.WallNow();
     aDone(std::move(nothing));
   };
+  MembershipSettings membershipSettings;
+  membershipSettings.transport.maximumConnections = this->connectionLimits.peers;
   this->membership = &this->kernel.Add(std::make_unique<MembershipService>(
-    this->clock, std::move(identity), std::move(keys.value()), MembershipSettings{}, poll));
+    this->clock, std::move(identity), std::move(keys.value()), membershipSettings, poll));
   this->membership->OnState([this](const SharedState& aState) {
     if (aState.name != kConfigurationState) {
       return false;
@@ -276,20 +281,20 @@
   this->connections =
     std::make_shared<ConnectionTable>(ConnectionTableSettingsOf(this->settings), this->clock);
   this->callerServer = std::make_unique<HttpServer>(
-    MakeCallServerSettings(this->settings.listen),
+    MakeCallServerSettings(this->settings.listen, this->connectionLimits.callers),
     [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
       this->HandleCall(std::move(aRequest), aExchange);
     },
     this->connections);
   this->readinessServer = std::make_unique<HttpServer>(
-    MakeProbeServerSettings(this->settings.ready),
+    MakeProbeServerSettings(this->settings.ready, this->connectionLimits.probes),
     [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
       aExchange->Respond(this->IsReady() ? kOk : kUnavailable, {}, {});
     },
     this->connections);
   if (this->settings.metrics.port != 0) {
     this->metricsServer = std::make_unique<HttpServer>(
-      MakeProbeServerSettings(this->settings.metrics),
+      MakeProbeServerSettings(this->settings.metrics, this->connectionLimits.probes),
       [this](const HttpRequest&, const HttpExchangePtr& aExchange) {
         aExchange->Respond(kOk, { { "Content-Type", "text/plain; version=0.0.4" } },
                            this->reporter.MetricsText(this->State()));
@@ -308,7 +313,7 @@
     return;
   }
   this->forwardServer = std::make_unique<HttpServer>(
-    MakeCallServerSettings(this->settings.forward),
+    MakeCallServerSettings(this->settings.forward, this->connectionLimits.forwarded),
     [this](HttpRequest aRequest, const HttpExchangePtr& aExchange) {
       this->HandleForwardedCall(std::move(aRequest), aExchange);
     },
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -169,6 +169,7 @@
   std::unique_ptr<EndpointReplicator> endpointReplicator;
   std::unique_ptr<ForwardExchange> forwardExchange;
   std::string forwardToken; ///< Random; known to the daemons that have asked this one for it.
+  ConnectionLimits connectionLimits;
   std::shared_ptr<ConnectionTable> connections; ///< Of all servers.
   std::unique_ptr<HttpServer> callerServer;
   std::unique_ptr<HttpServer> readinessServer;
--- a/Lagoonward/Daemon/RelayTuning.cpp
+++ b/Lagoonward/Daemon/RelayTuning.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Daemon/RelayTuning.h"
 
+#include "Lagoonward/Membership/MembershipSettings.h"
 #include "Lagoonward/Wire/HttpServer.h"
 
 #include <algorithm>
@@ -40,12 +41,30 @@
 constexpr double kSlackShare = 0.5;
 
 constexpr double kBytesPerMegabyte = 1U << 20U;
-/// Shares of a process's memory for the responses on their way, and for requests. The
+/// Shares of a process's memory for the responses on their way, for requests, and for connections without a request. The
 /// rest is for the daemon's own state, and for what the allocator cannot reuse.
 constexpr double kResponseMemoryShare = 0.25;
 constexpr double kRequestMemoryShare = 0.25;
+constexpr double kConnectionMemoryShare = 0.125;
 /// Largest responses, or requests, that fit into their memory however little it is.
 constexpr std::size_t kMinimumResponses = 2;
+/// Memory of a connection without a request, in the HTTP library.
+constexpr std::size_t kIdleConnectionBytes = 8U << 10U;
+
+/// Descriptors that hosts may reserve for files, and the largest part of all that is taken for them.
+constexpr std::size_t kFileDescriptors = 200;
+constexpr std::size_t kFileDivisor = 8;
+/// Parts of the other descriptors: for connections that the daemon opens, and for probes. Half of the first is for those that
+/// other daemons open.
+constexpr std::size_t kOutgoingDivisor = 4;
+constexpr std::size_t kProbeDivisor = 64;
+constexpr std::size_t kMinimumProbes = 4;
+constexpr std::size_t kMaximumProbes = 32;
+/// Part of the accepted connections that is for requests of other daemons.
+constexpr std::size_t kForwardedDivisor = 4;
+constexpr std::size_t kMaximumCallers = 4096;
+constexpr std::size_t kServers = 4;
+
 /// A share of the memory of a process, in bytes; nothing if that is not known.
 std::optional<std::size_t>
 MemoryShare(const RelayDaemonSettings& aSettings, double aShare)
@@ -89,6 +108,31 @@
   return relay;
 }
 
+ConnectionLimits
+ConnectionLimitsOf(const RelayDaemonSettings& aSettings, std::size_t aProcessDescriptors)
+{
+  const std::size_t stated =
+    aSettings.maximumDescriptors > 0 ? aSettings.maximumDescriptors : aProcessDescriptors;
+  const std::size_t all = std::min(stated, aProcessDescriptors);
+  const std::size_t sockets = all - std::min(kFileDescriptors, all / kFileDivisor);
+  const std::size_t outgoing = sockets / kOutgoingDivisor;
+  const std::size_t probes = std::clamp(sockets / kProbeDivisor, kMinimumProbes, kMaximumProbes);
+  const std::size_t reserved = outgoing + 2 * probes + kServers * HttpServer::kSpareConnections;
+  std::size_t accepted = sockets - std::min(sockets, reserved);
+  if (const auto bytes = MemoryShare(aSettings, kConnectionMemoryShare)) {
+    accepted = std::min(accepted, *bytes / kIdleConnectionBytes);
+  }
+  const std::size_t forwarded = accepted / kForwardedDivisor;
+  ConnectionLimits limits;
+  limits.callers =
+    static_cast<unsigned>(std::clamp<std::size_t>(accepted - forwarded, 1, kMaximumCallers));
+  limits.forwarded = static_cast<unsigned>(std::max<std::size_t>(forwarded, 1));
+  limits.probes = static_cast<unsigned>(probes);
+  limits.peers =
+    std::clamp<std::size_t>(outgoing / 2, 1, PeerTransportSettings().maximumConnections);
+  return limits;
+}
+
 ConnectionTableSettings
 ConnectionTableSettingsOf(const RelayDaemonSettings& aSettings)
 {
--- a/Lagoonward/Daemon/RelayTuning.h
+++ b/Lagoonward/Daemon/RelayTuning.h
@@ -16,7 +16,21 @@
 [[nodiscard]] RelaySettings
 RelaySettingsOf(const RelayDaemonSettings& aSettings);
 
-/// Settings of the table of all accepted connections.
+/// How many connections each server of a relay daemon accepts. What is left of the descriptors is for connections to
+/// endpoints, the store and other daemons, and for files.
+struct ConnectionLimits
+{
+  unsigned callers = 0;
+  unsigned forwarded = 0; ///< Connections of daemons that forward requests.
+  unsigned probes = 0;    ///< Each of the servers for readiness and for metrics.
+  std::size_t peers = 0;
+};
+
+/// @param aProcessDescriptors  most descriptors that the system lets this process open
+[[nodiscard]] ConnectionLimits
+ConnectionLimitsOf(const RelayDaemonSettings& aSettings, std::size_t aProcessDescriptors);
+
+/// Settings of the table of all these connections.
 [[nodiscard]] ConnectionTableSettings
 ConnectionTableSettingsOf(const RelayDaemonSettings& aSettings);
 
--- a/Lagoonward/Settings/RelayDaemonSettings.h
+++ b/Lagoonward/Settings/RelayDaemonSettings.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Core/Clock.h"
 #include "Lagoonward/Settings/DaemonSettings.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,8 @@
   int queuePoolSlots = 16; ///< See QueuePoolSettings::slotsPerPool.
 
   double memoryMegabytes = 0; ///< Memory that this process may use; zero if it is not known.
+  /// Descriptors that this process may open; zero for what the system allows.
+  std::size_t maximumDescriptors = 0;
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Settings/RelaySettingsReader.cpp
+++ b/Lagoonward/Settings/RelaySettingsReader.cpp
@@ -29,6 +29,9 @@
 /// More slots than a service's endpoints have in any deployment.
 constexpr int kMaximumPoolSlots = 65'536;
 
+/// Fewer leave no room for the connections of a small deployment.
+constexpr std::size_t kMinimumDescriptors = 128;
+
 /// The unparsed values of the settings.
 struct RawRelaySettings
 {
@@ -43,6 +46,7 @@
   std::string requestQueue;
   int queuePoolSlots = 0;
   std::string memoryMegabytes;
+  std::string maximumDescriptors;
   int graceMilliseconds = 0;
   int leavingNoticeMilliseconds = 0;
   int endpointHeartbeatMilliseconds = 0;
@@ -108,8 +112,11 @@
       "slots of endpoints that one queue should give out; fewer where hosts are small, as each "
       "queue is kept by one of them");
   add("memory-mb", po::value(&aRaw.memoryMegabytes)->default_value(""),
-      "memory that this process may use, in MB; a quarter of it is for responses on their way; "
-      "empty: not known");
+      "memory that this process may use, in MB; a quarter of it is for requests, a quarter for "
+      "responses on their way; empty: not known");
+  add("max-descriptors", po::value(&aRaw.maximumDescriptors)->default_value(""),
+      "descriptors that this process may open; three eighths are not for accepted connections; "
+      "empty: what the system allows");
   return options;
 }
 
@@ -154,6 +161,20 @@
   }
 }
 
+void
+ParseDescriptors(const std::string& aText, std::size_t& aCount, std::vector<std::string>& aFaults)
+{
+  if (aText.empty()) {
+    return;
+  }
+  const char* const end = aText.data() + aText.size();
+  const auto [next, error] = std::from_chars(aText.data(), end, aCount);
+  if (error != std::errc() || next != end || aCount < kMinimumDescriptors) {
+    aFaults.push_back(fmt::format("max-descriptors: must be a whole number from {} on, got \"{}\"",
+                                  kMinimumDescriptors, aText));
+  }
+}
+
 template<typename Duration>
 void
 ParsePositive(const char* aName, int aValue, Duration& aDuration, std::vector<std::string>& aFaults)
@@ -204,6 +225,7 @@
   }
   ParseRequestQueue(aRaw.requestQueue, settings.requestQueueing, faults);
   ParseMemory(aRaw.memoryMegabytes, settings.memoryMegabytes, faults);
+  ParseDescriptors(aRaw.maximumDescriptors, settings.maximumDescriptors, faults);
   if (const Fault fault = ReadLogLevel(aRaw.logLevel, settings.logLevel)) {
     faults.push_back(fmt::format("log-level: \"{}\" {}", aRaw.logLevel, *fault));
   }
--- a/UnitTests/Settings/RelaySettingsReaderTests.cpp
+++ b/UnitTests/Settings/RelaySettingsReaderTests.cpp
@@ -154,4 +154,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(DescriptorsMayBeUnknown)
+{
+  const SettingsFile empty(std::string(kCompleteSettings) + "max-descriptors =\n");
+  const auto unknown = Read({ "--settings", empty.path });
+  BOOST_TEST(unknown.faults.empty());
+  BOOST_TEST(unknown.settings.maximumDescriptors == 0U);
+  BOOST_TEST(
+    Read({ "--settings", empty.path, "--max-descriptors=4100" }).settings.maximumDescriptors ==
+    4100U);
+  for (const std::string text : { "0", "127", "-1", "some", "1e4" }) {
+    const auto outcome = Read({ "--settings", empty.path, "--max-descriptors=" + text });
+    BOOST_TEST_REQUIRE(outcome.faults.size() == 1U);
+    BOOST_TEST(outcome.faults.front() ==
+               "max-descriptors: must be a whole number from 128 on, got \"" + text + "\"");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
