--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -47,6 +47,9 @@
 /// Memory of a connection: the largest header block, and what the HTTP library needs in addition.
 constexpr std::size_t kConnectionMemory = 48U << 10U;
 
+/// Of that, what a head may take: the rest is for what the library notes of each header line.
+constexpr std::size_t kMaximumHead = 40U << 10U;
+
 /// Settings of a server for requests of callers.
 HttpServerSettings
 MakeCallServerSettings(const SocketAddress& aAddress, unsigned aMaximumConnections)
@@ -418,6 +421,7 @@
   configuration->offset = version;
   configuration->manifest = next->manifest;
   this->market->ApplyConfiguration(configuration);
+  this->ApplyCallerLimits(next->callerLimits);
   std::atomic_store(&this->configurationInForce, next);
   this->PublishFleet();
   kLog.Event("configuration", { { "version", version },
@@ -575,6 +579,26 @@
   this->membership->Loop().After(kDaemonCountInterval, [this] { this->PollDaemonCount(); });
 }
 
+void
+RelayDaemon::ApplyCallerLimits(HttpLimits aLimits)
+{
+  this->callerServer->SetLimits(aLimits);
+  if (this->forwardServer != nullptr) {
+    // The other daemon adds header lines
+    HttpLimits forwarded = aLimits;
+    forwarded.maximumHeaderBytes = 0;
+    this->forwardServer->SetLimits(forwarded);
+  }
+  if (aLimits.maximumBodyBytes > this->connections->MaximumBodyBytes() ||
+      aLimits.maximumHeaderBytes > kMaximumHead) {
+    kLog.Event(LogLevel::Warning, "limits_exceed_memory",
+               { { "body_limit", aLimits.maximumBodyBytes },
+                 { "body_possible", this->connections->MaximumBodyBytes() },
+                 { "head_limit", aLimits.maximumHeaderBytes },
+                 { "head_possible", kMaximumHead } });
+  }
+}
+
 void
 RelayDaemon::SweepConnections()
 {
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -136,6 +136,8 @@
   /// Passes the number of daemons that may share clients' limits to the admission.
   void UpdateDaemonCount();
   void PollDaemonCount();
+  /// Sets what callers may send, as the operator's configuration says.
+  void ApplyCallerLimits(HttpLimits aLimits);
   void SweepConnections();
   /// Version in force, or -1 before the first.
   [[nodiscard]] std::int64_t ConfigurationVersion() const;
--- a/Lagoonward/Relay/RelayConfiguration.h
+++ b/Lagoonward/Relay/RelayConfiguration.h
@@ -2,6 +2,7 @@
 
 #include "Lagoonward/Configuration/Manifest.h"
 #include "Lagoonward/Relay/RelayRoutes.h"
+#include "Lagoonward/Wire/HttpLimits.h"
 
 #include <map>
 #include <memory>
@@ -42,6 +43,8 @@
 {
   RelayRoutesPtr routes;
   std::vector<RelayServiceConfiguration> services;
+  HttpLimits
+    callerLimits; ///< What callers may send; the defaults where the operator states nothing.
   /// Accounts and priorities, for the admission and routing code that other requests use as well.
   Manifest manifest;
 };
