--- a/Lagoonward/Membership/PeerConnection.h
+++ b/Lagoonward/Membership/PeerConnection.h
@@ -44,6 +44,9 @@
   /// Whether the nonce is known. Until then no frame has been sent, so no queued request can have run.
   [[nodiscard]] bool IsOpen() const;
 
+  /// Whether the peer has proven with a complete frame that it holds a key.
+  [[nodiscard]] bool IsAuthenticated() const { return this->framesReceived > 0; }
+
   /// Whether unsent bytes are queued.
   [[nodiscard]] bool WantsToWrite() const;
 
--- a/Lagoonward/Membership/PeerTransport.cpp
+++ b/Lagoonward/Membership/PeerTransport.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <cerrno>
 #include <cstdlib>
+#include <optional>
 
 namespace lagoonward {
 
@@ -182,7 +183,8 @@
       }
       return;
     }
-    if (this->connections.size() - this->outgoing.size() >= this->settings.maximumConnections) {
+    const std::size_t accepted = this->connections.size() - this->outgoing.size();
+    if (accepted >= this->settings.maximumConnections && !this->CloseUnauthenticated()) {
       continue;
     }
     auto added = this->AddConnection(std::move(socket), PeerConnection::Side::Accepting, 0);
@@ -192,6 +194,23 @@
   }
 }
 
+bool
+PeerTransport::CloseUnauthenticated()
+{
+  std::optional<std::uint64_t> oldest;
+  for (const auto& [number, each] : this->connections) {
+    const bool isCandidate = each.peer == 0 && !each.stream->IsAuthenticated();
+    if (isCandidate && (!oldest || number < *oldest)) {
+      oldest = number;
+    }
+  }
+  if (!oldest) {
+    return false;
+  }
+  this->CloseConnection(*oldest);
+  return true;
+}
+
 void
 PeerTransport::PauseAccepting()
 {
--- a/Lagoonward/Membership/PeerTransport.h
+++ b/Lagoonward/Membership/PeerTransport.h
@@ -114,6 +114,8 @@
   void ReadDatagrams();
   void HandleDatagram(std::string_view aBytes);
   void AcceptConnections();
+  /// Closes the oldest accepted connection whose peer is not authenticated. @return false if there is none
+  bool CloseUnauthenticated();
   void PauseAccepting();
   [[nodiscard]] Result<std::uint64_t> ConnectTo(const PeerAddress& aTo);
   [[nodiscard]] Result<std::uint64_t> AddConnection(UniqueFd aSocket, PeerConnection::Side aSide,
--- a/UnitTests/Membership/PeerTransportTests.cpp
+++ b/UnitTests/Membership/PeerTransportTests.cpp
@@ -251,4 +251,28 @@
   BOOST_TEST(requests == 0);
 }
 
+/// Guards against connections of strangers that send nothing and keep other daemons out.
+BOOST_AUTO_TEST_CASE(DaemonsConnectBesideAsManyStrangersAsAreAccepted)
+{
+  constexpr std::size_t kConnections = 4;
+  Node requester(1);
+  Node other(3);
+  Node server(2, { .maximumConnections = kConnections });
+  server.transport.OnRequest(RequestType::Claim, [](PeerKey, std::string_view aBytes,
+                                                    const PeerTransport::Responder& aRespond) {
+    aRespond(std::string(aBytes));
+  });
+  requester.Start();
+  other.Start();
+  server.Start();
+  BOOST_TEST(requester.SendRequest(server.Address(), "first").value() == "first");
+  std::vector<UniqueFd> strangers;
+  for (std::size_t number = 0; number < 3 * kConnections; ++number) {
+    strangers.push_back(BeginConnect("127.0.0.1", server.transport.Port()).value());
+  }
+  BOOST_TEST(other.SendRequest(server.Address(), "second").value() == "second");
+  // The connection of a daemon is not closed for strangers
+  BOOST_TEST(requester.SendRequest(server.Address(), "third").value() == "third");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
