--- a/Lagoonward/Wire/ConnectionTable.cpp
+++ b/Lagoonward/Wire/ConnectionTable.cpp
@@ -111,8 +111,8 @@
 {
 public:
   ListenerSettings settings;
-  Milliseconds headTimeout = Milliseconds::max();
-  Milliseconds bodyTimeout = Milliseconds::max();
+  Milliseconds headTimeout = HttpLimits().headTimeout;
+  Milliseconds bodyTimeout = HttpLimits().bodyTimeout;
   std::list<Connection> closable; ///< The one without progress for longest first.
   std::list<Connection> others;   ///< Handled, or being closed.
   std::size_t closing = 0;        ///< Connections that are being closed.
@@ -419,6 +419,10 @@
 void
 ConnectionTable::Evict(Connection& aConnection)
 {
+  // What it has received before may still be read
+  if (aConnection.isClosing) {
+    return;
+  }
   aConnection.isClosing = true;
   ++aConnection.listener->closing;
   this->closingHeld += aConnection.Bytes();
@@ -431,13 +435,14 @@
 bool
 ConnectionTable::IsOverdue(Connection& aConnection, TimePoint aNow) const
 {
-  Milliseconds limit = Milliseconds::max();
-  if (aConnection.phase == Phase::Head) {
-    limit = aConnection.listener->headTimeout;
-  } else if (aConnection.phase == Phase::Body) {
-    limit = aConnection.listener->bodyTimeout;
+  if (aConnection.phase != Phase::Head && aConnection.phase != Phase::Body) {
+    return false;
   }
-  const bool isLate = aNow - aConnection.phaseBegin > limit;
+  const Listener& owner = *aConnection.listener;
+  const Milliseconds limit =
+    aConnection.phase == Phase::Head ? owner.headTimeout : owner.bodyTimeout;
+  // In milliseconds, since a limit of the operator may exceed what finer units can hold
+  const bool isLate = std::chrono::floor<Milliseconds>(aNow - aConnection.phaseBegin) > limit;
   aConnection.overdueSweeps = isLate ? aConnection.overdueSweeps + 1 : 0;
   return aConnection.overdueSweeps >= kOverdueSweeps;
 }
--- a/Lagoonward/Wire/ConnectionTable.h
+++ b/Lagoonward/Wire/ConnectionTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Wire/HttpLimits.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/Lagoonward/Wire/HttpServer.cpp
+++ b/Lagoonward/Wire/HttpServer.cpp
@@ -27,6 +27,9 @@
 /// An announced body up to this size gets its memory at once; a larger one as it arrives.
 constexpr std::size_t kReservedBodyBytes = 64U << 10U;
 
+/// Longest timeout that is passed to the HTTP library.
+constexpr Seconds kMaximumIdleTimeout{ 24 * 60 * 60 };
+
 /// For a request for which there is no memory. Another daemon may have some at once.
 constexpr Milliseconds kMemoryRetryAfter{ 1000 };
 
@@ -245,7 +248,8 @@
   {
     // The library checks connections with a timeout of their own one by one, so most share that of the server
     if (aLimits.idleTimeout > aServer.settings.limits.idleTimeout) {
-      const auto seconds = std::chrono::ceil<Seconds>(aLimits.idleTimeout);
+      const auto seconds =
+        std::min(std::chrono::ceil<Seconds>(aLimits.idleTimeout), kMaximumIdleTimeout);
       MHD_set_connection_option(aConnection, MHD_CONNECTION_OPTION_TIMEOUT,
                                 static_cast<unsigned>(seconds.count()));
     }
--- a/UnitTests/Wire/ConnectionTableTests.cpp
+++ b/UnitTests/Wire/ConnectionTableTests.cpp
@@ -248,6 +248,37 @@
   BOOST_TEST(this->ClosedCount() == 1);
 }
 
+/// Guards against a connection that counts as closed twice, so that the number of open ones is wrong ever after.
+BOOST_AUTO_TEST_CASE(RequestThatArrivedBeforeItsConnectionWasClosedIsDropped)
+{
+  for (int number = 0; number < 101; ++number) {
+    this->Open();
+  }
+  TestConnection& closed = this->connections.front();
+  BOOST_TEST(closed.IsClosed());
+  BOOST_TEST(!closed.BeginBody(0));
+  BOOST_TEST((this->table->OnRequestReceived(*closed.connection) == nullptr));
+  this->table->OnRequestEnded(*closed.connection);
+  this->connections.pop_front();
+  BOOST_TEST(this->table->Closed() == 1U);
+  // Memory that is short makes no difference
+  ConnectionTable::Listener& many =
+    this->table->AddListener({ .maximumConnections = 10'000, .bufferBytes = kBuffer });
+  for (int number = 0; number < 500; ++number) {
+    this->table->OnHeadBegun(*this->connections.emplace_back(*this->table, many).connection);
+  }
+  for (TestConnection& each : this->connections) {
+    this->table->OnHeadBegun(*each.connection);
+  }
+  const std::uint64_t before = this->table->Closed();
+  this->connections.clear();
+  for (int number = 0; number < 100; ++number) {
+    this->Open();
+  }
+  BOOST_TEST(this->table->Closed() == before);
+  BOOST_TEST(this->table->Held() == 0U);
+}
+
 /// Guards against unfinished heads that fill the memory.
 BOOST_AUTO_TEST_CASE(UnfinishedHeadsTogetherStayWithinTheMemory)
 {
