--- a/Lagoonward/Wire/ConnectionTable.h
+++ b/Lagoonward/Wire/ConnectionTable.h
@@ -33,8 +33,8 @@
 /// when a server has too many connections, or the requests of all servers need too much memory, connections are closed whose
 /// request is not complete, so that none is closed whose request may run.
 /// - For a descriptor: the connection without progress for longest, idle ones included.
-/// - For memory: those that have stalled, the oldest first; then the one of whose request most is still to come. So a crowd
-///   that stops short of the end makes room, and small requests are served beside large ones.
+/// - For memory: those that have stalled, the one that occupies most first; then the one of whose request most is still to
+///   come. So a crowd that stops short of the end makes room, and small requests are served beside large ones.
 /// Large requests leave a quarter of the memory to small ones. Thread-safe.
 class ConnectionTable : public std::enable_shared_from_this<ConnectionTable>
 {
