--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -66,7 +66,7 @@
     this->ownReadsAnsweredSince = aAsOf;
   }
   if (this->endVersion) {
-    this->AdvanceTo({ *this->ownReadsAnsweredSince, aAsOf }, aEndVersion);
+    this->AdvanceTo({ *this->ownReadsAnsweredSince, aAsOf }, aEndVersion, this->OwnOrigin());
   }
   // Publishing a snapshot is expensive, so all records of one read are published as one change
   if (std::exchange(this->hasUnpublishedChanges, false)) {
@@ -79,8 +79,12 @@
 }
 
 void
-EndpointReplicator::AdvanceTo(const AvailabilityInterval& aAnswered, LogPosition aEndVersion)
+EndpointReplicator::AdvanceTo(const AvailabilityInterval& aAnswered, LogPosition aEndVersion,
+                              const SnapshotOrigin& aOrigin)
 {
+  if (aAnswered.until >= this->asOf.load()) {
+    this->origin = aOrigin;
+  }
   this->endVersion = std::max(this->endVersion.value_or(aEndVersion), aEndVersion);
   this->sourceEpoch = this->endVersion->epoch;
   this->asOf = std::max(this->asOf.load(), aAnswered.until);
@@ -89,12 +93,36 @@
     { this->ToSteadyTime(this->answeredSpan.since), this->ToSteadyTime(this->answeredSpan.until) });
 }
 
+SnapshotOrigin
+EndpointReplicator::OriginOf(PeerKey aSender, const EndpointUpdateMessage& aMessage,
+                             const AvailabilityInterval& aAnswered) const
+{
+  return { aMessage.reader, this->AddressOf(aMessage.reader), this->AddressOf(aSender),
+           std::chrono::floor<Milliseconds>(this->clock.BootNow() - aAnswered.until) };
+}
+
+SnapshotOrigin
+EndpointReplicator::OwnOrigin() const
+{
+  return { this->self.Key(), this->self.address, this->self.address, Milliseconds(0) };
+}
+
+std::string
+EndpointReplicator::AddressOf(PeerKey aDaemon) const
+{
+  if (aDaemon == this->self.Key()) {
+    return this->self.address;
+  }
+  const auto address = this->membership.AddressOf(aDaemon);
+  return address ? address->address : "unknown";
+}
+
 void
 EndpointReplicator::UpdateGuard()
 {
   // Only after the snapshot has been published, as requests are sent on the published one
   if (this->asOf.load() != TimePoint::min()) {
-    this->guard.SetAsOf(this->asOf);
+    this->guard.SetAsOf(this->asOf, this->origin);
     this->hooks.onCurrent(this->asOf);
   }
 }
@@ -166,6 +194,7 @@
   message.endVersion = *this->endVersion;
   message.digest = this->Digest();
   message.configurationVersion = this->hooks.configurationVersion();
+  message.reader = this->origin.readerKey;
   return message;
 }
 
@@ -194,9 +223,10 @@
                             message->endVersion.epoch == this->endVersion->epoch &&
                             message->firstVersion <= *this->endVersion;
   const bool isUsable = isContinuous || this->BeginsLaterEpoch(*message);
+  this->incoming = this->OriginOf(aSender, *message, answered);
   const bool isChange = this->ApplyEntries(*message);
   if (isPlausible && isUsable) {
-    this->AdvanceTo(answered, message->endVersion);
+    this->AdvanceTo(answered, message->endVersion, this->incoming);
   }
   if (isChange) {
     this->OnSnapshotChanged();
@@ -374,7 +404,13 @@
     this->longestStaleAge = std::max(this->longestStaleAge, age);
     if (!wasStale) {
       kLog.Event(LogLevel::Warning, "endpoints_late",
-                 { { "age_ms", age.count() }, { "reads_itself", this->WatchesSource() } });
+                 { { "age_ms", age.count() },
+                   { "reads_itself", this->WatchesSource() },
+                   { "source_lost", this->isSourceLost },
+                   { "rank", this->rank.load() },
+                   { "from", this->origin.sender },
+                   { "reader", this->origin.reader },
+                   { "age_on_arrival_ms", this->origin.age.count() } });
     }
   } else if (wasStale) {
     kLog.Event("endpoints_current", { { "longest_ms", this->longestStaleAge.count() } });
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -6,6 +6,7 @@
 #include "Lagoonward/Daemon/EndpointUpdateMessages.h"
 #include "Lagoonward/Fleet/EndpointDirectory.h"
 #include "Lagoonward/Fleet/LapseDetector.h"
+#include "Lagoonward/Fleet/SnapshotOrigin.h"
 #include "Lagoonward/Membership/AggregationPlan.h"
 #include "Lagoonward/Membership/DelayEstimator.h"
 #include "Lagoonward/Membership/MembershipService.h"
@@ -90,6 +91,9 @@
   /// Whether this daemon is the primary reader. True until other daemons are known. Any thread.
   [[nodiscard]] bool IsPrimaryReader() const { return this->rank == 0; }
 
+  /// Rank of this daemon among all aggregators; their number if it is not one. Any thread.
+  [[nodiscard]] int Rank() const { return this->rank; }
+
   /// Whether this daemon is an aggregator of its group and forwards what it reads or receives. Any thread.
   [[nodiscard]] bool IsAggregator() const { return this->isAggregator; }
 
@@ -148,7 +152,13 @@
   /// @return the encoded reply
   [[nodiscard]] std::string HandleUpdate(PeerKey aSender, std::string_view aBytes);
   /// The snapshot contains all records below a version, as of the end of a span.
-  void AdvanceTo(const AvailabilityInterval& aAnswered, LogPosition aEndVersion);
+  void AdvanceTo(const AvailabilityInterval& aAnswered, LogPosition aEndVersion,
+                 const SnapshotOrigin& aOrigin);
+  /// Origin of a snapshot that arrives now.
+  [[nodiscard]] SnapshotOrigin OriginOf(PeerKey aSender, const EndpointUpdateMessage& aMessage,
+                                        const AvailabilityInterval& aAnswered) const;
+  [[nodiscard]] SnapshotOrigin OwnOrigin() const;
+  [[nodiscard]] std::string AddressOf(PeerKey aDaemon) const;
   void UpdateGuard();
   void SendUpdates(bool aToOtherGroups);
   void SendUpdatesTo(std::span<const PeerAddress> aReceivers, bool aForwardToGroup);
@@ -189,6 +199,8 @@
   EndpointChangeLog changeLog;      ///< Recent changes to send.
   std::optional<LogPosition>
     endVersion; ///< The snapshot is complete below this version; empty before the first full read.
+  SnapshotOrigin origin;   ///< Of what `asOf` rests on.
+  SnapshotOrigin incoming; ///< Of the message that is being applied.
   std::atomic<std::int64_t> sourceEpoch{ 0 };
   std::atomic<TimePoint> asOf{ TimePoint::min() }; ///< BootNow(); see Age().
   /// BootNow() of the first direct read since one was not answered.
--- a/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
@@ -81,9 +81,13 @@
   aRecord.evidence = hasLeft ? RecordEvidence::Left : RecordEvidence::None;
   const RemovalOutcome outcome = this->directory.OnRemoved(aRecord.id, removal);
   if (outcome != RemovalOutcome::Ignored) {
+    const SnapshotOrigin source = aFromPeer ? this->incoming : this->OwnOrigin();
     kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
                                      { "version", aRecord.version.offset },
                                      { "from_peer", aFromPeer },
+                                     { "from", source.sender },
+                                     { "reader", source.reader },
+                                     { "age_on_arrival_ms", source.age.count() },
                                      { "may_have_lapsed", removal.mayHaveLapsed },
                                      { "held", outcome == RemovalOutcome::Held } });
   }
@@ -117,9 +121,13 @@
   }
   aRecord.evidence =
     outcome == EntryOutcome::Returned ? RecordEvidence::Returned : RecordEvidence::None;
+  const SnapshotOrigin source = aFromPeer ? this->incoming : this->OwnOrigin();
   kLog.Event("endpoint", { { "endpoint", aRecord.id },
                            { "version", aRecord.version.offset },
                            { "from_peer", aFromPeer },
+                           { "from", source.sender },
+                           { "reader", source.reader },
+                           { "age_on_arrival_ms", source.age.count() },
                            { "service", service },
                            { "software", software },
                            { "born", incarnation },
--- a/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
@@ -72,11 +72,13 @@
   if (this->endVersion) {
     return;
   }
+  const AvailabilityInterval answered = this->AnsweredSpanOf(aSender, *message);
+  this->incoming = this->OriginOf(aSender, *message, answered);
   for (const EndpointRecord& entry : message->entries) {
     static_cast<void>(this->HandleRecord(entry, true));
   }
   this->StartChangeLog(message->endVersion);
-  this->AdvanceTo(this->AnsweredSpanOf(aSender, *message), message->endVersion);
+  this->AdvanceTo(answered, message->endVersion, this->incoming);
   kLog.Event("endpoints_from_peer",
              { { "count", message->entries.size() }, { "age_ms", this->Age().count() } });
   this->hooks.onPeerSnapshot();
--- a/Lagoonward/Daemon/EndpointUpdateMessages.h
+++ b/Lagoonward/Daemon/EndpointUpdateMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Daemon/EndpointChangeLog.h"
+#include "Lagoonward/Membership/PeerInfo.h"
 
 #include <cstdint>
 #include <vector>
@@ -20,12 +21,14 @@
   std::uint64_t digest = 0; ///< Of the live endpoints in the sender's snapshot.
   std::int64_t configurationVersion = 0; ///< In force at the sender.
   std::vector<EndpointRecord> entries;
+  PeerKey reader = 0; ///< Daemon whose read of the source the age rests on.
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(this->forwardToGroup, this->sentAt, this->age, this->answeredFor, this->firstVersion,
-             this->endVersion, this->digest, this->configurationVersion, this->entries);
+             this->endVersion, this->digest, this->configurationVersion, this->entries,
+             this->reader);
   }
 };
 
--- a/Lagoonward/Fleet/SnapshotGuard.cpp
+++ b/Lagoonward/Fleet/SnapshotGuard.cpp
@@ -26,9 +26,12 @@
 }
 
 void
-SnapshotGuard::SetAsOf(TimePoint aAsOf)
+SnapshotGuard::SetAsOf(TimePoint aAsOf, const SnapshotOrigin& aOrigin)
 {
   const std::scoped_lock lock(this->mutex);
+  if (!this->asOf || aAsOf >= *this->asOf) {
+    this->origin = aOrigin;
+  }
   this->asOf = std::max(this->asOf.value_or(aAsOf), aAsOf);
 }
 
@@ -61,6 +64,17 @@
   this->staleSince.reset();
 }
 
+void
+SnapshotGuard::LogOldSnapshot(std::string_view aEvent, TimePoint aNow) const
+{
+  kLog.Event(LogLevel::Warning, aEvent,
+             { { "age_ms", MillisecondsBetween(*this->asOf, aNow) },
+               { "source_lost", this->isSourceLost },
+               { "from", this->origin.sender },
+               { "reader", this->origin.reader },
+               { "age_on_arrival_ms", this->origin.age.count() } });
+}
+
 bool
 SnapshotGuard::MaySend()
 {
@@ -77,17 +91,13 @@
   if (!this->staleSince) {
     this->staleSince = now;
     this->hasLoggedOldSend = false;
-    kLog.Event(LogLevel::Warning, "requests_wait",
-               { { "age_ms", MillisecondsBetween(*this->asOf, now) },
-                 { "source_lost", this->isSourceLost } });
+    this->LogOldSnapshot("requests_wait", now);
   }
   if (!this->isSourceLost && now < *this->staleSince + this->settings.refreshTimeout) {
     return false;
   }
   if (!std::exchange(this->hasLoggedOldSend, true)) {
-    kLog.Event(LogLevel::Warning, "sends_on_old_snapshot",
-               { { "age_ms", MillisecondsBetween(*this->asOf, now) },
-                 { "source_lost", this->isSourceLost } });
+    this->LogOldSnapshot("sends_on_old_snapshot", now);
   }
   return true;
 }
--- a/Lagoonward/Fleet/SnapshotGuard.h
+++ b/Lagoonward/Fleet/SnapshotGuard.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Fleet/SnapshotOrigin.h"
 
 #include <mutex>
 #include <optional>
+#include <string_view>
 
 namespace lagoonward {
 
@@ -35,7 +37,8 @@
   SnapshotGuard(const SnapshotGuardSettings& aSettings, const Clock& aClock);
 
   /// The snapshot that requests are sent on contains all that the source acknowledged before this time.
-  void SetAsOf(TimePoint aAsOf);
+  /// @param aOrigin  where that snapshot comes from
+  void SetAsOf(TimePoint aAsOf, const SnapshotOrigin& aOrigin = {});
 
   /// The source has stopped answering, or answers again.
   void OnSourceReachability(bool aAnswers);
@@ -48,11 +51,14 @@
 
 private:
   void DetectStandstill(TimePoint aNow);
+  /// Logs an event with the age and the origin of the snapshot.
+  void LogOldSnapshot(std::string_view aEvent, TimePoint aNow) const;
 
   SnapshotGuardSettings settings;
   const Clock& clock;
   std::mutex mutex; ///< Guards what follows.
   std::optional<TimePoint> asOf;
+  SnapshotOrigin origin; ///< Of the snapshot that is as of then.
   std::optional<TimePoint> lastTick;
   bool isSourceLost = false;
   std::optional<TimePoint> staleSince; ///< When a request was first found to need a newer snapshot.
