--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -19,8 +19,7 @@
 /// Request type of an EndpointUpdateMessage, which is answered by an EndpointUpdateReply.
 constexpr auto kEndpointUpdate = ToRequestType(PeerRequest::EndpointUpdate);
 
-/// Ranks that read the source for all daemons: the primary reader, and the standby reader while the primary sends
-/// nothing.
+/// Ranks that watch the source also while they receive updates: the primary and the standby reader.
 constexpr int kReaderRanks = 2;
 
 } // namespace
@@ -37,6 +36,7 @@
   , lapses(aSettings.lapseTime, aSettings.directory.shortestOutage)
   , guard(aSettings.guard, aClock)
   , changeLog(aSettings.changeRetention)
+  , role(aSettings.reader, aClock)
 {
   this->membership.Transport().OnRequest(
     kEndpointUpdate,
@@ -45,8 +45,8 @@
     });
   this->membership.Transport().OnRequest(
     ToRequestType(PeerRequest::EndpointSnapshot),
-    [this](PeerKey, std::string_view, const PeerTransport::Responder& aRespond) {
-      aRespond(this->EncodeSnapshot());
+    [this](PeerKey, std::string_view aBytes, const PeerTransport::Responder& aRespond) {
+      aRespond(this->AnswerQuery(aBytes));
     });
 }
 
@@ -60,6 +60,9 @@
 void
 EndpointReplicator::OnReadCompleted(TimePoint aAsOf, LogPosition aEndVersion)
 {
+  // All that a first read brings is new here, and known to the others
+  const bool hadSnapshot = this->HasSnapshot();
+  const bool wasCurrent = this->IsCurrent();
   this->needsRepair = false;
   this->lapses.OnRead(aAsOf);
   if (!this->ownReadsAnsweredSince) {
@@ -69,12 +72,21 @@
     this->AdvanceTo({ *this->ownReadsAnsweredSince, aAsOf }, aEndVersion, this->OwnOrigin());
   }
   // Publishing a snapshot is expensive, so all records of one read are published as one change
-  if (std::exchange(this->hasUnpublishedChanges, false)) {
+  const bool isChange = std::exchange(this->hasUnpublishedChanges, false);
+  if (isChange) {
     this->OnSnapshotChanged();
   }
   this->UpdateGuard();
-  if (this->isAggregator) {
-    this->SendUpdates(this->rank < kReaderRanks);
+  this->DistributeRead(hadSnapshot && (isChange || !wasCurrent));
+}
+
+void
+EndpointReplicator::DistributeRead(bool aIsNew)
+{
+  if (this->role.IsAggregator()) {
+    this->SendUpdates(aIsNew || this->role.ReadsForOthers());
+  } else if (aIsNew && this->HasSnapshot()) {
+    this->SendUpdatesTo(this->plan.ownAggregators, UpdateScope::Deployment);
   }
 }
 
@@ -140,22 +152,22 @@
 EndpointReplicator::SendUpdates(bool aToOtherGroups)
 {
   // Before its first full read a daemon lacks older records, and its snapshot has no age yet
-  if (!this->endVersion || this->Age() > kMaximumSnapshotAge) {
+  if (!this->HasSnapshot()) {
     return;
   }
-  this->changeLog.DropExpired(this->clock.BootNow());
   // Aggregators of other groups first, as they forward the update
   if (aToOtherGroups) {
-    this->SendUpdatesTo(this->plan.otherAggregators, true);
+    this->SendUpdatesTo(this->plan.otherAggregators, UpdateScope::Group);
   }
-  this->SendUpdatesTo(this->plan.groupMembers, false);
+  this->SendUpdatesTo(this->plan.groupMembers, UpdateScope::Receiver);
 }
 
 void
-EndpointReplicator::SendUpdatesTo(std::span<const PeerAddress> aReceivers, bool aForwardToGroup)
+EndpointReplicator::SendUpdatesTo(std::span<const PeerAddress> aReceivers, UpdateScope aScope)
 {
+  this->changeLog.DropExpired(this->clock.BootNow());
   EndpointUpdateMessage message = this->MakeMessage();
-  message.forwardToGroup = aForwardToGroup;
+  message.scope = aScope;
   // Sending all changes of the last seconds to every receiver would occupy a small host's link for longer than the
   // timeout of a message, so each receiver is sent only what it has not acknowledged. Most have acknowledged the same
   // version, so each distinct message is encoded once
@@ -217,31 +229,45 @@
     kLog.Warning("Malformed endpoint update from a daemon; ignored.");
     return {};
   }
-  const AvailabilityInterval answered = this->AnsweredSpanOf(aSender, *message);
-  const bool isPlausible = message->age >= 0 && message->age <= kMaximumSnapshotAge.count();
+  this->ApplyUpdate(aSender, *message, this->AnsweredSpanOf(aSender, *message));
+  return EncodePeerMessage(
+    EndpointUpdateReply{ this->endVersion.has_value(), this->endVersion.value_or(LogPosition()) });
+}
+
+void
+EndpointReplicator::ApplyUpdate(PeerKey aSender, const EndpointUpdateMessage& aMessage,
+                                const AvailabilityInterval& aSpan)
+{
+  const bool wasCurrent = this->IsCurrent();
+  const bool isPlausible = aMessage.age >= 0 && aMessage.age <= kMaximumSnapshotAge.count();
   const bool isContinuous = this->endVersion &&
-                            message->endVersion.epoch == this->endVersion->epoch &&
-                            message->firstVersion <= *this->endVersion;
-  const bool isUsable = isContinuous || this->BeginsLaterEpoch(*message);
-  this->incoming = this->OriginOf(aSender, *message, answered);
-  const bool isChange = this->ApplyEntries(*message);
+                            aMessage.endVersion.epoch == this->endVersion->epoch &&
+                            aMessage.firstVersion <= *this->endVersion;
+  const bool isUsable = isContinuous || this->BeginsLaterEpoch(aMessage);
+  this->incoming = this->OriginOf(aSender, aMessage, aSpan);
+  const bool isChange = this->ApplyEntries(aMessage);
   if (isPlausible && isUsable) {
-    this->AdvanceTo(answered, message->endVersion, this->incoming);
+    this->AdvanceTo(aSpan, aMessage.endVersion, this->incoming);
+    this->role.OnUpdate(aSpan.until, this->plan.RankOf(aMessage.reader));
   }
   if (isChange) {
     this->OnSnapshotChanged();
   }
   this->UpdateGuard();
   this->newestPeerConfiguration =
-    std::max(this->newestPeerConfiguration.load(), message->configurationVersion);
-  if (!this->endVersion || message->endVersion.epoch == this->endVersion->epoch) {
-    this->CompareDigest(message->digest);
+    std::max(this->newestPeerConfiguration.load(), aMessage.configurationVersion);
+  if (!this->endVersion || aMessage.endVersion.epoch == this->endVersion->epoch) {
+    this->CompareDigest(aMessage.digest);
   }
-  if (message->forwardToGroup && this->isAggregator) {
+  if (!this->role.IsAggregator()) {
+    return;
+  }
+  const bool isNew = isChange || (!wasCurrent && this->IsCurrent());
+  if (aMessage.scope == UpdateScope::Group) {
     this->SendUpdates(false);
+  } else if (aMessage.scope == UpdateScope::Deployment && isNew) {
+    this->SendUpdates(true);
   }
-  return EncodePeerMessage(
-    EndpointUpdateReply{ this->endVersion.has_value(), this->endVersion.value_or(LogPosition()) });
 }
 
 bool
@@ -267,7 +293,7 @@
   for (const EndpointRecord& entry : aMessage.entries) {
     isChange = this->HandleRecord(entry, true) || isChange;
   }
-  if (isOtherEpoch) {
+  if (isOtherEpoch || aMessage.isComplete) {
     this->RemoveAllMissing(*before, aMessage.entries, aMessage.endVersion);
     isChange = std::exchange(this->hasUnpublishedChanges, false) || isChange;
   }
@@ -280,10 +306,15 @@
   const TimePoint now = this->clock.BootNow();
   const Milliseconds delay = this->delays[aSender].OnMessage(Milliseconds(aMessage.sentAt), now);
   const auto age = std::clamp<std::int64_t>(aMessage.age, 0, kMaximumSnapshotAge.count());
+  return AnsweredSpanUntil(now - delay - Milliseconds(age), aMessage);
+}
+
+AvailabilityInterval
+EndpointReplicator::AnsweredSpanUntil(TimePoint aAsOf, const EndpointUpdateMessage& aMessage)
+{
   const auto answeredFor =
     std::clamp<std::int64_t>(aMessage.answeredFor, 0, kMaximumSnapshotAge.count());
-  const TimePoint readAt = now - delay - Milliseconds(age);
-  return { readAt - Milliseconds(answeredFor), readAt };
+  return { aAsOf - Milliseconds(answeredFor), aAsOf };
 }
 
 void
@@ -343,20 +374,13 @@
 bool
 EndpointReplicator::WatchesSource() const
 {
-  return this->rank < kReaderRanks || !this->IsCurrent();
-}
-
-Milliseconds
-EndpointReplicator::StalenessLimit() const
-{
-  const int steps = this->rank < kReaderRanks ? 0 : this->isAggregator ? 1 : 2;
-  return this->settings.readerStalenessLimit + this->settings.stalenessLimitStep * steps;
+  return this->role.Rank() < kReaderRanks || this->ReadsForOthers() || !this->IsCurrent();
 }
 
 Milliseconds
 EndpointReplicator::ReadInterval() const
 {
-  if (this->rank == 0) {
+  if (this->ReadsForOthers()) {
     return this->settings.readerInterval;
   }
   if (this->needsRepair) {
@@ -365,10 +389,6 @@
   if (this->IsCurrent()) {
     return this->settings.listenerInterval;
   }
-  // The standby reader has taken over from the primary
-  if (this->rank < kReaderRanks) {
-    return this->settings.readerInterval;
-  }
   return std::clamp(this->settings.directReadIntervalPerDaemon * this->daemonCount.load(),
                     this->settings.readerInterval, this->settings.maximumDirectReadInterval);
 }
@@ -380,7 +400,8 @@
   this->UpdatePlan();
   this->PruneRetainedState();
   this->LogStaleness();
-  this->RequestPeerSnapshot();
+  this->LogRole();
+  this->QueryPeer();
   const std::vector<EndedHold> ended = this->directory.ApplyHeldRemovals();
   for (const EndedHold& hold : ended) {
     kLog.Event("endpoint_hold_ended",
@@ -407,7 +428,7 @@
                  { { "age_ms", age.count() },
                    { "reads_itself", this->WatchesSource() },
                    { "source_lost", this->isSourceLost },
-                   { "rank", this->rank.load() },
+                   { "rank", this->role.Rank() },
                    { "from", this->origin.sender },
                    { "reader", this->origin.reader },
                    { "age_on_arrival_ms", this->origin.age.count() } });
@@ -418,6 +439,18 @@
   }
 }
 
+void
+EndpointReplicator::LogRole()
+{
+  const bool isReading = this->ReadsForOthers();
+  if (std::exchange(this->hasLoggedReading, isReading) != isReading) {
+    kLog.Event("reads_for_others", { { "active", isReading },
+                                     { "rank", this->role.Rank() },
+                                     { "supplied_age_ms", this->role.SuppliedAge().count() },
+                                     { "source_lost", this->isSourceLost } });
+  }
+}
+
 void
 EndpointReplicator::UpdatePlan()
 {
@@ -427,8 +460,8 @@
   }
   this->planView = view;
   this->plan = MakeAggregationPlan(this->self, true, *view, {});
-  this->rank = this->plan.RankOf(this->self.Key());
-  this->isAggregator = this->plan.IsAggregator(this->self.Key());
+  this->role.SetRank(this->plan.RankOf(this->self.Key()),
+                     static_cast<int>(this->plan.allAggregators.size()));
   this->daemonCount = this->plan.daemonCount;
   const auto contains = [](const std::vector<PeerAddress>& aDaemons, PeerKey aKey) {
     return std::any_of(aDaemons.begin(), aDaemons.end(),
@@ -439,7 +472,8 @@
            !contains(this->plan.otherAggregators, aReceiver.first);
   });
   std::erase_if(this->delays, [&](const auto& aSender) {
-    return !contains(this->plan.allAggregators, aSender.first);
+    return !contains(this->plan.allAggregators, aSender.first) &&
+           !contains(this->plan.groupMembers, aSender.first);
   });
 }
 
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -35,11 +35,16 @@
 /// Replicates the endpoint records to all daemons. One daemon, the primary reader, reads the records from the source at
 /// a short interval and sends the changes to the aggregators of all groups (AggregationPlan), which forward them to
 /// their groups. A leaving endpoint is therefore known on every daemon within one read interval and two messages, and
-/// the number of reads at the source does not depend on the number of daemons.
+/// the number of reads at the source does not depend on the number of daemons. Where that daemon cannot read, or reads
+/// too late, another aggregator reads for all in its place (ReaderRole).
+///
+/// What any daemon learns by a read of its own is passed on to all: an aggregator sends it to all groups, another daemon
+/// to the aggregators of its group, which forward it if they did not know it. A daemon with an old snapshot also asks one
+/// peer after the other for newer changes, as it may be the source, or the path to its aggregators, that is lost.
 ///
 /// Each snapshot has an age: it contains all that the source acknowledged longer ago than that. A message carries the
 /// age of its sender's snapshot, and the receiver adds the time in transit (DelayEstimator). A daemon whose snapshot
-/// exceeds its staleness limit reads the source directly; the standby reader has the shortest limit. Messages that
+/// exceeds its staleness limit reads the source directly; the highest ranks have the shortest limits. Messages that
 /// arrive in time but carry an old snapshot do not keep a daemon from reading directly.
 ///
 /// A snapshot is complete up to a version of the source, and a message contains the changes from a version on: the
@@ -89,16 +94,19 @@
   [[nodiscard]] Milliseconds Age() const;
 
   /// Whether this daemon is the primary reader. True until other daemons are known. Any thread.
-  [[nodiscard]] bool IsPrimaryReader() const { return this->rank == 0; }
+  [[nodiscard]] bool IsPrimaryReader() const { return this->role.Rank() == 0; }
+
+  /// Whether this daemon reads the source for all daemons now. Any thread.
+  [[nodiscard]] bool ReadsForOthers() const { return this->role.ReadsForOthers(); }
 
   /// Rank of this daemon among all aggregators; their number if it is not one. Any thread.
-  [[nodiscard]] int Rank() const { return this->rank; }
+  [[nodiscard]] int Rank() const { return this->role.Rank(); }
 
   /// Whether this daemon is an aggregator of its group and forwards what it reads or receives. Any thread.
-  [[nodiscard]] bool IsAggregator() const { return this->isAggregator; }
+  [[nodiscard]] bool IsAggregator() const { return this->role.IsAggregator(); }
 
   /// Whether this daemon must also poll the source for data that changes rarely: it is the primary or the standby
-  /// reader, or its snapshot is older than its staleness limit. Any thread.
+  /// reader, reads for all daemons, or its snapshot is older than its staleness limit. Any thread.
   [[nodiscard]] bool WatchesSource() const;
 
   /// Newest configuration version that other daemons have sent. Any thread.
@@ -144,6 +152,9 @@
   /// When the source had answered the sender of a message, by this daemon's BootNow().
   [[nodiscard]] AvailabilityInterval AnsweredSpanOf(PeerKey aSender,
                                                     const EndpointUpdateMessage& aMessage);
+  /// The same, for a snapshot that contains all that the source had acknowledged before some time.
+  [[nodiscard]] static AvailabilityInterval AnsweredSpanUntil(
+    TimePoint aAsOf, const EndpointUpdateMessage& aMessage);
   /// Whether a message contains all records of a later epoch than that of this daemon's snapshot.
   [[nodiscard]] bool BeginsLaterEpoch(const EndpointUpdateMessage& aMessage) const;
   /// Applies the entries of a message.
@@ -160,26 +171,43 @@
   [[nodiscard]] SnapshotOrigin OwnOrigin() const;
   [[nodiscard]] std::string AddressOf(PeerKey aDaemon) const;
   void UpdateGuard();
+  /// Passes on what a read of this daemon has brought.
+  /// @param aIsNew  whether it has brought something that updates had not
+  void DistributeRead(bool aIsNew);
+  /// Sends updates to this daemon's group, and to those of other groups.
   void SendUpdates(bool aToOtherGroups);
-  void SendUpdatesTo(std::span<const PeerAddress> aReceivers, bool aForwardToGroup);
+  void SendUpdatesTo(std::span<const PeerAddress> aReceivers, UpdateScope aScope);
+  /// Applies an update, or the reply to a query, and passes it on.
+  /// @param aSpan  when the source had answered its sender, by this daemon's BootNow()
+  void ApplyUpdate(PeerKey aSender, const EndpointUpdateMessage& aMessage,
+                   const AvailabilityInterval& aSpan);
   void OnReply(PeerKey aReceiver, std::string_view aReply);
   void CompareDigest(std::uint64_t aDigest);
   [[nodiscard]] std::uint64_t Digest();
   void OnSnapshotChanged();
-  /// Requests another daemon's snapshot while the source does not answer and this daemon has none.
-  void RequestPeerSnapshot();
-  /// @return the encoded snapshot of this daemon as one update; empty if it has none
-  [[nodiscard]] std::string EncodeSnapshot();
-  void ApplyPeerSnapshot(PeerKey aSender, std::string_view aBytes);
+  /// Asks a peer for the changes since this daemon's snapshot if that is old, or for all records while the source does
+  /// not answer and this daemon has no snapshot.
+  void QueryPeer();
+  /// Answers a query with an encoded update.
+  /// @return empty if this daemon knows no more than the sender of the query
+  [[nodiscard]] std::string AnswerQuery(std::string_view aBytes);
+  /// @return the endpoints' newest records, of those that are not removed
+  [[nodiscard]] std::vector<EndpointRecord> AllRecords();
+  void ApplyReply(PeerKey aSender, TimePoint aRequestedAt, std::string_view aBytes);
+  void ApplyFirstSnapshot(PeerKey aSender, const EndpointUpdateMessage& aMessage,
+                          const AvailabilityInterval& aSpan);
   /// Fills in what all messages say of this daemon's snapshot.
   [[nodiscard]] EndpointUpdateMessage MakeMessage();
   void Tick();
   void LogStaleness();
+  void LogRole();
   void UpdatePlan();
   void PruneRetainedState();
-  /// Age of the snapshot at which this daemon reads the source directly.
-  [[nodiscard]] Milliseconds StalenessLimit() const;
-  [[nodiscard]] bool IsCurrent() const { return this->Age() <= this->StalenessLimit(); }
+  [[nodiscard]] bool HasSnapshot() const
+  {
+    return this->endVersion && this->Age() <= kMaximumSnapshotAge;
+  }
+  [[nodiscard]] bool IsCurrent() const { return this->Age() <= this->role.StalenessLimit(); }
 
   EndpointReplicatorSettings settings;
   MembershipService& membership;
@@ -195,8 +223,9 @@
   /// Newest record that is no removal, by endpoint id, for EncodeSnapshot(). Pruned with `versions`.
   std::unordered_map<std::string, EndpointRecord> records;
   bool isSourceLost = false;
-  std::size_t snapshotRequests = 0; ///< Sent so far; each goes to another daemon.
-  EndpointChangeLog changeLog;      ///< Recent changes to send.
+  std::size_t queries = 0;     ///< Sent so far; each goes to another daemon.
+  bool isQueryPending = false; ///< The last one has had neither a reply nor its timeout.
+  EndpointChangeLog changeLog; ///< Recent changes to send.
   std::optional<LogPosition>
     endVersion; ///< The snapshot is complete below this version; empty before the first full read.
   SnapshotOrigin origin;   ///< Of what `asOf` rests on.
@@ -213,8 +242,8 @@
   Milliseconds longestStaleAge{ 0 }; ///< Greatest Age() while above staleAfter; zero otherwise.
   PeerViewPtr planView;              ///< The view that the plan was computed from.
   AggregationPlan plan;
-  std::atomic<int> rank{ 0 }; ///< In the plan; 0 is the primary reader, 1 the standby reader.
-  std::atomic<bool> isAggregator{ true }; ///< Whether this daemon is an aggregator of its group.
+  ReaderRole role;
+  bool hasLoggedReading = false; ///< Whether the last logged role was that of a reader for all.
   std::atomic<int> daemonCount{ 1 };
   std::atomic<std::int64_t> newestPeerConfiguration{ -1 };
   std::atomic<bool> needsRepair{ false }; ///< An update was missed; the next read is due at once.
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.cpp
@@ -22,12 +22,12 @@
 {
   EndpointReplicatorSettings settings;
   settings.readerInterval = std::clamp(aLeavingNotice / 5, Milliseconds(50), Milliseconds(1000));
-  settings.readerStalenessLimit = 2 * settings.readerInterval + kDisseminationDelay;
-  settings.stalenessLimitStep = std::min(aLeavingNotice / 14, Milliseconds(400));
-  settings.maximumDirectReadInterval = settings.readerStalenessLimit;
+  settings.reader.readerStalenessLimit = 2 * settings.readerInterval + kDisseminationDelay;
+  settings.reader.stalenessLimitStep = std::min(aLeavingNotice / 14, Milliseconds(400));
+  settings.maximumDirectReadInterval = settings.reader.readerStalenessLimit;
   settings.staleAfter = aLeavingNotice * 3 / 4;
-  settings.changeRetention =
-    settings.readerStalenessLimit + 2 * settings.stalenessLimitStep + 2 * settings.readerInterval;
+  settings.changeRetention = settings.reader.readerStalenessLimit +
+                             2 * settings.reader.stalenessLimitStep + 2 * settings.readerInterval;
   settings.lapseTime = Scale(aHeartbeat, kHeartbeatsWithoutLapse);
   settings.directory.maximumHold = settings.staleAfter;
   settings.tickInterval = std::min(settings.tickInterval, aLeavingNotice / kMinimumTicks);
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.h
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Clock.h"
+#include "Lagoonward/Daemon/ReaderRole.h"
 #include "Lagoonward/Fleet/EndpointDirectory.h"
 #include "Lagoonward/Fleet/SnapshotGuard.h"
 
@@ -20,12 +21,7 @@
   /// how long a fault of the digest itself could last.
   Milliseconds listenerInterval{ 300'000 };
 
-  /// The standby reader takes over from the primary once its snapshot is this old: two messages missed.
-  Milliseconds readerStalenessLimit{ 900 };
-
-  /// Aggregators wait this much longer before they read directly, and all other daemons twice that, so that a failure
-  /// of the primary reader does not make all daemons read at once.
-  Milliseconds stalenessLimitStep{ 142 };
+  ReaderRoleSettings reader;
 
   /// Between two direct reads of a daemon that receives no updates: this much for each daemon of the deployment, as all
   /// may be without a reader, but never more than maximumDirectReadInterval.
@@ -60,9 +56,9 @@
 
 /// Intervals and staleness limits for endpoints whose leaving must be known on all daemons within a time. In the worst
 /// case the primary reader dies right after a record was written; then a daemon that receives no updates finds it after
-/// readerStalenessLimit + 2 stalenessLimitStep: a little over half of that time, and a tenth of a second. A removal that
-/// is held takes effect after three quarters of that time and one tick, from the earliest time at which it can have been
-/// written.
+/// its staleness limit, at most readerStalenessLimit + 2 stalenessLimitStep: a little over half of that time, and a tenth
+/// of a second. A removal that is held takes effect after three quarters of that time and one tick, from the earliest
+/// time at which it can have been written.
 /// @param aHeartbeat  interval at which endpoints renew their entries
 [[nodiscard]] EndpointReplicatorSettings
 EndpointReplicatorSettingsFor(Milliseconds aLeavingNotice, Milliseconds aHeartbeat);
--- a/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
@@ -6,7 +6,8 @@
 #include <algorithm>
 #include <utility>
 
-// Part of EndpointReplicator: the snapshot of another daemon for one that starts while the source does not answer.
+// Part of EndpointReplicator: queries for what another daemon knows, of a daemon whose snapshot is old, or which has none
+// as it has started while the source does not answer.
 
 namespace lagoonward {
 
@@ -14,73 +15,110 @@
 
 const Log kLog("endpoints");
 
-/// Request type that is answered by an EndpointUpdateMessage with all records.
-constexpr auto kEndpointSnapshot = ToRequestType(PeerRequest::EndpointSnapshot);
+/// Request type of an EndpointQuery, which is answered by an EndpointUpdateMessage.
+constexpr auto kEndpointQuery = ToRequestType(PeerRequest::EndpointSnapshot);
 
 } // namespace
 
 void
-EndpointReplicator::RequestPeerSnapshot()
+EndpointReplicator::QueryPeer()
 {
   const PeerViewPtr view = this->membership.Peers();
-  if (this->endVersion || !this->isSourceLost || view->peers.empty()) {
+  const bool isNeeded = this->endVersion ? !this->IsCurrent() : this->isSourceLost;
+  if (!isNeeded || this->isQueryPending || view->peers.empty()) {
     return;
   }
-  // Daemons that start at the same time ask different ones, and a daemon that has none itself is asked once a round
+  // Daemons that need it at the same time ask different ones, and one that knows no more is asked once a round
   const std::size_t index =
-    (static_cast<std::size_t>(this->self.Key()) + this->snapshotRequests++) % view->peers.size();
+    (static_cast<std::size_t>(this->self.Key()) + this->queries++) % view->peers.size();
   const PeerKey peer = view->peers[index].info.Key();
   const auto address = this->membership.AddressOf(peer);
   if (!address) {
     return;
   }
-  this->membership.Transport().Request(*address, kEndpointSnapshot, {}, this->settings.timeout,
-                                       [this, peer](const Result<std::string>& aReply) {
-                                         if (aReply && !aReply.value().empty()) {
-                                           this->ApplyPeerSnapshot(peer, aReply.value());
-                                         }
-                                       });
+  EndpointQuery query;
+  if (this->HasSnapshot()) {
+    query = { true, *this->endVersion, this->Age().count() };
+  }
+  this->isQueryPending = true;
+  this->membership.Transport().Request(
+    *address, kEndpointQuery, EncodePeerMessage(query), this->settings.timeout,
+    [this, peer, requestedAt = this->clock.BootNow()](const Result<std::string>& aReply) {
+      this->isQueryPending = false;
+      if (aReply && !aReply.value().empty()) {
+        this->ApplyReply(peer, requestedAt, aReply.value());
+      }
+    });
 }
 
 std::string
-EndpointReplicator::EncodeSnapshot()
+EndpointReplicator::AnswerQuery(std::string_view aBytes)
 {
-  if (!this->endVersion || this->Age() > kMaximumSnapshotAge) {
+  const auto query = DecodePeerMessage<EndpointQuery>(aBytes);
+  const bool hasVersion = query && query->hasFullSnapshot;
+  if (!this->HasSnapshot() || (hasVersion && this->Age().count() >= query->age)) {
     return {};
   }
+  this->changeLog.DropExpired(this->clock.BootNow());
   EndpointUpdateMessage message = this->MakeMessage();
+  const bool isCovered = hasVersion && query->endVersion.epoch == this->endVersion->epoch &&
+                         query->endVersion >= this->changeLog.FirstVersion();
+  if (isCovered) {
+    message.firstVersion = query->endVersion;
+    message.entries = this->changeLog.ChangesFrom(query->endVersion);
+  } else {
+    message.firstVersion = LogPosition(0, this->endVersion->epoch);
+    message.isComplete = true;
+    message.entries = this->AllRecords();
+  }
+  return EncodePeerMessage(std::move(message));
+}
+
+std::vector<EndpointRecord>
+EndpointReplicator::AllRecords()
+{
+  std::vector<EndpointRecord> all;
   const FleetSnapshotPtr snapshot = this->directory.Snapshot();
   for (const Endpoint& endpoint : snapshot->endpoints) {
     const auto record = this->records.find(endpoint.id);
     // A removed endpoint is retained as leaving, and its last record does not say so
     if (record != this->records.end() && !this->directory.IsRemoved(endpoint.id)) {
-      message.entries.push_back(record->second);
+      all.push_back(record->second);
     }
   }
-  return EncodePeerMessage(std::move(message));
+  return all;
 }
 
 void
-EndpointReplicator::ApplyPeerSnapshot(PeerKey aSender, std::string_view aBytes)
+EndpointReplicator::ApplyReply(PeerKey aSender, TimePoint aRequestedAt, std::string_view aBytes)
 {
   const auto message = DecodePeerMessage<EndpointUpdateMessage>(aBytes);
   if (!message || message->age < 0 || message->age > kMaximumSnapshotAge.count()) {
     kLog.Warning("Malformed snapshot of the endpoints from a daemon; ignored.");
     return;
   }
-  // The source may have answered meanwhile, or another daemon
-  if (this->endVersion) {
-    return;
+  // The sender stated the age after the request had been sent
+  const AvailabilityInterval span =
+    AnsweredSpanUntil(aRequestedAt - Milliseconds(message->age), *message);
+  if (!this->endVersion && message->isComplete) {
+    this->ApplyFirstSnapshot(aSender, *message, span);
+  } else if (this->endVersion && span.until > this->asOf.load()) {
+    this->ApplyUpdate(aSender, *message, span);
   }
-  const AvailabilityInterval answered = this->AnsweredSpanOf(aSender, *message);
-  this->incoming = this->OriginOf(aSender, *message, answered);
-  for (const EndpointRecord& entry : message->entries) {
+}
+
+void
+EndpointReplicator::ApplyFirstSnapshot(PeerKey aSender, const EndpointUpdateMessage& aMessage,
+                                       const AvailabilityInterval& aSpan)
+{
+  this->incoming = this->OriginOf(aSender, aMessage, aSpan);
+  for (const EndpointRecord& entry : aMessage.entries) {
     static_cast<void>(this->HandleRecord(entry, true));
   }
-  this->StartChangeLog(message->endVersion);
-  this->AdvanceTo(answered, message->endVersion, this->incoming);
+  this->StartChangeLog(aMessage.endVersion);
+  this->AdvanceTo(aSpan, aMessage.endVersion, this->incoming);
   kLog.Event("endpoints_from_peer",
-             { { "count", message->entries.size() }, { "age_ms", this->Age().count() } });
+             { { "count", aMessage.entries.size() }, { "age_ms", this->Age().count() } });
   this->hooks.onPeerSnapshot();
   this->OnSnapshotChanged();
   this->UpdateGuard();
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -358,7 +358,7 @@
   state.requestBytes = this->connections->Held();
   state.closedConnections = this->connections->Closed();
   state.isLeader = this->leaderTasks->IsLeader();
-  state.isEndpointReader = this->endpointReplicator->IsPrimaryReader();
+  state.isEndpointReader = this->endpointReplicator->ReadsForOthers();
   state.refusedRecords = this->endpointReplicator->RefusedRecords();
   state.endpointsAge = this->endpointReplicator->Age();
   state.poisonedRequests = this->market->poison.PoisonedCount();
@@ -491,9 +491,9 @@
 }
 
 bool
-RelayDaemon::IsPrimaryReader() const
+RelayDaemon::ReadsEndpointsForOthers() const
 {
-  return this->endpointReplicator->IsPrimaryReader();
+  return this->endpointReplicator->ReadsForOthers();
 }
 
 bool
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -67,8 +67,9 @@
   /// failure domain of each.
   [[nodiscard]] bool KnowsLiveDaemons() const;
 
-  /// Whether this daemon is the primary reader, which reads the sources for all daemons.
-  [[nodiscard]] bool IsPrimaryReader() const;
+  /// Whether this daemon reads the endpoints' records for all daemons, see ReaderRole. It keeps the records of the whole
+  /// deployment in the store then. More than one daemon may do so at a time.
+  [[nodiscard]] bool ReadsEndpointsForOthers() const;
 
   /// Epoch of the endpoints' source, as far as it is known here.
   [[nodiscard]] std::int64_t SourceEpoch() const { return this->endpointReplicator->SourceEpoch(); }
--- a/UnitTests/Daemon/EndpointReplicatorTests.cpp
+++ b/UnitTests/Daemon/EndpointReplicatorTests.cpp
@@ -1,5 +1,5 @@
-#include "Lagoonward/Core/SystemClock.h"
-#include "Lagoonward/Daemon/EndpointReplicator.h"
+#include "UnitTests/Daemon/EndpointReplicatorFixture.h"
+
 #include "Lagoonward/Daemon/EndpointUpdateMessages.h"
 #include "Lagoonward/Daemon/PeerMessages.h"
 #include "Lagoonward/Daemon/PeerRequestTypes.h"
@@ -12,213 +12,7 @@
 #include <thread>
 
 using namespace lagoonward;
-
-namespace {
-
-constexpr std::string_view kKey =
-  "1:000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f";
-constexpr Seconds kWaitLimit{ 20 };
-
-/// Decodes a record whose text is the endpoint's state.
-Result<Endpoint>
-Decode(const EndpointRecord& aRecord)
-{
-  if (aRecord.text.empty()) {
-    return Error(ErrorKind::InvalidRequest, "empty");
-  }
-  Endpoint endpoint;
-  endpoint.id = aRecord.id;
-  endpoint.name = "s";
-  endpoint.state = aRecord.text == "leaving" ? EndpointState::Leaving : EndpointState::Live;
-  return endpoint;
-}
-
-/// One daemon with its replica of the endpoints.
-struct Daemon
-{
-  Daemon(const Clock& aClock, int aIndex, const std::string& aDomain,
-         const EndpointReplicatorSettings& aSettings)
-    : clock(aClock)
-    , membership(aClock, Identity(aIndex, aDomain), KeyRing::Parse(kKey, "test").value(), {},
-                 [](const HostEntry&, const MembershipService::PollDone&) {})
-    , replicator(aSettings, membership, Identity(aIndex, aDomain).self, Hooks(), aClock)
-  {
-    BOOST_TEST_REQUIRE(this->membership.Start().has_value());
-    this->RunOnControlThread([this] { this->replicator.Start(); });
-  }
-
-  ~Daemon() { this->membership.Stop(); }
-
-  static MembershipIdentity Identity(int aIndex, const std::string& aDomain)
-  {
-    MembershipIdentity identity;
-    identity.self = { "daemon-" + std::to_string(aIndex), "127.0.0.1", 0, aDomain, "region" };
-    identity.session = static_cast<std::uint64_t>(aIndex) + 1;
-    return identity;
-  }
-
-  EndpointReplicatorHooks Hooks()
-  {
-    EndpointReplicatorHooks hooks;
-    hooks.decode = &Decode;
-    hooks.onChanged = [this] { ++this->changeCount; };
-    hooks.configurationVersion = [this] { return this->configuration.load(); };
-    return hooks;
-  }
-
-  template<typename Action>
-  void RunOnControlThread(Action aAction)
-  {
-    this->membership.Loop().Run(aAction);
-  }
-
-  /// The source answers a read that began now.
-  void CompleteRead(LogPosition aEndVersion)
-  {
-    this->RunOnControlThread(
-      [&] { this->replicator.OnReadCompleted(this->clock.BootNow(), aEndVersion); });
-  }
-
-  /// The source answers a full read that began now.
-  void CompleteFullRead(const std::vector<EndpointRecord>& aRecords, LogPosition aEndVersion)
-  {
-    this->RunOnControlThread([&] {
-      this->replicator.OnFullRead(aRecords, aEndVersion);
-      this->replicator.OnReadCompleted(this->clock.BootNow(), aEndVersion);
-    });
-  }
-
-  [[nodiscard]] std::optional<EndpointState> StateOf(std::string_view aId)
-  {
-    std::optional<EndpointState> state;
-    this->RunOnControlThread([&] {
-      const FleetSnapshotPtr fleet = this->replicator.Snapshot();
-      const Endpoint* endpoint = fleet->Find(aId);
-      if (endpoint != nullptr) {
-        state = endpoint->state;
-      }
-    });
-    return state;
-  }
-
-  const Clock& clock;
-  std::atomic<int> changeCount{ 0 };
-  std::atomic<std::int64_t> configuration{ -1 };
-  MembershipService membership;
-  EndpointReplicator replicator;
-};
-
-/// Four daemons of one failure domain and one of another.
-struct Fleet
-{
-  Fleet()
-  {
-    for (int index = 0; index < 5; ++index) {
-      this->Add(index, index < 4 ? "a" : "b");
-    }
-    BOOST_TEST(this->Eventually([this] {
-      return std::all_of(this->daemons.begin(), this->daemons.end(), [](const auto& aDaemon) {
-        return aDaemon->membership.Peers()->peers.size() == 4;
-      });
-    }));
-    BOOST_TEST(this->Eventually([this] { return this->FirstDomainDaemons().size() == 2; }));
-  }
-
-  Daemon& Add(int aIndex, const std::string& aDomain)
-  {
-    this->daemons.push_back(std::make_unique<Daemon>(this->clock, aIndex, aDomain, this->settings));
-    HostEntry host;
-    host.id = "daemon-" + std::to_string(aIndex);
-    host.kind = HostEntry::Kind::Daemon;
-    host.address = "127.0.0.1";
-    host.port = this->daemons.back()->membership.Transport().Port();
-    host.failureDomain = aDomain;
-    host.region = "region";
-    this->hosts.push_back(host);
-    for (const auto& daemon : this->daemons) {
-      daemon->membership.ApplyHostList(this->hosts);
-    }
-    return *this->daemons.back();
-  }
-
-  /// Adds a daemon to the first failure domain whose rank there is last, so that it is not an aggregator.
-  Daemon& AddNonAggregator()
-  {
-    for (int index = 5;; ++index) {
-      const PeerInfo last = Daemon::Identity(index, "a").self;
-      const PeerViewPtr view = this->daemons[0]->membership.Peers();
-      const AggregationPlan plan = MakeAggregationPlan(last, true, *view, {});
-      // The view is the first daemon's own, which does not contain that daemon
-      if (!plan.IsAggregator(last.Key()) && plan.ownAggregators.size() == 2) {
-        return this->Add(index, "a");
-      }
-    }
-  }
-
-  template<typename Condition>
-  bool Eventually(Condition aCondition)
-  {
-    constexpr Milliseconds kStep{ 10 };
-    for (Milliseconds waited{ 0 }; waited < kWaitLimit; waited += kStep) {
-      if (aCondition()) {
-        return true;
-      }
-      std::this_thread::sleep_for(kStep);
-    }
-    return false;
-  }
-
-  /// The daemon that reads the source for the whole deployment.
-  Daemon& PrimaryReader()
-  {
-    const auto found =
-      std::find_if(this->daemons.begin(), this->daemons.end(),
-                   [](const auto& aDaemon) { return aDaemon->replicator.IsPrimaryReader(); });
-    BOOST_REQUIRE(found != this->daemons.end());
-    return **found;
-  }
-
-  /// Daemons of the first failure domain that are aggregators, or that are not.
-  std::vector<Daemon*> FirstDomainDaemons(bool aIsAggregator = true)
-  {
-    std::vector<Daemon*> found;
-    for (int index = 0; index < 4; ++index) {
-      Daemon* daemon = this->daemons[static_cast<std::size_t>(index)].get();
-      if (daemon->replicator.IsAggregator() == aIsAggregator) {
-        found.push_back(daemon);
-      }
-    }
-    return found;
-  }
-
-  SystemClock clock;
-  EndpointReplicatorSettings settings;
-  std::vector<HostEntry> hosts;
-  std::vector<std::unique_ptr<Daemon>> daemons;
-};
-
-/// A daemon reads one record after an empty full read.
-void
-ReadRecord(Daemon& aDaemon, const EndpointRecord& aRecord)
-{
-  aDaemon.RunOnControlThread([&] {
-    aDaemon.replicator.OnFullRead({}, 0);
-    aDaemon.replicator.OnRecord(aRecord);
-    aDaemon.replicator.OnReadCompleted(aDaemon.clock.BootNow(), aRecord.version.Next());
-  });
-}
-
-/// A daemon reads one more record.
-void
-ReadNextRecord(Daemon& aDaemon, const EndpointRecord& aRecord)
-{
-  aDaemon.RunOnControlThread([&] {
-    aDaemon.replicator.OnRecord(aRecord);
-    aDaemon.replicator.OnReadCompleted(aDaemon.clock.BootNow(), aRecord.version.Next());
-  });
-}
-
-} // namespace
+using namespace lagoonward::replication_tests;
 
 BOOST_FIXTURE_TEST_SUITE(EndpointReplicatorTests, Fleet)
 
@@ -290,14 +84,14 @@
   BOOST_TEST(this->Eventually([&] { return listener.StateOf("e1").has_value(); }));
   // Updates, for however long, do not contain the records from before they began
   const TimePoint begun = this->clock.Now();
-  while (this->clock.Now() - begun < 2 * this->settings.readerStalenessLimit) {
+  while (this->clock.Now() - begun < 2 * this->settings.reader.readerStalenessLimit) {
     reader.CompleteRead(6);
     std::this_thread::sleep_for(Milliseconds(20));
     BOOST_TEST((listener.replicator.ReadInterval() <= this->settings.maximumDirectReadInterval));
   }
   listener.CompleteFullRead({ { "e1", "live", 5, false } }, 6);
   BOOST_TEST((listener.replicator.ReadInterval() == this->settings.listenerInterval));
-  while (this->clock.Now() - begun < 5 * this->settings.readerStalenessLimit) {
+  while (this->clock.Now() - begun < 5 * this->settings.reader.readerStalenessLimit) {
     reader.CompleteRead(6);
     std::this_thread::sleep_for(Milliseconds(20));
     BOOST_TEST((listener.replicator.ReadInterval() == this->settings.listenerInterval));
@@ -322,7 +116,7 @@
     return listener.replicator.ReadInterval() <= this->settings.maximumDirectReadInterval;
   }));
   // It reports its true age, and becomes current again with a current update
-  BOOST_TEST((listener.replicator.Age() >= this->settings.readerStalenessLimit));
+  BOOST_TEST((listener.replicator.Age() >= this->settings.reader.readerStalenessLimit));
   BOOST_TEST(this->Eventually([&] {
     reader.CompleteRead(0);
     return listener.replicator.ReadInterval() == this->settings.listenerInterval;
@@ -340,7 +134,7 @@
                               listener.membership.Transport().Port() };
   listener.CompleteFullRead({}, 5);
   BOOST_TEST(this->Eventually(
-    [&] { return listener.replicator.Age() > this->settings.readerStalenessLimit; }));
+    [&] { return listener.replicator.Age() > this->settings.reader.readerStalenessLimit; }));
   EndpointUpdateMessage message;
   message.endVersion = 5;
   for (const std::int64_t implausible :
@@ -356,7 +150,7 @@
     BOOST_TEST(this->Eventually([&] { return answered.load(); }));
     BOOST_TEST((listener.replicator.Age() >= Milliseconds(0)));
     BOOST_TEST((listener.replicator.Age() < kWaitLimit));
-    BOOST_TEST((listener.replicator.Age() > this->settings.readerStalenessLimit));
+    BOOST_TEST((listener.replicator.Age() > this->settings.reader.readerStalenessLimit));
   }
 }
 
@@ -766,7 +560,7 @@
   const EndpointReplicatorSettings settings =
     EndpointReplicatorSettingsFor(leavingNotice, Seconds(1));
   const Milliseconds longestStalenessLimit =
-    settings.readerStalenessLimit + 2 * settings.stalenessLimitStep;
+    settings.reader.readerStalenessLimit + 2 * settings.reader.stalenessLimitStep;
   BOOST_TEST((longestStalenessLimit <= leavingNotice));
   BOOST_TEST((settings.readerInterval <= Milliseconds(1000)));
   BOOST_TEST((settings.changeRetention > longestStalenessLimit));
@@ -789,8 +583,8 @@
   const EndpointReplicatorSettings defaults;
   const EndpointReplicatorSettings derived = EndpointReplicatorSettingsFor(Seconds(2), Seconds(1));
   BOOST_TEST((defaults.readerInterval == derived.readerInterval));
-  BOOST_TEST((defaults.readerStalenessLimit == derived.readerStalenessLimit));
-  BOOST_TEST((defaults.stalenessLimitStep == derived.stalenessLimitStep));
+  BOOST_TEST((defaults.reader.readerStalenessLimit == derived.reader.readerStalenessLimit));
+  BOOST_TEST((defaults.reader.stalenessLimitStep == derived.reader.stalenessLimitStep));
   BOOST_TEST((defaults.maximumDirectReadInterval == derived.maximumDirectReadInterval));
   BOOST_TEST((defaults.staleAfter == derived.staleAfter));
   BOOST_TEST((defaults.changeRetention == derived.changeRetention));
