--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -253,7 +253,8 @@
   end.response.onReusedConnection = !aEnd.isFirstOnConnection;
   const bool isRead =
     aEnd.outcome == TransferOutcome::Complete || aEnd.outcome == TransferOutcome::Stopped;
-  if (isRead && this->provenNotRun) {
+  // The head is enough to show that it has not run
+  if ((isRead || aEnd.isLengthUnknown) && this->provenNotRun) {
     end.outcome = AttemptOutcome::NotRun;
     end.cause = AttemptCause::Refused;
     end.addressReassigned = this->IsMisdirected();
--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -185,6 +185,14 @@
   return newConnections > 0;
 }
 
+bool
+CurlTransfer::IsRequestSent() const
+{
+  curl_off_t sentBytes = 0;
+  curl_easy_getinfo(this->easy.get(), CURLINFO_SIZE_UPLOAD_T, &sentBytes);
+  return static_cast<std::size_t>(sentBytes) >= this->body.Size();
+}
+
 std::size_t
 CurlTransfer::OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aTransfer)
 {
@@ -242,6 +250,10 @@
     // libcurl accepts a connection that is closed within the head as the end of a response without a body
     end.outcome = TransferOutcome::Broken;
     end.message = "the connection was closed within the head of the response";
+  } else if (aResult == CURLE_OK && !this->headCheck.IsDelimited() && !this->IsRequestSent()) {
+    end.outcome = TransferOutcome::Broken;
+    end.message = "the connection was closed within the request, and the response states no length";
+    end.isLengthUnknown = true;
   } else if (aResult == CURLE_OK) {
     end.outcome = TransferOutcome::Complete;
   } else if (requestBytes == 0 || (this->isCancelled && !this->wasSent)) {
--- a/Lagoonward/Wire/CurlTransfer.h
+++ b/Lagoonward/Wire/CurlTransfer.h
@@ -65,6 +65,8 @@
   [[nodiscard]] int Status() const;
   /// See TransferHead::isFirstOnConnection.
   [[nodiscard]] bool IsFirstOnConnection() const;
+  /// Whether the request's body was sent completely.
+  [[nodiscard]] bool IsRequestSent() const;
   /// Why the transfer was stopped, for logs.
   [[nodiscard]] std::string StopReason() const;
   void OnHeaderLine(std::string_view aLine);
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -82,6 +82,8 @@
   bool hasMalformedHead = false; ///< The response's head is not that of one HTTP response.
   bool isConnectionRefused =
     false; ///< The connection attempt failed immediately: nothing listens there.
+  /// The response ended with its connection before the request was sent, so whether it is complete cannot be known.
+  bool isLengthUnknown = false;
   /// As in TransferHead; also known if the head never was complete. Of no meaning for NotSent.
   bool isFirstOnConnection = false;
   std::string message; ///< Error text for logs.
--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kStatusDigits = 3;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 constexpr std::size_t kLoggedLineBytes = 100;
 
 bool
@@ -162,6 +164,7 @@
     return this->Reject("response switches to another protocol", aLine);
   }
   this->isInterim = *status < kFirstFinalStatus;
+  this->isDelimited = *status == kNoContent || *status == kNotModified;
   this->expected = Expected::Header;
   return true;
 }
@@ -180,6 +183,8 @@
     return true;
   }
   const std::string_view name = FieldNameOf(aLine);
+  this->isDelimited = this->isDelimited || boost::algorithm::iequals(name, "Content-Length") ||
+                      boost::algorithm::iequals(name, "Transfer-Encoding");
   const bool isNamed = !name.empty() && std::all_of(name.begin(), name.end(), IsNameCharacter);
   return isNamed || this->Reject("malformed header line", aLine);
 }
--- a/Lagoonward/Wire/ResponseHeadCheck.h
+++ b/Lagoonward/Wire/ResponseHeadCheck.h
@@ -19,6 +19,9 @@
   /// Whether the head of the final response is complete.
   [[nodiscard]] bool IsComplete() const { return this->expected == Expected::Trailer; }
 
+  /// Whether the final response states where its body ends, rather than by the end of its connection.
+  [[nodiscard]] bool IsDelimited() const { return this->isDelimited; }
+
   /// What is wrong, for logs; empty while all lines were accepted.
   [[nodiscard]] const std::string& Fault() const { return this->fault; }
 
@@ -36,6 +39,7 @@
 
   Expected expected = Expected::StatusLine;
   bool isInterim = false; ///< The status line was that of an interim response.
+  bool isDelimited = false;
   std::string fault;
 };
 
--- a/UnitTests/Support/ScriptedServer.cpp
+++ b/UnitTests/Support/ScriptedServer.cpp
@@ -15,14 +15,17 @@
 
 constexpr int kPollIntervalMilliseconds = 20;
 
-/// Length of the HTTP request at the beginning of the bytes, or zero while it is incomplete.
+/// Length of the part of a request that a script waits for, or zero while that part is incomplete.
 std::size_t
-RequestLength(const std::string& aBytes)
+RequestLength(const std::string& aBytes, ScriptedServer::Start aStart)
 {
   const std::size_t head = aBytes.find("\r\n\r\n");
   if (head == std::string::npos) {
     return 0;
   }
+  if (aStart == ScriptedServer::Start::Head) {
+    return head + 4;
+  }
   std::size_t body = 0;
   const std::size_t length = aBytes.find("Content-Length: ");
   if (length < head) {
@@ -41,8 +44,9 @@
 
 } // namespace
 
-ScriptedServer::ScriptedServer(Handler aHandler, std::uint16_t aPort)
+ScriptedServer::ScriptedServer(Handler aHandler, std::uint16_t aPort, Start aStart)
   : handler(std::move(aHandler))
+  , start(aStart)
   , listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
   sockaddr_in address{};
@@ -111,7 +115,7 @@
       return;
     }
     received.append(buffer.data(), static_cast<std::size_t>(count));
-    while (const std::size_t length = RequestLength(received)) {
+    while (const std::size_t length = RequestLength(received, this->start)) {
       const std::string request = received.substr(0, length);
       received.erase(0, length);
       {
@@ -145,6 +149,13 @@
       case ScriptStep::Kind::Close:
         ::shutdown(aSocket, SHUT_RDWR);
         return false;
+      case ScriptStep::Kind::Finish: {
+        ::shutdown(aSocket, SHUT_WR);
+        std::array<char, 4096> ignored{};
+        while (::recv(aSocket, ignored.data(), ignored.size(), 0) > 0) {
+        }
+        return false;
+      }
       case ScriptStep::Kind::ResetAndStopListening:
         ::shutdown(this->listener.Get(), SHUT_RDWR);
         [[fallthrough]];
--- a/UnitTests/Support/ScriptedServer.h
+++ b/UnitTests/Support/ScriptedServer.h
@@ -18,10 +18,11 @@
 {
   enum class Kind
   {
-    Send,  ///< Sends the bytes.
-    Wait,  ///< Waits for the span, or until the other end closes; then the script is abandoned.
-    Close, ///< Closes the connection with FIN.
-    Reset, ///< Closes the connection with RST.
+    Send,   ///< Sends the bytes.
+    Wait,   ///< Waits for the span, or until the other end closes; then the script is abandoned.
+    Close,  ///< Closes the connection with FIN.
+    Finish, ///< Sends FIN, and goes on receiving until the other end closes.
+    Reset,  ///< Closes the connection with RST.
     ResetAndStopListening, ///< Closes the connection with RST and stops listening.
   };
 
@@ -37,18 +38,26 @@
 class ScriptedServer
 {
 public:
-  /// Returns the script for a complete request (head and body). Called on any thread.
+  /// When the script begins.
+  enum class Start
+  {
+    WholeRequest, ///< Once head and body were received.
+    Head, ///< Once the head was received. The script must end the connection, as the body is not read.
+  };
+
+  /// Returns the script for a request. Called on any thread.
   using Handler = std::function<Script(const std::string& aRequest)>;
 
   /// @param aPort  port to listen on; zero selects a free one
-  explicit ScriptedServer(Handler aHandler, std::uint16_t aPort = 0);
+  explicit ScriptedServer(Handler aHandler, std::uint16_t aPort = 0,
+                          Start aStart = Start::WholeRequest);
   ~ScriptedServer();
   ScriptedServer(const ScriptedServer&) = delete;
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
   [[nodiscard]] std::uint16_t Port() const { return this->port; }
 
-  /// All complete requests received so far.
+  /// All requests, as far as they are read, that scripts were begun for so far.
   [[nodiscard]] std::vector<std::string> Requests() const;
 
   /// Number of scripts of which all steps were run.
@@ -63,6 +72,7 @@
   [[nodiscard]] bool RunScript(int aSocket, const Script& aScript);
 
   Handler handler;
+  Start start;
   UniqueFd listener;
   std::uint16_t port = 0;
   std::atomic<bool> stopping{ false };
--- a/UnitTests/Wire/ResponseHeadCheckTests.cpp
+++ b/UnitTests/Wire/ResponseHeadCheckTests.cpp
@@ -65,6 +65,23 @@
   BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "", "HTTP/1.1 500 Internal Server Error" }));
 }
 
+BOOST_AUTO_TEST_CASE(OnlyHeadersOfTheFinalResponseDelimitIt)
+{
+  const auto isDelimited = [](const Lines& aLines) {
+    ResponseHeadCheck check;
+    for (const std::string& line : aLines) {
+      BOOST_TEST(check.Accept(line));
+    }
+    return check.IsDelimited();
+  };
+  BOOST_TEST(!isDelimited({ "HTTP/1.1 200 OK", "Date: a", "" }));
+  BOOST_TEST(isDelimited({ "HTTP/1.1 200 OK", "content-length: 4", "" }));
+  BOOST_TEST(isDelimited({ "HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "" }));
+  BOOST_TEST(isDelimited({ "HTTP/1.1 204 No Content", "" }));
+  BOOST_TEST(
+    !isDelimited({ "HTTP/1.1 103 Early Hints", "Content-Length: 4", "", "HTTP/1.1 200 OK", "" }));
+}
+
 BOOST_AUTO_TEST_CASE(MalformedLinesAreRejected)
 {
   using namespace std::string_literals;
