--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -15,9 +15,11 @@
 constexpr std::string_view kBlanks = " \t";
 constexpr std::size_t kStatusDigits = 3;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+constexpr int kLastStatus = 599;
 constexpr std::size_t kLoggedLineBytes = 100;
 
 bool
@@ -159,6 +161,10 @@
   if (HasForbiddenCharacter(aLine)) {
     return this->Reject("status line with a CR, LF or NUL within", aLine);
   }
+  // RFC 9110 (section 15): to be treated as an error of the server
+  if (*status < kFirstStatus || *status > kLastStatus) {
+    return this->Reject("status outside 100 to 599", aLine);
+  }
   // No request asks for it, and libcurl would take all that follows for the bytes of another protocol
   if (*status == kSwitchingProtocols) {
     return this->Reject("response switches to another protocol", aLine);
--- a/UnitTests/Relay/RelayEarlyResponseTests.cpp
+++ b/UnitTests/Relay/RelayEarlyResponseTests.cpp
@@ -127,4 +127,20 @@
   BOOST_TEST(received.reply->body == "whole");
 }
 
+// Guards against statuses that no HTTP defines reaching callers as the endpoint's answer.
+BOOST_AUTO_TEST_CASE(ResponseWithAnInvalidStatusIsNoAnswer)
+{
+  for (const std::string status : { "000", "001", "099", "600", "999" }) {
+    for (const RelayKind kind : { RelayKind::NonIdempotent, RelayKind::Stream }) {
+      const ScriptedServer server(
+        [status](const std::string&) { return Send(MakeResponse("odd", status + " Odd")); });
+      RelayFixture relay({ &server });
+      const Received received = relay.SendRequest(kind);
+      BOOST_TEST(!received.reply.has_value(), status);
+      BOOST_REQUIRE(received.error.has_value());
+      BOOST_TEST((received.error->ran == Ran::Unknown), status);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/UnitTests/Wire/ResponseHeadCheckTests.cpp
+++ b/UnitTests/Wire/ResponseHeadCheckTests.cpp
@@ -65,6 +65,17 @@
   BOOST_TEST(!IsAccepted({ "HTTP/1.1 200 OK", "", "HTTP/1.1 500 Internal Server Error" }));
 }
 
+// Guards against statuses that no HTTP defines reaching callers as the endpoint's answer.
+BOOST_AUTO_TEST_CASE(StatusOutsideTheValidRangeIsRejected)
+{
+  for (const std::string status : { "000", "001", "020", "099", "600", "999" }) {
+    BOOST_TEST(!IsAccepted({ "HTTP/1.1 " + status + " Odd", "" }), status);
+  }
+  for (const std::string status : { "100", "200", "299", "500", "599" }) {
+    BOOST_TEST(IsAccepted({ "HTTP/1.1 " + status + " Fine", "" }), status);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OnlyHeadersOfTheFinalResponseDelimitIt)
 {
   const auto isDelimited = [](const Lines& aLines) {
