--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -15,7 +15,11 @@
 constexpr std::string_view kBlanks = " \t";
 constexpr std::size_t kStatusDigits = 3;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr int kLastStatus = 599;
 constexpr std::size_t kLoggedLineBytes = 100;
 
 bool
@@ -157,11 +161,16 @@
   if (HasForbiddenCharacter(aLine)) {
     return this->Reject("status line with a CR, LF or NUL within", aLine);
   }
+  // RFC 9110 (section 15): to be treated as an error of the server
+  if (*status < kFirstStatus || *status > kLastStatus) {
+    return this->Reject("status outside 100 to 599", aLine);
+  }
   // No request asks for it, and libcurl would take all that follows for the bytes of another protocol
   if (*status == kSwitchingProtocols) {
     return this->Reject("response switches to another protocol", aLine);
   }
   this->isInterim = *status < kFirstFinalStatus;
+  this->isDelimited = *status == kNoContent || *status == kNotModified;
   this->expected = Expected::Header;
   return true;
 }
@@ -180,6 +189,8 @@
     return true;
   }
   const std::string_view name = FieldNameOf(aLine);
+  this->isDelimited = this->isDelimited || boost::algorithm::iequals(name, "Content-Length") ||
+                      boost::algorithm::iequals(name, "Transfer-Encoding");
   const bool isNamed = !name.empty() && std::all_of(name.begin(), name.end(), IsNameCharacter);
   return isNamed || this->Reject("malformed header line", aLine);
 }
