--- a/Lagoonward/Fleet/EndpointDirectory.cpp
+++ b/Lagoonward/Fleet/EndpointDirectory.cpp
@@ -54,6 +54,13 @@
 TimePoint
 EndpointDirectory::OutageEnd() const
 {
+  // Entries of live endpoints expire only if the source itself is unavailable. If a removal were delayed because only
+  // this host cannot reach the source, it would take effect too late: leaving endpoints must be known sooner. Nor do they
+  // expire while the source does not answer for less than the shortest outage, as when it refuses a call
+  const TimePoint endHere = this->sourceAvailable ? *this->outageEnd : this->clock.Now();
+  if (this->availability.Covers(*this->outageStart, endHere - this->settings.shortestOutage)) {
+    return this->availability.since;
+  }
   const TimePoint end = this->sourceAvailable ? *this->outageEnd : TimePoint::max();
   // Other hosts may have found earlier that the source responds again
   const bool endedForOthers = this->availability.since > *this->outageStart;
@@ -64,39 +71,33 @@
 EndpointDirectory::LastDisturbance() const
 {
   std::optional<TimePoint> last = this->restoredAt;
-  if (this->outageStart && !this->WasAnswering()) {
+  if (this->outageStart) {
     last = std::max(last.value_or(TimePoint::min()), this->OutageEnd());
   }
   return last;
 }
 
-bool
-EndpointDirectory::MustHold(const Hold& aHold) const
+EndpointDirectory::Hold
+EndpointDirectory::MakeHold(const EntryRemoval& aRemoval) const
 {
+  Hold hold{ this->clock.Now() };
   const std::optional<TimePoint> disturbance = this->LastDisturbance();
-  if (!disturbance) {
-    return false;
-  }
-  const TimePoint now = this->clock.Now();
-  if (*disturbance != TimePoint::max() && now >= *disturbance + this->settings.returnGrace) {
-    return false;
+  // A later outage cannot be the reason for it
+  if (disturbance && aRemoval.notBefore >= *disturbance) {
+    hold.latestEnd = aRemoval.notBefore + this->settings.maximumHold;
   }
-  const bool isAfter = aHold.notBefore >= *disturbance;
-  return !isAfter || now < aHold.notBefore + this->settings.maximumHold;
+  return hold;
 }
 
 bool
-EndpointDirectory::WasAnswering() const
+EndpointDirectory::MustHold(const Hold& aHold) const
 {
-  // Entries of live endpoints expire only if the source itself is unavailable. If a removal were delayed because only
-  // this host cannot reach the source, it would take effect too late: leaving endpoints must be known sooner
-  if (!this->outageStart) {
+  const std::optional<TimePoint> disturbance = this->LastDisturbance();
+  const TimePoint now = this->clock.Now();
+  if (!disturbance || now >= aHold.latestEnd) {
     return false;
   }
-  // Nor do they expire while the source does not answer for less than the shortest outage, as when it refuses a call
-  const TimePoint end = this->sourceAvailable ? *this->outageEnd : this->clock.Now();
-  return this->availability.Covers(*this->outageStart - this->settings.shortestOutage,
-                                   end - this->settings.shortestOutage);
+  return *disturbance == TimePoint::max() || now < *disturbance + this->settings.returnGrace;
 }
 
 void
@@ -118,7 +119,7 @@
     return RemovalOutcome::Ignored;
   }
   const TimePoint now = this->clock.Now();
-  const Hold hold = entry.hold.value_or(Hold{ now, aRemoval.notBefore });
+  const Hold hold = entry.hold ? *entry.hold : this->MakeHold(aRemoval);
   const bool canBeHeld = aRemoval.mayHaveLapsed && entry.endpoint.state == EndpointState::Live;
   if (canBeHeld && this->MustHold(hold)) {
     entry.hold = hold;
--- a/Lagoonward/Fleet/EndpointDirectory.h
+++ b/Lagoonward/Fleet/EndpointDirectory.h
@@ -120,7 +120,8 @@
   struct Hold
   {
     TimePoint since;
-    TimePoint notBefore; ///< See EntryRemoval.
+    /// When it ends whatever else happens; TimePoint::max() for one that the source may have accepted in an outage.
+    TimePoint latestEnd = TimePoint::max();
   };
 
   struct Entry
@@ -133,15 +134,15 @@
     bool unreadable = false;
   };
 
-  /// End of the last outage as far as any host knows; TimePoint::max() while it lasts. Only after an outage.
+  /// End of the last outage as far as any host knows; TimePoint::max() while it lasts. Where the source responded to this
+  /// host or to others throughout this host's last outage, but for pauses that are shorter than the shortest outage, that
+  /// of an earlier one. Only after an outage.
   [[nodiscard]] TimePoint OutageEnd() const;
   /// When the source had the last event in which entries of live endpoints may have vanished: the end of an outage, or a
   /// restore.
   [[nodiscard]] std::optional<TimePoint> LastDisturbance() const;
+  [[nodiscard]] Hold MakeHold(const EntryRemoval& aRemoval) const;
   [[nodiscard]] bool MustHold(const Hold& aHold) const;
-  /// Whether the source responded to this host or to others throughout this host's last outage, but for pauses that are
-  /// shorter than the shortest outage.
-  [[nodiscard]] bool WasAnswering() const;
 
   EndpointDirectorySettings settings;
   const Clock& clock;
--- a/UnitTests/Fleet/EndpointDirectoryTests.cpp
+++ b/UnitTests/Fleet/EndpointDirectoryTests.cpp
@@ -279,6 +279,52 @@
   BOOST_TEST(Remove(directory, "a"));
 }
 
+/// Calls that take long now and then are no outage of the source.
+BOOST_AUTO_TEST_CASE(ShortOutagesAfterALongOneDoNotMoveTheEndOfAHold)
+{
+  VirtualClock clock;
+  clock.Advance(Seconds(60));
+  EndpointDirectorySettings settings;
+  EndpointDirectory directory(settings, clock);
+  directory.OnEntry(MakeEndpoint("a"));
+  directory.SetSourceAvailable(false);
+  clock.Advance(Seconds(5));
+  directory.SetSourceAvailable(true);
+  const TimePoint answersSince = clock.Now();
+  directory.AddSourceAvailability({ answersSince, answersSince });
+  clock.Advance(Milliseconds(100));
+  BOOST_TEST(!Remove(directory, "a"));
+  while (clock.Now() < answersSince + settings.returnGrace) {
+    BOOST_TEST(!directory.IsRemoved("a"));
+    directory.SetSourceAvailable(false);
+    clock.Advance(Milliseconds(700));
+    directory.SetSourceAvailable(true);
+    directory.AddSourceAvailability({ clock.Now() - Milliseconds(100), clock.Now() });
+    clock.Advance(Milliseconds(300));
+    static_cast<void>(directory.ApplyHeldRemovals());
+  }
+  BOOST_TEST(directory.IsRemoved("a"));
+}
+
+// Guards against requests that reach an endpoint for seconds after it left: the hold of a removal that the source had
+// certainly accepted after an outage was bounded by that time only until the next outage.
+BOOST_AUTO_TEST_CASE(LaterOutageDoesNotExtendTheHoldOfARemovalAfterTheFirst)
+{
+  VirtualClock clock;
+  clock.Advance(Seconds(60));
+  EndpointDirectorySettings settings;
+  EndpointDirectory directory(settings, clock);
+  directory.OnEntry(MakeEndpoint("a"));
+  directory.SetSourceAvailable(false);
+  clock.Advance(Seconds(5));
+  directory.SetSourceAvailable(true);
+  clock.Advance(Milliseconds(100));
+  BOOST_TEST((directory.OnRemoved("a", { clock.Now() }) == RemovalOutcome::Held));
+  directory.SetSourceAvailable(false);
+  clock.Advance(settings.maximumHold);
+  BOOST_TEST(directory.ApplyHeldRemovals().size() == 1U);
+}
+
 /// A host that retries at long intervals notices the end of an outage later than others.
 BOOST_AUTO_TEST_CASE(OutageEndsWhenTheFirstHostSeesTheSourceAgain)
 {
