--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -22,6 +22,9 @@
 /// Ranks that watch the source also while they receive updates: the primary and the standby reader.
 constexpr int kReaderRanks = 2;
 
+/// No message that arrives has been in transit for longer, as its sender and its connection have timeouts.
+constexpr Milliseconds kLongestDelay = Seconds(10);
+
 } // namespace
 
 EndpointReplicator::EndpointReplicator(const EndpointReplicatorSettings& aSettings,
@@ -185,8 +188,8 @@
     }
     // A receiver that does not answer reads the source directly, and is sent the same changes again
     this->membership.Transport().Request(
-      receiver, kEndpointUpdate, bytes->second, this->settings.timeout,
-      [this, key = receiver.key](const Result<std::string>& aReply) {
+      receiver, kEndpointUpdate, this->EncodeHeaderFor(receiver.key) + bytes->second,
+      this->settings.timeout, [this, key = receiver.key](const Result<std::string>& aReply) {
         if (aReply) {
           this->OnReply(key, aReply.value());
         }
@@ -194,12 +197,30 @@
   }
 }
 
+std::int64_t
+EndpointReplicator::NowInMessages() const
+{
+  return std::chrono::floor<Milliseconds>(this->clock.BootNow().time_since_epoch()).count();
+}
+
+std::string
+EndpointReplicator::EncodeHeaderFor(PeerKey aReceiver) const
+{
+  EndpointUpdateHeader header;
+  const auto replies = this->replyDelays.find(aReceiver);
+  const auto difference =
+    replies == this->replyDelays.end() ? std::nullopt : replies->second.BaseDifference();
+  if (difference) {
+    header = { true, difference->count() };
+  }
+  return EncodePeerMessage(header);
+}
+
 EndpointUpdateMessage
 EndpointReplicator::MakeMessage()
 {
   EndpointUpdateMessage message;
-  message.sentAt =
-    std::chrono::floor<Milliseconds>(this->clock.BootNow().time_since_epoch()).count();
+  message.sentAt = this->NowInMessages();
   message.age = this->Age().count();
   message.answeredFor =
     std::chrono::floor<Milliseconds>(this->answeredSpan.until - this->answeredSpan.since).count();
@@ -214,6 +235,10 @@
 EndpointReplicator::OnReply(PeerKey aReceiver, std::string_view aReply)
 {
   const auto reply = DecodePeerMessage<EndpointUpdateReply>(aReply);
+  if (reply) {
+    static_cast<void>(this->replyDelays[aReceiver].OnMessage(Milliseconds(reply->repliedAt),
+                                                             this->clock.BootNow()));
+  }
   if (reply && reply->hasFullSnapshot) {
     this->acknowledgedVersions[aReceiver] = reply->endVersion;
   } else {
@@ -224,14 +249,20 @@
 std::string
 EndpointReplicator::HandleUpdate(PeerKey aSender, std::string_view aBytes)
 {
-  const auto message = DecodePeerMessage<EndpointUpdateMessage>(aBytes);
-  if (!message) {
+  const std::size_t headerBytes = std::min(aBytes.size(), EncodedSizeOfUpdateHeader());
+  const auto header = DecodePeerMessage<EndpointUpdateHeader>(aBytes.substr(0, headerBytes));
+  const auto message = DecodePeerMessage<EndpointUpdateMessage>(aBytes.substr(headerBytes));
+  if (!header || !message) {
     kLog.Warning("Malformed endpoint update from a daemon; ignored.");
     return {};
   }
-  this->ApplyUpdate(aSender, *message, this->AnsweredSpanOf(aSender, *message));
-  return EncodePeerMessage(
-    EndpointUpdateReply{ this->endVersion.has_value(), this->endVersion.value_or(LogPosition()) });
+  const Milliseconds delay = this->DelayBoundOf(aSender, *header, message->sentAt);
+  const auto age = std::clamp<std::int64_t>(message->age, 0, kMaximumSnapshotAge.count());
+  const TimePoint asOfTime = this->clock.BootNow() - delay - Milliseconds(age);
+  this->ApplyUpdate(aSender, *message, AnsweredSpanUntil(asOfTime, *message));
+  return EncodePeerMessage(EndpointUpdateReply{ this->endVersion.has_value(),
+                                                this->endVersion.value_or(LogPosition()),
+                                                this->NowInMessages() });
 }
 
 void
@@ -300,13 +331,22 @@
   return isChange;
 }
 
-AvailabilityInterval
-EndpointReplicator::AnsweredSpanOf(PeerKey aSender, const EndpointUpdateMessage& aMessage)
+Milliseconds
+EndpointReplicator::DelayBoundOf(PeerKey aSender, const EndpointUpdateHeader& aHeader,
+                                 std::int64_t aSentAt)
 {
   const TimePoint now = this->clock.BootNow();
-  const Milliseconds delay = this->delays[aSender].OnMessage(Milliseconds(aMessage.sentAt), now);
-  const auto age = std::clamp<std::int64_t>(aMessage.age, 0, kMaximumSnapshotAge.count());
-  return AnsweredSpanUntil(now - delay - Milliseconds(age), aMessage);
+  const Milliseconds estimate = this->delays[aSender].OnMessage(Milliseconds(aSentAt), now);
+
+  if (!aHeader.hasClockDifference) {
+    return std::max(estimate, this->settings.timeout);
+  }
+  const Milliseconds difference =
+    std::chrono::ceil<Milliseconds>(now.time_since_epoch()) - Milliseconds(aSentAt);
+  const Milliseconds bound = difference + Milliseconds(aHeader.clockDifference);
+  // One of the two clocks has restarted since the reply
+  const bool isPlausible = bound >= estimate && bound <= kLongestDelay;
+  return isPlausible ? bound : std::max(estimate, this->settings.timeout);
 }
 
 AvailabilityInterval
@@ -467,10 +507,12 @@
     return std::any_of(aDaemons.begin(), aDaemons.end(),
                        [&](const PeerAddress& aEach) { return aEach.key == aKey; });
   };
-  std::erase_if(this->acknowledgedVersions, [&](const auto& aReceiver) {
+  const auto isNoReceiver = [&](const auto& aReceiver) {
     return !contains(this->plan.groupMembers, aReceiver.first) &&
            !contains(this->plan.otherAggregators, aReceiver.first);
-  });
+  };
+  std::erase_if(this->acknowledgedVersions, isNoReceiver);
+  std::erase_if(this->replyDelays, isNoReceiver);
   std::erase_if(this->delays, [&](const auto& aSender) {
     return !contains(this->plan.allAggregators, aSender.first) &&
            !contains(this->plan.groupMembers, aSender.first);
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -43,7 +43,7 @@
 /// peer after the other for newer changes, as it may be the source, or the path to its aggregators, that is lost.
 ///
 /// Each snapshot has an age: it contains all that the source acknowledged longer ago than that. A message carries the
-/// age of its sender's snapshot, and the receiver adds the time in transit (DelayEstimator). A daemon whose snapshot
+/// age of its sender's snapshot, and the receiver adds an upper bound of the time in transit (DelayBoundOf()). A daemon whose snapshot
 /// exceeds its staleness limit reads the source directly; the highest ranks have the shortest limits. Messages that
 /// arrive in time but carry an old snapshot do not keep a daemon from reading directly.
 ///
@@ -149,10 +149,14 @@
   /// Starts the change log after the first full read.
   void StartChangeLog(LogPosition aEndVersion);
   [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason);
+  /// The longest time that a message can have been in transit. Without synchronized clocks a message alone shows how
+  /// much longer it took than others (DelayEstimator), which is too little where all are slow. Its sender therefore adds
+  /// by how much its clock is ahead of this daemon's at most, which replies of this daemon have shown: the bound is the
+  /// delay plus that of the fastest recent reply. As long as no reply has arrived, the timeout of a message is assumed.
+  [[nodiscard]] Milliseconds DelayBoundOf(PeerKey aSender, const EndpointUpdateHeader& aHeader,
+                                          std::int64_t aSentAt);
   /// When the source had answered the sender of a message, by this daemon's BootNow().
-  [[nodiscard]] AvailabilityInterval AnsweredSpanOf(PeerKey aSender,
-                                                    const EndpointUpdateMessage& aMessage);
-  /// The same, for a snapshot that contains all that the source had acknowledged before some time.
+  /// @param aAsOf  time before which the sender's snapshot contains everything
   [[nodiscard]] static AvailabilityInterval AnsweredSpanUntil(
     TimePoint aAsOf, const EndpointUpdateMessage& aMessage);
   /// Whether a message contains all records of a later epoch than that of this daemon's snapshot.
@@ -196,6 +200,9 @@
   void ApplyReply(PeerKey aSender, TimePoint aRequestedAt, std::string_view aBytes);
   void ApplyFirstSnapshot(PeerKey aSender, const EndpointUpdateMessage& aMessage,
                           const AvailabilityInterval& aSpan);
+  /// This daemon's BootNow(), as messages have it.
+  [[nodiscard]] std::int64_t NowInMessages() const;
+  [[nodiscard]] std::string EncodeHeaderFor(PeerKey aReceiver) const;
   /// Fills in what all messages say of this daemon's snapshot.
   [[nodiscard]] EndpointUpdateMessage MakeMessage();
   void Tick();
@@ -238,7 +245,8 @@
     answeredSpan; ///< BootNow() times at which the source answered any daemon; see EndpointDirectory.
   std::unordered_map<PeerKey, LogPosition>
     acknowledgedVersions; ///< Version below which each receiver's snapshot is complete.
-  std::unordered_map<PeerKey, DelayEstimator> delays; ///< By sender.
+  std::unordered_map<PeerKey, DelayEstimator> delays;      ///< Of updates, by sender.
+  std::unordered_map<PeerKey, DelayEstimator> replyDelays; ///< Of replies to updates, by receiver.
   Milliseconds longestStaleAge{ 0 }; ///< Greatest Age() while above staleAfter; zero otherwise.
   PeerViewPtr planView;              ///< The view that the plan was computed from.
   AggregationPlan plan;
--- a/Lagoonward/Daemon/EndpointUpdateMessages.h
+++ b/Lagoonward/Daemon/EndpointUpdateMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Daemon/EndpointChangeLog.h"
+#include "Lagoonward/Daemon/PeerMessages.h"
 #include "Lagoonward/Membership/PeerInfo.h"
 
 #include <cstdint>
@@ -16,6 +17,30 @@
   Deployment, ///< To all groups, if it is an aggregator and did not know this before.
 };
 
+/// Precedes an EndpointUpdateMessage that is sent as an update. The only part that differs from receiver to receiver.
+struct EndpointUpdateHeader
+{
+  /// Whether the sender has had a reply of the receiver.
+  bool hasClockDifference = false;
+  /// The sender's BootNow() minus the receiver's, in milliseconds, or more: by how much an own reply of the receiver was
+  /// delayed. With it the receiver has an upper bound of the delay of this message.
+  std::int64_t clockDifference = 0;
+
+  template<class Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(this->hasClockDifference, this->clockDifference);
+  }
+};
+
+/// Number of bytes of an encoded EndpointUpdateHeader, which does not depend on its values.
+[[nodiscard]] inline std::size_t
+EncodedSizeOfUpdateHeader()
+{
+  static const std::size_t size = EncodePeerMessage(EndpointUpdateHeader()).size();
+  return size;
+}
+
 /// State of the sender's snapshot, and the changes that the receiver has not acknowledged.
 struct EndpointUpdateMessage
 {
@@ -60,11 +85,12 @@
 {
   bool hasFullSnapshot = false; ///< Whether the receiver has completed a full read.
   LogPosition endVersion;       ///< Its snapshot is complete below this version.
+  std::int64_t repliedAt = 0;   ///< Milliseconds of the sender's BootNow().
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(this->hasFullSnapshot, this->endVersion);
+    aArchive(this->hasFullSnapshot, this->endVersion, this->repliedAt);
   }
 };
 
--- a/Lagoonward/Membership/DelayEstimator.cpp
+++ b/Lagoonward/Membership/DelayEstimator.cpp
@@ -23,8 +23,7 @@
     this->windowStart = aNow;
   }
   this->windowMinimum = std::min(this->windowMinimum, difference);
-  const Milliseconds baseDelay =
-    std::min(this->windowMinimum, this->previousMinimum.value_or(this->windowMinimum));
+  const Milliseconds baseDelay = *this->BaseDifference();
   if (difference - baseDelay > this->settings.implausibleDelay) {
     this->Restart(difference, aNow);
     return Milliseconds(0);
@@ -32,6 +31,15 @@
   return difference - baseDelay;
 }
 
+std::optional<Milliseconds>
+DelayEstimator::BaseDifference() const
+{
+  if (!this->hasSample) {
+    return std::nullopt;
+  }
+  return std::min(this->windowMinimum, this->previousMinimum.value_or(this->windowMinimum));
+}
+
 void
 DelayEstimator::Restart(Milliseconds aDifference, TimePoint aNow)
 {
--- a/Lagoonward/Membership/DelayEstimator.h
+++ b/Lagoonward/Membership/DelayEstimator.h
@@ -32,6 +32,10 @@
   /// @return delay beyond that of the fastest recent message; zero for the first message
   [[nodiscard]] Milliseconds OnMessage(Milliseconds aSentAt, TimePoint aNow);
 
+  /// Smallest recent difference between arrival time and send time: this host's clock minus the sender's, plus a delay
+  /// that is never negative. Nothing before the first message.
+  [[nodiscard]] std::optional<Milliseconds> BaseDifference() const;
+
 private:
   void Restart(Milliseconds aDifference, TimePoint aNow);
 
--- a/UnitTests/Daemon/EndpointReplicatorTests.cpp
+++ b/UnitTests/Daemon/EndpointReplicatorTests.cpp
@@ -144,7 +144,8 @@
     std::atomic<bool> answered{ false };
     sender.RunOnControlThread([&] {
       sender.membership.Transport().Request(
-        receiver, kEndpointUpdate, EncodePeerMessage(message), Seconds(5),
+        receiver, kEndpointUpdate,
+        EncodePeerMessage(EndpointUpdateHeader()) + EncodePeerMessage(message), Seconds(5),
         [&](const Result<std::string>& aAnswer) { answered = aAnswer.has_value(); });
     });
     BOOST_TEST(this->Eventually([&] { return answered.load(); }));
@@ -154,6 +155,52 @@
   }
 }
 
+// Guards against requests that reach endpoints that have left, on hosts or links that are short of time: where all
+// messages were slow, each counted as one without any delay, and snapshots were older than their age said.
+BOOST_AUTO_TEST_CASE(AgeIsNeverBelowTheTruthWhenAllUpdatesAreSlow)
+{
+  constexpr auto kEndpointUpdate = ToRequestType(PeerRequest::EndpointUpdate);
+  constexpr Milliseconds kDelay{ 500 };
+  Daemon& sender = *this->daemons[0];
+  Daemon& listener = *this->daemons[1];
+  const PeerAddress receiver{ Daemon::Identity(1, "a").self.Key(), "127.0.0.1",
+                              listener.membership.Transport().Port() };
+  const TimePoint readAt = this->clock.BootNow();
+  listener.CompleteFullRead({}, 5);
+  EndpointUpdateMessage message;
+  message.endVersion = 5;
+  message.reader = Daemon::Identity(0, "a").self.Key();
+  EndpointUpdateHeader header;
+  for (int update = 0; update < 3; ++update) {
+    // Its content is as of when it is said to be sent, and it takes this long to arrive
+    const TimePoint sentAt = this->clock.BootNow();
+    std::this_thread::sleep_for(kDelay);
+    message.sentAt = std::chrono::floor<Milliseconds>(sentAt.time_since_epoch()).count();
+    std::optional<EndpointUpdateReply> reply;
+    std::atomic<bool> answered{ false };
+    sender.RunOnControlThread([&] {
+      sender.membership.Transport().Request(
+        receiver, kEndpointUpdate, EncodePeerMessage(header) + EncodePeerMessage(message),
+        Seconds(5), [&](const Result<std::string>& aAnswer) {
+          reply = DecodePeerMessage<EndpointUpdateReply>(aAnswer.value());
+          answered = true;
+        });
+    });
+    BOOST_TEST(this->Eventually([&] { return answered.load(); }));
+    const TimePoint newestContent = std::max(readAt, sentAt);
+    const TimePoint before = this->clock.BootNow();
+    const Milliseconds age = listener.replicator.Age();
+    const TimePoint after = this->clock.BootNow();
+    BOOST_TEST((age >= before - newestContent - Milliseconds(1)));
+    // Nor far above it once there was a reply
+    BOOST_TEST((!header.hasClockDifference || age <= after - newestContent + kDelay));
+    // Both daemons of this test have the same clock
+    BOOST_REQUIRE(reply.has_value());
+    const auto now = std::chrono::ceil<Milliseconds>(this->clock.BootNow().time_since_epoch());
+    header = { true, now.count() - reply->repliedAt };
+  }
+}
+
 /// A daemon that was unreachable for longer than changes are retained has missed some.
 BOOST_AUTO_TEST_CASE(AnUpdateThatLeavesAGapDoesNotMakeASnapshotYounger)
 {
