--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -32,6 +32,7 @@
   , directory(aSettings.directory, aClock)
   , lapses(aSettings.lapseTime, aSettings.directory.shortestOutage)
   , guard(aSettings.guard, aClock)
+  , queryPause(aSettings.tickInterval)
   , changeLog(aSettings.changeRetention)
   , role(aSettings.reader, aClock)
 {
@@ -41,7 +42,7 @@
       aRespond(this->HandleUpdate(aSender, aBytes));
     });
   this->membership.Transport().OnRequest(
-    ToRequestType(PeerRequest::EndpointSnapshot),
+    ToRequestType(PeerRequest::EndpointQuery),
     [this](PeerKey, std::string_view aBytes, const PeerTransport::Responder& aRespond) {
       aRespond(this->AnswerQuery(aBytes));
     });
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -224,13 +224,13 @@
   EndpointDirectory directory;
   LapseDetector lapses;
   SnapshotGuard guard;
-  TimePoint sourceLostUntil =
-    TimePoint::min(); ///< BootNow() at the end of the last outage seen here.
   std::unordered_map<std::string, LogPosition> versions; ///< Newest known version by endpoint id.
-  /// Newest record that is no removal, by endpoint id, for EncodeSnapshot(). Pruned with `versions`.
+  /// Newest record that is no removal, by endpoint id, for AllRecords(). Pruned with `versions`.
   std::unordered_map<std::string, EndpointRecord> records;
   bool isSourceLost = false;
-  std::size_t queries = 0;     ///< Sent so far; each goes to another daemon.
+  std::size_t queries = 0; ///< Sent so far; each goes to another daemon.
+  TimePoint nextQueryAt = TimePoint::min();
+  Milliseconds queryPause;     ///< After the next query; doubles while they bring nothing.
   bool isQueryPending = false; ///< The last one has had neither a reply nor its timeout.
   EndpointChangeLog changeLog; ///< Recent changes to send.
   std::optional<LogPosition>
--- a/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
@@ -16,18 +16,27 @@
 const Log kLog("endpoints");
 
 /// Request type of an EndpointQuery, which is answered by an EndpointUpdateMessage.
-constexpr auto kEndpointQuery = ToRequestType(PeerRequest::EndpointSnapshot);
+constexpr auto kEndpointQuery = ToRequestType(PeerRequest::EndpointQuery);
 
 } // namespace
 
 void
 EndpointReplicator::QueryPeer()
 {
-  const PeerViewPtr view = this->membership.Peers();
   const bool isNeeded = this->endVersion ? !this->IsCurrent() : this->isSourceLost;
-  if (!isNeeded || this->isQueryPending || view->peers.empty()) {
+  if (!isNeeded) {
+    this->queryPause = this->settings.tickInterval;
+  }
+  const TimePoint now = this->clock.Now();
+  const PeerViewPtr view = this->membership.Peers();
+  if (!isNeeded || now < this->nextQueryAt || this->isQueryPending || view->peers.empty()) {
     return;
   }
+  this->nextQueryAt = now + this->queryPause;
+  // If nobody reaches the source, all ask
+  if (this->endVersion) {
+    this->queryPause = std::min(2 * this->queryPause, this->settings.maximumDirectReadInterval);
+  }
   // Daemons that need it at the same time ask different ones, and one that knows no more is asked once a round
   const std::size_t index =
     (static_cast<std::size_t>(this->self.Key()) + this->queries++) % view->peers.size();
--- a/Lagoonward/Daemon/PeerRequestTypes.h
+++ b/Lagoonward/Daemon/PeerRequestTypes.h
@@ -13,7 +13,6 @@
   ReadAnswer = 0,
   Demand = 1,
   LoadOfMember = 3,
-  EndpointUpdate = 4,
   LoadOfGroup = 5,
   LimitTokens = 6,
   CrashReport = 7,
@@ -24,9 +23,10 @@
   StreamOriginQuery = 12,
   EndpointPlace = 13,
   PartCrashReport = 14,
-  EndpointSnapshot = 15,
   PoolSlot = 16,
   LimitContinuation = 17,
+  EndpointUpdate = 18,
+  EndpointQuery = 19,
 };
 
 /// The number of the request on the wire.
