--- a/UnitTests/Relay/RelayEarlyResponseTests.cpp
+++ b/UnitTests/Relay/RelayEarlyResponseTests.cpp
@@ -95,6 +95,30 @@
   }
 }
 
+/// The same on a connection that has carried a whole response before.
+BOOST_AUTO_TEST_CASE(ResponseThatBreaksOffOnAReusedConnectionIsNoAnswer)
+{
+  for (const EarlyResponse& early : kIncomplete) {
+    const auto requests = std::make_shared<std::atomic<int>>(0);
+    const ScriptedServer server(
+      [early, requests](const std::string&) {
+        return (*requests)++ == 0 ? Send(MakeResponse("first"))
+                                  : Respond(early, Milliseconds(20))(std::string());
+      },
+      0, ScriptedServer::Start::Head);
+    RelayFixture relay({ &server });
+    std::atomic<bool> wasReused{ false };
+    relay.observer.onAttemptFailed = [&](const FailedAttempt& aFailed) {
+      wasReused = aFailed.response.onReusedConnection;
+    };
+    BOOST_REQUIRE(relay.SendRequest(RelayKind::NonIdempotent).reply.has_value());
+    const Received received =
+      relay.SendRequestWithBody(std::string(kUploadBytes, 'b'), RelayKind::NonIdempotent);
+    BOOST_TEST(!received.reply.has_value(), early.name);
+    BOOST_TEST(wasReused.load(), early.name);
+  }
+}
+
 /// The head of a rejection is enough, also where its body states no length.
 BOOST_AUTO_TEST_CASE(EarlyRejectionWithoutALengthIsRepeated)
 {
