--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -14,6 +14,7 @@
 constexpr std::string_view kProtocol = "HTTP/";
 constexpr std::string_view kBlanks = " \t";
 constexpr std::size_t kStatusDigits = 3;
+constexpr std::size_t kMaximumLengthDigits = 18; ///< Of a Content-Length; fits into 64 bits.
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstStatus = 100;
 constexpr int kFirstFinalStatus = 200;
@@ -56,6 +57,28 @@
   return name.substr(0, name.find_last_not_of(kBlanks) + 1);
 }
 
+/// The part of a header line behind its colon, without white space around it.
+std::string_view
+FieldValueOf(std::string_view aLine)
+{
+  const std::string_view value = aLine.substr(aLine.find(':') + 1);
+  const std::size_t begin = std::min(value.find_first_not_of(kBlanks), value.size());
+  return value.substr(begin, value.find_last_not_of(kBlanks) + 1 - begin);
+}
+
+bool
+IsContentLength(std::string_view aName)
+{
+  return boost::algorithm::iequals(aName, "Content-Length");
+}
+
+/// Whether a header of that name says where the body ends.
+bool
+IsFramingHeader(std::string_view aName)
+{
+  return IsContentLength(aName) || boost::algorithm::iequals(aName, "Transfer-Encoding");
+}
+
 /// Whether the text is `HTTP/` and a version as RFC 9112 (section 2.3) has it, or one without a minor number.
 bool
 IsVersion(std::string_view aText)
@@ -172,6 +195,8 @@
   this->isInterim = *status < kFirstFinalStatus;
   this->isDelimited = *status == kNoContent || *status == kNotModified;
   this->expected = Expected::Header;
+  this->isInFraming = false;
+  this->contentLength.clear();
   return true;
 }
 
@@ -186,13 +211,37 @@
   }
   const bool continuesLine = aLine.front() == ' ' || aLine.front() == '\t';
   if (continuesLine) {
-    return true;
+    return !this->isInFraming || this->Reject("folded length or transfer coding", aLine);
   }
   const std::string_view name = FieldNameOf(aLine);
-  this->isDelimited = this->isDelimited || boost::algorithm::iequals(name, "Content-Length") ||
-                      boost::algorithm::iequals(name, "Transfer-Encoding");
-  const bool isNamed = !name.empty() && std::all_of(name.begin(), name.end(), IsNameCharacter);
-  return isNamed || this->Reject("malformed header line", aLine);
+  if (name.empty() || !std::all_of(name.begin(), name.end(), IsNameCharacter)) {
+    return this->Reject("malformed header line", aLine);
+  }
+  this->isInFraming = this->expected == Expected::Header && IsFramingHeader(name);
+  return !this->isInFraming || this->AcceptFraming(aLine, name);
+}
+
+bool
+ResponseHeadCheck::AcceptFraming(std::string_view aLine, std::string_view aName)
+{
+  this->isDelimited = true;
+  if (aLine[aName.size()] != ':') {
+    return this->Reject("length or transfer coding with a blank before its colon", aLine);
+  }
+  if (!IsContentLength(aName)) {
+    return true;
+  }
+  const std::string_view value = FieldValueOf(aLine);
+  const bool isNumber = !value.empty() && value.size() <= kMaximumLengthDigits &&
+                        std::all_of(value.begin(), value.end(), IsDigit);
+  if (!isNumber) {
+    return this->Reject("malformed length", aLine);
+  }
+  if (!this->contentLength.empty() && this->contentLength != value) {
+    return this->Reject("second, other length", aLine);
+  }
+  this->contentLength = value;
+  return true;
 }
 
 bool
--- a/Lagoonward/Wire/ResponseHeadCheck.h
+++ b/Lagoonward/Wire/ResponseHeadCheck.h
@@ -8,6 +8,8 @@
 /// Checks line by line that the head of an HTTP/1 response is that of one response. A server may send the beginning of an
 /// extra response before the one that is due; if it ends within a line, that line holds the start of the due response as
 /// well. libcurl accepts such a line, and would report the status of one response with the body of the other.
+/// Nor is a head accepted that says more than one thing about where its body ends (RFC 9112, section 6.3), as libcurl picks
+/// one of them.
 /// Covers interim (1xx) responses before the final one, and trailers. Not thread-safe.
 class ResponseHeadCheck
 {
@@ -35,11 +37,16 @@
 
   [[nodiscard]] bool AcceptStatusLine(std::string_view aLine);
   [[nodiscard]] bool AcceptHeader(std::string_view aLine);
+  /// Accepts a header that says where the body ends.
+  /// @param aName  of the header, the beginning of the line
+  [[nodiscard]] bool AcceptFraming(std::string_view aLine, std::string_view aName);
   bool Reject(std::string_view aReason, std::string_view aLine);
 
   Expected expected = Expected::StatusLine;
   bool isInterim = false; ///< The status line was that of an interim response.
   bool isDelimited = false;
+  bool isInFraming = false;  ///< The last header line says where the body ends.
+  std::string contentLength; ///< Of the current head; empty if it has none.
   std::string fault;
 };
 
--- a/UnitTests/Wire/ResponseHeadCheckTests.cpp
+++ b/UnitTests/Wire/ResponseHeadCheckTests.cpp
@@ -76,6 +76,28 @@
   }
 }
 
+// Guards against bodies that end at a place of which sender and receiver think differently: libcurl takes the last or the
+// readable part of contradictory lengths, and ignores a transfer coding that it can't read.
+BOOST_AUTO_TEST_CASE(ContradictoryFramingIsRejected)
+{
+  const std::string ok = "HTTP/1.1 200 OK";
+  for (const std::string value :
+       { "3, 8", "3x", "-3", "+3", "", "3 3", "0x3", "99999999999999999999" }) {
+    BOOST_TEST(!IsAccepted({ ok, "Content-Length: " + value }), value);
+  }
+  BOOST_TEST(!IsAccepted({ ok, "Content-Length: 3", "content-length: 8" }));
+  BOOST_TEST(!IsAccepted({ ok, "Content-Length : 3" }));
+  BOOST_TEST(!IsAccepted({ ok, "Transfer-Encoding : chunked" }));
+  BOOST_TEST(!IsAccepted({ ok, "Transfer-Encoding:", " chunked" }));
+  BOOST_TEST(!IsAccepted({ ok, "Content-Length: 3", " 8" }));
+  BOOST_TEST(IsAccepted({ ok, "Content-Length:3\t", "Content-Length: 3", "" }));
+  BOOST_TEST(IsAccepted({ ok, "Transfer-Encoding: chunked", "Other : a", " b", "" }));
+  // Of a head each, and not of trailers
+  BOOST_TEST(
+    IsAccepted({ "HTTP/1.1 103 Early", "Content-Length: 1", "", ok, "Content-Length: 2", "" }));
+  BOOST_TEST(IsAccepted({ ok, "Transfer-Encoding: chunked", "", "Content-Length: x" }));
+}
+
 BOOST_AUTO_TEST_CASE(OnlyHeadersOfTheFinalResponseDelimitIt)
 {
   const auto isDelimited = [](const Lines& aLines) {
