--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -43,9 +43,9 @@
 /// peer after the other for newer changes, as it may be the source, or the path to its aggregators, that is lost.
 ///
 /// Each snapshot has an age: it contains all that the source acknowledged longer ago than that. A message carries the
-/// age of its sender's snapshot, and the receiver adds an upper bound of the time in transit (DelayBoundOf()). A daemon whose snapshot
-/// exceeds its staleness limit reads the source directly; the highest ranks have the shortest limits. Messages that
-/// arrive in time but carry an old snapshot do not keep a daemon from reading directly.
+/// age of its sender's snapshot, and the receiver adds an upper bound of the time in transit (DelayBoundOf()). A daemon
+/// whose snapshot exceeds its staleness limit reads the source directly; the highest ranks have the shortest limits.
+/// Messages that arrive in time but carry an old snapshot do not keep a daemon from reading directly.
 ///
 /// A snapshot is complete up to a version of the source, and a message contains the changes from a version on: the
 /// receiver acknowledges the version up to which its snapshot is complete, and is sent the changes from there on. A
