--- a/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
@@ -65,7 +65,10 @@
 {
   const auto query = DecodePeerMessage<EndpointQuery>(aBytes);
   const bool hasVersion = query && query->hasFullSnapshot;
-  if (!this->HasSnapshot() || (hasVersion && this->Age().count() >= query->age)) {
+  // While the query was on its way both snapshots grew older, so the versions count, too
+  const bool knowsMore =
+    !hasVersion || (this->HasSnapshot() && *this->endVersion > query->endVersion);
+  if (!this->HasSnapshot() || (!knowsMore && this->Age().count() >= query->age)) {
     return {};
   }
   this->changeLog.DropExpired(this->clock.BootNow());
@@ -111,7 +114,8 @@
     AnsweredSpanUntil(aRequestedAt - Milliseconds(message->age), *message);
   if (!this->endVersion && message->isComplete) {
     this->ApplyFirstSnapshot(aSender, *message, span);
-  } else if (this->endVersion && span.until > this->asOf.load()) {
+  } else if (this->endVersion) {
+    // Its entries may be new even if the round trip took too long to show that the snapshot is younger
     this->ApplyUpdate(aSender, *message, span);
   }
 }
--- a/UnitTests/Daemon/EndpointReaderLossTests.cpp
+++ b/UnitTests/Daemon/EndpointReaderLossTests.cpp
@@ -134,6 +134,22 @@
   BOOST_TEST(this->Eventually([this] { return this->CountLive() == 0U; }));
 }
 
+// Guards against the same on a busy machine: a query or its reply takes longer than the two snapshots differ in age, so the
+// newer one is not shown to be younger.
+BOOST_AUTO_TEST_CASE(PeersThatKnowMoreAnswerAlthoughTheirSnapshotsAreNotYounger)
+{
+  for (const auto& daemon : this->daemons) {
+    this->CutOff(*daemon);
+  }
+  Daemon& started = this->AddNonAggregator();
+  this->Write("leaving");
+  started.RunOnControlThread([&] {
+    started.replicator.OnFullRead(this->records, this->End());
+    started.replicator.OnReadCompleted(this->clock.BootNow() - kWaitLimit, this->End());
+  });
+  BOOST_TEST(this->Eventually([this] { return this->CountLive() == 0U; }));
+}
+
 // Guards against a standby reader that reads at its staleness limit instead of the readers' interval, as each of its own
 // reads made it take the silent primary reader for alive.
 BOOST_AUTO_TEST_CASE(AggregatorKeepsReadingForAllWhileNoHigherRankSuppliesIt)
