--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -66,17 +66,24 @@
   return value.substr(begin, value.find_last_not_of(kBlanks) + 1 - begin);
 }
 
+/// Compares the lengths first, as most header lines are others, and a comparison of letters looks up the locale.
+bool
+IsNamed(std::string_view aName, std::string_view aExpected)
+{
+  return aName.size() == aExpected.size() && boost::algorithm::iequals(aName, aExpected);
+}
+
 bool
 IsContentLength(std::string_view aName)
 {
-  return boost::algorithm::iequals(aName, "Content-Length");
+  return IsNamed(aName, "Content-Length");
 }
 
 /// Whether a header of that name says where the body ends.
 bool
 IsFramingHeader(std::string_view aName)
 {
-  return IsContentLength(aName) || boost::algorithm::iequals(aName, "Transfer-Encoding");
+  return IsContentLength(aName) || IsNamed(aName, "Transfer-Encoding");
 }
 
 /// Whether the text is `HTTP/` and a version as RFC 9112 (section 2.3) has it, or one without a minor number.
