--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -45,6 +45,11 @@
                .Name("lagoonward_relay_attempts_total")
                .Help("Attempts at endpoints by service and outcome.")
                .Register(this->registry))
+  , streamEnds(prometheus::BuildCounter()
+                 .Name("lagoonward_relay_stream_ends_total")
+                 .Help("Streams by what marks the end of the endpoint's body, what is known of "
+                       "the last call to move them, and whether the caller got them as complete.")
+                 .Register(this->registry))
   , resumptions(prometheus::BuildCounter()
                   .Name("lagoonward_relay_resumptions_total")
                   .Help("Streams that callers took up, by service and outcome.")
@@ -264,17 +269,21 @@
 }
 
 void
-RelayReporter::OnMoved(const RelayCall& aCall, std::string_view aFrom, std::string_view aTo,
-                       bool aMoved, std::string_view aReason)
+RelayReporter::OnMoved(const RelayCall& aCall, const MoveReport& aMove)
 {
+  const bool isMoved = aMove.outcome == MoveKnowledge::Moved;
   this->attempts
-    .Add({ { "service", aCall.service }, { "outcome", aMoved ? "moved" : "not_moved" } })
+    .Add({ { "service", aCall.service }, { "outcome", isMoved ? "moved" : "not_moved" } })
     .Increment();
   kLog.Event("move", { { "request", aCall.id },
-                       { "from", aFrom },
-                       { "to", aTo },
-                       { "moved", aMoved },
-                       { "reason", aReason },
+                       { "from", aMove.source },
+                       { "to", aMove.target },
+                       { "moved", isMoved },
+                       { "outcome", ToString(aMove.outcome) },
+                       { "reason", aMove.reason },
+                       { "last_event", aMove.lastEventId },
+                       { "stream_ended", aMove.streamHasEnded },
+                       { "body_end", ToString(aMove.bodyEnd) },
                        { "age_ms", this->AgeOf(aCall) } });
 }
 
@@ -283,6 +292,13 @@
 {
   this->ended.Add({ { "route", aCall.route->name }, { "status", std::to_string(aEnd.status) } })
     .Increment();
+  if (!aEnd.lastEventId.empty()) {
+    this->streamEnds
+      .Add({ { "body_end", std::string(ToString(aEnd.response.bodyEnd)) },
+             { "move", std::string(ToString(aEnd.move)) },
+             { "whole", aEnd.succeeded ? "1" : "0" } })
+      .Increment();
+  }
   kLog.Event("ended", { { "request", aCall.id },
                         { "status", aEnd.status },
                         { "whole", aEnd.succeeded },
@@ -291,6 +307,9 @@
                         { "reason", aEnd.reason },
                         { "status_line", aEnd.response.statusLine },
                         { "reused", aEnd.response.onReusedConnection },
+                        { "body_end", ToString(aEnd.response.bodyEnd) },
+                        { "last_event", aEnd.lastEventId },
+                        { "move", ToString(aEnd.move) },
                         { "age_ms", this->AgeOf(aCall) } });
 }
 
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -75,8 +75,7 @@
                     std::string_view aSoftwareVersion) override;
   void OnStarted(const RelayCall& aCall) override;
   void OnAttemptFailed(const RelayCall& aCall, const FailedAttempt& aFailed) override;
-  void OnMoved(const RelayCall& aCall, std::string_view aFrom, std::string_view aTo, bool aMoved,
-               std::string_view aReason) override;
+  void OnMoved(const RelayCall& aCall, const MoveReport& aMove) override;
   void OnEnded(const RelayCall& aCall, const RelayResult& aEnd) override;
 
 private:
@@ -92,6 +91,7 @@
   prometheus::Registry registry;
   prometheus::Family<prometheus::Counter>& ended;
   prometheus::Family<prometheus::Counter>& attempts;
+  prometheus::Family<prometheus::Counter>& streamEnds;
   prometheus::Family<prometheus::Counter>& resumptions;
   prometheus::Family<prometheus::Histogram>& firstByte;
   prometheus::Family<prometheus::Counter>& slotRequests;
--- a/Lagoonward/Relay/AttemptResult.h
+++ b/Lagoonward/Relay/AttemptResult.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Wire/HttpExchange.h"
+#include "Lagoonward/Wire/HttpTransfer.h"
 
 #include <string>
 #include <string_view>
@@ -55,6 +56,7 @@
   std::string statusLine; ///< As received, perhaps shortened; empty if there was none.
   /// The connection had carried another response before, so that bytes of a late one may precede this one.
   bool onReusedConnection = false;
+  BodyEnd bodyEnd = BodyEnd::None; ///< What marks the end of the body.
 };
 
 /// Result of one attempt.
--- a/Lagoonward/Relay/RelayAttempt.cpp
+++ b/Lagoonward/Relay/RelayAttempt.cpp
@@ -251,6 +251,7 @@
     return end;
   }
   end.response.onReusedConnection = !aEnd.isFirstOnConnection;
+  end.response.bodyEnd = aEnd.bodyEnd;
   const bool isRead =
     aEnd.outcome == TransferOutcome::Complete || aEnd.outcome == TransferOutcome::Stopped;
   // The head is enough to show that it has not run
--- a/Lagoonward/Relay/RelayObserver.h
+++ b/Lagoonward/Relay/RelayObserver.h
@@ -12,16 +12,33 @@
 
 namespace lagoonward {
 
+/// What is known of the last call to move a stream when the stream has ended.
+enum class MoveKnowledge
+{
+  None,       ///< None was made.
+  NoReply,    ///< Not answered yet.
+  Moved,      ///< The stream went on elsewhere.
+  NotStopped, ///< The reply says that the call did not stop the run.
+  Stopped,    ///< The reply says that the call stopped the run, which did not go on elsewhere.
+  Unknown,    ///< The call failed, or its reply says nothing of the run.
+};
+
+/// Name for logs and metrics, for example "no_reply".
+[[nodiscard]] std::string_view
+ToString(MoveKnowledge aMove);
+
 /// Result of a relayed request.
 struct RelayResult
 {
   /// HTTP status sent to the caller; zero if the caller had disconnected or the stream was aborted.
   int status = 0;
-  bool succeeded = false; ///< The caller got a complete success response.
-  int sends = 0;          ///< Attempts that may have reached an endpoint.
-  std::string reason;     ///< Why the request did not succeed; empty on success.
-  std::string endpoint;   ///< Id of the last endpoint used; empty for none.
-  ResponseTrace response; ///< Of the last attempt; empty if it was cancelled.
+  bool succeeded = false;  ///< The caller got a complete success response.
+  int sends = 0;           ///< Attempts that may have reached an endpoint.
+  std::string reason;      ///< Why the request did not succeed; empty on success.
+  std::string endpoint;    ///< Id of the last endpoint used; empty for none.
+  ResponseTrace response;  ///< Of the last attempt; empty if it was cancelled.
+  std::string lastEventId; ///< Of the stream's events that the caller was sent; empty for none.
+  MoveKnowledge move = MoveKnowledge::None;
 };
 
 /// Description of a send to an endpoint.
@@ -48,6 +65,18 @@
   ResponseTrace response = {};
 };
 
+/// Description of a call that was to move a stream.
+struct MoveReport
+{
+  std::string_view source; ///< Id of the endpoint that ran the stream.
+  std::string_view target;
+  MoveKnowledge outcome = MoveKnowledge::Unknown;
+  std::string_view reason;      ///< Status of the reply, or why there is none.
+  std::string_view lastEventId; ///< Last event that has arrived from the source.
+  bool streamHasEnded = false;  ///< The connection of the stream was closed before the reply came.
+  BodyEnd bodyEnd = BodyEnd::None; ///< What marks the end of that stream; known once it has ended.
+};
+
 /// What becomes of a stream that its caller takes up.
 enum class ResumptionOutcome
 {
@@ -74,10 +103,8 @@
   /// An endpoint has begun to respond for the first time, so the request is running.
   virtual void OnStarted(const RelayCall& aCall) = 0;
   virtual void OnAttemptFailed(const RelayCall& aCall, const FailedAttempt& aFailed) = 0;
-  /// A stream was moved from a leaving endpoint, or the move failed.
-  /// @param aReason  why the move failed
-  virtual void OnMoved(const RelayCall& aCall, std::string_view aFrom, std::string_view aTo,
-                       bool aMoved, std::string_view aReason) = 0;
+  /// A call to move a stream off a leaving endpoint has ended.
+  virtual void OnMoved(const RelayCall& aCall, const MoveReport& aMove) = 0;
   virtual void OnEnded(const RelayCall& aCall, const RelayResult& aEnd) = 0;
 };
 
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -452,6 +452,8 @@
   this->streamMemory.reset();
   RelayResult result = aEnd;
   result.response = this->lastResponse;
+  result.lastEventId = this->streaming ? this->lastEventId : std::string();
+  result.move = this->lastMove;
   this->context.observer.OnEnded(this->call, result);
   this->context.loop.Post(std::move(this->handlers.onEnded));
 }
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -287,10 +287,11 @@
   TimePoint endpointWaitSince; ///< Since when the request may have waited for an endpoint.
   bool ended = false;
 
-  std::unique_ptr<RelayMove> move;            ///< Null while no move is in progress.
-  std::optional<RouteChoice> moveDestination; ///< Destination of the move.
-  PlaceHold movePlace;                        ///< At the destination, if it is brittle.
-  std::string lastMoveSource;                 ///< Last endpoint from which a move was tried.
+  std::unique_ptr<RelayMove> move;              ///< Null while no move is in progress.
+  std::optional<RouteChoice> moveDestination;   ///< Destination of the move.
+  PlaceHold movePlace;                          ///< At the destination, if it is brittle.
+  std::string lastMoveSource;                   ///< Last endpoint from which a move was tried.
+  MoveKnowledge lastMove = MoveKnowledge::None; ///< Of the call to move it from there.
   std::string copiedState; ///< Handle of the state from which the next attempt continues.
   /// Result of the attempt at the source if it ended during the move.
   std::optional<AttemptResult> endDuringMove;
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -105,6 +105,7 @@
   this->move =
     std::make_unique<RelayMove>(this->context.loop, this->context.dialect,
                                 [this](const MoveResult& aEnd) { this->OnMoveFinished(aEnd); });
+  this->lastMove = MoveKnowledge::NoReply;
   this->move->Start(this->call, fmt::format("{}:{}", source->address, source->port),
                     fmt::format("{}:{}", target->address, target->port),
                     this->context.settings.moveTimeout);
@@ -115,7 +116,11 @@
 {
   const std::unique_ptr<RelayMove> finished = std::move(this->move);
   const std::string target = this->moveDestination->Target().id;
-  this->context.observer.OnMoved(this->call, this->lastMoveSource, target, aEnd.moved, aEnd.reason);
+  this->lastMove = aEnd.moved ? MoveKnowledge::Moved : MoveKnowledge::Unknown;
+  MoveReport report{ this->lastMoveSource, target, this->lastMove, aEnd.reason, this->lastEventId };
+  report.streamHasEnded = this->endDuringMove.has_value();
+  report.bodyEnd = this->endDuringMove ? this->endDuringMove->response.bodyEnd : BodyEnd::None;
+  this->context.observer.OnMoved(this->call, report);
   PlaceHold destinationPlace = std::move(this->movePlace);
   if (!aEnd.moved) {
     // The run continues at the source, or has stopped there and counts as a failed attempt
--- a/Lagoonward/Wire/CurlTransfer.cpp
+++ b/Lagoonward/Wire/CurlTransfer.cpp
@@ -243,6 +243,9 @@
                          aResult == CURLE_UNSUPPORTED_PROTOCOL;
   end.isFirstOnConnection = this->IsFirstOnConnection();
   end.isConnectionRefused = aResult == CURLE_COULDNT_CONNECT;
+  if (this->headComplete) {
+    end.bodyEnd = this->headCheck.IsDelimited() ? BodyEnd::Stated : BodyEnd::Connection;
+  }
   if (this->isStopped) {
     end.outcome = TransferOutcome::Stopped;
     end.message = this->StopReason();
--- a/Lagoonward/Wire/HttpTransfer.h
+++ b/Lagoonward/Wire/HttpTransfer.h
@@ -65,6 +65,18 @@
   Stopped,
 };
 
+/// What marks the end of a response's body (RFC 9112, section 6.3).
+enum class BodyEnd
+{
+  None, ///< There was no complete head.
+  Stated, ///< A length, chunks, or a status that has no body: what was closed before it is incomplete.
+  Connection, ///< The end of the connection alone: a part looks like the whole body if the server stops early.
+};
+
+/// Name for logs and metrics, for example "connection".
+[[nodiscard]] std::string_view
+ToString(BodyEnd aEnd);
+
 /// What is known of a response once its head is complete.
 struct TransferHead
 {
@@ -84,6 +96,8 @@
     false; ///< The connection attempt failed immediately: nothing listens there.
   /// The response ended with its connection before the request was sent, so whether it is complete cannot be known.
   bool isLengthUnknown = false;
+  BodyEnd bodyEnd =
+    BodyEnd::None; ///< What marks the end of the response's body, whether or not it was reached.
   /// As in TransferHead; also known if the head never was complete. Of no meaning for NotSent.
   bool isFirstOnConnection = false;
   std::string message; ///< Error text for logs.
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -188,10 +188,9 @@
       this->onAttemptFailed(aFailed);
     }
   }
-  void OnMoved(const RelayCall&, std::string_view, std::string_view, bool aMoved,
-               std::string_view) override
+  void OnMoved(const RelayCall&, const MoveReport& aMove) override
   {
-    this->moved += aMoved ? 1 : 0;
+    this->moved += aMove.outcome == MoveKnowledge::Moved ? 1 : 0;
   }
   void OnEnded(const RelayCall&, const RelayResult& aEnd) override
   {
--- a/UnitTests/Support/ScriptedServer.cpp
+++ b/UnitTests/Support/ScriptedServer.cpp
@@ -146,6 +146,14 @@
           }
         }
         break;
+      case ScriptStep::Kind::Await:
+        while (!step.condition() && !this->stopping) {
+          if (IsClosed(aSocket, Milliseconds(kPollIntervalMilliseconds))) {
+            ++this->abandoned;
+            return false;
+          }
+        }
+        break;
       case ScriptStep::Kind::Close:
         ::shutdown(aSocket, SHUT_RDWR);
         return false;
--- a/UnitTests/Support/ScriptedServer.h
+++ b/UnitTests/Support/ScriptedServer.h
@@ -20,6 +20,7 @@
   {
     Send,   ///< Sends the bytes.
     Wait,   ///< Waits for the span, or until the other end closes; then the script is abandoned.
+    Await,  ///< Waits until the condition holds, or as above.
     Close,  ///< Closes the connection with FIN.
     Finish, ///< Sends FIN, and goes on receiving until the other end closes.
     Reset,  ///< Closes the connection with RST.
@@ -29,6 +30,7 @@
   Kind kind = Kind::Send;
   std::string bytes;
   Milliseconds span{ 0 };
+  std::function<bool()> condition = {}; ///< Called on the connection's thread, repeatedly.
 };
 
 using Script = std::vector<ScriptStep>;
