--- /dev/null
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -0,0 +1,274 @@
+#include "UnitTests/Relay/RelayFixture.h"
+
+// A call to move a stream stops the run at its endpoint, which closes the stream without its end. Where the stream has
+// neither a length nor chunks, that looks like the end of a complete one.
+
+namespace lagoonward::testing {
+
+namespace {
+
+/// What marks the end of the streams that an endpoint sends.
+enum class Framing
+{
+  Connection,
+  Chunks,
+};
+
+std::ostream&
+operator<<(std::ostream& aStream, Framing aFraming)
+{
+  return aStream << (aFraming == Framing::Chunks ? "chunks" : "connection");
+}
+
+constexpr Framing kFramings[] = { Framing::Connection, Framing::Chunks };
+
+const std::string kHandle = "h-1";
+
+std::string
+MakeEvent(int aNumber)
+{
+  return fmt::format("id: {}\ndata: {}\n\n", aNumber, aNumber);
+}
+
+std::string
+MakeEvents(int aFirst, int aLast)
+{
+  std::string events;
+  for (int number = aFirst; number <= aLast; ++number) {
+    events += MakeEvent(number);
+  }
+  return events;
+}
+
+/// Two endpoints that serve one stream of four events. The one that runs it is leaving once it has sent the first, and
+/// stops the run after the second event when it is called to move it.
+class MovedStream
+{
+public:
+  static constexpr int kEvents = 4;
+
+  explicit MovedStream(Framing aFraming)
+    : framing(aFraming)
+    , left([this](const std::string& aRequest) { return this->Answer(aRequest, this->left); })
+    , right([this](const std::string& aRequest) { return this->Answer(aRequest, this->right); })
+    , relay({ &this->left, &this->right })
+  {
+  }
+
+  /// Runs the stream until the caller has what it gets.
+  Received Run()
+  {
+    this->relay.Submit(this->caller, RelayKind::Stream, false, Seconds(5));
+    while (!this->caller.HasEvents()) {
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
+    this->relay.MarkLeaving(this->source.load()->Port());
+    return this->caller.Wait();
+  }
+
+  /// Reply to the call, some time after the stream was closed.
+  Script moveReply;
+  /// What the endpoint does with the stream once it has received the call; see the default.
+  std::function<Script()> onCall = [this] {
+    return Script{ { Kind::Send, this->Frame(MakeEvent(2)) }, { Kind::Close } };
+  };
+  /// Whether an endpoint other than the source rejects the stream that is to go on there.
+  bool destinationRejects = false;
+
+  std::atomic<int> begun{ 0 };                 ///< Runs.
+  std::atomic<int> calls{ 0 };                 ///< To move the stream.
+  std::atomic<const ScriptedServer*> source{}; ///< Where the run began.
+  std::atomic<const ScriptedServer*>
+    continuedAt{};                      ///< Null if the stream did not go on from a copy.
+  std::atomic<int> continuedAfter{ 0 }; ///< Number of the event.
+
+  [[nodiscard]] std::string Frame(const std::string& aBytes) const
+  {
+    return this->framing == Framing::Chunks ? Chunk(aBytes) : aBytes;
+  }
+
+  /// The end of a complete stream.
+  [[nodiscard]] Script End() const
+  {
+    return { { Kind::Send, this->framing == Framing::Chunks ? "0\r\n\r\n" : "" }, { Kind::Close } };
+  }
+
+  TestCaller caller;
+
+private:
+  [[nodiscard]] Script Answer(const std::string& aRequest, const ScriptedServer& aServer)
+  {
+    if (aRequest.starts_with("POST /move ")) {
+      return this->AnswerCall();
+    }
+    if (aRequest.find(fmt::format("/{}\r\n", kHandle)) != std::string::npos) {
+      return this->Continue(aRequest, aServer);
+    }
+    ++this->begun;
+    this->source = &aServer;
+    Script script{ { Kind::Send, this->Head() + this->Frame(MakeEvent(1)) },
+                   { Kind::Await, {}, {}, [this] { return this->calls > 0; } } };
+    for (ScriptStep& step : this->onCall()) {
+      if (step.kind == Kind::Close) {
+        script.push_back({ Kind::Await, {}, {}, [this] { return this->isClosing = true; } });
+      }
+      script.push_back(std::move(step));
+    }
+    return script;
+  }
+
+  [[nodiscard]] Script AnswerCall()
+  {
+    ++this->calls;
+    // Longer than the daemon takes to handle the end of the stream
+    Script script{ { Kind::Await, {}, {}, [this] { return this->isClosing.load(); } },
+                   { Kind::Wait, {}, Milliseconds(100) } };
+    script.insert(script.end(), this->moveReply.begin(), this->moveReply.end());
+    return script;
+  }
+
+  [[nodiscard]] Script Continue(const std::string& aRequest, const ScriptedServer& aServer)
+  {
+    if (this->destinationRejects && &aServer != this->source) {
+      return Send(
+        MakeResponse("", "503 Service Unavailable", "Id: r1\r\nMark: m\r\nNot-Run: 1\r\n"));
+    }
+    const std::string name = "After: ";
+    this->continuedAfter = std::stoi(aRequest.substr(aRequest.find(name) + name.size()));
+    this->continuedAt = &aServer;
+    Script script = Send(this->Head() + this->Frame(MakeEvents(this->continuedAfter + 1, kEvents)));
+    const Script end = this->End();
+    script.insert(script.end(), end.begin(), end.end());
+    return script;
+  }
+
+  [[nodiscard]] std::string Head() const
+  {
+    return this->framing == Framing::Chunks
+             ? kStreamHead
+             : "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\nContent-Type: text/event-stream\r\n\r\n";
+  }
+
+  Framing framing;
+  std::atomic<bool> isClosing{ false }; ///< The source is about to close the stream.
+  ScriptedServer left;
+  ScriptedServer right;
+  RelayFixture relay;
+};
+
+Script
+Reply(const std::string& aStatus, const std::string& aBody)
+{
+  return Send(
+    fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", aStatus, aBody.size(), aBody));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RelayMoveEndTests)
+
+// Guards against a part of a stream that callers get as complete: our call stopped the run, and its reply did not say so.
+BOOST_AUTO_TEST_CASE(StreamThatMayHaveBeenStoppedIsNotTakenForComplete)
+{
+  const std::vector<Script> replies{
+    { { Kind::Close } },                                  // No reply
+    Reply("200 OK", ""),                                  // Not readable
+    Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"), // Not complete
+    Reply("500 Internal Server Error", ""),
+  };
+  for (std::size_t index = 0; index < replies.size(); ++index) {
+    BOOST_TEST_CONTEXT("reply " << index)
+    {
+      MovedStream stream(Framing::Connection);
+      stream.moveReply = replies[index];
+      const Received received = stream.Run();
+      BOOST_TEST(received.aborted);
+      BOOST_TEST(received.events == MakeEvents(1, 2));
+      BOOST_TEST(stream.begun == 1);
+    }
+  }
+}
+
+// Guards against a part of a stream that callers get as complete: the stream was closed before the reply to our call came.
+BOOST_AUTO_TEST_CASE(StreamThatWasStoppedGoesOnAtTheDestination)
+{
+  for (const Framing framing : kFramings) {
+    BOOST_TEST_CONTEXT("end by " << framing)
+    {
+      MovedStream stream(framing);
+      stream.moveReply = Reply("200 OK", kHandle);
+      const Received received = stream.Run();
+      BOOST_TEST(!received.aborted);
+      BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
+      BOOST_TEST(stream.continuedAfter == 2);
+      BOOST_TEST(stream.continuedAt != stream.source);
+      BOOST_TEST(stream.begun == 1);
+    }
+  }
+}
+
+// Guards against streams that are lost although the endpoint that stopped them says that it keeps their state.
+BOOST_AUTO_TEST_CASE(StreamThatCouldNotBeCopiedGoesOnAtItsSource)
+{
+  for (const Framing framing : kFramings) {
+    BOOST_TEST_CONTEXT("end by " << framing)
+    {
+      MovedStream stream(framing);
+      stream.moveReply = Reply("503 Service Unavailable", kHandle);
+      const Received received = stream.Run();
+      BOOST_TEST(!received.aborted);
+      BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
+      BOOST_TEST(stream.continuedAt == stream.source);
+      BOOST_TEST(stream.begun == 1);
+    }
+  }
+}
+
+// Guards against streams that are lost because the destination has no room any more, although the source keeps their state.
+BOOST_AUTO_TEST_CASE(StreamThatItsDestinationRejectsGoesOnAtItsSource)
+{
+  for (const Framing framing : kFramings) {
+    BOOST_TEST_CONTEXT("end by " << framing)
+    {
+      MovedStream stream(framing);
+      stream.destinationRejects = true;
+      stream.moveReply = Reply("200 OK", kHandle);
+      const Received received = stream.Run();
+      BOOST_TEST(!received.aborted);
+      BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
+      BOOST_TEST(stream.continuedAt == stream.source);
+      BOOST_TEST(stream.begun == 1);
+    }
+  }
+}
+
+// Guards against complete streams that are reported as broken, as the run ended by itself when it was called to stop.
+BOOST_AUTO_TEST_CASE(StreamThatWasNotStoppedIsComplete)
+{
+  const std::vector<Script> replies{ Reply("404 Not Found", ""), Reply("409 Conflict", ""),
+                                     Reply("503 Service Unavailable", "") };
+  for (const Framing framing : kFramings) {
+    for (std::size_t index = 0; index < replies.size(); ++index) {
+      BOOST_TEST_CONTEXT("end by " << framing << ", reply " << index)
+      {
+        MovedStream stream(framing);
+        stream.moveReply = replies[index];
+        stream.onCall = [&stream] {
+          Script script = Send(stream.Frame(MakeEvents(2, MovedStream::kEvents)));
+          const Script end = stream.End();
+          script.insert(script.end(), end.begin(), end.end());
+          return script;
+        };
+        const Received received = stream.Run();
+        BOOST_TEST(!received.aborted);
+        BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
+        BOOST_TEST(stream.calls == 1);
+        BOOST_TEST(stream.begun == 1);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace lagoonward::testing
