--- a/Lagoonward/Relay/RelayCall.h
+++ b/Lagoonward/Relay/RelayCall.h
@@ -5,6 +5,7 @@
 
 #include <concepts>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -91,12 +92,27 @@
   std::string body;
 };
 
+/// What the reply to a call that stops a run and copies its state proves about the run.
+enum class StopState
+{
+  NotStopped, ///< The call has not stopped the run: its stream still ends by itself only.
+  /// The call has stopped the run and closed its stream before its end. The source keeps the state.
+  Stopped,
+  /// The reply proves neither, or there is none: an end of the stream may be the run's own or that of the call.
+  Unknown,
+};
+
 /// Result of moving the state of a running stream to another endpoint.
 struct MoveResult
 {
   bool moved = false; ///< The state is at the destination and the run has stopped at the source.
-  std::string handle; ///< Handle of the copied state; empty if the source gave none.
+  /// Handle of the copied state; empty if the source gave none, or one that must not stand in a path or a header line. It
+  /// may come with a failed move: the source then keeps the state until it is used or released.
+  std::string handle;
   std::string reason; ///< For logs.
+  StopState stopState = StopState::Unknown;
+  /// Events that the run had made when it was stopped; empty if the reply doesn't say it.
+  std::optional<std::int64_t> createdEvents;
 };
 
 /// Rate limit that an endpoint advertises in a response. It applies to the requests of all daemons together.
@@ -167,10 +183,11 @@
   std::function<EndpointHead(const RelayCall&, int, std::span<const HttpHeader>)> readHead;
   std::function<MoveRequest(const RelayCall&, std::string_view aDestination)> writeMove;
   std::function<MoveResult(int aStatus, const std::string& aBody)> readMove;
+  std::function<std::string(std::string_view aHandle)> writeRelease;
 };
 
-/// Protocol between this daemon and endpoints: the header lines of a request, the parsing of a response head, and the
-/// call that moves a run with its reply.
+/// Protocol between this daemon and endpoints: the header lines of a request, the parsing of a response head, the call
+/// that moves a run with its reply, and the path to which a `DELETE` is sent to free a copied state by its handle.
 template<typename Dialect>
 concept EndpointDialect = requires(const Dialect& aDialect, const RelayCall& aCall,
                                    const SendOptions& aTerms, std::span<const HttpHeader> aHeaders)
@@ -187,6 +204,9 @@
   {
     aDialect.ReadMove(0, std::string())
     } -> std::same_as<MoveResult>;
+  {
+    aDialect.WriteRelease(std::string_view())
+    } -> std::same_as<std::string>;
 };
 
 /// Type-erases a dialect for code that is compiled once for all dialects.
@@ -205,7 +225,8 @@
            },
            [aDialect](int aStatus, const std::string& aBody) {
              return aDialect.ReadMove(aStatus, aBody);
-           } };
+           },
+           [aDialect](std::string_view aHandle) { return aDialect.WriteRelease(aHandle); } };
 }
 
 } // namespace lagoonward
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -57,7 +57,20 @@
 
   [[nodiscard]] MoveResult ReadMove(int aStatus, const std::string& aBody) const
   {
-    return { aStatus == 200, aBody, {} };
+    MoveResult end;
+    end.handle = aBody;
+    end.moved = aStatus == 200;
+    const bool isRefused = aStatus == 404 || aStatus == 409 || (aStatus == 503 && aBody.empty());
+    const bool isStopped = end.moved || (aStatus == 503 && !aBody.empty());
+    end.stopState = isStopped   ? StopState::Stopped
+                    : isRefused ? StopState::NotStopped
+                                : StopState::Unknown;
+    return end;
+  }
+
+  [[nodiscard]] std::string WriteRelease(std::string_view aHandle) const
+  {
+    return fmt::format("/copies/{}", aHandle);
   }
 };
 
