--- a/Lagoonward/Relay/RelayMove.h
+++ b/Lagoonward/Relay/RelayMove.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace lagoonward {
 
@@ -28,6 +29,9 @@
   void Start(const RelayCall& aCall, std::string_view aSource, std::string_view aDestination,
              Milliseconds aTimeout);
 
+  /// Replaces the callback, for an owner that takes this object over. To be called before the move has ended.
+  void SetDone(DoneCallback aOnDone) { this->onDone = std::move(aOnDone); }
+
 private:
   void OnBytes(int aStatus, std::string_view aBytes) override;
   void OnEnd(const TransferEnd& aEnd) override;
