--- a/Lagoonward/Relay/RelayMove.cpp
+++ b/Lagoonward/Relay/RelayMove.cpp
@@ -38,6 +38,7 @@
   transferRequest.freshConnection = true;
   transferRequest.singleSend = true;
   transferRequest.timeout = aTimeout;
+  transferRequest.mayBeSent = [this] { return this->mayHaveBeenSent = true; };
   this->transfer = this->loop.StartTransfer(transferRequest, *this);
 }
 
@@ -60,6 +61,8 @@
     end = this->dialect.readMove(aEnd.status, this->body);
   } else {
     end.reason = aEnd.message;
+    const bool isUnsent = aEnd.outcome == TransferOutcome::NotSent;
+    end.stopState = isUnsent ? StopState::NotStopped : StopState::Unknown;
   }
   const DoneCallback callback = std::move(this->onDone);
   callback(end);
--- a/Lagoonward/Relay/RelayMove.h
+++ b/Lagoonward/Relay/RelayMove.h
@@ -29,6 +29,10 @@
   void Start(const RelayCall& aCall, std::string_view aSource, std::string_view aDestination,
              Milliseconds aTimeout);
 
+  /// Whether the endpoint may have received the call, and so may stop the run. From then on an end of the stream by the
+  /// end of its connection alone doesn't prove it complete.
+  [[nodiscard]] bool MayHaveBeenSent() const { return this->mayHaveBeenSent; }
+
   /// Replaces the callback, for an owner that takes this object over. To be called before the move has ended.
   void SetDone(DoneCallback aOnDone) { this->onDone = std::move(aOnDone); }
 
@@ -40,6 +44,7 @@
   const AnyEndpointDialect& dialect;
   DoneCallback onDone;
   TransferId transfer = 0;
+  bool mayHaveBeenSent = false;
   std::string body;
 };
 
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -65,7 +65,8 @@
   if (!this->ended) {
     this->CancelAttempt(DispatchOutcome::Cancelled);
   }
-  for (const auto& timer : { this->deadlineTimer, this->endpointWaitTimer, this->silenceTimer }) {
+  for (const auto& timer :
+       { this->deadlineTimer, this->endpointWaitTimer, this->silenceTimer, this->moveTimer }) {
     if (timer) {
       this->context.loop.CancelTimer(*timer);
     }
@@ -250,12 +251,25 @@
   if (aEnd.isForeign) {
     this->context.connectionReuse.Suspend(this->endpointKey);
   }
-  if (this->move != nullptr && aEnd.outcome != AttemptOutcome::Success) {
-    // The source stops the run before the copy is complete; OnMoveFinished() decides
-    this->endDuringMove = std::move(aEnd);
+  const bool isOwnEnd = aEnd.outcome == AttemptOutcome::Success && !this->MayHaveBeenStopped(aEnd);
+  if (this->move != nullptr && !isOwnEnd) {
+    this->AwaitMoveReply(std::move(aEnd));
     return;
   }
   this->move.reset();
+  this->HandleAttemptEnd(std::move(aEnd));
+}
+
+void
+RelayRun::HandleAttemptEnd(AttemptResult aEnd)
+{
+  if (aEnd.outcome == AttemptOutcome::Success && this->MayHaveBeenStopped(aEnd)) {
+    aEnd.outcome = AttemptOutcome::Unknown;
+    aEnd.cause = AttemptCause::InvalidResponse;
+    aEnd.reason += ", the call to move the stream may have ended it";
+    this->OnAttemptFailed(std::move(aEnd));
+    return;
+  }
   if (aEnd.outcome == AttemptOutcome::Success && this->streaming && !aEnd.isEventStream) {
     aEnd.outcome = AttemptOutcome::Unknown;
     aEnd.cause = AttemptCause::InvalidResponse;
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -213,6 +213,14 @@
   void BeginMove(const Endpoint& aSource);
   void StartMove(const std::string& aSource, const RouteChoice& aDestination);
   void OnMoveFinished(const MoveResult& aEnd);
+  /// Whether our call to move the stream may be the reason for this end of it, which looks like a complete one.
+  [[nodiscard]] bool MayHaveBeenStopped(const AttemptResult& aEnd) const;
+  /// Keeps the end of the stream until the reply to the call says whether it is the run's own.
+  void AwaitMoveReply(AttemptResult aEnd);
+  void OnMoveReplyOverdue();
+  void CancelMoveTimer();
+  /// Ends the request, or tries again, after an attempt whose end is known to be the run's own or not.
+  void HandleAttemptEnd(AttemptResult aEnd);
   void WaitForEndpoint(const Error& aError);
   /// Retries after a failed attempt. After a lost connection it first waits for the check whether the endpoint has
   /// crashed.
@@ -292,9 +300,12 @@
   PlaceHold movePlace;                          ///< At the destination, if it is brittle.
   std::string lastMoveSource;                   ///< Last endpoint from which a move was tried.
   MoveKnowledge lastMove = MoveKnowledge::None; ///< Of the call to move it from there.
+  /// What the reply to that call has proved of the run of the current attempt.
+  StopState stopState = StopState::NotStopped;
   std::string copiedState; ///< Handle of the state from which the next attempt continues.
   /// Result of the attempt at the source if it ended during the move.
   std::optional<AttemptResult> endDuringMove;
+  std::optional<TrafficLoop::TimerId> moveTimer; ///< While that result waits for the reply.
   /// Expires with the run; guards callbacks that may arrive later.
   std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
   std::optional<TrafficLoop::TimerId> deadlineTimer;
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -9,6 +9,27 @@
 
 namespace lagoonward {
 
+namespace {
+
+MoveKnowledge
+KnowledgeOf(const MoveResult& aEnd)
+{
+  if (aEnd.moved) {
+    return MoveKnowledge::Moved;
+  }
+  switch (aEnd.stopState) {
+    case StopState::NotStopped:
+      return MoveKnowledge::NotStopped;
+    case StopState::Stopped:
+      return MoveKnowledge::Stopped;
+    case StopState::Unknown:
+      break;
+  }
+  return MoveKnowledge::Unknown;
+}
+
+} // namespace
+
 bool
 RelayRun::IsWorthMoving() const
 {
@@ -106,26 +127,71 @@
     std::make_unique<RelayMove>(this->context.loop, this->context.dialect,
                                 [this](const MoveResult& aEnd) { this->OnMoveFinished(aEnd); });
   this->lastMove = MoveKnowledge::NoReply;
+  // A reply that comes late still says whether the run was stopped
+  const TimePoint now = this->context.loop.GetClock().Now();
+  const auto remaining = std::chrono::ceil<Milliseconds>(this->call.EffectiveDeadline() - now);
   this->move->Start(this->call, fmt::format("{}:{}", source->address, source->port),
                     fmt::format("{}:{}", target->address, target->port),
-                    this->context.settings.moveTimeout);
+                    std::max(remaining, this->context.settings.moveTimeout));
+}
+
+bool
+RelayRun::MayHaveBeenStopped(const AttemptResult& aEnd) const
+{
+  // A length or chunks prove a complete response, whoever was asked to stop it
+  if (aEnd.response.bodyEnd != BodyEnd::Connection) {
+    return false;
+  }
+  return this->move != nullptr ? this->move->MayHaveBeenSent()
+                               : this->stopState != StopState::NotStopped;
+}
+
+void
+RelayRun::AwaitMoveReply(AttemptResult aEnd)
+{
+  this->endDuringMove = std::move(aEnd);
+  this->moveTimer = this->context.loop.RunAfter(this->context.settings.moveTimeout,
+                                                [this] { this->OnMoveReplyOverdue(); });
+}
+
+void
+RelayRun::OnMoveReplyOverdue()
+{
+  this->moveTimer.reset();
+  MoveResult end;
+  end.reason = fmt::format("no reply within {} ms after the stream was closed",
+                           this->context.settings.moveTimeout.count());
+  if (!this->move->MayHaveBeenSent()) {
+    end.stopState = StopState::NotStopped;
+  }
+  this->OnMoveFinished(end);
+}
+
+void
+RelayRun::CancelMoveTimer()
+{
+  if (this->moveTimer) {
+    this->context.loop.CancelTimer(*this->moveTimer);
+    this->moveTimer.reset();
+  }
 }
 
 void
 RelayRun::OnMoveFinished(const MoveResult& aEnd)
 {
   const std::unique_ptr<RelayMove> finished = std::move(this->move);
+  this->CancelMoveTimer();
   const std::string target = this->moveDestination->Target().id;
-  this->lastMove = aEnd.moved ? MoveKnowledge::Moved : MoveKnowledge::Unknown;
+  this->lastMove = KnowledgeOf(aEnd);
+  this->stopState = aEnd.stopState;
   MoveReport report{ this->lastMoveSource, target, this->lastMove, aEnd.reason, this->lastEventId };
   report.streamHasEnded = this->endDuringMove.has_value();
   report.bodyEnd = this->endDuringMove ? this->endDuringMove->response.bodyEnd : BodyEnd::None;
   this->context.observer.OnMoved(this->call, report);
   PlaceHold destinationPlace = std::move(this->movePlace);
   if (!aEnd.moved) {
-    // The run continues at the source, or has stopped there and counts as a failed attempt
     if (this->endDuringMove) {
-      this->OnAttemptFailed(*std::exchange(this->endDuringMove, {}));
+      this->HandleAttemptEnd(*std::exchange(this->endDuringMove, {}));
     }
     return;
   }
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -211,6 +211,7 @@
   this->endpointIncarnation = endpoint->incarnation;
   this->endpointVersion = endpoint->softwareVersion;
   this->attemptHasEvents = false;
+  this->stopState = StopState::NotStopped;
   this->lastResponse = {};
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
   // Demand counts each caller request once: resends after many refused connections must not raise it
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -87,7 +87,8 @@
   /// arrived.
   double finishInPlaceRatio = 0.8;
 
-  /// Timeout of a move. Uses most of the 2 s notice that reclaimed endpoints give.
+  /// How long the end of a stream waits for the reply to the call to move it, without which it can't be told from a stop.
+  /// Uses most of the 2 s notice that reclaimed endpoints give.
   Milliseconds moveTimeout{ 1500 };
 
   Milliseconds retryAfterFloor{ 100 }; ///< Minimum Retry-After sent to callers.
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -59,7 +59,7 @@
   {
     MoveResult end;
     end.handle = aBody;
-    end.moved = aStatus == 200;
+    end.moved = aStatus == 200 && !aBody.empty();
     const bool isRefused = aStatus == 404 || aStatus == 409 || (aStatus == 503 && aBody.empty());
     const bool isStopped = end.moved || (aStatus == 503 && !aBody.empty());
     end.stopState = isStopped   ? StopState::Stopped
