--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -91,6 +91,14 @@
   /// Uses most of the 2 s notice that reclaimed endpoints give.
   Milliseconds moveTimeout{ 1500 };
 
+  /// Timeout of the call that frees a copied state that no request uses. It delays nothing, so it may be as long as an
+  /// endpoint that is silent for a moment needs.
+  Milliseconds releaseTimeout{ 2000 };
+  /// Such calls in progress at the same time. Copies beyond it are left to the endpoints' own timeout.
+  std::size_t maximumReleases = 64;
+  /// Moves whose runs have ended and whose replies are awaited at the same time. Those beyond it are cancelled.
+  std::size_t maximumAdoptedMoves = 64;
+
   Milliseconds retryAfterFloor{ 100 }; ///< Minimum Retry-After sent to callers.
 
   /// Size in tokens of the blocks by which prompts are compared; must match RoutingSettings::prefix.
