--- a/Lagoonward/Daemon/RelayTuning.cpp
+++ b/Lagoonward/Daemon/RelayTuning.cpp
@@ -102,6 +102,7 @@
 RelaySettingsOf(const RelayDaemonSettings& aSettings)
 {
   RelaySettings relay;
+  relay.leavingNotice = aSettings.leavingNotice;
   if (const auto bytes = MemoryShare(aSettings, kResponseMemoryShare)) {
     relay.maximumResponseMemory = std::max(*bytes, relay.maximumResponseBytes * kMinimumResponses);
   }
--- a/Lagoonward/Fleet/SnapshotGuard.cpp
+++ b/Lagoonward/Fleet/SnapshotGuard.cpp
@@ -35,6 +35,13 @@
   this->asOf = std::max(this->asOf.value_or(aAsOf), aAsOf);
 }
 
+std::optional<TimePoint>
+SnapshotGuard::AsOf()
+{
+  const std::scoped_lock lock(this->mutex);
+  return this->asOf;
+}
+
 void
 SnapshotGuard::OnSourceReachability(bool aAnswers)
 {
--- a/Lagoonward/Fleet/SnapshotGuard.h
+++ b/Lagoonward/Fleet/SnapshotGuard.h
@@ -40,6 +40,9 @@
   /// @param aOrigin  where that snapshot comes from
   void SetAsOf(TimePoint aAsOf, const SnapshotOrigin& aOrigin = {});
 
+  /// What SetAsOf() has set; nothing until the first snapshot. One that is published later may be newer, none is older.
+  [[nodiscard]] std::optional<TimePoint> AsOf();
+
   /// The source has stopped answering, or answers again.
   void OnSourceReachability(bool aAnswers);
 
--- a/Lagoonward/Relay/AttemptResult.cpp
+++ b/Lagoonward/Relay/AttemptResult.cpp
@@ -34,4 +34,10 @@
   return aCause == AttemptCause::ConnectionLost;
 }
 
+bool
+IsProvenNotRun(const AttemptResult& aEnd)
+{
+  return aEnd.outcome == AttemptOutcome::NotSent || aEnd.outcome == AttemptOutcome::NotRun;
+}
+
 } // namespace lagoonward
--- a/Lagoonward/Relay/AttemptResult.h
+++ b/Lagoonward/Relay/AttemptResult.h
@@ -72,4 +72,8 @@
   ResponseTrace response;
 };
 
+/// Whether the endpoint has not run the request in this attempt, and will not.
+[[nodiscard]] bool
+IsProvenNotRun(const AttemptResult& aEnd);
+
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -203,6 +203,7 @@
   this->RecordFirstByte();
   this->RecordStarted();
   this->mayHaveRun = true;
+  this->stoppedState.reset();
   // A stream that another endpoint continues keeps the head from the first endpoint
   if (!this->streaming) {
     this->streaming = true;
@@ -251,6 +252,11 @@
   if (aEnd.isForeign) {
     this->context.connectionReuse.Suspend(this->endpointKey);
   }
+  if (this->stopReply) {
+    // All events of the stopped run have arrived
+    this->ContinueFromState();
+    return;
+  }
   const bool isOwnEnd = aEnd.outcome == AttemptOutcome::Success && !this->MayHaveBeenStopped(aEnd);
   if (this->move != nullptr && !isOwnEnd) {
     this->AwaitMoveReply(std::move(aEnd));
@@ -263,6 +269,9 @@
 void
 RelayRun::HandleAttemptEnd(AttemptResult aEnd)
 {
+  if (this->TryContinueAtSource(aEnd)) {
+    return;
+  }
   if (aEnd.outcome == AttemptOutcome::Success && this->MayHaveBeenStopped(aEnd)) {
     aEnd.outcome = AttemptOutcome::Unknown;
     aEnd.cause = AttemptCause::InvalidResponse;
@@ -300,19 +309,24 @@
 }
 
 void
-RelayRun::OnAttemptFailed(AttemptResult aEnd)
+RelayRun::EndAttemptRecords(const AttemptResult& aEnd)
 {
   // Neither a refusal of an overloaded endpoint nor a request that was not sent to it counts as its failure
   const bool isRefusal = aEnd.outcome == AttemptOutcome::NotRun && !aEnd.addressReassigned;
   const bool isWithheld = aEnd.cause == AttemptCause::Withheld;
   this->context.router.OnFinished(
     this->dispatch, isRefusal || isWithheld ? DispatchOutcome::Cancelled : DispatchOutcome::Failed);
-  const bool isProvenNotRun =
-    aEnd.outcome == AttemptOutcome::NotSent || aEnd.outcome == AttemptOutcome::NotRun;
   this->place.End(PlaceActionOf(aEnd, isRefusal));
   this->slot.End(SlotActionOf(aEnd));
+}
+
+void
+RelayRun::OnAttemptFailed(AttemptResult aEnd)
+{
+  this->EndAttemptRecords(aEnd);
+  const bool isWithheld = aEnd.cause == AttemptCause::Withheld;
   this->sends -= aEnd.outcome == AttemptOutcome::NotSent ? 1 : 0;
-  this->mayHaveRun = this->mayHaveRun || !isProvenNotRun;
+  this->mayHaveRun = this->mayHaveRun || !IsProvenNotRun(aEnd);
   this->lastReason = fmt::format("endpoint {}: {}", this->endpointId, aEnd.reason);
   this->RestartEndpointWait();
   const bool isClientError =
@@ -402,6 +416,7 @@
 RelayRun::CheckCaller()
 {
   this->UpdateStreamMemory();
+  this->RecordLive();
   if (this->ended || !this->caller->IsDisconnected()) {
     return;
   }
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -219,6 +219,27 @@
   void AwaitMoveReply(AttemptResult aEnd);
   void OnMoveReplyOverdue();
   void CancelMoveTimer();
+  void ReportMove(const MoveResult& aEnd);
+  /// Continues the stopped run from its state: at the destination if that has a copy, else at its source.
+  void ContinueFromState();
+  void ContinueAtSource();
+  /// @param aChoice           an endpoint that has the state
+  /// @param aReachableUntil  see MakeSendCheck()
+  void ContinueAt(const RouteChoice& aChoice, TimePoint aReachableUntil);
+  void FailWithoutState();
+  /// Continues at the source if the attempt from a copy provably did not run.
+  /// @return whether it does
+  [[nodiscard]] bool TryContinueAtSource(const AttemptResult& aEnd);
+  /// Ends what an attempt holds: the router's record, the place and the slot.
+  void EndAttemptRecords(const AttemptResult& aEnd);
+  /// Until when an endpoint may be reached that was live in the snapshot as of that time, whatever it has announced since.
+  [[nodiscard]] TimePoint ReachableUntil(const std::optional<TimePoint>& aLiveAsOf) const;
+  /// Records that the endpoint of the attempt, and the destination of a move, are not known to be leaving.
+  void RecordLive();
+  /// Says, right before the first byte, whether the attempt that begins may be sent.
+  /// @param aReachableUntil  for an endpoint that has the state of the run, as no other can continue it; else empty
+  [[nodiscard]] std::function<bool()> MakeSendCheck(
+    const std::optional<TimePoint>& aReachableUntil) const;
   /// Ends the request, or tries again, after an attempt whose end is known to be the run's own or not.
   void HandleAttemptEnd(AttemptResult aEnd);
   void WaitForEndpoint(const Error& aError);
@@ -246,6 +267,23 @@
   void Fail(const Error& aError);
   void End(const RelayResult& aEnd);
 
+  /// The state of a run that its source has stopped, until an attempt has used it.
+  struct StoppedState
+  {
+    std::string sourceAddress; ///< `IP:PORT`.
+    std::string handle;
+    RouteChoice source;
+    TimePoint sourceReachableUntil; ///< See MakeSendCheck().
+    bool isAtDestination = false;   ///< There is a copy, which no attempt has tried to use.
+  };
+
+  /// How an attempt continues a stopped run.
+  struct Continuation
+  {
+    std::string stateHandle;  ///< `IP:PORT/HANDLE`.
+    TimePoint reachableUntil; ///< See MakeSendCheck().
+  };
+
   RelayContext context;
   RelayCall call;
   std::unique_ptr<RelayCaller> caller;
@@ -302,10 +340,18 @@
   MoveKnowledge lastMove = MoveKnowledge::None; ///< Of the call to move it from there.
   /// What the reply to that call has proved of the run of the current attempt.
   StopState stopState = StopState::NotStopped;
-  std::string copiedState; ///< Handle of the state from which the next attempt continues.
+  std::string moveSourceAddress; ///< `IP:PORT`; the endpoint may leave the list during the move.
+  std::optional<MoveResult>
+    stopReply; ///< While events that the stopped run has made may be on their way.
+  std::optional<StoppedState> stoppedState;
+  std::optional<Continuation> continuation; ///< Of the next attempt.
+  std::optional<RouteChoice> attemptChoice; ///< Endpoint of the last attempt.
+  std::optional<TimePoint>
+    sourceLiveAsOf; ///< See RecordLive(): of the attempt's endpoint; BootNow().
+  std::optional<TimePoint> destinationLiveAsOf;
   /// Result of the attempt at the source if it ended during the move.
   std::optional<AttemptResult> endDuringMove;
-  std::optional<TrafficLoop::TimerId> moveTimer; ///< While that result waits for the reply.
+  std::optional<TrafficLoop::TimerId> moveTimer; ///< While that result, or `stopReply`, waits.
   /// Expires with the run; guards callbacks that may arrive later.
   std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
   std::optional<TrafficLoop::TimerId> deadlineTimer;
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -46,7 +46,8 @@
 void
 RelayRun::OnFleet(const FleetSnapshot& aFleet)
 {
-  if (this->ended || this->attempt == nullptr || this->move != nullptr) {
+  this->RecordLive();
+  if (this->ended || this->attempt == nullptr || this->move != nullptr || this->stopReply) {
     return;
   }
   const Endpoint* endpoint = aFleet.Find(this->endpointId);
@@ -123,6 +124,9 @@
     return;
   }
   this->moveDestination = aDestination;
+  this->destinationLiveAsOf.reset();
+  this->moveSourceAddress = fmt::format("{}:{}", source->address, source->port);
+  this->RecordLive();
   this->move =
     std::make_unique<RelayMove>(this->context.loop, this->context.dialect,
                                 [this](const MoveResult& aEnd) { this->OnMoveFinished(aEnd); });
@@ -130,7 +134,7 @@
   // A reply that comes late still says whether the run was stopped
   const TimePoint now = this->context.loop.GetClock().Now();
   const auto remaining = std::chrono::ceil<Milliseconds>(this->call.EffectiveDeadline() - now);
-  this->move->Start(this->call, fmt::format("{}:{}", source->address, source->port),
+  this->move->Start(this->call, this->moveSourceAddress,
                     fmt::format("{}:{}", target->address, target->port),
                     std::max(remaining, this->context.settings.moveTimeout));
 }
@@ -177,24 +181,51 @@
 }
 
 void
-RelayRun::OnMoveFinished(const MoveResult& aEnd)
+RelayRun::ReportMove(const MoveResult& aEnd)
 {
-  const std::unique_ptr<RelayMove> finished = std::move(this->move);
-  this->CancelMoveTimer();
   const std::string target = this->moveDestination->Target().id;
-  this->lastMove = KnowledgeOf(aEnd);
-  this->stopState = aEnd.stopState;
   MoveReport report{ this->lastMoveSource, target, this->lastMove, aEnd.reason, this->lastEventId };
   report.streamHasEnded = this->endDuringMove.has_value();
   report.bodyEnd = this->endDuringMove ? this->endDuringMove->response.bodyEnd : BodyEnd::None;
   this->context.observer.OnMoved(this->call, report);
-  PlaceHold destinationPlace = std::move(this->movePlace);
-  if (!aEnd.moved) {
-    if (this->endDuringMove) {
-      this->HandleAttemptEnd(*std::exchange(this->endDuringMove, {}));
+}
+
+void
+RelayRun::OnMoveFinished(const MoveResult& aEnd)
+{
+  const std::unique_ptr<RelayMove> finished = std::move(this->move);
+  this->CancelMoveTimer();
+  this->lastMove = KnowledgeOf(aEnd);
+  this->stopState = aEnd.stopState;
+  this->ReportMove(aEnd);
+  if (aEnd.stopState == StopState::Stopped && !aEnd.handle.empty()) {
+    this->stoppedState = StoppedState{ this->moveSourceAddress, aEnd.handle, *this->attemptChoice,
+                                       this->ReachableUntil(this->sourceLiveAsOf), aEnd.moved };
+    const bool hasAllEvents = aEnd.createdEvents && this->forwardedEvents >= *aEnd.createdEvents;
+    if (this->attempt == nullptr || hasAllEvents) {
+      this->ContinueFromState();
+      return;
     }
+    // The source has sent all events before it closed the stream, so they are on their way
+    this->stopReply = aEnd;
+    this->moveTimer =
+      this->context.loop.RunAfter(this->context.settings.stoppedStreamDrainTime, [this] {
+        this->moveTimer.reset();
+        this->ContinueFromState();
+      });
     return;
   }
+  this->movePlace.End(PlaceAction::Release);
+  if (this->endDuringMove) {
+    this->HandleAttemptEnd(*std::exchange(this->endDuringMove, {}));
+  }
+}
+
+void
+RelayRun::ContinueFromState()
+{
+  this->CancelMoveTimer();
+  this->stopReply.reset();
   this->endDuringMove.reset();
   if (this->attempt != nullptr) {
     this->CancelAttempt(DispatchOutcome::Cancelled);
@@ -203,19 +234,106 @@
     this->slot.End(SlotAction::Withdraw);
     this->context.router.OnFinished(this->dispatch, DispatchOutcome::Cancelled);
   }
-  this->place = std::move(destinationPlace);
+  // The same run continues, so this does not count as another send
+  --this->sends;
+  if (!this->stoppedState->isAtDestination) {
+    this->movePlace.End(PlaceAction::Release);
+    this->ContinueAtSource();
+    return;
+  }
+  this->place = std::move(this->movePlace);
+  this->ContinueAt(*std::exchange(this->moveDestination, {}),
+                   this->ReachableUntil(this->destinationLiveAsOf));
+}
+
+void
+RelayRun::ContinueAtSource()
+{
+  this->stoppedState->isAtDestination = false;
+  RouteChoice source = this->stoppedState->source;
+  source.fetchFrom.reset();
+  this->ContinueAt(source, this->stoppedState->sourceReachableUntil);
+}
+
+void
+RelayRun::ContinueAt(const RouteChoice& aChoice, TimePoint aReachableUntil)
+{
   const FleetSnapshotPtr fleet = this->context.fleet.Get();
-  const Endpoint* source = fleet->Find(this->lastMoveSource);
-  if (source == nullptr) {
-    this->place.End(PlaceAction::Release);
-    this->Dispatch();
+  if (fleet->Find(aChoice.Target().id) != nullptr) {
+    this->continuation = Continuation{ fmt::format("{}/{}", this->stoppedState->sourceAddress,
+                                                   this->stoppedState->handle),
+                                       aReachableUntil };
+    this->BeginAttempt(aChoice, this->MakeRouteRequest());
     return;
   }
-  // The same run continues, so this does not count as another send
+  this->place.End(PlaceAction::Release);
+  if (this->stoppedState->isAtDestination) {
+    this->ContinueAtSource();
+    return;
+  }
+  this->FailWithoutState();
+}
+
+void
+RelayRun::FailWithoutState()
+{
+  // No other endpoint has the state, and the run must not begin anew
+  ++this->sends;
+  this->lastReason = "the endpoints that have the state of the stopped run are gone";
+  this->Fail(Error(ErrorKind::OutcomeUnknown, this->lastReason, Ran::Unknown));
+}
+
+bool
+RelayRun::TryContinueAtSource(const AttemptResult& aEnd)
+{
+  if (!this->stoppedState) {
+    return false;
+  }
+  if (!IsProvenNotRun(aEnd)) {
+    this->stoppedState.reset(); // The copy may have been used
+    return false;
+  }
+  if (!this->stoppedState->isAtDestination) {
+    return false;
+  }
+  this->EndAttemptRecords(aEnd);
+  this->context.observer.OnAttemptFailed(
+    this->call, { this->endpointId, aEnd.cause, aEnd.reason, true, {}, aEnd.response });
   --this->sends;
-  this->copiedState = fmt::format("{}:{}/{}", source->address, source->port, aEnd.handle);
-  const RouteChoice choice = std::move(*std::exchange(this->moveDestination, {}));
-  this->BeginAttempt(choice, this->MakeRouteRequest());
+  this->ContinueAtSource();
+  return true;
+}
+
+void
+RelayRun::RecordLive()
+{
+  if (this->context.snapshotGuard == nullptr || this->attempt == nullptr) {
+    return;
+  }
+  // Before the snapshot is read, so that the snapshot contains all that was acknowledged before
+  const std::optional<TimePoint> asOf = this->context.snapshotGuard->AsOf();
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const auto isLive = [&](std::string_view aId) {
+    const Endpoint* endpoint = fleet->Find(aId);
+    return endpoint != nullptr && endpoint->state == EndpointState::Live;
+  };
+  if (isLive(this->endpointId)) {
+    this->sourceLiveAsOf = asOf;
+  }
+  if (this->moveDestination && isLive(this->moveDestination->Target().id)) {
+    this->destinationLiveAsOf = asOf;
+  }
+}
+
+TimePoint
+RelayRun::ReachableUntil(const std::optional<TimePoint>& aLiveAsOf) const
+{
+  if (this->context.snapshotGuard == nullptr) {
+    return TimePoint::max();
+  }
+  const RelaySettings& settings = this->context.settings;
+  return aLiveAsOf ? *aLiveAsOf + settings.leavingNotice - settings.leavingNoticeMargin
+                   : TimePoint::min();
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -188,6 +188,10 @@
   if (endpoint == nullptr) {
     this->place.End(PlaceAction::Release);
     this->slot.End(SlotAction::Withdraw);
+    if (this->continuation) {
+      this->FailWithoutState();
+      return;
+    }
     this->WaitForEndpoint(
       Error(ErrorKind::NoEndpoint, "The selected endpoint is no longer in the endpoint list."));
     return;
@@ -211,7 +215,9 @@
   this->endpointIncarnation = endpoint->incarnation;
   this->endpointVersion = endpoint->softwareVersion;
   this->attemptHasEvents = false;
+  this->attemptChoice = aChoice;
   this->stopState = StopState::NotStopped;
+  this->sourceLiveAsOf.reset();
   this->lastResponse = {};
   this->dispatch = this->context.router.OnDispatched(aChoice, aRequest);
   // Demand counts each caller request once: resends after many refused connections must not raise it
@@ -235,24 +241,42 @@
   terms.wasSentBefore = this->WasSentTo(this->endpointId);
   terms.needsOwnConnection = !this->call.route->IsRepeatable() &&
                              this->context.connectionReuse.IsSuspended(this->endpointKey);
-  const std::string stateHandle = std::exchange(this->copiedState, {});
-  terms.stateHandle = stateHandle;
+  const auto continued = std::exchange(this->continuation, {});
+  std::optional<TimePoint> reachableUntil;
+  if (continued) {
+    terms.stateHandle = continued->stateHandle;
+    reachableUntil = continued->reachableUntil;
+  }
   AttemptListener& listener = *this;
   this->attempt = std::make_unique<RelayAttempt>(
     this->context.loop, this->context.settings, this->context.dialect, this->context.pathMonitor,
     this->context.responseMemory, this->call, listener);
+  this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms,
+                       this->MakeSendCheck(reachableUntil));
+  this->ArmSilenceTimer(false);
+}
+
+std::function<bool()>
+RelayRun::MakeSendCheck(const std::optional<TimePoint>& aReachableUntil) const
+{
   // Opening a connection on a busy host can take a second, so the state is checked again right before the first byte
   // May be called after this run has ended, until its transfer is cancelled
-  const auto mayBeSent = [&gate = this->context.gate, guard = this->context.snapshotGuard,
-                          &poisonFilter = this->context.poisonFilter,
-                          &poisonPartFilter = this->context.poisonPartFilter, id = this->endpointId,
-                          key = this->endpointKey, fingerprint = this->call.fingerprint,
-                          partKeys = this->call.sharedPartKeys] {
-    return gate.MaySendTo(id, key) && IsSnapshotUsable(guard) &&
-           !poisonFilter.IsPoisoned(fingerprint) && !poisonPartFilter.IsAnyPoisoned(partKeys);
+  const auto isPoisoned =
+    [&poisonFilter = this->context.poisonFilter, &poisonPartFilter = this->context.poisonPartFilter,
+     fingerprint = this->call.fingerprint, partKeys = this->call.sharedPartKeys] {
+      return poisonFilter.IsPoisoned(fingerprint) || poisonPartFilter.IsAnyPoisoned(partKeys);
+    };
+  if (aReachableUntil) {
+    return [&gate = this->context.gate, &clock = this->context.loop.GetClock(), isPoisoned,
+            id = this->endpointId, key = this->endpointKey, until = *aReachableUntil] {
+      const bool isInTime = gate.MaySendTo(id, key) || clock.BootNow() < until;
+      return isInTime && gate.MayContinueAt(id, key) && !isPoisoned();
+    };
+  }
+  return [&gate = this->context.gate, guard = this->context.snapshotGuard, isPoisoned,
+          id = this->endpointId, key = this->endpointKey] {
+    return gate.MaySendTo(id, key) && IsSnapshotUsable(guard) && !isPoisoned();
   };
-  this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms, mayBeSent);
-  this->ArmSilenceTimer(false);
 }
 
 bool
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -91,6 +91,14 @@
   /// Uses most of the 2 s notice that reclaimed endpoints give.
   Milliseconds moveTimeout{ 1500 };
 
+  /// How long the events that a stopped run has made may be on their way once the reply to the call has come.
+  Milliseconds stoppedStreamDrainTime{ 200 };
+
+  /// How long requests may still reach an endpoint after it has announced that it leaves, or was removed.
+  Milliseconds leavingNotice{ 2000 };
+  /// Part of it that a request needs to arrive.
+  Milliseconds leavingNoticeMargin{ 200 };
+
   /// Timeout of the call that frees a copied state that no request uses. It delays nothing, so it may be as long as an
   /// endpoint that is silent for a moment needs.
   Milliseconds releaseTimeout{ 2000 };
--- a/Lagoonward/Relay/SendGate.cpp
+++ b/Lagoonward/Relay/SendGate.cpp
@@ -46,6 +46,15 @@
          this->notices.Find(aKey) == EndpointNotice::None;
 }
 
+bool
+SendGate::MayContinueAt(std::string_view aEndpoint, std::uint64_t aKey) const
+{
+  const FleetSnapshotPtr newest = this->fleet.Get();
+  const Endpoint* target = newest->Find(aEndpoint);
+  return target != nullptr && target->state != EndpointState::Ejected &&
+         this->notices.Find(aKey) != EndpointNotice::Backoff;
+}
+
 std::optional<Milliseconds>
 SendGate::UntilFirstUnblocked(std::string_view aService) const
 {
--- a/Lagoonward/Relay/SendGate.h
+++ b/Lagoonward/Relay/SendGate.h
@@ -34,6 +34,10 @@
   /// @param aKey  see EndpointKeyOf()
   [[nodiscard]] bool MaySendTo(std::string_view aEndpoint, std::uint64_t aKey) const;
 
+  /// Whether a run may go on at an endpoint that has its state, also if the endpoint is leaving meanwhile: no other has it.
+  /// Until when an endpoint may be reached is up to the caller.
+  [[nodiscard]] bool MayContinueAt(std::string_view aEndpoint, std::uint64_t aKey) const;
+
   /// Time until the first live endpoint of the service may be sent requests again. Nothing if it is not known, and if one
   /// may be sent requests now.
   [[nodiscard]] std::optional<Milliseconds> UntilFirstUnblocked(std::string_view aService) const;
--- a/UnitTests/Relay/RelayFixture.h
+++ b/UnitTests/Relay/RelayFixture.h
@@ -299,6 +299,17 @@
     this->service.OnFleet(snapshot);
   }
 
+  /// Publishes that there is no endpoint with that port any more.
+  void Remove(std::uint16_t aPort)
+  {
+    auto snapshot = std::make_shared<FleetSnapshot>(*this->fleet.Get());
+    std::erase_if(snapshot->endpoints,
+                  [&](const Endpoint& aEndpoint) { return aEndpoint.port == aPort; });
+    this->fleet.Publish(snapshot);
+    this->market.ApplyFleet(*snapshot);
+    this->service.OnFleet(snapshot);
+  }
+
   /// Publishes that the endpoint with that port has restarted under the same id, with this software version.
   void MarkRestarted(std::uint16_t aPort, const std::string& aVersion = {})
   {
--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -72,6 +72,10 @@
   std::function<Script()> onCall = [this] {
     return Script{ { Kind::Send, this->Frame(MakeEvent(2)) }, { Kind::Close } };
   };
+  /// Called before the reply.
+  std::function<void()> beforeReply = [] {};
+  /// Whether the stream is closed before the reply.
+  bool closesBeforeReply = true;
   /// Whether an endpoint other than the source rejects the stream that is to go on there.
   bool destinationRejects = false;
 
@@ -93,6 +97,11 @@
     return { { Kind::Send, this->framing == Framing::Chunks ? "0\r\n\r\n" : "" }, { Kind::Close } };
   }
 
+  [[nodiscard]] const ScriptedServer& Destination() const
+  {
+    return this->source == &this->left ? this->right : this->left;
+  }
+
   TestCaller caller;
 
 private:
@@ -121,8 +130,15 @@
   {
     ++this->calls;
     // Longer than the daemon takes to handle the end of the stream
-    Script script{ { Kind::Await, {}, {}, [this] { return this->isClosing.load(); } },
-                   { Kind::Wait, {}, Milliseconds(100) } };
+    Script script{ { Kind::Await,
+                     {},
+                     {},
+                     [this] { return !this->closesBeforeReply || this->isClosing; } },
+                   { Kind::Wait, {}, Milliseconds(this->closesBeforeReply ? 100 : 0) },
+                   { Kind::Await, {}, {}, [this] {
+                      this->beforeReply();
+                      return true;
+                    } } };
     script.insert(script.end(), this->moveReply.begin(), this->moveReply.end());
     return script;
   }
@@ -153,6 +169,8 @@
   std::atomic<bool> isClosing{ false }; ///< The source is about to close the stream.
   ScriptedServer left;
   ScriptedServer right;
+
+public:
   RelayFixture relay;
 };
 
@@ -269,6 +287,92 @@
   }
 }
 
+// Guards against streams that are lost because the destination announced that it leaves while the state was copied.
+BOOST_AUTO_TEST_CASE(StreamGoesOnAtADestinationThatHasBegunToLeave)
+{
+  MovedStream stream(Framing::Connection);
+  stream.moveReply = Reply("200 OK", kHandle);
+  stream.beforeReply = [&] { stream.relay.MarkLeaving(stream.Destination().Port()); };
+  const Received received = stream.Run();
+  BOOST_TEST(!received.aborted);
+  BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
+  BOOST_TEST(stream.continuedAt == &stream.Destination());
+}
+
+// Guards against a run that begins a second time in the middle of its stream, because its source had left the list.
+BOOST_AUTO_TEST_CASE(StreamGoesOnFromItsCopyAlthoughItsSourceHasGone)
+{
+  for (const bool isDestinationGone : { false, true }) {
+    BOOST_TEST_CONTEXT("destination gone: " << isDestinationGone)
+    {
+      MovedStream stream(Framing::Connection);
+      stream.moveReply = Reply("200 OK", kHandle);
+      stream.beforeReply = [&] {
+        stream.relay.Remove(stream.source.load()->Port());
+        if (isDestinationGone) {
+          stream.relay.Remove(stream.Destination().Port());
+        }
+      };
+      const Received received = stream.Run();
+      BOOST_TEST(received.aborted == isDestinationGone);
+      BOOST_TEST(received.events == MakeEvents(1, isDestinationGone ? 2 : MovedStream::kEvents));
+      BOOST_TEST(stream.begun == 1);
+    }
+  }
+}
+
+// Guards against events that are made twice: the reply to the call overtook the last ones of the stopped run.
+BOOST_AUTO_TEST_CASE(EventsOfAStoppedRunArriveBeforeItGoesOn)
+{
+  for (const Framing framing : kFramings) {
+    BOOST_TEST_CONTEXT("end by " << framing)
+    {
+      MovedStream stream(framing);
+      stream.closesBeforeReply = false;
+      stream.moveReply = Reply("200 OK", kHandle);
+      stream.onCall = [&stream] {
+        return Script{ { Kind::Wait, {}, Milliseconds(50) },
+                       { Kind::Send, stream.Frame(MakeEvents(2, 3)) },
+                       { Kind::Close } };
+      };
+      const Received received = stream.Run();
+      BOOST_TEST(!received.aborted);
+      BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
+      BOOST_TEST(stream.continuedAfter == 3);
+    }
+  }
+}
+
+// Guards against a part of a stream that callers get as complete: the call had failed before, and was forgotten.
+BOOST_AUTO_TEST_CASE(EndAfterAFailedCallProvesNothing)
+{
+  struct Case
+  {
+    Script reply;
+    bool provesComplete;
+  };
+  const std::vector<Case> cases{ { { { Kind::Close } }, false },
+                                 { Reply("500 Internal Server Error", ""), false },
+                                 { Reply("503 Service Unavailable", ""), true },
+                                 { Reply("409 Conflict", ""), true } };
+  for (std::size_t index = 0; index < cases.size(); ++index) {
+    BOOST_TEST_CONTEXT("reply " << index)
+    {
+      MovedStream stream(Framing::Connection);
+      stream.closesBeforeReply = false;
+      stream.moveReply = cases[index].reply;
+      stream.onCall = [] {
+        return Script{ { Kind::Wait, {}, Milliseconds(100) },
+                       { Kind::Send, MakeEvents(2, MovedStream::kEvents) },
+                       { Kind::Close } };
+      };
+      const Received received = stream.Run();
+      BOOST_TEST(received.aborted != cases[index].provesComplete);
+      BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoonward::testing
