--- a/Lagoonward/Wire/HttpExchange.cpp
+++ b/Lagoonward/Wire/HttpExchange.cpp
@@ -138,6 +138,15 @@
   this->ResumeLocked();
 }
 
+void
+HttpExchange::ResetUndelimitedStream()
+{
+  const std::scoped_lock lock(this->mutex);
+  if (this->state != State::Done && this->resetOnClose) {
+    this->resetOnClose->Reset();
+  }
+}
+
 std::size_t
 HttpExchange::HeldBytes()
 {
--- a/Lagoonward/Wire/HttpExchange.h
+++ b/Lagoonward/Wire/HttpExchange.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "Lagoonward/Core/SharedBytes.h"
+#include "Lagoonward/Wire/ResetOnClose.h"
 
 #include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -50,7 +52,8 @@
   /// Sends the complete response. Ignored when a response has begun or the caller has disconnected.
   void Respond(int aStatus, std::vector<HttpHeader> aHeaders, std::string aBody);
 
-  /// Begins a streamed response with chunked encoding.
+  /// Begins a streamed response with chunked encoding, or without for a caller that speaks HTTP/1.0. That one's connection
+  /// ends with the response: in an orderly way if the response is complete, with a reset if it is not.
   void BeginStream(int aStatus, std::vector<HttpHeader> aHeaders);
 
   /// Appends bytes to the streamed response.
@@ -91,6 +94,8 @@
 
   /// Resumes the connection on its server thread if it is suspended. Called with the mutex held.
   void ResumeLocked();
+  /// Resets the connection of an unfinished stream that has no chunks. Any thread.
+  void ResetUndelimitedStream();
   /// Frees the memory of bytes of a stream that have been passed to the server. Called with the mutex held.
   void FreeSentLocked();
 
@@ -101,6 +106,7 @@
   bool streamed = false;
   bool ended = false;
   bool aborted = false;
+  std::optional<ResetOnClose> resetOnClose; ///< While a stream without chunks is being sent.
   bool isDiscarded = false; ///< A complete response was dropped before the server began to send it.
   int status = 0;
   std::vector<HttpHeader> headers;
--- a/Lagoonward/Wire/HttpServer.cpp
+++ b/Lagoonward/Wire/HttpServer.cpp
@@ -61,6 +61,7 @@
   std::size_t receivedBytes = 0;
   bool begun = false;      ///< The headers have been processed.
   bool handedOver = false; ///< The request has been passed to the handler.
+  bool readsChunks = true; ///< The caller's version of HTTP has chunked encoding.
 };
 
 namespace {
@@ -193,9 +194,12 @@
   }
 
   static MHD_Result BeginRequest(const HttpServer& aServer, MHD_Connection* aConnection,
-                                 const char* aUrl, const char* aMethod, IncomingRequest& aIncoming)
+                                 const char* aUrl, const char* aMethod, std::string_view aVersion,
+                                 IncomingRequest& aIncoming)
   {
     aIncoming.begun = true;
+    // The library refuses older versions, and uses chunks for later ones
+    aIncoming.readsChunks = aVersion != MHD_HTTP_VERSION_1_0;
     aIncoming.limits = aServer.Limits();
     aIncoming.request.method = aMethod;
     aIncoming.request.path = aUrl;
@@ -262,7 +266,7 @@
   }
 
   static MHD_Result OnAccess(void* aServer, MHD_Connection* aConnection, const char* aUrl,
-                             const char* aMethod, const char* /*aVersion*/, const char* aUpload,
+                             const char* aMethod, const char* aVersion, const char* aUpload,
                              size_t* aUploadSize, void** aContext)
   {
     auto& server = *static_cast<HttpServer*>(aServer);
@@ -271,7 +275,7 @@
       return MHD_NO;
     }
     if (!incoming->begun) {
-      return BeginRequest(server, aConnection, aUrl, aMethod, *incoming);
+      return BeginRequest(server, aConnection, aUrl, aMethod, aVersion, *incoming);
     }
     // Collect the body
     if (*aUploadSize > 0) {
@@ -290,7 +294,7 @@
       incoming->request.body = SharedBytes(std::move(incoming->body), std::move(hold));
       server.handler(std::move(incoming->request), incoming->exchange);
     }
-    return QueueOrSuspend(server, aConnection, incoming->exchange);
+    return QueueOrSuspend(server, aConnection, *incoming);
   }
 
   static MHD_Result AppendBody(const HttpServer& aServer, IncomingRequest& aIncoming,
@@ -322,34 +326,50 @@
 
   /// Queues the response if it is ready; otherwise suspends the connection until it is.
   static MHD_Result QueueOrSuspend(HttpServer& aServer, MHD_Connection* aConnection,
-                                   const HttpExchangePtr& aExchange)
+                                   const IncomingRequest& aIncoming)
   {
-    const std::scoped_lock lock(aExchange->mutex);
-    if (aExchange->state == HttpExchange::State::Waiting) {
+    const HttpExchangePtr& exchange = aIncoming.exchange;
+    const std::scoped_lock lock(exchange->mutex);
+    if (exchange->state == HttpExchange::State::Waiting) {
       // Aborted before a response began: close the connection
-      if (aExchange->aborted) {
+      if (exchange->aborted) {
         return MHD_NO;
       }
-      aExchange->suspended = true;
+      exchange->suspended = true;
       MHD_suspend_connection(aConnection);
       return MHD_YES;
     }
-    if (aExchange->state != HttpExchange::State::Ready) {
+    if (exchange->state != HttpExchange::State::Ready) {
       return MHD_YES;
     }
-    if (aExchange->isDiscarded) {
+    if (exchange->isDiscarded) {
       return MHD_NO;
     }
-    const ResponsePtr response = MakeResponse(aServer, aExchange);
-    for (const auto& [name, value] : aExchange->headers) {
+    if (exchange->streamed && !aIncoming.readsChunks &&
+        !BeginUndelimited(aServer, aConnection, exchange)) {
+      return MHD_NO;
+    }
+    const ResponsePtr response = MakeResponse(aServer, exchange);
+    for (const auto& [name, value] : exchange->headers) {
       MHD_add_response_header(response.get(), name.c_str(), value.c_str());
     }
     if (!aServer.listening || aServer.closingAfterResponses) {
       MHD_add_response_header(response.get(), "Connection", "close");
     }
-    aExchange->state = HttpExchange::State::Streaming;
-    return MHD_queue_response(aConnection, static_cast<unsigned>(aExchange->status),
-                              response.get());
+    exchange->state = HttpExchange::State::Streaming;
+    return MHD_queue_response(aConnection, static_cast<unsigned>(exchange->status), response.get());
+  }
+
+  /// Called with the mutex of the exchange held. @return false if the stream must not begin
+  static bool BeginUndelimited(HttpServer& aServer, MHD_Connection* aConnection,
+                               const HttpExchangePtr& aExchange)
+  {
+    const auto* info = MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info == nullptr || !aServer.AddUndelimitedStream(aExchange)) {
+      return false;
+    }
+    aExchange->resetOnClose.emplace(info->connect_fd);
+    return true;
   }
 
   static ResponsePtr MakeResponse(const HttpServer& aServer, const HttpExchangePtr& aExchange)
@@ -378,6 +398,7 @@
       return static_cast<ssize_t>(count);
     }
     if (exchange.ended) {
+      EndUndelimited(exchange, !exchange.aborted);
       return exchange.aborted ? MHD_CONTENT_READER_END_WITH_ERROR
                               : MHD_CONTENT_READER_END_OF_STREAM;
     }
@@ -386,6 +407,20 @@
     return 0;
   }
 
+  /// Lets the connection of a stream without chunks end in an orderly way if the stream is complete, and resets it
+  /// otherwise, before the library ends it in an orderly way. Called with the mutex of the exchange held.
+  static void EndUndelimited(HttpExchange& aExchange, bool aIsComplete)
+  {
+    if (!aExchange.resetOnClose) {
+      return;
+    }
+    if (aIsComplete) {
+      aExchange.resetOnClose->Release();
+    } else {
+      aExchange.resetOnClose->Reset();
+    }
+  }
+
   static void FreeStream(void* aSource) { delete static_cast<StreamSource*>(aSource); }
 
   static void OnCompleted(void* aServer, MHD_Connection* /*aConnection*/, void** aContext,
@@ -399,6 +434,8 @@
     std::function<void()> callback;
     if (incoming->exchange != nullptr) {
       const std::scoped_lock lock(incoming->exchange->mutex);
+      // A response without a body, or one that the library gave up, was not read to its end
+      EndUndelimited(*incoming->exchange, aCode == MHD_REQUEST_TERMINATED_COMPLETED_OK);
       incoming->exchange->state = HttpExchange::State::Done;
       incoming->exchange->connection = nullptr;
       incoming->exchange->suspended = false;
@@ -409,6 +446,9 @@
     if (aCode != MHD_REQUEST_TERMINATED_COMPLETED_OK && callback) {
       callback();
     }
+    if (!incoming->readsChunks) {
+      static_cast<HttpServer*>(aServer)->RemoveUndelimitedStream(incoming->exchange);
+    }
     static_cast<HttpServer*>(aServer)->connections->OnRequestEnded(*incoming->connection);
     --static_cast<HttpServer*>(aServer)->openExchanges;
   }
@@ -501,10 +541,42 @@
 HttpServer::Stop()
 {
   this->StopListening();
+  this->ResetUndelimitedStreams();
   this->daemon.reset();
   this->quiesced.Reset();
 }
 
+bool
+HttpServer::AddUndelimitedStream(const HttpExchangePtr& aExchange)
+{
+  const std::scoped_lock lock(this->undelimitedMutex);
+  if (this->acceptsUndelimitedStreams) {
+    this->undelimitedStreams.insert(aExchange);
+  }
+  return this->acceptsUndelimitedStreams;
+}
+
+void
+HttpServer::RemoveUndelimitedStream(const HttpExchangePtr& aExchange)
+{
+  const std::scoped_lock lock(this->undelimitedMutex);
+  this->undelimitedStreams.erase(aExchange);
+}
+
+void
+HttpServer::ResetUndelimitedStreams()
+{
+  std::unordered_set<HttpExchangePtr> streams;
+  {
+    const std::scoped_lock lock(this->undelimitedMutex);
+    this->acceptsUndelimitedStreams = false;
+    streams.swap(this->undelimitedStreams);
+  }
+  for (const HttpExchangePtr& stream : streams) {
+    stream->ResetUndelimitedStream();
+  }
+}
+
 std::uint16_t
 HttpServer::Port() const
 {
--- a/Lagoonward/Wire/HttpServer.h
+++ b/Lagoonward/Wire/HttpServer.h
@@ -10,7 +10,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
+#include <unordered_set>
 
 struct MHD_Daemon;
 
@@ -59,8 +61,8 @@
   /// Stops accepting connections. Open connections are still served and are closed after their next response.
   void StopListening();
 
-  /// Stops all threads and closes all connections. Requires that every exchange has been responded to. May be called
-  /// twice.
+  /// Stops all threads and closes all connections; those of responses that have not been sent completely so that their
+  /// callers can detect it. Requires that every exchange has been responded to. May be called twice.
   void Stop();
 
   /// Returns the port that the server listens on. Valid after Start().
@@ -80,6 +82,11 @@
   };
 
   [[nodiscard]] std::shared_ptr<const HttpLimits> Limits() const;
+  /// Adds a stream without chunks. @return false if the server is being stopped; then it must not begin
+  [[nodiscard]] bool AddUndelimitedStream(const HttpExchangePtr& aExchange);
+  void RemoveUndelimitedStream(const HttpExchangePtr& aExchange);
+  /// Resets the connections of all streams without chunks, as the library would end them in an orderly way.
+  void ResetUndelimitedStreams();
 
   HttpServerSettings settings;
   Handler handler;
@@ -87,7 +94,10 @@
   std::shared_ptr<ConnectionTable> connections;
   ConnectionTable::Listener& listener; ///< In `connections`.
   std::unique_ptr<MHD_Daemon, DaemonDeleter> daemon;
-  UniqueFd quiesced; ///< The listening socket after StopListening().
+  UniqueFd quiesced;           ///< The listening socket after StopListening().
+  std::mutex undelimitedMutex; ///< Guards the next two.
+  std::unordered_set<HttpExchangePtr> undelimitedStreams;
+  bool acceptsUndelimitedStreams = true;
   std::atomic<int> openExchanges{ 0 };
   std::atomic<bool> listening{ false };
   std::atomic<bool> closingAfterResponses{ false };
--- a/UnitTests/Support/RawClient.cpp
+++ b/UnitTests/Support/RawClient.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 #include <cstdlib>
 
 namespace lagoonward::testing {
@@ -39,15 +40,11 @@
   std::string received;
   std::array<char, 4096> buffer{};
   while (aUntil.empty() || received.find(aUntil) == std::string::npos) {
-    pollfd descriptor{ this->socket.Get(), POLLIN, 0 };
-    if (::poll(&descriptor, 1, kReadTimeoutMilliseconds) <= 0) {
+    const std::size_t count = this->Receive(buffer);
+    if (count == 0) {
       break;
     }
-    const ssize_t count = ::recv(this->socket.Get(), buffer.data(), buffer.size(), 0);
-    if (count <= 0) {
-      break;
-    }
-    received.append(buffer.data(), static_cast<std::size_t>(count));
+    received.append(buffer.data(), count);
   }
   return received;
 }
@@ -58,19 +55,28 @@
   std::size_t received = 0;
   std::array<char, 4096> buffer{};
   while (received < aBytes) {
-    pollfd descriptor{ this->socket.Get(), POLLIN, 0 };
-    if (::poll(&descriptor, 1, kReadTimeoutMilliseconds) <= 0) {
+    const std::size_t count = this->Receive(buffer);
+    if (count == 0) {
       break;
     }
-    const ssize_t count = ::recv(this->socket.Get(), buffer.data(), buffer.size(), 0);
-    if (count <= 0) {
-      break;
-    }
-    received += static_cast<std::size_t>(count);
+    received += count;
   }
   return received;
 }
 
+std::size_t
+RawClient::Receive(std::span<char> aBuffer)
+{
+  this->wasReset = false;
+  pollfd descriptor{ this->socket.Get(), POLLIN, 0 };
+  if (::poll(&descriptor, 1, kReadTimeoutMilliseconds) <= 0) {
+    return 0;
+  }
+  const ssize_t count = ::recv(this->socket.Get(), aBuffer.data(), aBuffer.size(), 0);
+  this->wasReset = count < 0 && errno == ECONNRESET;
+  return count < 0 ? 0 : static_cast<std::size_t>(count);
+}
+
 std::string
 RawClient::ReadToEnd()
 {
--- a/UnitTests/Support/RawClient.h
+++ b/UnitTests/Support/RawClient.h
@@ -3,6 +3,7 @@
 #include "Lagoonward/Core/UniqueFd.h"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -28,12 +29,19 @@
   /// Reads until the connection ends.
   [[nodiscard]] std::string ReadToEnd();
 
+  /// Whether the last call that read met a connection that was reset, rather than closed in an orderly way.
+  [[nodiscard]] bool WasReset() const { return this->wasReset; }
+
   /// Shuts down the sending direction; the connection can still receive.
   void CloseSendingHalf();
   void Close();
 
 private:
+  /// Receives what is there, or waits for it. @return zero at the end, or when ten seconds have passed without data
+  std::size_t Receive(std::span<char> aBuffer);
+
   UniqueFd socket;
+  bool wasReset = false;
 };
 
 } // namespace lagoonward::testing
