--- a/Lagoonward/Frontend/AnswerWriters.cpp
+++ b/Lagoonward/Frontend/AnswerWriters.cpp
@@ -124,7 +124,10 @@
     this->WriteEnd(aAnswer);
   }
   this->disconnected = !this->exchange->Write(this->buffer);
-  if (aAnswer.Ended() || this->disconnected) {
+  if (this->disconnected) {
+    // Tokens are missing, which a caller that only reads too slowly has to notice
+    this->exchange->AbortStream();
+  } else if (aAnswer.Ended()) {
     this->exchange->EndStream();
   }
 }
--- a/Lagoonward/Relay/HttpRelayCaller.cpp
+++ b/Lagoonward/Relay/HttpRelayCaller.cpp
@@ -35,6 +35,11 @@
 void
 HttpRelayCaller::EndStream()
 {
+  if (this->overrun) {
+    // Events are missing, which the caller has to notice
+    this->exchange->AbortStream();
+    return;
+  }
   this->exchange->EndStream();
 }
 
