--- a/Lagoonward/Wire/ResponseHeadCheck.cpp
+++ b/Lagoonward/Wire/ResponseHeadCheck.cpp
@@ -73,6 +73,16 @@
   return aName.size() == aExpected.size() && boost::algorithm::iequals(aName, aExpected);
 }
 
+/// Whether `chunked` is the last of the transfer codings; with any other the body ends with its connection.
+bool
+IsChunkedLast(std::string_view aCodings)
+{
+  const std::size_t comma = aCodings.rfind(',');
+  std::string_view last = comma == std::string_view::npos ? aCodings : aCodings.substr(comma + 1);
+  last.remove_prefix(std::min(last.find_first_not_of(kBlanks), last.size()));
+  return IsNamed(last, "chunked");
+}
+
 bool
 IsContentLength(std::string_view aName)
 {
@@ -178,6 +188,13 @@
   return true;
 }
 
+bool
+ResponseHeadCheck::IsDelimited() const
+{
+  // RFC 9112 (section 6.3): a transfer coding overrides a length
+  return this->hasNoBody || this->isChunked.value_or(!this->contentLength.empty());
+}
+
 bool
 ResponseHeadCheck::AcceptStatusLine(std::string_view aLine)
 {
@@ -200,7 +217,8 @@
     return this->Reject("response switches to another protocol", aLine);
   }
   this->isInterim = *status < kFirstFinalStatus;
-  this->isDelimited = *status == kNoContent || *status == kNotModified;
+  this->hasNoBody = *status == kNoContent || *status == kNotModified;
+  this->isChunked.reset();
   this->expected = Expected::Header;
   this->isInFraming = false;
   this->contentLength.clear();
@@ -231,14 +249,14 @@
 bool
 ResponseHeadCheck::AcceptFraming(std::string_view aLine, std::string_view aName)
 {
-  this->isDelimited = true;
   if (aLine[aName.size()] != ':') {
     return this->Reject("length or transfer coding with a blank before its colon", aLine);
   }
+  const std::string_view value = FieldValueOf(aLine);
   if (!IsContentLength(aName)) {
+    this->isChunked = IsChunkedLast(value);
     return true;
   }
-  const std::string_view value = FieldValueOf(aLine);
   const bool isNumber = !value.empty() && value.size() <= kMaximumLengthDigits &&
                         std::all_of(value.begin(), value.end(), IsDigit);
   if (!isNumber) {
--- a/Lagoonward/Wire/ResponseHeadCheck.h
+++ b/Lagoonward/Wire/ResponseHeadCheck.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,7 +23,7 @@
   [[nodiscard]] bool IsComplete() const { return this->expected == Expected::Trailer; }
 
   /// Whether the final response states where its body ends, rather than by the end of its connection.
-  [[nodiscard]] bool IsDelimited() const { return this->isDelimited; }
+  [[nodiscard]] bool IsDelimited() const;
 
   /// What is wrong, for logs; empty while all lines were accepted.
   [[nodiscard]] const std::string& Fault() const { return this->fault; }
@@ -44,7 +45,9 @@
 
   Expected expected = Expected::StatusLine;
   bool isInterim = false; ///< The status line was that of an interim response.
-  bool isDelimited = false;
+  bool hasNoBody = false; ///< The status allows none.
+  /// Whether `chunked` is the last transfer coding of the current head; nothing if it has no coding.
+  std::optional<bool> isChunked;
   bool isInFraming = false;  ///< The last header line says where the body ends.
   std::string contentLength; ///< Of the current head; empty if it has none.
   std::string fault;
--- a/UnitTests/Wire/ResponseHeadCheckTests.cpp
+++ b/UnitTests/Wire/ResponseHeadCheckTests.cpp
@@ -26,6 +26,16 @@
   return true;
 }
 
+bool
+IsDelimited(const Lines& aLines)
+{
+  ResponseHeadCheck check;
+  for (const std::string& line : aLines) {
+    BOOST_TEST(check.Accept(line));
+  }
+  return check.IsDelimited();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ResponseHeadCheckTests)
@@ -100,19 +110,25 @@
 
 BOOST_AUTO_TEST_CASE(OnlyHeadersOfTheFinalResponseDelimitIt)
 {
-  const auto isDelimited = [](const Lines& aLines) {
-    ResponseHeadCheck check;
-    for (const std::string& line : aLines) {
-      BOOST_TEST(check.Accept(line));
-    }
-    return check.IsDelimited();
-  };
-  BOOST_TEST(!isDelimited({ "HTTP/1.1 200 OK", "Date: a", "" }));
-  BOOST_TEST(isDelimited({ "HTTP/1.1 200 OK", "content-length: 4", "" }));
-  BOOST_TEST(isDelimited({ "HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "" }));
-  BOOST_TEST(isDelimited({ "HTTP/1.1 204 No Content", "" }));
+  BOOST_TEST(!IsDelimited({ "HTTP/1.1 200 OK", "Date: a", "" }));
+  BOOST_TEST(IsDelimited({ "HTTP/1.1 200 OK", "content-length: 4", "" }));
+  BOOST_TEST(IsDelimited({ "HTTP/1.1 200 OK", "Transfer-Encoding: chunked", "" }));
+  BOOST_TEST(IsDelimited({ "HTTP/1.1 200 OK", "Transfer-Encoding: gzip,  Chunked", "" }));
+  BOOST_TEST(IsDelimited({ "HTTP/1.1 204 No Content", "" }));
   BOOST_TEST(
-    !isDelimited({ "HTTP/1.1 103 Early Hints", "Content-Length: 4", "", "HTTP/1.1 200 OK", "" }));
+    !IsDelimited({ "HTTP/1.1 103 Early Hints", "Content-Length: 4", "", "HTTP/1.1 200 OK", "" }));
+}
+
+/// Guards against a part that counts as delimited, and so as whole, for a transfer coding that has no end of its own.
+BOOST_AUTO_TEST_CASE(TransferCodingOtherThanChunkedDoesNotDelimitAResponse)
+{
+  for (const std::string codings : { "identity", "gzip", "chunked, identity", "x-chunked", "" }) {
+    const std::string coding = "Transfer-Encoding: " + codings;
+    BOOST_TEST(!IsDelimited({ "HTTP/1.1 200 OK", coding, "" }), codings);
+    // It overrides a length
+    BOOST_TEST(!IsDelimited({ "HTTP/1.1 200 OK", coding, "Content-Length: 4", "" }), codings);
+    BOOST_TEST(!IsDelimited({ "HTTP/1.1 200 OK", "Content-Length: 4", coding, "" }), codings);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(MalformedLinesAreRejected)
