--- a/Lagoonward/Relay/RequestForwarder.cpp
+++ b/Lagoonward/Relay/RequestForwarder.cpp
@@ -18,6 +18,7 @@
 const Log kLog("relay");
 
 constexpr std::string_view kEventStream = "text/event-stream";
+constexpr std::string_view kHead = "HEAD";
 constexpr int kOk = 200;
 
 /// Written by the HTTP server itself.
@@ -192,11 +193,12 @@
       return;
     }
     if (aEnd.outcome != TransferOutcome::Complete) {
-      const bool isRepeatable = this->request.route->IsRepeatable();
-      this->Fail(Error(isRepeatable ? ErrorKind::EndpointFailed : ErrorKind::OutcomeUnknown,
-                       "The daemon to which the request was forwarded did not answer: " +
-                         (this->stopReason.empty() ? aEnd.message : this->stopReason),
-                       Ran::Unknown));
+      this->FailUnanswered(this->stopReason.empty() ? aEnd.message : this->stopReason);
+      return;
+    }
+    // Daemons always state where a body ends, so this one was cut, or is not a daemon's
+    if (aEnd.bodyEnd == BodyEnd::Connection && this->request.request.method != kHead) {
+      this->FailUnanswered("the response ended with its connection, without a length or chunks");
       return;
     }
     if (this->streaming) {
@@ -207,6 +209,15 @@
     this->Finish(aEnd.status, {});
   }
 
+  void FailUnanswered(std::string_view aReason)
+  {
+    const bool isRepeatable = this->request.route->IsRepeatable();
+    this->Fail(Error(
+      isRepeatable ? ErrorKind::EndpointFailed : ErrorKind::OutcomeUnknown,
+      fmt::format("The daemon to which the request was forwarded did not answer: {}", aReason),
+      Ran::Unknown));
+  }
+
   void Fail(const Error& aError)
   {
     if (this->streaming) {
