--- a/Lagoonward/Attempts/EngineStream.cpp
+++ b/Lagoonward/Attempts/EngineStream.cpp
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+/// Finish reason of a stream that did not come to its own end.
+constexpr std::string_view kCancelled = "cancelled";
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusServerError = 500;
@@ -45,6 +48,8 @@
       return "rejected";
     case AttemptFailure::NoSuchStream:
       return "no such stream";
+    case AttemptFailure::Cancelled:
+      return "cancelled";
     case AttemptFailure::Broken:
       return "broken";
     case AttemptFailure::Foreign:
@@ -193,6 +198,10 @@
                    "the last event is unexpected, has no finish reason or has a wrong token count");
     return;
   }
+  if (this->finishReason == kCancelled) {
+    this->FailWith(AttemptFailure::Cancelled, "the engine ended the stream as cancelled");
+    return;
+  }
   this->phase = Phase::Finished;
 }
 
--- a/Lagoonward/Attempts/EngineStream.h
+++ b/Lagoonward/Attempts/EngineStream.h
@@ -39,8 +39,9 @@
   NotSent,      ///< Proven: the request never reached the endpoint.
   Rejected,     ///< Proven: the endpoint rejected the request before running it.
   NoSuchStream, ///< The engine does not know the stream to resume.
-  Broken,       ///< The connection failed or the stream was cut.
-  Foreign,      ///< An event belongs to another attempt, model or version, or names no attempt.
+  Cancelled, ///< The engine ended the stream, as another call, maybe of another daemon, asked for it.
+  Broken,    ///< The connection failed or the stream was cut.
+  Foreign,   ///< An event belongs to another attempt, model or version, or names no attempt.
   Malformed, ///< An event violates the format, a token is skipped or repeated, or the token count is wrong.
 };
 
--- a/UnitTests/Attempts/EngineStreamTests.cpp
+++ b/UnitTests/Attempts/EngineStreamTests.cpp
@@ -115,6 +115,17 @@
     (this->Run({ kFirst, R"({"index":0,"text":"x"})" }).failure == AttemptFailure::Malformed));
 }
 
+/// Guards against a part that counts as the whole answer, as its stream was cancelled by another call.
+BOOST_AUTO_TEST_CASE(CancelledStreamIsNotFinished)
+{
+  const AttemptResult result = this->Run(
+    { kFirst, R"({"index":0,"text":"x"})", R"({"index":1,"text":"y"})",
+      R"({"attempt_id":"a","model":"m","version":"1","finish_reason":"cancelled","token_count":2})" });
+  BOOST_TEST(!result.finished);
+  BOOST_TEST((result.failure == AttemptFailure::Cancelled));
+  BOOST_TEST(this->answer.Text() == "xy");
+}
+
 /// Guards against an engine that sends tokens without end, all of which an answer keeps.
 BOOST_AUTO_TEST_CASE(MoreTokensThanRequestedFailAsMalformed)
 {
