--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -266,16 +266,31 @@
   this->HandleAttemptEnd(std::move(aEnd));
 }
 
+std::string_view
+RelayRun::ReasonForDoubt(const AttemptResult& aEnd) const
+{
+  if (aEnd.outcome != AttemptOutcome::Success || aEnd.response.bodyEnd != BodyEnd::Connection) {
+    return {};
+  }
+  if (this->MayHaveBeenStopped(aEnd)) {
+    return "the call to move the stream may have ended it";
+  }
+  const TimePoint stopsAt = this->call.EffectiveDeadline() - this->context.settings.deadlineMargin;
+  return this->context.loop.GetClock().Now() < stopsAt
+           ? std::string_view()
+           : "the endpoint may have stopped at the deadline of the request";
+}
+
 void
 RelayRun::HandleAttemptEnd(AttemptResult aEnd)
 {
   if (this->TryContinueAtSource(aEnd)) {
     return;
   }
-  if (aEnd.outcome == AttemptOutcome::Success && this->MayHaveBeenStopped(aEnd)) {
+  if (const std::string_view doubt = this->ReasonForDoubt(aEnd); !doubt.empty()) {
     aEnd.outcome = AttemptOutcome::Unknown;
     aEnd.cause = AttemptCause::InvalidResponse;
-    aEnd.reason += ", the call to move the stream may have ended it";
+    aEnd.reason += fmt::format(", {}", doubt);
     this->OnAttemptFailed(std::move(aEnd));
     return;
   }
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -217,6 +217,8 @@
   void OnMoveFinished(const MoveResult& aEnd);
   /// Whether our call to move the stream may be the reason for this end of it, which looks like a complete one.
   [[nodiscard]] bool MayHaveBeenStopped(const AttemptResult& aEnd) const;
+  /// Why a response that looks complete may be a part that the endpoint stopped, for logs; empty if it is complete.
+  [[nodiscard]] std::string_view ReasonForDoubt(const AttemptResult& aEnd) const;
   /// Keeps the end of the stream until the reply to the call says whether it is the run's own.
   void AwaitMoveReply(AttemptResult aEnd);
   void OnMoveReplyOverdue();
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -38,6 +38,10 @@
   /// Extra time beyond the deadline of the request after which the HTTP client itself ends an attempt.
   Milliseconds attemptTimeoutMargin{ 1000 };
 
+  /// How long before the deadline of a request an endpoint may stop it, as it is sent whole milliseconds and has a clock
+  /// of its own. A body that ends with its connection then does not prove a complete response.
+  Milliseconds deadlineMargin{ 5 };
+
   /// How long a request waits for an available endpoint before it is refused, as a fraction of its latency target.
   /// Short enough that a retry by the caller can still meet the target.
   double endpointWaitFactor = 0.1;
--- a/UnitTests/Relay/RelayResponseKindTests.cpp
+++ b/UnitTests/Relay/RelayResponseKindTests.cpp
@@ -66,4 +66,36 @@
   BOOST_TEST(received.aborted);
 }
 
+// Guards against a part of a response that callers get as complete: its endpoint stopped at the deadline of the request, and
+// the body ends with its connection.
+BOOST_AUTO_TEST_CASE(BodyThatEndsWithItsConnectionAtTheDeadlineIsNotComplete)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n";
+  const std::string events = "id: 1\ndata: a\n\n";
+  const ScriptedServer server([&](const std::string& aRequest) -> Script {
+    const bool isStream = aRequest.find("stream") != std::string::npos;
+    return { { Kind::Send,
+               head + (isStream ? "Content-Type: text/event-stream\r\n\r\n" : "\r\n") + events },
+             { Kind::Wait, {}, Milliseconds(100) },
+             { Kind::Close } };
+  });
+  for (const bool isAtDeadline : { false, true }) {
+    for (const RelayKind kind : { RelayKind::Stream, RelayKind::NonIdempotent }) {
+      BOOST_TEST_CONTEXT("at the deadline: " << isAtDeadline << ", kind " << static_cast<int>(kind))
+      {
+        RelaySettings settings;
+        settings.deadlineMargin = isAtDeadline ? Milliseconds(4900) : settings.deadlineMargin;
+        RelayFixture relay({ &server }, {}, {}, nullptr, settings);
+        relay.body = kind == RelayKind::Stream ? "stream" : "plain";
+        TestCaller caller;
+        relay.Submit(caller, kind, false, Seconds(5));
+        const Received received = caller.Wait();
+        const bool isComplete =
+          received.reply ? received.reply->status == 200 : received.streamed && !received.aborted;
+        BOOST_TEST(isComplete != isAtDeadline);
+      }
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
