--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -392,8 +392,10 @@
 void
 RelayRun::CancelAttempt(DispatchOutcome aOutcome)
 {
-  if (this->attempt != nullptr) {
+  // An attempt whose end waits for the reply to a move has not been accounted for either
+  if (this->attempt != nullptr || this->endDuringMove) {
     this->attempt.reset();
+    this->endDuringMove.reset();
     this->place.End(PlaceAction::ReleaseLater);
     this->slot.End(aOutcome == DispatchOutcome::Failed ? SlotAction::Lose : SlotAction::Abandon);
     this->context.router.OnFinished(this->dispatch, aOutcome);
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -266,16 +266,17 @@
      fingerprint = this->call.fingerprint, partKeys = this->call.sharedPartKeys] {
       return poisonFilter.IsPoisoned(fingerprint) || poisonPartFilter.IsAnyPoisoned(partKeys);
     };
-  if (aReachableUntil) {
-    return [&gate = this->context.gate, &clock = this->context.loop.GetClock(), isPoisoned,
-            id = this->endpointId, key = this->endpointKey, until = *aReachableUntil] {
-      const bool isInTime = gate.MaySendTo(id, key) || clock.BootNow() < until;
-      return isInTime && gate.MayContinueAt(id, key) && !isPoisoned();
-    };
+  const auto maySend = [&gate = this->context.gate, guard = this->context.snapshotGuard,
+                        id = this->endpointId, key = this->endpointKey] {
+    return gate.MaySendTo(id, key) && IsSnapshotUsable(guard);
+  };
+  if (!aReachableUntil) {
+    return [maySend, isPoisoned] { return maySend() && !isPoisoned(); };
   }
-  return [&gate = this->context.gate, guard = this->context.snapshotGuard, isPoisoned,
-          id = this->endpointId, key = this->endpointKey] {
-    return gate.MaySendTo(id, key) && IsSnapshotUsable(guard) && !isPoisoned();
+  return [maySend, isPoisoned, &gate = this->context.gate, &clock = this->context.loop.GetClock(),
+          id = this->endpointId, key = this->endpointKey, until = *aReachableUntil] {
+    const bool isReachable = maySend() || clock.BootNow() < until;
+    return isReachable && gate.MayContinueAt(id, key) && !isPoisoned();
   };
 }
 
--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -47,11 +47,12 @@
 public:
   static constexpr int kEvents = 4;
 
-  explicit MovedStream(Framing aFraming, const RelaySettings& aSettings = {})
+  explicit MovedStream(Framing aFraming, const RelaySettings& aSettings = {},
+                       SnapshotGuard* aGuard = nullptr)
     : framing(aFraming)
     , left([this](const std::string& aRequest) { return this->Answer(aRequest, this->left); })
     , right([this](const std::string& aRequest) { return this->Answer(aRequest, this->right); })
-    , relay({ &this->left, &this->right }, {}, {}, nullptr, aSettings)
+    , relay({ &this->left, &this->right }, {}, {}, aGuard, aSettings)
   {
   }
 
@@ -439,6 +440,53 @@
   BOOST_TEST(stream.releases == 0);
 }
 
+// Guards against requests that reach an endpoint too long after it announced that it leaves: the state of a run was used on
+// an old snapshot, in which the endpoint is live.
+BOOST_AUTO_TEST_CASE(StreamDoesNotGoOnWhereTheEndpointMayHaveLeft)
+{
+  for (const bool isCurrent : { false, true }) {
+    BOOST_TEST_CONTEXT("current snapshot: " << isCurrent)
+    {
+      const SystemClock clock;
+      SnapshotGuardSettings guardSettings;
+      guardSettings.maximumAge = Milliseconds(1000);
+      guardSettings.refreshTimeout = Seconds(5);
+      SnapshotGuard guard(guardSettings, clock);
+      guard.SetAsOf(clock.BootNow());
+      RelaySettings settings;
+      settings.leavingNotice = settings.leavingNoticeMargin;
+      MovedStream stream(Framing::Connection, settings, &guard);
+      stream.moveReply = Reply("200 OK", kHandle);
+      stream.beforeReply = [&] {
+        std::this_thread::sleep_for(guardSettings.maximumAge);
+        if (isCurrent) {
+          guard.SetAsOf(clock.BootNow());
+        }
+      };
+      const Received received = stream.Run();
+      BOOST_TEST(received.aborted != isCurrent);
+      BOOST_TEST(stream.continuedAt == (isCurrent ? &stream.Destination() : nullptr));
+    }
+  }
+}
+
+// Guards against requests that count as in flight for ever: their stream had ended when its caller left, and the end waited
+// for the reply to the call.
+BOOST_AUTO_TEST_CASE(RequestThatEndsDuringItsMoveIsNoLongerInFlight)
+{
+  MovedStream stream(Framing::Connection);
+  stream.moveReply = Reply("404 Not Found", "");
+  stream.beforeReply = [&] {
+    stream.caller.disconnected = true;
+    std::this_thread::sleep_for(2 * RelaySettings().callerCheckInterval);
+  };
+  BOOST_TEST(stream.Run().aborted);
+  stream.relay.service.Stop();
+  for (const EndpointInFlightCount& each : stream.relay.market.router.OwnInFlight()) {
+    BOOST_TEST(each.count == 0);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoonward::testing
