--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -22,10 +22,10 @@
 } // namespace
 
 EndpointReplicator::EndpointReplicator(const EndpointReplicatorSettings& aSettings,
-                                       MembershipService& aMembership, PeerInfo aSelf,
+                                       DaemonLink& aLink, PeerInfo aSelf,
                                        EndpointReplicatorHooks aHooks, const Clock& aClock)
   : settings(aSettings)
-  , membership(aMembership)
+  , link(aLink)
   , self(std::move(aSelf))
   , hooks(std::move(aHooks))
   , clock(aClock)
@@ -36,12 +36,11 @@
   , changeLog(aSettings.changeRetention)
   , role(aSettings.reader, aClock)
 {
-  this->membership.Transport().OnRequest(
-    kEndpointUpdate,
-    [this](PeerKey aSender, std::string_view aBytes, const PeerTransport::Responder& aRespond) {
-      aRespond(this->HandleUpdate(aSender, aBytes));
-    });
-  this->membership.Transport().OnRequest(
+  this->link.OnRequest(kEndpointUpdate, [this](PeerKey aSender, std::string_view aBytes,
+                                               const PeerTransport::Responder& aRespond) {
+    aRespond(this->HandleUpdate(aSender, aBytes));
+  });
+  this->link.OnRequest(
     ToRequestType(PeerRequest::EndpointQuery),
     [this](PeerKey, std::string_view aBytes, const PeerTransport::Responder& aRespond) {
       aRespond(this->AnswerQuery(aBytes));
@@ -52,7 +51,7 @@
 EndpointReplicator::Start()
 {
   this->UpdatePlan();
-  this->membership.Loop().Every(this->settings.tickInterval, [this] { this->Tick(); });
+  this->link.Every(this->settings.tickInterval, [this] { this->Tick(); });
 }
 
 void
@@ -113,7 +112,7 @@
   if (aDaemon == this->self.Key()) {
     return this->self.address;
   }
-  const auto address = this->membership.AddressOf(aDaemon);
+  const auto address = this->link.AddressOf(aDaemon);
   return address ? address->address : "unknown";
 }
 
@@ -238,7 +237,7 @@
 void
 EndpointReplicator::UpdatePlan()
 {
-  const PeerViewPtr view = this->membership.Peers();
+  const PeerViewPtr view = this->link.Peers();
   if (view == this->planView) {
     return;
   }
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Lagoonward/Core/Result.h"
+#include "Lagoonward/Daemon/DaemonLink.h"
 #include "Lagoonward/Daemon/EndpointChangeLog.h"
 #include "Lagoonward/Daemon/EndpointReplicatorSettings.h"
 #include "Lagoonward/Daemon/EndpointUpdateMessages.h"
@@ -9,7 +10,6 @@
 #include "Lagoonward/Fleet/SnapshotOrigin.h"
 #include "Lagoonward/Membership/AggregationPlan.h"
 #include "Lagoonward/Membership/DelayEstimator.h"
-#include "Lagoonward/Membership/MembershipService.h"
 
 #include <atomic>
 #include <functional>
@@ -65,8 +65,8 @@
 {
 public:
   /// References must outlive it.
-  EndpointReplicator(const EndpointReplicatorSettings& aSettings, MembershipService& aMembership,
-                     PeerInfo aSelf, EndpointReplicatorHooks aHooks, const Clock& aClock);
+  EndpointReplicator(const EndpointReplicatorSettings& aSettings, DaemonLink& aLink, PeerInfo aSelf,
+                     EndpointReplicatorHooks aHooks, const Clock& aClock);
 
   /// Starts the periodic tick.
   void Start();
@@ -217,7 +217,7 @@
   [[nodiscard]] bool IsCurrent() const { return this->Age() <= this->role.StalenessLimit(); }
 
   EndpointReplicatorSettings settings;
-  MembershipService& membership;
+  DaemonLink& link;
   PeerInfo self;
   EndpointReplicatorHooks hooks;
   const Clock& clock;
--- a/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
@@ -28,7 +28,7 @@
     this->queryPause = this->settings.tickInterval;
   }
   const TimePoint now = this->clock.Now();
-  const PeerViewPtr view = this->membership.Peers();
+  const PeerViewPtr view = this->link.Peers();
   if (!isNeeded || now < this->nextQueryAt || this->isQueryPending || view->peers.empty()) {
     return;
   }
@@ -41,7 +41,7 @@
   const std::size_t index =
     (static_cast<std::size_t>(this->self.Key()) + this->queries++) % view->peers.size();
   const PeerKey peer = view->peers[index].info.Key();
-  const auto address = this->membership.AddressOf(peer);
+  const auto address = this->link.AddressOf(peer);
   if (!address) {
     return;
   }
@@ -50,7 +50,7 @@
     query = { true, *this->endVersion, this->Age().count() };
   }
   this->isQueryPending = true;
-  this->membership.Transport().Request(
+  this->link.Request(
     *address, kEndpointQuery, EncodePeerMessage(query), this->settings.timeout,
     [this, peer, requestedAt = this->clock.BootNow()](const Result<std::string>& aReply) {
       this->isQueryPending = false;
--- a/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
@@ -70,13 +70,13 @@
       bytes->second = EncodePeerMessage(message);
     }
     // A receiver that does not answer reads the source directly, and is sent the same changes again
-    this->membership.Transport().Request(
-      receiver, kEndpointUpdate, this->EncodeHeaderFor(receiver.key) + bytes->second,
-      this->settings.timeout, [this, key = receiver.key](const Result<std::string>& aReply) {
-        if (aReply) {
-          this->OnReply(key, aReply.value());
-        }
-      });
+    this->link.Request(receiver, kEndpointUpdate,
+                       this->EncodeHeaderFor(receiver.key) + bytes->second, this->settings.timeout,
+                       [this, key = receiver.key](const Result<std::string>& aReply) {
+                         if (aReply) {
+                           this->OnReply(key, aReply.value());
+                         }
+                       });
   }
 }
 
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -246,9 +246,10 @@
     ForwardExchangeSettings{}, *this->membership, self,
     [this] { return this->relay->HasLostPath(); }, [this] { return this->OwnForwardState(); },
     this->clock);
+  this->daemonLink = std::make_unique<MembershipLink>(*this->membership);
   this->endpointReplicator = std::make_unique<EndpointReplicator>(
     EndpointReplicatorSettingsFor(this->settings.leavingNotice, this->settings.endpointHeartbeat),
-    *this->membership, self, std::move(hooks), this->clock);
+    *this->daemonLink, self, std::move(hooks), this->clock);
   this->reporter.SetEndpointsAge([this] { return this->endpointReplicator->Age(); });
   return boost::outcome_v2::success();
 }
--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -169,6 +169,7 @@
   std::unique_ptr<PlaceExchange> placeExchange;
   std::unique_ptr<SlotExchange> slotExchange;
   std::unique_ptr<StreamOriginExchange> streamOrigins;
+  std::unique_ptr<MembershipLink> daemonLink;
   std::unique_ptr<EndpointReplicator> endpointReplicator;
   std::unique_ptr<ForwardExchange> forwardExchange;
   std::string forwardToken; ///< Random; known to the daemons that have asked this one for it.
--- a/UnitTests/Daemon/EndpointReplicatorFixture.h
+++ b/UnitTests/Daemon/EndpointReplicatorFixture.h
@@ -42,7 +42,8 @@
     : clock(aClock)
     , membership(aClock, Identity(aIndex, aDomain), KeyRing::Parse(kKey, "test").value(), {},
                  [](const HostEntry&, const MembershipService::PollDone&) {})
-    , replicator(aSettings, membership, Identity(aIndex, aDomain).self, Hooks(), aClock)
+    , link(membership)
+    , replicator(aSettings, link, Identity(aIndex, aDomain).self, Hooks(), aClock)
   {
     BOOST_TEST_REQUIRE(this->membership.Start().has_value());
     this->RunOnControlThread([this] { this->replicator.Start(); });
@@ -106,6 +107,7 @@
   std::atomic<int> changeCount{ 0 };
   std::atomic<std::int64_t> configuration{ -1 };
   MembershipService membership;
+  MembershipLink link;
   EndpointReplicator replicator;
 };
 
