--- a/Lagoonward/Daemon/EndpointChangeLog.cpp
+++ b/Lagoonward/Daemon/EndpointChangeLog.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/EndpointChangeLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lagoonward {
 
@@ -15,6 +16,7 @@
   this->isStarted = true;
   this->firstVersion = aFirstVersion;
   this->changes.clear();
+  this->fullRead.reset();
 }
 
 void
@@ -25,6 +27,15 @@
   }
 }
 
+void
+EndpointChangeLog::AddFullRead(EndpointFullRead aFullRead, TimePoint aNow)
+{
+  if (this->isStarted) {
+    this->fullRead = std::move(aFullRead);
+    this->fullReadAt = aNow;
+  }
+}
+
 void
 EndpointChangeLog::DropExpired(TimePoint aNow)
 {
@@ -32,6 +43,10 @@
     this->firstVersion = std::max(this->firstVersion, this->changes.front().record.version.Next());
     this->changes.pop_front();
   }
+  if (this->fullRead && this->fullReadAt + this->retention < aNow) {
+    this->firstVersion = std::max(this->firstVersion, this->fullRead->end);
+    this->fullRead.reset();
+  }
 }
 
 std::vector<EndpointRecord>
@@ -46,4 +61,10 @@
   return found;
 }
 
+std::optional<EndpointFullRead>
+EndpointChangeLog::FullReadAfter(LogPosition aVersion) const
+{
+  return this->fullRead && this->fullRead->end > aVersion ? this->fullRead : std::nullopt;
+}
+
 } // namespace lagoonward
--- a/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
@@ -67,6 +67,7 @@
     const auto [bytes, isNew] = encoded.try_emplace(message.firstVersion);
     if (isNew) {
       message.entries = this->changeLog.ChangesFrom(message.firstVersion);
+      message.fullRead = this->changeLog.FullReadAfter(message.firstVersion);
       bytes->second = EncodePeerMessage(message);
     }
     // A receiver that does not answer reads the source directly, and is sent the same changes again
@@ -159,8 +160,11 @@
                             aMessage.firstVersion <= *this->endVersion;
   const bool isUsable = isContinuous || this->BeginsLaterEpoch(aMessage);
   this->incoming = this->OriginOf(aSender, aMessage, aSpan);
-  const bool isChange = this->ApplyEntries(aMessage);
+  this->LogGap(aMessage, isUsable);
+  bool isChange = this->ApplyEntries(aMessage);
   if (isPlausible && isUsable) {
+    this->ApplyFullReadOf(aMessage);
+    isChange = std::exchange(this->hasUnpublishedChanges, false) || isChange;
     this->AdvanceTo(aSpan, aMessage.endVersion, this->incoming);
     this->role.OnUpdate(aSpan.until, this->plan.RankOf(aMessage.reader));
   }
@@ -184,6 +188,21 @@
   }
 }
 
+void
+EndpointReplicator::LogGap(const EndpointUpdateMessage& aMessage, bool aIsUsable)
+{
+  const bool isGap = !aIsUsable && this->endVersion;
+  if (std::exchange(this->hasLoggedGap, isGap) || !isGap) {
+    return;
+  }
+  kLog.Event("endpoints_gap", { { "end", this->endVersion->offset },
+                                { "first_received", aMessage.firstVersion.offset },
+                                { "end_received", aMessage.endVersion.offset },
+                                { "from", this->incoming.sender },
+                                { "reader", this->incoming.reader },
+                                { "age_ms", this->Age().count() } });
+}
+
 bool
 EndpointReplicator::BeginsLaterEpoch(const EndpointUpdateMessage& aMessage) const
 {
@@ -208,7 +227,8 @@
     isChange = this->HandleRecord(entry, true) || isChange;
   }
   if (isOtherEpoch || aMessage.isComplete) {
-    this->RemoveAllMissing(*before, aMessage.entries, aMessage.endVersion);
+    this->RemoveAllMissing(*before, aMessage.entries, aMessage.endVersion, true);
+    this->LogFullRead(aMessage.entries, aMessage.endVersion);
     isChange = std::exchange(this->hasUnpublishedChanges, false) || isChange;
   }
   return isChange;
@@ -253,7 +273,11 @@
   const bool isTooSoon =
     this->lastRepairAt && now - *this->lastRepairAt < this->settings.minimumRepairInterval;
   if (now - *this->digestMismatchSince >= this->settings.digestMismatchTolerance && !isTooSoon) {
-    kLog.Event(LogLevel::Warning, "endpoints_differ", { { "endpoints", this->versions.size() } });
+    kLog.Event(LogLevel::Warning, "endpoints_differ",
+               { { "known", this->versions.size() },
+                 { "from", this->incoming.sender },
+                 { "reader", this->incoming.reader },
+                 { "end", this->endVersion.value_or(LogPosition()).offset } });
     this->lastRepairAt = now;
     this->digestMismatchSince.reset();
     this->needsRepair = true;
