--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -253,6 +253,7 @@
     this->context.responseMemory, this->call, listener);
   this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms,
                        this->MakeSendCheck(reachableUntil));
+  this->RecordLive();
   this->ArmSilenceTimer(false);
 }
 
--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -260,6 +260,18 @@
   }
 }
 
+// Guards against streams that are lost as they have just begun: it was not known yet since when the source may be leaving.
+BOOST_AUTO_TEST_CASE(StreamThatHasJustBegunGoesOnAtItsSource)
+{
+  const SystemClock clock;
+  SnapshotGuard guard({}, clock);
+  guard.SetAsOf(clock.BootNow());
+  MovedStream stream(Framing::Connection, {}, &guard);
+  stream.moveReply = Reply("503 Service Unavailable", kHandle);
+  BOOST_TEST(!stream.Run().aborted);
+  BOOST_TEST(stream.continuedAt == stream.source);
+}
+
 // Guards against streams that are lost because the destination has no room any more, although the source keeps their state.
 BOOST_AUTO_TEST_CASE(StreamThatItsDestinationRejectsGoesOnAtItsSource)
 {
