--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -199,6 +199,16 @@
     fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", aStatus, aBody.size(), aBody));
 }
 
+/// Checks that the caller got the complete stream of one run, which went on at that endpoint.
+void
+CheckContinued(const MovedStream& aStream, const Received& aReceived, const ScriptedServer* aWhere)
+{
+  BOOST_TEST(!aReceived.aborted);
+  BOOST_TEST(aReceived.events == MakeEvents(1, MovedStream::kEvents));
+  BOOST_TEST(aStream.continuedAt == aWhere);
+  BOOST_TEST(aStream.begun == 1);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(RelayMoveEndTests)
@@ -234,11 +244,8 @@
       MovedStream stream(framing);
       stream.moveReply = Reply("200 OK", kHandle);
       const Received received = stream.Run();
-      BOOST_TEST(!received.aborted);
-      BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
+      CheckContinued(stream, received, &stream.Destination());
       BOOST_TEST(stream.continuedAfter == 2);
-      BOOST_TEST(stream.continuedAt != stream.source);
-      BOOST_TEST(stream.begun == 1);
     }
   }
 }
@@ -252,10 +259,7 @@
       MovedStream stream(framing);
       stream.moveReply = Reply("503 Service Unavailable", kHandle);
       const Received received = stream.Run();
-      BOOST_TEST(!received.aborted);
-      BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
-      BOOST_TEST(stream.continuedAt == stream.source);
-      BOOST_TEST(stream.begun == 1);
+      CheckContinued(stream, received, stream.source);
     }
   }
 }
@@ -268,8 +272,8 @@
   guard.SetAsOf(clock.BootNow());
   MovedStream stream(Framing::Connection, {}, &guard);
   stream.moveReply = Reply("503 Service Unavailable", kHandle);
-  BOOST_TEST(!stream.Run().aborted);
-  BOOST_TEST(stream.continuedAt == stream.source);
+  const Received received = stream.Run();
+  CheckContinued(stream, received, stream.source);
 }
 
 // Guards against streams that are lost because the destination has no room any more, although the source keeps their state.
@@ -282,10 +286,7 @@
       stream.destinationRejects = true;
       stream.moveReply = Reply("200 OK", kHandle);
       const Received received = stream.Run();
-      BOOST_TEST(!received.aborted);
-      BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
-      BOOST_TEST(stream.continuedAt == stream.source);
-      BOOST_TEST(stream.begun == 1);
+      CheckContinued(stream, received, stream.source);
     }
   }
 }
@@ -324,9 +325,7 @@
   stream.moveReply = Reply("200 OK", kHandle);
   stream.beforeReply = [&] { stream.relay.MarkLeaving(stream.Destination().Port()); };
   const Received received = stream.Run();
-  BOOST_TEST(!received.aborted);
-  BOOST_TEST(received.events == MakeEvents(1, MovedStream::kEvents));
-  BOOST_TEST(stream.continuedAt == &stream.Destination());
+  CheckContinued(stream, received, &stream.Destination());
 }
 
 // Guards against a run that begins a second time in the middle of its stream, because its source had left the list.
