--- a/Lagoonward/Relay/RelayMove.cpp
+++ b/Lagoonward/Relay/RelayMove.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::size_t kMaximumResponseBytes = 4096;
 
+constexpr int kServiceUnavailable = 503;
+
 } // namespace
 
 RelayMove::RelayMove(TrafficLoop& aLoop, const AnyEndpointDialect& aDialect, DoneCallback aOnDone)
@@ -38,7 +40,8 @@
   transferRequest.freshConnection = true;
   transferRequest.singleSend = true;
   transferRequest.timeout = aTimeout;
-  transferRequest.mayBeSent = [this] { return this->mayHaveBeenSent = true; };
+  // May be called after this object has gone, until its transfer is cancelled
+  transferRequest.mayBeSent = [sent = this->mayHaveBeenSent] { return *sent = true; };
   this->transfer = this->loop.StartTransfer(transferRequest, *this);
 }
 
@@ -59,6 +62,11 @@
   MoveResult end;
   if (aEnd.outcome == TransferOutcome::Complete) {
     end = this->dialect.readMove(aEnd.status, this->body);
+    if (aEnd.status == kServiceUnavailable && aEnd.bodyEnd == BodyEnd::Connection &&
+        this->body.empty()) {
+      // The connection may have ended before the body, which would name the state of a stopped run
+      end.stopState = StopState::Unknown;
+    }
   } else {
     end.reason = aEnd.message;
     const bool isUnsent = aEnd.outcome == TransferOutcome::NotSent;
--- a/Lagoonward/Relay/RelayMove.h
+++ b/Lagoonward/Relay/RelayMove.h
@@ -4,6 +4,7 @@
 #include "Lagoonward/Wire/TrafficLoop.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -31,7 +32,7 @@
 
   /// Whether the endpoint may have received the call, and so may stop the run. From then on an end of the stream by the
   /// end of its connection alone doesn't prove it complete.
-  [[nodiscard]] bool MayHaveBeenSent() const { return this->mayHaveBeenSent; }
+  [[nodiscard]] bool MayHaveBeenSent() const { return *this->mayHaveBeenSent; }
 
   /// Replaces the callback, for an owner that takes this object over. To be called before the move has ended.
   void SetDone(DoneCallback aOnDone) { this->onDone = std::move(aOnDone); }
@@ -44,7 +45,7 @@
   const AnyEndpointDialect& dialect;
   DoneCallback onDone;
   TransferId transfer = 0;
-  bool mayHaveBeenSent = false;
+  std::shared_ptr<bool> mayHaveBeenSent = std::make_shared<bool>(false);
   std::string body;
 };
 
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -121,7 +121,7 @@
 RelayRun::OnSilenceTimeout()
 {
   this->silenceTimer.reset();
-  if (this->ended || this->attempt == nullptr || this->move != nullptr ||
+  if (this->ended || this->attempt == nullptr || this->move != nullptr || this->awaitsLastEvents ||
       !this->context.retryBudget.TryConsume()) {
     return;
   }
@@ -252,8 +252,8 @@
   if (aEnd.isForeign) {
     this->context.connectionReuse.Suspend(this->endpointKey);
   }
-  if (this->stopReply) {
-    // All events of the stopped run have arrived
+  if (this->awaitsLastEvents) {
+    // No more events of the stopped run will arrive
     this->ContinueFromState();
     return;
   }
@@ -412,6 +412,8 @@
   this->crashTracker.OnRestarted();
   end.reason = "the endpoint restarted before its response was complete";
   this->attempt.reset();
+  this->AbandonMove();
+  this->movePlace.End(PlaceAction::Release);
   this->OnAttemptFailed(end);
 }
 
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -347,8 +347,7 @@
   /// What the reply to that call has proved of the run of the current attempt.
   StopState stopState = StopState::NotStopped;
   std::string moveSourceAddress; ///< `IP:PORT`; the endpoint may leave the list during the move.
-  std::optional<MoveResult>
-    stopReply; ///< While events that the stopped run has made may be on their way.
+  bool awaitsLastEvents = false; ///< Of the stopped run, which may be on their way.
   std::optional<StoppedState> stoppedState;
   std::optional<Continuation> continuation; ///< Of the next attempt.
   std::optional<RouteChoice> attemptChoice; ///< Endpoint of the last attempt.
@@ -357,7 +356,8 @@
   std::optional<TimePoint> destinationLiveAsOf;
   /// Result of the attempt at the source if it ended during the move.
   std::optional<AttemptResult> endDuringMove;
-  std::optional<TrafficLoop::TimerId> moveTimer; ///< While that result, or `stopReply`, waits.
+  std::optional<TrafficLoop::TimerId>
+    moveTimer; ///< While that result waits, or the last events are awaited.
   /// Expires with the run; guards callbacks that may arrive later.
   std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
   std::optional<TrafficLoop::TimerId> deadlineTimer;
--- a/Lagoonward/Relay/RelayRunContinuing.cpp
+++ b/Lagoonward/Relay/RelayRunContinuing.cpp
@@ -12,7 +12,7 @@
 RelayRun::ContinueFromState()
 {
   this->CancelMoveTimer();
-  this->stopReply.reset();
+  this->awaitsLastEvents = false;
   this->endDuringMove.reset();
   if (this->attempt != nullptr) {
     this->CancelAttempt(DispatchOutcome::Cancelled);
@@ -45,6 +45,21 @@
 void
 RelayRun::ContinueAt(const RouteChoice& aChoice, TimePoint aReachableUntil)
 {
+  SnapshotGuard* const guard = this->context.snapshotGuard;
+  const bool isKnown = guard == nullptr ||
+                       this->context.loop.GetClock().BootNow() < aReachableUntil ||
+                       guard->MaySend();
+  if (!isKnown) {
+    // A newer snapshot will say whether the endpoint is leaving
+    this->endpointWaitTimer = this->context.loop.RunAfter(
+      this->context.settings.snapshotRecheckInterval, [this, aChoice, aReachableUntil] {
+        this->endpointWaitTimer.reset();
+        if (!this->ended) {
+          this->ContinueAt(aChoice, aReachableUntil);
+        }
+      });
+    return;
+  }
   const FleetSnapshotPtr fleet = this->context.fleet.Get();
   if (fleet->Find(aChoice.Target().id) != nullptr) {
     this->continuation = Continuation{ fmt::format("{}/{}", this->stoppedState->sourceAddress,
@@ -94,7 +109,10 @@
 void
 RelayRun::RecordLive()
 {
-  if (this->context.snapshotGuard == nullptr || this->attempt == nullptr) {
+  // Other requests are not moved
+  const bool mayBeMoved =
+    this->call.route->kind == RelayKind::Stream && !this->call.route->resumable;
+  if (this->context.snapshotGuard == nullptr || this->attempt == nullptr || !mayBeMoved) {
     return;
   }
   // Before the snapshot is read, so that the snapshot contains all that was acknowledged before
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -47,7 +47,7 @@
 RelayRun::OnFleet(const FleetSnapshot& aFleet)
 {
   this->RecordLive();
-  if (this->ended || this->attempt == nullptr || this->move != nullptr || this->stopReply) {
+  if (this->ended || this->attempt == nullptr || this->awaitsLastEvents) {
     return;
   }
   const Endpoint* endpoint = aFleet.Find(this->endpointId);
@@ -55,7 +55,7 @@
     this->OnLaterIncarnation(*endpoint);
     return;
   }
-  if (this->lastMoveSource == this->endpointId || !this->IsWorthMoving()) {
+  if (this->move != nullptr || this->lastMoveSource == this->endpointId || !this->IsWorthMoving()) {
     return;
   }
   if (endpoint != nullptr && endpoint->movesStreams && endpoint->state == EndpointState::Leaving) {
@@ -217,8 +217,8 @@
       this->ContinueFromState();
       return;
     }
-    // The source has sent all events before it closed the stream, so they are on their way
-    this->stopReply = aEnd;
+    // Events that the source sent before it closed the stream may be on their way
+    this->awaitsLastEvents = true;
     this->moveTimer =
       this->context.loop.RunAfter(this->context.settings.stoppedStreamDrainTime, [this] {
         this->moveTimer.reset();
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -238,7 +238,7 @@
   terms.lastEventId = this->lastEventId;
   const std::string prefixSource = this->PrefixSourceAddress(aChoice, *fleet);
   terms.fetchFrom = prefixSource;
-  terms.wasSentBefore = this->WasSentTo(this->endpointId);
+  terms.wasSentBefore = this->continuation || this->WasSentTo(this->endpointId);
   terms.needsOwnConnection = !this->call.route->IsRepeatable() &&
                              this->context.connectionReuse.IsSuspended(this->endpointKey);
   const auto continued = std::exchange(this->continuation, {});
--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -221,6 +221,8 @@
     Reply("200 OK", ""),                                  // Not readable
     Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"), // Not complete
     Reply("500 Internal Server Error", ""),
+    // The connection ends before the body, which would have the handle
+    { { Kind::Send, "HTTP/1.1 503 Service Unavailable\r\n\r\n" }, { Kind::Close } },
   };
   for (std::size_t index = 0; index < replies.size(); ++index) {
     BOOST_TEST_CONTEXT("reply " << index)
@@ -455,8 +457,15 @@
 // an old snapshot, in which the endpoint is live.
 BOOST_AUTO_TEST_CASE(StreamDoesNotGoOnWhereTheEndpointMayHaveLeft)
 {
-  for (const bool isCurrent : { false, true }) {
-    BOOST_TEST_CONTEXT("current snapshot: " << isCurrent)
+  enum class Snapshot
+  {
+    StaysOld,
+    IsCurrent,
+    ComesLater,
+  };
+  for (const Snapshot snapshot :
+       { Snapshot::StaysOld, Snapshot::IsCurrent, Snapshot::ComesLater }) {
+    BOOST_TEST_CONTEXT("snapshot " << static_cast<int>(snapshot))
     {
       const SystemClock clock;
       SnapshotGuardSettings guardSettings;
@@ -467,16 +476,21 @@
       RelaySettings settings;
       settings.leavingNotice = settings.leavingNoticeMargin;
       MovedStream stream(Framing::Connection, settings, &guard);
+      TrafficLoop& loop = stream.relay.service.Loop();
+      const auto refresh = [&] { guard.SetAsOf(clock.BootNow()); };
       stream.moveReply = Reply("200 OK", kHandle);
       stream.beforeReply = [&] {
         std::this_thread::sleep_for(guardSettings.maximumAge);
-        if (isCurrent) {
-          guard.SetAsOf(clock.BootNow());
+        if (snapshot == Snapshot::IsCurrent) {
+          refresh();
+        } else if (snapshot == Snapshot::ComesLater) {
+          loop.Post([&] { loop.RunAfter(Milliseconds(200), refresh); });
         }
       };
       const Received received = stream.Run();
-      BOOST_TEST(received.aborted != isCurrent);
-      BOOST_TEST(stream.continuedAt == (isCurrent ? &stream.Destination() : nullptr));
+      const bool goesOn = snapshot != Snapshot::StaysOld;
+      BOOST_TEST(received.aborted != goesOn);
+      BOOST_TEST(stream.continuedAt == (goesOn ? &stream.Destination() : nullptr));
     }
   }
 }
@@ -498,6 +512,25 @@
   }
 }
 
+// Guards against requests that wait until their deadline: their endpoint restarted while it was called to move them.
+BOOST_AUTO_TEST_CASE(RestartDuringAMoveEndsTheAttempt)
+{
+  MovedStream stream(Framing::Chunks);
+  stream.onCall = [&stream] {
+    return Script{ { Kind::Await,
+                     {},
+                     {},
+                     [&stream] {
+                       stream.relay.MarkRestarted(stream.source.load()->Port());
+                       return true;
+                     } },
+                   { Kind::Wait, {}, Seconds(20) } };
+  };
+  const TimePoint begin = stream.relay.clock.Now();
+  BOOST_TEST(stream.Run().aborted);
+  BOOST_TEST((stream.relay.clock.Now() - begin < Seconds(4)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoonward::testing
