--- a/Lagoonward/Attempts/CompletionRun.cpp
+++ b/Lagoonward/Attempts/CompletionRun.cpp
@@ -96,6 +96,10 @@
   if (this->ended || this->endpointId.empty() || this->cancellation != nullptr) {
     return;
   }
+  // All of the answer is here; the end of the connection or the next tick reports it
+  if (this->stream != nullptr && this->stream->IsFinished()) {
+    return;
+  }
   // A non-idempotent request moves only after its engine has confirmed the end of the stream, which needs the
   // stream's id
   if (!this->call.terms.idempotent && this->streamId.empty()) {
