--- a/Lagoonward/Attempts/CrashProbe.cpp
+++ b/Lagoonward/Attempts/CrashProbe.cpp
@@ -28,7 +28,7 @@
     this->transfer = this->owner.loop.StartTransfer(request, *this);
     this->timer = this->owner.loop.RunAfter(kWaitTimeout, [this] {
       this->timer.reset();
-      this->NotifyWaiting();
+      this->NotifyWaiting(false);
     });
   }
 
@@ -45,12 +45,13 @@
   ConnectionAttempt(const ConnectionAttempt&) = delete;
   ConnectionAttempt& operator=(const ConnectionAttempt&) = delete;
 
-  void Add(std::vector<CrashEvidence> aEvidence, std::function<void()> aOnKnown)
+  /// @param aEvidence  may be empty
+  void Add(std::vector<CrashEvidence> aEvidence, std::function<void(bool aIsDead)> aOnKnown)
   {
     this->lostConnections.push_back({ std::move(aEvidence), this->owner.loop.GetClock().Now() });
     this->waitingCallbacks.push_back(std::move(aOnKnown));
     if (!this->timer) {
-      this->NotifyWaiting();
+      this->NotifyWaiting(false);
     }
   }
 
@@ -68,7 +69,7 @@
         }
       }
     }
-    this->NotifyWaiting();
+    this->NotifyWaiting(aIsDead);
   }
 
 private:
@@ -79,10 +80,10 @@
   };
 
   /// Calls and removes the waiting callbacks.
-  void NotifyWaiting()
+  void NotifyWaiting(bool aIsDead)
   {
     for (const auto& onKnown : std::exchange(this->waitingCallbacks, {})) {
-      onKnown();
+      onKnown(aIsDead);
     }
   }
 
@@ -99,7 +100,7 @@
   TransferId transfer = 0;
   std::optional<TrafficLoop::TimerId> timer; ///< Set until kWaitTimeout has passed.
   std::vector<LostConnection> lostConnections;
-  std::vector<std::function<void()>> waitingCallbacks;
+  std::vector<std::function<void(bool)>> waitingCallbacks;
 };
 
 CrashProbe::CrashProbe(TrafficLoop& aLoop)
@@ -112,12 +113,25 @@
 void
 CrashProbe::OnConnectionLost(const std::string& aAddress, std::vector<CrashEvidence> aEvidence,
                              std::function<void()> aOnKnown)
+{
+  this->AttemptAt(aAddress).Add(std::move(aEvidence),
+                                [onKnown = std::move(aOnKnown)](bool /*aIsDead*/) { onKnown(); });
+}
+
+void
+CrashProbe::CheckTerminated(const std::string& aAddress, std::function<void(bool aIsDead)> aOnKnown)
+{
+  this->AttemptAt(aAddress).Add({}, std::move(aOnKnown));
+}
+
+CrashProbe::ConnectionAttempt&
+CrashProbe::AttemptAt(const std::string& aAddress)
 {
   std::unique_ptr<ConnectionAttempt>& attempt = this->attempts[aAddress];
   if (attempt == nullptr) {
     attempt = std::make_unique<ConnectionAttempt>(*this, aAddress);
   }
-  attempt->Add(std::move(aEvidence), std::move(aOnKnown));
+  return *attempt;
 }
 
 void
--- a/Lagoonward/Attempts/CrashProbe.h
+++ b/Lagoonward/Attempts/CrashProbe.h
@@ -38,9 +38,14 @@
   void OnConnectionLost(const std::string& aAddress, std::vector<CrashEvidence> aEvidence,
                         std::function<void()> aOnKnown);
 
+  /// Finds out whether an endpoint has terminated.
+  /// @param aOnKnown  called once with whether it refuses connections; false if that is not known in time
+  void CheckTerminated(const std::string& aAddress, std::function<void(bool aIsDead)> aOnKnown);
+
 private:
   class ConnectionAttempt;
 
+  [[nodiscard]] ConnectionAttempt& AttemptAt(const std::string& aAddress);
   /// @param aIsDead  whether the endpoint refused the connection
   void OnAttemptEnded(const std::string& aAddress, bool aIsDead);
 
--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -66,7 +66,7 @@
     this->CancelAttempt(DispatchOutcome::Cancelled);
   }
   for (const auto& timer :
-       { this->deadlineTimer, this->endpointWaitTimer, this->silenceTimer, this->moveTimer }) {
+       { this->deadlineTimer, this->endpointWaitTimer, this->silenceTimer, this->heldEndTimer }) {
     if (timer) {
       this->context.loop.CancelTimer(*timer);
     }
@@ -294,6 +294,58 @@
     this->OnAttemptFailed(std::move(aEnd));
     return;
   }
+  if (this->MayHaveTerminated(aEnd)) {
+    this->CheckTerminated(std::move(aEnd));
+    return;
+  }
+  this->FinishAttempt(std::move(aEnd));
+}
+
+bool
+RelayRun::MayHaveTerminated(const AttemptResult& aEnd) const
+{
+  if (aEnd.outcome != AttemptOutcome::Success || aEnd.response.bodyEnd != BodyEnd::Connection) {
+    return false;
+  }
+  const FleetSnapshotPtr fleet = this->context.fleet.Get();
+  const Endpoint* endpoint = fleet->Find(this->endpointId);
+  return endpoint == nullptr || endpoint->state == EndpointState::Leaving ||
+         this->context.notices.Find(this->endpointKey) == EndpointNotice::Leaving;
+}
+
+void
+RelayRun::CheckTerminated(AttemptResult aEnd)
+{
+  this->heldEnd = std::move(aEnd);
+  // A process that ends closes its connections one after the other, and may refuse new ones last
+  this->heldEndTimer = this->context.loop.RunAfter(this->context.settings.terminationDelay, [this] {
+    this->heldEndTimer.reset();
+    const auto onKnown = [this, alive = std::weak_ptr(this->aliveToken)](bool aIsDead) {
+      if (!alive.expired() && !this->ended && this->heldEnd) {
+        this->OnTerminationKnown(aIsDead);
+      }
+    };
+    this->context.crashProbe.CheckTerminated(this->attemptAddress, onKnown);
+  });
+}
+
+void
+RelayRun::OnTerminationKnown(bool aIsDead)
+{
+  AttemptResult end = std::move(*std::exchange(this->heldEnd, {}));
+  if (!aIsDead) {
+    this->FinishAttempt(std::move(end));
+    return;
+  }
+  end.outcome = AttemptOutcome::Unknown;
+  end.cause = AttemptCause::InvalidResponse;
+  end.reason += ", its endpoint has terminated and may not have completed it";
+  this->OnAttemptFailed(std::move(end));
+}
+
+void
+RelayRun::FinishAttempt(AttemptResult aEnd)
+{
   if (aEnd.outcome == AttemptOutcome::Success && this->streaming && !aEnd.isEventStream) {
     aEnd.outcome = AttemptOutcome::Unknown;
     aEnd.cause = AttemptCause::InvalidResponse;
@@ -393,9 +445,9 @@
 RelayRun::CancelAttempt(DispatchOutcome aOutcome)
 {
   // An attempt whose end waits for the reply to a move has not been accounted for either
-  if (this->attempt != nullptr || this->endDuringMove) {
+  if (this->attempt != nullptr || this->heldEnd) {
     this->attempt.reset();
-    this->endDuringMove.reset();
+    this->heldEnd.reset();
     this->place.End(PlaceAction::ReleaseLater);
     this->slot.End(aOutcome == DispatchOutcome::Failed ? SlotAction::Lose : SlotAction::Abandon);
     this->context.router.OnFinished(this->dispatch, aOutcome);
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -222,7 +222,7 @@
   /// Keeps the end of the stream until the reply to the call says whether it is the run's own.
   void AwaitMoveReply(AttemptResult aEnd);
   void OnMoveReplyOverdue();
-  void CancelMoveTimer();
+  void CancelHeldEndTimer();
   void ReportMove(const MoveResult& aEnd);
   /// Continues the stopped run from its state: at the destination if that has a copy, else at its source.
   void ContinueFromState();
@@ -248,6 +248,13 @@
     const std::optional<TimePoint>& aReachableUntil) const;
   /// Ends the request, or tries again, after an attempt whose end is known to be the run's own or not.
   void HandleAttemptEnd(AttemptResult aEnd);
+  /// Whether the response may have been cut off by the end of its endpoint's process, which closes its connections in an
+  /// orderly way.
+  [[nodiscard]] bool MayHaveTerminated(const AttemptResult& aEnd) const;
+  /// Keeps the end of the attempt until it is known whether its endpoint still runs.
+  void CheckTerminated(AttemptResult aEnd);
+  void OnTerminationKnown(bool aIsDead);
+  void FinishAttempt(AttemptResult aEnd);
   void WaitForEndpoint(const Error& aError);
   /// Retries after a failed attempt. After a lost connection it first waits for the check whether the endpoint has
   /// crashed.
@@ -351,13 +358,14 @@
   std::optional<StoppedState> stoppedState;
   std::optional<Continuation> continuation; ///< Of the next attempt.
   std::optional<RouteChoice> attemptChoice; ///< Endpoint of the last attempt.
+  std::string attemptAddress;               ///< `IP:PORT` of it.
   std::optional<TimePoint>
     sourceLiveAsOf; ///< See RecordLive(): of the attempt's endpoint; BootNow().
   std::optional<TimePoint> destinationLiveAsOf;
-  /// Result of the attempt at the source if it ended during the move.
-  std::optional<AttemptResult> endDuringMove;
+  /// Result of the last attempt while something else has to show whether its response is complete.
+  std::optional<AttemptResult> heldEnd;
   std::optional<TrafficLoop::TimerId>
-    moveTimer; ///< While that result waits, or the last events are awaited.
+    heldEndTimer; ///< While that result waits, or the last events are awaited.
   /// Expires with the run; guards callbacks that may arrive later.
   std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
   std::optional<TrafficLoop::TimerId> deadlineTimer;
--- a/Lagoonward/Relay/RelayRunContinuing.cpp
+++ b/Lagoonward/Relay/RelayRunContinuing.cpp
@@ -11,9 +11,9 @@
 void
 RelayRun::ContinueFromState()
 {
-  this->CancelMoveTimer();
+  this->CancelHeldEndTimer();
   this->awaitsLastEvents = false;
-  this->endDuringMove.reset();
+  this->heldEnd.reset();
   if (this->attempt != nullptr) {
     this->CancelAttempt(DispatchOutcome::Cancelled);
   } else {
--- a/Lagoonward/Relay/RelayRunMoving.cpp
+++ b/Lagoonward/Relay/RelayRunMoving.cpp
@@ -153,15 +153,15 @@
 void
 RelayRun::AwaitMoveReply(AttemptResult aEnd)
 {
-  this->endDuringMove = std::move(aEnd);
-  this->moveTimer = this->context.loop.RunAfter(this->context.settings.moveTimeout,
-                                                [this] { this->OnMoveReplyOverdue(); });
+  this->heldEnd = std::move(aEnd);
+  this->heldEndTimer = this->context.loop.RunAfter(this->context.settings.moveTimeout,
+                                                   [this] { this->OnMoveReplyOverdue(); });
 }
 
 void
 RelayRun::OnMoveReplyOverdue()
 {
-  this->moveTimer.reset();
+  this->heldEndTimer.reset();
   MoveResult end;
   end.reason = fmt::format("no reply within {} ms after the stream was closed",
                            this->context.settings.moveTimeout.count());
@@ -175,7 +175,7 @@
 void
 RelayRun::AbandonMove()
 {
-  this->CancelMoveTimer();
+  this->CancelHeldEndTimer();
   if (this->move != nullptr && this->move->MayHaveBeenSent()) {
     this->context.copyReleaser.Adopt(std::move(this->move), this->moveSourceAddress);
   }
@@ -183,11 +183,11 @@
 }
 
 void
-RelayRun::CancelMoveTimer()
+RelayRun::CancelHeldEndTimer()
 {
-  if (this->moveTimer) {
-    this->context.loop.CancelTimer(*this->moveTimer);
-    this->moveTimer.reset();
+  if (this->heldEndTimer) {
+    this->context.loop.CancelTimer(*this->heldEndTimer);
+    this->heldEndTimer.reset();
   }
 }
 
@@ -196,8 +196,8 @@
 {
   const std::string target = this->moveDestination->Target().id;
   MoveReport report{ this->lastMoveSource, target, this->lastMove, aEnd.reason, this->lastEventId };
-  report.streamHasEnded = this->endDuringMove.has_value();
-  report.bodyEnd = this->endDuringMove ? this->endDuringMove->response.bodyEnd : BodyEnd::None;
+  report.streamHasEnded = this->heldEnd.has_value();
+  report.bodyEnd = this->heldEnd ? this->heldEnd->response.bodyEnd : BodyEnd::None;
   this->context.observer.OnMoved(this->call, report);
 }
 
@@ -205,7 +205,7 @@
 RelayRun::OnMoveFinished(const MoveResult& aEnd)
 {
   const std::unique_ptr<RelayMove> finished = std::move(this->move);
-  this->CancelMoveTimer();
+  this->CancelHeldEndTimer();
   this->lastMove = KnowledgeOf(aEnd);
   this->stopState = aEnd.stopState;
   this->ReportMove(aEnd);
@@ -219,16 +219,16 @@
     }
     // Events that the source sent before it closed the stream may be on their way
     this->awaitsLastEvents = true;
-    this->moveTimer =
+    this->heldEndTimer =
       this->context.loop.RunAfter(this->context.settings.stoppedStreamDrainTime, [this] {
-        this->moveTimer.reset();
+        this->heldEndTimer.reset();
         this->ContinueFromState();
       });
     return;
   }
   this->movePlace.End(PlaceAction::Release);
-  if (this->endDuringMove) {
-    this->HandleAttemptEnd(*std::exchange(this->endDuringMove, {}));
+  if (this->heldEnd) {
+    this->HandleAttemptEnd(*std::exchange(this->heldEnd, {}));
   }
 }
 
--- a/Lagoonward/Relay/RelayRunSending.cpp
+++ b/Lagoonward/Relay/RelayRunSending.cpp
@@ -216,6 +216,7 @@
   this->endpointVersion = endpoint->softwareVersion;
   this->attemptHasEvents = false;
   this->attemptChoice = aChoice;
+  this->attemptAddress = fmt::format("{}:{}", endpoint->address, endpoint->port);
   this->stopState = StopState::NotStopped;
   this->sourceLiveAsOf.reset();
   this->lastResponse = {};
@@ -251,8 +252,7 @@
   this->attempt = std::make_unique<RelayAttempt>(
     this->context.loop, this->context.settings, this->context.dialect, this->context.pathMonitor,
     this->context.responseMemory, this->call, listener);
-  this->attempt->Start(fmt::format("{}:{}", endpoint->address, endpoint->port), terms,
-                       this->MakeSendCheck(reachableUntil));
+  this->attempt->Start(this->attemptAddress, terms, this->MakeSendCheck(reachableUntil));
   this->RecordLive();
   this->ArmSilenceTimer(false);
 }
--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -98,6 +98,10 @@
   /// How long the events that a stopped run has made may be on their way once the reply to the call has come.
   Milliseconds stoppedStreamDrainTime{ 200 };
 
+  /// How long after the end of a response whose body ends with its connection a leaving endpoint is checked: if it has
+  /// terminated, it may have cut the response off.
+  Milliseconds terminationDelay{ 20 };
+
   /// How long requests may still reach an endpoint after it has announced that it leaves, or was removed.
   Milliseconds leavingNotice{ 2000 };
   /// Part of it that a request needs to arrive.
--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -531,6 +531,34 @@
   BOOST_TEST((stream.relay.clock.Now() - begin < Seconds(4)));
 }
 
+// Guards against a part of a stream that callers get as complete: the process of its leaving endpoint ended, and closed the
+// stream in an orderly way. Where it still runs, the end is the stream's own.
+BOOST_AUTO_TEST_CASE(StreamThatEndsWithTheProcessOfItsEndpointIsNotComplete)
+{
+  for (const Kind end : { Kind::CloseAndStopListening, Kind::Close }) {
+    BOOST_TEST_CONTEXT("process ends: " << (end == Kind::CloseAndStopListening))
+    {
+      std::atomic<bool> isLeaving{ false };
+      const ScriptedServer server([&](const std::string&) {
+        return Script{ { Kind::Send, "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n"
+                                     "Content-Type: text/event-stream\r\n\r\n" +
+                                       MakeEvent(1) },
+                       { Kind::Await, {}, {}, [&] { return isLeaving.load(); } },
+                       { end } };
+      });
+      RelayFixture relay({ &server });
+      TestCaller caller;
+      relay.Submit(caller, RelayKind::Stream, false, Seconds(5));
+      while (!caller.HasEvents()) {
+        std::this_thread::sleep_for(Milliseconds(1));
+      }
+      relay.MarkLeaving(server.Port());
+      isLeaving = true;
+      BOOST_TEST(caller.Wait().aborted == (end == Kind::CloseAndStopListening));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoonward::testing
--- a/UnitTests/Support/ScriptedServer.cpp
+++ b/UnitTests/Support/ScriptedServer.cpp
@@ -154,6 +154,9 @@
           }
         }
         break;
+      case ScriptStep::Kind::CloseAndStopListening:
+        ::shutdown(this->listener.Get(), SHUT_RDWR);
+        [[fallthrough]];
       case ScriptStep::Kind::Close:
         ::shutdown(aSocket, SHUT_RDWR);
         return false;
--- a/UnitTests/Support/ScriptedServer.h
+++ b/UnitTests/Support/ScriptedServer.h
@@ -24,6 +24,7 @@
     Close,  ///< Closes the connection with FIN.
     Finish, ///< Sends FIN, and goes on receiving until the other end closes.
     Reset,  ///< Closes the connection with RST.
+    CloseAndStopListening, ///< Closes the connection with FIN and stops listening.
     ResetAndStopListening, ///< Closes the connection with RST and stops listening.
   };
 
