--- a/Lagoonward/Relay/RelaySettings.h
+++ b/Lagoonward/Relay/RelaySettings.h
@@ -99,8 +99,9 @@
   Milliseconds stoppedStreamDrainTime{ 200 };
 
   /// How long after the end of a response whose body ends with its connection a leaving endpoint is checked: if it has
-  /// terminated, it may have cut the response off.
-  Milliseconds terminationDelay{ 20 };
+  /// terminated, it may have cut the response off. Short, as a complete response that ends right before its endpoint
+  /// counts as cut off too.
+  Milliseconds terminationDelay{ 2 };
 
   /// How long requests may still reach an endpoint after it has announced that it leaves, or was removed.
   Milliseconds leavingNotice{ 2000 };
