--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -316,6 +316,7 @@
 void
 RelayRun::CheckTerminated(AttemptResult aEnd)
 {
+  this->mayHaveRun = true;
   this->heldEnd = std::move(aEnd);
   // A process that ends closes its connections one after the other, and may refuse new ones last
   this->heldEndTimer = this->context.loop.RunAfter(this->context.settings.terminationDelay, [this] {
--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -559,6 +559,33 @@
   }
 }
 
+// Guards against a rejection that says that the request did not run: its response waited for the check of its endpoint when
+// the daemon shut down.
+BOOST_AUTO_TEST_CASE(RequestWhoseResponseIsCheckedHasRun)
+{
+  std::atomic<bool> isLeaving{ false };
+  const ScriptedServer server([&](const std::string&) {
+    return Script{ { Kind::Await, {}, {}, [&] { return isLeaving.load(); } },
+                   { Kind::Send, "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n\r\nbody" },
+                   { Kind::Close } };
+  });
+  RelaySettings settings;
+  settings.terminationDelay = Seconds(5);
+  RelayFixture relay({ &server }, {}, {}, nullptr, settings);
+  TestCaller caller;
+  relay.Submit(caller, RelayKind::NonIdempotent, false, Seconds(10));
+  while (server.Requests().empty()) {
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  relay.MarkLeaving(server.Port());
+  isLeaving = true;
+  std::this_thread::sleep_for(Milliseconds(200));
+  relay.service.AbandonAll();
+  const Received received = caller.Wait();
+  BOOST_REQUIRE(received.error.has_value());
+  BOOST_TEST((received.error->ran == Ran::Unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace lagoonward::testing
