--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -211,11 +211,8 @@
   /// Answers a query with an encoded update.
   /// @return empty if this daemon knows no more than the sender of the query
   [[nodiscard]] std::string AnswerQuery(std::string_view aBytes);
-  /// @return the endpoints' newest records, of those that are not removed; removals that are held come after them
+  /// @return the endpoints' newest records, of those that are not removed
   [[nodiscard]] std::vector<EndpointRecord> AllRecords();
-  /// @param aEntry  newest entry of an endpoint that counts as live
-  /// @return its removal if that is held
-  [[nodiscard]] std::optional<EndpointRecord> HeldRemovalOf(const EndpointRecord& aEntry) const;
   void ApplyReply(PeerKey aSender, TimePoint aRequestedAt, std::string_view aBytes);
   void ApplyFirstSnapshot(PeerKey aSender, const EndpointUpdateMessage& aMessage,
                           const AvailabilityInterval& aSpan);
--- a/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
@@ -95,30 +95,13 @@
   for (const Endpoint& endpoint : snapshot->endpoints) {
     const auto record = this->records.find(endpoint.id);
     // A removed endpoint is retained as leaving, and its last record does not say so
-    if (record == this->records.end() || this->directory.IsRemoved(endpoint.id)) {
-      continue;
-    }
-    all.push_back(record->second);
-    // The receiver decides for itself whether to hold a removal
-    if (const auto removal = this->HeldRemovalOf(record->second)) {
-      all.push_back(*removal);
+    if (record != this->records.end() && !this->directory.IsRemoved(endpoint.id)) {
+      all.push_back(record->second);
     }
   }
   return all;
 }
 
-std::optional<EndpointRecord>
-EndpointReplicator::HeldRemovalOf(const EndpointRecord& aEntry) const
-{
-  LogPosition removed = this->versions.at(aEntry.id);
-  const auto missing = this->missingBelow.find(aEntry.id);
-  if (missing != this->missingBelow.end()) {
-    removed = std::max(removed, { missing->second.offset - 1, missing->second.epoch });
-  }
-  return removed > aEntry.version ? std::optional(EndpointRecord{ aEntry.id, {}, removed, true })
-                                  : std::nullopt;
-}
-
 void
 EndpointReplicator::ApplyReply(PeerKey aSender, TimePoint aRequestedAt, std::string_view aBytes)
 {
