--- a/Lagoonward/Daemon/EndpointReplicator.cpp
+++ b/Lagoonward/Daemon/EndpointReplicator.cpp
@@ -276,7 +276,6 @@
   const auto isGone = [&](const auto& aKnown) { return fleet->Find(aKnown.first) == nullptr; };
   std::erase_if(this->versions, isGone);
   std::erase_if(this->records, isGone);
-  std::erase_if(this->missingBelow, isGone);
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -156,10 +156,6 @@
   void RemoveMissing(const Endpoint& aEndpoint, LogPosition aEndVersion, bool aFromPeer);
   /// Adds a full read to the change log if it completed the snapshot beyond what was known.
   void LogFullRead(std::span<const EndpointRecord> aRecords, LogPosition aEndVersion);
-  /// Whether an entry was written before a full read in which its endpoint was missing.
-  [[nodiscard]] bool IsOutdated(const EndpointRecord& aRecord) const;
-  /// Whether an entry is of an endpoint that came and left before this daemon's snapshot, which would contain it.
-  [[nodiscard]] bool IsGone(const EndpointRecord& aRecord) const;
   /// Starts the change log after the first full read.
   void StartChangeLog(LogPosition aEndVersion);
   [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason);
@@ -241,9 +237,6 @@
   LapseDetector lapses;
   SnapshotGuard guard;
   std::unordered_map<std::string, LogPosition> versions; ///< Newest known version by endpoint id.
-  /// End of the full read in which an endpoint was missing, by id: its entries below that are outdated. Pruned with
-  /// `versions`.
-  std::unordered_map<std::string, LogPosition> missingBelow;
   /// Newest record that is no removal, by endpoint id, for AllRecords(). Pruned with `versions`.
   std::unordered_map<std::string, EndpointRecord> records;
   bool isSourceLost = false;
--- a/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
@@ -21,9 +21,6 @@
 bool
 EndpointReplicator::HandleRecord(EndpointRecord aRecord, bool aFromPeer)
 {
-  if (this->IsOutdated(aRecord)) {
-    return false;
-  }
   // The same record may arrive from the source and from several daemons, in any order
   const auto [known, isNew] = this->versions.try_emplace(aRecord.id, aRecord.version);
   if (!isNew && aRecord.version <= known->second) {
@@ -59,21 +56,6 @@
   return isChange;
 }
 
-bool
-EndpointReplicator::IsOutdated(const EndpointRecord& aRecord) const
-{
-  const auto missing = this->missingBelow.find(aRecord.id);
-  return !aRecord.removed && missing != this->missingBelow.end() &&
-         aRecord.version < missing->second;
-}
-
-bool
-EndpointReplicator::IsGone(const EndpointRecord& aRecord) const
-{
-  return !aRecord.removed && this->endVersion && aRecord.version < *this->endVersion &&
-         !this->versions.contains(aRecord.id);
-}
-
 TimePoint
 EndpointReplicator::EarliestWriteOf(LogPosition aVersion) const
 {
@@ -276,9 +258,6 @@
 {
   const LogPosition lastVersion(aEndVersion.offset - 1, aEndVersion.epoch);
   EndpointRecord removal{ aEndpoint.id, {}, lastVersion, true };
-  // The record of the removal may yet arrive, and says more
-  LogPosition& missing = this->missingBelow.try_emplace(aEndpoint.id, aEndVersion).first->second;
-  missing = std::max(missing, aEndVersion);
   const bool isChange = this->ApplyRemoval(removal, aFromPeer, true);
   this->hasUnpublishedChanges = isChange || this->hasUnpublishedChanges;
   if (aEndpoint.state != EndpointState::Leaving) {
--- a/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
@@ -223,11 +223,7 @@
     this->OnSourceRestored(aMessage.endVersion.epoch);
   }
   bool isChange = false;
-  const bool isNewerSnapshot = aMessage.isComplete && aMessage.endVersion > this->endVersion;
   for (const EndpointRecord& entry : aMessage.entries) {
-    if (!isNewerSnapshot && this->IsGone(entry)) {
-      continue;
-    }
     isChange = this->HandleRecord(entry, true) || isChange;
   }
   if (isOtherEpoch || aMessage.isComplete) {
--- a/UnitTests/Daemon/VirtualReplicationFleet.cpp
+++ b/UnitTests/Daemon/VirtualReplicationFleet.cpp
@@ -1,7 +1,5 @@
 #include "UnitTests/Daemon/VirtualReplicationFleet.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 
 namespace lagoonward::replication_tests {
@@ -242,9 +240,7 @@
   const EndpointRecord record{ aId, aText, static_cast<Offset>(this->log.size()) };
   this->log.push_back(record);
   this->newest[aId] = record;
-  this->cameAt.try_emplace(aId, this->clock.Now());
   if (aText == "leaving") {
-    this->cameAt.erase(aId);
     this->leftAt.try_emplace(aId, this->clock.Now());
   }
 }
@@ -254,7 +250,6 @@
 {
   this->log.push_back({ aId, {}, static_cast<Offset>(this->log.size()), true });
   this->newest.erase(aId);
-  this->cameAt.erase(aId);
   this->leftAt.try_emplace(aId, this->clock.Now());
 }
 
@@ -281,9 +276,6 @@
 std::string
 VirtualFleet::FindFalseAge()
 {
-  const auto timeSince = [this](TimePoint aTime) {
-    return std::chrono::floor<Milliseconds>(this->clock.Now() - aTime);
-  };
   for (const auto& daemon : this->daemons) {
     if (!daemon->IsRunning()) {
       continue;
@@ -292,19 +284,14 @@
     const FleetSnapshotPtr snapshot = daemon->Replicator().Snapshot();
     for (const Endpoint& endpoint : snapshot->endpoints) {
       const auto left = this->leftAt.find(endpoint.id);
-      const bool isLive = endpoint.state == EndpointState::Live;
-      if (isLive && left != this->leftAt.end() && timeSince(left->second) > age) {
-        return fmt::format("{} takes {} for live, which left {} ms ago, by a snapshot of {} ms",
-                           daemon->info.id, endpoint.id, timeSince(left->second).count(),
-                           age.count());
+      if (left == this->leftAt.end() || endpoint.state != EndpointState::Live) {
+        continue;
       }
-    }
-    for (const auto& [id, came] : this->cameAt) {
-      const Endpoint* const endpoint = snapshot->Find(id);
-      const bool isLive = endpoint != nullptr && endpoint->state == EndpointState::Live;
-      if (!isLive && timeSince(came) > age) {
-        return fmt::format("{} does not know {}, which came {} ms ago, by a snapshot of {} ms",
-                           daemon->info.id, id, timeSince(came).count(), age.count());
+      const auto past = std::chrono::floor<Milliseconds>(this->clock.Now() - left->second);
+      if (past > age) {
+        return daemon->info.id + " takes " + endpoint.id + " for live, which left " +
+               std::to_string(past.count()) + " ms ago, by a snapshot of " +
+               std::to_string(age.count()) + " ms";
       }
     }
   }
--- a/UnitTests/Daemon/VirtualReplicationFleet.h
+++ b/UnitTests/Daemon/VirtualReplicationFleet.h
@@ -85,8 +85,7 @@
 
   [[nodiscard]] VirtualDaemon& OfRank(int aRank);
 
-  /// Checks that no running daemon takes an endpoint for live that left longer ago than the age of its snapshot, or does not
-  /// know one that came longer ago.
+  /// Checks that no running daemon takes an endpoint for live that left longer ago than the age of its snapshot.
   /// @return what contradicts it; empty if nothing does
   [[nodiscard]] std::string FindFalseAge();
 
@@ -103,7 +102,6 @@
   std::multimap<TimePoint, std::function<void()>> events;
   std::vector<EndpointRecord> log;              ///< All records of the source, by version.
   std::map<std::string, EndpointRecord> newest; ///< Of those that exist, by id.
-  std::map<std::string, TimePoint> cameAt;      ///< Of those that have not left, by id.
   std::map<std::string, TimePoint> leftAt;      ///< By id.
   std::set<std::pair<PeerKey, PeerKey>> broken; ///< Sender and receiver.
 };
