--- a/Lagoonward/Daemon/EndpointChangeLog.cpp
+++ b/Lagoonward/Daemon/EndpointChangeLog.cpp
@@ -1,7 +1,6 @@
 #include "Lagoonward/Daemon/EndpointChangeLog.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace lagoonward {
 
@@ -16,7 +15,6 @@
   this->isStarted = true;
   this->firstVersion = aFirstVersion;
   this->changes.clear();
-  this->fullRead.reset();
 }
 
 void
@@ -27,15 +25,6 @@
   }
 }
 
-void
-EndpointChangeLog::AddFullRead(EndpointFullRead aFullRead, TimePoint aNow)
-{
-  if (this->isStarted) {
-    this->fullRead = std::move(aFullRead);
-    this->fullReadAt = aNow;
-  }
-}
-
 void
 EndpointChangeLog::DropExpired(TimePoint aNow)
 {
@@ -43,10 +32,6 @@
     this->firstVersion = std::max(this->firstVersion, this->changes.front().record.version.Next());
     this->changes.pop_front();
   }
-  if (this->fullRead && this->fullReadAt + this->retention < aNow) {
-    this->firstVersion = std::max(this->firstVersion, this->fullRead->end);
-    this->fullRead.reset();
-  }
 }
 
 std::vector<EndpointRecord>
@@ -61,10 +46,4 @@
   return found;
 }
 
-std::optional<EndpointFullRead>
-EndpointChangeLog::FullReadAfter(LogPosition aVersion) const
-{
-  return this->fullRead && this->fullRead->end > aVersion ? this->fullRead : std::nullopt;
-}
-
 } // namespace lagoonward
--- a/Lagoonward/Daemon/EndpointChangeLog.h
+++ b/Lagoonward/Daemon/EndpointChangeLog.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,22 +35,6 @@
   }
 };
 
-/// A full read of a source that had been read before, or another daemon's complete snapshot in its place. Endpoints that
-/// came and left since what was known before it are in no record here, yet other daemons may know them: who takes changes
-/// from before its end has to remove what is not present in it.
-struct EndpointFullRead
-{
-  LogPosition end; ///< It contains all records below this version.
-  std::vector<std::uint64_t>
-    present; ///< HashBytes() of the ids of the endpoints that exist, in ascending order.
-
-  template<class Archive>
-  void serialize(Archive& aArchive)
-  {
-    aArchive(this->end, this->present);
-  }
-};
-
 /// Log of the records that recently changed a snapshot of the endpoints, for daemons that do not have them yet. Not
 /// thread-safe.
 class EndpointChangeLog
@@ -67,10 +50,6 @@
   /// @param aIsInferred  whether the source has no such record, because the endpoint was missing in a full read
   void Add(const EndpointRecord& aRecord, bool aIsInferred, TimePoint aNow);
 
-  /// The snapshot has been completed by a full read. Replaces an earlier one, as an endpoint that is absent in both need
-  /// only be found once. No effect before StartAt().
-  void AddFullRead(EndpointFullRead aFullRead, TimePoint aNow);
-
   /// Drops changes whose retention has ended.
   void DropExpired(TimePoint aNow);
 
@@ -81,9 +60,6 @@
   /// record before the end of the full read, and says little about when the endpoint was removed.
   [[nodiscard]] std::vector<EndpointRecord> ChangesFrom(LogPosition aVersion) const;
 
-  /// The last full read if it ended above a version: changes from there on are only complete together with it.
-  [[nodiscard]] std::optional<EndpointFullRead> FullReadAfter(LogPosition aVersion) const;
-
 private:
   struct Change
   {
@@ -96,8 +72,6 @@
   bool isStarted = false;
   LogPosition firstVersion;
   std::deque<Change> changes; ///< In the order of adding.
-  std::optional<EndpointFullRead> fullRead;
-  TimePoint fullReadAt; ///< When it was added.
 };
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -49,12 +49,8 @@
 ///
 /// A snapshot is complete up to a version of the source, and a message contains the changes from a version on: the
 /// receiver acknowledges the version up to which its snapshot is complete, and is sent the changes from there on. A
-/// message that begins beyond that version leaves a gap and does not make the snapshot any younger: if nobody else sends
-/// the changes, the receiver reads the source at its staleness limit. A full read shows no endpoint that came and left
-/// since the read before, though other daemons may know it. The changes of a daemon that has made one are therefore sent
-/// with the ids of the endpoints that it found, to receivers whose snapshots end below it.
-///
-/// Nor does a message of another epoch of the source make the snapshot younger: after a restore, versions of before say nothing of what is in the source. The daemon that
+/// message that begins beyond that version leaves a gap and does not make the snapshot any younger. Nor does one of
+/// another epoch of the source: after a restore, versions of before say nothing of what is in the source. The daemon that
 /// finds the restore sends all records of the new epoch. Endpoints that are missing in it are held for a while, as they
 /// write again, and ones that had left do not come back by a copy of their record. Each message also
 /// carries the digest of the live endpoints, so that a fault in this protocol is detected, and the version of the
@@ -138,9 +134,7 @@
   bool HandleRecord(EndpointRecord aRecord, bool aFromPeer);
   /// Both set the evidence of the record to what this daemon knows.
   [[nodiscard]] bool ApplyEntry(EndpointRecord& aRecord, bool aFromPeer);
-  /// @param aIsInferred  whether the endpoint is missing in a full read, and no record of its removal is known
-  [[nodiscard]] bool ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer,
-                                  bool aIsInferred = false);
+  [[nodiscard]] bool ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer);
   /// Earliest BootNow() time at which a record of this version can have been written; TimePoint::min() if unknown.
   [[nodiscard]] TimePoint EarliestWriteOf(LogPosition aVersion) const;
   /// The same time by Clock::Now(), which EndpointDirectory uses.
@@ -149,13 +143,9 @@
   void OnSourceRestored(std::int64_t aEpoch);
   /// Removes the endpoints of a snapshot that are not part of a full read.
   void RemoveAllMissing(const FleetSnapshot& aBefore, std::span<const EndpointRecord> aRecords,
-                        LogPosition aEndVersion, bool aFromPeer);
-  /// The same for the full read that another daemon's changes rest on, if this daemon's snapshot ends below it.
-  void ApplyFullReadOf(const EndpointUpdateMessage& aMessage);
+                        LogPosition aEndVersion);
   /// Removes an endpoint that is not part of a full read.
-  void RemoveMissing(const Endpoint& aEndpoint, LogPosition aEndVersion, bool aFromPeer);
-  /// Adds a full read to the change log if it completed the snapshot beyond what was known.
-  void LogFullRead(std::span<const EndpointRecord> aRecords, LogPosition aEndVersion);
+  void RemoveMissing(const Endpoint& aEndpoint, LogPosition aEndVersion);
   /// Starts the change log after the first full read.
   void StartChangeLog(LogPosition aEndVersion);
   [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason);
@@ -195,8 +185,6 @@
   /// @param aSpan  when the source had answered its sender, by this daemon's BootNow()
   void ApplyUpdate(PeerKey aSender, const EndpointUpdateMessage& aMessage,
                    const AvailabilityInterval& aSpan);
-  /// Logs the first update in a row that cannot be used, as changes before it are missing.
-  void LogGap(const EndpointUpdateMessage& aMessage, bool aIsUsable);
   void OnReply(PeerKey aReceiver, std::string_view aReply);
   void CompareDigest(std::uint64_t aDigest);
   [[nodiscard]] std::uint64_t Digest();
@@ -263,7 +251,6 @@
   PeerViewPtr planView;              ///< The view that the plan was computed from.
   AggregationPlan plan;
   ReaderRole role;
-  bool hasLoggedGap = false;     ///< Whether the last update could not be used.
   bool hasLoggedReading = false; ///< Whether the last logged role was that of a reader for all.
   std::atomic<int> daemonCount{ 1 };
   std::atomic<std::int64_t> newestPeerConfiguration{ -1 };
--- a/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
@@ -1,6 +1,5 @@
 #include "Lagoonward/Daemon/EndpointReplicator.h"
 
-#include "Lagoonward/Core/Hash.h"
 #include "Lagoonward/Core/Log.h"
 
 #include <algorithm>
@@ -71,14 +70,13 @@
 }
 
 bool
-EndpointReplicator::ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer, bool aIsInferred)
+EndpointReplicator::ApplyRemoval(EndpointRecord& aRecord, bool aFromPeer)
 {
   EntryRemoval removal;
   removal.notBefore = this->ToSteadyTime(this->EarliestWriteOf(aRecord.version));
   // Only the daemon that has read the removal can tell, as the others may have missed an outage of the source
-  const bool hasLeft = aFromPeer && !aIsInferred
-                         ? aRecord.evidence == RecordEvidence::Left
-                         : !this->lapses.MayHaveLapsed(aRecord.id, this->clock.BootNow());
+  const bool hasLeft = aFromPeer ? aRecord.evidence == RecordEvidence::Left
+                                 : !this->lapses.MayHaveLapsed(aRecord.id, this->clock.BootNow());
   removal.mayHaveLapsed = !hasLeft;
   aRecord.evidence = hasLeft ? RecordEvidence::Left : RecordEvidence::None;
   const RemovalOutcome outcome = this->directory.OnRemoved(aRecord.id, removal);
@@ -87,7 +85,6 @@
     kLog.Event("endpoint_removed", { { "endpoint", aRecord.id },
                                      { "version", aRecord.version.offset },
                                      { "from_peer", aFromPeer },
-                                     { "inferred", aIsInferred },
                                      { "from", source.sender },
                                      { "reader", source.reader },
                                      { "age_on_arrival_ms", source.age.count() },
@@ -172,10 +169,8 @@
     const bool isChange = this->HandleRecord(std::move(record), false);
     this->hasUnpublishedChanges = isChange || this->hasUnpublishedChanges;
   }
-  this->RemoveAllMissing(*before, aRecords, aEndVersion, false);
-  if (this->endVersion) {
-    this->LogFullRead(aRecords, aEndVersion);
-  } else {
+  this->RemoveAllMissing(*before, aRecords, aEndVersion);
+  if (!this->endVersion) {
     this->StartChangeLog(aEndVersion);
   }
   kLog.Event("endpoints",
@@ -198,7 +193,7 @@
 void
 EndpointReplicator::RemoveAllMissing(const FleetSnapshot& aBefore,
                                      std::span<const EndpointRecord> aRecords,
-                                     LogPosition aEndVersion, bool aFromPeer)
+                                     LogPosition aEndVersion)
 {
   std::unordered_set<std::string_view> present;
   for (const EndpointRecord& record : aRecords) {
@@ -209,57 +204,17 @@
     const auto version = this->versions.find(endpoint.id);
     const bool isNewer = version != this->versions.end() && version->second >= aEndVersion;
     if (!isNewer && !present.contains(endpoint.id)) {
-      this->RemoveMissing(endpoint, aEndVersion, aFromPeer);
+      this->RemoveMissing(endpoint, aEndVersion);
     }
   }
 }
 
 void
-EndpointReplicator::LogFullRead(std::span<const EndpointRecord> aRecords, LogPosition aEndVersion)
-{
-  if (!this->endVersion || aEndVersion <= *this->endVersion) {
-    return;
-  }
-  EndpointFullRead fullRead{ aEndVersion, {} };
-  for (const EndpointRecord& record : aRecords) {
-    // One that has left before stays so, whatever its entry
-    if (this->directory.IsLive(record.id)) {
-      fullRead.present.push_back(HashBytes(record.id));
-    }
-  }
-  std::sort(fullRead.present.begin(), fullRead.present.end());
-  this->changeLog.AddFullRead(std::move(fullRead), this->clock.BootNow());
-}
-
-void
-EndpointReplicator::ApplyFullReadOf(const EndpointUpdateMessage& aMessage)
-{
-  if (!aMessage.fullRead || *this->endVersion >= aMessage.fullRead->end) {
-    return;
-  }
-  const EndpointFullRead& fullRead = *aMessage.fullRead;
-  const FleetSnapshotPtr snapshot = this->directory.Snapshot();
-  for (const Endpoint& endpoint : snapshot->endpoints) {
-    const auto version = this->versions.find(endpoint.id);
-    const bool isNewer = version != this->versions.end() && version->second >= fullRead.end;
-    const bool isPresent =
-      std::binary_search(fullRead.present.begin(), fullRead.present.end(), HashBytes(endpoint.id));
-    if (!isNewer && !isPresent) {
-      this->RemoveMissing(endpoint, fullRead.end, true);
-    }
-  }
-  // Receivers of this daemon's changes may know endpoints that it does not know either
-  this->changeLog.AddFullRead(fullRead, this->clock.BootNow());
-}
-
-void
-EndpointReplicator::RemoveMissing(const Endpoint& aEndpoint, LogPosition aEndVersion,
-                                  bool aFromPeer)
+EndpointReplicator::RemoveMissing(const Endpoint& aEndpoint, LogPosition aEndVersion)
 {
   const LogPosition lastVersion(aEndVersion.offset - 1, aEndVersion.epoch);
   EndpointRecord removal{ aEndpoint.id, {}, lastVersion, true };
-  const bool isChange = this->ApplyRemoval(removal, aFromPeer, true);
-  this->hasUnpublishedChanges = isChange || this->hasUnpublishedChanges;
+  this->hasUnpublishedChanges = this->ApplyRemoval(removal, false) || this->hasUnpublishedChanges;
   if (aEndpoint.state != EndpointState::Leaving) {
     this->changeLog.Add(removal, true, this->clock.BootNow());
   }
--- a/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
@@ -78,7 +78,6 @@
   if (isCovered) {
     message.firstVersion = query->endVersion;
     message.entries = this->changeLog.ChangesFrom(query->endVersion);
-    message.fullRead = this->changeLog.FullReadAfter(query->endVersion);
   } else {
     message.firstVersion = LogPosition(0, this->endVersion->epoch);
     message.isComplete = true;
--- a/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
@@ -67,7 +67,6 @@
     const auto [bytes, isNew] = encoded.try_emplace(message.firstVersion);
     if (isNew) {
       message.entries = this->changeLog.ChangesFrom(message.firstVersion);
-      message.fullRead = this->changeLog.FullReadAfter(message.firstVersion);
       bytes->second = EncodePeerMessage(message);
     }
     // A receiver that does not answer reads the source directly, and is sent the same changes again
@@ -160,11 +159,8 @@
                             aMessage.firstVersion <= *this->endVersion;
   const bool isUsable = isContinuous || this->BeginsLaterEpoch(aMessage);
   this->incoming = this->OriginOf(aSender, aMessage, aSpan);
-  this->LogGap(aMessage, isUsable);
-  bool isChange = this->ApplyEntries(aMessage);
+  const bool isChange = this->ApplyEntries(aMessage);
   if (isPlausible && isUsable) {
-    this->ApplyFullReadOf(aMessage);
-    isChange = std::exchange(this->hasUnpublishedChanges, false) || isChange;
     this->AdvanceTo(aSpan, aMessage.endVersion, this->incoming);
     this->role.OnUpdate(aSpan.until, this->plan.RankOf(aMessage.reader));
   }
@@ -188,21 +184,6 @@
   }
 }
 
-void
-EndpointReplicator::LogGap(const EndpointUpdateMessage& aMessage, bool aIsUsable)
-{
-  const bool isGap = !aIsUsable && this->endVersion;
-  if (std::exchange(this->hasLoggedGap, isGap) || !isGap) {
-    return;
-  }
-  kLog.Event("endpoints_gap", { { "end", this->endVersion->offset },
-                                { "first_received", aMessage.firstVersion.offset },
-                                { "end_received", aMessage.endVersion.offset },
-                                { "from", this->incoming.sender },
-                                { "reader", this->incoming.reader },
-                                { "age_ms", this->Age().count() } });
-}
-
 bool
 EndpointReplicator::BeginsLaterEpoch(const EndpointUpdateMessage& aMessage) const
 {
@@ -227,8 +208,7 @@
     isChange = this->HandleRecord(entry, true) || isChange;
   }
   if (isOtherEpoch || aMessage.isComplete) {
-    this->RemoveAllMissing(*before, aMessage.entries, aMessage.endVersion, true);
-    this->LogFullRead(aMessage.entries, aMessage.endVersion);
+    this->RemoveAllMissing(*before, aMessage.entries, aMessage.endVersion);
     isChange = std::exchange(this->hasUnpublishedChanges, false) || isChange;
   }
   return isChange;
@@ -273,11 +253,7 @@
   const bool isTooSoon =
     this->lastRepairAt && now - *this->lastRepairAt < this->settings.minimumRepairInterval;
   if (now - *this->digestMismatchSince >= this->settings.digestMismatchTolerance && !isTooSoon) {
-    kLog.Event(LogLevel::Warning, "endpoints_differ",
-               { { "known", this->versions.size() },
-                 { "from", this->incoming.sender },
-                 { "reader", this->incoming.reader },
-                 { "end", this->endVersion.value_or(LogPosition()).offset } });
+    kLog.Event(LogLevel::Warning, "endpoints_differ", { { "endpoints", this->versions.size() } });
     this->lastRepairAt = now;
     this->digestMismatchSince.reset();
     this->needsRepair = true;
--- a/Lagoonward/Daemon/EndpointUpdateMessages.h
+++ b/Lagoonward/Daemon/EndpointUpdateMessages.h
@@ -4,10 +4,7 @@
 #include "Lagoonward/Daemon/PeerMessages.h"
 #include "Lagoonward/Membership/PeerInfo.h"
 
-#include <cereal/types/optional.hpp>
-
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace lagoonward {
@@ -59,15 +56,13 @@
   std::vector<EndpointRecord> entries;
   bool isComplete = false; ///< Whether the entries are all records, and others no longer exist.
   PeerKey reader = 0;      ///< Daemon whose read of the source the age rests on.
-  /// A full read that the changes rest on, if it ended above the first version.
-  std::optional<EndpointFullRead> fullRead;
 
   template<class Archive>
   void serialize(Archive& aArchive)
   {
     aArchive(this->scope, this->sentAt, this->age, this->answeredFor, this->firstVersion,
              this->endVersion, this->digest, this->configurationVersion, this->entries,
-             this->isComplete, this->reader, this->fullRead);
+             this->isComplete, this->reader);
   }
 };
 
--- a/Lagoonward/Daemon/PeerRequestTypes.h
+++ b/Lagoonward/Daemon/PeerRequestTypes.h
@@ -25,8 +25,8 @@
   PartCrashReport = 14,
   PoolSlot = 16,
   LimitContinuation = 17,
-  EndpointUpdate = 20,
-  EndpointQuery = 21,
+  EndpointUpdate = 18,
+  EndpointQuery = 19,
 };
 
 /// The number of the request on the wire.
