--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -270,13 +270,13 @@
         self.reason = ""
 
 
-async def call(daemon, request, route, body=b"", headers=(), deadline_ms=3000, method="POST", key="key-1"):
+async def call(daemon, request, route, body=b"", headers=(), deadline_ms=3000, method="POST", key="key-1", path=None):
     """Sends one request on a new connection and reads its answer."""
     answer = Answer()
     writer = None
     try:
         reader, writer = await asyncio.wait_for(asyncio.open_connection(daemon.ip, daemon.port), 1)
-        lines = [f"{method} /{route}/{request} HTTP/1.1", "Host: h", f"{PREFIX}Request-Id: {request}",
+        lines = [f"{method} /{route}/{path or request} HTTP/1.1", "Host: h", f"{PREFIX}Request-Id: {request}",
                  f"{PREFIX}Deadline-Ms: {deadline_ms}", f"Authorization: Bearer {key}", f"Content-Length: {len(body)}"]
         lines += [f"{name}: {value}" for name, value in headers]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
--- a/review/runner_2.py
+++ b/review/runner_2.py
@@ -4,6 +4,7 @@
 import argparse
 import asyncio
 import os
+import signal
 import sys
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "platform"))
@@ -53,7 +54,9 @@
             head.append("Transfer-Encoding: chunked")
         await asyncio.sleep(options.work_ms / 1000)
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n")
-        for piece in pieces:
+        for number, piece in enumerate(pieces):
+            if message.body == b"deadly" and number == options.deadly_after:
+                os.kill(os.getpid(), signal.SIGKILL)
             writer.write(piece if options.unframed else f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
             await writer.drain()
             await asyncio.sleep(options.gap_ms / 1000)
@@ -72,6 +75,7 @@
     parser.add_argument("--pieces", type=int, default=12)
     parser.add_argument("--gap-ms", type=float, default=40)
     parser.add_argument("--work-ms", type=float, default=20)
+    parser.add_argument("--deadly-after", type=int, default=0, help="pieces after which a deadly request crashes it")
     arguments = parser.parse_args()
     server = await asyncio.start_server(Runner(arguments).serve, arguments.ip, arguments.port)
     print("port", server.sockets[0].getsockname()[1], flush=True)
