--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -148,7 +148,9 @@
   void RemoveMissing(const Endpoint& aEndpoint, LogPosition aEndVersion);
   /// Starts the change log after the first full read.
   void StartChangeLog(LogPosition aEndVersion);
-  [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason);
+  /// @param aDecodingSince  Clock::Now() before the record was decoded
+  [[nodiscard]] bool RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason,
+                                  TimePoint aDecodingSince);
   /// The longest time that a message can have been in transit. Without synchronized clocks a message alone shows how
   /// much longer it took than others (DelayEstimator), which is too little where all are slow. Its sender therefore adds
   /// by how much its clock is ahead of this daemon's at most, which replies of this daemon have shown: the bound is the
--- a/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorRecords.cpp
@@ -15,6 +15,12 @@
 
 const Log kLog("endpoints");
 
+std::int64_t
+ElapsedMilliseconds(TimePoint aSince, const Clock& aClock)
+{
+  return std::chrono::floor<Milliseconds>(aClock.Now() - aSince).count();
+}
+
 } // namespace
 
 bool
@@ -100,9 +106,10 @@
   if (!aFromPeer) {
     this->lapses.OnRenewed(aRecord.id, this->clock.BootNow());
   }
+  const TimePoint decodingSince = this->clock.Now();
   auto endpoint = this->hooks.decode(aRecord);
   if (!endpoint) {
-    return this->RefuseRecord(aRecord, endpoint.error().message);
+    return this->RefuseRecord(aRecord, endpoint.error().message, decodingSince);
   }
   const bool isLeaving = endpoint.value().state == EndpointState::Leaving;
   const std::string service = endpoint.value().name;
@@ -138,13 +145,17 @@
 }
 
 bool
-EndpointReplicator::RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason)
+EndpointReplicator::RefuseRecord(const EndpointRecord& aRecord, const std::string& aReason,
+                                 TimePoint aDecodingSince)
 {
   ++this->refusedRecords;
   std::string& last = this->refusalReasons[aRecord.id];
   if (last != aReason) {
     kLog.Event(LogLevel::Warning, "endpoint_refused",
-               { { "endpoint", aRecord.id }, { "reason", aReason } });
+               { { "endpoint", aRecord.id },
+                 { "reason", aReason },
+                 { "bytes", aRecord.text.size() },
+                 { "decode_ms", ElapsedMilliseconds(aDecodingSince, this->clock) } });
     last = aReason;
   }
   return this->directory.OnUnreadable(aRecord.id);
--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -401,9 +401,11 @@
 RelayDaemon::ApplyConfiguration(LoadedConfiguration aLoaded)
 {
   if (!aLoaded.configuration) {
-    kLog.Event(
-      LogLevel::Warning, "configuration_refused",
-      { { "reason", aLoaded.configuration.error().message }, { "from_peer", aLoaded.fromPeer } });
+    kLog.Event(LogLevel::Warning, "configuration_refused",
+               { { "reason", aLoaded.configuration.error().message },
+                 { "from_peer", aLoaded.fromPeer },
+                 { "bytes", aLoaded.text.size() },
+                 { "decode_ms", aLoaded.decodeTime.count() } });
     if (aLoaded.fromPeer) {
       this->receivedConfiguration = -1;
     }
