--- a/Fuzz/Decoders/ManifestFuzzer.cpp
+++ b/Fuzz/Decoders/ManifestFuzzer.cpp
@@ -12,7 +12,7 @@
 {
   const std::string_view bytes(reinterpret_cast<const char*>(aData), aSize);
   const ManifestReadResult reading = ReadManifest(bytes);
-  if (reading.manifest.has_value() != reading.faults.empty()) {
+  if (reading.manifest.has_value() != reading.faults.IsEmpty()) {
     std::abort();
   }
   if (!reading.manifest) {
--- a/Fuzz/Decoders/RecordFuzzer.cpp
+++ b/Fuzz/Decoders/RecordFuzzer.cpp
@@ -25,7 +25,7 @@
 {
   JsonFaults faults;
   const auto record = aRead(aBytes, faults);
-  Require(record.has_value() == faults.empty());
+  Require(record.has_value() == faults.IsEmpty());
   if (!record) {
     return;
   }
--- a/Lagoonward/Claims/ClaimBatcher.cpp
+++ b/Lagoonward/Claims/ClaimBatcher.cpp
@@ -338,7 +338,7 @@
   }
   for (const LogRecord& record : aPage.records) {
     const auto applied = this->ledger.Apply(record.offset, record.data);
-    if (!applied.faults.empty()) {
+    if (!applied.faults.IsEmpty()) {
       kLog.Warning("{}: skipped an invalid record at offset {}: {}.", this->stream, record.offset,
                    DescribeFaults(applied.faults));
     }
--- a/Lagoonward/Claims/ClaimRecord.cpp
+++ b/Lagoonward/Claims/ClaimRecord.cpp
@@ -80,7 +80,7 @@
 std::optional<ClaimRecord>
 ReadClaimRecord(std::string_view aText, JsonFaults& aFaults)
 {
-  const auto faultsBefore = aFaults.size();
+  const auto faultsBefore = aFaults.Count();
   const auto value = ParseStrictJson(aText, aFaults);
   if (!value) {
     return std::nullopt;
@@ -92,7 +92,7 @@
   record.claims = reader.ReadObjects("claims", ReadClaim);
   record.outcomes = reader.ReadObjects("outcomes", ReadOutcome);
   reader.RejectUnknown();
-  if (aFaults.size() != faultsBefore) {
+  if (aFaults.Count() != faultsBefore) {
     return std::nullopt;
   }
   return record;
--- a/Lagoonward/Cli/ManifestFile.cpp
+++ b/Lagoonward/Cli/ManifestFile.cpp
@@ -37,7 +37,7 @@
     return std::nullopt;
   }
   auto result = ReadManifest(*text);
-  for (const ManifestFault& fault : result.faults) {
+  for (const ManifestFault& fault : result.faults.Kept()) {
     aErr << aPath << ": " << (fault.pointer.empty() ? "(document)" : fault.pointer) << ": "
          << fault.message << '\n';
   }
--- a/Lagoonward/Configuration/ConfigurationRecord.cpp
+++ b/Lagoonward/Configuration/ConfigurationRecord.cpp
@@ -25,9 +25,9 @@
     return std::nullopt;
   }
   auto reading = ReadManifest(*value, aReader.PointerOf("manifest"));
-  aFaults.insert(aFaults.end(), reading.faults.begin(), reading.faults.end());
+  aFaults.AddBelow("", reading.faults);
   if (reading.manifest && reading.manifest->market != aMarket) {
-    aFaults.push_back({ "/manifest/market", "not the market of this stream" });
+    aFaults.Add("/manifest/market", "not the market of this stream");
   }
   return std::move(reading.manifest);
 }
@@ -73,10 +73,10 @@
 ReadConfigurationRecord(std::string_view aText, std::string_view aMarket, JsonFaults& aFaults)
 {
   if (aText.size() > kMaxRecordBytes) {
-    aFaults.push_back({ "", "record is larger than the size limit" });
+    aFaults.Add("", "record is larger than the size limit");
     return std::nullopt;
   }
-  const auto faultsBefore = aFaults.size();
+  const auto faultsBefore = aFaults.Count();
   const auto value = ParseStrictJson(aText, aFaults);
   if (!value) {
     return std::nullopt;
@@ -92,7 +92,7 @@
   }
   record.publisher = ReadRecordId(reader, "publisher");
   reader.RejectUnknown();
-  if (aFaults.size() != faultsBefore) {
+  if (aFaults.Count() != faultsBefore) {
     return std::nullopt;
   }
   return record;
--- a/Lagoonward/Configuration/JsonReader.cpp
+++ b/Lagoonward/Configuration/JsonReader.cpp
@@ -173,7 +173,7 @@
 void
 JsonReader::FaultAt(std::string aPointer, std::string aMessage)
 {
-  this->faults.push_back({ std::move(aPointer), std::move(aMessage) });
+  this->faults.Add(aPointer, aMessage);
 }
 
 std::string
--- a/Lagoonward/Configuration/ManifestReader.cpp
+++ b/Lagoonward/Configuration/ManifestReader.cpp
@@ -244,7 +244,7 @@
 {
   ManifestReadResult reading;
   if (aText.size() > kMaxManifestBytes) {
-    reading.faults.push_back({ "", "larger than 1 MiB" });
+    reading.faults.Add("", "larger than 1 MiB");
     return reading;
   }
   const auto value = ParseStrictJson(aText, reading.faults);
@@ -276,7 +276,7 @@
   manifest.objective = reader.ReadObject("objective", ReadObjective);
   CheckReferences(reader, manifest);
   reader.RejectUnknown();
-  if (reading.faults.empty()) {
+  if (reading.faults.IsEmpty()) {
     reading.manifest = std::move(manifest);
   }
   return reading;
--- a/Lagoonward/Configuration/StrictJson.cpp
+++ b/Lagoonward/Configuration/StrictJson.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Configuration/StrictJson.h"
 
-#include <set>
+#include <utility>
+#include <vector>
 
 namespace lagoonward {
 
@@ -8,115 +9,142 @@
 
 using nlohmann::json;
 
-/// Parser callback that detects faults not visible in the parsed value: duplicate members and excessive nesting.
-class StructureCheck
+/// The message of the library's exception without its prefix in brackets.
+std::string_view
+MessageWithoutPrefix(const json::exception& aException)
+{
+  const std::string_view message = aException.what();
+  const auto end = message.find("] ");
+  return end == std::string_view::npos ? message : message.substr(end + 2);
+}
+
+/// Builds a document from the parser's events and ends the parsing at the first fault. The library's own builder does
+/// not detect duplicate members; its callback could, but with a callback the library searches the whole object again
+/// after each member that is an object or an array.
+class DocumentBuilder final : public nlohmann::json_sax<json>
 {
 public:
-  explicit StructureCheck(JsonFaults& aFaults)
+  explicit DocumentBuilder(JsonFaults& aFaults)
     : faults(aFaults)
   {
   }
 
-  /// The parser's callback.
-  /// @return whether the parser keeps the value
-  bool operator()(int /*aDepth*/, json::parse_event_t aEvent, json& aParsed)
+  /// The document, if the parser has accepted the text.
+  [[nodiscard]] json& Document() { return this->document; }
+
+  // NOLINTBEGIN(readability-identifier-naming): the base class's names
+  bool null() override { return this->AddScalar(nullptr); }
+  bool boolean(bool aValue) override { return this->AddScalar(aValue); }
+  bool number_integer(json::number_integer_t aValue) override { return this->AddScalar(aValue); }
+  bool number_unsigned(json::number_unsigned_t aValue) override { return this->AddScalar(aValue); }
+  bool number_float(json::number_float_t aValue, const std::string& /*aText*/) override
+  {
+    return this->AddScalar(aValue);
+  }
+  bool string(std::string& aValue) override { return this->AddScalar(std::move(aValue)); }
+  bool binary(json::binary_t& aValue) override { return this->AddScalar(std::move(aValue)); }
+  bool start_object(std::size_t /*aCount*/) override { return this->Open(json::object()); }
+  bool start_array(std::size_t /*aCount*/) override { return this->Open(json::array()); }
+  bool end_object() override { return this->Close(); }
+  bool end_array() override { return this->Close(); }
+
+  bool key(std::string& aKey) override
   {
-    switch (aEvent) {
-      case json::parse_event_t::object_start:
-      case json::parse_event_t::array_start:
-        return this->Open(aEvent == json::parse_event_t::array_start);
-      case json::parse_event_t::object_end:
-      case json::parse_event_t::array_end:
-        this->levels.pop_back();
-        this->FinishValue();
-        return true;
-      case json::parse_event_t::key:
-        this->RecordKey(aParsed.get_ref<const std::string&>());
-        return true;
-      case json::parse_event_t::value:
-        this->FinishValue();
-        return true;
+    Level& level = this->levels.back();
+    auto& members = level.container->get_ref<json::object_t&>();
+    const auto [member, isNew] = members.try_emplace(std::move(aKey));
+    level.key = &member->first;
+    level.member = &member->second;
+    if (!isNew) {
+      this->faults.Add(this->PointerToNext(), "duplicate member");
     }
-    return true;
+    return isNew;
+  }
+
+  bool parse_error(std::size_t /*aPosition*/, const std::string& /*aToken*/,
+                   const json::exception& aException) override
+  {
+    this->faults.Add("", MessageWithoutPrefix(aException));
+    return false;
   }
+  // NOLINTEND(readability-identifier-naming)
 
 private:
+  /// An object or an array that has not ended yet.
   struct Level
   {
-    bool isArray = false;
-    std::size_t index = 0; ///< Index of the array's current item.
-    std::string key;       ///< The object's current member.
-    std::set<std::string> keys;
+    json* container = nullptr;
+    const std::string* key = nullptr; ///< Of an object's current member.
+    json* member = nullptr;           ///< Its value, which replaces null.
   };
 
-  bool Open(bool aIsArray)
+  template<typename Value>
+  bool AddScalar(Value&& aValue)
+  {
+    static_cast<void>(this->Place(json(std::forward<Value>(aValue))));
+    return true;
+  }
+
+  bool Open(json aContainer)
   {
     if (this->levels.size() == kMaxJsonDepth) {
-      this->faults.push_back({ this->Pointer(), "nested too deeply" });
+      this->faults.Add(this->PointerToNext(), "nested too deeply");
+      return false;
     }
-    Level level;
-    level.isArray = aIsArray;
-    this->levels.push_back(std::move(level));
-    return this->levels.size() <= kMaxJsonDepth;
+    this->levels.push_back({ &this->Place(std::move(aContainer)), nullptr, nullptr });
+    return true;
   }
 
-  void RecordKey(const std::string& aKey)
+  bool Close()
   {
-    Level& level = this->levels.back();
-    level.key = aKey;
-    if (!level.keys.insert(aKey).second) {
-      this->faults.push_back({ this->Pointer(), "duplicate member" });
-    }
+    this->levels.pop_back();
+    return true;
   }
 
-  void FinishValue()
+  /// Adds the next value to the innermost container.
+  json& Place(json aValue)
   {
-    if (!this->levels.empty() && this->levels.back().isArray) {
-      ++this->levels.back().index;
+    if (this->levels.empty()) {
+      this->document = std::move(aValue);
+      return this->document;
+    }
+    const Level& level = this->levels.back();
+    if (level.container->is_array()) {
+      return level.container->emplace_back(std::move(aValue));
     }
+    *level.member = std::move(aValue);
+    return *level.member;
   }
 
-  [[nodiscard]] std::string Pointer() const
+  /// The pointer to the value that comes next.
+  [[nodiscard]] std::string PointerToNext() const
   {
     std::string pointer;
     for (const Level& level : this->levels) {
-      pointer = JoinJsonPointer(pointer, level.isArray ? std::to_string(level.index) : level.key);
+      const bool isInnermost = &level == &this->levels.back();
+      // The last item of an outer array is the container of the next level
+      const std::size_t index = level.container->size() - (isInnermost ? 0 : 1);
+      pointer =
+        JoinJsonPointer(pointer, level.container->is_array() ? std::to_string(index) : *level.key);
     }
     return pointer;
   }
 
   JsonFaults& faults;
+  json document;
   std::vector<Level> levels;
 };
 
-/// The message of the library's exception without its prefix in brackets.
-std::string
-MessageWithoutPrefix(const json::exception& aException)
-{
-  const std::string message = aException.what();
-  const auto end = message.find("] ");
-  return end == std::string::npos ? message : message.substr(end + 2);
-}
-
 } // namespace
 
 std::optional<json>
 ParseStrictJson(std::string_view aText, JsonFaults& aFaults)
 {
-  const auto faultsBefore = aFaults.size();
-  StructureCheck check(aFaults);
-  try {
-    json value = json::parse(aText.begin(), aText.end(),
-                             [&check](int aDepth, json::parse_event_t aEvent, json& aParsed) {
-                               return check(aDepth, aEvent, aParsed);
-                             });
-    if (aFaults.size() == faultsBefore) {
-      return value;
-    }
-  } catch (const json::exception& exception) {
-    aFaults.push_back({ "", MessageWithoutPrefix(exception) });
+  DocumentBuilder builder(aFaults);
+  if (!json::sax_parse(aText.begin(), aText.end(), &builder)) {
+    return std::nullopt;
   }
-  return std::nullopt;
+  return std::move(builder.Document());
 }
 
 std::string
@@ -136,16 +164,4 @@
   return pointer;
 }
 
-std::string
-DescribeFaults(const JsonFaults& aFaults)
-{
-  std::string text;
-  for (const JsonFault& fault : aFaults) {
-    text += text.empty() ? "" : "; ";
-    text += fault.pointer.empty() ? "" : fault.pointer + ": ";
-    text += fault.message;
-  }
-  return text;
-}
-
 } // namespace lagoonward
--- a/Lagoonward/Leadership/LeaseRecord.cpp
+++ b/Lagoonward/Leadership/LeaseRecord.cpp
@@ -28,7 +28,7 @@
   record.holder = reader.ReadString("holder");
   record.duration = Milliseconds(reader.ReadInteger("duration_ms", kDurations));
   record.writer = ReadRecordId(reader, "writer");
-  if (!aFaults.empty()) {
+  if (!aFaults.IsEmpty()) {
     return std::nullopt;
   }
   return record;
--- a/Lagoonward/Metering/UsageRecord.cpp
+++ b/Lagoonward/Metering/UsageRecord.cpp
@@ -24,7 +24,7 @@
   UsageRecord record;
   record.window = reader.ReadInteger("window", kIntegers);
   const nlohmann::json* counts = reader.Require("counts");
-  if (!faults.empty() || !counts->is_object()) {
+  if (!faults.IsEmpty() || !counts->is_object()) {
     return std::nullopt;
   }
   for (const auto& [account, count] : counts->items()) {
--- a/Lagoonward/Providers/PlatformDecoder.h
+++ b/Lagoonward/Providers/PlatformDecoder.h
@@ -28,7 +28,7 @@
   if (value) {
     JsonReader reader(*value, "", faults);
     auto result = aRead(reader);
-    if (faults.empty()) {
+    if (faults.IsEmpty()) {
       return result;
     }
   }
@@ -47,7 +47,7 @@
     JsonFaults faults;
     JsonReader reader(item, "", faults);
     auto entry = aRead(reader);
-    if (faults.empty()) {
+    if (faults.IsEmpty()) {
       entries.push_back(std::move(entry));
     } else {
       aLog.Warning("skipped a malformed {}: {}.", aWhat, DescribeFaults(faults));
--- a/StandIns/Options.cpp
+++ b/StandIns/Options.cpp
@@ -49,7 +49,7 @@
   const std::string text{ std::istreambuf_iterator<char>(file), {} };
   auto reading = ReadManifest(text);
   if (!reading.manifest) {
-    const auto& fault = reading.faults.front();
+    const auto& fault = reading.faults.Kept().front();
     throw std::invalid_argument(aFile + ": " + fault.pointer + ": " + fault.message);
   }
   return std::move(*reading.manifest);
--- a/UnitTests/Claims/ClaimLedgerTests.cpp
+++ b/UnitTests/Claims/ClaimLedgerTests.cpp
@@ -112,7 +112,7 @@
        "claims":[{"key":"12","body":"0123456789abcdef","by":"a","seq":1}],"outcomes":[]})" }) {
     const auto applied = ledger.Apply(ledger.NextOffset(), text);
     BOOST_TEST(!applied.author.has_value());
-    BOOST_TEST(!applied.faults.empty());
+    BOOST_TEST(!applied.faults.IsEmpty());
   }
   BOOST_TEST(ledger.NextOffset() == 3);
 }
--- a/UnitTests/Configuration/ManifestReaderTests.cpp
+++ b/UnitTests/Configuration/ManifestReaderTests.cpp
@@ -14,7 +14,8 @@
 PointersOf(std::string_view aText)
 {
   std::string pointers;
-  for (const auto& fault : ReadManifest(aText).faults) {
+  const ManifestReadResult reading = ReadManifest(aText);
+  for (const auto& fault : reading.faults.Kept()) {
     pointers += (pointers.empty() ? "" : " ") + fault.pointer;
   }
   return pointers;
@@ -83,11 +84,11 @@
 
 BOOST_AUTO_TEST_CASE(InvalidJsonTextIsRejected)
 {
-  BOOST_TEST(ReadManifest("").faults.size() == 1U);
-  BOOST_TEST(ReadManifest("[]").faults.size() == 1U);
-  BOOST_TEST(ReadManifest("{\"market\":\"\xff\"}").faults.size() == 1U);
-  BOOST_TEST(ReadManifest(SampleManifestJson().dump() + "x").faults.size() == 1U);
-  BOOST_TEST(!ReadManifest(std::string(100'000, '[')).faults.empty());
+  BOOST_TEST(ReadManifest("").faults.Count() == 1U);
+  BOOST_TEST(ReadManifest("[]").faults.Count() == 1U);
+  BOOST_TEST(ReadManifest("{\"market\":\"\xff\"}").faults.Count() == 1U);
+  BOOST_TEST(ReadManifest(SampleManifestJson().dump() + "x").faults.Count() == 1U);
+  BOOST_TEST(!ReadManifest(std::string(100'000, '[')).faults.IsEmpty());
   const auto twice = R"({"a":[{"b":1,"b":2}]})";
   BOOST_TEST(PointersOf(twice) == "/a/0/b");
 }
