--- a/Lagoonward/Core/Log.cpp
+++ b/Lagoonward/Core/Log.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Core/Log.h"
 
-#include "Lagoonward/Core/JsonText.h"
+#include "Lagoonward/Core/LogLine.h"
+#include "Lagoonward/Core/TextLimits.h"
 
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
@@ -96,6 +97,10 @@
 /// Maximum number of lines written per second; all of them may come in one burst. A line costs about
 /// 20 microseconds, so logging stays below a tenth of the processor time of a small host.
 constexpr std::int64_t kMaximumLinesPerSecond = 1000;
+
+/// The same in bytes, for lines with long texts. A line has some hundred bytes as a rule.
+constexpr std::int64_t kMaximumBytesPerSecond = 1'000'000;
+
 constexpr std::int64_t kMillisecondsPerSecond = 1000;
 
 /// Capacity of the queue of lines to standard output. Lines are dropped while it is full.
@@ -104,66 +109,27 @@
 std::atomic<bool> gIsJson{ false };
 std::atomic<std::int64_t> gLineBudgetSecond{ 0 };
 std::atomic<std::int64_t> gLinesThisSecond{ 0 };
+std::atomic<std::int64_t> gBytesThisSecond{ 0 };
 std::atomic<std::uint64_t> gDroppedLines{ 0 };
 
-/// Consumes one line of the budget of lines per second. Errors are always written.
+/// Consumes one line of the budget of lines and bytes per second. Errors are always written.
 /// @return false if the line must be dropped
 bool
 TryConsumeLine(LogLevel aLevel, std::int64_t aSecond)
 {
   if (gLineBudgetSecond.exchange(aSecond) != aSecond) {
     gLinesThisSecond = 0;
+    gBytesThisSecond = 0;
   }
-  if (++gLinesThisSecond <= kMaximumLinesPerSecond || aLevel == LogLevel::Error) {
+  const bool isWithinBudget =
+    ++gLinesThisSecond <= kMaximumLinesPerSecond && gBytesThisSecond < kMaximumBytesPerSecond;
+  if (isWithinBudget || aLevel == LogLevel::Error) {
     return true;
   }
   ++gDroppedLines;
   return false;
 }
 
-std::string_view
-LevelName(LogLevel aLevel)
-{
-  switch (aLevel) {
-    case LogLevel::Debug:
-      return "debug";
-    case LogLevel::Info:
-      return "info";
-    case LogLevel::Warning:
-      return "warning";
-    case LogLevel::Error:
-      return "error";
-  }
-  return "info";
-}
-
-void
-AppendField(std::string& aLine, const LogField& aField)
-{
-  aLine += ',';
-  AppendJsonText(aLine, aField.name);
-  aLine += ':';
-  if (const auto* text = std::get_if<std::string_view>(&aField.value)) {
-    AppendJsonText(aLine, *text);
-  } else if (const auto* number = std::get_if<std::int64_t>(&aField.value)) {
-    aLine += fmt::to_string(*number);
-  } else if (const auto* real = std::get_if<double>(&aField.value)) {
-    aLine += fmt::format("{:.6g}", *real);
-  } else {
-    aLine += std::get<bool>(aField.value) ? "true" : "false";
-  }
-}
-
-/// Begins a JSON line with the time, the level and the component.
-std::string
-BeginJson(LogLevel aLevel, std::string_view aComponent, std::int64_t aMilliseconds)
-{
-  std::string line =
-    fmt::format(R"({{"time":{},"level":"{}","part":)", aMilliseconds, LevelName(aLevel));
-  AppendJsonText(line, aComponent);
-  return line;
-}
-
 std::int64_t
 NowMilliseconds()
 {
@@ -246,7 +212,7 @@
   if (!gIsJson) {
     std::string line(aName);
     for (const LogField& field : aFields) {
-      AppendField(line, field);
+      AppendLogField(line, field);
     }
     this->Write(aLevel, line);
     return;
@@ -255,12 +221,13 @@
   if (!TryConsumeLine(aLevel, now / kMillisecondsPerSecond)) {
     return;
   }
-  std::string line = BeginJson(aLevel, this->prefix, now);
-  AppendField(line, { "event", aName });
+  std::string line = BeginLogLine(aLevel, this->prefix, now);
+  AppendLogField(line, { "event", aName });
   for (const LogField& field : aFields) {
-    AppendField(line, field);
+    AppendLogField(line, field);
   }
   line += '}';
+  gBytesThisSecond += static_cast<std::int64_t>(line.size());
   this->Write(aLevel, line);
 }
 
@@ -274,7 +241,7 @@
   if (gIsJson) {
     this->Event(aLevel, "note", { { "message", line } });
   } else {
-    this->Write(aLevel, line);
+    this->Write(aLevel, ShortenText(line, kMaximumLoggedText));
   }
 }
 
