--- a/Lagoonward/Membership/FrameCodec.h
+++ b/Lagoonward/Membership/FrameCodec.h
@@ -65,6 +65,9 @@
 [[nodiscard]] Result<Frame>
 OpenFrame(const KeyRing& aKeys, const FrameContext& aContext, std::string_view aBytes);
 
+/// Upper bound of what SealFrame() adds to the bytes of a frame.
+inline constexpr std::size_t kMaximumFrameOverhead = 64;
+
 /// Size of the length prefix of a frame; little-endian.
 inline constexpr std::size_t kFrameLengthBytes = 4;
 
--- a/Lagoonward/Membership/HostListDistribution.cpp
+++ b/Lagoonward/Membership/HostListDistribution.cpp
@@ -57,12 +57,7 @@
   // The platform returns hosts in arbitrary order
   std::sort(list.hosts.begin(), list.hosts.end(),
             [](const HostEntry& aLeft, const HostEntry& aRight) { return aLeft.id < aRight.id; });
-  std::string bytes;
-  try {
-    bytes = EncodeMessage(list);
-  } catch (const cereal::Exception&) {
-    return std::nullopt;
-  }
+  std::string bytes = EncodeMessage(list);
 
   // Two readers may see lists of different age, so only a change between this daemon's own reads is published
   const std::uint64_t hash = HashBytes(bytes);
--- a/Lagoonward/Membership/PeerConnection.cpp
+++ b/Lagoonward/Membership/PeerConnection.cpp
@@ -13,7 +13,6 @@
 constexpr std::size_t kReadBytes = 16384;
 constexpr int kReadsPerWake = 16;
 constexpr std::uint64_t kSegmentHeaderBytes = 40;
-constexpr std::size_t kFrameOverhead = 64; ///< Upper bound of what framing adds to the payload.
 
 bool
 IsTransient(int aError)
@@ -42,11 +41,13 @@
 bool
 PeerConnection::Queue(const Frame& aFrame, TimePoint aNow)
 {
-  if (this->outgoing.size() - this->written > this->settings.maximumQueuedBytes) {
+  const std::size_t unsent = this->outgoing.size() - this->written + this->unsealedBytes;
+  if (unsent > this->settings.maximumQueuedBytes) {
     return false;
   }
   this->lastActive = aNow;
   if (!this->HasNonce()) {
+    this->unsealedBytes += aFrame.bytes.size();
     this->unsealedFrames.push_back(aFrame);
     return true;
   }
@@ -158,6 +159,7 @@
     this->SealNext(frame);
   }
   this->unsealedFrames.clear();
+  this->unsealedBytes = 0;
   return this->Write();
 }
 
@@ -204,7 +206,7 @@
 {
   // The accepting side closes the connection on a first frame over maximumFirstFrame, since the sender is not
   // authenticated yet. A retry on a new connection would fail alike, so a small frame is sent first.
-  const std::size_t size = aFrame.bytes.size() + kFrameOverhead;
+  const std::size_t size = aFrame.bytes.size() + kMaximumFrameOverhead;
   if (this->framesSent == 0 && this->side == Side::Connecting &&
       size > this->settings.maximumFirstFrame) {
     this->Seal(Frame{ FrameKind::Hello, aFrame.sender, 0, 0, {} });
--- a/Lagoonward/Membership/PeerConnection.h
+++ b/Lagoonward/Membership/PeerConnection.h
@@ -71,6 +71,7 @@
   const PeerTransportSettings& settings;
   std::string nonce;
   std::vector<Frame> unsealedFrames; ///< Frames queued before the nonce was known.
+  std::size_t unsealedBytes = 0;     ///< Of their payloads.
   std::string incoming;
   std::string outgoing;
   std::uint64_t framesSent = 0;
--- a/Lagoonward/Membership/PeerTransport.cpp
+++ b/Lagoonward/Membership/PeerTransport.cpp
@@ -29,6 +29,8 @@
   return nonce;
 }
 
+constexpr std::string_view kTooLarge = "the message is larger than one between daemons may be";
+
 } // namespace
 
 PeerTransport::PeerTransport(ControlLoop& aLoop, const Clock& aClock, PeerKey aSelf,
@@ -318,6 +320,11 @@
 PeerTransport::Request(const PeerAddress& aTo, RequestType aType, std::string aBytes,
                        Milliseconds aTimeout, ResponseHandler aHandler)
 {
+  if (!this->CheckSize("request", static_cast<std::uint16_t>(aType), aBytes.size())) {
+    ++this->counters.requestsFailed;
+    aHandler(Error(ErrorKind::PlatformUnavailable, std::string(kTooLarge)));
+    return;
+  }
   const auto open = this->outgoing.find(aTo.key);
   const auto connection =
     open != this->outgoing.end() ? Result<std::uint64_t>(open->second) : this->ConnectTo(aTo);
@@ -333,6 +340,21 @@
                                             static_cast<std::uint16_t>(aType), std::move(aBytes) });
 }
 
+bool
+PeerTransport::CheckSize(std::string_view aWhat, std::uint16_t aType, std::size_t aBytes)
+{
+  if (aBytes <= this->MaximumBytes()) {
+    return true;
+  }
+  ++this->counters.tooLarge;
+  this->log.Event(LogLevel::Warning, "message_too_large",
+                  { { "kind", aWhat },
+                    { "type", aType },
+                    { "bytes", aBytes },
+                    { "maximum", this->MaximumBytes() } });
+  return false;
+}
+
 void
 PeerTransport::HandleFrame(std::uint64_t aConnection, const Frame& aFrame)
 {
@@ -353,7 +375,7 @@
 PeerTransport::HandleRequest(std::uint64_t aConnection, const Frame& aFrame)
 {
   const auto handler = this->requestHandlers.find(aFrame.type);
-  const Responder respond = this->MakeResponder(aConnection, aFrame.number);
+  const Responder respond = this->MakeResponder(aConnection, aFrame);
   if (handler == this->requestHandlers.end()) {
     respond(Error(ErrorKind::UnknownPath, "no handler is registered for this request type"));
     return;
@@ -362,12 +384,12 @@
 }
 
 PeerTransport::Responder
-PeerTransport::MakeResponder(std::uint64_t aConnection, std::uint64_t aRequest)
+PeerTransport::MakeResponder(std::uint64_t aConnection, const Frame& aRequest)
 {
   return [this, handle = this->loop.Handle(), sender = this->self, aConnection,
-          aRequest](const Result<std::string>& aResponse) {
+          number = aRequest.number, type = aRequest.type](const Result<std::string>& aResponse) {
     Frame frame;
-    frame.number = aRequest;
+    frame.number = number;
     frame.sender = sender;
     if (aResponse) {
       frame.kind = FrameKind::Response;
@@ -377,10 +399,22 @@
       frame.type = static_cast<std::uint16_t>(aResponse.error().kind);
       frame.bytes = aResponse.error().message;
     }
-    handle->Post([this, aConnection, frame] { this->Transmit(aConnection, frame); });
+    handle->Post([this, aConnection, frame, type] { this->Respond(aConnection, frame, type); });
   };
 }
 
+void
+PeerTransport::Respond(std::uint64_t aConnection, Frame aFrame, std::uint16_t aRequestType)
+{
+  if (!this->CheckSize("response", aRequestType, aFrame.bytes.size())) {
+    // The request may have run
+    aFrame.kind = FrameKind::Failure;
+    aFrame.type = static_cast<std::uint16_t>(ErrorKind::EndpointFailed);
+    aFrame.bytes = kTooLarge;
+  }
+  this->Transmit(aConnection, aFrame);
+}
+
 void
 PeerTransport::HandleResponse(const Frame& aFrame)
 {
@@ -468,6 +502,12 @@
   }
 }
 
+std::size_t
+PeerTransport::MaximumBytes() const
+{
+  return this->settings.maximumFrame - kMaximumFrameOverhead;
+}
+
 std::uint16_t
 PeerTransport::Port() const
 {
--- a/Lagoonward/Membership/PeerTransport.h
+++ b/Lagoonward/Membership/PeerTransport.h
@@ -50,6 +50,7 @@
   std::uint64_t streamBytesSent = 0;
   std::uint64_t streamBytesReceived = 0;
   std::uint64_t requestsFailed = 0;
+  std::uint64_t tooLarge = 0; ///< Requests and responses that were not sent: longer than a frame.
 };
 
 /// Authenticated UDP datagrams and TCP requests between daemons. Every method is called on the
@@ -88,11 +89,14 @@
 
   /// Sends a request; the handler is called on the loop exactly once.
   /// Errors: DeadlineExceeded (no response in time, the request may have run), EndpointFailed
-  /// (connection lost, may have run), PlatformUnavailable (could not connect, has not run), or the
-  /// error that the peer returned.
+  /// (connection lost, may have run), PlatformUnavailable (could not connect, or the request is over MaximumBytes();
+  /// has not run), or the error that the peer returned. EndpointFailed also if the response is over MaximumBytes().
   void Request(const PeerAddress& aTo, RequestType aType, std::string aBytes, Milliseconds aTimeout,
                ResponseHandler aHandler);
 
+  /// Largest number of bytes of a request or a response.
+  [[nodiscard]] std::size_t MaximumBytes() const;
+
   /// Port bound by Listen().
   [[nodiscard]] std::uint16_t Port() const;
   [[nodiscard]] const TransportCounters& Counters() const;
@@ -125,12 +129,15 @@
   void Transmit(std::uint64_t aConnection, const Frame& aFrame);
   void HandleFrame(std::uint64_t aConnection, const Frame& aFrame);
   void HandleRequest(std::uint64_t aConnection, const Frame& aFrame);
+  /// Whether bytes fit into a frame. Counts and logs them if they do not.
+  [[nodiscard]] bool CheckSize(std::string_view aWhat, std::uint16_t aType, std::size_t aBytes);
   void HandleResponse(const Frame& aFrame);
   void CloseConnection(std::uint64_t aConnection);
   void CompleteRequest(std::uint64_t aRequest, Result<std::string> aResponse);
   void OnRequestTimeout(std::uint64_t aRequest);
   void CloseExpiredConnections();
-  [[nodiscard]] Responder MakeResponder(std::uint64_t aConnection, std::uint64_t aRequest);
+  [[nodiscard]] Responder MakeResponder(std::uint64_t aConnection, const Frame& aRequest);
+  void Respond(std::uint64_t aConnection, Frame aFrame, std::uint16_t aRequestType);
 
   ControlLoop& loop;
   const Clock& clock;
--- a/Lagoonward/Membership/WireCodec.h
+++ b/Lagoonward/Membership/WireCodec.h
@@ -4,6 +4,7 @@
 
 #include <cereal/archives/portable_binary.hpp>
 
+#include <algorithm>
 #include <istream>
 #include <limits>
 #include <ostream>
@@ -40,19 +41,37 @@
   std::string& target;
 };
 
-/// Largest byte string in a message.
+/// Largest byte string that is accepted in a message.
 inline constexpr std::size_t kMaximumWireBytes = 1U << 20U;
 
-/// (De)serializes a list whose length is encoded as Count. A longer list is a bug of the sender.
+/// (De)serializes the length of a list, a map or a byte string as Count. A length for which Count is too small follows
+/// its greatest value as 32 bits, so that any name and any number of entries can be encoded. The length of a message as
+/// a whole is bounded by the transport.
+/// @return the length
+template<typename Count, class Archive>
+std::size_t
+SerializeLength(Archive& aArchive, std::size_t aLength)
+{
+  constexpr std::size_t kEscape = std::numeric_limits<Count>::max();
+  auto count = static_cast<Count>(std::min(aLength, kEscape));
+  aArchive(count);
+  if (count < kEscape) {
+    return count;
+  }
+  auto longCount = static_cast<std::uint32_t>(aLength);
+  aArchive(longCount);
+  if (longCount < kEscape) {
+    throw cereal::Exception("a length is not encoded in its shortest form");
+  }
+  return longCount;
+}
+
+/// (De)serializes a list whose length is encoded as Count, see SerializeLength().
 template<typename Count, class Archive, typename Element>
 void
 SerializeList(Archive& aArchive, std::vector<Element>& aList)
 {
-  if (aList.size() > std::numeric_limits<Count>::max()) {
-    throw cereal::Exception("list is too long for its length field");
-  }
-  auto count = static_cast<Count>(aList.size());
-  aArchive(count);
+  const std::size_t count = SerializeLength<Count>(aArchive, aList.size());
   if constexpr (Archive::is_loading::value) {
     // Grows element by element, so that a false count does not cause a large allocation
     aList.clear();
@@ -66,36 +85,28 @@
   }
 }
 
-/// (De)serializes a byte string whose length is encoded as Count.
+/// (De)serializes a byte string whose length is encoded as Count, see SerializeLength().
 template<typename Count, class Archive>
 void
 SerializeBytes(Archive& aArchive, std::string& aBytes)
 {
-  if (aBytes.size() > std::numeric_limits<Count>::max()) {
-    throw cereal::Exception("byte string is too long for its length field");
-  }
-  auto count = static_cast<Count>(aBytes.size());
-  aArchive(count);
-  if (count > kMaximumWireBytes) {
-    throw cereal::Exception("byte string exceeds the maximum size in a message");
-  }
+  const std::size_t count = SerializeLength<Count>(aArchive, aBytes.size());
   if constexpr (Archive::is_loading::value) {
+    if (count > kMaximumWireBytes) {
+      throw cereal::Exception("byte string exceeds the maximum size in a message");
+    }
     aBytes.resize(count);
   }
   aArchive(cereal::binary_data(aBytes.data(), aBytes.size()));
 }
 
-/// (De)serializes a map whose length is encoded as Count.
+/// (De)serializes a map whose length is encoded as Count, see SerializeLength().
 /// @param aEntry  (de)serializes one key and its value; called with both
 template<typename Count, class Archive, typename Map, typename SerializeEntry>
 void
 SerializeMap(Archive& aArchive, Map& aMap, const SerializeEntry& aEntry)
 {
-  if (aMap.size() > std::numeric_limits<Count>::max()) {
-    throw cereal::Exception("map is too large for its length field");
-  }
-  auto count = static_cast<Count>(aMap.size());
-  aArchive(count);
+  const std::size_t count = SerializeLength<Count>(aArchive, aMap.size());
   if constexpr (Archive::is_loading::value) {
     aMap.clear();
     for (std::size_t index = 0; index < count; ++index) {
@@ -112,7 +123,8 @@
   }
 }
 
-/// Encodes a message in cereal's portable binary format.
+/// Encodes a message in cereal's portable binary format. No content makes it fail: what a message may not contain is
+/// rejected by its receiver.
 template<typename Message>
 [[nodiscard]] std::string
 EncodeMessage(const Message& aMessage)
--- a/UnitTests/Membership/PeerTransportTests.cpp
+++ b/UnitTests/Membership/PeerTransportTests.cpp
@@ -251,6 +251,53 @@
   BOOST_TEST(requests == 0);
 }
 
+/// Guards against a daemon that ends with an exception, as it sends more than a frame may hold.
+BOOST_AUTO_TEST_CASE(RequestOrResponseThatExceedsAFrameFails)
+{
+  constexpr std::size_t kTooLong = (1U << 20U) + 1;
+  Node requester(1);
+  Node server(2);
+  server.transport.OnRequest(RequestType::Claim, [](PeerKey, std::string_view aBytes,
+                                                    const PeerTransport::Responder& aRespond) {
+    aRespond(aBytes == "long" ? std::string(kTooLong, 'x') : std::string(aBytes));
+  });
+  requester.Start();
+  server.Start();
+  const std::string longest(requester.transport.MaximumBytes(), 'x');
+  const auto fits = requester.SendRequest(server.Address(), longest);
+  BOOST_TEST((fits.has_value() && fits.value() == longest));
+  const auto request = requester.SendRequest(server.Address(), std::string(kTooLong, 'x'));
+  BOOST_TEST_REQUIRE(!request.has_value());
+  BOOST_TEST((request.error().kind == ErrorKind::PlatformUnavailable));
+  const auto response = requester.SendRequest(server.Address(), "long");
+  BOOST_TEST_REQUIRE(!response.has_value());
+  BOOST_TEST((response.error().kind == ErrorKind::EndpointFailed));
+  BOOST_TEST(requester.Counters().tooLarge == 1U);
+  BOOST_TEST(server.Counters().tooLarge == 1U);
+  BOOST_TEST(requester.SendRequest(server.Address(), "short").value() == "short");
+}
+
+/// Guards against memory that grows with each request to a daemon that accepts connections and does nothing more.
+BOOST_AUTO_TEST_CASE(RequestsToASilentDaemonAreBounded)
+{
+  constexpr int kRequests = 20;
+  Node requester(1, { .maximumQueuedBytes = 100'000 });
+  requester.Start();
+  const PeerSockets silent = std::move(PeerSockets::Open("127.0.0.1", 0).value());
+  std::atomic<int> unavailable{ 0 };
+  requester.loop.Run([&] {
+    for (int number = 0; number < kRequests; ++number) {
+      requester.transport.Request(
+        { 2, "127.0.0.1", silent.port }, RequestType::Claim, std::string(50'000, 'x'), Seconds(10),
+        [&](const Result<std::string>& aResponse) {
+          const bool isUnsent = aResponse.error().kind == ErrorKind::PlatformUnavailable;
+          unavailable += isUnsent ? 1 : 0;
+        });
+    }
+  });
+  BOOST_TEST(unavailable >= kRequests / 2);
+}
+
 /// Guards against connections of strangers that send nothing and keep other daemons out.
 BOOST_AUTO_TEST_CASE(DaemonsConnectBesideAsManyStrangersAsAreAccepted)
 {
