--- a/Lagoonward/Daemon/EndpointChangeLog.cpp
+++ b/Lagoonward/Daemon/EndpointChangeLog.cpp
@@ -4,6 +4,23 @@
 
 namespace lagoonward {
 
+std::size_t
+EncodedBytes(const EndpointRecord& aRecord)
+{
+  constexpr std::size_t kFixedBytes = 64; ///< Of the lengths and the other fields.
+  return kFixedBytes + aRecord.id.size() + aRecord.text.size();
+}
+
+std::size_t
+EncodedBytes(std::span<const EndpointRecord> aRecords)
+{
+  std::size_t bytes = 0;
+  for (const EndpointRecord& record : aRecords) {
+    bytes += EncodedBytes(record);
+  }
+  return bytes;
+}
+
 EndpointChangeLog::EndpointChangeLog(Milliseconds aRetention)
   : retention(aRetention)
 {
@@ -34,16 +51,30 @@
   }
 }
 
-std::vector<EndpointRecord>
-EndpointChangeLog::ChangesFrom(LogPosition aVersion) const
+EndpointChangeLog::Part
+EndpointChangeLog::ChangesFrom(LogPosition aVersion, std::size_t aMaximumBytes) const
 {
-  std::vector<EndpointRecord> found;
+  Part part;
   for (const Change& change : this->changes) {
     if (change.isInferred || change.record.version >= aVersion) {
-      found.push_back(change.record);
+      part.records.push_back(change.record);
     }
   }
-  return found;
+  if (part.records.size() <= 1 || EncodedBytes(part.records) <= aMaximumBytes) {
+    return part;
+  }
+  std::stable_sort(part.records.begin(), part.records.end(),
+                   [](const EndpointRecord& aLeft, const EndpointRecord& aRight) {
+                     return aLeft.version < aRight.version;
+                   });
+  std::size_t bytes = EncodedBytes(part.records.front());
+  std::size_t count = 1;
+  while (bytes + EncodedBytes(part.records[count]) <= aMaximumBytes) {
+    bytes += EncodedBytes(part.records[count++]);
+  }
+  part.endVersion = part.records[count].version;
+  part.records.resize(count);
+  return part;
 }
 
 } // namespace lagoonward
--- a/Lagoonward/Daemon/EndpointChangeLog.h
+++ b/Lagoonward/Daemon/EndpointChangeLog.h
@@ -5,6 +5,8 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,14 @@
   }
 };
 
+/// Upper bound of what a record takes in a message.
+[[nodiscard]] std::size_t
+EncodedBytes(const EndpointRecord& aRecord);
+
+/// The same for a list of records.
+[[nodiscard]] std::size_t
+EncodedBytes(std::span<const EndpointRecord> aRecords);
+
 /// Log of the records that recently changed a snapshot of the endpoints, for daemons that do not have them yet. Not
 /// thread-safe.
 class EndpointChangeLog
@@ -56,9 +66,18 @@
   /// Lowest version from which on the log has no gap.
   [[nodiscard]] LogPosition FirstVersion() const { return this->firstVersion; }
 
+  /// Changes for one message.
+  struct Part
+  {
+    std::vector<EndpointRecord> records;
+    /// All changes below this version are among them; nothing if they are all.
+    std::optional<LogPosition> endVersion;
+  };
+
   /// The changes of this version and above. Inferred ones are always among them: their version is that of the last
   /// record before the end of the full read, and says little about when the endpoint was removed.
-  [[nodiscard]] std::vector<EndpointRecord> ChangesFrom(LogPosition aVersion) const;
+  /// @param aMaximumBytes  if they take more (see EncodedBytes()), the oldest of them, at least one
+  [[nodiscard]] Part ChangesFrom(LogPosition aVersion, std::size_t aMaximumBytes) const;
 
 private:
   struct Change
--- a/Lagoonward/Daemon/EndpointReplicator.h
+++ b/Lagoonward/Daemon/EndpointReplicator.h
@@ -127,9 +127,6 @@
   [[nodiscard]] SnapshotGuard& Guard() { return this->guard; }
 
 private:
-  /// Greatest snapshot age sent or accepted: older ones are of no use. Longer answered spans in messages are cut to it.
-  static constexpr Milliseconds kMaximumSnapshotAge = Seconds(3600);
-
   /// @return whether the snapshot has changed
   bool HandleRecord(EndpointRecord aRecord, bool aFromPeer);
   /// Both set the evidence of the record to what this daemon knows.
@@ -207,6 +204,9 @@
   [[nodiscard]] std::string EncodeHeaderFor(PeerKey aReceiver) const;
   /// Fills in what all messages say of this daemon's snapshot.
   [[nodiscard]] EndpointUpdateMessage MakeMessage();
+  /// Adds the changes that a receiver lacks, as many as a message may hold.
+  /// @param aAcknowledged  the receiver's snapshot is complete below this version; nothing if unknown
+  void AddChanges(EndpointUpdateMessage& aMessage, std::optional<LogPosition> aAcknowledged) const;
   void Tick();
   void LogStaleness();
   void LogRole();
--- a/Lagoonward/Daemon/EndpointReplicatorSettings.h
+++ b/Lagoonward/Daemon/EndpointReplicatorSettings.h
@@ -50,6 +50,8 @@
 
   Milliseconds timeout{ 800 };      ///< For one message.
   Milliseconds tickInterval{ 200 }; ///< Between two checks of the plan, the age and the directory.
+  /// Bytes of records in one message. Less than what a daemon accepts, see PeerTransportSettings::maximumFrame.
+  std::size_t maximumMessageBytes = 1'000'000;
   std::size_t maximumRetainedIds =
     4096; ///< Number of ids above which state of removed endpoints is dropped.
 };
--- a/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorSnapshot.cpp
@@ -76,12 +76,18 @@
   const bool isCovered = hasVersion && query->endVersion.epoch == this->endVersion->epoch &&
                          query->endVersion >= this->changeLog.FirstVersion();
   if (isCovered) {
-    message.firstVersion = query->endVersion;
-    message.entries = this->changeLog.ChangesFrom(query->endVersion);
+    this->AddChanges(message, query->endVersion);
   } else {
     message.firstVersion = LogPosition(0, this->endVersion->epoch);
     message.isComplete = true;
     message.entries = this->AllRecords();
+    if (EncodedBytes(message.entries) > this->settings.maximumMessageBytes) {
+      kLog.Event(LogLevel::Warning, "endpoint_snapshot_too_large",
+                 { { "records", message.entries.size() },
+                   { "bytes", EncodedBytes(message.entries) },
+                   { "maximum", this->settings.maximumMessageBytes } });
+      return {};
+    }
   }
   return EncodePeerMessage(std::move(message));
 }
--- a/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
+++ b/Lagoonward/Daemon/EndpointReplicatorUpdates.cpp
@@ -52,22 +52,21 @@
 EndpointReplicator::SendUpdatesTo(std::span<const PeerAddress> aReceivers, UpdateScope aScope)
 {
   this->changeLog.DropExpired(this->clock.BootNow());
-  EndpointUpdateMessage message = this->MakeMessage();
-  message.scope = aScope;
+  EndpointUpdateMessage state = this->MakeMessage();
+  state.scope = aScope;
   // Sending all changes of the last seconds to every receiver would occupy a small host's link for longer than the
   // timeout of a message, so each receiver is sent only what it has not acknowledged. Most have acknowledged the same
   // version, so each distinct message is encoded once
-  std::map<LogPosition, std::string> encoded;
+  std::map<std::optional<LogPosition>, std::string> encoded;
   for (const PeerAddress& receiver : aReceivers) {
     const auto known = this->acknowledgedVersions.find(receiver.key);
-    message.firstVersion = this->changeLog.FirstVersion();
-    if (known != this->acknowledgedVersions.end()) {
-      message.firstVersion = std::max(message.firstVersion, known->second);
-    }
-    const auto [bytes, isNew] = encoded.try_emplace(message.firstVersion);
+    const auto acknowledged =
+      known == this->acknowledgedVersions.end() ? std::nullopt : std::optional(known->second);
+    const auto [bytes, isNew] = encoded.try_emplace(acknowledged);
     if (isNew) {
-      message.entries = this->changeLog.ChangesFrom(message.firstVersion);
-      bytes->second = EncodePeerMessage(message);
+      EndpointUpdateMessage message = state;
+      this->AddChanges(message, acknowledged);
+      bytes->second = EncodePeerMessage(std::move(message));
     }
     // A receiver that does not answer reads the source directly, and is sent the same changes again
     this->link.Request(receiver, kEndpointUpdate,
@@ -80,6 +79,35 @@
   }
 }
 
+void
+EndpointReplicator::AddChanges(EndpointUpdateMessage& aMessage,
+                               std::optional<LogPosition> aAcknowledged) const
+{
+  const LogPosition logStart = this->changeLog.FirstVersion();
+  aMessage.firstVersion = std::max(logStart, aAcknowledged.value_or(logStart));
+  EndpointChangeLog::Part part =
+    this->changeLog.ChangesFrom(aMessage.firstVersion, this->settings.maximumMessageBytes);
+  aMessage.entries = std::move(part.records);
+  if (!part.endVersion) {
+    return;
+  }
+  kLog.Event("endpoint_changes_in_parts", { { "records", aMessage.entries.size() },
+                                            { "bytes", EncodedBytes(aMessage.entries) },
+                                            { "end", part.endVersion->offset },
+                                            { "end_of_all", aMessage.endVersion.offset } });
+  aMessage.age = kMaximumSnapshotAge.count();
+  aMessage.answeredFor = 0;
+  const bool isSameEpoch = aAcknowledged && aAcknowledged->epoch == aMessage.endVersion.epoch;
+  if (isSameEpoch) {
+    aMessage.endVersion = *part.endVersion;
+    return;
+  }
+  // A receiver of an earlier epoch takes what it lacks for gone. The empty message brings its version with the reply; if
+  // it has missed a restore, it reads the source directly
+  aMessage.firstVersion = aMessage.endVersion;
+  aMessage.entries.clear();
+}
+
 std::int64_t
 EndpointReplicator::NowInMessages() const
 {
@@ -170,7 +198,9 @@
   this->UpdateGuard();
   this->newestPeerConfiguration =
     std::max(this->newestPeerConfiguration.load(), aMessage.configurationVersion);
-  if (!this->endVersion || aMessage.endVersion.epoch == this->endVersion->epoch) {
+  const bool isSameEpoch =
+    !this->endVersion || aMessage.endVersion.epoch == this->endVersion->epoch;
+  if (isSameEpoch && !aMessage.IsPart()) {
     this->CompareDigest(aMessage.digest);
   }
   if (!this->role.IsAggregator()) {
--- a/Lagoonward/Daemon/EndpointUpdateMessages.h
+++ b/Lagoonward/Daemon/EndpointUpdateMessages.h
@@ -41,7 +41,12 @@
   return kSize;
 }
 
-/// State of the sender's snapshot, and the changes that the receiver has not acknowledged.
+/// Greatest age of a snapshot that is sent or accepted: older ones are of no use.
+inline constexpr Milliseconds kMaximumSnapshotAge = Seconds(3600);
+
+/// State of the sender's snapshot, and the changes that the receiver has not acknowledged. If they are more than one
+/// message may hold, the message has the oldest of them and ends where they end; it then does not make the receiver's
+/// snapshot any younger (IsPart()), and the next message goes on from what the receiver acknowledges.
 struct EndpointUpdateMessage
 {
   UpdateScope scope = UpdateScope::Receiver;
@@ -57,6 +62,9 @@
   bool isComplete = false; ///< Whether the entries are all records, and others no longer exist.
   PeerKey reader = 0;      ///< Daemon whose read of the source the age rests on.
 
+  /// Whether the sender has more changes: then it states the greatest age, as its own would be that of all of them.
+  [[nodiscard]] bool IsPart() const { return this->age >= kMaximumSnapshotAge.count(); }
+
   template<class Archive>
   void serialize(Archive& aArchive)
   {
--- a/UnitTests/Daemon/VirtualReplicationFleet.cpp
+++ b/UnitTests/Daemon/VirtualReplicationFleet.cpp
@@ -51,6 +51,7 @@
       handler(std::move(aResponse));
     }
   };
+  this->fleet.largestMessage = std::max(this->fleet.largestMessage, aBytes.size());
   const TimePoint now = this->fleet.clock.Now();
   this->freeToSendAt = std::max(this->freeToSendAt, now) + kSendTime;
   this->fleet.After(aTimeout, [finish] { finish(Error(ErrorKind::DeadlineExceeded, "timeout")); });
@@ -64,6 +65,8 @@
       for (const auto& each : this->fleet.daemons) {
         if (each->Key() == to && each->IsRunning()) {
           each->Receive(this->Key(), aType, bytes, [this, finish](Result<std::string> aReply) {
+            const std::size_t replyBytes = aReply ? aReply.value().size() : 0;
+            this->fleet.largestMessage = std::max(this->fleet.largestMessage, replyBytes);
             this->fleet.After(kLatency, [finish, reply = std::move(aReply)] { finish(reply); });
           });
         }
--- a/UnitTests/Daemon/VirtualReplicationFleet.h
+++ b/UnitTests/Daemon/VirtualReplicationFleet.h
@@ -94,6 +94,7 @@
 
   VirtualClock clock;
   EndpointReplicatorSettings settings;
+  std::size_t largestMessage = 0; ///< Bytes of the largest request or reply so far.
   std::vector<std::unique_ptr<VirtualDaemon>> daemons;
 
 private:
