--- a/Lagoonward/Core/UniqueFd.cpp
+++ b/Lagoonward/Core/UniqueFd.cpp
@@ -44,6 +44,12 @@
   return this->descriptor >= 0;
 }
 
+int
+UniqueFd::Release()
+{
+  return std::exchange(this->descriptor, -1);
+}
+
 void
 UniqueFd::Reset()
 {
--- a/Lagoonward/Core/UniqueFd.h
+++ b/Lagoonward/Core/UniqueFd.h
@@ -23,6 +23,9 @@
   /// Closes the descriptor now.
   void Reset();
 
+  /// Leaves the descriptor open for a new owner. @return the descriptor
+  [[nodiscard]] int Release();
+
 private:
   int descriptor = -1;
 };
--- a/Lagoonward/Membership/PeerSockets.cpp
+++ b/Lagoonward/Membership/PeerSockets.cpp
@@ -1,6 +1,5 @@
 #include "Lagoonward/Membership/PeerSockets.h"
 
-#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -11,7 +10,6 @@
 namespace {
 
 constexpr int kBindAttempts = 16;
-constexpr int kListenBacklog = 128;
 
 UniqueFd
 OpenSocket(int aType)
@@ -19,49 +17,29 @@
   return UniqueFd(::socket(AF_INET, aType | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
 
-bool
-BindTo(const UniqueFd& aSocket, const sockaddr_in& aAddress)
-{
-  return aSocket.IsValid() &&
-         ::bind(aSocket.Get(), reinterpret_cast<const sockaddr*>(&aAddress), sizeof(aAddress)) == 0;
-}
-
 Result<PeerSockets>
-BindBoth(sockaddr_in aAddress)
+BindBoth(sockaddr_in aAddress, Milliseconds aTimeout)
 {
   PeerSockets sockets;
-  sockets.listener = OpenSocket(SOCK_STREAM);
-  const int on = 1;
-  ::setsockopt(sockets.listener.Get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  if (!BindTo(sockets.listener, aAddress) ||
-      ::listen(sockets.listener.Get(), kListenBacklog) != 0) {
-    return Error(ErrorKind::InvalidSettings, "cannot bind the TCP listener to the peer address");
+  auto listener = OpenListenSocket(SOCK_STREAM, aAddress, aTimeout);
+  if (!listener) {
+    return listener.error();
   }
+  sockets.listener = std::move(listener.value());
   // UDP uses the port that was assigned for TCP
   socklen_t length = sizeof(aAddress);
   ::getsockname(sockets.listener.Get(), reinterpret_cast<sockaddr*>(&aAddress), &length);
-  sockets.datagrams = OpenSocket(SOCK_DGRAM);
-  if (!BindTo(sockets.datagrams, aAddress)) {
-    return Error(ErrorKind::InvalidSettings, "cannot bind the UDP socket to the peer port");
+  auto datagrams = OpenListenSocket(SOCK_DGRAM, aAddress, aTimeout);
+  if (!datagrams) {
+    return datagrams.error();
   }
+  sockets.datagrams = std::move(datagrams.value());
   sockets.port = ntohs(aAddress.sin_port);
   return sockets;
 }
 
 } // namespace
 
-Result<sockaddr_in>
-ToSocketAddress(const std::string& aAddress, std::uint16_t aPort)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aPort);
-  if (::inet_pton(AF_INET, aAddress.c_str(), &address.sin_addr) != 1) {
-    return Error(ErrorKind::InvalidSettings, "expected an IPv4 address, got: " + aAddress);
-  }
-  return address;
-}
-
 Result<PeerSockets>
 PeerSockets::Open(const std::string& aAddress, std::uint16_t aPort)
 {
@@ -69,10 +47,11 @@
   if (!address) {
     return address.error();
   }
-  auto sockets = BindBoth(address.value());
+  const Milliseconds timeout = aPort == 0 ? Milliseconds(0) : kAddressInUseTimeout;
+  auto sockets = BindBoth(address.value(), timeout);
   // A port that is free for TCP may be in use for UDP: retry with other ports
   for (int attempt = 1; !sockets && aPort == 0 && attempt < kBindAttempts; ++attempt) {
-    sockets = BindBoth(address.value());
+    sockets = BindBoth(address.value(), timeout);
   }
   return sockets;
 }
--- a/Lagoonward/Membership/PeerSockets.h
+++ b/Lagoonward/Membership/PeerSockets.h
@@ -1,18 +1,11 @@
 #pragma once
 
-#include "Lagoonward/Core/Result.h"
-#include "Lagoonward/Core/UniqueFd.h"
-
-#include <netinet/in.h>
+#include "Lagoonward/Core/ListenSocket.h"
 
 #include <string>
 
 namespace lagoonward {
 
-/// Parses an IPv4 address in dotted decimal. Error: InvalidSettings.
-[[nodiscard]] Result<sockaddr_in>
-ToSocketAddress(const std::string& aAddress, std::uint16_t aPort);
-
 /// A UDP socket and a TCP listener, both non-blocking, on one address and port.
 struct PeerSockets
 {
@@ -20,7 +13,8 @@
   UniqueFd listener;
   std::uint16_t port = 0;
 
-  /// Binds both sockets. Port 0 selects a port that is free for both. Error: InvalidSettings.
+  /// Binds both sockets. Port 0 selects a port that is free for both; another port that is in use is waited for, up to
+  /// kAddressInUseTimeout. Error: InvalidSettings.
   [[nodiscard]] static Result<PeerSockets> Open(const std::string& aAddress, std::uint16_t aPort);
 };
 
--- a/Lagoonward/Wire/HttpServer.cpp
+++ b/Lagoonward/Wire/HttpServer.cpp
@@ -1,9 +1,9 @@
 #include "Lagoonward/Wire/HttpServer.h"
 
+#include "Lagoonward/Core/ListenSocket.h"
 #include "Lagoonward/Core/StringMemory.h"
 #include "Lagoonward/Core/SystemClock.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
 #include <microhttpd.h>
 #include <sys/socket.h>
@@ -479,31 +479,34 @@
 Result<void>
 HttpServer::Start()
 {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(this->settings.port);
-  if (inet_pton(AF_INET, this->settings.address.c_str(), &address.sin_addr) != 1) {
-    return Error(ErrorKind::InvalidSettings, this->settings.address + " is not an IPv4 address.");
+  const auto address = ToSocketAddress(this->settings.address, this->settings.port);
+  if (!address) {
+    return address.error();
+  }
+  auto socket = OpenListenSocket(SOCK_STREAM, address.value(), kAddressInUseTimeout);
+  if (!socket) {
+    return socket.error();
   }
   const auto idleTimeout = std::chrono::ceil<Seconds>(this->settings.limits.idleTimeout);
   this->listening = true;
   this->daemon.reset(MHD_start_daemon(
     MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, this->settings.port, nullptr, nullptr,
-    &Callbacks::OnAccess, this, MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr*>(&address),
+    &Callbacks::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, socket.value().Get(),
     MHD_OPTION_THREAD_POOL_SIZE, this->settings.threads > 1 ? this->settings.threads : 0U,
     MHD_OPTION_CONNECTION_LIMIT,
     std::max(this->settings.maximumConnections + kSpareConnections, this->settings.threads),
     MHD_OPTION_CONNECTION_MEMORY_LIMIT, this->settings.connectionMemoryBytes,
     MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(idleTimeout.count()),
     MHD_OPTION_NOTIFY_CONNECTION, &Callbacks::OnConnection, this, MHD_OPTION_STRICT_FOR_CLIENT, 1,
-    MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::OnTarget, this, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-    static_cast<unsigned>(SOMAXCONN), MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::OnCompleted, this,
-    MHD_OPTION_END));
+    MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::OnTarget, this, MHD_OPTION_NOTIFY_COMPLETED,
+    &Callbacks::OnCompleted, this, MHD_OPTION_END));
   if (this->daemon == nullptr) {
     return Error(ErrorKind::InvalidSettings,
-                 fmt::format("Cannot listen on {}:{}: {}.", this->settings.address,
+                 fmt::format("Cannot serve on {}:{}: {}.", this->settings.address,
                              this->settings.port, std::strerror(errno)));
   }
+  // The library closes it from here on
+  static_cast<void>(socket.value().Release());
   return boost::outcome_v2::success();
 }
 
