--- a/Lagoonward/Cli/ServeCommand.cpp
+++ b/Lagoonward/Cli/ServeCommand.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Cli/ServeCommand.h"
 
+#include "Lagoonward/Core/ProcessEnd.h"
 #include "Lagoonward/Core/SystemClock.h"
 #include "Lagoonward/Daemon/Daemon.h"
 #include "Lagoonward/Settings/SettingsReader.h"
@@ -64,6 +65,7 @@
   }
   const sigset_t signals = BlockDrainSignals();
   StartLogging(outcome.settings.logLevel);
+  ReportFatalErrors();
   curl_global_init(CURL_GLOBAL_ALL);
 
   const SystemClock clock;
--- a/Lagoonward/Daemon/ConfigurationLoader.cpp
+++ b/Lagoonward/Daemon/ConfigurationLoader.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Daemon/ConfigurationLoader.h"
 
+#include "Lagoonward/Core/ProcessEnd.h"
+
 #include <utility>
 
 namespace lagoonward {
@@ -19,7 +21,10 @@
 void
 ConfigurationLoader::Start()
 {
-  this->thread = std::thread([this] { this->Run(); });
+  this->thread = std::thread([this] {
+    NameThread("configuration");
+    this->Run();
+  });
 }
 
 void
--- a/Lagoonward/Daemon/LeaderTaskService.cpp
+++ b/Lagoonward/Daemon/LeaderTaskService.cpp
@@ -1,6 +1,7 @@
 #include "Lagoonward/Daemon/LeaderTaskService.h"
 
 #include "Lagoonward/Core/Log.h"
+#include "Lagoonward/Core/ProcessEnd.h"
 
 namespace lagoonward {
 
@@ -62,8 +63,14 @@
 Result<void>
 LeaderTaskService::Start()
 {
-  this->leaseThread = std::thread([this] { this->RunLease(); });
-  this->taskThread = std::thread([this] { this->RunTasks(); });
+  this->leaseThread = std::thread([this] {
+    NameThread("lease");
+    this->RunLease();
+  });
+  this->taskThread = std::thread([this] {
+    NameThread("leader-tasks");
+    this->RunTasks();
+  });
   return boost::outcome_v2::success();
 }
 
--- a/Lagoonward/Daemon/RelayReporter.cpp
+++ b/Lagoonward/Daemon/RelayReporter.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr double kMillisecondsPerSecond = 1000;
+
 const Log kLog("relay");
 
 /// In seconds: from the response time of a plain call to the longest timeout of a caller.
@@ -37,6 +39,7 @@
 
 RelayReporter::RelayReporter(const Clock& aClock)
   : clock(aClock)
+  , startedAt(aClock.WallNow())
   , ended(prometheus::BuildCounter()
             .Name("lagoonward_relay_requests_total")
             .Help("Relayed requests by route and status; 0 where the caller had gone.")
@@ -106,6 +109,10 @@
     family.Add({ { "service", service }, { "state", "live" } }).Set(counts.live);
     family.Add({ { "service", service }, { "state", "leaving" } }).Set(counts.leaving);
   }
+  const EndpointCounts& others = aState.endpointsOfOtherServices;
+  this->SetGauge("lagoonward_relay_endpoints_of_other_services",
+                 "Endpoints known whose service the configuration does not name.",
+                 others.live + others.leaving);
 }
 
 void
@@ -130,6 +137,9 @@
 std::string
 RelayReporter::MetricsText(const RelayState& aState)
 {
+  this->SetGauge("process_start_time_seconds",
+                 "Unix time of the start of this process; a change is a restart.",
+                 static_cast<double>(ToUnixMilliseconds(this->startedAt)) / kMillisecondsPerSecond);
   this->SetGauge("lagoonward_relay_configuration_version", "Version in force; 0 for none.",
                  static_cast<double>(aState.configurationVersion));
   this->SetGauge("lagoonward_relay_daemons", "Daemons thought to live, this one included.",
--- a/Lagoonward/Daemon/RelayReporter.h
+++ b/Lagoonward/Daemon/RelayReporter.h
@@ -30,7 +30,8 @@
 struct RelayState
 {
   std::int64_t configurationVersion = 0;           ///< Zero while none is in force.
-  std::map<std::string, EndpointCounts> endpoints; ///< By service.
+  std::map<std::string, EndpointCounts> endpoints; ///< By service of the configuration.
+  EndpointCounts endpointsOfOtherServices;         ///< Which the configuration does not name.
   int daemons = 0;                                 ///< Regarded as live, this one included.
   int openRequests = 0;                ///< Callers that wait for a response from this daemon.
   std::size_t requestBytes = 0;        ///< See ConnectionTable::Held().
@@ -85,6 +86,7 @@
   void SetQueueMetrics(const PoolLedgerState& aState);
 
   const Clock& clock;
+  WallTime startedAt; ///< Of this process.
   BeganHandler onBegan;
   SentHandler onSent;
   std::function<Milliseconds()> endpointsAge = [] { return Milliseconds(0); };
--- a/Lagoonward/Membership/ControlLoop.cpp
+++ b/Lagoonward/Membership/ControlLoop.cpp
@@ -1,5 +1,7 @@
 #include "Lagoonward/Membership/ControlLoop.h"
 
+#include "Lagoonward/Core/ProcessEnd.h"
+
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
@@ -102,7 +104,10 @@
   }
   this->running = true;
   this->joinable = true;
-  this->thread = std::thread([this] { this->Loop(); });
+  this->thread = std::thread([this] {
+    NameThread("control");
+    this->Loop();
+  });
   return boost::outcome_v2::success();
 }
 
--- a/Lagoonward/Wire/TrafficLoop.cpp
+++ b/Lagoonward/Wire/TrafficLoop.cpp
@@ -1,5 +1,6 @@
 #include "Lagoonward/Wire/TrafficLoop.h"
 
+#include "Lagoonward/Core/ProcessEnd.h"
 #include "Lagoonward/Wire/CurlTransfer.h"
 
 #include <sys/epoll.h>
@@ -85,7 +86,10 @@
 void
 TrafficLoop::Start()
 {
-  this->thread = std::thread([this] { this->Run(); });
+  this->thread = std::thread([this] {
+    NameThread("traffic");
+    this->Run();
+  });
 }
 
 void
--- a/UnitTests/Daemon/RelayReporterTests.cpp
+++ b/UnitTests/Daemon/RelayReporterTests.cpp
@@ -17,6 +17,7 @@
   state.daemons = 70;
   state.isLeader = true;
   state.endpointsAge = Milliseconds(750);
+  state.endpointsOfOtherServices = { 2, 1 };
   const std::string first = reporter.MetricsText(state);
   BOOST_TEST(first.find("lagoonward_relay_configuration_version 7\n") != std::string::npos);
   BOOST_TEST(first.find("lagoonward_relay_endpoints{service=\"s\",state=\"live\"} 3\n") !=
@@ -24,6 +25,9 @@
   BOOST_TEST(first.find("lagoonward_relay_leads 1\n") != std::string::npos);
   BOOST_TEST(first.find("lagoonward_relay_endpoints_age_seconds 0.75\n") != std::string::npos);
 
+  BOOST_TEST(first.find("lagoonward_relay_endpoints_of_other_services 3\n") != std::string::npos);
+  BOOST_TEST(first.find("process_start_time_seconds ") != std::string::npos);
+
   // A service that has lost its endpoints is reported with zero, not with its last count
   state.endpoints["s"] = {};
   state.isLeader = false;
