--- a/Lagoonward/Daemon/RelayDaemon.cpp
+++ b/Lagoonward/Daemon/RelayDaemon.cpp
@@ -351,7 +351,10 @@
   }
   const FleetSnapshotPtr snapshot = this->fleet.Get();
   for (const Endpoint& endpoint : snapshot->endpoints) {
-    EndpointCounts& counts = state.endpoints[endpoint.name];
+    // Names of other services, which any writer of entries chooses, are no labels
+    const auto configured = state.endpoints.find(endpoint.name);
+    EndpointCounts& counts =
+      configured == state.endpoints.end() ? state.endpointsOfOtherServices : configured->second;
     ++(endpoint.state == EndpointState::Live ? counts.live : counts.leaving);
   }
   state.daemons = this->LiveDaemons();
