--- a/Lagoonward/Configuration/JsonReader.cpp
+++ b/Lagoonward/Configuration/JsonReader.cpp
@@ -165,13 +165,13 @@
 }
 
 void
-JsonReader::Fault(std::string_view aName, std::string aMessage)
+JsonReader::Fault(std::string_view aName, std::string_view aMessage)
 {
-  this->FaultAt(this->PointerOf(aName), std::move(aMessage));
+  this->FaultAt(this->PointerOf(aName), aMessage);
 }
 
 void
-JsonReader::FaultAt(std::string aPointer, std::string aMessage)
+JsonReader::FaultAt(std::string_view aPointer, std::string_view aMessage)
 {
   this->faults.Add(aPointer, aMessage);
 }
--- a/Lagoonward/Configuration/JsonReader.h
+++ b/Lagoonward/Configuration/JsonReader.h
@@ -87,10 +87,10 @@
   void RejectUnknown();
 
   /// Reports a fault of one member, or of the object itself if aName is empty.
-  void Fault(std::string_view aName, std::string aMessage);
+  void Fault(std::string_view aName, std::string_view aMessage);
 
   /// Reports a fault of a nested value by its full pointer.
-  void FaultAt(std::string aPointer, std::string aMessage);
+  void FaultAt(std::string_view aPointer, std::string_view aMessage);
 
   [[nodiscard]] std::string PointerOf(std::string_view aName) const;
 
--- a/Lagoonward/Configuration/ManifestReader.cpp
+++ b/Lagoonward/Configuration/ManifestReader.cpp
@@ -58,7 +58,7 @@
   std::string name = aReader.ReadString(aField);
   const bool isString = value != nullptr && value->is_string();
   if (std::string fault = isString ? CheckName(name, aForbidden) : ""; !fault.empty()) {
-    aReader.Fault(aField, std::move(fault));
+    aReader.Fault(aField, fault);
   }
   return name;
 }
@@ -105,7 +105,7 @@
     const bool isString = (*aReader.Find(aField))[index].is_string();
     std::string fault = isString ? CheckName(names[index], kNoneForbidden) : "";
     if (!fault.empty()) {
-      aReader.FaultAt(EntryPointer(aReader, aField, index), std::move(fault));
+      aReader.FaultAt(EntryPointer(aReader, aField, index), fault);
     }
   }
   RejectRepeated(aReader, aField, names, "", [](const std::string& aName) { return aName; });
--- a/UnitTests/Core/ListenSocketTests.cpp
+++ b/UnitTests/Core/ListenSocketTests.cpp
@@ -74,7 +74,7 @@
     settings.address = "127.0.0.1";
     settings.port = aPort;
     HttpServer server(settings, [](const HttpRequest&, const HttpExchangePtr&) {});
-    const auto result = server.Start();
+    auto result = server.Start();
     BOOST_TEST(server.Port() == aPort);
     server.Stop();
     return result;
