--- a/Lagoonward/Core/ListenSocket.cpp
+++ b/Lagoonward/Core/ListenSocket.cpp
@@ -16,7 +16,7 @@
 
 const Log kLog("listen");
 
-/// Between two attempts to bind an address that is in use.
+/// Between two attempts to bind an address that is not free.
 constexpr Milliseconds kAttemptInterval{ 50 };
 
 std::string
@@ -73,14 +73,15 @@
     const int error = errno;
     if (socket.IsValid()) {
       if (waited > Milliseconds(0)) {
-        kLog.Event(LogLevel::Warning, "address_was_in_use",
+        kLog.Event(LogLevel::Warning, "address_was_not_free",
                    { { "address", Describe(aAddress) },
                      { "datagrams", aType == SOCK_DGRAM },
                      { "waited_ms", waited.count() } });
       }
       return socket;
     }
-    if (error != EADDRINUSE || waited >= aTimeout) {
+    const bool mayPass = error == EADDRINUSE || error == EADDRNOTAVAIL;
+    if (!mayPass || waited >= aTimeout) {
       return Error(ErrorKind::InvalidSettings,
                    fmt::format("cannot listen on {} ({}): {}", Describe(aAddress),
                                aType == SOCK_DGRAM ? "UDP" : "TCP", std::strerror(error)));
--- a/Lagoonward/Membership/PeerSockets.cpp
+++ b/Lagoonward/Membership/PeerSockets.cpp
@@ -47,7 +47,7 @@
   if (!address) {
     return address.error();
   }
-  const Milliseconds timeout = aPort == 0 ? Milliseconds(0) : kAddressInUseTimeout;
+  const Milliseconds timeout = aPort == 0 ? Milliseconds(0) : kAddressTimeout;
   auto sockets = BindBoth(address.value(), timeout);
   // A port that is free for TCP may be in use for UDP: retry with other ports
   for (int attempt = 1; !sockets && aPort == 0 && attempt < kBindAttempts; ++attempt) {
--- a/Lagoonward/Membership/PeerSockets.h
+++ b/Lagoonward/Membership/PeerSockets.h
@@ -13,8 +13,8 @@
   UniqueFd listener;
   std::uint16_t port = 0;
 
-  /// Binds both sockets. Port 0 selects a port that is free for both; another port that is in use is waited for, up to
-  /// kAddressInUseTimeout. Error: InvalidSettings.
+  /// Binds both sockets. Port 0 selects a port that is free for both; another port that is not free is waited for, up to
+  /// kAddressTimeout. Error: InvalidSettings.
   [[nodiscard]] static Result<PeerSockets> Open(const std::string& aAddress, std::uint16_t aPort);
 };
 
--- a/Lagoonward/Settings/RelaySettingsReader.cpp
+++ b/Lagoonward/Settings/RelaySettingsReader.cpp
@@ -267,6 +267,7 @@
     po::store(po::parse_config_file(variableLines, options), values);
     if (values.count("settings") > 0) {
       const auto path = values["settings"].as<std::string>();
+      outcome.file = path;
       std::ifstream file(path);
       if (!file) {
         outcome.faults.push_back(fmt::format("settings: cannot open file {}", path));
--- a/Lagoonward/Wire/HttpServer.cpp
+++ b/Lagoonward/Wire/HttpServer.cpp
@@ -483,7 +483,7 @@
   if (!address) {
     return address.error();
   }
-  auto socket = OpenListenSocket(SOCK_STREAM, address.value(), kAddressInUseTimeout);
+  auto socket = OpenListenSocket(SOCK_STREAM, address.value(), kAddressTimeout);
   if (!socket) {
     return socket.error();
   }
