--- a/Fuzz/Decoders/RecordFuzzer.cpp
+++ b/Fuzz/Decoders/RecordFuzzer.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Of the faults of one record, in bytes.
+constexpr std::size_t kLongestDescription = 2000;
+
 void
 Require(bool aCondition)
 {
@@ -26,6 +29,7 @@
   JsonFaults faults;
   const auto record = aRead(aBytes, faults);
   Require(record.has_value() == faults.IsEmpty());
+  Require(DescribeFaults(faults).size() <= kLongestDescription);
   if (!record) {
     return;
   }
