--- a/Lagoonward/Relay/RelayRun.cpp
+++ b/Lagoonward/Relay/RelayRun.cpp
@@ -294,7 +294,7 @@
     this->OnAttemptFailed(std::move(aEnd));
     return;
   }
-  if (this->MayHaveTerminated(aEnd)) {
+  if (MayHaveTerminated(aEnd)) {
     this->CheckTerminated(std::move(aEnd));
     return;
   }
@@ -302,15 +302,9 @@
 }
 
 bool
-RelayRun::MayHaveTerminated(const AttemptResult& aEnd) const
+RelayRun::MayHaveTerminated(const AttemptResult& aEnd)
 {
-  if (aEnd.outcome != AttemptOutcome::Success || aEnd.response.bodyEnd != BodyEnd::Connection) {
-    return false;
-  }
-  const FleetSnapshotPtr fleet = this->context.fleet.Get();
-  const Endpoint* endpoint = fleet->Find(this->endpointId);
-  return endpoint == nullptr || endpoint->state == EndpointState::Leaving ||
-         this->context.notices.Find(this->endpointKey) == EndpointNotice::Leaving;
+  return aEnd.outcome == AttemptOutcome::Success && aEnd.response.bodyEnd == BodyEnd::Connection;
 }
 
 void
--- a/Lagoonward/Relay/RelayRun.h
+++ b/Lagoonward/Relay/RelayRun.h
@@ -248,9 +248,9 @@
     const std::optional<TimePoint>& aReachableUntil) const;
   /// Ends the request, or tries again, after an attempt whose end is known to be the run's own or not.
   void HandleAttemptEnd(AttemptResult aEnd);
-  /// Whether the response may have been cut off by the end of its endpoint's process, which closes its connections in an
-  /// orderly way.
-  [[nodiscard]] bool MayHaveTerminated(const AttemptResult& aEnd) const;
+  /// Whether the response may have been cut off by the end of its endpoint's process, be it planned or a crash: the system
+  /// closes its connections in an orderly way, and nothing but the end of the connection marks the end of the body.
+  [[nodiscard]] static bool MayHaveTerminated(const AttemptResult& aEnd);
   /// Keeps the end of the attempt until it is known whether its endpoint still runs.
   void CheckTerminated(AttemptResult aEnd);
   void OnTerminationKnown(bool aIsDead);
--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -531,12 +531,16 @@
   BOOST_TEST((stream.relay.clock.Now() - begin < Seconds(4)));
 }
 
-// Guards against a part of a stream that callers get as complete: the process of its leaving endpoint ended, and closed the
-// stream in an orderly way. Where it still runs, the end is the stream's own.
+// Guards against a part of a stream that callers get as complete: the process of its endpoint ended, whether it had said
+// that it leaves or crashed, and the kernel closed the stream in an orderly way. Where the process still runs, the end is
+// the stream's own.
 BOOST_AUTO_TEST_CASE(StreamThatEndsWithTheProcessOfItsEndpointIsNotComplete)
 {
-  for (const Kind end : { Kind::CloseAndStopListening, Kind::Close }) {
-    BOOST_TEST_CONTEXT("process ends: " << (end == Kind::CloseAndStopListening))
+  for (const auto& [end, leaves] :
+       { std::pair(Kind::CloseAndStopListening, true), std::pair(Kind::Close, true),
+         std::pair(Kind::CloseAndStopListening, false), std::pair(Kind::Close, false) }) {
+    BOOST_TEST_CONTEXT("process ends: " << (end == Kind::CloseAndStopListening)
+                                        << ", leaves: " << leaves)
     {
       std::atomic<bool> isLeaving{ false };
       const ScriptedServer server([&](const std::string&) {
@@ -552,13 +556,32 @@
       while (!caller.HasEvents()) {
         std::this_thread::sleep_for(Milliseconds(1));
       }
-      relay.MarkLeaving(server.Port());
+      if (leaves) {
+        relay.MarkLeaving(server.Port());
+      }
       isLeaving = true;
       BOOST_TEST(caller.Wait().aborted == (end == Kind::CloseAndStopListening));
     }
   }
 }
 
+// Guards against a part of a plain response that callers get as complete, for the same reason. One that may be repeated
+// goes to another endpoint.
+BOOST_AUTO_TEST_CASE(PlainResponseThatEndsWithTheProcessOfItsEndpointIsNotComplete)
+{
+  for (const RelayKind kind : { RelayKind::Idempotent, RelayKind::NonIdempotent }) {
+    const ScriptedServer crashing([](const std::string&) {
+      return Script{ { Kind::Send, "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n\r\npart of" },
+                     { Kind::CloseAndStopListening } };
+    });
+    RelayFixture relay({ &crashing });
+    TestCaller caller;
+    relay.Submit(caller, kind, false, Seconds(5));
+    const Received received = caller.Wait();
+    BOOST_TEST((!received.reply || received.reply->status != 200));
+  }
+}
+
 // Guards against a rejection that says that the request did not run: its response waited for the check of its endpoint when
 // the daemon shut down.
 BOOST_AUTO_TEST_CASE(RequestWhoseResponseIsCheckedHasRun)
