--- a/Lagoonward/Daemon/RelayDaemon.h
+++ b/Lagoonward/Daemon/RelayDaemon.h
@@ -80,6 +80,10 @@
   /// Origins of streams, to be saved outside and to be read by later runs.
   [[nodiscard]] StreamOriginExchange& StreamOrigins() { return *this->streamOrigins; }
 
+  /// Requests that crash endpoints, and parts of prompts that do. Valid after Start(). Any thread.
+  [[nodiscard]] PoisonRequestFilter& PoisonedRequests() { return this->market->poison; }
+  [[nodiscard]] PoisonRequestFilter& PoisonedParts() { return this->market->poisonParts; }
+
   /// Whether other daemons send the configurations, so that this one need not poll for them. To be called by one
   /// thread.
   [[nodiscard]] bool ReceivesConfigurationsFromPeers();
