--- a/UnitTests/Relay/RelayMoveEndTests.cpp
+++ b/UnitTests/Relay/RelayMoveEndTests.cpp
@@ -543,7 +543,7 @@
                                         << ", leaves: " << leaves)
     {
       std::atomic<bool> isLeaving{ false };
-      const ScriptedServer server([&](const std::string&) {
+      const ScriptedServer server([&, end = end](const std::string&) {
         return Script{ { Kind::Send, "HTTP/1.1 200 OK\r\nId: r1\r\nMark: m\r\n"
                                      "Content-Type: text/event-stream\r\n\r\n" +
                                        MakeEvent(1) },
