--- a/Lagoonward/Attempts/CrashProbe.cpp
+++ b/Lagoonward/Attempts/CrashProbe.cpp
@@ -5,52 +5,42 @@
 
 namespace lagoonward {
 
-namespace {
-
-/// Longest wait for the result of a connection attempt: an endpoint that refuses connections does so within a few
-/// milliseconds.
-constexpr Milliseconds kWaitTimeout{ 50 };
-
-} // namespace
-
-/// One new connection to an endpoint, closed as soon as it is established.
-class CrashProbe::ConnectionAttempt final : private HttpTransferObserver
+/// One or two new connections to an endpoint, each closed as soon as it is established.
+class CrashProbe::Check final : private HttpTransferObserver
 {
 public:
-  ConnectionAttempt(CrashProbe& aOwner, std::string aAddress)
+  Check(CrashProbe& aOwner, std::string aAddress)
     : owner(aOwner)
     , address(std::move(aAddress))
   {
-    HttpTransferRequest request;
-    request.url = "http://" + this->address + "/";
-    request.freshConnection = true;
-    request.mayBeSent = [] { return false; };
-    this->transfer = this->owner.loop.StartTransfer(request, *this);
-    this->timer = this->owner.loop.RunAfter(kWaitTimeout, [this] {
-      this->timer.reset();
+    this->Connect();
+    this->waitTimer = this->owner.loop.RunAfter(this->owner.settings.waitTimeout, [this] {
+      this->waitTimer.reset();
       this->NotifyWaiting(false);
     });
   }
 
-  ~ConnectionAttempt() override
+  ~Check() override
   {
     if (this->transfer != 0) {
       this->owner.loop.CancelTransfer(this->transfer);
     }
-    if (this->timer) {
-      this->owner.loop.CancelTimer(*this->timer);
+    for (const auto& timer : { this->waitTimer, this->repeatTimer }) {
+      if (timer) {
+        this->owner.loop.CancelTimer(*timer);
+      }
     }
   }
 
-  ConnectionAttempt(const ConnectionAttempt&) = delete;
-  ConnectionAttempt& operator=(const ConnectionAttempt&) = delete;
+  Check(const Check&) = delete;
+  Check& operator=(const Check&) = delete;
 
   /// @param aEvidence  may be empty
   void Add(std::vector<CrashEvidence> aEvidence, std::function<void(bool aIsDead)> aOnKnown)
   {
     this->lostConnections.push_back({ std::move(aEvidence), this->owner.loop.GetClock().Now() });
     this->waitingCallbacks.push_back(std::move(aOnKnown));
-    if (!this->timer) {
+    if (!this->waitTimer) {
       this->NotifyWaiting(false);
     }
   }
@@ -79,6 +69,15 @@
     TimePoint at;
   };
 
+  void Connect()
+  {
+    HttpTransferRequest request;
+    request.url = "http://" + this->address + "/";
+    request.freshConnection = true;
+    request.mayBeSent = [] { return false; };
+    this->transfer = this->owner.loop.StartTransfer(request, *this);
+  }
+
   /// Calls and removes the waiting callbacks.
   void NotifyWaiting(bool aIsDead)
   {
@@ -92,19 +91,30 @@
   void OnEnd(const TransferEnd& aEnd) override
   {
     this->transfer = 0;
-    this->owner.OnAttemptEnded(this->address, aEnd.isConnectionRefused);
+    const bool isAccepted = aEnd.isWithheld;
+    if (!isAccepted || std::exchange(this->hasRepeated, true)) {
+      this->owner.OnCheckEnded(this->address, aEnd.isConnectionRefused);
+      return;
+    }
+    this->repeatTimer = this->owner.loop.RunAfter(this->owner.settings.repeatDelay, [this] {
+      this->repeatTimer.reset();
+      this->Connect();
+    });
   }
 
   CrashProbe& owner;
   std::string address;
   TransferId transfer = 0;
-  std::optional<TrafficLoop::TimerId> timer; ///< Set until kWaitTimeout has passed.
+  bool hasRepeated = false;
+  std::optional<TrafficLoop::TimerId> waitTimer; ///< Set until the wait timeout has passed.
+  std::optional<TrafficLoop::TimerId> repeatTimer;
   std::vector<LostConnection> lostConnections;
   std::vector<std::function<void(bool)>> waitingCallbacks;
 };
 
-CrashProbe::CrashProbe(TrafficLoop& aLoop)
+CrashProbe::CrashProbe(TrafficLoop& aLoop, const CrashProbeSettings& aSettings)
   : loop(aLoop)
+  , settings(aSettings)
 {
 }
 
@@ -114,30 +124,30 @@
 CrashProbe::OnConnectionLost(const std::string& aAddress, std::vector<CrashEvidence> aEvidence,
                              std::function<void()> aOnKnown)
 {
-  this->AttemptAt(aAddress).Add(std::move(aEvidence),
-                                [onKnown = std::move(aOnKnown)](bool /*aIsDead*/) { onKnown(); });
+  this->CheckOf(aAddress).Add(std::move(aEvidence),
+                              [onKnown = std::move(aOnKnown)](bool /*aIsDead*/) { onKnown(); });
 }
 
 void
 CrashProbe::CheckTerminated(const std::string& aAddress, std::function<void(bool aIsDead)> aOnKnown)
 {
-  this->AttemptAt(aAddress).Add({}, std::move(aOnKnown));
+  this->CheckOf(aAddress).Add({}, std::move(aOnKnown));
 }
 
-CrashProbe::ConnectionAttempt&
-CrashProbe::AttemptAt(const std::string& aAddress)
+CrashProbe::Check&
+CrashProbe::CheckOf(const std::string& aAddress)
 {
-  std::unique_ptr<ConnectionAttempt>& attempt = this->attempts[aAddress];
-  if (attempt == nullptr) {
-    attempt = std::make_unique<ConnectionAttempt>(*this, aAddress);
+  std::unique_ptr<Check>& check = this->checks[aAddress];
+  if (check == nullptr) {
+    check = std::make_unique<Check>(*this, aAddress);
   }
-  return *attempt;
+  return *check;
 }
 
 void
-CrashProbe::OnAttemptEnded(const std::string& aAddress, bool aIsDead)
+CrashProbe::OnCheckEnded(const std::string& aAddress, bool aIsDead)
 {
-  auto found = this->attempts.extract(aAddress);
+  auto found = this->checks.extract(aAddress);
   found.mapped()->Settle(aIsDead);
 }
 
--- a/Lagoonward/Attempts/CrashProbe.h
+++ b/Lagoonward/Attempts/CrashProbe.h
@@ -18,14 +18,26 @@
   CrashReport report;
 };
 
+struct CrashProbeSettings
+{
+  /// How long after an accepted connection attempt the next one follows: the kernel closes the connections of a process
+  /// that ends before its listening socket, and accepts new connections between the two. On a busy host that takes some
+  /// milliseconds.
+  Milliseconds repeatDelay{ 20 };
+
+  /// Longest wait for the result: an endpoint that refuses connections does so within a few milliseconds.
+  Milliseconds waitTimeout{ 50 };
+};
+
 /// Determines whether an endpoint has crashed after a connection to it broke. Connections break for many reasons;
-/// an endpoint that still accepts new connections has not crashed. All broken connections to an endpoint on
-/// this loop share one connection attempt, on which no data is sent. Used on one TrafficLoop only.
+/// an endpoint that still accepts new connections after a short time has not crashed. All broken connections to an
+/// endpoint on this loop share one check: a connection attempt and, if it is accepted, a second one. No data is sent.
+/// Used on one TrafficLoop only.
 class CrashProbe
 {
 public:
   /// The loop must outlive this object.
-  explicit CrashProbe(TrafficLoop& aLoop);
+  explicit CrashProbe(TrafficLoop& aLoop, const CrashProbeSettings& aSettings = {});
   ~CrashProbe();
   CrashProbe(const CrashProbe&) = delete;
   CrashProbe& operator=(const CrashProbe&) = delete;
@@ -43,14 +55,15 @@
   void CheckTerminated(const std::string& aAddress, std::function<void(bool aIsDead)> aOnKnown);
 
 private:
-  class ConnectionAttempt;
+  class Check;
 
-  [[nodiscard]] ConnectionAttempt& AttemptAt(const std::string& aAddress);
-  /// @param aIsDead  whether the endpoint refused the connection
-  void OnAttemptEnded(const std::string& aAddress, bool aIsDead);
+  [[nodiscard]] Check& CheckOf(const std::string& aAddress);
+  /// @param aIsDead  whether the endpoint refused a connection
+  void OnCheckEnded(const std::string& aAddress, bool aIsDead);
 
   TrafficLoop& loop;
-  std::unordered_map<std::string, std::unique_ptr<ConnectionAttempt>> attempts; ///< By address.
+  CrashProbeSettings settings;
+  std::unordered_map<std::string, std::unique_ptr<Check>> checks; ///< By address.
 };
 
 } // namespace lagoonward
